--- /dev/null
+++ b/Makefile
@@ -0,0 +1,57 @@
+# The two commands a newcomer types are `make demo` and `make test`; each sets up what it needs.
+
+JOBS ?= $(shell nproc)
+PYTHON ?= /usr/bin/python3
+BUILD ?= build
+SOURCES = $(shell git ls-files --cached --others --exclude-standard '*.cpp' '*.h')
+TIDY_SOURCES = $(shell git ls-files --cached --others --exclude-standard 'src/*.cpp' 'standin/*.cpp')
+
+PACKAGES = ccache clang-format clang-tidy cmake doctest-dev g++ git libboost-dev libcli11-dev \
+  libcpp-httplib-dev libexpected-dev libnghttp2-dev libspdlog-dev libssl-dev liburcu-dev \
+  libxxhash-dev libyaml-cpp-dev ninja-build nlohmann-json3-dev python3 python3-yaml
+SUDO = $(shell [ $$(id -u) = 0 ] || echo sudo)
+
+.PHONY: all packages configure build demo test unit process format lint format-check sanitize clean
+
+all: build
+
+# Installs the Debian packages that are missing; silent when all are there.
+packages:
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || \
+	  (echo "Installing packages ..." && $(SUDO) apt-get update -qq && \
+	   $(SUDO) env DEBIAN_FRONTEND=noninteractive apt-get install -y -qq $(PACKAGES) >/dev/null)
+
+configure: packages
+	@cmake -S . -B $(BUILD) -G Ninja $(CMAKE_FLAGS) >/dev/null
+
+build: configure
+	@ninja -C $(BUILD) -j $(JOBS) --quiet
+
+demo: build
+	@$(PYTHON) demo/run_demo.py
+
+# Everything that CI checks.
+test: build format-check lint unit process
+
+unit: build
+	@$(BUILD)/unit_tests
+
+process: build
+	@$(PYTHON) tests/process/run.py
+
+format:
+	@clang-format -i $(SOURCES)
+
+format-check: packages
+	@clang-format --dry-run --Werror $(SOURCES)
+
+# A file is linted again only when it or a header has changed.
+lint: configure
+	@$(PYTHON) tools/lint.py $(BUILD) $(JOBS) $(TIDY_SOURCES)
+
+sanitize: packages
+	@$(MAKE) unit BUILD=build-asan CMAKE_FLAGS="-DSANITIZE=address,undefined -DCMAKE_BUILD_TYPE=Debug"
+	@$(MAKE) unit BUILD=build-tsan CMAKE_FLAGS="-DSANITIZE=thread -DCMAKE_BUILD_TYPE=Debug"
+
+clean:
+	rm -rf build build-asan build-tsan
--- /dev/null
+++ b/demo/local_cluster.py
@@ -0,0 +1,250 @@
+"""Starts daemons and stand-ins on loopback, and stops what it started."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import os
+import signal
+import subprocess
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Optional
+
+ROOT = Path(__file__).resolve().parent.parent
+START_TIMEOUT_S = 20.0
+OPERATOR_KEY = "operator-key"
+
+
+@dataclass
+class Process:
+    """A process that the cluster started, with its addresses."""
+
+    name: str
+    popen: subprocess.Popen
+    addresses: dict[str, str]
+    log: Path
+
+    @property
+    def address(self) -> str:
+        return next(iter(self.addresses.values()))
+
+    def kill(self) -> None:
+        self.popen.kill()
+        self.popen.wait()
+
+    def pause(self) -> None:
+        os.kill(self.popen.pid, signal.SIGSTOP)
+
+    def resume(self) -> None:
+        os.kill(self.popen.pid, signal.SIGCONT)
+
+    def terminate(self, timeout: float = 30.0) -> int:
+        self.popen.terminate()
+        return self.popen.wait(timeout)
+
+
+@dataclass
+class Answer:
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    seconds: float
+
+    def json(self) -> Any:
+        return json.loads(self.body)
+
+
+def call(
+    address: str,
+    method: str,
+    path: str,
+    body: Optional[Any] = None,
+    headers: Optional[dict[str, str]] = None,
+    timeout: float = 60.0,
+) -> Answer:
+    """Makes one HTTP call; a body that is not bytes is sent as JSON."""
+    data = body if isinstance(body, (bytes, type(None))) else json.dumps(body).encode()
+    connection = http.client.HTTPConnection(address, timeout=timeout)
+    started = time.monotonic()
+    try:
+        connection.request(
+            method, path, body=data, headers={"Content-Type": "application/json", **(headers or {})}
+        )
+        response = connection.getresponse()
+        content = response.read()
+        return Answer(
+            response.status,
+            {name.lower(): value for name, value in response.getheaders()},
+            content,
+            time.monotonic() - started,
+        )
+    finally:
+        connection.close()
+
+
+def wait_until(check, timeout: float = START_TIMEOUT_S, what: str = "condition") -> None:
+    """Polls until check() is true; the limit only bounds a test that has failed."""
+    end = time.monotonic() + timeout
+    while time.monotonic() < end:
+        try:
+            if check():
+                return
+        except OSError:
+            pass
+        time.sleep(0.02)
+    raise TimeoutError(f"{what} did not come within {timeout} s")
+
+
+class Cluster:
+    """Stand-ins and daemons in a directory of their own."""
+
+    def __init__(self, build: Path = ROOT / "build") -> None:
+        self._build = build
+        self._directory = tempfile.TemporaryDirectory(prefix="rhubarbtrail-")
+        self.path = Path(self._directory.name)
+        self.processes: dict[str, Process] = {}
+        self._hosts: dict[str, dict[str, str]] = {}
+        keys = [
+            {"name": role, "hash": _sha256(f"{role}-key"), "role": role}
+            for role in ("view", "operate", "configure")
+        ]
+        keys.append({"name": "operator", "hash": _sha256(OPERATOR_KEY), "role": "configure"})
+        (self.path / "operators.yaml").write_text(json.dumps(keys))
+
+    def __enter__(self) -> "Cluster":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
+    def stop(self) -> None:
+        for process in self.processes.values():
+            if process.popen.poll() is None:
+                process.resume()
+                process.kill()
+        self._directory.cleanup()
+
+    def _spawn(self, name: str, command: list[str], address_file: Path) -> Process:
+        address_file.unlink(missing_ok=True)
+        log = self.path / f"{name}.log"
+        with log.open("ab") as output:
+            popen = subprocess.Popen(command, stdout=output, stderr=output)
+        process = Process(name, popen, {}, log)
+        self.processes[name] = process
+        wait_until(
+            lambda: address_file.exists() or popen.poll() is not None, what=f"start of {name}"
+        )
+        if popen.poll() is not None:
+            raise RuntimeError(f"{name} ended at once: {log.read_text()}")
+        for line in address_file.read_text().splitlines():
+            kind, _, address = line.rpartition(": ")
+            process.addresses[kind or "address"] = address
+        return process
+
+    def start_platform(self, *options: str) -> Process:
+        file = self.path / "platform.address"
+        return self._spawn(
+            "platform",
+            [str(self._build / "standin"), "platform", "--address-file", str(file), *options],
+            file,
+        )
+
+    @property
+    def platform(self) -> Process:
+        return self.processes["platform"]
+
+    def start_endpoint(
+        self, name: str, role: str, service: str, zone: str = "a", *options: str
+    ) -> Process:
+        file = self.path / f"{name}.address"
+        command = [str(self._build / "standin"), role, "--id", name, "--address-file", str(file)]
+        process = self._spawn(
+            name, [*command, "--platform", self.platform.address, *options], file
+        )
+        self.set_host(
+            name,
+            {
+                "kind": "endpoint",
+                "id": name,
+                "boot": str(process.popen.pid),
+                "service": service,
+                "zone": zone,
+                "address": process.address,
+            },
+        )
+        return process
+
+    def set_host(self, name: str, entry: dict[str, str]) -> None:
+        self._hosts[name] = entry
+        call(self.platform.address, "POST", "/admin/hosts", {"set": [entry]})
+
+    def host(self, name: str) -> dict[str, str]:
+        return self._hosts[name]
+
+    def remove_host(self, name: str) -> None:
+        self._hosts.pop(name, None)
+        call(self.platform.address, "POST", "/admin/hosts", {"remove": [name]})
+
+    def start_daemon(self, name: str, zone: str = "a", **settings: Any) -> Process:
+        file = self.path / f"{name}.address"
+        values = {
+            "daemon_id": name,
+            "zone": zone,
+            "address_file": str(file),
+            "table": self.platform.address,
+            "host_list": self.platform.address,
+            "operator_keys": str(self.path / "operators.yaml"),
+            "caller_threads": 64,
+            "attempt_threads": 64,
+            **settings,
+        }
+        path = self.path / f"{name}.yaml"
+        path.write_text("".join(f"{key}: {json.dumps(value)}\n" for key, value in values.items()))
+        process = self._spawn(
+            name, [str(self._build / "rhubarbtrail"), "serve", "--settings", str(path)], file
+        )
+        self.set_host(
+            name,
+            {"kind": "daemon", "id": name, "zone": zone, "address": process.addresses["peer"]},
+        )
+        return process
+
+    def apply(self, daemon: Process, document: str, based_on: int) -> Answer:
+        return call(
+            daemon.addresses["admin"],
+            "POST",
+            "/configuration",
+            document.encode(),
+            {"Authorization": f"Bearer {OPERATOR_KEY}", "If-Match": str(based_on)},
+        )
+
+    def wait_ready(self, *daemons: Process) -> None:
+        for daemon in daemons:
+            wait_until(
+                lambda d=daemon: call(d.addresses["admin"], "GET", "/ready").status == 200,
+                what=f"readiness of {daemon.name}",
+            )
+
+    def dump(self, daemon: Process) -> dict[str, str]:
+        answer = call(
+            daemon.addresses["admin"],
+            "GET",
+            "/dump",
+            headers={"Authorization": f"Bearer {OPERATOR_KEY}"},
+        )
+        return {entry["path"]: entry["value"] for entry in answer.json()}
+
+    def fault(self, process: Process, **faults: int) -> None:
+        call(process.address, "POST", "/admin/fault", faults)
+
+    def journal(self, process: Process) -> list[dict[str, Any]]:
+        return call(process.address, "GET", "/journal").json()
+
+
+def _sha256(text: str) -> str:
+    import hashlib
+
+    return hashlib.sha256(text.encode()).hexdigest()
--- /dev/null
+++ b/src/caller/caller_server.h
@@ -0,0 +1,48 @@
+/* The HTTP front for callers. */
+#ifndef RHUBARBTRAIL_CALLER_CALLER_SERVER_H
+#define RHUBARBTRAIL_CALLER_CALLER_SERVER_H
+
+#include "caller/session.h"
+#include "caller/snapshot_type.h"
+#include "core/rcu_pointer.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace rhubarbtrail {
+
+struct CallerServerOptions
+{
+  std::string address = "127.0.0.1";
+  std::uint16_t port = 0;
+  std::uint32_t threads = 256;
+  std::uint64_t bodyLimit = 1U << 20U; ///< Bytes.
+  std::string requestIdPrefix;         ///< Makes the ids of this process unique.
+};
+
+class CallerServer
+{
+public:
+  CallerServer(CallerServerOptions aOptions,
+               const RcuPointer<Snapshot>& aSnapshot,
+               SessionMap& aSessions,
+               std::function<void(Event)> aPost);
+  ~CallerServer();
+  CallerServer(const CallerServer&) = delete;
+  CallerServer& operator=(const CallerServer&) = delete;
+
+  /* Binds and starts to serve; returns the port, or 0 when it cannot be bound. */
+  std::uint16_t Start();
+
+  /* Closes the listening socket and waits for the answers under way. */
+  void Stop();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> mImpl;
+};
+
+} // namespace rhubarbtrail
+
+#endif
--- /dev/null
+++ b/src/codec/json_codec.cpp
@@ -0,0 +1,186 @@
+/* JSON forms of rows and messages. */
+#include "codec/json_codec.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+namespace rhubarbtrail {
+
+using nlohmann::json;
+
+template<typename Tag>
+void to_json(json& aJson, const Id<Tag>& aId)
+{
+  aJson = aId.str();
+}
+
+template<typename Tag>
+void from_json(const json& aJson, Id<Tag>& aId)
+{
+  aId = Id<Tag>{ aJson.get<std::string>() };
+}
+
+#define RHUBARBTRAIL_WRAPPED_VALUE(Type)                                                           \
+  void to_json(json& aJson, const Type& aValue)                                                    \
+  {                                                                                                \
+    aJson = aValue.value;                                                                          \
+  }                                                                                                \
+  void from_json(const json& aJson, Type& aValue)                                                  \
+  {                                                                                                \
+    aJson.get_to(aValue.value);                                                                    \
+  }
+
+RHUBARBTRAIL_WRAPPED_VALUE(Fence)
+RHUBARBTRAIL_WRAPPED_VALUE(ConfigVersion)
+RHUBARBTRAIL_WRAPPED_VALUE(MemoryMb)
+#undef RHUBARBTRAIL_WRAPPED_VALUE
+
+} // namespace rhubarbtrail
+
+namespace nlohmann {
+
+/* Durations travel as microseconds. */
+template<>
+struct adl_serializer<rhubarbtrail::Duration>
+{
+  static void to_json(json& aJson, const rhubarbtrail::Duration& aValue) { aJson = aValue.count(); }
+  static void from_json(const json& aJson, rhubarbtrail::Duration& aValue)
+  {
+    aValue = rhubarbtrail::Duration{ aJson.get<std::int64_t>() };
+  }
+};
+
+} // namespace nlohmann
+
+namespace rhubarbtrail {
+
+#define RHUBARBTRAIL_FIELDS(...) NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(__VA_ARGS__)
+
+RHUBARBTRAIL_FIELDS(Incarnation, daemon, id)
+RHUBARBTRAIL_FIELDS(CellLeaseRow, holder, fence, renewals, change)
+RHUBARBTRAIL_FIELDS(PlacementEntry, runner, model, version, state, order, issuer)
+RHUBARBTRAIL_FIELDS(PlacementRow, fence, entries, change)
+RHUBARBTRAIL_FIELDS(ClaimRow, state, request, owner, fingerprint, httpStatus, contentType, answer)
+RHUBARBTRAIL_FIELDS(ConfigurationRow, version, document, author, comment, acceptedAtUnixMs)
+RHUBARBTRAIL_FIELDS(Artifact, model, adapter)
+RHUBARBTRAIL_FIELDS(DemandMessage, cell, artifact, timeLeft, waiting, inFlight, startedSince)
+RHUBARBTRAIL_FIELDS(ReplicaLocation, runner, concurrency, reportedLoad)
+RHUBARBTRAIL_FIELDS(DemandReplyMessage,
+                    cell,
+                    artifact,
+                    status,
+                    replicas,
+                    expectedWait,
+                    refusal,
+                    holder,
+                    fence)
+RHUBARBTRAIL_FIELDS(DrainMessage, cell, runner, model, fence)
+RHUBARBTRAIL_FIELDS(DrainedMessage, cell, runner, model, fence)
+RHUBARBTRAIL_FIELDS(WithdrawOrderMessage, cell, order, issuer)
+RHUBARBTRAIL_FIELDS(OrderWithdrawnMessage, cell, order, issuer)
+RHUBARBTRAIL_FIELDS(HeartbeatMessage, version, reply)
+RHUBARBTRAIL_FIELDS(ConfigurationMessage, row)
+RHUBARBTRAIL_FIELDS(ConfigurationRequestMessage, atLeast)
+RHUBARBTRAIL_FIELDS(EndpointLeavingMessage, endpoint, bootId)
+RHUBARBTRAIL_FIELDS(SuspectsMessage, endpoint, bootId, fingerprints)
+RHUBARBTRAIL_FIELDS(ConvictedMessage, fingerprint, expiresIn)
+RHUBARBTRAIL_FIELDS(LoadedModel, model, version, ready, adapters, running)
+RHUBARBTRAIL_FIELDS(Inventory, bootId, memory, models, running, queued)
+#undef RHUBARBTRAIL_FIELDS
+
+namespace {
+
+/* The names under which the alternatives of a variant are stored, in their order. */
+constexpr std::array<const char*, std::variant_size_v<RowValue>> kRowNames{ "cell_lease",
+                                                                            "placement",
+                                                                            "claim",
+                                                                            "configuration" };
+constexpr std::array<const char*, std::variant_size_v<Message>> kMessageNames{
+  "demand",           "demand_reply",   "drain",
+  "drained",          "withdraw_order", "order_withdrawn",
+  "heartbeat",        "configuration",  "configuration_request",
+  "endpoint_leaving", "suspects",       "convicted"
+};
+
+template<typename Variant, std::size_t kIndex = 0>
+bool ReadAlternative(const json& aJson, std::size_t aIndex, Variant& aOut)
+{
+  if constexpr (kIndex < std::variant_size_v<Variant>) {
+    if (aIndex != kIndex) {
+      return ReadAlternative<Variant, kIndex + 1>(aJson, aIndex, aOut);
+    }
+    aOut = aJson.get<std::variant_alternative_t<kIndex, Variant>>();
+    return true;
+  } else {
+    return false;
+  }
+}
+
+template<typename Variant, std::size_t kCount>
+json WriteTagged(const Variant& aValue, const std::array<const char*, kCount>& aNames)
+{
+  json body;
+  std::visit([&](const auto& aKind) { body = aKind; }, aValue);
+  return json{ { "kind", aNames[aValue.index()] }, { "value", std::move(body) } };
+}
+
+template<typename Variant, std::size_t kCount>
+Variant ReadTagged(const json& aJson, const std::array<const char*, kCount>& aNames)
+{
+  const auto name = aJson.at("kind").get<std::string>();
+  Variant value;
+  for (std::size_t index = 0; index < kCount; ++index) {
+    if (name == aNames[index] && ReadAlternative(aJson.at("value"), index, value)) {
+      return value;
+    }
+  }
+  throw std::invalid_argument("unknown kind '" + name + "'");
+}
+
+} // namespace
+
+std::string EncodeRow(const RowValue& aValue)
+{
+  return WriteTagged(aValue, kRowNames).dump();
+}
+
+tl::expected<RowValue, std::string> DecodeRow(std::string_view aText)
+{
+  try {
+    return ReadTagged<RowValue>(json::parse(aText), kRowNames);
+  } catch (const std::exception& error) {
+    return tl::make_unexpected(std::string{ error.what() });
+  }
+}
+
+std::vector<std::uint8_t> EncodeEnvelope(const Envelope& aEnvelope)
+{
+  json envelope = WriteTagged(aEnvelope.message, kMessageNames);
+  envelope["from"] = aEnvelope.from;
+  envelope["version"] = aEnvelope.senderVersion;
+  return json::to_msgpack(envelope);
+}
+
+tl::expected<Envelope, std::string> DecodeEnvelope(std::string_view aBytes)
+{
+  try {
+    const json envelope = json::from_msgpack(aBytes);
+    return Envelope{ .from = envelope.at("from").get<Incarnation>(),
+                     .senderVersion = envelope.at("version").get<ConfigVersion>(),
+                     .message = ReadTagged<Message>(envelope, kMessageNames) };
+  } catch (const std::exception& error) {
+    return tl::make_unexpected(std::string{ error.what() });
+  }
+}
+
+tl::expected<Inventory, std::string> DecodeInventory(std::string_view aText)
+{
+  try {
+    return json::parse(aText).get<Inventory>();
+  } catch (const std::exception& error) {
+    return tl::make_unexpected(std::string{ error.what() });
+  }
+}
+
+} // namespace rhubarbtrail
--- /dev/null
+++ b/src/core/digest_func.h
@@ -0,0 +1,21 @@
+/* Digests of keys and requests. */
+#ifndef RHUBARBTRAIL_CORE_DIGEST_FUNC_H
+#define RHUBARBTRAIL_CORE_DIGEST_FUNC_H
+
+#include <string>
+#include <string_view>
+
+namespace rhubarbtrail {
+
+/* Returns the SHA-256 of a text in lower-case hex. */
+std::string Sha256Hex(std::string_view aText);
+
+/* Compares two texts in a time that depends on their lengths only. */
+bool EqualsInConstantTime(std::string_view aLeft, std::string_view aRight);
+
+/* Returns a random hex text of 16 digits. */
+std::string RandomHex();
+
+} // namespace rhubarbtrail
+
+#endif
--- /dev/null
+++ b/src/core/http_client.cpp
@@ -0,0 +1,61 @@
+/* Plain HTTP calls on cpp-httplib. */
+#include "core/http_client_func.h"
+
+#include <httplib.h>
+
+#include <memory>
+#include <unordered_map>
+
+namespace rhubarbtrail {
+
+namespace {
+
+/* Connections that one thread keeps open at most. */
+constexpr std::size_t kConnectionLimit = 64;
+
+using ClientMap = std::unordered_map<std::string, std::unique_ptr<httplib::Client>>;
+
+httplib::Client& ClientFor(ClientMap& aClients, const std::string& aAddress)
+{
+  if (aClients.size() >= kConnectionLimit && !aClients.contains(aAddress)) {
+    aClients.clear();
+  }
+  auto& client = aClients[aAddress];
+  if (client == nullptr) {
+    client = std::make_unique<httplib::Client>("http://" + aAddress);
+    client->set_keep_alive(true);
+    client->set_tcp_nodelay(true);
+  }
+  return *client;
+}
+
+} // namespace
+
+HttpAnswer CallHttp(const HttpCall& aCall)
+{
+  thread_local ClientMap sClients;
+  httplib::Client& client = ClientFor(sClients, aCall.address);
+  client.set_connection_timeout(aCall.timeout);
+  client.set_read_timeout(aCall.timeout);
+  client.set_write_timeout(aCall.timeout);
+  httplib::Request request;
+  request.method = aCall.method;
+  request.path = aCall.path;
+  request.body = aCall.body;
+  if (!aCall.body.empty()) {
+    request.set_header("Content-Type", aCall.contentType);
+  }
+  for (const auto& [name, value] : aCall.headers) {
+    request.set_header(name, value);
+  }
+  const httplib::Result result = client.send(request);
+  if (result) {
+    return { HttpOutcome::kAnswered, result->status, result->body };
+  }
+  sClients.erase(aCall.address);
+  const bool isUnsent = result.error() == httplib::Error::Connection ||
+                        result.error() == httplib::Error::ConnectionTimeout;
+  return { isUnsent ? HttpOutcome::kNotConnected : HttpOutcome::kLost, 0, {} };
+}
+
+} // namespace rhubarbtrail
--- /dev/null
+++ b/src/core/result_code_type.h
@@ -0,0 +1,70 @@
+/* Numbered result codes: the last word on every request. docs/RESULT_CODES.md explains them. */
+#ifndef RHUBARBTRAIL_CORE_RESULT_CODE_TYPE_H
+#define RHUBARBTRAIL_CORE_RESULT_CODE_TYPE_H
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace rhubarbtrail {
+
+enum class ResultCode : std::uint16_t
+{
+  kOk = 1000,
+  kKeyMissing = 1101,
+  kKeyWrong = 1102,
+  kModelUnknown = 1103,
+  kServiceUnknown = 1104,
+  kRequestMalformed = 1201,
+  kBodyTooLarge = 1202,
+  kIdempotencyKeyRequired = 1301,
+  kIdempotencyKeyInProgress = 1302,
+  kIdempotencyKeyReused = 1303,
+  kQueueFull = 2101,
+  kDeadlineUnreachable = 2102,
+  kClaimUnavailable = 2103,
+  kReplicaUnavailable = 2104,
+  kConfigurationStale = 2105,
+  kShuttingDown = 2106,
+  kEndpointUnavailable = 2107,
+  kDeadlinePassed = 2108,
+  kOutcomeUnknown = 3101,
+  kEarlierOutcomeUnknown = 3102,
+  kAttemptsExhausted = 3103,
+  kAnswerLost = 4101,
+  kQuarantined = 5101,
+  kRetryBudgetSpent = 5102,
+  kCrashedEndpoints = 5103,
+};
+
+/* What a caller may conclude about the execution of its request. */
+enum class Execution : std::uint8_t
+{
+  kCompleted,
+  kNotRun,
+  kMayHaveRun,
+  kRanAnswerLost,
+};
+
+/* One row of the result code table. */
+struct ResultCodeInfo
+{
+  ResultCode code;
+  std::uint16_t httpStatus;
+  Execution execution;
+  std::string_view name;
+  std::string_view message;
+};
+
+/* Returns all rows, ordered by number. */
+std::span<const ResultCodeInfo> ResultCodes();
+
+/* Returns the row of a code; every enumerator has one. */
+const ResultCodeInfo& Describe(ResultCode aCode);
+
+/* Returns the word that a JSON error carries for an execution state. */
+std::string_view ToString(Execution aExecution);
+
+} // namespace rhubarbtrail
+
+#endif
--- /dev/null
+++ b/src/core/unit_type.h
@@ -0,0 +1,76 @@
+/* Strong types for time, memory, versions and fencing numbers. */
+#ifndef RHUBARBTRAIL_CORE_UNIT_TYPE_H
+#define RHUBARBTRAIL_CORE_UNIT_TYPE_H
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+
+namespace rhubarbtrail {
+
+using namespace std::chrono_literals;
+
+using Duration = std::chrono::microseconds;
+
+/* The clock of one daemon: monotonic, never compared with another daemon's. */
+struct DaemonClock
+{
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<DaemonClock>;
+  static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming)
+};
+
+using TimePoint = DaemonClock::time_point;
+
+/* Memory of an accelerator in megabytes. */
+struct MemoryMb
+{
+  std::int64_t value = 0;
+
+  auto operator<=>(const MemoryMb&) const = default;
+  MemoryMb operator+(MemoryMb aOther) const { return { value + aOther.value }; }
+  MemoryMb operator-(MemoryMb aOther) const { return { value - aOther.value }; }
+  MemoryMb& operator+=(MemoryMb aOther)
+  {
+    value += aOther.value;
+    return *this;
+  }
+};
+
+/* The number that a runner compares to refuse orders of former lease holders. */
+struct Fence
+{
+  std::uint64_t value = 0;
+
+  auto operator<=>(const Fence&) const = default;
+};
+
+/* The version of an accepted configuration; 0 means "none yet". */
+struct ConfigVersion
+{
+  std::uint64_t value = 0;
+
+  auto operator<=>(const ConfigVersion&) const = default;
+};
+
+/* The version of a row in the table service; 0 means "absent". */
+struct RowVersion
+{
+  std::uint64_t value = 0;
+
+  auto operator<=>(const RowVersion&) const = default;
+};
+
+/* Counts the attempts of one request, from 1. */
+struct AttemptNumber
+{
+  std::uint32_t value = 0;
+
+  auto operator<=>(const AttemptNumber&) const = default;
+};
+
+} // namespace rhubarbtrail
+
+#endif
--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,344 @@
+/* Turns actions into I/O and I/O into events. */
+#include "daemon/daemon.h"
+
+#include "caller/caller_server.h"
+#include "config/configuration_document.h"
+#include "core/digest_func.h"
+#include "core/log_func.h"
+#include "core/worker_pool.h"
+#include "daemon/decision_loop.h"
+#include "endpoint/attempt.h"
+#include "endpoint/order_client.h"
+#include "operator/admin_server.h"
+#include "peer/peer_transport.h"
+#include "platform/host_list_client.h"
+#include "platform/table_client.h"
+
+#include <atomic>
+#include <csignal>
+#include <fstream>
+#include <pthread.h>
+
+namespace rhubarbtrail {
+
+namespace {
+
+/* Threads for calls to the table service. */
+constexpr std::size_t kTableThreads = 4;
+constexpr int kExitOk = 0;
+constexpr int kExitCannotListen = 3;
+constexpr int kExitBadKeys = 2;
+
+class Daemon
+{
+public:
+  Daemon(Settings aSettings, std::vector<OperatorKey> aKeys);
+
+  /* Binds all ports and starts; false when a port cannot be bound. */
+  bool Start();
+  /* Waits for a signal or a drain, then finishes what is open. */
+  void WaitAndStop();
+
+private:
+  void Perform(Action aAction);
+  void Do(StartAttempt aAction);
+  void Do(const StopAttempt& aAction);
+  void Do(FinishRequest aAction);
+  void Do(TableTransaction aAction);
+  void Do(TableRead aAction);
+  void Do(SendOrder aAction);
+  void Do(SendMessage aAction);
+  void Do(const WakeAt& /*aAction*/) {}
+  void Do(const PublishConfiguration& aAction);
+  void Do(const PublishReadiness& aAction);
+  void Do(const ShutdownComplete& /*aAction*/) { mIsComplete = true; }
+
+  void Install(const ConfigurationRow& aRow);
+  void PublishSnapshot();
+  void PollHosts();
+  void WriteAddresses(std::uint16_t aCaller, std::uint16_t aAdmin, std::uint16_t aPeer) const;
+
+  Settings mSettings;
+  Incarnation mSelf;
+  TableClient mTable;
+  ConfigurationStore mStore;
+  RcuPointer<Snapshot> mSnapshot;
+  Snapshot mNextSnapshot; ///< Used by the decision thread only.
+  std::atomic<std::uint64_t> mVersion{ 0 };
+  SessionMap mSessions;
+  WorkerPool mTablePool;
+  WorkerPool mOrderPool;
+  WorkerPool mAttemptPool;
+  DecisionLoop mLoop;
+  PeerTransport mPeers;
+  CallerServer mCallers;
+  AdminServer mAdmin;
+  std::thread mHostThread;
+  std::atomic<bool> mIsStopping{ false };
+  std::atomic<bool> mIsComplete{ false };
+  std::atomic<bool> mIsDrained{ false };
+};
+
+NodeOptions MakeNodeOptions(const Settings& aSettings, const Incarnation& aSelf)
+{
+  return {
+    .self = aSelf, .zone = ZoneId{ aSettings.zone }, .settings = aSettings.decision, .disabled = {}
+  };
+}
+
+Daemon::Daemon(Settings aSettings, std::vector<OperatorKey> aKeys)
+  : mSettings(std::move(aSettings))
+  , mSelf{ DaemonId{ mSettings.daemonId }, IncarnationId{ RandomHex() } }
+  , mTable({ .address = mSettings.table, .timeout = mSettings.callTimeout })
+  , mStore(mTable)
+  , mSnapshot(std::make_unique<const Snapshot>())
+  , mTablePool(kTableThreads)
+  , mOrderPool(mSettings.orderThreads)
+  , mAttemptPool(mSettings.attemptThreads)
+  , mLoop(MakeNodeOptions(mSettings, mSelf),
+          [this](Action aAction) { Perform(std::move(aAction)); })
+  , mPeers({ .address = mSettings.listenAddress, .port = mSettings.peerPort },
+           [this](Envelope aEnvelope) {
+             if (const auto* message = std::get_if<ConfigurationMessage>(&aEnvelope.message)) {
+               Install(message->row);
+             }
+             mLoop.Post(MessageReceived{ .from = std::move(aEnvelope.from),
+                                         .senderVersion = aEnvelope.senderVersion,
+                                         .message = std::move(aEnvelope.message) });
+           })
+  , mCallers({ .address = mSettings.listenAddress,
+               .port = mSettings.callerPort,
+               .threads = mSettings.callerThreads,
+               .bodyLimit = mSettings.bodyLimit,
+               .requestIdPrefix = mSettings.daemonId + "-" + mSelf.id.str() },
+             mSnapshot,
+             mSessions,
+             [this](Event aEvent) { mLoop.Post(std::move(aEvent)); })
+  , mAdmin(
+      { .address = mSettings.listenAddress, .port = mSettings.adminPort, .keys = std::move(aKeys) },
+      mSnapshot,
+      mStore,
+      { .dump = [this] { return mLoop.Dump(); },
+        .metrics = [] { return std::string{}; },
+        .accepted = [this](const ConfigurationRow& aRow) { Install(aRow); },
+        .drain = [this] { mIsDrained = true; } })
+{
+}
+
+bool Daemon::Start()
+{
+  const std::uint16_t peer = mPeers.Start();
+  const std::uint16_t admin = mAdmin.Start();
+  const std::uint16_t caller = mCallers.Start();
+  if (peer == 0 || admin == 0 || caller == 0) {
+    Log(log_part::kDaemon)->error("A port cannot be bound.");
+    return false;
+  }
+  WriteAddresses(caller, admin, peer);
+  mLoop.Start();
+  mLoop.Post(Wake{});
+  mHostThread = std::thread([this] { PollHosts(); });
+  Log(log_part::kDaemon)
+    ->info("Daemon {} serves callers on {}, operators on {}, daemons on {}.",
+           mSettings.daemonId,
+           caller,
+           admin,
+           peer);
+  return true;
+}
+
+void Daemon::WriteAddresses(std::uint16_t aCaller, std::uint16_t aAdmin, std::uint16_t aPeer) const
+{
+  if (mSettings.addressFile.empty()) {
+    return;
+  }
+  const std::string partial = mSettings.addressFile + ".partial";
+  std::ofstream file(partial);
+  file << "caller: " << mSettings.listenAddress << ":" << aCaller << "\n"
+       << "admin: " << mSettings.listenAddress << ":" << aAdmin << "\n"
+       << "peer: " << mSettings.listenAddress << ":" << aPeer << "\n";
+  file.close();
+  std::rename(partial.c_str(), mSettings.addressFile.c_str());
+}
+
+void Daemon::PollHosts()
+{
+  while (!mIsStopping) {
+    if (auto list =
+          ReadHostList({ .address = mSettings.hostList, .timeout = mSettings.callTimeout })) {
+      mLoop.Post(std::move(*list));
+    }
+    std::this_thread::sleep_for(mSettings.hostListInterval);
+  }
+}
+
+void Daemon::WaitAndStop()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  const timespec poll{ .tv_sec = 0, .tv_nsec = 100'000'000 };
+  while (!mIsDrained && sigtimedwait(&signals, nullptr, &poll) < 0) {
+  }
+  Log(log_part::kDaemon)->info("Stopping: finishing {} open requests.", mSessions.size());
+  mLoop.Post(ShutdownRequested{});
+  while (!mIsComplete || mSessions.size() > 0) {
+    std::this_thread::sleep_for(std::chrono::milliseconds{ 20 });
+  }
+  mIsStopping = true;
+  mCallers.Stop();
+  mAdmin.Stop();
+  mHostThread.join();
+  mLoop.Stop();
+  mPeers.Stop();
+  mAttemptPool.Stop();
+  mOrderPool.Stop();
+  mTablePool.Stop();
+  Log(log_part::kDaemon)->info("Stopped.");
+}
+
+void Daemon::Perform(Action aAction)
+{
+  std::visit([this](auto& aKind) { Do(std::move(aKind)); }, aAction);
+}
+
+void Daemon::Do(StartAttempt aAction)
+{
+  const auto session = mSessions.Find(aAction.request);
+  if (session == nullptr) {
+    mLoop.Post(AttemptEnded{ .request = aAction.request,
+                             .attempt = aAction.attempt,
+                             .outcome = AttemptOutcome::kCancelled });
+    return;
+  }
+  mAttemptPool.Submit(
+    [this, session, start = std::move(aAction)] { mLoop.Post(RunAttempt(*session, start)); });
+}
+
+void Daemon::Do(const StopAttempt& aAction)
+{
+  if (const auto session = mSessions.Find(aAction.request)) {
+    session->StopAttempt(aAction.attempt);
+  }
+}
+
+void Daemon::Do(FinishRequest aAction)
+{
+  if (const auto session = mSessions.Find(aAction.request)) {
+    session->Finish(std::move(aAction));
+  }
+}
+
+void Daemon::Do(TableTransaction aAction)
+{
+  mTablePool.Submit(
+    [this, transaction = std::move(aAction)] { mLoop.Post(mTable.Commit(transaction)); });
+}
+
+void Daemon::Do(TableRead aAction)
+{
+  mTablePool.Submit([this, read = std::move(aAction)] {
+    ReadResult result = mTable.Read(read);
+    for (const Row& row : result.rows) {
+      const auto* configuration = row.value ? std::get_if<ConfigurationRow>(&*row.value) : nullptr;
+      if (configuration != nullptr) {
+        Install(*configuration);
+      }
+    }
+    mLoop.Post(std::move(result));
+  });
+}
+
+void Daemon::Do(SendOrder aAction)
+{
+  mOrderPool.Submit([this, order = std::move(aAction)] {
+    CarryOutOrder({ .timeout = mSettings.callTimeout, .issuer = mSelf },
+                  order,
+                  [this](OrderResult aResult) { mLoop.Post(std::move(aResult)); });
+  });
+}
+
+void Daemon::Do(SendMessage aAction)
+{
+  const ConfigVersion version{ mVersion };
+  if (aAction.to == mSelf.daemon) {
+    mLoop.Post(MessageReceived{
+      .from = mSelf, .senderVersion = version, .message = std::move(aAction.message) });
+    return;
+  }
+  mPeers.Send(aAction.address, { mSelf, version, std::move(aAction.message) });
+}
+
+void Daemon::Do(const PublishConfiguration& aAction)
+{
+  mVersion = aAction.configuration->version.value;
+  mNextSnapshot.configuration = aAction.configuration;
+  mNextSnapshot.customersByKeyHash.clear();
+  for (const auto& [id, customer] : aAction.configuration->customers) {
+    for (const std::string& hash : customer.keyHashes) {
+      mNextSnapshot.customersByKeyHash.emplace(hash, id);
+    }
+  }
+  Log(log_part::kConfiguration)->info("Version {} is in force.", mVersion.load());
+  PublishSnapshot();
+}
+
+void Daemon::Do(const PublishReadiness& aAction)
+{
+  mNextSnapshot.readiness = aAction.readiness;
+  Log(log_part::kDaemon)->info("Readiness is now {}.", static_cast<int>(aAction.readiness));
+  PublishSnapshot();
+}
+
+void Daemon::PublishSnapshot()
+{
+  mSnapshot.Publish(std::make_unique<const Snapshot>(mNextSnapshot));
+}
+
+void Daemon::Install(const ConfigurationRow& aRow)
+{
+  if (aRow.version.value <= mVersion) {
+    return;
+  }
+  auto parsed = ParseConfiguration(aRow.document, aRow.version);
+  if (!parsed) {
+    Log(log_part::kConfiguration)
+      ->error("Version {} cannot be read: {}.", aRow.version.value, parsed.error()[0].reason);
+    return;
+  }
+  mLoop.Post(ConfigurationLoaded{
+    .row = aRow, .configuration = std::make_shared<const Configuration>(std::move(*parsed)) });
+}
+
+} // namespace
+
+int RunDaemon(const Settings& aSettings)
+{
+  // Signals are taken by the waiting thread only; all others inherit the mask.
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+
+  SetUpLogs({ .level = aSettings.logLevel, .asJson = aSettings.logFormat == LogFormat::kJson });
+  std::vector<OperatorKey> keys;
+  if (!aSettings.operatorKeys.empty()) {
+    auto loaded = LoadOperatorKeys(aSettings.operatorKeys);
+    if (!loaded) {
+      Log(log_part::kOperator)->error("{}.", loaded.error());
+      return kExitBadKeys;
+    }
+    keys = std::move(*loaded);
+  }
+  Daemon daemon(aSettings, std::move(keys));
+  if (!daemon.Start()) {
+    return kExitCannotListen;
+  }
+  daemon.WaitAndStop();
+  return kExitOk;
+}
+
+} // namespace rhubarbtrail
--- /dev/null
+++ b/src/decision/context_type.h
@@ -0,0 +1,60 @@
+/* What every part of the decisions is handed with an event. */
+#ifndef RHUBARBTRAIL_DECISION_CONTEXT_TYPE_H
+#define RHUBARBTRAIL_DECISION_CONTEXT_TYPE_H
+
+#include "decision/decision.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace rhubarbtrail {
+
+class View;
+
+/* The time, the options and the actions collected while one event is applied. */
+class Context
+{
+public:
+  Context(TimePoint aNow, const NodeOptions& aOptions, std::uint64_t& aNextNumber)
+    : mNow(aNow)
+    , mOptions(aOptions)
+    , mNextNumber(aNextNumber)
+  {
+  }
+
+  TimePoint now() const { return mNow; }
+  const NodeOptions& options() const { return mOptions; }
+  const DecisionSettings& settings() const { return mOptions.settings; }
+  const Incarnation& self() const { return mOptions.self; }
+
+  bool IsEnabled(Mechanism aMechanism) const
+  {
+    return !mOptions.disabled.test(static_cast<std::size_t>(aMechanism));
+  }
+
+  void Emit(Action aAction) { mActions.push_back(std::move(aAction)); }
+  std::vector<Action> TakeActions() { return std::move(mActions); }
+
+  /* Asks to be woken no later than aTime. */
+  void WakeBy(TimePoint aTime) { mWake = std::min(mWake, std::max(aTime, mNow)); }
+  TimePoint wake() const { return mWake; }
+
+  /* Returns a name that no other incarnation and no earlier call has returned. */
+  std::string NewName()
+  {
+    return mOptions.self.daemon.str() + "." + mOptions.self.id.str() + "." +
+           std::to_string(++mNextNumber);
+  }
+
+private:
+  TimePoint mNow;
+  const NodeOptions& mOptions;
+  std::uint64_t& mNextNumber;
+  std::vector<Action> mActions;
+  TimePoint mWake = TimePoint::max();
+};
+
+} // namespace rhubarbtrail
+
+#endif
--- /dev/null
+++ b/src/decision/node.cpp
@@ -0,0 +1,152 @@
+/* One daemon's decisions: hands each event to the parts that it concerns. */
+#include "decision/decision.h"
+
+#include "decision/context_type.h"
+#include "decision/router/router_base.h"
+#include "decision/scheduler/scheduler_base.h"
+#include "decision/view/view_base.h"
+
+namespace rhubarbtrail {
+
+struct Node::Impl
+{
+  explicit Impl(NodeOptions aOptions)
+    : options(std::move(aOptions))
+  {
+  }
+
+  void Handle(Context& aContext, const RequestArrived& aEvent)
+  {
+    router.OnRequest(aContext, view, aEvent);
+  }
+  void Handle(Context& aContext, const RequestCancelled& aEvent)
+  {
+    router.OnCancelled(aContext, view, aEvent);
+  }
+  void Handle(Context& aContext, const AttemptEnded& aEvent)
+  {
+    router.OnAttemptEnded(aContext, view, aEvent);
+  }
+  void Handle(Context& aContext, const TransactionResult& aEvent)
+  {
+    router.OnTransactionResult(aContext, view, aEvent);
+    scheduler.OnTransactionResult(aContext, view, aEvent);
+  }
+  void Handle(Context& aContext, const ReadResult& aEvent)
+  {
+    view.OnReadResult(aContext, aEvent);
+    scheduler.OnReadResult(aContext, view, aEvent);
+  }
+  void Handle(Context& aContext, const OrderResult& aEvent)
+  {
+    scheduler.OnOrderResult(aContext, view, aEvent);
+  }
+  void Handle(Context& aContext, const HostListReceived& aEvent)
+  {
+    view.OnHostList(aContext, aEvent);
+    view.OnWake(aContext);
+    router.OnViewChanged(aContext, view);
+    scheduler.OnWake(aContext, view);
+  }
+  void Handle(Context& aContext, const ConfigurationLoaded& aEvent)
+  {
+    view.OnConfiguration(aContext, aEvent);
+    scheduler.OnWake(aContext, view);
+  }
+  void Handle(Context& aContext, const ShutdownRequested& /*aEvent*/)
+  {
+    view.NoteStopping(aContext);
+    isStopping = true;
+  }
+  void Handle(Context& aContext, const Wake& /*aEvent*/)
+  {
+    view.OnWake(aContext);
+    router.OnWake(aContext, view);
+    scheduler.OnWake(aContext, view);
+  }
+  void Handle(Context& aContext, const MessageReceived& aEvent);
+
+  void FinishShutdown(Context& aContext);
+
+  NodeOptions options;
+  std::uint64_t nextNumber = 0;
+  View view;
+  Router router;
+  Scheduler scheduler;
+  TimePoint now{};
+  TimePoint wake = TimePoint::max();
+  bool isStopping = false;
+  bool isComplete = false;
+};
+
+void Node::Impl::Handle(Context& aContext, const MessageReceived& aEvent)
+{
+  const DaemonId& from = aEvent.from.daemon;
+  if (from != options.self.daemon) {
+    view.OnMessage(aContext, aEvent);
+  }
+  if (const auto* reply = std::get_if<DemandReplyMessage>(&aEvent.message)) {
+    router.OnDemandReply(aContext, view, from, *reply);
+  } else if (const auto* drain = std::get_if<DrainMessage>(&aEvent.message)) {
+    router.OnDrain(aContext, view, from, *drain);
+  } else if (const auto* suspects = std::get_if<SuspectsMessage>(&aEvent.message)) {
+    router.OnSuspects(aContext, *suspects);
+  } else if (const auto* convicted = std::get_if<ConvictedMessage>(&aEvent.message)) {
+    router.OnConvicted(aContext, *convicted);
+  } else {
+    scheduler.OnMessage(aContext, view, aEvent);
+  }
+}
+
+void Node::Impl::FinishShutdown(Context& aContext)
+{
+  scheduler.HandOver(aContext, view);
+  const bool mayEnd = router.IsIdle() || !aContext.IsEnabled(Mechanism::kShutdownDrain);
+  if (!isComplete && mayEnd && scheduler.IsIdle()) {
+    isComplete = true;
+    aContext.Emit(ShutdownComplete{});
+  }
+  aContext.WakeBy(aContext.now() + options.settings.tableRetry);
+}
+
+Node::Node(NodeOptions aOptions)
+  : mImpl(std::make_unique<Impl>(std::move(aOptions)))
+{
+}
+
+Node::~Node() = default;
+Node::Node(Node&&) noexcept = default;
+Node& Node::operator=(Node&&) noexcept = default;
+
+std::vector<Action> Node::Apply(TimePoint aNow, const Event& aEvent)
+{
+  mImpl->now = std::max(mImpl->now, aNow);
+  Context context(mImpl->now, mImpl->options, mImpl->nextNumber);
+  if (std::holds_alternative<Wake>(aEvent) || mImpl->wake <= mImpl->now) {
+    mImpl->wake = TimePoint::max();
+  }
+  std::visit([&](const auto& aKind) { mImpl->Handle(context, aKind); }, aEvent);
+  if (mImpl->isStopping) {
+    mImpl->FinishShutdown(context);
+  }
+  if (context.wake() < mImpl->wake) {
+    mImpl->wake = context.wake();
+    context.Emit(WakeAt{ mImpl->wake });
+  }
+  std::vector<Action> actions = context.TakeActions();
+  mImpl->scheduler.NoteOrders(actions);
+  return actions;
+}
+
+std::vector<DumpEntry> Node::Dump() const
+{
+  std::vector<DumpEntry> entries;
+  entries.push_back({ "daemon", mImpl->options.self.daemon.str() });
+  entries.push_back({ "incarnation", mImpl->options.self.id.str() });
+  mImpl->view.Dump(entries, mImpl->now);
+  mImpl->router.Dump(entries);
+  mImpl->scheduler.Dump(entries);
+  return entries;
+}
+
+} // namespace rhubarbtrail
--- /dev/null
+++ b/src/decision/router/fair_queue.cpp
@@ -0,0 +1,104 @@
+/* Start-time fair queueing among customers, earliest deadline first inside each. */
+#include "decision/router/fair_queue_base.h"
+
+#include <algorithm>
+
+namespace rhubarbtrail {
+
+namespace {
+
+/* Customers remembered at most; beyond that, those with no lead are forgotten. */
+constexpr std::size_t kRememberedCustomers = 65'536;
+
+} // namespace
+
+double FairClock::StartOf(const CustomerId& aCustomer) const
+{
+  const auto found = mVirtualTimes.find(aCustomer);
+  return found == mVirtualTimes.end() ? mNow : std::max(mNow, found->second);
+}
+
+void FairClock::Charge(const CustomerId& aCustomer, std::uint32_t aWeight)
+{
+  const double start = StartOf(aCustomer);
+  mNow = start;
+  mVirtualTimes[aCustomer] = start + 1.0 / std::max(1U, aWeight);
+  if (mVirtualTimes.size() > kRememberedCustomers) {
+    std::erase_if(mVirtualTimes, [this](const auto& aItem) { return aItem.second <= mNow; });
+  }
+}
+
+void FairQueue::Push(const QueuedRequest& aRequest)
+{
+  auto& requests = mByPriority[aRequest.priority][aRequest.customer];
+  if (requests.emplace(aRequest.deadline, aRequest.request).second) {
+    ++mSize;
+  }
+}
+
+void FairQueue::Remove(const QueuedRequest& aRequest)
+{
+  const auto byCustomer = mByPriority.find(aRequest.priority);
+  if (byCustomer == mByPriority.end()) {
+    return;
+  }
+  const auto requests = byCustomer->second.find(aRequest.customer);
+  if (requests == byCustomer->second.end()) {
+    return;
+  }
+  mSize -= requests->second.erase({ aRequest.deadline, aRequest.request });
+  if (requests->second.empty()) {
+    byCustomer->second.erase(requests);
+  }
+  if (byCustomer->second.empty()) {
+    mByPriority.erase(byCustomer);
+  }
+}
+
+std::optional<FairQueue::Best> FairQueue::FindBest(const FairClock& aClock) const
+{
+  if (mByPriority.empty()) {
+    return std::nullopt;
+  }
+  const auto& [priority, byCustomer] = *mByPriority.begin();
+  Best best{ priority, 0, nullptr };
+  for (const auto& [customer, requests] : byCustomer) {
+    const double start = aClock.StartOf(customer);
+    if (best.requests == nullptr || start < best.start) {
+      best.start = start;
+      best.requests = &requests;
+    }
+  }
+  return best;
+}
+
+std::optional<RequestId> FairQueue::Peek(const FairClock& aClock) const
+{
+  const auto best = FindBest(aClock);
+  if (!best) {
+    return std::nullopt;
+  }
+  return best->requests->begin()->second;
+}
+
+std::optional<std::pair<std::uint32_t, double>> FairQueue::BestRank(const FairClock& aClock) const
+{
+  const auto best = FindBest(aClock);
+  if (!best) {
+    return std::nullopt;
+  }
+  return std::pair{ best->priority, best->start };
+}
+
+TimePoint FairQueue::EarliestDeadline() const
+{
+  TimePoint earliest = TimePoint::max();
+  for (const auto& [priority, byCustomer] : mByPriority) {
+    for (const auto& [customer, requests] : byCustomer) {
+      earliest = std::min(earliest, requests.begin()->first);
+    }
+  }
+  return earliest;
+}
+
+} // namespace rhubarbtrail
--- /dev/null
+++ b/src/decision/router/quarantine.cpp
@@ -0,0 +1,29 @@
+/* Bounded memory of suspicious requests. */
+#include "decision/router/quarantine_base.h"
+
+namespace rhubarbtrail {
+
+namespace {
+
+/* Fingerprints kept at most; beyond that, expired ones go, then no more are taken. */
+constexpr std::size_t kFingerprintLimit = 16'384;
+
+} // namespace
+
+void FingerprintSet::Add(const FingerprintId& aFingerprint, TimePoint aUntil, TimePoint aNow)
+{
+  if (mUntil.size() >= kFingerprintLimit) {
+    std::erase_if(mUntil, [aNow](const auto& aItem) { return aItem.second <= aNow; });
+  }
+  if (mUntil.size() < kFingerprintLimit) {
+    mUntil[aFingerprint] = aUntil;
+  }
+}
+
+bool FingerprintSet::Contains(const FingerprintId& aFingerprint, TimePoint aNow) const
+{
+  const auto found = mUntil.find(aFingerprint);
+  return found != mUntil.end() && found->second > aNow;
+}
+
+} // namespace rhubarbtrail
--- /dev/null
+++ b/src/decision/router/quarantine_base.h
@@ -0,0 +1,34 @@
+/* Suspicion and conviction of requests that crash endpoints. */
+#ifndef RHUBARBTRAIL_DECISION_ROUTER_QUARANTINE_BASE_H
+#define RHUBARBTRAIL_DECISION_ROUTER_QUARANTINE_BASE_H
+
+#include "core/id_type.h"
+#include "core/unit_type.h"
+
+#include <unordered_map>
+
+namespace rhubarbtrail {
+
+/* Remembers fingerprints for a time, within a bound. */
+class FingerprintSet
+{
+public:
+  void Add(const FingerprintId& aFingerprint, TimePoint aUntil, TimePoint aNow);
+  void Remove(const FingerprintId& aFingerprint) { mUntil.erase(aFingerprint); }
+  bool Contains(const FingerprintId& aFingerprint, TimePoint aNow) const;
+  std::size_t size() const { return mUntil.size(); }
+
+private:
+  std::unordered_map<FingerprintId, TimePoint> mUntil;
+};
+
+/* Suspects run alone; those that crash an endpoint while alone are convicted. */
+struct Quarantine
+{
+  FingerprintSet suspects;
+  FingerprintSet convicted;
+};
+
+} // namespace rhubarbtrail
+
+#endif
--- /dev/null
+++ b/src/decision/scheduler/cell_demand.cpp
@@ -0,0 +1,305 @@
+/* Demands of the routers: merged by model, served by loads, answered with locations. */
+#include "decision/scheduler/cell_base.h"
+
+#include <algorithm>
+
+namespace rhubarbtrail {
+
+namespace {
+
+/* A demand that no router repeats is forgotten after this time. */
+constexpr Duration kDemandLifetime = 3s;
+/* Time after which a refused router may ask again when no better estimate exists. */
+constexpr Duration kRefusalPause = 2s;
+
+} // namespace
+
+bool Cell::IsReady(const Artifact& aArtifact) const
+{
+  for (const auto& [id, runner] : mRunners) {
+    const auto found = runner.replicas.find(aArtifact.model);
+    if (found == runner.replicas.end() || found->second.phase != ReplicaPhase::kLoaded) {
+      continue;
+    }
+    if (aArtifact.adapter.empty() || found->second.adapters.contains(aArtifact.adapter)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void Cell::Reply(Context& aContext,
+                 const View& aView,
+                 const DaemonId& aTo,
+                 DemandReplyMessage aReply) const
+{
+  aReply.fence = mFence;
+  if (aTo == aContext.self().daemon) {
+    aContext.Emit(SendMessage{ aTo, {}, std::move(aReply) });
+    return;
+  }
+  aView.SendTo(aContext, aTo, std::move(aReply));
+}
+
+void Cell::OnDemand(Context& aContext,
+                    const View& aView,
+                    const DaemonId& aFrom,
+                    const DemandMessage& aDemand)
+{
+  const bool isNeeded = aDemand.waiting > 0;
+  if (mPhase != LeasePhase::kHeld) {
+    if (isNeeded) {
+      PendingDemand& demand = mDemands[aDemand.artifact];
+      demand.expiresAt = aContext.now() + kDemandLifetime;
+      demand.deadline = aContext.now() + aDemand.timeLeft;
+      demand.waiters.insert(aFrom);
+    }
+    Reply(aContext,
+          aView,
+          aFrom,
+          { .cell = mId,
+            .artifact = aDemand.artifact,
+            .status = DemandStatus::kNotHolder,
+            .holder = mHolder.daemon == aContext.self().daemon ? DaemonId{} : mHolder.daemon });
+    return;
+  }
+  const auto spec = aView.configuration().models.find(aDemand.artifact.model);
+  if (spec == aView.configuration().models.end()) {
+    Reply(aContext,
+          aView,
+          aFrom,
+          { .cell = mId,
+            .artifact = aDemand.artifact,
+            .status = DemandStatus::kRefused,
+            .refusal = ResultCode::kModelUnknown });
+    return;
+  }
+  if (isNeeded || aDemand.startedSince > 0 || aDemand.inFlight > 0) {
+    ModelUsage& usage = mUsage[aDemand.artifact.model];
+    if (usage.isUsed && aDemand.startedSince + aDemand.waiting > 0) {
+      usage.idleTimes.Add(aContext.now() - usage.lastUsed);
+    }
+    usage.lastUsed = aContext.now();
+    usage.isUsed = true;
+    for (auto& [id, runner] : mRunners) {
+      const auto replica = runner.replicas.find(aDemand.artifact.model);
+      if (replica != runner.replicas.end()) {
+        replica->second.lastUsed = aContext.now();
+      }
+    }
+  }
+  if (IsReady(aDemand.artifact)) {
+    Reply(aContext,
+          aView,
+          aFrom,
+          { .cell = mId,
+            .artifact = aDemand.artifact,
+            .status = DemandStatus::kReady,
+            .replicas = Grant(aContext, aView, aDemand.artifact, aFrom) });
+    return;
+  }
+  if (!isNeeded) {
+    return;
+  }
+  PendingDemand& demand = mDemands[aDemand.artifact];
+  const TimePoint deadline = aContext.now() + aDemand.timeLeft;
+  demand.deadline = demand.waiters.empty() ? deadline : std::min(demand.deadline, deadline);
+  demand.expiresAt = aContext.now() + kDemandLifetime;
+  demand.waiting = std::max(demand.waiting, aDemand.waiting);
+  demand.waiters.insert(aFrom);
+  OnWake(aContext, aView);
+  if (mDemands.contains(aDemand.artifact)) {
+    Reply(aContext,
+          aView,
+          aFrom,
+          { .cell = mId,
+            .artifact = aDemand.artifact,
+            .status = DemandStatus::kLoading,
+            .expectedWait = spec->second.expectedLoad });
+  }
+}
+
+std::vector<ReplicaLocation> Cell::Grant(Context& aContext,
+                                         const View& aView,
+                                         const Artifact& aArtifact,
+                                         const DaemonId& aRouter)
+{
+  std::vector<ReplicaLocation> locations;
+  const ServiceSpec* service = Service(aView);
+  for (auto& [id, runner] : mRunners) {
+    const auto found = runner.replicas.find(aArtifact.model);
+    if (found == runner.replicas.end() || found->second.phase != ReplicaPhase::kLoaded ||
+        !aView.IsUsable(id, aContext.now())) {
+      continue;
+    }
+    Replica& replica = found->second;
+    if (!aArtifact.adapter.empty() && !replica.adapters.contains(aArtifact.adapter)) {
+      continue;
+    }
+    replica.users.insert(aRouter);
+    const auto sharers = static_cast<std::uint32_t>(replica.users.size());
+    const std::uint32_t share = std::max(1U, service->endpointConcurrency / sharers);
+    locations.push_back({ id, share, runner.reportedLoad });
+  }
+  return locations;
+}
+
+void Cell::ReplyReady(Context& aContext, const View& aView, const Artifact& aArtifact)
+{
+  const auto found = mDemands.find(aArtifact);
+  if (found == mDemands.end() || !IsReady(aArtifact)) {
+    return;
+  }
+  const std::set<DaemonId> waiters = std::move(found->second.waiters);
+  mDemands.erase(found);
+  for (const DaemonId& waiter : waiters) {
+    Reply(aContext,
+          aView,
+          waiter,
+          { .cell = mId,
+            .artifact = aArtifact,
+            .status = DemandStatus::kReady,
+            .replicas = Grant(aContext, aView, aArtifact, waiter) });
+  }
+}
+
+std::uint32_t Cell::LoadsInFlight() const
+{
+  std::uint32_t loads = 0;
+  for (const auto& [id, runner] : mRunners) {
+    for (const auto& [model, replica] : runner.replicas) {
+      const bool isLoading =
+        replica.phase == ReplicaPhase::kLoadDecided || replica.phase == ReplicaPhase::kLoading;
+      loads += isLoading ? 1 : 0;
+    }
+  }
+  return loads;
+}
+
+std::uint32_t Cell::AdaptersInFlight() const
+{
+  std::size_t loads = 0;
+  for (const auto& [id, runner] : mRunners) {
+    for (const auto& [model, replica] : runner.replicas) {
+      loads += replica.adaptersLoading.size();
+    }
+  }
+  return static_cast<std::uint32_t>(loads);
+}
+
+bool Cell::TakeLoadToken(const Context& aContext, const ServiceSpec& aService)
+{
+  const double elapsed = std::chrono::duration<double>(aContext.now() - mLoadTokensAt).count();
+  const double burst = std::max(1.0, static_cast<double>(aService.store.concurrentLoads));
+  mLoadTokens = std::min(burst, mLoadTokens + elapsed * aService.store.loadsPerSecond);
+  mLoadTokensAt = aContext.now();
+  if (mLoadTokens < 1.0) {
+    return false;
+  }
+  mLoadTokens -= 1.0;
+  return true;
+}
+
+void Cell::LoadAdapter(Context& aContext, const View& aView, const Artifact& aArtifact)
+{
+  const ServiceSpec* service = Service(aView);
+  for (auto& [id, runner] : mRunners) {
+    const auto found = runner.replicas.find(aArtifact.model);
+    if (found == runner.replicas.end() || found->second.phase != ReplicaPhase::kLoaded) {
+      continue;
+    }
+    Replica& replica = found->second;
+    const auto loading = replica.adaptersLoading.find(aArtifact.adapter);
+    if (loading != replica.adaptersLoading.end() && loading->second > aContext.now()) {
+      aContext.WakeBy(std::min(loading->second, aContext.now() + 1s));
+      return;
+    }
+    const EndpointInfo* info = aView.FindEndpoint(id);
+    const bool isSendable = info != nullptr && (!IsUnchecked(aView) || IsLeaseSafe(aContext));
+    if (!isSendable || AdaptersInFlight() >= service->store.adaptersInTransit) {
+      return;
+    }
+    replica.adaptersLoading[aArtifact.adapter] = TimePoint::max();
+    aContext.Emit(SendOrder{
+      .cell = mId,
+      .runner = id,
+      .address = info->address,
+      .order = OrderId{ replica.order.str() + "+" + aArtifact.adapter.str() },
+      .kind = OrderKind::kLoadAdapter,
+      .fence = mFence,
+      .artifact = aArtifact,
+      .version = replica.version,
+      .memory = {},
+    });
+    return;
+  }
+}
+
+void Cell::ServeDemands(Context& aContext, const View& aView)
+{
+  const ServiceSpec* service = Service(aView);
+  if (service == nullptr) {
+    return;
+  }
+  std::erase_if(mDemands,
+                [&](const auto& aItem) { return aItem.second.expiresAt <= aContext.now(); });
+  std::erase_if(mPlanned, [&](const auto& aItem) {
+    const auto runner = mRunners.find(aItem.second);
+    return runner == mRunners.end() || runner->second.reach != RunnerReach::kReached;
+  });
+  std::vector<std::pair<TimePoint, Artifact>> byDeadline;
+  for (const auto& [artifact, demand] : mDemands) {
+    byDeadline.emplace_back(demand.deadline, artifact);
+    aContext.WakeBy(demand.expiresAt);
+  }
+  std::sort(byDeadline.begin(), byDeadline.end());
+  for (const auto& [deadline, artifact] : byDeadline) {
+    if (IsReady(artifact)) {
+      ReplyReady(aContext, aView, artifact);
+      continue;
+    }
+    const auto spec = aView.configuration().models.find(artifact.model);
+    if (spec == aView.configuration().models.end()) {
+      continue;
+    }
+    if (IsReady({ artifact.model, {} })) {
+      LoadAdapter(aContext, aView, artifact);
+      continue;
+    }
+    const bool isDecided = CountReplicas(aContext, aView, artifact.model) > 0;
+    if (isDecided && aContext.IsEnabled(Mechanism::kDemandMerging)) {
+      continue;
+    }
+    if (LoadsInFlight() >= service->store.concurrentLoads || !TakeLoadToken(aContext, *service)) {
+      aContext.WakeBy(aContext.now() + 100ms);
+      continue;
+    }
+    if (TryPlace(aContext, aView, spec->second)) {
+      continue;
+    }
+    mLoadTokens += 1.0;
+    if (TryEvict(aContext, aView, spec->second)) {
+      aContext.WakeBy(aContext.now() + 100ms);
+      continue;
+    }
+    const bool isHopeless = !mIsTableUp && IsUnchecked(aView);
+    const bool isFull = deadline - aContext.now() < spec->second.expectedLoad;
+    if (!isHopeless && !isFull) {
+      aContext.WakeBy(aContext.now() + 100ms);
+      continue;
+    }
+    for (const DaemonId& waiter : mDemands[artifact].waiters) {
+      Reply(aContext,
+            aView,
+            waiter,
+            { .cell = mId,
+              .artifact = artifact,
+              .status = DemandStatus::kRefused,
+              .expectedWait = kRefusalPause,
+              .refusal = ResultCode::kReplicaUnavailable });
+    }
+    mDemands.erase(artifact);
+  }
+}
+
+} // namespace rhubarbtrail
--- /dev/null
+++ b/src/decision/scheduler/cell_order.cpp
@@ -0,0 +1,345 @@
+/* Orders to the runners of a cell, and what they answer. */
+#include "decision/scheduler/cell_base.h"
+
+#include <algorithm>
+
+namespace rhubarbtrail {
+
+namespace {
+
+/* Time between looks at the inventory of a runner that answers. */
+constexpr Duration kInventoryInterval = 2s;
+
+} // namespace
+
+void Cell::SyncRunners(Context& aContext, const View& aView)
+{
+  for (const auto& [id, info] : aView.endpoints()) {
+    if (info.service.str() != mId.str()) {
+      continue;
+    }
+    Runner& runner = mRunners[id];
+    runner.id = id;
+    if (!runner.inventory.empty() || runner.nextInventory > aContext.now()) {
+      if (runner.inventory.empty()) {
+        aContext.WakeBy(runner.nextInventory);
+      }
+      continue;
+    }
+    runner.inventory = OrderId{ aContext.NewName() };
+    runner.inventoryAskedAt = aContext.now();
+    aContext.Emit(SendOrder{ .cell = mId,
+                             .runner = id,
+                             .address = info.address,
+                             .order = runner.inventory,
+                             .kind = OrderKind::kInventory,
+                             .fence = mFence,
+                             .artifact = {},
+                             .version = {},
+                             .memory = {} });
+  }
+  // A runner that the host list has dropped is gone, and what it held with it.
+  const auto before = mRunners.size();
+  std::erase_if(mRunners,
+                [&](const auto& aItem) { return aView.FindEndpoint(aItem.first) == nullptr; });
+  mIsDirty = mIsDirty || mRunners.size() != before;
+}
+
+bool Cell::MaySend(const Context& aContext,
+                   const View& aView,
+                   const Runner& aRunner,
+                   const Replica& aReplica) const
+{
+  const bool isUnchecked = IsUnchecked(aView);
+  if (isUnchecked && !IsLeaseSafe(aContext)) {
+    return false;
+  }
+  if (!aReplica.isWritten && isUnchecked && aContext.IsEnabled(Mechanism::kWrittenIntent)) {
+    return false;
+  }
+  if (aReplica.isWritten) {
+    return true;
+  }
+  if (!aContext.IsEnabled(Mechanism::kWrittenIntent)) {
+    return true;
+  }
+  // Checked runners go on while the table is down, on the model's candidate runners only.
+  const bool isUnload = aReplica.phase == ReplicaPhase::kUnloadDecided;
+  return !mIsTableUp && (isUnload || IsCandidate(aContext, aView, aReplica.model, aRunner.id));
+}
+
+void Cell::SendOrders(Context& aContext, const View& aView)
+{
+  for (auto& [id, runner] : mRunners) {
+    for (auto& [model, replica] : runner.replicas) {
+      const bool isLoad =
+        replica.phase == ReplicaPhase::kLoadDecided || replica.phase == ReplicaPhase::kLoading;
+      const bool isUnload =
+        replica.phase == ReplicaPhase::kUnloadDecided || replica.phase == ReplicaPhase::kUnloading;
+      if ((!isLoad && !isUnload) || replica.isAnswered) {
+        continue;
+      }
+      if (replica.nextOrder > aContext.now()) {
+        aContext.WakeBy(replica.nextOrder);
+        continue;
+      }
+      const EndpointInfo* info = aView.FindEndpoint(id);
+      if (info == nullptr || !MaySend(aContext, aView, runner, replica)) {
+        continue;
+      }
+      replica.phase = isLoad ? ReplicaPhase::kLoading : ReplicaPhase::kUnloading;
+      // Until the outcome is reported, the order counts as under way and is not repeated.
+      replica.nextOrder = TimePoint::max();
+      aContext.Emit(SendOrder{ .cell = mId,
+                               .runner = id,
+                               .address = info->address,
+                               .order = replica.order,
+                               .kind = isLoad ? OrderKind::kLoadModel : OrderKind::kUnloadModel,
+                               .fence = mFence,
+                               .artifact = { model, {} },
+                               .version = replica.version,
+                               .memory = replica.memory });
+    }
+  }
+}
+
+void Cell::OnOrderResult(Context& aContext, const View& aView, const OrderResult& aResult)
+{
+  const auto found = mRunners.find(aResult.runner);
+  if (mPhase != LeasePhase::kHeld || found == mRunners.end()) {
+    return;
+  }
+  if (aResult.outcome == OrderOutcome::kFenced) {
+    StepDown(aContext);
+    return;
+  }
+  Runner& runner = found->second;
+  if (aResult.order == runner.inventory) {
+    runner.inventory = {};
+    if (aResult.outcome == OrderOutcome::kDone) {
+      runner.nextInventory = aContext.now() + kInventoryInterval;
+      Reconcile(aContext, aView, runner, aResult.inventory);
+    } else {
+      runner.nextInventory = aContext.now() + aContext.settings().orderRetry;
+      runner.reach = RunnerReach::kUnreachable;
+    }
+    OnWake(aContext, aView);
+    return;
+  }
+  for (auto& [model, replica] : runner.replicas) {
+    if (replica.order == aResult.order) {
+      if (replica.phase == ReplicaPhase::kLoading) {
+        OnLoadResult(aContext, aView, runner, replica, aResult);
+      } else if (replica.phase == ReplicaPhase::kUnloading) {
+        OnUnloadResult(aContext, runner, replica, aResult);
+      }
+      OnWake(aContext, aView);
+      return;
+    }
+    if (!aResult.order.str().starts_with(replica.order.str() + "+")) {
+      continue;
+    }
+    const AdapterId adapter{ aResult.order.str().substr(replica.order.str().size() + 1) };
+    if (aResult.outcome == OrderOutcome::kDone) {
+      replica.adaptersLoading.erase(adapter);
+      replica.adapters.insert(adapter);
+      ReplyReady(aContext, aView, { model, adapter });
+    } else if (aResult.outcome != OrderOutcome::kAccepted) {
+      replica.adaptersLoading[adapter] = aContext.now() + aContext.settings().orderRetry;
+    }
+    OnWake(aContext, aView);
+    return;
+  }
+}
+
+void Cell::OnLoadResult(Context& aContext,
+                        const View& aView,
+                        Runner& aRunner,
+                        Replica& aReplica,
+                        const OrderResult& aResult)
+{
+  const ModelId model = aReplica.model;
+  switch (aResult.outcome) {
+    case OrderOutcome::kAccepted:
+      aReplica.isAnswered = true;
+      aReplica.mayBeKnown = true;
+      aReplica.answeredAt = aContext.now();
+      return;
+    case OrderOutcome::kDone:
+      aReplica.isAnswered = true;
+      aReplica.mayBeKnown = true;
+      aReplica.answeredAt = aContext.now();
+      aReplica.phase = ReplicaPhase::kLoaded;
+      aReplica.lastUsed = aContext.now();
+      mIsDirty = true;
+      ReplyReady(aContext, aView, { model, {} });
+      return;
+    case OrderOutcome::kNoMemory:
+    case OrderOutcome::kFailed:
+      if (aReplica.isReserved) {
+        aReplica.nextOrder = aContext.now() + aContext.settings().orderRetry;
+        return;
+      }
+      Remove(aRunner, model);
+      return;
+    case OrderOutcome::kNotConnected:
+      aRunner.reach = RunnerReach::kUnreachable;
+      aRunner.nextInventory = aContext.now();
+      if (!aReplica.mayBeKnown && !aReplica.isReserved) {
+        Remove(aRunner, model);
+        return;
+      }
+      aReplica.nextOrder = aContext.now() + aContext.settings().orderRetry;
+      return;
+    case OrderOutcome::kUnknown:
+    case OrderOutcome::kFenced:
+      aReplica.mayBeKnown = true;
+      aReplica.isAnswered = false;
+      aReplica.nextOrder = aContext.now() + aContext.settings().orderRetry;
+      return;
+  }
+}
+
+void Cell::OnUnloadResult(Context& aContext,
+                          Runner& aRunner,
+                          Replica& aReplica,
+                          const OrderResult& aResult)
+{
+  if (aResult.outcome == OrderOutcome::kDone && !aReplica.isReserved) {
+    Remove(aRunner, ModelId{ aReplica.model });
+    return;
+  }
+  if (aResult.outcome == OrderOutcome::kAccepted) {
+    aReplica.isAnswered = true;
+    aReplica.answeredAt = aContext.now();
+    return;
+  }
+  aReplica.isAnswered = false;
+  aReplica.nextOrder = aContext.now() + aContext.settings().orderRetry;
+}
+
+void Cell::Reconcile(Context& aContext,
+                     const View& aView,
+                     Runner& aRunner,
+                     const Inventory& aInventory)
+{
+  const bool isRestarted = !aRunner.bootId.empty() && aRunner.bootId != aInventory.bootId;
+  const bool isFirst = aRunner.reach == RunnerReach::kUnknown;
+  aRunner.reach = RunnerReach::kReached;
+  aRunner.bootId = aInventory.bootId;
+  aRunner.memory = aInventory.memory;
+  aRunner.reportedLoad = aInventory.running + aInventory.queued;
+  for (const LoadedModel& loaded : aInventory.models) {
+    Replica& replica = aRunner.replicas[loaded.model];
+    if (replica.model.empty()) {
+      // Loaded by an order that is not in the written placement.
+      const auto spec = aView.configuration().models.find(loaded.model);
+      replica.model = loaded.model;
+      replica.version = loaded.version;
+      replica.order = OrderId{ aContext.NewName() };
+      replica.issuer = aContext.self();
+      replica.lastUsed = aContext.now();
+      replica.unloadableFrom = aContext.now() + aContext.settings().replicaLifetime;
+      replica.phase = loaded.ready ? ReplicaPhase::kLoaded : ReplicaPhase::kLoading;
+      replica.isAnswered = true;
+      replica.isWritten = true;
+      if (spec != aView.configuration().models.end()) {
+        replica.memory = spec->second.memory;
+        for (const auto& [id, adapter] : spec->second.adapters) {
+          replica.memory += adapter.memory;
+        }
+      }
+      mIsDirty = true;
+    }
+    replica.mayBeKnown = true;
+    replica.adapters.insert(loaded.adapters.begin(), loaded.adapters.end());
+    const bool wasLoading = replica.phase == ReplicaPhase::kLoading;
+    if (wasLoading && loaded.ready) {
+      replica.phase = ReplicaPhase::kLoaded;
+      replica.isAnswered = true;
+      replica.answeredAt = aContext.now();
+      replica.lastUsed = aContext.now();
+      mIsDirty = true;
+      ReplyReady(aContext, aView, { loaded.model, {} });
+    }
+  }
+  std::vector<ModelId> vanished;
+  for (auto& [model, replica] : aRunner.replicas) {
+    const bool isListed =
+      std::any_of(aInventory.models.begin(),
+                  aInventory.models.end(),
+                  [&](const LoadedModel& aLoaded) { return aLoaded.model == model; });
+    // Only an inventory asked for after the order was answered can show that it is undone.
+    const bool isSettled = replica.isAnswered && replica.answeredAt < aRunner.inventoryAskedAt;
+    const bool isInherited = isFirst && replica.issuer != aContext.self();
+    if (isListed || replica.phase == ReplicaPhase::kLoadDecided) {
+      continue;
+    }
+    if (replica.isReserved) {
+      replica.phase =
+        replica.phase == ReplicaPhase::kLoaded ? ReplicaPhase::kLoading : replica.phase;
+      replica.isAnswered = false;
+      continue;
+    }
+    const bool isFenced = !IsUnchecked(aView);
+    const bool isAdopted = isInherited && (isFenced || replica.phase == ReplicaPhase::kLoaded);
+    if (isSettled || isAdopted || (isRestarted && replica.isAnswered)) {
+      vanished.push_back(model);
+    }
+  }
+  for (const ModelId& model : vanished) {
+    Remove(aRunner, model);
+  }
+}
+
+void Cell::ReleaseReserved(Context& aContext, const View& aView)
+{
+  for (auto& [id, runner] : mRunners) {
+    for (auto& [model, replica] : runner.replicas) {
+      if (!replica.isReserved) {
+        continue;
+      }
+      if (aView.IsProvenDead(replica.issuer)) {
+        replica.isReserved = false;
+        continue;
+      }
+      if (mNextKeepAlive <= aContext.now()) {
+        aView.SendTo(aContext,
+                     replica.issuer.daemon,
+                     WithdrawOrderMessage{ mId, replica.order, replica.issuer });
+      }
+    }
+  }
+}
+
+void Cell::OnOrderWithdrawn(Context& aContext,
+                            const View& aView,
+                            const OrderWithdrawnMessage& aWithdrawn)
+{
+  if (mPhase != LeasePhase::kHeld) {
+    return;
+  }
+  for (auto& [id, runner] : mRunners) {
+    for (auto& [model, replica] : runner.replicas) {
+      if (replica.order == aWithdrawn.order && replica.issuer == aWithdrawn.issuer) {
+        replica.isReserved = false;
+      }
+    }
+  }
+  OnWake(aContext, aView);
+}
+
+void Cell::OnWithdraw(Context& aContext, const OrderId& aOrder)
+{
+  for (const auto& [id, runner] : mRunners) {
+    for (const auto& [model, replica] : runner.replicas) {
+      if (replica.order == aOrder) {
+        // Somebody else adopted our order, so the lease is no longer ours.
+        StepDown(aContext);
+        return;
+      }
+    }
+  }
+}
+
+} // namespace rhubarbtrail
--- /dev/null
+++ b/src/decision/scheduler/cell_placement.cpp
@@ -0,0 +1,351 @@
+/* Where replicas go, and which ones make room. */
+#include "decision/scheduler/cell_base.h"
+
+#include "decision/rendezvous_func.h"
+
+#include <algorithm>
+
+namespace rhubarbtrail {
+
+namespace {
+
+/* Time between looks for idle replicas. */
+constexpr Duration kKeepAliveInterval = 500ms;
+/* Time between repeats of a drain that a router has not answered. */
+constexpr Duration kDrainRepeat = 1s;
+/* Idle time after which a replica may make room for another model. */
+constexpr Duration kEvictableIdle = 1s;
+
+MemoryMb MemoryOf(const ModelSpec& aModel)
+{
+  MemoryMb memory = aModel.memory;
+  for (const auto& [id, adapter] : aModel.adapters) {
+    memory += adapter.memory;
+  }
+  return memory;
+}
+
+PlacementState StateOf(ReplicaPhase aPhase)
+{
+  switch (aPhase) {
+    case ReplicaPhase::kLoadDecided:
+    case ReplicaPhase::kLoading:
+      return PlacementState::kLoad;
+    case ReplicaPhase::kLoaded:
+    case ReplicaPhase::kDraining:
+      return PlacementState::kLoaded;
+    case ReplicaPhase::kUnloadDecided:
+    case ReplicaPhase::kUnloading:
+      break;
+  }
+  return PlacementState::kUnload;
+}
+
+} // namespace
+
+const ServiceSpec* Cell::Service(const View& aView) const
+{
+  const auto found = aView.configuration().services.find(ServiceId{ mId.str() });
+  return found == aView.configuration().services.end() ? nullptr : &found->second;
+}
+
+bool Cell::IsUnchecked(const View& aView) const
+{
+  const ServiceSpec* service = Service(aView);
+  return service == nullptr || service->orderCheck == OrderCheck::kUnchecked;
+}
+
+bool Cell::IsCandidate(const Context& aContext,
+                       const View& aView,
+                       const ModelId& aModel,
+                       const EndpointId& aRunner) const
+{
+  const std::uint64_t weight = RendezvousWeight(aModel.str(), aRunner.str());
+  std::uint32_t better = 0;
+  for (const auto& [id, info] : aView.endpoints()) {
+    if (info.service.str() == mId.str() && RendezvousWeight(aModel.str(), id.str()) > weight) {
+      ++better;
+    }
+  }
+  return better < aContext.settings().candidateRunners;
+}
+
+std::uint32_t Cell::CountReplicas(const Context& aContext,
+                                  const View& aView,
+                                  const ModelId& aModel) const
+{
+  std::uint32_t count = 0;
+  for (const auto& [id, runner] : mRunners) {
+    if (runner.replicas.contains(aModel)) {
+      ++count;
+      continue;
+    }
+    const bool mayHoldUnwritten = runner.reach != RunnerReach::kReached && runner.bootId.empty() &&
+                                  !IsUnchecked(aView) &&
+                                  aContext.IsEnabled(Mechanism::kPossibleReplicas);
+    if (mayHoldUnwritten && IsCandidate(aContext, aView, aModel, id)) {
+      ++count;
+    }
+  }
+  return count;
+}
+
+MemoryMb Cell::FreeMemory(const Context& aContext,
+                          const View& aView,
+                          const Runner& aRunner,
+                          const ModelId& aFor) const
+{
+  const ServiceSpec* service = Service(aView);
+  MemoryMb free = aRunner.memory - service->kvCacheReserve;
+  for (const auto& [model, replica] : aRunner.replicas) {
+    const bool isCounted =
+      replica.phase == ReplicaPhase::kLoaded || aContext.IsEnabled(Mechanism::kMemoryReservation);
+    free = free - (isCounted ? replica.memory : MemoryMb{});
+  }
+  for (const auto& [model, runner] : mPlanned) {
+    const auto spec = aView.configuration().models.find(model);
+    if (runner == aRunner.id && model != aFor && spec != aView.configuration().models.end()) {
+      free = free - MemoryOf(spec->second);
+    }
+  }
+  return free;
+}
+
+bool Cell::TryPlace(Context& aContext, const View& aView, const ModelSpec& aModel)
+{
+  const MemoryMb needed = MemoryOf(aModel);
+  const bool isUnwritten = !mIsTableUp;
+  if (isUnwritten && IsUnchecked(aView)) {
+    return false;
+  }
+  Runner* best = nullptr;
+  std::pair<bool, MemoryMb> bestScore{};
+  for (auto& [id, runner] : mRunners) {
+    const bool isUsable = runner.reach == RunnerReach::kReached &&
+                          aView.IsUsable(id, aContext.now()) &&
+                          !runner.replicas.contains(aModel.id);
+    if (!isUsable || FreeMemory(aContext, aView, runner, aModel.id) < needed) {
+      continue;
+    }
+    const bool isCandidate = IsCandidate(aContext, aView, aModel.id, id);
+    if (isUnwritten && !isCandidate) {
+      continue;
+    }
+    const std::pair score{ isCandidate, FreeMemory(aContext, aView, runner, aModel.id) };
+    if (best == nullptr || score > bestScore) {
+      best = &runner;
+      bestScore = score;
+    }
+  }
+  if (best == nullptr) {
+    return false;
+  }
+  Replica& replica = best->replicas[aModel.id];
+  replica.model = aModel.id;
+  replica.version = aModel.version;
+  replica.memory = needed;
+  replica.phase = ReplicaPhase::kLoadDecided;
+  replica.order = OrderId{ aContext.NewName() };
+  replica.issuer = aContext.self();
+  replica.lastUsed = aContext.now();
+  mPlanned.erase(aModel.id);
+  mIsDirty = true;
+  return true;
+}
+
+bool Cell::TryEvict(Context& aContext, const View& aView, const ModelSpec& aModel)
+{
+  if (mPlanned.contains(aModel.id)) {
+    return true;
+  }
+  const MemoryMb needed = MemoryOf(aModel);
+  Runner* best = nullptr;
+  std::vector<Replica*> bestVictims;
+  TimePoint bestAge = TimePoint::max();
+  for (auto& [id, runner] : mRunners) {
+    if (runner.reach != RunnerReach::kReached || !aView.IsUsable(id, aContext.now())) {
+      continue;
+    }
+    std::vector<Replica*> idle;
+    for (auto& [model, replica] : runner.replicas) {
+      const bool isIdle = replica.phase == ReplicaPhase::kLoaded && !replica.isReserved &&
+                          replica.lastUsed + kEvictableIdle <= aContext.now() &&
+                          replica.unloadableFrom <= aContext.now();
+      if (isIdle) {
+        idle.push_back(&replica);
+      }
+    }
+    std::sort(idle.begin(), idle.end(), [](const Replica* aLeft, const Replica* aRight) {
+      return aLeft->lastUsed < aRight->lastUsed;
+    });
+    MemoryMb free = FreeMemory(aContext, aView, runner, aModel.id);
+    std::vector<Replica*> victims;
+    for (Replica* replica : idle) {
+      if (free >= needed) {
+        break;
+      }
+      free += replica->memory;
+      victims.push_back(replica);
+    }
+    // The runner whose most recently used victim is oldest loses least.
+    const TimePoint age = victims.empty() ? TimePoint::min() : victims.back()->lastUsed;
+    if (free >= needed && age < bestAge) {
+      best = &runner;
+      bestVictims = std::move(victims);
+      bestAge = age;
+    }
+  }
+  if (best == nullptr) {
+    return false;
+  }
+  mPlanned[aModel.id] = best->id;
+  for (Replica* victim : bestVictims) {
+    StartDrain(aContext, aView, *best, *victim);
+  }
+  return true;
+}
+
+void Cell::StartDrain(Context& aContext, const View& aView, Runner& aRunner, Replica& aReplica)
+{
+  aReplica.phase = ReplicaPhase::kDraining;
+  aReplica.nextOrder = aContext.now();
+  if (!aContext.IsEnabled(Mechanism::kDrainBeforeUnload)) {
+    aReplica.users.clear();
+  }
+  ContinueDrains(aContext, aView);
+  aContext.WakeBy(aContext.now());
+  (void)aRunner;
+}
+
+void Cell::ContinueDrains(Context& aContext, const View& aView)
+{
+  for (auto& [id, runner] : mRunners) {
+    for (auto& [model, replica] : runner.replicas) {
+      if (replica.phase != ReplicaPhase::kDraining) {
+        continue;
+      }
+      std::erase_if(replica.users, [&](const DaemonId& aUser) {
+        return aUser != aContext.self().daemon && aView.FindMember(aUser) == nullptr;
+      });
+      if (replica.users.empty()) {
+        replica.phase = ReplicaPhase::kUnloadDecided;
+        replica.order = OrderId{ aContext.NewName() };
+        replica.issuer = aContext.self();
+        replica.isWritten = false;
+        replica.isAnswered = false;
+        mIsDirty = true;
+        continue;
+      }
+      if (replica.nextOrder <= aContext.now()) {
+        replica.nextOrder = aContext.now() + kDrainRepeat;
+        const DrainMessage drain{ mId, id, model, mFence };
+        for (const DaemonId& user : replica.users) {
+          if (user == aContext.self().daemon) {
+            aContext.Emit(SendMessage{ user, {}, drain });
+          } else {
+            aView.SendTo(aContext, user, drain);
+          }
+        }
+      }
+      aContext.WakeBy(replica.nextOrder);
+    }
+  }
+}
+
+void Cell::OnDrained(Context& aContext,
+                     const View& aView,
+                     const DaemonId& aFrom,
+                     const DrainedMessage& aDrained)
+{
+  const auto runner = mRunners.find(aDrained.runner);
+  if (mPhase != LeasePhase::kHeld || aDrained.fence != mFence || runner == mRunners.end()) {
+    return;
+  }
+  const auto replica = runner->second.replicas.find(aDrained.model);
+  if (replica == runner->second.replicas.end() ||
+      replica->second.phase != ReplicaPhase::kDraining) {
+    return;
+  }
+  replica->second.users.erase(aFrom);
+  OnWake(aContext, aView);
+}
+
+void Cell::UnloadIdle(Context& aContext, const View& aView)
+{
+  if (mNextKeepAlive > aContext.now()) {
+    aContext.WakeBy(mNextKeepAlive);
+    return;
+  }
+  mNextKeepAlive = aContext.now() + kKeepAliveInterval;
+  aContext.WakeBy(mNextKeepAlive);
+  const ServiceSpec* service = Service(aView);
+  if (service == nullptr) {
+    return;
+  }
+  for (auto& [id, runner] : mRunners) {
+    for (auto& [model, replica] : runner.replicas) {
+      const bool isUnloadable = replica.phase == ReplicaPhase::kLoaded && !replica.isReserved &&
+                                replica.unloadableFrom <= aContext.now();
+      const auto spec = aView.configuration().models.find(model);
+      if (!isUnloadable) {
+        continue;
+      }
+      const bool isDeclared = spec != aView.configuration().models.end();
+      const double share = runner.memory.value == 0 ? 0.0
+                                                    : static_cast<double>(replica.memory.value) /
+                                                        static_cast<double>(runner.memory.value);
+      const Duration limit =
+        isDeclared
+          ? IdleLimit(service->keepAlive, { mUsage[model], spec->second.expectedLoad, share })
+          : Duration{};
+      if (replica.lastUsed + limit <= aContext.now()) {
+        StartDrain(aContext, aView, runner, replica);
+      }
+    }
+  }
+}
+
+PlacementRow Cell::MakePlacementRow(Context& aContext) const
+{
+  PlacementRow row{ .fence = mFence, .entries = {}, .change = ChangeId{ aContext.NewName() } };
+  for (const auto& [id, runner] : mRunners) {
+    for (const auto& [model, replica] : runner.replicas) {
+      row.entries.push_back({ .runner = id,
+                              .model = model,
+                              .version = replica.version,
+                              .state = StateOf(replica.phase),
+                              .order = replica.order,
+                              .issuer = replica.issuer });
+    }
+  }
+  return row;
+}
+
+void Cell::WritePlacement(Context& aContext)
+{
+  if (!mIsDirty || !mPlacementChange.empty() || !mRead.empty()) {
+    return;
+  }
+  if (mNextPlacementWrite > aContext.now()) {
+    aContext.WakeBy(mNextPlacementWrite);
+    return;
+  }
+  mIsDirty = false;
+  const PlacementRow row = MakePlacementRow(aContext);
+  mPlacementChange = row.change;
+  mWriting.clear();
+  for (const PlacementEntry& entry : row.entries) {
+    mWriting.insert(entry.order);
+  }
+  aContext.Emit(TableTransaction{ .change = row.change,
+                                  .conditions = { { PlacementKey(mId), mPlacementVersion } },
+                                  .writes = { { PlacementKey(mId), RowValue{ row } } } });
+}
+
+void Cell::Remove(Runner& aRunner, const ModelId& aModel)
+{
+  aRunner.replicas.erase(aModel);
+  mIsDirty = true;
+}
+
+} // namespace rhubarbtrail
--- /dev/null
+++ b/src/decision/view/view.cpp
@@ -0,0 +1,326 @@
+/* Hosts, members and configuration, as one daemon knows them. */
+#include "decision/view/view_base.h"
+
+#include "decision/rendezvous_func.h"
+
+#include <algorithm>
+
+namespace rhubarbtrail {
+
+namespace {
+
+/* How long an endpoint that refused a connection is passed over. */
+constexpr Duration kRefusedPause = 500ms;
+
+} // namespace
+
+const EndpointInfo* View::FindEndpoint(const EndpointId& aEndpoint) const
+{
+  const auto found = mEndpoints.find(aEndpoint);
+  return found == mEndpoints.end() ? nullptr : &found->second;
+}
+
+const Member* View::FindMember(const DaemonId& aDaemon) const
+{
+  const auto found = mMembers.find(aDaemon);
+  return found == mMembers.end() ? nullptr : &found->second;
+}
+
+bool View::IsUsable(const EndpointId& aEndpoint, TimePoint aNow) const
+{
+  const EndpointInfo* info = FindEndpoint(aEndpoint);
+  return info != nullptr && info->state == EndpointState::kLive && info->refusedUntil <= aNow;
+}
+
+bool View::IsProvenDead(const Incarnation& aIncarnation) const
+{
+  const Member* member = FindMember(aIncarnation.daemon);
+  if (member == nullptr) {
+    return mHostsKnown;
+  }
+  if (!member->incarnation.empty() && member->incarnation != aIncarnation.id) {
+    return true;
+  }
+  return mHostsKnown && !member->listed;
+}
+
+std::vector<DaemonId> View::RankDaemons(const Context& aContext, const std::string& aKey) const
+{
+  std::vector<std::pair<std::uint64_t, DaemonId>> ranked;
+  ranked.emplace_back(RendezvousWeight(aKey, aContext.self().daemon.str()), aContext.self().daemon);
+  for (const auto& [id, member] : mMembers) {
+    if (!member.heardAt || aContext.now() - *member.heardAt > aContext.settings().memberTimeout) {
+      continue;
+    }
+    ranked.emplace_back(RendezvousWeight(aKey, id.str()), id);
+  }
+  std::sort(ranked.rbegin(), ranked.rend());
+  std::vector<DaemonId> order;
+  order.reserve(ranked.size());
+  for (auto& [weight, id] : ranked) {
+    order.push_back(std::move(id));
+  }
+  return order;
+}
+
+void View::OnHostList(Context& aContext, const HostListReceived& aList)
+{
+  mHostsKnown = true;
+  for (auto& [id, info] : mEndpoints) {
+    info.state = EndpointState::kGone;
+  }
+  for (auto& [id, member] : mMembers) {
+    member.listed = false;
+  }
+  for (const HostEntry& host : aList.hosts) {
+    if (host.kind == HostKind::kDaemon) {
+      if (host.id == aContext.self().daemon.str()) {
+        continue;
+      }
+      Member& member = mMembers[DaemonId{ host.id }];
+      member.id = DaemonId{ host.id };
+      member.address = host.address;
+      member.listed = true;
+      continue;
+    }
+    EndpointInfo& info = mEndpoints[EndpointId{ host.id }];
+    info.id = EndpointId{ host.id };
+    if (info.bootId != host.bootId) {
+      info.refusedUntil = {};
+    }
+    info.bootId = host.bootId;
+    info.service = host.service;
+    info.zone = host.zone;
+    info.address = host.address;
+    const auto leaving = mLeavingBoots.find(info.id);
+    const bool knownLeaving = leaving != mLeavingBoots.end() && leaving->second == host.bootId;
+    info.state = host.state == HostState::kLeaving || knownLeaving ? EndpointState::kLeaving
+                                                                   : EndpointState::kLive;
+  }
+  std::erase_if(mEndpoints,
+                [](const auto& aItem) { return aItem.second.state == EndpointState::kGone; });
+  std::erase_if(mLeavingBoots,
+                [this](const auto& aItem) { return !mEndpoints.contains(aItem.first); });
+  std::erase_if(mMembers, [&](const auto& aItem) {
+    const Member& member = aItem.second;
+    return !member.listed && (!member.heardAt || aContext.now() - *member.heardAt >
+                                                   2 * aContext.settings().memberTimeout);
+  });
+}
+
+void View::NoteMember(Context& aContext, const Incarnation& aFrom, ConfigVersion aVersion)
+{
+  Member& member = mMembers[aFrom.daemon];
+  member.id = aFrom.daemon;
+  member.incarnation = aFrom.id;
+  member.version = std::max(member.version, aVersion);
+  member.heardAt = aContext.now();
+}
+
+void View::OnMessage(Context& aContext, const MessageReceived& aReceived)
+{
+  NoteMember(aContext, aReceived.from, aReceived.senderVersion);
+  if (const auto* heartbeat = std::get_if<HeartbeatMessage>(&aReceived.message)) {
+    OnHeartbeat(aContext, aReceived, *heartbeat);
+  } else if (const auto* wanted = std::get_if<ConfigurationRequestMessage>(&aReceived.message)) {
+    if (mRow.version >= wanted->atLeast && mRow.version.value > 0) {
+      SendTo(aContext, aReceived.from.daemon, ConfigurationMessage{ mRow });
+    }
+  } else if (const auto* leaving = std::get_if<EndpointLeavingMessage>(&aReceived.message)) {
+    const auto found = mEndpoints.find(leaving->endpoint);
+    if (found != mEndpoints.end() && found->second.bootId == leaving->bootId &&
+        aContext.IsEnabled(Mechanism::kLeavingNotice)) {
+      found->second.state = EndpointState::kLeaving;
+      mLeavingBoots[leaving->endpoint] = leaving->bootId;
+    }
+  }
+  if (aReceived.senderVersion > mRow.version) {
+    SendTo(aContext, aReceived.from.daemon, ConfigurationRequestMessage{ aReceived.senderVersion });
+  }
+  UpdateReadiness(aContext);
+}
+
+void View::OnHeartbeat(Context& aContext,
+                       const MessageReceived& aReceived,
+                       const HeartbeatMessage& aHeartbeat)
+{
+  if (!aHeartbeat.reply) {
+    SendTo(aContext, aReceived.from.daemon, HeartbeatMessage{ mRow.version, true });
+  }
+}
+
+void View::OnReadResult(Context& aContext, const ReadResult& aResult)
+{
+  if (aResult.read != mPoll) {
+    return;
+  }
+  mPoll = {};
+  // The row was read at or after the start of the poll, so that is how fresh the answer is.
+  if (aResult.ok) {
+    const Row* head = aResult.rows.empty() ? nullptr : &aResult.rows.front();
+    const auto* row =
+      head != nullptr && head->value ? std::get_if<ConfigurationRow>(&*head->value) : nullptr;
+    if (row == nullptr || row->version <= mRow.version) {
+      mConfirmedAt = mPollStarted;
+    }
+  }
+  mNextPoll = aContext.now() + aContext.settings().configurationPoll;
+  aContext.WakeBy(mNextPoll);
+  UpdateReadiness(aContext);
+}
+
+void View::OnConfiguration(Context& aContext, const ConfigurationLoaded& aLoaded)
+{
+  const bool isOlder = aLoaded.row.version <= mRow.version;
+  if (isOlder && aContext.IsEnabled(Mechanism::kVersionMonotonic)) {
+    return;
+  }
+  mRow = aLoaded.row;
+  mConfiguration = aLoaded.configuration;
+  aContext.Emit(PublishConfiguration{ mConfiguration });
+  Broadcast(aContext, HeartbeatMessage{ mRow.version, true });
+  UpdateReadiness(aContext);
+}
+
+void View::OnWake(Context& aContext)
+{
+  PollConfiguration(aContext);
+  SendHeartbeats(aContext);
+  UpdateReadiness(aContext);
+}
+
+void View::PollConfiguration(Context& aContext)
+{
+  if (mPoll.empty() && mNextPoll <= aContext.now()) {
+    mPoll = ChangeId{ aContext.NewName() };
+    mPollStarted = aContext.now();
+    aContext.Emit(TableRead{ mPoll, { ConfigurationHeadKey() } });
+  }
+  if (mPoll.empty()) {
+    aContext.WakeBy(mNextPoll);
+  }
+}
+
+void View::SendHeartbeats(Context& aContext)
+{
+  for (auto& [id, member] : mMembers) {
+    if (member.address.empty()) {
+      continue;
+    }
+    if (member.nextHeartbeat <= aContext.now()) {
+      member.nextHeartbeat = aContext.now() + aContext.settings().heartbeatInterval;
+      SendTo(aContext, id, HeartbeatMessage{ mRow.version, false });
+    }
+    aContext.WakeBy(member.nextHeartbeat);
+  }
+}
+
+bool View::HearsMajority(const Context& aContext) const
+{
+  std::size_t listed = 0;
+  std::size_t heard = 0;
+  for (const auto& [id, member] : mMembers) {
+    if (!member.listed) {
+      continue;
+    }
+    ++listed;
+    const bool isCurrent =
+      member.heardAt && aContext.now() - *member.heardAt <= aContext.settings().freshnessLimit;
+    if (isCurrent && member.version <= mRow.version) {
+      ++heard;
+    }
+  }
+  // This daemon counts on both sides.
+  return listed > 0 && 2 * (heard + 1) > listed + 1;
+}
+
+bool View::IsFresh(const Context& aContext) const
+{
+  if (!aContext.IsEnabled(Mechanism::kFreshnessLimit)) {
+    return true;
+  }
+  const bool isConfirmed =
+    mConfirmedAt && aContext.now() - *mConfirmedAt <= aContext.settings().freshnessLimit;
+  return isConfirmed || HearsMajority(aContext);
+}
+
+void View::UpdateReadiness(Context& aContext)
+{
+  if (mReadiness == Readiness::kStopping) {
+    return;
+  }
+  Readiness readiness = Readiness::kStarting;
+  if (mRow.version.value > 0 && mHostsKnown) {
+    readiness = IsFresh(aContext) ? Readiness::kReady : Readiness::kStale;
+  }
+  if (readiness != mReadiness) {
+    mReadiness = readiness;
+    aContext.Emit(PublishReadiness{ readiness });
+  }
+}
+
+void View::NoteLeaving(Context& aContext, const EndpointId& aEndpoint)
+{
+  const auto found = mEndpoints.find(aEndpoint);
+  if (found == mEndpoints.end() || found->second.state == EndpointState::kLeaving) {
+    return;
+  }
+  found->second.state = EndpointState::kLeaving;
+  mLeavingBoots[aEndpoint] = found->second.bootId;
+  if (aContext.IsEnabled(Mechanism::kLeavingNotice)) {
+    Broadcast(aContext, EndpointLeavingMessage{ aEndpoint, found->second.bootId });
+  }
+}
+
+void View::NoteRefused(const Context& aContext, const EndpointId& aEndpoint)
+{
+  const auto found = mEndpoints.find(aEndpoint);
+  if (found != mEndpoints.end()) {
+    found->second.refusedUntil = aContext.now() + kRefusedPause;
+  }
+}
+
+void View::NoteStopping(Context& aContext)
+{
+  if (mReadiness == Readiness::kStopping) {
+    return;
+  }
+  mReadiness = Readiness::kStopping;
+  aContext.Emit(PublishReadiness{ mReadiness });
+}
+
+void View::SendTo(Context& aContext, const DaemonId& aDaemon, Message aMessage) const
+{
+  const Member* member = FindMember(aDaemon);
+  if (member == nullptr || member->address.empty()) {
+    return;
+  }
+  aContext.Emit(SendMessage{ aDaemon, member->address, std::move(aMessage) });
+}
+
+void View::Broadcast(Context& aContext, const Message& aMessage) const
+{
+  for (const auto& [id, member] : mMembers) {
+    SendTo(aContext, id, aMessage);
+  }
+}
+
+void View::Dump(std::vector<DumpEntry>& aOut, TimePoint aNow) const
+{
+  aOut.push_back({ "view.configuration", std::to_string(mRow.version.value) });
+  aOut.push_back({ "view.readiness", std::to_string(static_cast<int>(mReadiness)) });
+  for (const auto& [id, member] : mMembers) {
+    const std::string path = "view.members." + id.str();
+    const auto age =
+      member.heardAt ? std::chrono::duration_cast<std::chrono::milliseconds>(aNow - *member.heardAt)
+                     : -1ms;
+    aOut.push_back({ path + ".heard_ms_ago", std::to_string(age.count()) });
+    aOut.push_back({ path + ".configuration", std::to_string(member.version.value) });
+  }
+  for (const auto& [id, info] : mEndpoints) {
+    aOut.push_back(
+      { "view.endpoints." + id.str(), info.state == EndpointState::kLive ? "live" : "leaving" });
+  }
+}
+
+} // namespace rhubarbtrail
--- /dev/null
+++ b/src/operator/configuration_store.cpp
@@ -0,0 +1,110 @@
+/* Acceptance of configurations by one conditional write. */
+#include "operator/configuration_store.h"
+
+#include "core/digest_func.h"
+
+#include <chrono>
+
+namespace rhubarbtrail {
+
+namespace {
+
+/* Tries to find out what became of a write whose answer was lost. */
+constexpr int kReadBackTries = 5;
+
+std::int64_t UnixMs()
+{
+  using namespace std::chrono;
+  return duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
+}
+
+tl::unexpected<ProposalError> Fail(ProposalFault aFault,
+                                   std::optional<ConfigurationRow> aCurrent = std::nullopt)
+{
+  return tl::make_unexpected(
+    ProposalError{ .fault = aFault, .errors = {}, .current = std::move(aCurrent) });
+}
+
+} // namespace
+
+std::optional<ConfigurationStore::Head> ConfigurationStore::ReadHead() const
+{
+  const ReadResult result = mTable.Read({ ChangeId{ "head" }, { ConfigurationHeadKey() } });
+  if (!result.ok) {
+    return std::nullopt;
+  }
+  Head head{ result.rows[0].version, {} };
+  if (result.rows[0].value) {
+    if (const auto* row = std::get_if<ConfigurationRow>(&*result.rows[0].value)) {
+      head.row = *row;
+    }
+  }
+  return head;
+}
+
+std::optional<ConfigurationRow> ConfigurationStore::Newest() const
+{
+  const auto head = ReadHead();
+  return head ? std::optional{ head->row } : std::nullopt;
+}
+
+std::optional<ConfigurationRow> ConfigurationStore::Version(ConfigVersion aVersion) const
+{
+  const ReadResult result =
+    mTable.Read({ ChangeId{ "history" }, { ConfigurationHistoryKey(aVersion) } });
+  if (!result.ok || !result.rows[0].value) {
+    return std::nullopt;
+  }
+  const auto* row = std::get_if<ConfigurationRow>(&*result.rows[0].value);
+  return row == nullptr ? std::nullopt : std::optional{ *row };
+}
+
+tl::expected<ConfigurationRow, ProposalError> ConfigurationStore::Accept(
+  const Proposal& aProposal) const
+{
+  const ConfigVersion version{ aProposal.basedOn.value + 1 };
+  if (auto parsed = ParseConfiguration(aProposal.document, version); !parsed) {
+    return tl::make_unexpected(ProposalError{
+      .fault = ProposalFault::kInvalid, .errors = parsed.error(), .current = std::nullopt });
+  }
+  const auto head = ReadHead();
+  if (!head) {
+    return Fail(ProposalFault::kUnavailable);
+  }
+  if (head->row.version != aProposal.basedOn) {
+    return Fail(ProposalFault::kConflict, head->row);
+  }
+  const ConfigurationRow row{ .version = version,
+                              .document = aProposal.document,
+                              .author = aProposal.author,
+                              .comment = aProposal.comment,
+                              .acceptedAtUnixMs = UnixMs() };
+  const TableTransaction transaction{ .change = ChangeId{ RandomHex() },
+                                      .conditions = { { ConfigurationHeadKey(), head->rowVersion },
+                                                      { ConfigurationHistoryKey(version), {} } },
+                                      .writes = {
+                                        { ConfigurationHeadKey(), RowValue{ row } },
+                                        { ConfigurationHistoryKey(version), RowValue{ row } } } };
+  const TransactionResult result = mTable.Commit(transaction);
+  if (result.outcome == TransactionOutcome::kCommitted) {
+    return row;
+  }
+  // The answer may have been lost, and a conflict may be with our own write.
+  for (int tries = 0; tries < kReadBackTries; ++tries) {
+    const auto now = ReadHead();
+    if (!now) {
+      continue;
+    }
+    const auto written = now->row.version == version ? now->row : Version(version);
+    if (written && written->document == row.document && written->author == row.author &&
+        written->acceptedAtUnixMs == row.acceptedAtUnixMs) {
+      return row;
+    }
+    if (now->row.version >= version) {
+      return Fail(ProposalFault::kConflict, now->row);
+    }
+  }
+  return Fail(ProposalFault::kUnknown);
+}
+
+} // namespace rhubarbtrail
--- /dev/null
+++ b/src/peer/peer_connection.cpp
@@ -0,0 +1,204 @@
+/* HTTP/2 between daemons, on nghttp2. */
+#include "peer/peer_connection.h"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace rhubarbtrail {
+
+namespace {
+
+/* Largest message that is taken; it bounds what a peer can make this daemon store. */
+constexpr std::size_t kMessageLimit = 8U << 20U;
+/* Streams that may be open at a time on one connection. */
+constexpr std::uint32_t kStreamLimit = 1'024;
+/* Flow-control window of a stream and of a connection. */
+constexpr std::uint32_t kWindow = 8U << 20U;
+constexpr std::size_t kReadSize = 64U << 10U;
+
+nghttp2_nv Header(const char* aName, const char* aValue)
+{
+  // nghttp2 copies names and values, and does not change them.
+  return { reinterpret_cast<std::uint8_t*>(const_cast<char*>(aName)),
+           reinterpret_cast<std::uint8_t*>(const_cast<char*>(aValue)),
+           std::strlen(aName),
+           std::strlen(aValue),
+           NGHTTP2_NV_FLAG_NONE };
+}
+
+} // namespace
+
+PeerConnection::PeerConnection(int aSocket, PeerRole aRole, Receiver aReceiver)
+  : mSocket(aSocket)
+  , mRole(aRole)
+  , mReceiver(std::move(aReceiver))
+{
+  nghttp2_session_callbacks* callbacks = nullptr;
+  nghttp2_session_callbacks_new(&callbacks);
+  nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, OnDataChunk);
+  nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, OnFrame);
+  nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, OnStreamClose);
+  if (mRole == PeerRole::kServer) {
+    nghttp2_session_server_new(&mSession, callbacks, this);
+  } else {
+    nghttp2_session_client_new(&mSession, callbacks, this);
+  }
+  nghttp2_session_callbacks_del(callbacks);
+  const std::array<nghttp2_settings_entry, 2> settings{
+    { { NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, kStreamLimit },
+      { NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, kWindow } }
+  };
+  nghttp2_submit_settings(mSession, NGHTTP2_FLAG_NONE, settings.data(), settings.size());
+  nghttp2_session_set_local_window_size(
+    mSession, NGHTTP2_FLAG_NONE, 0, static_cast<std::int32_t>(kWindow));
+}
+
+PeerConnection::~PeerConnection()
+{
+  nghttp2_session_del(mSession);
+  close(mSocket);
+}
+
+bool PeerConnection::WantsWrite() const
+{
+  return nghttp2_session_want_write(mSession) != 0;
+}
+
+bool PeerConnection::Submit(std::vector<std::uint8_t> aBody, TimePoint aNow)
+{
+  if (mOutgoing.size() >= kStreamLimit) {
+    return false;
+  }
+  const std::array headers{ Header(":method", "POST"),
+                            Header(":scheme", "http"),
+                            Header(":authority", "peer"),
+                            Header(":path", "/v1/message") };
+  nghttp2_data_provider body{ .source = {}, .read_callback = OnReadBody };
+  const std::int32_t stream =
+    nghttp2_submit_request(mSession, nullptr, headers.data(), headers.size(), &body, nullptr);
+  if (stream < 0) {
+    return false;
+  }
+  mOutgoing[stream] = { std::move(aBody), 0, aNow };
+  return true;
+}
+
+ssize_t PeerConnection::OnReadBody(nghttp2_session* /*aSession*/,
+                                   std::int32_t aStream,
+                                   std::uint8_t* aBuffer,
+                                   std::size_t aLength,
+                                   std::uint32_t* aFlags,
+                                   nghttp2_data_source* /*aSource*/,
+                                   void* aSelf)
+{
+  Outgoing& outgoing = static_cast<PeerConnection*>(aSelf)->mOutgoing[aStream];
+  const std::size_t count = std::min(aLength, outgoing.body.size() - outgoing.offset);
+  std::copy_n(outgoing.body.begin() + static_cast<std::ptrdiff_t>(outgoing.offset), count, aBuffer);
+  outgoing.offset += count;
+  if (outgoing.offset == outgoing.body.size()) {
+    *aFlags |= NGHTTP2_DATA_FLAG_EOF;
+  }
+  return static_cast<ssize_t>(count);
+}
+
+int PeerConnection::OnDataChunk(nghttp2_session* /*aSession*/,
+                                std::uint8_t /*aFlags*/,
+                                std::int32_t aStream,
+                                const std::uint8_t* aData,
+                                std::size_t aLength,
+                                void* aSelf)
+{
+  auto* self = static_cast<PeerConnection*>(aSelf);
+  if (self->mRole != PeerRole::kServer) {
+    return 0;
+  }
+  std::string& body = self->mIncoming[aStream];
+  if (body.size() + aLength > kMessageLimit) {
+    return NGHTTP2_ERR_CALLBACK_FAILURE;
+  }
+  body.append(reinterpret_cast<const char*>(aData), aLength);
+  return 0;
+}
+
+int PeerConnection::OnFrame(nghttp2_session* aSession, const nghttp2_frame* aFrame, void* aSelf)
+{
+  auto* self = static_cast<PeerConnection*>(aSelf);
+  const bool isEnd = (aFrame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
+  const bool isRequestEnd = self->mRole == PeerRole::kServer && isEnd &&
+                            (aFrame->hd.type == NGHTTP2_DATA || aFrame->hd.type == NGHTTP2_HEADERS);
+  if (!isRequestEnd) {
+    return 0;
+  }
+  self->mReceiver(self->mIncoming[aFrame->hd.stream_id]);
+  self->mIncoming.erase(aFrame->hd.stream_id);
+  const std::array headers{ Header(":status", "204") };
+  nghttp2_submit_response(aSession, aFrame->hd.stream_id, headers.data(), headers.size(), nullptr);
+  return 0;
+}
+
+int PeerConnection::OnStreamClose(nghttp2_session* /*aSession*/,
+                                  std::int32_t aStream,
+                                  std::uint32_t /*aError*/,
+                                  void* aSelf)
+{
+  auto* self = static_cast<PeerConnection*>(aSelf);
+  self->mOutgoing.erase(aStream);
+  self->mIncoming.erase(aStream);
+  return 0;
+}
+
+bool PeerConnection::OnReadable()
+{
+  std::array<std::uint8_t, kReadSize> buffer{};
+  const ssize_t count = recv(mSocket, buffer.data(), buffer.size(), 0);
+  if (count == 0) {
+    return false;
+  }
+  if (count < 0) {
+    return errno == EAGAIN || errno == EINTR;
+  }
+  mReceivedBytes += static_cast<std::uint64_t>(count);
+  if (nghttp2_session_mem_recv(mSession, buffer.data(), static_cast<std::size_t>(count)) < 0) {
+    return false;
+  }
+  return OnWritable();
+}
+
+bool PeerConnection::OnWritable()
+{
+  while (true) {
+    const std::uint8_t* data = nullptr;
+    const ssize_t length = nghttp2_session_mem_send(mSession, &data);
+    if (length < 0) {
+      return false;
+    }
+    if (length == 0) {
+      return nghttp2_session_want_read(mSession) != 0 || nghttp2_session_want_write(mSession) != 0;
+    }
+    // What nghttp2 hands out must be sent whole, so a full socket buffer is waited for briefly by
+    // closing: a peer that far behind is as good as silent.
+    std::size_t offset = 0;
+    while (offset < static_cast<std::size_t>(length)) {
+      const ssize_t sent =
+        send(mSocket, data + offset, static_cast<std::size_t>(length) - offset, MSG_NOSIGNAL);
+      if (sent < 0) {
+        return false;
+      }
+      offset += static_cast<std::size_t>(sent);
+    }
+    mSentBytes += offset;
+  }
+}
+
+bool PeerConnection::IsSilent(TimePoint aNow, Duration aLimit) const
+{
+  return std::any_of(mOutgoing.begin(), mOutgoing.end(), [&](const auto& aItem) {
+    return aNow - aItem.second.sentAt > aLimit;
+  });
+}
+
+} // namespace rhubarbtrail
--- /dev/null
+++ b/src/peer/peer_connection.h
@@ -0,0 +1,91 @@
+/* One HTTP/2 connection to or from another daemon. */
+#ifndef RHUBARBTRAIL_PEER_PEER_CONNECTION_H
+#define RHUBARBTRAIL_PEER_PEER_CONNECTION_H
+
+#include "core/unit_type.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <nghttp2/nghttp2.h>
+#include <string>
+#include <vector>
+
+namespace rhubarbtrail {
+
+enum class PeerRole : std::uint8_t
+{
+  kServer,
+  kClient,
+};
+
+/* An nghttp2 session on a non-blocking socket. Used by one thread. */
+class PeerConnection
+{
+public:
+  using Receiver = std::function<void(const std::string& aBody)>;
+
+  PeerConnection(int aSocket, PeerRole aRole, Receiver aReceiver);
+  ~PeerConnection();
+  PeerConnection(const PeerConnection&) = delete;
+  PeerConnection& operator=(const PeerConnection&) = delete;
+
+  int socket() const { return mSocket; }
+  bool WantsWrite() const;
+
+  /* Sends a message on a new stream; false when the connection takes no more. */
+  bool Submit(std::vector<std::uint8_t> aBody, TimePoint aNow);
+
+  /* Reads what has arrived; false when the connection has ended. */
+  bool OnReadable();
+  /* Writes what is due; false when the connection has ended. */
+  bool OnWritable();
+
+  /* Returns whether a message has waited longer than aLimit for its answer. */
+  bool IsSilent(TimePoint aNow, Duration aLimit) const;
+
+  std::uint64_t sentBytes() const { return mSentBytes; }
+  std::uint64_t receivedBytes() const { return mReceivedBytes; }
+  std::size_t unanswered() const { return mOutgoing.size(); }
+
+private:
+  struct Outgoing
+  {
+    std::vector<std::uint8_t> body;
+    std::size_t offset = 0;
+    TimePoint sentAt{};
+  };
+
+  static ssize_t OnReadBody(nghttp2_session* aSession,
+                            std::int32_t aStream,
+                            std::uint8_t* aBuffer,
+                            std::size_t aLength,
+                            std::uint32_t* aFlags,
+                            nghttp2_data_source* aSource,
+                            void* aSelf);
+  static int OnDataChunk(nghttp2_session* aSession,
+                         std::uint8_t aFlags,
+                         std::int32_t aStream,
+                         const std::uint8_t* aData,
+                         std::size_t aLength,
+                         void* aSelf);
+  static int OnFrame(nghttp2_session* aSession, const nghttp2_frame* aFrame, void* aSelf);
+  static int OnStreamClose(nghttp2_session* aSession,
+                           std::int32_t aStream,
+                           std::uint32_t aError,
+                           void* aSelf);
+
+  int mSocket;
+  PeerRole mRole;
+  Receiver mReceiver;
+  nghttp2_session* mSession = nullptr;
+  std::map<std::int32_t, Outgoing> mOutgoing;
+  std::map<std::int32_t, std::string> mIncoming;
+  std::uint64_t mSentBytes = 0;
+  std::uint64_t mReceivedBytes = 0;
+};
+
+} // namespace rhubarbtrail
+
+#endif
--- /dev/null
+++ b/src/peer/peer_transport.cpp
@@ -0,0 +1,306 @@
+/* The thread that serves the connections between daemons. */
+#include "peer/peer_transport.h"
+
+#include "peer/peer_connection.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+namespace rhubarbtrail {
+
+namespace {
+
+/* Longest sleep of the thread, so that silent connections are noticed. */
+constexpr int kPollTimeoutMs = 200;
+/* Connections taken from other daemons at most. */
+constexpr std::size_t kConnectionLimit = 2'048;
+/* Bytes that the kernel may hold for a slow peer; a whole configuration fits. */
+constexpr int kSendBuffer = 4 << 20;
+
+TimePoint Now()
+{
+  return TimePoint{ std::chrono::duration_cast<Duration>(
+    std::chrono::steady_clock::now().time_since_epoch()) };
+}
+
+void Configure(int aSocket)
+{
+  const int on = 1;
+  setsockopt(aSocket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  setsockopt(aSocket, SOL_SOCKET, SO_SNDBUF, &kSendBuffer, sizeof(kSendBuffer));
+}
+
+/* Parses "host:port" with an IP number. */
+bool ParseAddress(const std::string& aAddress, sockaddr_in& aOut)
+{
+  const auto colon = aAddress.rfind(':');
+  if (colon == std::string::npos) {
+    return false;
+  }
+  aOut = {};
+  aOut.sin_family = AF_INET;
+  aOut.sin_port = htons(static_cast<std::uint16_t>(std::atoi(aAddress.c_str() + colon + 1)));
+  return inet_pton(AF_INET, aAddress.substr(0, colon).c_str(), &aOut.sin_addr) == 1;
+}
+
+int Connect(const std::string& aAddress)
+{
+  sockaddr_in target{};
+  if (!ParseAddress(aAddress, target)) {
+    return -1;
+  }
+  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (socket < 0) {
+    return -1;
+  }
+  Configure(socket);
+  const int result = connect(socket, reinterpret_cast<sockaddr*>(&target), sizeof(target));
+  if (result < 0 && errno != EINPROGRESS) {
+    close(socket);
+    return -1;
+  }
+  return socket;
+}
+
+} // namespace
+
+struct PeerTransport::Impl
+{
+  struct Pending
+  {
+    std::string address;
+    std::vector<std::uint8_t> body;
+  };
+
+  Impl(PeerTransportOptions aOptions, std::function<void(Envelope)> aSink)
+    : options(std::move(aOptions))
+    , sink(std::move(aSink))
+  {
+  }
+
+  void Run();
+  void Accept();
+  void SubmitPending();
+  void Deliver(const Pending& aPending);
+  void ServeConnections(const std::vector<pollfd>& aPolled);
+  std::vector<pollfd> PollSet() const;
+  void Receive(const std::string& aBody);
+  void CloseSilent();
+
+  PeerTransportOptions options;
+  std::function<void(Envelope)> sink;
+  int listener = -1;
+  int wakeup = -1;
+  std::atomic<bool> isStopping{ false };
+  std::mutex mutex;
+  std::vector<Pending> pending;
+  std::map<std::string, std::unique_ptr<PeerConnection>> outgoing;
+  std::vector<std::unique_ptr<PeerConnection>> incoming;
+  std::atomic<std::uint64_t> sentBytes{ 0 };
+  std::atomic<std::uint64_t> receivedBytes{ 0 };
+  std::atomic<std::uint64_t> sentMessages{ 0 };
+  std::atomic<std::uint64_t> lostMessages{ 0 };
+  std::thread thread;
+};
+
+void PeerTransport::Impl::Receive(const std::string& aBody)
+{
+  receivedBytes += aBody.size();
+  if (auto envelope = DecodeEnvelope(aBody)) {
+    sink(std::move(*envelope));
+  }
+}
+
+void PeerTransport::Impl::Accept()
+{
+  while (true) {
+    const int socket = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (socket < 0) {
+      return;
+    }
+    if (incoming.size() >= kConnectionLimit) {
+      close(socket);
+      continue;
+    }
+    Configure(socket);
+    incoming.push_back(std::make_unique<PeerConnection>(
+      socket, PeerRole::kServer, [this](const std::string& aBody) { Receive(aBody); }));
+  }
+}
+
+void PeerTransport::Impl::Deliver(const Pending& aPending)
+{
+  auto& connection = outgoing[aPending.address];
+  if (connection == nullptr) {
+    const int socket = Connect(aPending.address);
+    if (socket < 0) {
+      outgoing.erase(aPending.address);
+      ++lostMessages;
+      return;
+    }
+    connection =
+      std::make_unique<PeerConnection>(socket, PeerRole::kClient, [](const std::string&) {});
+  }
+  if (!connection->Submit(aPending.body, Now())) {
+    ++lostMessages;
+    return;
+  }
+  sentBytes += aPending.body.size();
+  ++sentMessages;
+}
+
+void PeerTransport::Impl::SubmitPending()
+{
+  std::vector<Pending> batch;
+  {
+    const std::lock_guard lock(mutex);
+    batch.swap(pending);
+  }
+  for (const Pending& message : batch) {
+    Deliver(message);
+  }
+}
+
+std::vector<pollfd> PeerTransport::Impl::PollSet() const
+{
+  std::vector<pollfd> set{ { wakeup, POLLIN, 0 }, { listener, POLLIN, 0 } };
+  const auto add = [&set](const PeerConnection& aConnection) {
+    const short events = aConnection.WantsWrite() ? POLLIN | POLLOUT : POLLIN;
+    set.push_back({ aConnection.socket(), events, 0 });
+  };
+  for (const auto& [address, connection] : outgoing) {
+    add(*connection);
+  }
+  for (const auto& connection : incoming) {
+    add(*connection);
+  }
+  return set;
+}
+
+void PeerTransport::Impl::ServeConnections(const std::vector<pollfd>& aPolled)
+{
+  const auto serve = [&aPolled](PeerConnection& aConnection) {
+    const auto polled = std::find_if(aPolled.begin(), aPolled.end(), [&](const pollfd& aItem) {
+      return aItem.fd == aConnection.socket();
+    });
+    if (polled == aPolled.end() || polled->revents == 0) {
+      return true;
+    }
+    if ((polled->revents & (POLLERR | POLLHUP)) != 0 && (polled->revents & POLLIN) == 0) {
+      return false;
+    }
+    if ((polled->revents & POLLOUT) != 0 && !aConnection.OnWritable()) {
+      return false;
+    }
+    return (polled->revents & POLLIN) == 0 || aConnection.OnReadable();
+  };
+  std::erase_if(outgoing, [&](auto& aItem) {
+    if (serve(*aItem.second)) {
+      return false;
+    }
+    lostMessages += aItem.second->unanswered();
+    return true;
+  });
+  std::erase_if(incoming, [&](auto& aConnection) { return !serve(*aConnection); });
+}
+
+void PeerTransport::Impl::CloseSilent()
+{
+  std::erase_if(outgoing, [&](const auto& aItem) {
+    return aItem.second->IsSilent(Now(), options.answerLimit);
+  });
+}
+
+void PeerTransport::Impl::Run()
+{
+  while (!isStopping) {
+    std::vector<pollfd> set = PollSet();
+    poll(set.data(), set.size(), kPollTimeoutMs);
+    if ((set[0].revents & POLLIN) != 0) {
+      std::uint64_t count = 0;
+      (void)!read(wakeup, &count, sizeof(count));
+    }
+    ServeConnections(set);
+    CloseSilent();
+    if ((set[1].revents & POLLIN) != 0) {
+      Accept();
+    }
+    SubmitPending();
+  }
+}
+
+PeerTransport::PeerTransport(PeerTransportOptions aOptions, std::function<void(Envelope)> aSink)
+  : mImpl(std::make_unique<Impl>(std::move(aOptions), std::move(aSink)))
+{
+}
+
+PeerTransport::~PeerTransport()
+{
+  Stop();
+}
+
+std::uint16_t PeerTransport::Start()
+{
+  sockaddr_in local{};
+  if (!ParseAddress(mImpl->options.address + ":" + std::to_string(mImpl->options.port), local)) {
+    return 0;
+  }
+  mImpl->listener = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  setsockopt(mImpl->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  socklen_t length = sizeof(local);
+  const bool isBound =
+    bind(mImpl->listener, reinterpret_cast<sockaddr*>(&local), sizeof(local)) == 0 &&
+    listen(mImpl->listener, SOMAXCONN) == 0 &&
+    getsockname(mImpl->listener, reinterpret_cast<sockaddr*>(&local), &length) == 0;
+  if (!isBound) {
+    return 0;
+  }
+  mImpl->wakeup = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+  mImpl->thread = std::thread([this] { mImpl->Run(); });
+  return ntohs(local.sin_port);
+}
+
+void PeerTransport::Send(const std::string& aAddress, const Envelope& aEnvelope)
+{
+  {
+    const std::lock_guard lock(mImpl->mutex);
+    mImpl->pending.push_back({ aAddress, EncodeEnvelope(aEnvelope) });
+  }
+  const std::uint64_t one = 1;
+  (void)!write(mImpl->wakeup, &one, sizeof(one));
+}
+
+void PeerTransport::Stop()
+{
+  if (!mImpl->thread.joinable()) {
+    return;
+  }
+  mImpl->isStopping = true;
+  const std::uint64_t one = 1;
+  (void)!write(mImpl->wakeup, &one, sizeof(one));
+  mImpl->thread.join();
+  mImpl->outgoing.clear();
+  mImpl->incoming.clear();
+  close(mImpl->listener);
+  close(mImpl->wakeup);
+}
+
+PeerCounters PeerTransport::counters() const
+{
+  return { mImpl->sentBytes, mImpl->receivedBytes, mImpl->sentMessages, mImpl->lostMessages };
+}
+
+} // namespace rhubarbtrail
--- /dev/null
+++ b/src/platform/table_client.cpp
@@ -0,0 +1,107 @@
+/* The table service over HTTP and JSON; docs/INTERFACES.md describes the protocol. */
+#include "platform/table_client.h"
+
+#include "codec/json_codec.h"
+#include "core/http_client_func.h"
+
+#include <nlohmann/json.hpp>
+
+namespace rhubarbtrail {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int kHttpOk = 200;
+constexpr int kHttpConflict = 409;
+
+std::vector<Row> ParseRows(const json& aRows)
+{
+  std::vector<Row> rows;
+  for (const json& item : aRows) {
+    Row row{ .key = RowKey{ item.at("key").get<std::string>() },
+             .version = RowVersion{ item.at("version").get<std::uint64_t>() },
+             .value = std::nullopt };
+    if (item.contains("value") && item["value"].is_string()) {
+      const auto value = DecodeRow(item["value"].get<std::string>());
+      if (!value) {
+        throw std::invalid_argument(value.error());
+      }
+      row.value = *value;
+    }
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
+} // namespace
+
+TableClient::TableClient(TableClientOptions aOptions)
+  : mOptions(std::move(aOptions))
+{
+}
+
+TransactionResult TableClient::Commit(const TableTransaction& aTransaction) const
+{
+  json body{ { "change", aTransaction.change.str() },
+             { "conditions", json::array() },
+             { "writes", json::array() } };
+  for (const RowCondition& condition : aTransaction.conditions) {
+    body["conditions"].push_back(
+      { { "key", condition.key.str() }, { "version", condition.version.value } });
+  }
+  for (const RowWrite& write : aTransaction.writes) {
+    json item{ { "key", write.key.str() } };
+    if (write.value) {
+      item["value"] = EncodeRow(*write.value);
+    }
+    body["writes"].push_back(std::move(item));
+  }
+  TransactionResult result{ .change = aTransaction.change,
+                            .outcome = TransactionOutcome::kUnknown,
+                            .rows = {} };
+  const HttpAnswer answer = CallHttp({ .address = mOptions.address,
+                                       .method = "POST",
+                                       .path = "/table/transaction",
+                                       .body = body.dump(),
+                                       .timeout = mOptions.timeout });
+  const bool isDecided = answer.outcome == HttpOutcome::kAnswered &&
+                         (answer.status == kHttpOk || answer.status == kHttpConflict);
+  if (!isDecided) {
+    return result;
+  }
+  try {
+    result.rows = ParseRows(json::parse(answer.body).at("rows"));
+    result.outcome =
+      answer.status == kHttpOk ? TransactionOutcome::kCommitted : TransactionOutcome::kConflict;
+  } catch (const std::exception&) {
+    result.rows.clear();
+  }
+  return result;
+}
+
+ReadResult TableClient::Read(const TableRead& aRead) const
+{
+  json body{ { "keys", json::array() } };
+  for (const RowKey& key : aRead.keys) {
+    body["keys"].push_back(key.str());
+  }
+  ReadResult result{ .read = aRead.read, .ok = false, .rows = {} };
+  const HttpAnswer answer = CallHttp({ .address = mOptions.address,
+                                       .method = "POST",
+                                       .path = "/table/read",
+                                       .body = body.dump(),
+                                       .timeout = mOptions.timeout });
+  if (answer.outcome != HttpOutcome::kAnswered || answer.status != kHttpOk) {
+    return result;
+  }
+  try {
+    result.rows = ParseRows(json::parse(answer.body).at("rows"));
+    result.ok = result.rows.size() == aRead.keys.size();
+  } catch (const std::exception&) {
+    result.rows.clear();
+  }
+  return result;
+}
+
+} // namespace rhubarbtrail
--- /dev/null
+++ b/src/settings/settings_base.h
@@ -0,0 +1,74 @@
+/* Settings of a daemon: one declared table, read from a YAML file. */
+#ifndef RHUBARBTRAIL_SETTINGS_SETTINGS_BASE_H
+#define RHUBARBTRAIL_SETTINGS_SETTINGS_BASE_H
+
+#include "decision/decision_settings_type.h"
+
+#include <cstdint>
+#include <functional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <variant>
+#include <vector>
+
+namespace rhubarbtrail {
+
+enum class LogFormat : std::uint8_t
+{
+  kText,
+  kJson,
+};
+
+struct Settings
+{
+  std::string daemonId;
+  std::string zone;
+  std::string listenAddress = "127.0.0.1";
+  std::uint16_t callerPort = 0; ///< 0 lets the kernel choose.
+  std::uint16_t adminPort = 0;
+  std::uint16_t peerPort = 0;
+  std::string addressFile;  ///< Where the chosen ports are written; empty means nowhere.
+  std::string table;        ///< host:port of the table service.
+  std::string hostList;     ///< host:port of the host list.
+  std::string operatorKeys; ///< YAML file with the hashes of operators' keys.
+  std::string logLevel = "info";
+  LogFormat logFormat = LogFormat::kText;
+  std::uint32_t callerThreads = 256;
+  std::uint32_t attemptThreads = 256;
+  std::uint32_t orderThreads = 16;
+  std::uint64_t bodyLimit = 1U << 20U; ///< Bytes.
+  Duration hostListInterval = 500ms;
+  Duration callTimeout = 2s; ///< Of one call to the platform or a runner's order interface.
+  DecisionSettings decision;
+};
+
+/* One row of the settings table. */
+struct SettingInfo
+{
+  std::string_view name;
+  std::string_view unit;
+  std::string_view range;
+  std::string_view description;
+  std::function<std::string(const Settings&)> show;
+  std::function<tl::expected<void, std::string>(Settings&, const std::string&)> set;
+};
+
+/* Returns the declared settings, ordered as the documentation lists them. */
+std::span<const SettingInfo> SettingTable();
+
+/* A fault in a settings file: where, and why. */
+struct SettingError
+{
+  std::string file;
+  int line = 0;
+  std::string reason;
+};
+
+/* Reads and checks a settings file; all errors at once. */
+tl::expected<Settings, std::vector<SettingError>> LoadSettings(const std::string& aFile);
+
+} // namespace rhubarbtrail
+
+#endif
--- /dev/null
+++ b/standin/platform.cpp
@@ -0,0 +1,244 @@
+/* Stand-ins for the table service, the host list and the weight store. */
+#include "standin/standin.h"
+
+#include <algorithm>
+#include <deque>
+#include <memory>
+#include <thread>
+
+namespace standin {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+/* Spreads calls so that no more than a number start in a second. */
+class RateLimit
+{
+public:
+  explicit RateLimit(int aPerSecond)
+    : mStep(std::chrono::microseconds{ 1'000'000 / std::max(1, aPerSecond) })
+  {
+  }
+  void Wait()
+  {
+    Clock::time_point turn;
+    {
+      const std::lock_guard lock(mMutex);
+      turn = std::max(mNext, Clock::now() - std::chrono::milliseconds{ 100 });
+      mNext = turn + mStep;
+    }
+    std::this_thread::sleep_until(turn);
+  }
+
+private:
+  const Clock::duration mStep;
+  std::mutex mMutex;
+  Clock::time_point mNext{};
+};
+
+struct TableRow
+{
+  std::uint64_t version = 0;
+  std::string value;
+};
+
+class Table
+{
+public:
+  json RowOf(const std::string& aKey) const
+  {
+    const auto found = mRows.find(aKey);
+    if (found == mRows.end()) {
+      return { { "key", aKey }, { "version", 0 } };
+    }
+    return { { "key", aKey },
+             { "version", found->second.version },
+             { "value", found->second.value } };
+  }
+
+  /* Carries a transaction out; returns the status and the body. */
+  std::pair<int, json> Commit(const json& aBody)
+  {
+    const std::lock_guard lock(mMutex);
+    json failed = json::array();
+    for (const json& condition : aBody.at("conditions")) {
+      const json row = RowOf(condition.at("key"));
+      if (row["version"] != condition.at("version")) {
+        failed.push_back(row);
+      }
+    }
+    if (!failed.empty()) {
+      return { 409, { { "rows", failed } } };
+    }
+    json written = json::array();
+    for (const json& write : aBody.at("writes")) {
+      const std::string key = write.at("key");
+      if (write.contains("value")) {
+        mRows[key] = { ++mLastVersion, write["value"] };
+      } else {
+        mRows.erase(key);
+      }
+      written.push_back(RowOf(key));
+    }
+    return { 200, { { "rows", written } } };
+  }
+
+  json Read(const json& aKeys) const
+  {
+    const std::lock_guard lock(mMutex);
+    json rows = json::array();
+    for (const json& key : aKeys) {
+      rows.push_back(RowOf(key));
+    }
+    return { { "rows", rows } };
+  }
+
+private:
+  mutable std::mutex mMutex;
+  std::map<std::string, TableRow> mRows;
+  std::uint64_t mLastVersion = 0;
+};
+
+class HostList
+{
+public:
+  explicit HostList(int aLagMs)
+    : mLag(aLagMs)
+  {
+  }
+
+  void Change(const json& aHost, bool aIsRemoved)
+  {
+    const std::lock_guard lock(mMutex);
+    mChanges.push_back({ Clock::now() + mLag, aHost, aIsRemoved });
+  }
+
+  json Visible()
+  {
+    const std::lock_guard lock(mMutex);
+    while (!mChanges.empty() && mChanges.front().at <= Clock::now()) {
+      const std::string id = mChanges.front().host.at("id");
+      if (mChanges.front().isRemoved) {
+        mHosts.erase(id);
+      } else {
+        mHosts[id] = mChanges.front().host;
+      }
+      mChanges.pop_front();
+    }
+    json hosts = json::array();
+    for (const auto& [id, host] : mHosts) {
+      hosts.push_back(host);
+    }
+    return { { "hosts", hosts } };
+  }
+
+private:
+  struct Change_
+  {
+    Clock::time_point at;
+    json host;
+    bool isRemoved = false;
+  };
+  const std::chrono::milliseconds mLag;
+  std::mutex mMutex;
+  std::deque<Change_> mChanges;
+  std::map<std::string, json> mHosts;
+};
+
+/* Makes a caller wait as long as a load takes; beyond its slots all loads slow down. */
+class WeightStore
+{
+public:
+  void Load(long aMb, const Options& aOptions, long aSlowFactor)
+  {
+    const int inFlight = ++mInFlight;
+    const double crowd =
+      std::max(1.0, static_cast<double>(inFlight) / std::max(1, aOptions.storeSlots));
+    const double seconds = static_cast<double>(aMb) / aOptions.storeMbPerSecond * crowd *
+                           static_cast<double>(std::max(1L, aSlowFactor));
+    std::this_thread::sleep_for(std::chrono::duration<double>(seconds));
+    --mInFlight;
+  }
+
+private:
+  std::atomic<int> mInFlight{ 0 };
+};
+
+struct Platform
+{
+  explicit Platform(const Options& aOptions)
+    : writes(aOptions.writesPerSecond)
+    , reads(aOptions.readsPerSecond)
+    , hosts(aOptions.hostLagMs)
+    , options(aOptions)
+  {
+  }
+  Table table;
+  RateLimit writes;
+  RateLimit reads;
+  HostList hosts;
+  WeightStore store;
+  Options options;
+};
+
+/* Applies the faults that all table calls share; true when the call is to be refused. */
+bool IsTableDown(Server& aServer, httplib::Response& aResponse)
+{
+  std::this_thread::sleep_for(std::chrono::milliseconds{ aServer.faults.Value("table_slow_ms") });
+  if (aServer.faults.Value("table_down") != 0) {
+    aResponse.status = 503;
+    return true;
+  }
+  return false;
+}
+
+} // namespace
+
+void AddPlatform(Server& aServer, const Options& aOptions)
+{
+  const auto platform = std::make_shared<Platform>(aOptions);
+  Server* server = &aServer;
+  aServer.http.Post(
+    "/table/transaction", [=](const httplib::Request& aRequest, httplib::Response& aResponse) {
+      if (IsTableDown(*server, aResponse)) {
+        return;
+      }
+      platform->writes.Wait();
+      const auto [status, body] = platform->table.Commit(json::parse(aRequest.body));
+      if (server->faults.Take("table_lose_answers")) {
+        LoseAnswer(aResponse);
+        return;
+      }
+      aResponse.status = status;
+      aResponse.set_content(body.dump(), "application/json");
+    });
+  aServer.http.Post(
+    "/table/read", [=](const httplib::Request& aRequest, httplib::Response& aResponse) {
+      if (IsTableDown(*server, aResponse)) {
+        return;
+      }
+      platform->reads.Wait();
+      aResponse.set_content(platform->table.Read(json::parse(aRequest.body).at("keys")).dump(),
+                            "application/json");
+    });
+  aServer.http.Get("/hosts", [=](const httplib::Request&, httplib::Response& aResponse) {
+    aResponse.set_content(platform->hosts.Visible().dump(), "application/json");
+  });
+  aServer.http.Post("/admin/hosts", [=](const httplib::Request& aRequest, httplib::Response&) {
+    const json body = json::parse(aRequest.body);
+    for (const json& host : body.value("set", json::array())) {
+      platform->hosts.Change(host, false);
+    }
+    for (const json& id : body.value("remove", json::array())) {
+      platform->hosts.Change({ { "id", id } }, true);
+    }
+  });
+  aServer.http.Post("/store/load", [=](const httplib::Request& aRequest, httplib::Response&) {
+    platform->store.Load(json::parse(aRequest.body).at("mb"),
+                         platform->options,
+                         server->faults.Value("store_slow_factor"));
+  });
+}
+
+} // namespace standin
--- /dev/null
+++ b/standin/service.cpp
@@ -0,0 +1,46 @@
+/* Stand-in for a plain service: a ledger, or a booking application. */
+#include "standin/standin.h"
+
+#include <memory>
+#include <thread>
+
+namespace standin {
+
+void AddService(Server& aServer, const Options& aOptions)
+{
+  Server* server = &aServer;
+  const auto count = std::make_shared<std::atomic<int>>(0);
+  const auto isLeaving = std::make_shared<std::atomic<bool>>(false);
+  const auto serve = [=](const httplib::Request& aRequest, httplib::Response& aResponse) {
+    aResponse.set_header("X-Request-Id", aRequest.get_header_value("X-Request-Id"));
+    if (*isLeaving) {
+      aResponse.status = 503;
+      aResponse.set_header("X-Refusal", "leaving");
+      return;
+    }
+    const int number = ++*count;
+    server->journal.Add({ { "what", "run" },
+                          { "method", aRequest.method },
+                          { "path", aRequest.path },
+                          { "key", aRequest.get_header_value("Idempotency-Key") },
+                          { "request", aRequest.get_header_value("X-Request-Id") } });
+    std::this_thread::sleep_for(std::chrono::milliseconds{ server->faults.Value("slow_ms") });
+    aResponse.set_content(
+      json{ { "endpoint", aOptions.id }, { "number", number }, { "done", true } }.dump(),
+      "application/json");
+    if (server->faults.Take("lose_answers")) {
+      LoseAnswer(aResponse);
+    }
+    if (server->faults.Take("crash")) {
+      std::_Exit(70);
+    }
+  };
+  aServer.http.Post("/admin/leave",
+                    [=](const httplib::Request&, httplib::Response&) { *isLeaving = true; });
+  aServer.http.Get(R"(/.*)", serve);
+  aServer.http.Post(R"(/.*)", serve);
+  aServer.http.Put(R"(/.*)", serve);
+  aServer.http.Delete(R"(/.*)", serve);
+}
+
+} // namespace standin
--- /dev/null
+++ b/tests/unit/layering_test.cpp
@@ -0,0 +1,49 @@
+/* The decision library includes nothing of the other packages, and no I/O. */
+#include <doctest/doctest.h>
+
+#include <array>
+#include <filesystem>
+#include <fstream>
+#include <string>
+
+namespace {
+
+/* Returns what is wrong with an include line of the decision library, or an empty text. */
+std::string FaultOf(const std::string& aLine)
+{
+  constexpr std::array kForbidden{ "<thread>",  "<mutex>",      "<fstream>", "<random>",  "<sys/",
+                                   "<httplib",  "<nlohmann",    "<yaml-cpp", "<spdlog",   "<urcu",
+                                   "<nghttp2/", "<filesystem>", "<atomic>",  "<iostream>" };
+  for (const char* word : kForbidden) {
+    if (aLine.find(word) != std::string::npos) {
+      return word;
+    }
+  }
+  const bool isOwn = aLine.starts_with("#include \"");
+  const bool isAllowed =
+    aLine.starts_with("#include \"core/") || aLine.starts_with("#include \"decision/");
+  return isOwn && !isAllowed ? aLine : std::string{};
+}
+
+} // namespace
+
+TEST_CASE("the decision library depends on core types only")
+{
+  int files = 0;
+  for (const auto& entry :
+       std::filesystem::recursive_directory_iterator(std::string{ SOURCE_DIR } + "/src/decision")) {
+    if (!entry.is_regular_file()) {
+      continue;
+    }
+    ++files;
+    std::ifstream file(entry.path());
+    for (std::string line; std::getline(file, line);) {
+      if (!line.starts_with("#include")) {
+        continue;
+      }
+      INFO(entry.path().string(), ": ", line);
+      CHECK(FaultOf(line).empty());
+    }
+  }
+  CHECK(files > 10);
+}
--- /dev/null
+++ b/tests/unit/main.cpp
@@ -0,0 +1,3 @@
+/* Entry point of the unit tests. */
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
