--- a/src/caller/caller_server.cpp
+++ b/src/caller/caller_server.cpp
@@ -367,7 +367,7 @@
     aResponse.set_content(first->data, aSession->contentType());
     return;
   }
-  const auto provide = [this, aSession, first](std::size_t aOffset, httplib::DataSink& aSink) {
+  const auto provide = [aSession, first](std::size_t aOffset, httplib::DataSink& aSink) {
     const AnswerPart part = aOffset == 0 ? *first : aSession->WaitPart();
     if (!part.data.empty() && !aSink.write(part.data.data(), part.data.size())) {
       return false;
--- a/src/decision/scheduler/cell_order.cpp
+++ b/src/decision/scheduler/cell_order.cpp
@@ -264,7 +264,8 @@
     }
   }
   std::vector<ModelId> vanished;
-  for (auto& [model, replica] : aRunner.replicas) {
+  for (auto& [id, replica] : aRunner.replicas) {
+    const ModelId& model = id;
     const bool isListed =
       std::any_of(aInventory.models.begin(),
                   aInventory.models.end(),
--- a/src/decision/scheduler/keep_alive.cpp
+++ b/src/decision/scheduler/keep_alive.cpp
@@ -1,6 +1,8 @@
 /* Keep-alive policies. */
 #include "decision/scheduler/keep_alive_base.h"
 
+#include "core/overloaded.h"
+
 #include <algorithm>
 #include <bit>
 
@@ -13,12 +15,6 @@
 /* Idle limit of a model whose histogram is not trusted yet. */
 constexpr Duration kUntrustedLimit = 60s;
 
-template<class... Visitors>
-struct Overloaded : Visitors...
-{
-  using Visitors::operator()...;
-};
-
 Duration LimitOf(const HistogramKeepAlive& aPolicy, const KeepAliveInput& aInput)
 {
   if (aInput.usage.idleTimes.total() < kTrustedSamples) {
--- a/standin/platform.cpp
+++ b/standin/platform.cpp
@@ -134,7 +134,7 @@
   }
 
 private:
-  struct Change_
+  struct Pending
   {
     Clock::time_point at;
     json host;
@@ -142,7 +142,7 @@
   };
   const std::chrono::milliseconds mLag;
   std::mutex mMutex;
-  std::deque<Change_> mChanges;
+  std::deque<Pending> mChanges;
   std::map<std::string, json> mHosts;
 };
 
--- a/tools/lint.py
+++ b/tools/lint.py
@@ -3,28 +3,34 @@
 from __future__ import annotations
 
 import hashlib
+import os
 import subprocess
 import sys
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 
-def digest(source: Path, shared: bytes) -> str:
-    """Identifies a source together with the headers, the rules and the linter."""
-    return hashlib.sha256(shared + source.read_bytes()).hexdigest()
+def digest(source: str, shared: bytes) -> str:
+    """Identifies a source together with the headers it includes, the rules and the linter."""
+    rule = subprocess.run(
+        ["g++", "-std=c++20", "-Isrc", "-I.", "-MM", source],
+        capture_output=True,
+        text=True,
+        check=True,
+    ).stdout
+    files = rule.split(":", 1)[1].replace("\\\n", " ").split()
+    return hashlib.sha256(shared + b"".join(Path(file).read_bytes() for file in files)).hexdigest()
 
 
 def main() -> int:
     build, jobs, names = Path(sys.argv[1]), int(sys.argv[2]), sys.argv[3:]
-    headers = sorted(Path("src").rglob("*.h")) + sorted(Path("standin").rglob("*.h"))
     version = subprocess.run(["clang-tidy", "--version"], capture_output=True, check=True).stdout
     shared = version + Path(".clang-tidy").read_bytes()
-    shared += b"".join(header.read_bytes() for header in headers)
-    passed = build / "lint"
-    passed.mkdir(exist_ok=True)
+    passed = Path(os.environ.get("LINT_CACHE", build / "lint"))
+    passed.mkdir(parents=True, exist_ok=True)
 
     def lint(name: str) -> bool:
-        mark = passed / digest(Path(name), shared)
+        mark = passed / digest(name, shared)
         if mark.exists():
             return True
         result = subprocess.run(
