Feature: [Operator] Check configuration and settings whole

Cause: the reader accepted documents that cannot work, and numbers that are none. Settings took `nan` too, and a contradictory pair had no line.

Change: one strict reader of decimal numbers for both files; a pass over the YAML events refuses aliases, deep nesting, more than 4 MiB and further documents before anything is built; the reader remembers the line of each path, so that checks between parts name the faulty value itself; the checks are a file of their own. Settings report pairs at the line of the later member, together with all other errors. `drained` lists endpoints that get no new work. Names are restricted to letters, digits, '.', '_', '-': a colon in a model's name was taken for an adapter.

Ruled out: allowing aliases with a bound on their expansion; programs print the documents, and the Python library writes values out.

--- /dev/null
+++ b/src/config/configuration_diff.cpp
@@ -0,0 +1,208 @@
+/* What a change of configuration would do. */
+#include "config/configuration_diff.h"
+
+#include "core/overloaded.h"
+
+#include <algorithm>
+#include <map>
+#include <sstream>
+
+namespace rhubarbtrail {
+
+namespace {
+
+/* The fields of one part, by name. */
+using Fields = std::map<std::string, std::string>;
+/* The parts of a configuration, by path. */
+using Parts = std::map<std::string, Fields>;
+
+std::string Milliseconds(Duration aDuration)
+{
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count());
+}
+
+std::string Show(double aNumber)
+{
+  std::ostringstream text;
+  text << aNumber;
+  return text.str();
+}
+
+template<typename Ids>
+std::string Join(const Ids& aIds)
+{
+  std::string text;
+  for (const auto& id : aIds) {
+    text += (text.empty() ? "" : ", ") + id.str();
+  }
+  return "[" + text + "]";
+}
+
+void AddKeepAlive(Fields& aFields, const KeepAlivePolicy& aPolicy)
+{
+  std::visit(Overloaded{ [&](const FixedKeepAlive& aFixed) {
+                          aFields["keep_alive.policy"] = "fixed";
+                          aFields["keep_alive.idle_limit_ms"] = Milliseconds(aFixed.idleLimit);
+                        },
+                         [&](const HistogramKeepAlive& aHistogram) {
+                           aFields["keep_alive.policy"] = "histogram";
+                           aFields["keep_alive.percentile"] = std::to_string(aHistogram.percentile);
+                           aFields["keep_alive.minimum_ms"] = Milliseconds(aHistogram.minimum);
+                           aFields["keep_alive.maximum_ms"] = Milliseconds(aHistogram.maximum);
+                         },
+                         [&](const CostAwareKeepAlive& aCost) {
+                           aFields["keep_alive.policy"] = "cost_aware";
+                           aFields["keep_alive.cold_start_weight"] = Show(aCost.coldStartWeight);
+                         } },
+             aPolicy);
+}
+
+Fields FieldsOf(const ServiceSpec& aService)
+{
+  Fields fields{ { "endpoint_concurrency", std::to_string(aService.endpointConcurrency) },
+                 { "drained", Join(aService.drained) } };
+  if (aService.kind == ServiceKind::kPlain) {
+    fields["kind"] = "plain";
+    for (const RouteSpec& route : aService.routes) {
+      fields["routes"] += (fields["routes"].empty() ? "" : ", ") +
+                          (route.method.empty() ? "any" : route.method) + " " + route.pathPrefix +
+                          " as " + route.requestClass.str();
+    }
+    return fields;
+  }
+  fields["kind"] = "models";
+  fields["orders"] = aService.orderCheck == OrderCheck::kChecked ? "checked" : "unchecked";
+  fields["runner_memory_mb"] = std::to_string(aService.runnerMemory.value);
+  fields["kv_cache_reserve_mb"] = std::to_string(aService.kvCacheReserve.value);
+  fields["store.concurrent_loads"] = std::to_string(aService.store.concurrentLoads);
+  fields["store.loads_per_second"] = Show(aService.store.loadsPerSecond);
+  fields["store.adapters_in_transit"] = std::to_string(aService.store.adaptersInTransit);
+  AddKeepAlive(fields, aService.keepAlive);
+  return fields;
+}
+
+Fields FieldsOf(const ModelSpec& aModel)
+{
+  return { { "service", aModel.service.str() },
+           { "version", aModel.version },
+           { "memory_mb", std::to_string(aModel.memory.value) },
+           { "expected_load_ms", Milliseconds(aModel.expectedLoad) },
+           { "max_replicas", std::to_string(aModel.maxReplicas) } };
+}
+
+Fields FieldsOf(const ClassSpec& aClass)
+{
+  return { { "priority", std::to_string(aClass.priority) },
+           { "deadline_ms", Milliseconds(aClass.deadline) },
+           { "repeat", aClass.repeatability == Repeatability::kAtMostOnce ? "never" : "allowed" } };
+}
+
+Fields FieldsOf(const CustomerSpec& aCustomer)
+{
+  auto hashes = aCustomer.keyHashes;
+  std::sort(hashes.begin(), hashes.end());
+  std::string keys;
+  constexpr std::size_t kShownDigits = 12;
+  for (const std::string& hash : hashes) {
+    keys += (keys.empty() ? "" : ", ") + hash.substr(0, kShownDigits);
+  }
+  return { { "key_hashes", "[" + keys + "]" },
+           { "models", aCustomer.allModels ? "all" : Join(aCustomer.models) },
+           { "services", Join(aCustomer.services) },
+           { "weight", std::to_string(aCustomer.weight) },
+           { "queue_limit", std::to_string(aCustomer.queueLimit) } };
+}
+
+Parts PartsOf(const Configuration& aConfiguration)
+{
+  Parts parts;
+  for (const auto& [id, service] : aConfiguration.services) {
+    parts["services." + id.str()] = FieldsOf(service);
+  }
+  for (const auto& [id, model] : aConfiguration.models) {
+    const std::string path = "models." + id.str();
+    parts[path] = FieldsOf(model);
+    for (const auto& [adapterId, adapter] : model.adapters) {
+      parts[path + ".adapters." + adapterId.str()] = { { "memory_mb",
+                                                         std::to_string(adapter.memory.value) } };
+    }
+  }
+  for (const auto& [id, requestClass] : aConfiguration.classes) {
+    parts["classes." + id.str()] = FieldsOf(requestClass);
+  }
+  for (const auto& [id, customer] : aConfiguration.customers) {
+    parts["customers." + id.str()] = FieldsOf(customer);
+  }
+  return parts;
+}
+
+void DiffFields(const std::string& aPath,
+                const Fields& aBefore,
+                const Fields& aAfter,
+                std::vector<ConfigurationChange>& aOut)
+{
+  Fields names = aBefore;
+  names.insert(aAfter.begin(), aAfter.end());
+  const auto valueIn = [](const Fields& aFields, const std::string& aName) {
+    const auto found = aFields.find(aName);
+    return found == aFields.end() ? std::string{ "none" } : found->second;
+  };
+  for (const auto& [name, value] : names) {
+    const std::string before = valueIn(aBefore, name);
+    const std::string after = valueIn(aAfter, name);
+    if (before != after) {
+      aOut.push_back({ ChangeKind::kChanged, aPath + "." + name, before, after });
+    }
+  }
+}
+
+} // namespace
+
+std::vector<ConfigurationChange> Diff(const Configuration& aBefore, const Configuration& aAfter)
+{
+  const Parts before = PartsOf(aBefore);
+  const Parts after = PartsOf(aAfter);
+  std::vector<ConfigurationChange> changes;
+  for (const auto& [path, fields] : before) {
+    const auto found = after.find(path);
+    if (found == after.end()) {
+      changes.push_back({ ChangeKind::kRemoved, path, {}, {} });
+      continue;
+    }
+    DiffFields(path, fields, found->second, changes);
+  }
+  for (const auto& [path, fields] : after) {
+    if (!before.contains(path)) {
+      changes.push_back({ ChangeKind::kAdded, path, {}, {} });
+    }
+  }
+  std::stable_sort(changes.begin(), changes.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft.path < aRight.path;
+  });
+  return changes;
+}
+
+std::string_view ToString(ChangeKind aKind)
+{
+  switch (aKind) {
+    case ChangeKind::kAdded:
+      return "added";
+    case ChangeKind::kRemoved:
+      return "removed";
+    case ChangeKind::kChanged:
+      return "changed";
+  }
+  return "unknown";
+}
+
+std::string ToText(const ConfigurationChange& aChange)
+{
+  std::string text{ ToString(aChange.kind) };
+  text += " " + aChange.path;
+  if (aChange.kind == ChangeKind::kChanged) {
+    text += ": " + aChange.before + " -> " + aChange.after;
+  }
+  return text;
+}
+
+} // namespace rhubarbtrail
--- a/src/config/configuration_document.cpp
+++ b/src/config/configuration_document.cpp
@@ -1,171 +1,51 @@
 /* Reads the operators' YAML document. */
 #include "config/configuration_document.h"
 
-#include <yaml-cpp/yaml.h>
+#include "config/configuration_check.h"
+#include "config/document_reader.h"
+#include "config/document_shape.h"
 
 #include <algorithm>
-#include <functional>
-#include <optional>
+#include <array>
 
 namespace rhubarbtrail {
 
 namespace {
 
-/* Collects faults while a document is read. */
-class Reader
-{
-public:
-  void Fail(const YAML::Node& aNode, const std::string& aPath, std::string aReason)
-  {
-    mErrors.push_back({ aNode.IsDefined() ? aNode.Mark().line + 1 : 0, aPath, std::move(aReason) });
-  }
-
-  /* Visits the members of a mapping; a member without a handler is a fault. */
-  void Members(
-    const YAML::Node& aNode,
-    const std::string& aPath,
-    const std::map<std::string, std::function<void(const YAML::Node&, const std::string&)>>&
-      aHandlers)
-  {
-    if (!aNode.IsMap()) {
-      Fail(aNode, aPath, "must be a mapping");
-      return;
-    }
-    std::set<std::string> seen;
-    for (const auto& item : aNode) {
-      const auto name = item.first.Scalar();
-      const std::string path = aPath.empty() ? name : aPath + "." + name;
-      const auto handler = aHandlers.find(name);
-      if (handler == aHandlers.end()) {
-        Fail(item.first, path, "unknown key");
-      } else if (!seen.insert(name).second) {
-        Fail(item.first, path, "appears twice");
-      } else {
-        handler->second(item.second, path);
-      }
-    }
-  }
-
-  /* Visits the entries of a mapping from names to values. */
-  void Entries(
-    const YAML::Node& aNode,
-    const std::string& aPath,
-    const std::function<void(const std::string&, const YAML::Node&, const std::string&)>& aHandler)
-  {
-    if (!aNode.IsMap()) {
-      Fail(aNode, aPath, "must be a mapping from names to values");
-      return;
-    }
-    std::set<std::string> seen;
-    for (const auto& item : aNode) {
-      const auto name = item.first.Scalar();
-      const std::string path = aPath + "." + name;
-      if (name.empty() || name.size() > 128 || name.find('/') != std::string::npos) {
-        Fail(item.first, path, "names have 1 to 128 characters and no slash");
-      } else if (!seen.insert(name).second) {
-        Fail(item.first, path, "appears twice");
-      } else {
-        aHandler(name, item.second, path);
-      }
-    }
-  }
-
-  template<typename Number>
-  void ReadNumber(const YAML::Node& aNode,
-                  const std::string& aPath,
-                  Number aLow,
-                  Number aHigh,
-                  Number& aOut)
-  {
-    Number value{};
-    if (!aNode.IsScalar() || !YAML::convert<Number>::decode(aNode, value)) {
-      Fail(aNode, aPath, "must be a number");
-      return;
-    }
-    if (value < aLow || value > aHigh) {
-      Fail(aNode, aPath, "is out of range");
-      return;
-    }
-    aOut = value;
-  }
-
-  void ReadMilliseconds(const YAML::Node& aNode, const std::string& aPath, Duration& aOut)
-  {
-    std::int64_t value = 0;
-    const std::size_t before = mErrors.size();
-    ReadNumber<std::int64_t>(aNode, aPath, 1, 86'400'000, value);
-    if (mErrors.size() == before) {
-      aOut = std::chrono::milliseconds{ value };
-    }
-  }
-
-  void ReadMemory(const YAML::Node& aNode, const std::string& aPath, MemoryMb& aOut)
-  {
-    ReadNumber<std::int64_t>(aNode, aPath, 1, 10'000'000, aOut.value);
-  }
-
-  void ReadText(const YAML::Node& aNode, const std::string& aPath, std::string& aOut)
-  {
-    if (!aNode.IsScalar() || aNode.Scalar().empty()) {
-      Fail(aNode, aPath, "must be a text");
-      return;
-    }
-    aOut = aNode.Scalar();
-  }
+using NodeRef = const YAML::Node&;
+using PathRef = const std::string&;
 
-  template<typename Enum>
-  void ReadWord(const YAML::Node& aNode,
-                const std::string& aPath,
-                const std::map<std::string, Enum>& aWords,
-                Enum& aOut)
-  {
-    const auto found = aNode.IsScalar() ? aWords.find(aNode.Scalar()) : aWords.end();
-    if (found == aWords.end()) {
-      std::string words;
-      for (const auto& [word, value] : aWords) {
-        words += (words.empty() ? "" : ", ") + word;
-      }
-      Fail(aNode, aPath, "must be one of: " + words);
-      return;
-    }
-    aOut = found->second;
-  }
+enum class KeepAliveKind : std::uint8_t
+{
+  kFixed,
+  kHistogram,
+  kCostAware,
+};
 
-  template<typename Item>
-  void ReadList(const YAML::Node& aNode,
-                const std::string& aPath,
-                const std::function<void(Item)>& aAdd)
+/* Refuses parameters that belong to another policy than the one chosen. */
+void RefuseForeign(DocumentReader& aReader, PathRef aPath, KeepAliveKind aKind)
+{
+  struct Parameter
   {
-    if (!aNode.IsSequence()) {
-      Fail(aNode, aPath, "must be a list");
-      return;
-    }
-    for (const auto& item : aNode) {
-      std::string text;
-      ReadText(item, aPath, text);
-      if (!text.empty()) {
-        aAdd(Item{ text });
-      }
+    const char* name;
+    KeepAliveKind kind;
+  };
+  constexpr std::array kParameters{ Parameter{ "idle_limit_ms", KeepAliveKind::kFixed },
+                                    Parameter{ "percentile", KeepAliveKind::kHistogram },
+                                    Parameter{ "minimum_ms", KeepAliveKind::kHistogram },
+                                    Parameter{ "maximum_ms", KeepAliveKind::kHistogram },
+                                    Parameter{ "cold_start_weight", KeepAliveKind::kCostAware } };
+  for (const Parameter& parameter : kParameters) {
+    const std::string path = aPath + "." + parameter.name;
+    if (parameter.kind != aKind && aReader.Has(path)) {
+      aReader.FailAt(path, "belongs to another policy");
     }
   }
+}
 
-  std::vector<DocumentError> TakeErrors() { return std::move(mErrors); }
-
-private:
-  std::vector<DocumentError> mErrors;
-};
-
-using NodeRef = const YAML::Node&;
-using PathRef = const std::string&;
-
-void ReadKeepAlive(Reader& aReader, NodeRef aNode, PathRef aPath, KeepAlivePolicy& aOut)
+void ReadKeepAlive(DocumentReader& aReader, NodeRef aNode, PathRef aPath, KeepAlivePolicy& aOut)
 {
-  enum class Kind : std::uint8_t
-  {
-    kFixed,
-    kHistogram,
-    kCostAware
-  };
+  using Kind = KeepAliveKind;
   auto kind = Kind::kFixed;
   FixedKeepAlive fixed;
   HistogramKeepAlive histogram;
@@ -202,8 +82,9 @@
                          aValue, aAt, 0.001, 1'000.0, costAware.coldStartWeight);
                      } } });
   if (histogram.minimum > histogram.maximum) {
-    aReader.Fail(aNode, aPath, "minimum_ms is larger than maximum_ms");
+    aReader.FailAt(aPath + ".minimum_ms", "minimum_ms is larger than maximum_ms");
   }
+  RefuseForeign(aReader, aPath, kind);
   switch (kind) {
     case Kind::kFixed:
       aOut = fixed;
@@ -217,7 +98,7 @@
   }
 }
 
-void ReadStore(Reader& aReader, NodeRef aNode, PathRef aPath, StoreLimits& aOut)
+void ReadStore(DocumentReader& aReader, NodeRef aNode, PathRef aPath, StoreLimits& aOut)
 {
   aReader.Members(
     aNode,
@@ -235,33 +116,45 @@
        } } });
 }
 
-void ReadRoutes(Reader& aReader, NodeRef aNode, PathRef aPath, std::vector<RouteSpec>& aOut)
+void ReadRoute(DocumentReader& aReader, NodeRef aNode, PathRef aPath, RouteSpec& aOut)
 {
-  if (!aNode.IsSequence()) {
-    aReader.Fail(aNode, aPath, "must be a list");
-    return;
-  }
-  for (const auto& item : aNode) {
-    RouteSpec route;
-    std::string requestClass;
-    aReader.Members(
-      item,
-      aPath,
-      { { "method",
-          [&](NodeRef aValue, PathRef aAt) { aReader.ReadText(aValue, aAt, route.method); } },
-        { "path",
-          [&](NodeRef aValue, PathRef aAt) { aReader.ReadText(aValue, aAt, route.pathPrefix); } },
-        { "class",
-          [&](NodeRef aValue, PathRef aAt) { aReader.ReadText(aValue, aAt, requestClass); } } });
-    route.requestClass = ClassId{ requestClass };
-    if (!route.pathPrefix.starts_with('/')) {
-      aReader.Fail(item, aPath, "a route's path starts with a slash");
+  std::string requestClass;
+  aReader.Members(
+    aNode,
+    aPath,
+    { { "method",
+        [&](NodeRef aValue, PathRef aAt) {
+          const std::map<std::string, std::string> methods{
+            { "DELETE", "DELETE" }, { "GET", "GET" }, { "PATCH", "PATCH" },
+            { "POST", "POST" },     { "PUT", "PUT" },
+          };
+          aReader.ReadWord<std::string>(aValue, aAt, methods, aOut.method);
+        } },
+      { "path",
+        [&](NodeRef aValue, PathRef aAt) { aReader.ReadText(aValue, aAt, aOut.pathPrefix); } },
+      { "class",
+        [&](NodeRef aValue, PathRef aAt) { aReader.ReadText(aValue, aAt, requestClass); } } });
+  aOut.requestClass = ClassId{ requestClass };
+  for (const char* key : { "path", "class" }) {
+    if (aNode.IsMap() && !aReader.Has(aPath + "." + key)) {
+      aReader.FailAt(aPath + "." + key, "is missing");
     }
-    aOut.push_back(std::move(route));
+  }
+  const bool isPath =
+    aOut.pathPrefix.starts_with('/') && aOut.pathPrefix.find_first_of(" ?#") == std::string::npos;
+  if (!aOut.pathPrefix.empty() && !isPath) {
+    aReader.FailAt(aPath + ".path", "starts with a slash and has no blank, question mark or hash");
   }
 }
 
-void ReadService(Reader& aReader, NodeRef aNode, PathRef aPath, ServiceSpec& aOut)
+void ReadRoutes(DocumentReader& aReader, NodeRef aNode, PathRef aPath, std::vector<RouteSpec>& aOut)
+{
+  aReader.Items(aNode, aPath, [&](NodeRef aItem, PathRef aAt) {
+    ReadRoute(aReader, aItem, aAt, aOut.emplace_back());
+  });
+}
+
+void ReadService(DocumentReader& aReader, NodeRef aNode, PathRef aPath, ServiceSpec& aOut)
 {
   aReader.Members(
     aNode,
@@ -294,6 +187,12 @@
         } },
       { "routes",
         [&](NodeRef aValue, PathRef aAt) { ReadRoutes(aReader, aValue, aAt, aOut.routes); } },
+      { "drained",
+        [&](NodeRef aValue, PathRef aAt) {
+          aReader.ReadList<EndpointId>(aValue, aAt, [&](EndpointId aEndpoint, PathRef) {
+            aOut.drained.insert(std::move(aEndpoint));
+          });
+        } },
       { "store",
         [&](NodeRef aValue, PathRef aAt) { ReadStore(aReader, aValue, aAt, aOut.store); } },
       { "keep_alive", [&](NodeRef aValue, PathRef aAt) {
@@ -301,7 +200,7 @@
        } } });
 }
 
-void ReadModel(Reader& aReader, NodeRef aNode, PathRef aPath, ModelSpec& aOut)
+void ReadModel(DocumentReader& aReader, NodeRef aNode, PathRef aPath, ModelSpec& aOut)
 {
   std::string service;
   aReader.Members(
@@ -331,15 +230,14 @@
          });
        } } });
   aOut.service = ServiceId{ service };
-  if (service.empty()) {
-    aReader.Fail(aNode, aPath, "service is missing");
-  }
-  if (aOut.memory.value == 0) {
-    aReader.Fail(aNode, aPath, "memory_mb is missing");
+  for (const char* key : { "service", "memory_mb" }) {
+    if (aNode.IsMap() && !aReader.Has(aPath + "." + key)) {
+      aReader.FailAt(aPath + "." + key, "is missing");
+    }
   }
 }
 
-void ReadClass(Reader& aReader, NodeRef aNode, PathRef aPath, ClassSpec& aOut)
+void ReadClass(DocumentReader& aReader, NodeRef aNode, PathRef aPath, ClassSpec& aOut)
 {
   aReader.Members(aNode,
                   aPath,
@@ -360,18 +258,18 @@
                      } } });
 }
 
-void ReadCustomer(Reader& aReader, NodeRef aNode, PathRef aPath, CustomerSpec& aOut)
+void ReadCustomer(DocumentReader& aReader, NodeRef aNode, PathRef aPath, CustomerSpec& aOut)
 {
   aReader.Members(
     aNode,
     aPath,
     { { "key_hashes",
         [&](NodeRef aValue, PathRef aAt) {
-          aReader.ReadList<std::string>(aValue, aAt, [&](std::string aHash) {
+          aReader.ReadList<std::string>(aValue, aAt, [&](std::string aHash, PathRef aItem) {
             const bool isHash = aHash.size() == 64 &&
                                 aHash.find_first_not_of("0123456789abcdef") == std::string::npos;
             if (!isHash) {
-              aReader.Fail(aValue, aAt, "a key hash is a SHA-256 in 64 lower-case hex digits");
+              aReader.FailAt(aItem, "a key hash is a SHA-256 in 64 lower-case hex digits");
             }
             aOut.keyHashes.push_back(std::move(aHash));
           });
@@ -383,12 +281,13 @@
             return;
           }
           aReader.ReadList<ModelId>(
-            aValue, aAt, [&](ModelId aModel) { aOut.models.insert(std::move(aModel)); });
+            aValue, aAt, [&](ModelId aModel, PathRef) { aOut.models.insert(std::move(aModel)); });
         } },
       { "services",
         [&](NodeRef aValue, PathRef aAt) {
-          aReader.ReadList<ServiceId>(
-            aValue, aAt, [&](ServiceId aService) { aOut.services.insert(std::move(aService)); });
+          aReader.ReadList<ServiceId>(aValue, aAt, [&](ServiceId aService, PathRef) {
+            aOut.services.insert(std::move(aService));
+          });
         } },
       { "weight",
         [&](NodeRef aValue, PathRef aAt) {
@@ -399,60 +298,7 @@
        } } });
 }
 
-/* Checks references between the parts, and limits that contradict each other. */
-void CheckReferences(Reader& aReader, NodeRef aRoot, const Configuration& aConfiguration)
-{
-  for (const auto& [id, model] : aConfiguration.models) {
-    const std::string path = "models." + id.str();
-    const YAML::Node node = aRoot["models"][id.str()];
-    const auto service = aConfiguration.services.find(model.service);
-    if (service == aConfiguration.services.end()) {
-      aReader.Fail(node, path, "names the unknown service '" + model.service.str() + "'");
-      continue;
-    }
-    if (service->second.kind != ServiceKind::kModels) {
-      aReader.Fail(node, path, "names the plain service '" + model.service.str() + "'");
-    }
-    MemoryMb needed = model.memory;
-    for (const auto& [adapterId, adapter] : model.adapters) {
-      needed += adapter.memory;
-    }
-    if (needed + service->second.kvCacheReserve > service->second.runnerMemory) {
-      aReader.Fail(node, path, "does not fit into a runner's memory with its adapters");
-    }
-  }
-  for (const auto& [id, service] : aConfiguration.services) {
-    for (const RouteSpec& route : service.routes) {
-      if (!aConfiguration.classes.contains(route.requestClass)) {
-        aReader.Fail(aRoot["services"][id.str()],
-                     "services." + id.str() + ".routes",
-                     "names the unknown class '" + route.requestClass.str() + "'");
-      }
-    }
-  }
-  std::map<std::string, CustomerId> owners;
-  for (const auto& [id, customer] : aConfiguration.customers) {
-    const std::string path = "customers." + id.str();
-    const YAML::Node node = aRoot["customers"][id.str()];
-    for (const ModelId& model : customer.models) {
-      if (!aConfiguration.models.contains(model)) {
-        aReader.Fail(node, path, "names the unknown model '" + model.str() + "'");
-      }
-    }
-    for (const ServiceId& service : customer.services) {
-      if (!aConfiguration.services.contains(service)) {
-        aReader.Fail(node, path, "names the unknown service '" + service.str() + "'");
-      }
-    }
-    for (const std::string& hash : customer.keyHashes) {
-      if (!owners.emplace(hash, id).second) {
-        aReader.Fail(node, path, "shares a key with customer '" + owners.at(hash).str() + "'");
-      }
-    }
-  }
-}
-
-void ReadDocument(Reader& aReader, NodeRef aRoot, Configuration& aOut)
+void ReadDocument(DocumentReader& aReader, NodeRef aRoot, Configuration& aOut)
 {
   aReader.Members(
     aRoot,
@@ -488,10 +334,7 @@
            ReadCustomer(aReader, aEntry, aAt, customer);
          });
        } } });
-  if (aOut.classes.empty()) {
-    aReader.Fail(aRoot, "classes", "at least one request class is needed");
-  }
-  CheckReferences(aReader, aRoot, aOut);
+  CheckConfiguration(aReader, aOut);
 }
 
 } // namespace
@@ -502,13 +345,15 @@
 {
   Configuration configuration;
   configuration.version = aVersion;
-  Reader reader;
+  DocumentReader reader;
   try {
-    const YAML::Node root = YAML::Load(aDocument);
-    ReadDocument(reader, root, configuration);
+    if (auto faults = CheckShape(aDocument); !faults.empty()) {
+      return tl::make_unexpected(std::move(faults));
+    }
+    ReadDocument(reader, YAML::Load(aDocument), configuration);
   } catch (const YAML::Exception& error) {
     return tl::make_unexpected(
-      std::vector<DocumentError>{ { error.mark.line + 1, "", error.msg } });
+      std::vector<DocumentError>{ { std::max(error.mark.line + 1, 1), "", error.msg } });
   }
   auto errors = reader.TakeErrors();
   if (!errors.empty()) {
--- /dev/null
+++ b/src/config/document_shape.cpp
@@ -0,0 +1,94 @@
+/* The outer shape of a document. */
+#include "config/document_shape.h"
+
+#include <algorithm>
+#include <sstream>
+#include <yaml-cpp/eventhandler.h>
+#include <yaml-cpp/yaml.h>
+
+namespace rhubarbtrail {
+
+namespace {
+
+constexpr std::size_t kDocumentLimitBytes = 4U << 20U;
+/* The deepest value of a valid document is at models/NAME/adapters/NAME/memory_mb. */
+constexpr int kDepthLimit = 16;
+
+/* Looks at the events of a parse; keeps the first fault of each kind. */
+class ShapeHandler : public YAML::EventHandler
+{
+public:
+  void OnDocumentStart(const YAML::Mark& aMark) override { mLastLine = aMark.line + 1; }
+  void OnDocumentEnd() override {}
+  void OnNull(const YAML::Mark& /*aMark*/, YAML::anchor_t /*aAnchor*/) override {}
+  void OnAlias(const YAML::Mark& aMark, YAML::anchor_t /*aAnchor*/) override
+  {
+    Fail(aMark, "aliases are not supported; write the value out");
+  }
+  void OnScalar(const YAML::Mark& /*aMark*/,
+                const std::string& /*aTag*/,
+                YAML::anchor_t /*aAnchor*/,
+                const std::string& /*aValue*/) override
+  {
+  }
+  void OnSequenceStart(const YAML::Mark& aMark,
+                       const std::string& /*aTag*/,
+                       YAML::anchor_t /*aAnchor*/,
+                       YAML::EmitterStyle::value /*aStyle*/) override
+  {
+    Enter(aMark);
+  }
+  void OnSequenceEnd() override { --mDepth; }
+  void OnMapStart(const YAML::Mark& aMark,
+                  const std::string& /*aTag*/,
+                  YAML::anchor_t /*aAnchor*/,
+                  YAML::EmitterStyle::value /*aStyle*/) override
+  {
+    Enter(aMark);
+  }
+  void OnMapEnd() override { --mDepth; }
+
+  int lastLine() const { return mLastLine; }
+  std::vector<DocumentError>& errors() { return mErrors; }
+
+private:
+  void Enter(const YAML::Mark& aMark)
+  {
+    if (++mDepth > kDepthLimit) {
+      Fail(aMark, "is nested too deeply");
+    }
+  }
+  void Fail(const YAML::Mark& aMark, const std::string& aReason)
+  {
+    const bool isKnown = std::any_of(
+      mErrors.begin(), mErrors.end(), [&](const auto& aError) { return aError.reason == aReason; });
+    if (!isKnown) {
+      mErrors.push_back({ aMark.line + 1, "", aReason });
+    }
+  }
+
+  int mDepth = 0;
+  int mLastLine = 1;
+  std::vector<DocumentError> mErrors;
+};
+
+} // namespace
+
+std::vector<DocumentError> CheckShape(const std::string& aDocument)
+{
+  if (aDocument.size() > kDocumentLimitBytes) {
+    return { { 1, "", "is larger than 4 MiB" } };
+  }
+  std::istringstream stream(aDocument);
+  YAML::Parser parser(stream);
+  ShapeHandler handler;
+  if (!parser.HandleNextDocument(handler)) {
+    return { { 1, "", "the document is empty" } };
+  }
+  if (handler.errors().empty() && parser.HandleNextDocument(handler)) {
+    handler.errors().push_back({ handler.lastLine(), "", "holds more than one document" });
+  }
+  return std::move(handler.errors());
+}
+
+} // namespace rhubarbtrail
--- a/src/decision/configuration_type.h
+++ b/src/decision/configuration_type.h
@@ -84,6 +84,7 @@
   StoreLimits store;
   KeepAlivePolicy keepAlive;
   std::vector<RouteSpec> routes; ///< Of a plain service; the first match counts.
+  std::set<EndpointId> drained;  ///< Endpoints that get no new work.
 };
 
 struct AdapterSpec
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -1,12 +1,15 @@
 /* The settings table and its YAML reader. */
 #include "settings/settings_base.h"
 
+#include "core/number_func.h"
+
 #include <yaml-cpp/yaml.h>
 
 #include <algorithm>
-#include <charconv>
-#include <limits>
-#include <set>
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <sstream>
 
 namespace rhubarbtrail {
 
@@ -14,20 +17,6 @@
 
 using SetResult = tl::expected<void, std::string>;
 
-template<typename Number>
-tl::expected<Number, std::string> ParseNumber(const std::string& aText, Number aLow, Number aHigh)
-{
-  Number value{};
-  const auto [end, error] = std::from_chars(aText.data(), aText.data() + aText.size(), value);
-  if (error != std::errc{} || end != aText.data() + aText.size()) {
-    return tl::make_unexpected("'" + aText + "' is not a number");
-  }
-  if (value < aLow || value > aHigh) {
-    return tl::make_unexpected("'" + aText + "' is out of range");
-  }
-  return value;
-}
-
 template<typename Field>
 std::string ShowNumber(Field aValue)
 {
@@ -335,38 +324,61 @@
 
 #undef FIELD
 
-/* Finds pairs of settings that contradict each other. */
+/* Where each setting stands in the file. */
+using SettingLines = std::map<std::string, int>;
+
+/* Finds required settings that are missing and pairs that contradict each other. A pair gets the
+ * line of its member that comes last in the file. */
 void CheckPairs(const Settings& aSettings,
                 const std::string& aFile,
+                const SettingLines& aLines,
                 std::vector<SettingError>& aErrors)
 {
-  const auto require = [&](bool aHolds, const char* aReason) {
-    if (!aHolds) {
-      aErrors.push_back({ aFile, 0, aReason });
-    }
+  const auto lineOf = [&](const char* aName) {
+    const auto found = aLines.find(aName);
+    return found == aLines.end() ? 1 : found->second;
   };
-  require(!aSettings.daemonId.empty(), "daemon_id is missing");
-  require(!aSettings.table.empty(), "table is missing");
-  require(!aSettings.hostList.empty(), "host_list is missing");
+  for (const char* name : { "daemon_id", "table", "host_list" }) {
+    if (!aLines.contains(name)) {
+      aErrors.push_back({ aFile, 1, std::string{ name } + " is missing" });
+    }
+  }
+  const auto require =
+    [&](bool aHolds, const char* aLeft, const char* aRelation, const char* aRight) {
+      if (!aHolds) {
+        aErrors.push_back({ aFile,
+                            std::max(lineOf(aLeft), lineOf(aRight)),
+                            std::string{ aLeft } + aRelation + aRight });
+      }
+    };
+  constexpr const char* kAtMostHalf = " must be at most half of ";
   const DecisionSettings& decision = aSettings.decision;
   require(2 * decision.leaseRenewal <= decision.leaseLength,
-          "lease_renewal must be at most half of lease_length");
+          "lease_renewal",
+          kAtMostHalf,
+          "lease_length");
   require(decision.orderFlight < decision.leaseLength,
-          "order_flight must be less than lease_length");
+          "order_flight",
+          " must be less than ",
+          "lease_length");
   require(2 * decision.configurationPoll <= decision.freshnessLimit,
-          "configuration_poll must be at most half of freshness_limit");
+          "configuration_poll",
+          kAtMostHalf,
+          "freshness_limit");
   require(2 * decision.heartbeatInterval <= decision.memberTimeout,
-          "heartbeat_interval must be at most half of member_timeout");
+          "heartbeat_interval",
+          kAtMostHalf,
+          "member_timeout");
 }
 
 void ReadEntries(const YAML::Node& aRoot,
                  const std::string& aFile,
                  Settings& aSettings,
+                 SettingLines& aLines,
                  std::vector<SettingError>& aErrors)
 {
-  std::set<std::string> seen;
   for (const auto& item : aRoot) {
-    const auto name = item.first.as<std::string>();
+    const std::string name = item.first.IsScalar() ? item.first.Scalar() : std::string{};
     const int line = item.first.Mark().line + 1;
     const auto table = SettingTable();
     const auto info = std::find_if(
@@ -375,7 +387,7 @@
       aErrors.push_back({ aFile, line, "unknown setting '" + name + "'" });
       continue;
     }
-    if (!seen.insert(name).second) {
+    if (!aLines.emplace(name, line).second) {
       aErrors.push_back({ aFile, line, "'" + name + "' is set twice" });
       continue;
     }
@@ -383,7 +395,7 @@
       aErrors.push_back({ aFile, line, "'" + name + "' must be a single value" });
       continue;
     }
-    if (const auto result = info->set(aSettings, item.second.as<std::string>()); !result) {
+    if (const auto result = info->set(aSettings, item.second.Scalar()); !result) {
       aErrors.push_back({ aFile,
                           line,
                           name + ": " + result.error() + " (" + std::string{ info->unit } + ", " +
@@ -400,29 +412,54 @@
   return sTable;
 }
 
-tl::expected<Settings, std::vector<SettingError>> LoadSettings(const std::string& aFile)
+std::string DescribeSettings()
+{
+  std::ostringstream text;
+  text << "| Setting | Unit | Range | Default | Meaning |\n| --- | --- | --- | --- | --- |\n";
+  for (const SettingInfo& info : SettingTable()) {
+    const std::string standard = info.show(Settings{});
+    std::string range{ info.range };
+    std::replace(range.begin(), range.end(), '|', '/'); // A bar would end the cell.
+    text << "| `" << info.name << "` | " << info.unit << " | " << range << " | "
+         << (standard.empty() ? "none" : standard) << " | " << info.description << " |\n";
+  }
+  return text.str();
+}
+
+tl::expected<Settings, std::vector<SettingError>> ParseSettings(const std::string& aText,
+                                                                const std::string& aFile)
 {
   Settings settings;
   std::vector<SettingError> errors;
+  SettingLines lines;
   try {
-    const YAML::Node root = YAML::LoadFile(aFile);
+    const YAML::Node root = YAML::Load(aText);
     if (root.IsMap()) {
-      ReadEntries(root, aFile, settings, errors);
+      ReadEntries(root, aFile, settings, lines, errors);
+      CheckPairs(settings, aFile, lines, errors);
     } else {
       errors.push_back({ aFile, 1, "the file must be a mapping of settings" });
     }
-  } catch (const YAML::BadFile&) {
-    errors.push_back({ aFile, 0, "the file cannot be read" });
   } catch (const YAML::Exception& error) {
     errors.push_back({ aFile, error.mark.line + 1, error.msg });
   }
-  if (errors.empty()) {
-    CheckPairs(settings, aFile, errors);
-  }
+  std::stable_sort(errors.begin(), errors.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft.line < aRight.line;
+  });
   if (!errors.empty()) {
     return tl::make_unexpected(std::move(errors));
   }
   return settings;
 }
 
+tl::expected<Settings, std::vector<SettingError>> LoadSettings(const std::string& aFile)
+{
+  std::ifstream file(aFile);
+  if (!file) {
+    return tl::make_unexpected(
+      std::vector<SettingError>{ { aFile, 1, "the file cannot be read" } });
+  }
+  return ParseSettings(std::string{ std::istreambuf_iterator<char>(file), {} }, aFile);
+}
+
 } // namespace rhubarbtrail
--- a/src/settings/settings_base.h
+++ b/src/settings/settings_base.h
@@ -58,6 +58,9 @@
 /* Returns the declared settings, ordered as the documentation lists them. */
 std::span<const SettingInfo> SettingTable();
 
+/* Returns the declared settings as a Markdown table with their defaults. */
+std::string DescribeSettings();
+
 /* A fault in a settings file: where, and why. */
 struct SettingError
 {
@@ -66,6 +69,10 @@
   std::string reason;
 };
 
+/* Reads and checks settings; the errors name the file. */
+tl::expected<Settings, std::vector<SettingError>> ParseSettings(const std::string& aText,
+                                                                const std::string& aFile);
+
 /* Reads and checks a settings file; all errors at once. */
 tl::expected<Settings, std::vector<SettingError>> LoadSettings(const std::string& aFile);
 
--- /dev/null
+++ b/tests/unit/config_bad_documents_test.cpp
@@ -0,0 +1,235 @@
+/* Bad configuration documents, each with the error that it gets. */
+#include "config/configuration_document.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace rhubarbtrail;
+
+namespace {
+
+const std::string kHashA(64, 'a');
+
+/* A valid document; a case replaces one part of it. */
+const std::string kGood = R"(services:
+  language:
+    kind: models
+    runner_memory_mb: 80000
+    kv_cache_reserve_mb: 16000
+    store: {loads_per_second: 4}
+    keep_alive: {policy: histogram, percentile: 90, minimum_ms: 10, maximum_ms: 20}
+  ledger:
+    kind: plain
+    routes:
+    - {method: POST, path: /payments, class: payment}
+    - {method: GET, path: /balance, class: default}
+models:
+  payslip: {service: language, memory_mb: 8000, adapters: {tone: {memory_mb: 200}}}
+classes:
+  default: {priority: 2, deadline_ms: 30000}
+  payment: {repeat: never}
+customers:
+  families: {key_hashes: [HASH], models: [payslip], services: [ledger]}
+)";
+
+struct BadDocument
+{
+  std::string part;   ///< Replaced in the valid document; empty replaces all of it.
+  std::string by;     ///< What stands there instead.
+  int line = 0;       ///< Line of the error.
+  std::string path;   ///< Path of the error.
+  std::string reason; ///< Part of the reason.
+};
+
+std::string Make(const BadDocument& aCase)
+{
+  std::string text = aCase.part.empty() ? aCase.by : kGood;
+  if (!aCase.part.empty()) {
+    const auto at = text.find(aCase.part);
+    REQUIRE(at != std::string::npos);
+    text.replace(at, aCase.part.size(), aCase.by);
+  }
+  for (auto at = text.find("HASH"); at != std::string::npos; at = text.find("HASH")) {
+    text.replace(at, 4, kHashA);
+  }
+  return text;
+}
+
+std::string Show(const tl::expected<Configuration, std::vector<DocumentError>>& aResult)
+{
+  std::string text;
+  if (!aResult) {
+    for (const DocumentError& error : aResult.error()) {
+      text += std::to_string(error.line) + ": " + error.path + ": " + error.reason + "\n";
+    }
+  }
+  return text;
+}
+
+const std::vector<BadDocument> kBadDocuments{
+  // The document as a whole.
+  { "", "", 1, "", "the document is empty" },
+  { "", "just a text", 1, "", "must be a mapping" },
+  { "", "- a\n- list", 1, "", "must be a mapping" },
+  { "", "services: {a: [}", 1, "", "" },
+  { "", "a: \"open", 1, "", "illegal EOF" },
+  { "", kGood + "---\nmore: 1\n", 20, "", "more than one document" },
+  { "", "x: " + std::string(5U << 20U, 'x'), 1, "", "larger than 4 MiB" },
+  { "", "x: " + std::string(400, '[') + std::string(400, ']'), 1, "", "nested too deeply" },
+  { "", "x: " + std::string(60'000, '['), 1, "", "" },
+  { "", "a: &a [x]\nb: [*a, *a]", 2, "", "aliases are not supported" },
+  { "", "a: &a [*a]", 1, "", "aliases are not supported" },
+  { "services:", "sevices:", 1, "sevices", "unknown key" },
+  { "models:\n", "models:\n  payslip: {}\nmodels:\n", 15, "models", "appears twice" },
+  { "models:\n  payslip:", "models:\nother:\n  payslip:", 13, "models", "must be a mapping" },
+  { "classes:\n  default: {priority: 2, deadline_ms: 30000}\n  payment: {repeat: never}\n",
+    "",
+    1,
+    "classes",
+    "at least one request class" },
+  { "  default: {", "  normal: {", 15, "classes", "'default' is needed" },
+  // Names.
+  { "payslip: {", "pay/slip: {", 14, "models.pay/slip", "names have 1 to 128" },
+  { "payslip: {", "'pay:slip': {", 14, "models.pay:slip", "names have 1 to 128" },
+  { "payslip: {", "'': {", 14, "models.", "names have 1 to 128" },
+  { "  payslip: {", "  ? [a, b]\n  : {", 14, "models.", "names have 1 to 128" },
+  { "payslip: {", std::string(129, 'n') + ": {", 14, "models." + std::string(129, 'n'), "names" },
+  { "  ledger:", "  language:", 8, "services.language", "appears twice" },
+  // Types and ranges.
+  { "80000", "many", 4, "services.language.runner_memory_mb", "'many' is not a number" },
+  { "80000", "8e4", 4, "services.language.runner_memory_mb", "'8e4' is not a number" },
+  { "80000", "-1", 4, "services.language.runner_memory_mb", "'-1' is out of range" },
+  { "80000", "0x9000", 4, "services.language.runner_memory_mb", "not a number" },
+  { "80000", "'80000'", 4, "services.language.runner_memory_mb", "must be a number" },
+  { "80000", "99999999999999999999", 4, "services.language.runner_memory_mb", "out of range" },
+  { "80000", "{a: 1}", 4, "services.language.runner_memory_mb", "must be a number" },
+  { "80000", "~", 4, "services.language.runner_memory_mb", "must be a number" },
+  { "second: 4", "second: nan", 6, "services.language.store.loads_per_second", "out of range" },
+  { "second: 4", "second: .nan", 6, "services.language.store.loads_per_second", "not a number" },
+  { "second: 4", "second: inf", 6, "services.language.store.loads_per_second", "out of range" },
+  { "kind: models", "kind: model", 3, "services.language.kind", "must be one of: models, plain" },
+  { "repeat: never", "repeat: once", 17, "classes.payment.repeat", "must be one of" },
+  { "priority: 2", "priority: 10", 16, "classes.default.priority", "0 to 9" },
+  { "deadline_ms: 30000", "deadline_ms: 0", 16, "classes.default.deadline_ms", "out of range" },
+  { "adapters: {tone: {memory_mb: 200}}",
+    "adapters: [tone]",
+    14,
+    "models.payslip.adapters",
+    "mapping from names" },
+  { "memory_mb: 8000,",
+    "memory_mb: 8000, version: \"a\\nb\",",
+    14,
+    "models.payslip.version",
+    "must be a text" },
+  { "[payslip]", "payslip", 19, "customers.families.models", "must be a list" },
+  // Missing parts.
+  { "service: language, ", "", 14, "models.payslip.service", "is missing" },
+  { "memory_mb: 8000, ", "", 14, "models.payslip.memory_mb", "is missing" },
+  { ", class: payment", "", 11, "services.ledger.routes[0].class", "is missing" },
+  { "path: /payments, ", "", 11, "services.ledger.routes[0].path", "is missing" },
+  { "key_hashes: [HASH], ", "", 19, "customers.families.key_hashes", "at least one key hash" },
+  { "models: [payslip], services: [ledger]",
+    "models: []",
+    19,
+    "customers.families",
+    "may call nothing" },
+  // References.
+  { "service: language", "service: other", 14, "models.payslip.service", "unknown service" },
+  { "service: language", "service: ledger", 14, "models.payslip.service", "plain service" },
+  { "class: payment", "class: other", 11, "services.ledger.routes[0].class", "unknown class" },
+  { "[payslip]", "[other]", 19, "customers.families.models", "unknown model" },
+  { "[ledger]", "[other]", 19, "customers.families.services", "unknown service" },
+  { "[ledger]", "[language]", 19, "customers.families.services", "list them under models" },
+  { "[ledger]", "[ledger, ledger]", 19, "customers.families.services[1]", "appears twice" },
+  { "[HASH]", "[abc]", 19, "customers.families.key_hashes[0]", "64 lower-case hex digits" },
+  { "customers:\n",
+    "customers:\n  clerks: {key_hashes: [HASH], models: all}\n",
+    20,
+    "customers.families.key_hashes",
+    "shares a key with customer 'clerks'" },
+  // Limits that contradict each other.
+  { "memory_mb: 8000,",
+    "memory_mb: 63900,",
+    14,
+    "models.payslip.memory_mb",
+    "needs 64100 MB with its adapters; a runner has 64000 MB" },
+  { "reserve_mb: 16000",
+    "reserve_mb: 80000",
+    5,
+    "services.language.kv_cache_reserve_mb",
+    "leaves no memory" },
+  { "minimum_ms: 10", "minimum_ms: 30", 7, "services.language.keep_alive.minimum_ms", "larger" },
+  { "policy: histogram",
+    "policy: fixed",
+    7,
+    "services.language.keep_alive.percentile",
+    "another policy" },
+  { "memory_mb: 8000,",
+    "memory_mb: 8000, expected_load_ms: 30000,",
+    14,
+    "models.payslip.expected_load_ms",
+    "no cold request can be answered" },
+  { "path: /balance", "path: balance", 12, "services.ledger.routes[1].path", "with a slash" },
+  { "method: GET, path: /balance",
+    "method: POST, path: /payments/old",
+    12,
+    "services.ledger.routes[1]",
+    "never reached" },
+  { "{method: POST, path: /payments",
+    "{path: /",
+    12,
+    "services.ledger.routes[1]",
+    "never reached" },
+  { "method: GET", "method: get", 12, "services.ledger.routes[1].method", "must be one of" },
+  { "kind: plain\n",
+    "kind: plain\n    orders: checked\n",
+    10,
+    "services.ledger.orders",
+    "kind models" },
+  { "kind: models\n",
+    "kind: models\n    routes: [{path: /x, class: default}]\n",
+    4,
+    "services.language.routes",
+    "kind plain" },
+};
+
+} // namespace
+
+TEST_CASE("The document that the bad ones are made of is valid")
+{
+  const auto result = ParseConfiguration(Make({ "customers:", "customers:" }), { 7 });
+  INFO(Show(result));
+  REQUIRE(result.has_value());
+  CHECK(result->version.value == 7);
+}
+
+TEST_CASE("Each bad document gets its error, with line, path and reason")
+{
+  CHECK(kBadDocuments.size() >= 30);
+  for (const BadDocument& bad : kBadDocuments) {
+    const std::string text = Make(bad);
+    const auto result = ParseConfiguration(text, { 1 });
+    INFO("in place of '" << bad.part << "': " << bad.by.substr(0, 120) << "\n" << Show(result));
+    REQUIRE_FALSE(result.has_value());
+    const auto& errors = result.error();
+    CHECK(std::any_of(errors.begin(), errors.end(), [&](const DocumentError& aError) {
+      return aError.line == bad.line && aError.path == bad.path &&
+             aError.reason.find(bad.reason) != std::string::npos;
+    }));
+  }
+}
+
+TEST_CASE("All errors of a document are given at once, ordered by line")
+{
+  const auto result = ParseConfiguration(
+    "services: {a: {kind: x}}\nmodels:\n  m: {service: b}\nclasses: {default: {priority: -1}}\n",
+    { 1 });
+  REQUIRE_FALSE(result.has_value());
+  CHECK(Show(result) == "1: services.a.kind: must be one of: models, plain\n"
+                        "3: models.m.memory_mb: is missing\n"
+                        "3: models.m.service: names the unknown service 'b'\n"
+                        "4: classes.default.priority: '-1' is not a number (0 to 9)\n");
+}
