Feature: [Operator] Write valid JSON logs, and measure requests

Cause: the JSON pattern put messages between quotes as they were, so a message with a quote, a backslash or a line break made an invalid line. Log() looked the logger up in spdlog's registry, under its one lock, which request threads would share.

Change: a formatter that builds each line with the JSON library and replaces bytes that are not UTF-8; loggers are kept in an array that is filled before the first thread starts. Metrics: request threads append to one of 16 stripes, each with a lock of its own; the samples are moved to Boost.Accumulators (p-square quantiles by class) when they are collected. Counters are atomics.

Ruled out: one accumulator for each thread; p-square quantiles cannot be merged.

Conclusion: tests/unit/log_test.cpp passes; the JSON case would fail on the former pattern by construction, but was not run against it.

--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -1,6 +1,8 @@
 /* Logs on spdlog. */
 #include "core/log_func.h"
 
+#include "core/log_json.h"
+
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -11,24 +13,34 @@
 
 namespace {
 
-constexpr std::array kParts{ log_part::kDaemon,
-                             log_part::kConfiguration,
-                             log_part::kOperator,
-                             log_part::kPlatform,
-                             log_part::kScheduler };
-constexpr const char* kTextPattern = "%Y-%m-%dT%H:%M:%S.%e %l [%n] %v";
-constexpr const char* kJsonPattern =
-  R"({"time":"%Y-%m-%dT%H:%M:%S.%e","level":"%l","part":"%n","message":"%v"})";
+constexpr std::array kParts{ log_part::kDaemon,   log_part::kConfiguration, log_part::kOperator,
+                             log_part::kPlatform, log_part::kRouter,        log_part::kScheduler };
+constexpr const char* kTextPattern = "%Y-%m-%dT%H:%M:%S.%eZ %l [%n] %v";
+
+using LoggerArray = std::array<std::shared_ptr<spdlog::logger>, kParts.size()>;
+
+/* The loggers of all parts; empty until the logs are set up. */
+LoggerArray& Loggers()
+{
+  static LoggerArray sLoggers;
+  return sLoggers;
+}
 
 } // namespace
 
 void SetUpLogs(const LogOptions& aOptions)
 {
   auto sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
-  for (const std::string_view part : kParts) {
-    spdlog::register_logger(std::make_shared<spdlog::logger>(std::string{ part }, sink));
+  for (std::size_t index = 0; index < kParts.size(); ++index) {
+    auto& logger = Loggers()[index];
+    logger = std::make_shared<spdlog::logger>(std::string{ kParts[index] }, sink);
+    spdlog::register_logger(logger);
+  }
+  if (aOptions.asJson) {
+    spdlog::set_formatter(std::make_unique<JsonLogFormatter>());
+  } else {
+    spdlog::set_pattern(kTextPattern, spdlog::pattern_time_type::utc);
   }
-  spdlog::set_pattern(aOptions.asJson ? kJsonPattern : kTextPattern);
   SetLogLevel(aOptions.level);
   spdlog::flush_on(spdlog::level::info);
 }
@@ -43,10 +55,14 @@
   return true;
 }
 
-std::shared_ptr<spdlog::logger> Log(std::string_view aPart)
+spdlog::logger* Log(std::string_view aPart)
 {
-  auto logger = spdlog::get(std::string{ aPart });
-  return logger != nullptr ? logger : spdlog::default_logger();
+  for (const auto& logger : Loggers()) {
+    if (logger != nullptr && logger->name() == aPart) {
+      return logger.get();
+    }
+  }
+  return spdlog::default_logger_raw();
 }
 
 } // namespace rhubarbtrail
--- a/src/core/log_func.h
+++ b/src/core/log_func.h
@@ -2,7 +2,6 @@
 #ifndef RHUBARBTRAIL_CORE_LOG_FUNC_H
 #define RHUBARBTRAIL_CORE_LOG_FUNC_H
 
-#include <memory>
 #include <spdlog/logger.h>
 #include <string>
 #include <string_view>
@@ -15,6 +14,7 @@
 constexpr std::string_view kConfiguration = "configuration";
 constexpr std::string_view kOperator = "operator";
 constexpr std::string_view kPlatform = "platform";
+constexpr std::string_view kRouter = "router";
 constexpr std::string_view kScheduler = "scheduler";
 } // namespace log_part
 
@@ -30,8 +30,8 @@
 /* Changes the lowest level that is logged; false when the word is unknown. */
 bool SetLogLevel(const std::string& aLevel);
 
-/* Returns the logger of a part. */
-std::shared_ptr<spdlog::logger> Log(std::string_view aPart);
+/* Returns the logger of a part, without a lock. */
+spdlog::logger* Log(std::string_view aPart);
 
 } // namespace rhubarbtrail
 
--- /dev/null
+++ b/src/core/log_json.h
@@ -0,0 +1,20 @@
+/* Log lines as JSON objects. */
+#ifndef RHUBARBTRAIL_CORE_LOG_JSON_H
+#define RHUBARBTRAIL_CORE_LOG_JSON_H
+
+#include <memory>
+#include <spdlog/formatter.h>
+
+namespace rhubarbtrail {
+
+/* Writes each line as one JSON object with time (UTC), level, part and message. */
+class JsonLogFormatter : public spdlog::formatter
+{
+public:
+  void format(const spdlog::details::log_msg& aMessage, spdlog::memory_buf_t& aOut) override;
+  std::unique_ptr<spdlog::formatter> clone() const override;
+};
+
+} // namespace rhubarbtrail
+
+#endif
--- /dev/null
+++ b/src/core/metrics.cpp
@@ -0,0 +1,147 @@
+/* Counters and latency quantiles on Boost.Accumulators. */
+#include "core/metrics.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+#include <functional>
+#include <sstream>
+#include <string_view>
+#include <thread>
+
+namespace rhubarbtrail {
+
+namespace {
+
+namespace accumulators = boost::accumulators;
+using Quantile =
+  accumulators::accumulator_set<double, accumulators::stats<accumulators::tag::p_square_quantile>>;
+using Total = accumulators::
+  accumulator_set<double, accumulators::stats<accumulators::tag::count, accumulators::tag::sum>>;
+
+/* Samples that one stripe holds between two collections. */
+constexpr std::size_t kStripeLimit = 8'192;
+constexpr std::array kQuantiles{ 0.5, 0.95, 0.99 };
+
+struct CounterInfo
+{
+  std::string_view name;
+  std::string_view help;
+};
+
+constexpr std::array<CounterInfo, static_cast<std::size_t>(Counter::kCount)> kCounterInfos{
+  CounterInfo{ "attempts_total", "Attempts of requests at endpoints." },
+  CounterInfo{ "retries_total", "Attempts after the first one." },
+  CounterInfo{ "model_loads_total", "Orders to load a model." },
+  CounterInfo{ "model_unloads_total", "Orders to unload a model." },
+  CounterInfo{ "adapter_loads_total", "Orders to load an adapter." },
+  CounterInfo{ "table_reads_total", "Reads of the table service." },
+  CounterInfo{ "table_transactions_total", "Transactions at the table service." },
+};
+
+void WriteHead(std::ostringstream& aText,
+               std::string_view aName,
+               std::string_view aType,
+               std::string_view aHelp)
+{
+  aText << "# HELP rhubarbtrail_" << aName << " " << aHelp << "\n# TYPE rhubarbtrail_" << aName
+        << " " << aType << "\n";
+}
+
+} // namespace
+
+/* The latencies of one request class. */
+struct Metrics::Series
+{
+  void Add(Duration aLatency)
+  {
+    const double seconds = std::chrono::duration<double>(aLatency).count();
+    total(seconds);
+    for (Quantile& quantile : quantiles) {
+      quantile(seconds);
+    }
+  }
+
+  Total total;
+  std::array<Quantile, kQuantiles.size()> quantiles{
+    Quantile{ accumulators::quantile_probability = kQuantiles[0] },
+    Quantile{ accumulators::quantile_probability = kQuantiles[1] },
+    Quantile{ accumulators::quantile_probability = kQuantiles[2] }
+  };
+};
+
+Metrics::Metrics() = default;
+Metrics::~Metrics() = default;
+
+void Metrics::Note(RequestSample aSample)
+{
+  const std::size_t hash = std::hash<std::thread::id>{}(std::this_thread::get_id());
+  Stripe& stripe = mStripes[hash % kStripes];
+  const std::lock_guard lock(stripe.mutex);
+  if (stripe.samples.size() >= kStripeLimit) {
+    ++stripe.dropped;
+    return;
+  }
+  stripe.samples.push_back(std::move(aSample));
+}
+
+void Metrics::Collect()
+{
+  const std::lock_guard lock(mMutex);
+  for (Stripe& stripe : mStripes) {
+    std::vector<RequestSample> samples;
+    {
+      const std::lock_guard stripeLock(stripe.mutex);
+      samples.swap(stripe.samples);
+      mDropped += std::exchange(stripe.dropped, 0);
+    }
+    for (const RequestSample& sample : samples) {
+      ++mRequests[{ sample.code, sample.requestClass }];
+      auto& series = mLatencies[sample.requestClass];
+      if (series == nullptr) {
+        series = std::make_unique<Series>();
+      }
+      series->Add(sample.latency);
+    }
+  }
+}
+
+std::string Metrics::ToText(const std::vector<Gauge>& aGauges)
+{
+  Collect();
+  const std::lock_guard lock(mMutex);
+  std::ostringstream text;
+  WriteHead(text, "requests_total", "counter", "Finished requests by result code and class.");
+  for (const auto& [key, count] : mRequests) {
+    text << "rhubarbtrail_requests_total{code=\"" << static_cast<int>(key.first) << "\",name=\""
+         << Describe(key.first).name << "\",class=\"" << key.second.str() << "\"} " << count
+         << "\n";
+  }
+  WriteHead(text, "request_seconds", "summary", "Time from arrival to the end of the answer.");
+  for (const auto& [requestClass, series] : mLatencies) {
+    const std::string label = "{class=\"" + requestClass.str() + "\"";
+    for (std::size_t index = 0; index < kQuantiles.size(); ++index) {
+      text << "rhubarbtrail_request_seconds" << label << ",quantile=\"" << kQuantiles[index]
+           << "\"} " << accumulators::p_square_quantile(series->quantiles[index]) << "\n";
+    }
+    text << "rhubarbtrail_request_seconds_sum" << label << "} " << accumulators::sum(series->total)
+         << "\nrhubarbtrail_request_seconds_count" << label << "} "
+         << accumulators::count(series->total) << "\n";
+  }
+  WriteHead(text, "samples_dropped_total", "counter", "Requests that were not measured.");
+  text << "rhubarbtrail_samples_dropped_total " << mDropped << "\n";
+  for (std::size_t index = 0; index < kCounterInfos.size(); ++index) {
+    WriteHead(text, kCounterInfos[index].name, "counter", kCounterInfos[index].help);
+    text << "rhubarbtrail_" << kCounterInfos[index].name << " " << mCounters[index] << "\n";
+  }
+  for (const Gauge& gauge : aGauges) {
+    WriteHead(text, gauge.name, "gauge", gauge.help);
+    text << "rhubarbtrail_" << gauge.name << " " << gauge.value << "\n";
+  }
+  return text.str();
+}
+
+} // namespace rhubarbtrail
