--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,5 +1,5 @@
 /* The command line. */
-#include "config/configuration_document.h"
+#include "core/exit_code_type.h"
 #include "daemon/daemon.h"
 #include "operator/operator_commands.h"
 #include "settings/settings_base.h"
@@ -11,21 +11,33 @@
 
 namespace {
 
-/* Exit code for a settings file or document with errors. */
-constexpr int kExitBadInput = 2;
+struct ServeOptions
+{
+  std::string settingsFile;
+  bool checkOnly = false;
+  bool listOnly = false;
+};
 
-int Serve(const std::string& aFile, bool aCheckOnly)
+int Serve(const ServeOptions& aOptions)
 {
-  const auto settings = rhubarbtrail::LoadSettings(aFile);
+  if (aOptions.listOnly) {
+    std::fputs(rhubarbtrail::DescribeSettings().c_str(), stdout);
+    return rhubarbtrail::kExitOk;
+  }
+  if (aOptions.settingsFile.empty()) {
+    std::fputs("--settings is required.\n", stderr);
+    return rhubarbtrail::kExitBadInput;
+  }
+  const auto settings = rhubarbtrail::LoadSettings(aOptions.settingsFile);
   if (!settings) {
     for (const auto& error : settings.error()) {
       std::fprintf(stderr, "%s:%d: %s\n", error.file.c_str(), error.line, error.reason.c_str());
     }
-    return kExitBadInput;
+    return rhubarbtrail::kExitBadInput;
   }
-  if (aCheckOnly) {
+  if (aOptions.checkOnly) {
     std::puts("The settings are valid.");
-    return 0;
+    return rhubarbtrail::kExitOk;
   }
   return rhubarbtrail::RunDaemon(*settings);
 }
@@ -36,19 +48,21 @@
 {
   CLI::App app{ "rhubarbtrail serves rarely used models to many customers." };
   app.require_subcommand(1);
+  app.footer("Exit codes: 0 done, 1 refused, 2 bad input, 3 cannot listen, 4 unreachable.");
 
-  std::string settingsFile;
-  bool checkOnly = false;
+  ServeOptions options;
   CLI::App* serve = app.add_subcommand("serve", "Run a daemon.");
-  serve->add_option("--settings", settingsFile, "Settings file (YAML).")->required();
-  serve->add_flag("--check", checkOnly, "Only check the settings.");
+  serve->add_option("--settings", options.settingsFile, "Settings file (YAML).");
+  serve->add_flag("--check", options.checkOnly, "Only check the settings.");
+  serve->add_flag("--list-settings", options.listOnly, "Print the table of settings.");
 
   rhubarbtrail::OperatorCommands commands;
   commands.Add(app);
 
-  CLI11_PARSE(app, aArgc, aArgv);
-  if (serve->parsed()) {
-    return Serve(settingsFile, checkOnly);
+  try {
+    app.parse(aArgc, aArgv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? rhubarbtrail::kExitOk : rhubarbtrail::kExitBadInput;
   }
-  return commands.Run();
+  return serve->parsed() ? Serve(options) : commands.Run();
 }
--- a/src/operator/admin_server.cpp
+++ b/src/operator/admin_server.cpp
@@ -1,12 +1,16 @@
 /* The administration API on cpp-httplib; docs/ADMIN_API.md describes it. */
 #include "operator/admin_server.h"
 
+#include "config/configuration_diff.h"
 #include "core/log_func.h"
+#include "core/number_func.h"
+#include "operator/daemon_status.h"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
-#include <charconv>
+#include <algorithm>
+#include <limits>
 #include <thread>
 
 namespace rhubarbtrail {
@@ -18,11 +22,16 @@
 constexpr const char* kBearer = "Bearer ";
 constexpr std::size_t kThreads = 8;
 constexpr const char* kJson = "application/json";
+/* Time an operator's program may take to send the next part of its request. */
+constexpr std::chrono::seconds kReadTimeout{ 10 };
+/* Time an idle connection is kept open, which is also how long a stop may take. */
+constexpr std::chrono::seconds kKeepAliveTimeout{ 1 };
 
-using Handler =
-  std::function<void(const httplib::Request&, httplib::Response&, const OperatorKey&)>;
+using httplib::Request;
+using httplib::Response;
+using Handler = std::function<void(const Request&, Response&, const OperatorKey&)>;
 
-void Fail(httplib::Response& aResponse, int aStatus, const std::string& aReason)
+void Fail(Response& aResponse, int aStatus, const std::string& aReason)
 {
   aResponse.status = aStatus;
   aResponse.set_content(json{ { "error", aReason } }.dump(), kJson);
@@ -36,13 +45,78 @@
            { "accepted_at_unix_ms", aRow.acceptedAtUnixMs } };
 }
 
-std::optional<std::uint64_t> ParseVersion(std::string aText)
+std::optional<ConfigVersion> ParseVersion(std::string aText)
 {
   std::erase(aText, '"');
-  std::uint64_t value = 0;
-  const auto [end, error] = std::from_chars(aText.data(), aText.data() + aText.size(), value);
-  const bool isNumber = error == std::errc{} && end == aText.data() + aText.size();
-  return isNumber && !aText.empty() ? std::optional{ value } : std::nullopt;
+  const auto value = ParseNumber<std::uint64_t>(aText, 0, std::numeric_limits<std::int64_t>::max());
+  return value ? std::optional{ ConfigVersion{ *value } } : std::nullopt;
+}
+
+json Describe(const std::vector<DocumentError>& aErrors)
+{
+  json list = json::array();
+  for (const DocumentError& error : aErrors) {
+    list.push_back({ { "line", error.line }, { "path", error.path }, { "reason", error.reason } });
+  }
+  return list;
+}
+
+/* Lists what a document would change in another; documents with errors change nothing. */
+json DescribeDiff(const std::string& aBefore, const std::string& aAfter)
+{
+  const auto before =
+    aBefore.empty() ? Configuration{} : ParseConfiguration(aBefore, {}).value_or(Configuration{});
+  const auto after = ParseConfiguration(aAfter, {});
+  json list = json::array();
+  if (!after) {
+    return list;
+  }
+  for (const ConfigurationChange& change : Diff(before, *after)) {
+    json entry{ { "kind", ToString(change.kind) }, { "path", change.path } };
+    if (change.kind == ChangeKind::kChanged) {
+      entry["before"] = change.before;
+      entry["after"] = change.after;
+    }
+    entry["text"] = ToText(change);
+    list.push_back(std::move(entry));
+  }
+  return list;
+}
+
+/* Answers a call whose handler threw, and logs why. */
+void AnswerException(const Request& aRequest, Response& aResponse, const std::exception_ptr& aCause)
+{
+  try {
+    std::rethrow_exception(aCause);
+  } catch (const std::exception& error) {
+    Log(log_part::kOperator)
+      ->error("{} {} failed: {}.", aRequest.method, aRequest.path, error.what());
+  }
+  Fail(aResponse, 500, "the daemon could not answer; its log says why");
+}
+
+/* Lets a restarted daemon bind its port again, but no second daemon share it. */
+void SetListenOptions(socket_t aSocket)
+{
+  const int yes = 1;
+  setsockopt(aSocket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+}
+
+void Answer(Response& aResponse, const json& aBody)
+{
+  aResponse.set_content(aBody.dump(), kJson);
+}
+
+void AnswerInvalid(Response& aResponse, const std::vector<DocumentError>& aErrors)
+{
+  aResponse.status = 422;
+  Answer(aResponse, { { "error", "the document has errors" }, { "errors", Describe(aErrors) } });
+}
+
+void AnswerTableDown(Response& aResponse)
+{
+  aResponse.set_header("Retry-After", "2");
+  Fail(aResponse, 503, "the table service cannot be reached; nothing was changed");
 }
 
 } // namespace
@@ -60,99 +134,140 @@
   {
   }
 
-  httplib::Server::Handler Guard(OperatorRole aRole, Handler aHandler);
-  void AddRoutes();
-  void PostConfiguration(const httplib::Request& aRequest,
-                         httplib::Response& aResponse,
-                         const OperatorKey& aKey);
-  void GetConfiguration(const httplib::Request& aRequest, httplib::Response& aResponse);
-  void GetHistory(httplib::Response& aResponse);
+  void Guard(const AdminRoute& aRoute,
+             const Handler& aHandler,
+             const Request& aRequest,
+             Response& aResponse) const;
+  void Add(const AdminRoute& aRoute, Handler aHandler);
+  void AddReadRoutes();
+  void AddWriteRoutes();
+  void GetReady(Response& aResponse) const;
+  void GetDump(const Request& aRequest, Response& aResponse) const;
+  void GetStatus(const Request& aRequest, Response& aResponse) const;
+  void GetQuarantine(Response& aResponse) const;
+  void GetConfiguration(const Request& aRequest, Response& aResponse) const;
+  void GetHistory(Response& aResponse) const;
+  void PostDiff(const Request& aRequest, Response& aResponse) const;
+  void PostConfiguration(const Request& aRequest, Response& aResponse, const OperatorKey& aKey);
+  void AnswerProposalError(const Proposal& aProposal,
+                           const ProposalError& aError,
+                           Response& aResponse) const;
+  void PostRelease(const Request& aRequest, Response& aResponse) const;
+  json Status() const;
 
   AdminServerOptions options;
   const RcuPointer<Snapshot>& snapshot;
   const ConfigurationStore& store;
   AdminHooks hooks;
+  std::vector<AdminRoute> routes;
   httplib::Server server;
   std::thread thread;
 };
 
-httplib::Server::Handler AdminServer::Impl::Guard(OperatorRole aRole, Handler aHandler)
+/* Checks the key of a call, makes it, and leaves an audit line unless it only reads. */
+void AdminServer::Impl::Guard(const AdminRoute& aRoute,
+                              const Handler& aHandler,
+                              const Request& aRequest,
+                              Response& aResponse) const
 {
-  return [this, aRole, handler = std::move(aHandler)](const httplib::Request& aRequest,
-                                                      httplib::Response& aResponse) {
-    const std::string header = aRequest.get_header_value("Authorization");
-    if (!header.starts_with(kBearer)) {
-      Fail(aResponse, 401, "an operator's key is needed");
-      return;
-    }
-    const auto key = FindOperatorKey(options.keys, header.substr(std::string{ kBearer }.size()));
-    if (!key || key->role < aRole) {
-      Fail(aResponse, 403, "this key does not allow the call");
-      return;
-    }
-    if (aRequest.method != "GET") {
-      Log(log_part::kOperator)->info("{} called {} {}.", key->name, aRequest.method, aRequest.path);
-    }
-    handler(aRequest, aResponse, *key);
+  if (!aRoute.role) {
+    aHandler(aRequest, aResponse, {});
+    return;
+  }
+  const std::string header = aRequest.get_header_value("Authorization");
+  if (!header.starts_with(kBearer)) {
+    Fail(aResponse, 401, "an operator's key is needed");
+    return;
+  }
+  const auto key = FindOperatorKey(options.keys, header.substr(std::string{ kBearer }.size()));
+  if (!key || key->role < *aRoute.role) {
+    Fail(aResponse, 403, "this key does not allow the call");
+    Log(log_part::kOperator)
+      ->warn("Refused {} {} to {}.",
+             aRoute.method,
+             aRoute.path,
+             key ? "the key " + key->name : std::string{ "an unknown key" });
+    return;
+  }
+  aHandler(aRequest, aResponse, *key);
+  if (*aRoute.role != OperatorRole::kView) {
+    Log(log_part::kOperator)
+      ->info("{} called {} {}: {}.", key->name, aRoute.method, aRoute.path, aResponse.status);
+  }
+}
+
+void AdminServer::Impl::Add(const AdminRoute& aRoute, Handler aHandler)
+{
+  routes.push_back(aRoute);
+  const auto guarded = [this, aRoute, handler = std::move(aHandler)](const Request& aRequest,
+                                                                     Response& aResponse) {
+    aResponse.status = 200;
+    Guard(aRoute, handler, aRequest, aResponse);
   };
+  if (aRoute.method == "GET") {
+    server.Get(aRoute.path, guarded);
+  } else {
+    server.Post(aRoute.path, guarded);
+  }
 }
 
-void AdminServer::Impl::PostConfiguration(const httplib::Request& aRequest,
-                                          httplib::Response& aResponse,
-                                          const OperatorKey& aKey)
+void AdminServer::Impl::GetReady(Response& aResponse) const
 {
-  const auto basedOn = ParseVersion(aRequest.get_header_value("If-Match"));
-  if (!basedOn) {
-    Fail(aResponse, 428, "If-Match must name the version that the change is based on");
+  const auto readiness =
+    snapshot.Read([](const Snapshot& aSnapshot) { return aSnapshot.readiness; });
+  const bool isReady = readiness == Readiness::kReady;
+  aResponse.status = isReady ? 200 : 503;
+  aResponse.set_content(isReady ? "ready\n" : "not ready\n", "text/plain");
+}
+
+void AdminServer::Impl::GetDump(const Request& aRequest, Response& aResponse) const
+{
+  const auto entries = hooks.dump();
+  if (aRequest.get_param_value("format") == "text") {
+    std::string text;
+    for (const DumpEntry& entry : entries) {
+      text += entry.path + " = " + entry.value + "\n";
+    }
+    aResponse.set_content(text, "text/plain");
     return;
   }
-  const auto accepted = store.Accept({ .document = aRequest.body,
-                                       .author = aKey.name,
-                                       .comment = aRequest.get_header_value("X-Comment"),
-                                       .basedOn = { *basedOn } });
-  if (accepted) {
-    Log(log_part::kOperator)
-      ->info("{} changed the configuration to version {}.", aKey.name, accepted->version.value);
-    hooks.accepted(*accepted);
-    aResponse.set_content(Describe(*accepted).dump(), kJson);
-    return;
+  json list = json::array();
+  for (const DumpEntry& entry : entries) {
+    list.push_back({ { "path", entry.path }, { "value", entry.value } });
   }
-  const ProposalError& error = accepted.error();
-  switch (error.fault) {
-    case ProposalFault::kInvalid: {
-      json list = json::array();
-      for (const DocumentError& fault : error.errors) {
-        list.push_back(
-          { { "line", fault.line }, { "path", fault.path }, { "reason", fault.reason } });
-      }
-      aResponse.status = 422;
-      aResponse.set_content(
-        json{ { "error", "the document has errors" }, { "errors", list } }.dump(), kJson);
-      return;
-    }
-    case ProposalFault::kConflict:
-      aResponse.status = 409;
-      aResponse.set_content(json{ { "error", "another version was accepted" },
-                                  { "current", Describe(*error.current) },
-                                  { "document", error.current->document } }
-                              .dump(),
-                            kJson);
-      return;
-    case ProposalFault::kUnavailable:
-      aResponse.set_header("Retry-After", "2");
-      Fail(aResponse, 503, "the table service cannot be reached; nothing was changed");
-      return;
-    case ProposalFault::kUnknown:
-      Fail(aResponse, 504, "the table service did not answer; the change may have been accepted");
-      return;
+  Answer(aResponse, list);
+}
+
+json AdminServer::Impl::Status() const
+{
+  const auto dump = hooks.dump();
+  return snapshot.Read([&](const Snapshot& aSnapshot) { return MakeStatus(aSnapshot, dump); });
+}
+
+void AdminServer::Impl::GetStatus(const Request& aRequest, Response& aResponse) const
+{
+  const json status = Status();
+  if (aRequest.get_param_value("format") == "text") {
+    aResponse.set_content(StatusToText(status), "text/plain");
+    return;
   }
+  Answer(aResponse, status);
+}
+
+void AdminServer::Impl::GetQuarantine(Response& aResponse) const
+{
+  Answer(aResponse, Status()["quarantine"]);
 }
 
-void AdminServer::Impl::GetConfiguration(const httplib::Request& aRequest,
-                                         httplib::Response& aResponse)
+void AdminServer::Impl::GetConfiguration(const Request& aRequest, Response& aResponse) const
 {
+  const bool isNamed = aRequest.has_param("version");
   const auto wanted = ParseVersion(aRequest.get_param_value("version"));
-  const auto row = wanted ? store.Version({ *wanted }) : store.Newest();
+  if (isNamed && !wanted) {
+    Fail(aResponse, 400, "version must be a number");
+    return;
+  }
+  const auto row = wanted ? store.Version(*wanted) : store.Newest();
   if (!row) {
     Fail(aResponse, wanted ? 404 : 503, "the version cannot be read");
     return;
@@ -161,92 +276,175 @@
   aResponse.set_content(row->document, "application/yaml");
 }
 
-void AdminServer::Impl::GetHistory(httplib::Response& aResponse)
+void AdminServer::Impl::GetHistory(Response& aResponse) const
 {
   /* Versions listed at most, the newest first. */
   constexpr std::uint64_t kHistoryLimit = 50;
   const auto newest = store.Newest();
   if (!newest) {
-    Fail(aResponse, 503, "the table service cannot be reached");
+    AnswerTableDown(aResponse);
     return;
   }
   json list = json::array();
-  for (std::uint64_t version = newest->version.value; version > 0 && list.size() < kHistoryLimit;
-       --version) {
-    if (const auto row = store.Version({ version })) {
-      list.push_back(Describe(*row));
+  std::optional<ConfigurationRow> row = newest->version.value > 0 ? newest : std::nullopt;
+  while (row && list.size() < kHistoryLimit) {
+    const ConfigVersion before{ row->version.value - 1 };
+    const auto earlier = before.value > 0 ? store.Version(before) : std::nullopt;
+    json entry = Describe(*row);
+    entry["changes"] = DescribeDiff(earlier ? earlier->document : "", row->document).size();
+    list.push_back(std::move(entry));
+    row = earlier;
+  }
+  Answer(aResponse, list);
+}
+
+void AdminServer::Impl::PostDiff(const Request& aRequest, Response& aResponse) const
+{
+  const auto newest = store.Newest();
+  if (!newest) {
+    AnswerTableDown(aResponse);
+    return;
+  }
+  if (const auto parsed = ParseConfiguration(aRequest.body, {}); !parsed) {
+    AnswerInvalid(aResponse, parsed.error());
+    return;
+  }
+  Answer(aResponse,
+         { { "based_on", newest->version.value },
+           { "changes", DescribeDiff(newest->document, aRequest.body) } });
+}
+
+void AdminServer::Impl::PostConfiguration(const Request& aRequest,
+                                          Response& aResponse,
+                                          const OperatorKey& aKey)
+{
+  const auto basedOn = ParseVersion(aRequest.get_header_value("If-Match"));
+  if (!basedOn) {
+    Fail(aResponse, 428, "If-Match must name the version that the change is based on");
+    return;
+  }
+  Proposal proposal{ .document = aRequest.body,
+                     .author = aKey.name,
+                     .comment = aRequest.get_header_value("X-Comment"),
+                     .basedOn = *basedOn };
+  if (aRequest.has_param("from_version")) {
+    const auto from = ParseVersion(aRequest.get_param_value("from_version"));
+    const auto row = from ? store.Version(*from) : std::nullopt;
+    if (!row) {
+      Fail(aResponse, 404, "the version to go back to cannot be read");
+      return;
     }
+    proposal.document = row->document;
+  }
+  const auto accepted = store.Accept(proposal);
+  if (!accepted) {
+    AnswerProposalError(proposal, accepted.error(), aResponse);
+    return;
+  }
+  Log(log_part::kOperator)
+    ->info("{} changed the configuration to version {}: {}.",
+           aKey.name,
+           accepted->version.value,
+           accepted->comment.empty() ? "no comment" : accepted->comment);
+  hooks.accepted(*accepted);
+  Answer(aResponse, Describe(*accepted));
+}
+
+void AdminServer::Impl::AnswerProposalError(const Proposal& aProposal,
+                                            const ProposalError& aError,
+                                            Response& aResponse) const
+{
+  switch (aError.fault) {
+    case ProposalFault::kInvalid:
+      AnswerInvalid(aResponse, aError.errors);
+      return;
+    case ProposalFault::kConflict:
+      aResponse.status = 409;
+      Answer(aResponse,
+             { { "error", "another version was accepted" },
+               { "current", Describe(*aError.current) },
+               { "changes", DescribeDiff(aError.current->document, aProposal.document) } });
+      return;
+    case ProposalFault::kUnavailable:
+      AnswerTableDown(aResponse);
+      return;
+    case ProposalFault::kUnknown:
+      Fail(aResponse, 504, "the table service did not answer; the change may have been accepted");
+      return;
+  }
+}
+
+void AdminServer::Impl::PostRelease(const Request& aRequest, Response& aResponse) const
+{
+  const json listed = Status()["quarantine"];
+  const bool isListed = std::any_of(listed.begin(), listed.end(), [&](const json& aEntry) {
+    return aEntry["fingerprint"] == aRequest.body;
+  });
+  if (!isListed) {
+    Fail(aResponse, 404, "no request with this fingerprint is in quarantine");
+    return;
   }
-  aResponse.set_content(list.dump(), kJson);
+  hooks.release(FingerprintId{ aRequest.body });
+  Answer(aResponse, json::object());
 }
 
-void AdminServer::Impl::AddRoutes()
+void AdminServer::Impl::AddReadRoutes()
 {
-  using httplib::Request;
-  using httplib::Response;
-  server.Get("/health", [](const Request&, Response& aResponse) {
+  constexpr auto kView = OperatorRole::kView;
+  using Key = OperatorKey;
+  Add({ "GET", "/health", {} }, [](const Request&, Response& aResponse, const Key&) {
     aResponse.set_content("ok\n", "text/plain");
   });
-  server.Get("/ready", [this](const Request&, Response& aResponse) {
-    const auto readiness =
-      snapshot.Read([](const Snapshot& aSnapshot) { return aSnapshot.readiness; });
-    const bool isReady = readiness == Readiness::kReady;
-    aResponse.status = isReady ? 200 : 503;
-    aResponse.set_content(isReady ? "ready\n" : "not ready\n", "text/plain");
+  Add({ "GET", "/ready", {} },
+      [this](const Request&, Response& aResponse, const Key&) { GetReady(aResponse); });
+  Add({ "GET", "/dump", kView }, [this](const Request& aRequest, Response& aResponse, const Key&) {
+    GetDump(aRequest, aResponse);
+  });
+  Add({ "GET", "/status", kView },
+      [this](const Request& aRequest, Response& aResponse, const Key&) {
+        GetStatus(aRequest, aResponse);
+      });
+  Add({ "GET", "/quarantine", kView },
+      [this](const Request&, Response& aResponse, const Key&) { GetQuarantine(aResponse); });
+  Add({ "GET", "/metrics", kView }, [this](const Request&, Response& aResponse, const Key&) {
+    aResponse.set_content(hooks.metrics(), "text/plain; version=0.0.4");
   });
-  server.Get("/dump",
-             Guard(OperatorRole::kView,
-                   [this](const Request& aRequest, Response& aResponse, const OperatorKey&) {
-                     const auto entries = hooks.dump();
-                     if (aRequest.get_param_value("format") == "text") {
-                       std::string text;
-                       for (const DumpEntry& entry : entries) {
-                         text += entry.path + " = " + entry.value + "\n";
-                       }
-                       aResponse.set_content(text, "text/plain");
-                       return;
-                     }
-                     json list = json::array();
-                     for (const DumpEntry& entry : entries) {
-                       list.push_back({ { "path", entry.path }, { "value", entry.value } });
-                     }
-                     aResponse.set_content(list.dump(), kJson);
-                   }));
-  server.Get(
-    "/metrics",
-    Guard(OperatorRole::kView, [this](const Request&, Response& aResponse, const OperatorKey&) {
-      aResponse.set_content(hooks.metrics(), "text/plain");
-    }));
-  server.Get("/configuration",
-             Guard(OperatorRole::kView,
-                   [this](const Request& aRequest, Response& aResponse, const OperatorKey&) {
-                     GetConfiguration(aRequest, aResponse);
-                   }));
-  server.Get(
-    "/configuration/history",
-    Guard(OperatorRole::kView, [this](const Request&, Response& aResponse, const OperatorKey&) {
-      GetHistory(aResponse);
-    }));
-  server.Post("/configuration",
-              Guard(OperatorRole::kConfigure,
-                    [this](const Request& aRequest, Response& aResponse, const OperatorKey& aKey) {
-                      PostConfiguration(aRequest, aResponse, aKey);
-                    }));
-  server.Post("/log-level",
-              Guard(OperatorRole::kOperate,
-                    [](const Request& aRequest, Response& aResponse, const OperatorKey&) {
-                      if (!SetLogLevel(aRequest.body)) {
-                        Fail(aResponse, 400, "the level must be debug, info, warn or error");
-                        return;
-                      }
-                      aResponse.set_content("{}", kJson);
-                    }));
-  server.Post(
-    "/drain",
-    Guard(OperatorRole::kOperate, [this](const Request&, Response& aResponse, const OperatorKey&) {
-      hooks.drain();
-      aResponse.set_content("{}", kJson);
-    }));
+  Add({ "GET", "/configuration", kView },
+      [this](const Request& aRequest, Response& aResponse, const Key&) {
+        GetConfiguration(aRequest, aResponse);
+      });
+  Add({ "GET", "/configuration/history", kView },
+      [this](const Request&, Response& aResponse, const Key&) { GetHistory(aResponse); });
+  Add({ "POST", "/configuration/diff", kView },
+      [this](const Request& aRequest, Response& aResponse, const Key&) {
+        PostDiff(aRequest, aResponse);
+      });
+}
+
+void AdminServer::Impl::AddWriteRoutes()
+{
+  constexpr auto kOperate = OperatorRole::kOperate;
+  using Key = OperatorKey;
+  Add({ "POST", "/configuration", OperatorRole::kConfigure },
+      [this](const Request& aRequest, Response& aResponse, const Key& aKey) {
+        PostConfiguration(aRequest, aResponse, aKey);
+      });
+  Add({ "POST", "/log-level", kOperate },
+      [](const Request& aRequest, Response& aResponse, const Key&) {
+        if (!SetLogLevel(aRequest.body)) {
+          Fail(aResponse, 400, "the level must be debug, info, warn or error");
+          return;
+        }
+        Answer(aResponse, json::object());
+      });
+  Add({ "POST", "/drain", kOperate }, [this](const Request&, Response& aResponse, const Key&) {
+    hooks.drain();
+    Answer(aResponse, json::object());
+  });
+  Add({ "POST", "/quarantine/release", kOperate },
+      [this](const Request& aRequest, Response& aResponse, const Key&) {
+        PostRelease(aRequest, aResponse);
+      });
 }
 
 AdminServer::AdminServer(AdminServerOptions aOptions,
@@ -266,8 +464,14 @@
 {
   httplib::Server& server = mImpl->server;
   server.new_task_queue = [] { return new httplib::ThreadPool(kThreads); };
+  server.set_socket_options(SetListenOptions);
+  server.set_tcp_nodelay(true);
+  server.set_exception_handler(AnswerException);
+  server.set_read_timeout(kReadTimeout);
+  server.set_keep_alive_timeout(kKeepAliveTimeout.count());
   server.set_payload_max_length(mImpl->options.bodyLimit);
-  mImpl->AddRoutes();
+  mImpl->AddReadRoutes();
+  mImpl->AddWriteRoutes();
   const char* address = mImpl->options.address.c_str();
   const int port = mImpl->options.port == 0 ? server.bind_to_any_port(address)
                    : server.bind_to_port(address, mImpl->options.port) ? mImpl->options.port
@@ -276,9 +480,18 @@
     return 0;
   }
   mImpl->thread = std::thread([&server] { server.listen_after_bind(); });
+  // A server that is stopped before it listens would listen forever.
+  while (!server.is_running()) {
+    std::this_thread::yield();
+  }
   return static_cast<std::uint16_t>(port);
 }
 
+const std::vector<AdminRoute>& AdminServer::routes() const
+{
+  return mImpl->routes;
+}
+
 void AdminServer::Stop()
 {
   mImpl->server.stop();
--- a/src/operator/admin_server.h
+++ b/src/operator/admin_server.h
@@ -5,8 +5,8 @@
 #include "caller/snapshot_type.h"
 #include "core/rcu_pointer.h"
 #include "decision/decision.h"
+#include "operator/admin_routes.h"
 #include "operator/configuration_store.h"
-#include "operator/operator_keys.h"
 
 #include <functional>
 #include <memory>
@@ -30,6 +30,7 @@
   std::function<std::string()> metrics;
   std::function<void(ConfigurationRow)> accepted; ///< A version was accepted here.
   std::function<void()> drain;
+  std::function<void(FingerprintId)> release; ///< Takes a request out of quarantine everywhere.
 };
 
 class AdminServer
@@ -47,6 +48,9 @@
   std::uint16_t Start();
   void Stop();
 
+  /* Returns the calls that are served. */
+  const std::vector<AdminRoute>& routes() const;
+
 private:
   struct Impl;
   std::unique_ptr<Impl> mImpl;
--- /dev/null
+++ b/src/operator/daemon_status.cpp
@@ -0,0 +1,181 @@
+/* The status of a daemon, taken from its state dump. */
+#include "operator/daemon_status.h"
+
+#include <algorithm>
+#include <iomanip>
+#include <sstream>
+
+namespace rhubarbtrail {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kMembers = "view.members.";
+constexpr std::string_view kEndpoints = "view.endpoints.";
+constexpr std::string_view kCells = "cells.";
+constexpr std::string_view kRunners = ".runners.";
+constexpr std::string_view kQuarantined = "router.quarantined.";
+constexpr std::string_view kMemory = "memory_mb";
+
+/* Splits "ID.field" at its last dot. */
+std::pair<std::string, std::string> SplitField(const std::string& aText)
+{
+  const auto dot = aText.rfind('.');
+  if (dot == std::string::npos) {
+    return { aText, {} };
+  }
+  return { aText.substr(0, dot), aText.substr(dot + 1) };
+}
+
+/* Returns the endpoint whose id a path begins with; ids may hold dots themselves. */
+std::string EndpointOf(const std::string& aPath, const json& aEndpoints)
+{
+  std::string longest;
+  for (const auto& [id, state] : aEndpoints.items()) {
+    if (aPath.starts_with(id + ".") && id.size() > longest.size()) {
+      longest = id;
+    }
+  }
+  return longest.empty() ? SplitField(aPath).first : longest;
+}
+
+void AddCellEntry(const std::string& aPath, const std::string& aValue, json& aStatus)
+{
+  const auto runners = aPath.find(kRunners);
+  if (runners == std::string::npos) {
+    const auto [cell, field] = SplitField(aPath);
+    aStatus["cells"][cell][field] = aValue;
+    return;
+  }
+  const std::string rest = aPath.substr(runners + kRunners.size());
+  const std::string runner = EndpointOf(rest, aStatus["endpoints"]);
+  const std::string field = rest.substr(std::min(runner.size() + 1, rest.size()));
+  json& entry = aStatus["cells"][aPath.substr(0, runners)]["runners"][runner];
+  if (field == kMemory) {
+    entry[kMemory.data()] = aValue;
+  } else {
+    entry["models"][field] = aValue;
+  }
+}
+
+/* Writes a table whose columns are as wide as their widest text. */
+std::string ToTable(const std::vector<std::vector<std::string>>& aRows)
+{
+  std::vector<std::size_t> widths;
+  for (const auto& row : aRows) {
+    widths.resize(std::max(widths.size(), row.size()));
+    for (std::size_t column = 0; column < row.size(); ++column) {
+      widths[column] = std::max(widths[column], row[column].size());
+    }
+  }
+  std::ostringstream text;
+  for (const auto& row : aRows) {
+    for (std::size_t column = 0; column < row.size(); ++column) {
+      const bool isLast = column + 1 == row.size();
+      text << std::left << std::setw(isLast ? 0 : static_cast<int>(widths[column]) + 2)
+           << row[column];
+    }
+    text << "\n";
+  }
+  return text.str();
+}
+
+} // namespace
+
+std::string_view ToString(Readiness aReadiness)
+{
+  switch (aReadiness) {
+    case Readiness::kStarting:
+      return "starting";
+    case Readiness::kReady:
+      return "ready";
+    case Readiness::kStale:
+      return "stale";
+    case Readiness::kStopping:
+      return "stopping";
+  }
+  return "unknown";
+}
+
+json MakeStatus(const Snapshot& aSnapshot, const std::vector<DumpEntry>& aDump)
+{
+  json status{ { "readiness", ToString(aSnapshot.readiness) },
+               { "configuration", aSnapshot.configuration->version.value },
+               { "daemons", json::object() },
+               { "endpoints", json::object() },
+               { "cells", json::object() },
+               { "quarantine", json::array() } };
+  for (const DumpEntry& entry : aDump) {
+    if (entry.path == "daemon" || entry.path == "incarnation") {
+      status[entry.path] = entry.value;
+    } else if (entry.path.starts_with(kMembers)) {
+      const auto [daemon, field] = SplitField(entry.path.substr(kMembers.size()));
+      status["daemons"][daemon][field] = std::atoll(entry.value.c_str());
+    } else if (entry.path.starts_with(kEndpoints)) {
+      status["endpoints"][entry.path.substr(kEndpoints.size())] = entry.value;
+    } else if (entry.path.starts_with(kQuarantined)) {
+      status["quarantine"].push_back({ { "fingerprint", entry.path.substr(kQuarantined.size()) },
+                                       { "expires_in_ms", std::atoll(entry.value.c_str()) } });
+    }
+  }
+  for (const DumpEntry& entry : aDump) {
+    if (entry.path.starts_with(kCells)) {
+      AddCellEntry(entry.path.substr(kCells.size()), entry.value, status);
+    }
+  }
+  return status;
+}
+
+std::string StatusToText(const json& aStatus)
+{
+  std::ostringstream text;
+  text << "daemon " << aStatus.value("daemon", "?") << " is "
+       << aStatus["readiness"].get<std::string>() << ", configuration " << aStatus["configuration"]
+       << "\n\n";
+  std::vector<std::vector<std::string>> rows{ { "OTHER DAEMON", "HEARD", "CONFIGURATION" } };
+  for (const auto& [id, daemon] : aStatus["daemons"].items()) {
+    const std::int64_t heard = daemon.value("heard_ms_ago", std::int64_t{ -1 });
+    rows.push_back({ id,
+                     heard < 0 ? "never" : std::to_string(heard) + " ms ago",
+                     daemon.value("configuration", json(0)).dump() });
+  }
+  text << ToTable(rows) << "\n";
+  rows = { { "CELL", "HOLDER", "FENCE", "DEMANDS" } };
+  std::vector<std::vector<std::string>> runners{ { "RUNNER", "MEMORY MB", "MODEL", "STATE" } };
+  for (const auto& [id, cell] : aStatus["cells"].items()) {
+    const bool isHeld = cell.value("held", "") == "yes";
+    rows.push_back({ id,
+                     cell.value("holder", "") + (isHeld ? " (this daemon)" : ""),
+                     cell.value("fence", ""),
+                     cell.value("demands", "") });
+    const json members = cell.value("runners", json::object());
+    for (const auto& [runner, entry] : members.items()) {
+      const std::string memory = entry.value("memory_mb", "?");
+      const json models = entry.value("models", json::object());
+      if (models.empty()) {
+        runners.push_back({ runner, memory, "-", "empty" });
+      }
+      for (const auto& [model, state] : models.items()) {
+        runners.push_back({ runner, memory, model, state.get<std::string>() });
+      }
+    }
+  }
+  text << ToTable(rows) << "\n";
+  if (runners.size() > 1) {
+    text << ToTable(runners) << "\n";
+  }
+  rows = { { "ENDPOINT", "STATE" } };
+  for (const auto& [id, state] : aStatus["endpoints"].items()) {
+    rows.push_back({ id, state.get<std::string>() });
+  }
+  text << ToTable(rows);
+  for (const json& entry : aStatus["quarantine"]) {
+    text << "\nquarantined " << entry["fingerprint"].get<std::string>() << ", "
+         << entry["expires_in_ms"] << " ms left";
+  }
+  text << "\n";
+  return text.str();
+}
+
+} // namespace rhubarbtrail
--- /dev/null
+++ b/src/operator/drained_runner.cpp
@@ -0,0 +1,37 @@
+/* Marks a runner as drained in a configuration document. */
+#include "operator/drained_runner.h"
+
+#include <yaml-cpp/yaml.h>
+
+namespace rhubarbtrail {
+
+tl::expected<std::string, std::string> WithDrainedRunner(const std::string& aDocument,
+                                                         const ServiceId& aService,
+                                                         const EndpointId& aRunner,
+                                                         Drained aDrained)
+{
+  try {
+    YAML::Node root = YAML::Load(aDocument);
+    YAML::Node services = root["services"];
+    if (!services[aService.str()]) {
+      return tl::make_unexpected("there is no service '" + aService.str() + "'");
+    }
+    YAML::Node service = services[aService.str()];
+    YAML::Node kept(YAML::NodeType::Sequence);
+    const YAML::Node before = service["drained"];
+    for (std::size_t index = 0; before && index < before.size(); ++index) {
+      if (before[index].Scalar() != aRunner.str()) {
+        kept.push_back(before[index].Scalar());
+      }
+    }
+    if (aDrained == Drained::kYes) {
+      kept.push_back(aRunner.str());
+    }
+    service["drained"] = kept;
+    return YAML::Dump(root) + "\n";
+  } catch (const YAML::Exception& error) {
+    return tl::make_unexpected(error.msg);
+  }
+}
+
+} // namespace rhubarbtrail
--- a/src/operator/operator_commands.cpp
+++ b/src/operator/operator_commands.cpp
@@ -1,92 +1,264 @@
 /* Operators' subcommands. */
 #include "operator/operator_commands.h"
 
+#include "config/configuration_diff.h"
 #include "config/configuration_document.h"
-#include "core/http_client_func.h"
+#include "core/exit_code_type.h"
+#include "operator/drained_runner.h"
 
 #include <CLI/CLI.hpp>
+#include <nlohmann/json.hpp>
 
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <thread>
 
 namespace rhubarbtrail {
 
 namespace {
 
-constexpr int kExitOk = 0;
-constexpr int kExitFailed = 1;
-constexpr int kExitBadInput = 2;
-constexpr int kExitUnreachable = 4;
+using nlohmann::json;
+
 constexpr Duration kTimeout = 10s;
+/* Time between two looks at the versions of the daemons. */
+constexpr Duration kPollInterval = 200ms;
 
-/* Reads a file, or standard input for "-". */
-std::string ReadAll(const std::string& aFile)
+/* Reads a file, or standard input for "-"; nothing when it cannot be read. */
+std::optional<std::string> ReadAll(const std::string& aFile)
 {
   if (aFile == "-") {
-    return { std::istreambuf_iterator<char>(std::cin), {} };
+    return std::string{ std::istreambuf_iterator<char>(std::cin), {} };
   }
   std::ifstream file(aFile);
-  return { std::istreambuf_iterator<char>(file), {} };
+  if (!file) {
+    std::fprintf(stderr, "%s cannot be read.\n", aFile.c_str());
+    return std::nullopt;
+  }
+  return std::string{ std::istreambuf_iterator<char>(file), {} };
 }
 
-int Print(const HttpAnswer& aAnswer)
+/* Prints what a daemon has to say about a call that did not succeed. */
+int Explain(const HttpAnswer& aAnswer)
 {
   if (aAnswer.outcome != HttpOutcome::kAnswered) {
     std::fputs("The daemon cannot be reached.\n", stderr);
     return kExitUnreachable;
   }
-  const bool isOk = aAnswer.status == 200;
-  std::fprintf(isOk ? stdout : stderr, "%s\n", aAnswer.body.c_str());
-  return isOk ? kExitOk : kExitFailed;
+  const json body = json::parse(aAnswer.body, nullptr, false);
+  if (!body.is_object()) {
+    std::fprintf(stderr, "%s\n", aAnswer.body.c_str());
+    return kExitRefused;
+  }
+  std::fprintf(stderr, "Refused: %s.\n", body.value("error", "no reason").c_str());
+  for (const json& error : body.value("errors", json::array())) {
+    std::fprintf(stderr,
+                 "%d: %s: %s\n",
+                 error.value("line", 0),
+                 error.value("path", "").c_str(),
+                 error.value("reason", "").c_str());
+  }
+  if (body.contains("current")) {
+    const json& current = body["current"];
+    std::fprintf(stderr,
+                 "Version %s was accepted by %s. Your document would change in it:\n",
+                 current["version"].dump().c_str(),
+                 current.value("author", "?").c_str());
+    for (const json& change : body.value("changes", json::array())) {
+      std::fprintf(stderr, "  %s\n", change.value("text", "").c_str());
+    }
+  }
+  return body.contains("errors") ? kExitBadInput : kExitRefused;
+}
+
+bool IsOk(const HttpAnswer& aAnswer)
+{
+  return aAnswer.outcome == HttpOutcome::kAnswered && aAnswer.status == 200;
+}
+
+int Print(const HttpAnswer& aAnswer)
+{
+  if (!IsOk(aAnswer)) {
+    return Explain(aAnswer);
+  }
+  std::fputs(aAnswer.body.c_str(), stdout);
+  if (!aAnswer.body.ends_with('\n')) {
+    std::fputs("\n", stdout);
+  }
+  return kExitOk;
+}
+
+void SetFromEnvironment(std::string& aValue, const char* aName)
+{
+  const char* value = std::getenv(aName);
+  if (aValue.empty() && value != nullptr) {
+    aValue = value;
+  }
+}
+
+std::string TimeText(std::int64_t aUnixMs)
+{
+  const std::time_t seconds = aUnixMs / 1'000;
+  std::tm parts{};
+  gmtime_r(&seconds, &parts);
+  char text[32] = {};
+  std::strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%SZ", &parts);
+  return text;
 }
 
 } // namespace
 
-void OperatorCommands::AddTarget(CLI::App& aCommand)
+CLI::App& OperatorCommands::AddCommand(CLI::App& aParent,
+                                       const std::string& aName,
+                                       const std::string& aHelp,
+                                       std::function<int()> aRun)
+{
+  CLI::App* command = aParent.add_subcommand(aName, aHelp);
+  command->callback([this, run = std::move(aRun)] { mRun = run; });
+  return *command;
+}
+
+CLI::App& OperatorCommands::AddRemote(CLI::App& aParent,
+                                      const std::string& aName,
+                                      const std::string& aHelp,
+                                      std::function<int()> aRun)
 {
-  aCommand.add_option("--admin", mTarget.admin, "host:port of a daemon's administration API.")
-    ->required();
-  aCommand.add_option("--key", mTarget.key, "Operator's key.")->envname("RHUBARBTRAIL_KEY");
+  // CLI11 reads an option's environment variable for subcommands that were not called too, and
+  // all of them share one target; so the environment is looked at here, where an option is empty.
+  const auto runAtTarget = [this, run = std::move(aRun)] {
+    SetFromEnvironment(mTarget.admin, "RHUBARBTRAIL_ADMIN");
+    SetFromEnvironment(mTarget.key, "RHUBARBTRAIL_KEY");
+    if (mTarget.admin.empty()) {
+      std::fputs("--admin or RHUBARBTRAIL_ADMIN is required.\n", stderr);
+      return static_cast<int>(kExitBadInput);
+    }
+    return run();
+  };
+  CLI::App& command = AddCommand(aParent, aName, aHelp, runAtTarget);
+  command.add_option("--admin",
+                     mTarget.admin,
+                     "host:port of a daemon's administration API; default $RHUBARBTRAIL_ADMIN.");
+  command.add_option("--key", mTarget.key, "Operator's key; default $RHUBARBTRAIL_KEY.");
+  return command;
 }
 
 void OperatorCommands::Add(CLI::App& aApp)
+{
+  AddConfig(aApp);
+  AddOperation(aApp);
+}
+
+void OperatorCommands::AddConfig(CLI::App& aApp)
 {
   CLI::App* config = aApp.add_subcommand("config", "Check, read and change the configuration.");
   config->require_subcommand(1);
+  const char* fileHelp = "Document (YAML), or - for standard input.";
 
-  CLI::App* check = config->add_subcommand("check", "Check a document without a daemon.");
-  check->add_option("file", mFile, "Document (YAML), or - for standard input.")->required();
-  check->callback([this] { mRun = [this] { return Check(); }; });
+  CLI::App& check =
+    AddCommand(*config, "check", "Check a document without a daemon.", [this] { return Check(); });
+  check.add_option("file", mFile, fileHelp)->required();
 
-  CLI::App* show = config->add_subcommand("show", "Print the newest document.");
-  AddTarget(*show);
-  show->callback([this] { mRun = [this] { return Get("/configuration"); }; });
+  CLI::App& show =
+    AddRemote(*config, "show", "Print a document.", [this] { return ShowDocument(); });
+  show.add_option("--version", mVersion, "Version to print; the newest by default.");
 
-  CLI::App* history = config->add_subcommand("history", "List who changed what, and when.");
-  AddTarget(*history);
-  history->callback([this] { mRun = [this] { return Get("/configuration/history"); }; });
+  CLI::App& diff =
+    AddRemote(*config, "diff", "Print what a document would change in the newest version.", [this] {
+      return ShowDiff();
+    });
+  diff.add_option("file", mFile, fileHelp)->required();
+
+  AddRemote(
+    *config, "history", "List who changed what, and when.", [this] { return ShowHistory(); });
+
+  CLI::App& apply = AddRemote(
+    *config, "apply", "Accept a document as the next version.", [this] { return Apply(); });
+  auto* file = apply.add_option("file", mFile, fileHelp);
+  apply.add_option("--from-version", mFromVersion, "Accept an earlier version's document again.")
+    ->excludes(file);
+  apply.add_option("--based-on", mBasedOn, "Version that the change is based on.");
+  apply.add_option("--comment", mComment, "Why the change is made.");
+  apply.add_option(
+    "--wait", mWaitSeconds, "Seconds to wait until all live daemons report the version.");
+}
+
+void OperatorCommands::AddOperation(CLI::App& aApp)
+{
+  CLI::App& status = AddRemote(aApp, "status", "Print daemons, cells, runners and models.", [this] {
+    return Get(mIsJson ? "/status" : "/status?format=text");
+  });
+  status.add_flag("--json", mIsJson, "Print JSON.");
+
+  CLI::App& dump = AddRemote(aApp, "dump", "Print the whole state of a daemon.", [this] {
+    return Get(mIsJson ? "/dump" : "/dump?format=text");
+  });
+  dump.add_flag("--json", mIsJson, "Print JSON.");
+
+  CLI::App& drain =
+    AddRemote(aApp, "drain", "Let a daemon finish and end, or give a runner no new work.", [this] {
+      return Drain();
+    });
+  auto* runner = drain.add_option("--runner", mRunner, "Runner to drain in the configuration.");
+  runner->needs(drain.add_option("--service", mService, "Service of the runner."));
+  drain.add_flag("--undo", mIsUndo, "Give the runner work again.")->needs(runner);
+
+  CLI::App& level = AddRemote(
+    aApp, "log-level", "Change what a daemon logs.", [this] { return Post("/log-level", mWord); });
+  level.add_option("level", mWord, "debug, info, warn or error.")->required();
+
+  CLI::App* quarantine =
+    aApp.add_subcommand("quarantine", "Requests that are refused since they crashed endpoints.");
+  quarantine->require_subcommand(1);
+  AddRemote(*quarantine, "list", "List them.", [this] { return Get("/quarantine"); });
+  CLI::App& release = AddRemote(*quarantine, "release", "Let one run again.", [this] {
+    return Post("/quarantine/release", mWord);
+  });
+  release.add_option("fingerprint", mWord, "Fingerprint, as listed.")->required();
+}
 
-  CLI::App* apply = config->add_subcommand("apply", "Accept a document as the next version.");
-  AddTarget(*apply);
-  apply->add_option("file", mFile, "Document (YAML), or - for standard input.")->required();
-  apply->add_option("--based-on", mBasedOn, "Version that the change is based on.")->required();
-  apply->add_option("--comment", mComment, "Why the change is made.");
-  apply->callback([this] { mRun = [this] { return Apply(); }; });
+HttpAnswer OperatorCommands::Call(const std::string& aMethod,
+                                  const std::string& aPath,
+                                  std::string aBody,
+                                  std::optional<std::uint64_t> aBasedOn) const
+{
+  HttpCall call{ .address = mTarget.admin,
+                 .method = aMethod,
+                 .path = aPath,
+                 .body = std::move(aBody),
+                 .contentType = "application/yaml",
+                 .headers = { { "Authorization", "Bearer " + mTarget.key } },
+                 .timeout = kTimeout };
+  if (aBasedOn) {
+    call.headers.emplace_back("If-Match", std::to_string(*aBasedOn));
+    call.headers.emplace_back("X-Comment", mComment);
+  }
+  return CallHttp(call);
+}
 
-  CLI::App* dump = aApp.add_subcommand("dump", "Print the whole state of a daemon.");
-  AddTarget(*dump);
-  dump->callback([this] { mRun = [this] { return Get("/dump?format=text"); }; });
+int OperatorCommands::Get(const std::string& aPath) const
+{
+  return Print(Call("GET", aPath));
+}
 
-  CLI::App* drain = aApp.add_subcommand("drain", "Let a daemon finish its requests and end.");
-  AddTarget(*drain);
-  drain->callback([this] { mRun = [this] { return Drain(); }; });
+int OperatorCommands::Post(const std::string& aPath, std::string aBody) const
+{
+  const HttpAnswer answer = Call("POST", aPath, std::move(aBody));
+  if (!IsOk(answer)) {
+    return Explain(answer);
+  }
+  std::puts("Done.");
+  return kExitOk;
 }
 
 int OperatorCommands::Check() const
 {
-  const auto parsed = ParseConfiguration(ReadAll(mFile), {});
+  const auto document = ReadAll(mFile);
+  if (!document) {
+    return kExitBadInput;
+  }
+  const auto parsed = ParseConfiguration(*document, {});
   if (parsed) {
     std::puts("The document is valid.");
     return kExitOk;
@@ -102,36 +274,143 @@
   return kExitBadInput;
 }
 
-int OperatorCommands::Get(const std::string& aPath) const
+int OperatorCommands::ShowDocument() const
+{
+  return Get(mVersion ? "/configuration?version=" + std::to_string(*mVersion) : "/configuration");
+}
+
+int OperatorCommands::ShowDiff() const
+{
+  const auto document = ReadAll(mFile);
+  if (!document) {
+    return kExitBadInput;
+  }
+  const HttpAnswer answer = Call("POST", "/configuration/diff", *document);
+  if (!IsOk(answer)) {
+    return Explain(answer);
+  }
+  const json body = json::parse(answer.body);
+  std::printf("Based on version %s:\n", body["based_on"].dump().c_str());
+  for (const json& change : body["changes"]) {
+    std::printf("  %s\n", change["text"].get<std::string>().c_str());
+  }
+  if (body["changes"].empty()) {
+    std::puts("  nothing changes");
+  }
+  return kExitOk;
+}
+
+int OperatorCommands::ShowHistory() const
 {
-  return Print(CallHttp({ .address = mTarget.admin,
-                          .path = aPath,
-                          .body = {},
-                          .headers = { { "Authorization", "Bearer " + mTarget.key } },
-                          .timeout = kTimeout }));
+  const HttpAnswer answer = Call("GET", "/configuration/history");
+  if (!IsOk(answer)) {
+    return Explain(answer);
+  }
+  for (const json& entry : json::parse(answer.body)) {
+    std::printf("%6s  %s  %-16s  %3s changes  %s\n",
+                entry["version"].dump().c_str(),
+                TimeText(entry["accepted_at_unix_ms"]).c_str(),
+                entry["author"].get<std::string>().c_str(),
+                entry["changes"].dump().c_str(),
+                entry["comment"].get<std::string>().c_str());
+  }
+  return kExitOk;
+}
+
+std::optional<std::uint64_t> OperatorCommands::NewestVersion() const
+{
+  const HttpAnswer answer = Call("GET", "/configuration/history");
+  if (!IsOk(answer)) {
+    Explain(answer);
+    return std::nullopt;
+  }
+  const json list = json::parse(answer.body);
+  return list.empty() ? 0 : list[0]["version"].get<std::uint64_t>();
 }
 
 int OperatorCommands::Apply() const
 {
-  return Print(CallHttp({ .address = mTarget.admin,
-                          .method = "POST",
-                          .path = "/configuration",
-                          .body = ReadAll(mFile),
-                          .contentType = "application/yaml",
-                          .headers = { { "Authorization", "Bearer " + mTarget.key },
-                                       { "If-Match", std::to_string(mBasedOn) },
-                                       { "X-Comment", mComment } },
-                          .timeout = kTimeout }));
+  if (mFromVersion) {
+    const auto newest = mBasedOn ? mBasedOn : NewestVersion();
+    return newest ? Accept("/configuration?from_version=" + std::to_string(*mFromVersion),
+                           "from_version",
+                           *newest)
+                  : kExitRefused;
+  }
+  if (mFile.empty() || !mBasedOn) {
+    std::fputs("A file and --based-on, or --from-version, are required.\n", stderr);
+    return kExitBadInput;
+  }
+  const auto document = ReadAll(mFile);
+  return document ? Accept("/configuration", *document, *mBasedOn) : kExitBadInput;
+}
+
+int OperatorCommands::Accept(const std::string& aPath,
+                             std::string aDocument,
+                             std::uint64_t aBasedOn) const
+{
+  const HttpAnswer answer = Call("POST", aPath, std::move(aDocument), aBasedOn);
+  if (!IsOk(answer)) {
+    return Explain(answer);
+  }
+  const auto version = json::parse(answer.body)["version"].get<std::uint64_t>();
+  std::printf("Version %llu was accepted.\n", static_cast<unsigned long long>(version));
+  return mWaitSeconds > 0 ? WaitForAll(version) : kExitOk;
+}
+
+int OperatorCommands::WaitForAll(std::uint64_t aVersion) const
+{
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds{ mWaitSeconds };
+  std::vector<std::string> late;
+  do {
+    const HttpAnswer answer = Call("GET", "/status");
+    if (!IsOk(answer)) {
+      return Explain(answer);
+    }
+    const json status = json::parse(answer.body);
+    late.clear();
+    if (status["configuration"].get<std::uint64_t>() < aVersion) {
+      late.push_back(status.value("daemon", "?"));
+    }
+    for (const auto& [id, daemon] : status["daemons"].items()) {
+      if (daemon.value("configuration", std::uint64_t{ 0 }) < aVersion) {
+        late.push_back(id);
+      }
+    }
+    if (late.empty()) {
+      std::puts("All live daemons report it.");
+      return kExitOk;
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  } while (std::chrono::steady_clock::now() < end);
+  for (const std::string& daemon : late) {
+    std::fprintf(stderr, "%s does not report it.\n", daemon.c_str());
+  }
+  return kExitRefused;
 }
 
 int OperatorCommands::Drain() const
 {
-  return Print(CallHttp({ .address = mTarget.admin,
-                          .method = "POST",
-                          .path = "/drain",
-                          .body = "{}",
-                          .headers = { { "Authorization", "Bearer " + mTarget.key } },
-                          .timeout = kTimeout }));
+  if (mRunner.empty()) {
+    return Post("/drain", "drain");
+  }
+  const auto newest = NewestVersion();
+  if (!newest) {
+    return kExitRefused;
+  }
+  const HttpAnswer answer = Call("GET", "/configuration?version=" + std::to_string(*newest));
+  if (!IsOk(answer)) {
+    return Explain(answer);
+  }
+  const auto document = WithDrainedRunner(answer.body,
+                                          ServiceId{ mService },
+                                          EndpointId{ mRunner },
+                                          mIsUndo ? Drained::kNo : Drained::kYes);
+  if (!document) {
+    std::fprintf(stderr, "%s.\n", document.error().c_str());
+    return kExitBadInput;
+  }
+  return Accept("/configuration", *document, *newest);
 }
 
 } // namespace rhubarbtrail
--- a/src/operator/operator_commands.h
+++ b/src/operator/operator_commands.h
@@ -2,7 +2,11 @@
 #ifndef RHUBARBTRAIL_OPERATOR_OPERATOR_COMMANDS_H
 #define RHUBARBTRAIL_OPERATOR_OPERATOR_COMMANDS_H
 
+#include "core/http_client_func.h"
+
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace CLI {
@@ -26,16 +30,45 @@
     std::string admin; ///< host:port of a daemon's administration API.
     std::string key;
   };
-  void AddTarget(CLI::App& aCommand);
+  CLI::App& AddCommand(CLI::App& aParent,
+                       const std::string& aName,
+                       const std::string& aHelp,
+                       std::function<int()> aRun);
+  CLI::App& AddRemote(CLI::App& aParent,
+                      const std::string& aName,
+                      const std::string& aHelp,
+                      std::function<int()> aRun);
+  void AddConfig(CLI::App& aApp);
+  void AddOperation(CLI::App& aApp);
+
+  HttpAnswer Call(const std::string& aMethod,
+                  const std::string& aPath,
+                  std::string aBody = {},
+                  std::optional<std::uint64_t> aBasedOn = std::nullopt) const;
+  int Get(const std::string& aPath) const;
+  int Post(const std::string& aPath, std::string aBody) const;
   int Check() const;
+  int ShowDocument() const;
+  int ShowDiff() const;
+  int ShowHistory() const;
   int Apply() const;
-  int Get(const std::string& aPath) const;
+  int Accept(const std::string& aPath, std::string aDocument, std::uint64_t aBasedOn) const;
+  int WaitForAll(std::uint64_t aVersion) const;
   int Drain() const;
+  std::optional<std::uint64_t> NewestVersion() const;
 
   Target mTarget;
   std::string mFile;
   std::string mComment;
-  long mBasedOn = -1;
+  std::string mWord; ///< The single argument of a subcommand that has one.
+  std::string mService;
+  std::string mRunner;
+  std::optional<std::uint64_t> mBasedOn;
+  std::optional<std::uint64_t> mFromVersion;
+  std::optional<std::uint64_t> mVersion;
+  std::uint32_t mWaitSeconds = 0;
+  bool mIsJson = false;
+  bool mIsUndo = false;
   std::function<int()> mRun;
 };
 
--- a/src/operator/operator_keys.cpp
+++ b/src/operator/operator_keys.cpp
@@ -3,27 +3,93 @@
 
 #include "core/digest_func.h"
 
+#include <algorithm>
+#include <cctype>
 #include <map>
 #include <yaml-cpp/yaml.h>
 
 namespace rhubarbtrail {
 
+namespace {
+
+constexpr std::size_t kHashDigits = 64;
+
+/* Returns the text of a required field; adds a fault when it is missing. */
+std::string Field(const YAML::Node& aItem, const char* aName, std::string& aFault)
+{
+  const YAML::Node value = aItem[aName];
+  if (!value || !value.IsScalar()) {
+    aFault = std::string{ aName } + " is missing";
+    return {};
+  }
+  return value.Scalar();
+}
+
+/* Reads one key; the error says what is wrong with it. */
+tl::expected<OperatorKey, std::string> ReadKey(const YAML::Node& aItem)
+{
+  static const std::map<std::string, OperatorRole> sRoles{ { "view", OperatorRole::kView },
+                                                           { "operate", OperatorRole::kOperate },
+                                                           { "configure",
+                                                             OperatorRole::kConfigure } };
+  if (!aItem.IsMap()) {
+    return tl::make_unexpected("must be a mapping of name, hash and role");
+  }
+  for (const auto& member : aItem) {
+    const std::string name = member.first.IsScalar() ? member.first.Scalar() : std::string{};
+    if (name != "name" && name != "hash" && name != "role") {
+      return tl::make_unexpected("unknown key '" + name + "'");
+    }
+  }
+  std::string fault;
+  OperatorKey key;
+  key.name = Field(aItem, "name", fault);
+  key.hash = Field(aItem, "hash", fault);
+  const auto role = sRoles.find(Field(aItem, "role", fault));
+  if (!fault.empty()) {
+    return tl::make_unexpected(fault);
+  }
+  if (role == sRoles.end()) {
+    return tl::make_unexpected("role must be view, operate or configure");
+  }
+  key.role = role->second;
+  const bool isHash = key.hash.size() == kHashDigits &&
+                      key.hash.find_first_not_of("0123456789abcdef") == std::string::npos;
+  if (!isHash) {
+    return tl::make_unexpected("hash must be a SHA-256 in 64 lower-case hex digits");
+  }
+  const bool isName =
+    !key.name.empty() && std::all_of(key.name.begin(), key.name.end(), [](unsigned char aChar) {
+      return std::isgraph(aChar) != 0;
+    });
+  if (!isName) {
+    return tl::make_unexpected("name must be a word");
+  }
+  return key;
+}
+
+} // namespace
+
 tl::expected<std::vector<OperatorKey>, std::string> LoadOperatorKeys(const std::string& aFile)
 {
-  const std::map<std::string, OperatorRole> roles{ { "view", OperatorRole::kView },
-                                                   { "operate", OperatorRole::kOperate },
-                                                   { "configure", OperatorRole::kConfigure } };
   try {
+    const YAML::Node root = YAML::LoadFile(aFile);
+    if (!root.IsSequence()) {
+      return tl::make_unexpected(aFile + ":1: must be a list of keys");
+    }
     std::vector<OperatorKey> keys;
-    for (const auto& item : YAML::LoadFile(aFile)) {
-      const auto role = roles.find(item["role"].as<std::string>());
-      if (role == roles.end()) {
-        return tl::make_unexpected(aFile + ":" + std::to_string(item.Mark().line + 1) +
-                                   ": role must be view, operate or configure");
+    for (const auto& item : root) {
+      const std::string place = aFile + ":" + std::to_string(item.Mark().line + 1) + ": ";
+      auto key = ReadKey(item);
+      if (!key) {
+        return tl::make_unexpected(place + key.error());
+      }
+      for (const OperatorKey& other : keys) {
+        if (other.hash == key->hash || other.name == key->name) {
+          return tl::make_unexpected(place + "the key of '" + other.name + "' appears again");
+        }
       }
-      keys.push_back({ .name = item["name"].as<std::string>(),
-                       .hash = item["hash"].as<std::string>(),
-                       .role = role->second });
+      keys.push_back(std::move(*key));
     }
     return keys;
   } catch (const YAML::Exception& error) {
--- /dev/null
+++ b/tests/unit/admin_access_test.cpp
@@ -0,0 +1,184 @@
+/* Every call of the administration API without a key, with a wrong one and with too low a role. */
+#include "core/digest_func.h"
+#include "core/http_client_func.h"
+#include "operator/admin_server.h"
+
+#include <doctest/doctest.h>
+
+#include <cstdio>
+#include <fstream>
+#include <set>
+
+using namespace rhubarbtrail;
+
+namespace {
+
+constexpr auto kOpen = std::optional<OperatorRole>{};
+constexpr std::optional kView = OperatorRole::kView;
+constexpr std::optional kOperate = OperatorRole::kOperate;
+constexpr std::optional kConfigure = OperatorRole::kConfigure;
+
+/* The whole API: a call that is added to the server must be added here. */
+const std::vector<AdminRoute> kCalls{
+  { "GET", "/health", kOpen },
+  { "GET", "/ready", kOpen },
+  { "GET", "/dump", kView },
+  { "GET", "/status", kView },
+  { "GET", "/metrics", kView },
+  { "GET", "/quarantine", kView },
+  { "GET", "/configuration", kView },
+  { "GET", "/configuration/history", kView },
+  { "POST", "/configuration/diff", kView },
+  { "POST", "/configuration", kConfigure },
+  { "POST", "/log-level", kOperate },
+  { "POST", "/drain", kOperate },
+  { "POST", "/quarantine/release", kOperate },
+};
+
+/* A server on loopback whose table service does not answer. */
+class Fixture
+{
+public:
+  Fixture()
+    : mTable({ .address = "127.0.0.1:1", .timeout = 200ms })
+    , mStore(mTable)
+    , mSnapshot(std::make_unique<const Snapshot>())
+    , mServer({ .keys = { { "viewer", Sha256Hex("view"), OperatorRole::kView },
+                          { "operator", Sha256Hex("operate"), OperatorRole::kOperate },
+                          { "owner", Sha256Hex("configure"), OperatorRole::kConfigure } } },
+              mSnapshot,
+              mStore,
+              { .dump =
+                  [] {
+                    return std::vector<DumpEntry>{ { "daemon", "d" } };
+                  },
+                .metrics = [] { return std::string{ "m 1\n" }; },
+                .accepted = [](const ConfigurationRow&) {},
+                .drain = [this] { ++mDrains; },
+                .release = [](const FingerprintId&) {} })
+    , mPort(mServer.Start())
+  {
+  }
+
+  int Call(const AdminRoute& aCall, const std::string& aAuthorization) const
+  {
+    HttpCall call{ .address = "127.0.0.1:" + std::to_string(mPort),
+                   .method = aCall.method,
+                   .path = aCall.path,
+                   .body = aCall.method == "POST" ? "x" : "" };
+    if (!aAuthorization.empty()) {
+      call.headers.emplace_back("Authorization", aAuthorization);
+    }
+    const HttpAnswer answer = CallHttp(call);
+    REQUIRE(answer.outcome == HttpOutcome::kAnswered);
+    return answer.status;
+  }
+
+  const AdminServer& server() const { return mServer; }
+  std::uint16_t port() const { return mPort; }
+  int drains() const { return mDrains; }
+
+private:
+  TableClient mTable;
+  ConfigurationStore mStore;
+  RcuPointer<Snapshot> mSnapshot;
+  int mDrains = 0;
+  AdminServer mServer;
+  std::uint16_t mPort;
+};
+
+} // namespace
+
+TEST_CASE("The table of calls is what the server registers")
+{
+  const Fixture fixture;
+  std::set<std::string> expected;
+  std::set<std::string> registered;
+  const auto describe = [](const AdminRoute& aCall) {
+    return aCall.method + " " + aCall.path + " " +
+           (aCall.role ? std::to_string(static_cast<int>(*aCall.role)) : "open");
+  };
+  for (const AdminRoute& call : kCalls) {
+    expected.insert(describe(call));
+  }
+  for (const AdminRoute& call : fixture.server().routes()) {
+    registered.insert(describe(call));
+  }
+  CHECK(expected == registered);
+}
+
+TEST_CASE("Only health and readiness answer without a key, and a role allows no more than it says")
+{
+  const Fixture fixture;
+  const std::vector<std::pair<std::string, OperatorRole>> keys{
+    { "Bearer view", OperatorRole::kView },
+    { "Bearer operate", OperatorRole::kOperate },
+    { "Bearer configure", OperatorRole::kConfigure }
+  };
+  for (const AdminRoute& call : kCalls) {
+    INFO(call.method << " " << call.path);
+    for (const std::string wrong : { "", "Basic dmlldw==", "Bearer ", "Bearer wrong", "view" }) {
+      INFO("with '" << wrong << "'");
+      const int expected = wrong == "Bearer wrong" ? 403 : 401;
+      const int status = fixture.Call(call, wrong);
+      CHECK((call.role ? status == expected : status != 401 && status != 403));
+    }
+    for (const auto& [key, role] : keys) {
+      const int status = fixture.Call(call, key);
+      const bool isAllowed = !call.role || role >= *call.role;
+      CHECK((status == 403) == !isAllowed);
+      CHECK(status != 401);
+    }
+  }
+  CHECK(fixture.drains() == 2); // By the two roles that may, and by nobody else.
+}
+
+TEST_CASE("A path that is not served says so and does nothing")
+{
+  const Fixture fixture;
+  CHECK(fixture.Call({ "POST", "/health", {} }, "Bearer configure") == 404);
+  CHECK(fixture.Call({ "GET", "/drain", {} }, "Bearer configure") == 404);
+  CHECK(fixture.drains() == 0);
+}
+
+TEST_CASE("Two servers cannot share a port")
+{
+  const Fixture fixture;
+  TableClient table({ .address = "127.0.0.1:1" });
+  const ConfigurationStore store(table);
+  const RcuPointer<Snapshot> snapshot(std::make_unique<const Snapshot>());
+  AdminServer second({ .port = fixture.port() }, snapshot, store, {});
+  CHECK(second.Start() == 0);
+}
+
+TEST_CASE("A file of operators' keys is checked whole, with lines")
+{
+  struct BadKeys
+  {
+    std::string text;
+    std::string error;
+  };
+  const std::string hash(64, 'a');
+  const std::vector<BadKeys> cases{
+    { "a: b", ":1: must be a list of keys" },
+    { "- text", ":1: must be a mapping" },
+    { "- {name: a, role: view}", ":1: hash is missing" },
+    { "- {name: a, hash: 'plain key', role: view}", ":1: hash must be a SHA-256" },
+    { "\n- {name: a, hash: " + hash + ", role: admin}", ":2: role must be view" },
+    { "- {name: a, hash: " + hash + ", role: view, more: 1}", ":1: unknown key 'more'" },
+    { "- {name: a, hash: " + hash + ", role: view}\n- {name: b, hash: " + hash + ", role: view}",
+      ":2: the key of 'a' appears again" },
+    { "- {name: 'a b', hash: " + hash + ", role: view}", ":1: name must be" },
+    { "- [", "" },
+  };
+  const std::string file = "operator-keys-" + RandomHex() + ".yaml";
+  for (const BadKeys& bad : cases) {
+    std::ofstream(file) << bad.text;
+    const auto keys = LoadOperatorKeys(file);
+    INFO(bad.text);
+    REQUIRE_FALSE(keys.has_value());
+    INFO(keys.error());
+    CHECK(keys.error().find(bad.error) != std::string::npos);
+  }
+  std::remove(file.c_str());
+}
