Feature: [Router] Let operators list quarantined requests and release one

Cause: a conviction could only expire.

Change: the event QuarantineReleased removes a conviction and tells the other daemons by a conviction that has expired on arrival, so that no new message kind is needed and mixed versions understand it. The dump lists the fingerprints with the time left.

--- a/src/decision/event_type.h
+++ b/src/decision/event_type.h
@@ -168,6 +168,12 @@
   std::shared_ptr<const Configuration> configuration;
 };
 
+/* An operator took a request out of quarantine. */
+struct QuarantineReleased
+{
+  FingerprintId fingerprint;
+};
+
 /* SIGTERM: hand over, finish, go. */
 struct ShutdownRequested
 {};
@@ -185,6 +191,7 @@
                            MessageReceived,
                            HostListReceived,
                            ConfigurationLoaded,
+                           QuarantineReleased,
                            ShutdownRequested,
                            Wake>;
 
--- a/src/decision/node.cpp
+++ b/src/decision/node.cpp
@@ -64,6 +64,10 @@
     router.OnWake(aContext, view);
     scheduler.OnWake(aContext, view);
   }
+  void Handle(Context& aContext, const QuarantineReleased& aEvent)
+  {
+    router.OnQuarantineReleased(aContext, view, aEvent);
+  }
   void Handle(Context& aContext, const MessageReceived& aEvent);
 
   void FinishShutdown(Context& aContext);
@@ -144,7 +148,7 @@
   entries.push_back({ "daemon", mImpl->options.self.daemon.str() });
   entries.push_back({ "incarnation", mImpl->options.self.id.str() });
   mImpl->view.Dump(entries, mImpl->now);
-  mImpl->router.Dump(entries);
+  mImpl->router.Dump(entries, mImpl->now);
   mImpl->scheduler.Dump(entries);
   return entries;
 }
--- a/src/decision/router/quarantine_base.h
+++ b/src/decision/router/quarantine_base.h
@@ -17,6 +17,7 @@
   void Remove(const FingerprintId& aFingerprint) { mUntil.erase(aFingerprint); }
   bool Contains(const FingerprintId& aFingerprint, TimePoint aNow) const;
   std::size_t size() const { return mUntil.size(); }
+  const std::unordered_map<FingerprintId, TimePoint>& entries() const { return mUntil; }
 
 private:
   std::unordered_map<FingerprintId, TimePoint> mUntil;
--- a/src/decision/router/router.cpp
+++ b/src/decision/router/router.cpp
@@ -631,6 +631,17 @@
     aConvicted.fingerprint, aContext.now() + aConvicted.expiresIn, aContext.now());
 }
 
+void Router::OnQuarantineReleased(Context& aContext,
+                                  const View& aView,
+                                  const QuarantineReleased& aReleased)
+{
+  mQuarantine.convicted.Remove(aReleased.fingerprint);
+  // A conviction that has expired on arrival replaces the one that the others hold.
+  for (const auto& [id, member] : aView.members()) {
+    aView.SendTo(aContext, id, ConvictedMessage{ aReleased.fingerprint, Duration{} });
+  }
+}
+
 void Router::ExpireDeadlines(Context& aContext)
 {
   while (!mDeadlines.empty() && aContext.IsEnabled(Mechanism::kDeadlineRefusal)) {
@@ -691,11 +702,17 @@
   }
 }
 
-void Router::Dump(std::vector<DumpEntry>& aOut) const
+void Router::Dump(std::vector<DumpEntry>& aOut, TimePoint aNow) const
 {
   aOut.push_back({ "router.requests", std::to_string(mRequests.size()) });
   aOut.push_back({ "router.suspects", std::to_string(mQuarantine.suspects.size()) });
   aOut.push_back({ "router.convicted", std::to_string(mQuarantine.convicted.size()) });
+  for (const auto& [fingerprint, until] : mQuarantine.convicted.entries()) {
+    if (until > aNow) {
+      const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until - aNow);
+      aOut.push_back({ "router.quarantined." + fingerprint.str(), std::to_string(left.count()) });
+    }
+  }
   for (const auto& [key, target] : mTargets) {
     const std::string path = "router.targets." + key.first.str() + "." + key.second.model.str() +
                              (key.second.adapter.empty() ? "" : "+" + key.second.adapter.str());
--- a/src/decision/router/router_base.h
+++ b/src/decision/router/router_base.h
@@ -72,13 +72,16 @@
   void OnDrain(Context& aContext, View& aView, const DaemonId& aFrom, const DrainMessage& aDrain);
   void OnSuspects(Context& aContext, const SuspectsMessage& aSuspects);
   void OnConvicted(Context& aContext, const ConvictedMessage& aConvicted);
+  void OnQuarantineReleased(Context& aContext,
+                            const View& aView,
+                            const QuarantineReleased& aReleased);
   void OnWake(Context& aContext, View& aView);
   void OnViewChanged(Context& aContext, View& aView);
 
   /* Returns whether nothing is left to finish. */
   bool IsIdle() const { return mRequests.empty() && mClaims.IsIdle(); }
 
-  void Dump(std::vector<DumpEntry>& aOut) const;
+  void Dump(std::vector<DumpEntry>& aOut, TimePoint aNow) const;
 
 private:
   using TargetKey = std::pair<ServiceId, Artifact>;
