Feature: [Daemon] Feed metrics, drained endpoints and releases; end when a port is taken

Cause: /metrics was empty; a daemon whose administration port was taken hung for good, because its caller server was stopped before it listened, which the library then never notices.

Change: each request's end is measured and leaves a debug line with its id; attempts, orders and table calls are counted where actions are performed; endpoints that the configuration drains are marked as leaving in the host list before the decisions see it. Start() returns once the server listens.

--- a/src/caller/caller_server.cpp
+++ b/src/caller/caller_server.cpp
@@ -3,6 +3,7 @@
 
 #include "caller/error_body.h"
 #include "core/digest_func.h"
+#include "core/log_func.h"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -264,12 +265,23 @@
                       std::to_string(nextNumber.fetch_add(1, std::memory_order_relaxed)) };
   }
 
+  /* What is kept of a request until it ends. */
+  struct Watch
+  {
+    RequestId id;
+    ClassId requestClass; ///< Empty for a request that was refused at the door.
+    std::chrono::steady_clock::time_point started = std::chrono::steady_clock::now();
+  };
+  void NoteEnd(const Watch& aWatch, ResultCode aCode) const;
+
   void ListModels(const httplib::Request& aRequest, httplib::Response& aResponse);
   void Serve(const httplib::Request& aRequest,
              httplib::Response& aResponse,
              CheckResult (*aCheck)(const Snapshot&, const httplib::Request&));
-  void AnswerWhole(Session& aSession, httplib::Response& aResponse);
-  void AnswerStream(const std::shared_ptr<Session>& aSession, httplib::Response& aResponse);
+  void AnswerWhole(Session& aSession, const Watch& aWatch, httplib::Response& aResponse);
+  void AnswerStream(const std::shared_ptr<Session>& aSession,
+                    const Watch& aWatch,
+                    httplib::Response& aResponse);
   void AddRoutes();
 
   CallerServerOptions options;
@@ -281,6 +293,23 @@
   std::thread thread;
 };
 
+/* Logs and measures a request that has ended. */
+void CallerServer::Impl::NoteEnd(const Watch& aWatch, ResultCode aCode) const
+{
+  const auto latency =
+    std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - aWatch.started);
+  Log(log_part::kRouter)
+    ->debug("Request {} of class '{}' ended with {} {} after {} us.",
+            aWatch.id.str(),
+            aWatch.requestClass.str(),
+            static_cast<int>(aCode),
+            Describe(aCode).name,
+            latency.count());
+  if (options.finished) {
+    options.finished({ .code = aCode, .requestClass = aWatch.requestClass, .latency = latency });
+  }
+}
+
 void CallerServer::Impl::ListModels(const httplib::Request& aRequest, httplib::Response& aResponse)
 {
   const RequestId id = NextRequestId();
@@ -311,31 +340,37 @@
                                CheckResult (*aCheck)(const Snapshot&, const httplib::Request&))
 {
   const RequestId id = NextRequestId();
+  Watch watch{ .id = id, .requestClass = {} };
   aResponse.set_header("X-Request-Id", id.str());
   CheckResult checked =
     snapshot.Read([&](const Snapshot& aSnapshot) { return aCheck(aSnapshot, aRequest); });
   if (!checked) {
     WriteRefusal(
       aResponse, { .request = id, .code = checked.error().code }, checked.error().detail);
+    NoteEnd(watch, checked.error().code);
     return;
   }
   const bool isStream = checked->call.form == AnswerForm::kStream;
   auto session = std::make_shared<Session>(id, std::move(checked->call));
   sessions.Add(session);
   checked->arrived.request = id;
+  watch.requestClass = checked->arrived.requestClass;
   post(std::move(checked->arrived));
   if (isStream) {
-    AnswerStream(session, aResponse);
+    AnswerStream(session, watch, aResponse);
   } else {
-    AnswerWhole(*session, aResponse);
+    AnswerWhole(*session, watch, aResponse);
   }
 }
 
-void CallerServer::Impl::AnswerWhole(Session& aSession, httplib::Response& aResponse)
+void CallerServer::Impl::AnswerWhole(Session& aSession,
+                                     const Watch& aWatch,
+                                     httplib::Response& aResponse)
 {
   const AnswerPart part = aSession.WaitPart();
   sessions.Remove(aSession.id());
   const FinishRequest& finish = *part.finish;
+  NoteEnd(aWatch, finish.code);
   if (finish.code != ResultCode::kOk) {
     WriteRefusal(aResponse, finish);
     return;
@@ -351,6 +386,7 @@
 }
 
 void CallerServer::Impl::AnswerStream(const std::shared_ptr<Session>& aSession,
+                                      const Watch& aWatch,
                                       httplib::Response& aResponse)
 {
   // The status is sent once the first event has come; a refusal before it keeps its own.
@@ -358,16 +394,19 @@
   const bool isRefused = first->finish && first->finish->code != ResultCode::kOk;
   if (isRefused && first->data.empty()) {
     sessions.Remove(aSession->id());
+    NoteEnd(aWatch, first->finish->code);
     WriteRefusal(aResponse, *first->finish);
     return;
   }
   if (first->finish && aSession->delivered() == 0) {
     sessions.Remove(aSession->id());
+    NoteEnd(aWatch, first->finish->code);
     aResponse.status = aSession->status();
     aResponse.set_content(first->data, aSession->contentType());
     return;
   }
-  const auto provide = [aSession, first](std::size_t aOffset, httplib::DataSink& aSink) {
+  const auto provide = [this, aSession, aWatch, first](std::size_t aOffset,
+                                                       httplib::DataSink& aSink) {
     const AnswerPart part = aOffset == 0 ? *first : aSession->WaitPart();
     if (!part.data.empty() && !aSink.write(part.data.data(), part.data.size())) {
       return false;
@@ -381,6 +420,7 @@
         "event: error\ndata: " + MakeErrorBody(part.finish->code, aSession->id()) + "\n\n";
       aSink.write(error.data(), error.size());
     }
+    NoteEnd(aWatch, part.finish->code);
     aSink.done();
     return true;
   };
@@ -457,6 +497,10 @@
     return 0;
   }
   mImpl->thread = std::thread([&server] { server.listen_after_bind(); });
+  // A server that is stopped before it listens would listen forever.
+  while (!server.is_running()) {
+    std::this_thread::yield();
+  }
   return static_cast<std::uint16_t>(port);
 }
 
--- a/src/caller/caller_server.h
+++ b/src/caller/caller_server.h
@@ -4,6 +4,7 @@
 
 #include "caller/session.h"
 #include "caller/snapshot_type.h"
+#include "core/metrics.h"
 #include "core/rcu_pointer.h"
 
 #include <functional>
@@ -17,8 +18,9 @@
   std::string address = "127.0.0.1";
   std::uint16_t port = 0;
   std::uint32_t threads = 256;
-  std::uint64_t bodyLimit = 1U << 20U; ///< Bytes.
-  std::string requestIdPrefix;         ///< Makes the ids of this process unique.
+  std::uint64_t bodyLimit = 1U << 20U;         ///< Bytes.
+  std::string requestIdPrefix;                 ///< Makes the ids of this process unique.
+  std::function<void(RequestSample)> finished; ///< Told of each request that has ended.
 };
 
 class CallerServer
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -4,12 +4,15 @@
 #include "caller/caller_server.h"
 #include "config/configuration_document.h"
 #include "core/digest_func.h"
+#include "core/exit_code_type.h"
 #include "core/log_func.h"
+#include "core/metrics.h"
 #include "core/worker_pool.h"
 #include "daemon/decision_loop.h"
 #include "endpoint/attempt.h"
 #include "endpoint/order_client.h"
 #include "operator/admin_server.h"
+#include "operator/daemon_status.h"
 #include "peer/peer_transport.h"
 #include "platform/host_list_client.h"
 #include "platform/table_client.h"
@@ -25,9 +28,6 @@
 
 /* Threads for calls to the table service. */
 constexpr std::size_t kTableThreads = 4;
-constexpr int kExitOk = 0;
-constexpr int kExitCannotListen = 3;
-constexpr int kExitBadKeys = 2;
 
 class Daemon
 {
@@ -55,7 +55,9 @@
 
   void Install(const ConfigurationRow& aRow);
   void PublishSnapshot();
+  std::vector<Gauge> Gauges();
   void PollHosts();
+  void MarkDrained(HostListReceived& aList) const;
   void WriteAddresses(std::uint16_t aCaller, std::uint16_t aAdmin, std::uint16_t aPeer) const;
 
   Settings mSettings;
@@ -66,6 +68,7 @@
   Snapshot mNextSnapshot; ///< Used by the decision thread only.
   std::atomic<std::uint64_t> mVersion{ 0 };
   SessionMap mSessions;
+  Metrics mMetrics;
   WorkerPool mTablePool;
   WorkerPool mOrderPool;
   WorkerPool mAttemptPool;
@@ -110,7 +113,8 @@
                .port = mSettings.callerPort,
                .threads = mSettings.callerThreads,
                .bodyLimit = mSettings.bodyLimit,
-               .requestIdPrefix = mSettings.daemonId + "-" + mSelf.id.str() },
+               .requestIdPrefix = mSettings.daemonId + "-" + mSelf.id.str(),
+               .finished = [this](RequestSample aSample) { mMetrics.Note(std::move(aSample)); } },
              mSnapshot,
              mSessions,
              [this](Event aEvent) { mLoop.Post(std::move(aEvent)); })
@@ -119,9 +123,13 @@
       mSnapshot,
       mStore,
       { .dump = [this] { return mLoop.Dump(); },
-        .metrics = [] { return std::string{}; },
+        .metrics = [this] { return mMetrics.ToText(Gauges()); },
         .accepted = [this](const ConfigurationRow& aRow) { Install(aRow); },
-        .drain = [this] { mIsDrained = true; } })
+        .drain = [this] { mIsDrained = true; },
+        .release =
+          [this](FingerprintId aFingerprint) {
+            mLoop.Post(QuarantineReleased{ std::move(aFingerprint) });
+          } })
 {
 }
 
@@ -166,12 +174,28 @@
   while (!mIsStopping) {
     if (auto list =
           ReadHostList({ .address = mSettings.hostList, .timeout = mSettings.callTimeout })) {
+      MarkDrained(*list);
       mLoop.Post(std::move(*list));
     }
+    mMetrics.Collect();
     std::this_thread::sleep_for(mSettings.hostListInterval);
   }
 }
 
+/* Endpoints that the configuration drains are treated as if the list said that they leave. */
+void Daemon::MarkDrained(HostListReceived& aList) const
+{
+  mSnapshot.Read([&](const Snapshot& aSnapshot) {
+    const auto& services = aSnapshot.configuration->services;
+    for (HostEntry& host : aList.hosts) {
+      const auto service = services.find(host.service);
+      if (service != services.end() && service->second.drained.contains(EndpointId{ host.id })) {
+        host.state = HostState::kLeaving;
+      }
+    }
+  });
+}
+
 void Daemon::WaitAndStop()
 {
   sigset_t signals;
@@ -205,6 +229,10 @@
 
 void Daemon::Do(StartAttempt aAction)
 {
+  mMetrics.Count(Counter::kAttempts);
+  if (aAction.attempt.value > 1) {
+    mMetrics.Count(Counter::kRetries);
+  }
   const auto session = mSessions.Find(aAction.request);
   if (session == nullptr) {
     mLoop.Post(AttemptEnded{ .request = aAction.request,
@@ -232,12 +260,14 @@
 
 void Daemon::Do(TableTransaction aAction)
 {
+  mMetrics.Count(Counter::kTableTransactions);
   mTablePool.Submit(
     [this, transaction = std::move(aAction)] { mLoop.Post(mTable.Commit(transaction)); });
 }
 
 void Daemon::Do(TableRead aAction)
 {
+  mMetrics.Count(Counter::kTableReads);
   mTablePool.Submit([this, read = std::move(aAction)] {
     ReadResult result = mTable.Read(read);
     for (const Row& row : result.rows) {
@@ -252,6 +282,19 @@
 
 void Daemon::Do(SendOrder aAction)
 {
+  switch (aAction.kind) {
+    case OrderKind::kInventory:
+      break;
+    case OrderKind::kLoadModel:
+      mMetrics.Count(Counter::kModelLoads);
+      break;
+    case OrderKind::kUnloadModel:
+      mMetrics.Count(Counter::kModelUnloads);
+      break;
+    case OrderKind::kLoadAdapter:
+      mMetrics.Count(Counter::kAdapterLoads);
+      break;
+  }
   mOrderPool.Submit([this, order = std::move(aAction)] {
     CarryOutOrder({ .timeout = mSettings.callTimeout, .issuer = mSelf },
                   order,
@@ -270,6 +313,27 @@
   mPeers.Send(aAction.address, { mSelf, version, std::move(aAction.message) });
 }
 
+std::vector<Gauge> Daemon::Gauges()
+{
+  std::uint64_t waiting = 0;
+  std::uint64_t quarantined = 0;
+  for (const DumpEntry& entry : mLoop.Dump()) {
+    if (entry.path.starts_with("router.targets.") && entry.path.ends_with(".waiting")) {
+      waiting += std::strtoull(entry.value.c_str(), nullptr, 10);
+    }
+    quarantined += entry.path.starts_with("router.quarantined.") ? 1 : 0;
+  }
+  const PeerCounters peers = mPeers.counters();
+  return { { "requests_open", "Requests that are open.", mSessions.size() },
+           { "requests_waiting", "Requests that wait for a replica or an endpoint.", waiting },
+           { "requests_quarantined", "Requests that are refused for crashes.", quarantined },
+           { "configuration_version", "Version in force.", mVersion },
+           { "peer_sent_bytes", "Bytes sent to other daemons.", peers.sentBytes },
+           { "peer_received_bytes", "Bytes received from other daemons.", peers.receivedBytes },
+           { "peer_sent_messages", "Messages sent to other daemons.", peers.sentMessages },
+           { "peer_lost_messages", "Messages that could not be delivered.", peers.lostMessages } };
+}
+
 void Daemon::Do(const PublishConfiguration& aAction)
 {
   mVersion = aAction.configuration->version.value;
@@ -287,7 +351,7 @@
 void Daemon::Do(const PublishReadiness& aAction)
 {
   mNextSnapshot.readiness = aAction.readiness;
-  Log(log_part::kDaemon)->info("Readiness is now {}.", static_cast<int>(aAction.readiness));
+  Log(log_part::kDaemon)->info("Readiness is now {}.", ToString(aAction.readiness));
   PublishSnapshot();
 }
 
@@ -329,7 +393,7 @@
     auto loaded = LoadOperatorKeys(aSettings.operatorKeys);
     if (!loaded) {
       Log(log_part::kOperator)->error("{}.", loaded.error());
-      return kExitBadKeys;
+      return kExitBadInput;
     }
     keys = std::move(*loaded);
   }
