--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
   libxxhash-dev libyaml-cpp-dev ninja-build nlohmann-json3-dev python3 python3-yaml
 SUDO = $(shell [ $$(id -u) = 0 ] || echo sudo)
 
-.PHONY: all packages configure build demo test unit process format lint format-check sanitize clean
+.PHONY: all packages configure build demo test unit process format lint format-check sanitize fuzz clean
 
 all: build
 
@@ -53,5 +53,14 @@
 	@$(MAKE) unit BUILD=build-asan CMAKE_FLAGS="-DSANITIZE=address,undefined -DCMAKE_BUILD_TYPE=Debug"
 	@$(MAKE) unit BUILD=build-tsan CMAKE_FLAGS="-DSANITIZE=thread -DCMAKE_BUILD_TYPE=Debug"
 
+# A bounded run; the seed is fixed and printed by the fuzzer.
+FUZZ_SECONDS ?= 60
+fuzz: packages
+	@cmake -S . -B build-fuzz -G Ninja -DFUZZ=ON -DCMAKE_CXX_COMPILER=clang++ >/dev/null
+	@ninja -C build-fuzz -j $(JOBS) --quiet parsers_fuzz
+	@mkdir -p build-fuzz/corpus
+	@build-fuzz/parsers_fuzz -seed=1 -max_total_time=$(FUZZ_SECONDS) -timeout=10 -rss_limit_mb=1024 \
+	  -max_len=4096 -artifact_prefix=build-fuzz/ build-fuzz/corpus fuzz/corpus
+
 clean:
-	rm -rf build build-asan build-tsan
+	rm -rf build build-asan build-tsan build-fuzz
--- a/python/rhubarbtrail_config/__init__.py
+++ b/python/rhubarbtrail_config/__init__.py
@@ -13,7 +13,10 @@
 
 import yaml
 
-_NAME = re.compile(r"^[^/\s]{1,128}$")
+_NAME = re.compile(r"[A-Za-z0-9._-]{1,128}")
+_DAY_MS = 86_400_000
+_MEMORY_LIMIT_MB = 10_000_000
+_METHODS = ("DELETE", "GET", "PATCH", "POST", "PUT")
 
 
 def key_hash(key: str) -> str:
@@ -22,14 +25,41 @@
 
 
 def _check_name(name: str) -> None:
-    if not _NAME.match(name):
-        raise ValueError(f"{name!r} is not a name: 1 to 128 characters, no slash, no blank")
+    if not isinstance(name, str) or not _NAME.fullmatch(name):
+        raise ValueError(f"{name!r} is not a name: 1 to 128 letters, digits, '.', '_', '-'")
 
 
-def _check_positive(**values: float) -> None:
+def _check_number(low: float, high: float, **values: float) -> None:
+    """Refuses what is no whole number, or no number where the bounds have fractions."""
+    kinds = (int, float) if isinstance(low, float) else (int,)
     for name, value in values.items():
-        if value <= 0:
-            raise ValueError(f"{name} must be positive, not {value}")
+        if not isinstance(value, kinds) or isinstance(value, bool):
+            raise TypeError(f"{name} must be a number, not {value!r}")
+        if not low <= value <= high:
+            raise ValueError(f"{name} must be {low} to {high}, not {value}")
+
+
+def _check_word(words: tuple[str, ...], **values: str) -> None:
+    for name, value in values.items():
+        if value not in words:
+            raise ValueError(f"{name} must be one of {', '.join(words)}, not {value!r}")
+
+
+def _check_names(**values: list[str]) -> None:
+    for name, value in values.items():
+        if not isinstance(value, list):
+            raise TypeError(f"{name} must be a list, not {value!r}")
+        for item in value:
+            _check_name(item)
+        if len(set(value)) != len(value):
+            raise ValueError(f"{name} names something twice")
+
+
+class _Dumper(yaml.SafeDumper):
+    """Writes values out where YAML would put an alias."""
+
+    def ignore_aliases(self, data: Any) -> bool:
+        return True
 
 
 @dataclass(frozen=True)
@@ -39,7 +69,7 @@
     idle_limit_ms: int = 60_000
 
     def __post_init__(self) -> None:
-        _check_positive(idle_limit_ms=self.idle_limit_ms)
+        _check_number(1, _DAY_MS, idle_limit_ms=self.idle_limit_ms)
 
     def to_dict(self) -> dict[str, Any]:
         return {"policy": "fixed", "idle_limit_ms": self.idle_limit_ms}
@@ -54,8 +84,8 @@
     maximum_ms: int = 600_000
 
     def __post_init__(self) -> None:
-        if not 1 <= self.percentile <= 99:
-            raise ValueError("percentile must be 1 to 99")
+        _check_number(1, 99, percentile=self.percentile)
+        _check_number(1, _DAY_MS, minimum_ms=self.minimum_ms, maximum_ms=self.maximum_ms)
         if self.minimum_ms > self.maximum_ms:
             raise ValueError("minimum_ms is larger than maximum_ms")
 
@@ -75,7 +105,7 @@
     cold_start_weight: float = 1.0
 
     def __post_init__(self) -> None:
-        _check_positive(cold_start_weight=self.cold_start_weight)
+        _check_number(0.001, 1_000.0, cold_start_weight=self.cold_start_weight)
 
     def to_dict(self) -> dict[str, Any]:
         return {"policy": "cost_aware", "cold_start_weight": self.cold_start_weight}
@@ -93,9 +123,11 @@
     adapters_in_transit: int = 32
 
     def __post_init__(self) -> None:
-        _check_positive(
+        _check_number(0.01, 1_000.0, loads_per_second=self.loads_per_second)
+        _check_number(
+            1,
+            1_000,
             concurrent_loads=self.concurrent_loads,
-            loads_per_second=self.loads_per_second,
             adapters_in_transit=self.adapters_in_transit,
         )
 
@@ -114,11 +146,19 @@
     kv_cache_reserve_mb: int = 16_000
     store: Store = Store()
     keep_alive: KeepAlive = FixedKeepAlive()
+    drained: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         _check_name(self.name)
-        if self.orders not in ("checked", "unchecked"):
-            raise ValueError("orders must be 'checked' or 'unchecked'")
+        _check_names(drained=self.drained)
+        _check_word(("checked", "unchecked"), orders=self.orders)
+        _check_number(1, 10_000, endpoint_concurrency=self.endpoint_concurrency)
+        _check_number(
+            1,
+            _MEMORY_LIMIT_MB,
+            runner_memory_mb=self.runner_memory_mb,
+            kv_cache_reserve_mb=self.kv_cache_reserve_mb,
+        )
         if self.kv_cache_reserve_mb >= self.runner_memory_mb:
             raise ValueError("kv_cache_reserve_mb leaves no memory for weights")
 
@@ -129,6 +169,7 @@
             "endpoint_concurrency": self.endpoint_concurrency,
             "runner_memory_mb": self.runner_memory_mb,
             "kv_cache_reserve_mb": self.kv_cache_reserve_mb,
+            "drained": self.drained,
             "store": self.store.to_dict(),
             "keep_alive": self.keep_alive.to_dict(),
         }
@@ -145,6 +186,11 @@
     def __post_init__(self) -> None:
         if not self.path.startswith("/"):
             raise ValueError("a route's path starts with a slash")
+        if re.search(r"[ ?#]", self.path):
+            raise ValueError("a route's path has no blank, question mark or hash")
+        _check_name(self.request_class)
+        if self.method is not None:
+            _check_word(_METHODS, method=self.method)
 
     def to_dict(self) -> dict[str, Any]:
         entry = {"path": self.path, "class": self.request_class}
@@ -160,14 +206,25 @@
     name: str
     routes: list[Route]
     endpoint_concurrency: int = 64
+    drained: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         _check_name(self.name)
+        _check_names(drained=self.drained)
+        _check_number(1, 10_000, endpoint_concurrency=self.endpoint_concurrency)
+        if not self.routes:
+            raise ValueError("a plain service needs at least one route")
+        for index, route in enumerate(self.routes):
+            for earlier in self.routes[:index]:
+                covers = earlier.method in (None, route.method)
+                if covers and route.path.startswith(earlier.path):
+                    raise ValueError(f"{route} is never reached: {earlier} comes first")
 
     def to_dict(self) -> dict[str, Any]:
         return {
             "kind": "plain",
             "endpoint_concurrency": self.endpoint_concurrency,
+            "drained": self.drained,
             "routes": [route.to_dict() for route in self.routes],
         }
 
@@ -186,7 +243,15 @@
 
     def __post_init__(self) -> None:
         _check_name(self.name)
-        _check_positive(memory_mb=self.memory_mb, max_replicas=self.max_replicas)
+        _check_name(self.service)
+        _check_number(1, _MEMORY_LIMIT_MB, memory_mb=self.memory_mb)
+        _check_number(1, 1_000, max_replicas=self.max_replicas)
+        _check_number(1, _DAY_MS, expected_load_ms=self.expected_load_ms)
+        for name, memory_mb in self.adapters.items():
+            _check_name(name)
+            _check_number(1, _MEMORY_LIMIT_MB, adapter_memory_mb=memory_mb)
+        if not isinstance(self.version, str) or not 1 <= len(self.version) <= 1_024:
+            raise TypeError(f"version must be a text, not {self.version!r}")
 
     def to_dict(self) -> dict[str, Any]:
         return {
@@ -210,9 +275,9 @@
 
     def __post_init__(self) -> None:
         _check_name(self.name)
-        _check_positive(deadline_ms=self.deadline_ms)
-        if self.repeat not in ("allowed", "never"):
-            raise ValueError("repeat must be 'allowed' or 'never'")
+        _check_number(0, 9, priority=self.priority)
+        _check_number(1, _DAY_MS, deadline_ms=self.deadline_ms)
+        _check_word(("allowed", "never"), repeat=self.repeat)
 
     def to_dict(self) -> dict[str, Any]:
         return {"priority": self.priority, "deadline_ms": self.deadline_ms, "repeat": self.repeat}
@@ -234,6 +299,15 @@
         for value in self.key_hashes:
             if not re.fullmatch(r"[0-9a-f]{64}", value):
                 raise ValueError("a key hash is made by key_hash()")
+        if not self.key_hashes:
+            raise ValueError("a customer needs at least one key hash")
+        if self.models != "all":
+            _check_names(models=self.models)
+        _check_names(services=self.services)
+        if not self.models and not self.services:
+            raise ValueError("a customer needs something that it may call")
+        _check_number(1, 1_000, weight=self.weight)
+        _check_number(1, 1_000_000, queue_limit=self.queue_limit)
 
     def to_dict(self) -> dict[str, Any]:
         return {
@@ -271,8 +345,46 @@
             if part.name in self._parts[section]:
                 raise ValueError(f"{section}: {part.name!r} appears twice")
             self._parts[section][part.name] = part.to_dict()
+        for part in parts:
+            if isinstance(part, Model):
+                self._check_model(part)
+            elif isinstance(part, Customer):
+                self._check_keys(part)
         return self
 
+    def _check_model(self, model: Model) -> None:
+        """A model's service comes before it, and has room for it."""
+        service = self._parts["services"].get(model.service)
+        if service is None or service["kind"] != "models":
+            raise ValueError(f"{model.name}: there is no model service {model.service!r} yet")
+        needed = model.memory_mb + sum(model.adapters.values())
+        available = service["runner_memory_mb"] - service["kv_cache_reserve_mb"]
+        if needed > available:
+            raise ValueError(f"{model.name}: needs {needed} MB, a runner has {available} MB")
+
+    def _check_keys(self, customer: Customer) -> None:
+        for name, other in self._parts["customers"].items():
+            if name != customer.name and set(other["key_hashes"]) & set(customer.key_hashes):
+                raise ValueError(f"{customer.name}: shares a key with {name}")
+
+    def _check_references(self) -> None:
+        """Checks the references that may point forward."""
+        for name, service in self._parts["services"].items():
+            for route in service.get("routes", []):
+                if route["class"] not in self._parts["classes"]:
+                    raise ValueError(f"{name}: there is no class {route['class']!r}")
+        for name, customer in self._parts["customers"].items():
+            models = [] if customer["models"] == "all" else customer["models"]
+            for model in models:
+                if model not in self._parts["models"]:
+                    raise ValueError(f"{name}: there is no model {model!r}")
+            for service in customer["services"]:
+                if self._parts["services"].get(service, {}).get("kind") != "plain":
+                    raise ValueError(f"{name}: there is no plain service {service!r}")
+        if self._parts["models"] and "default" not in self._parts["classes"]:
+            raise ValueError("the class 'default' is needed for requests that name none")
+
     def to_yaml(self) -> str:
         """Returns the document."""
-        return yaml.safe_dump(self._parts, sort_keys=False)
+        self._check_references()
+        return yaml.dump(self._parts, Dumper=_Dumper, sort_keys=False)
