Feature: [Router] Split the router by concern

Cause: router.cpp held admission, dispatch, outcomes, demands and quarantine in 700 lines. Change: one file for each, no change of behaviour. Checked: the build; there are no router tests yet. Conclusion: later changes touch one concern each.

--- a/src/decision/router/router_base.h
+++ b/src/decision/router/router_base.h
@@ -18,6 +18,15 @@
 
 namespace rhubarbtrail {
 
+/* Time to come back after a refusal when nothing better is known. */
+constexpr Duration kDefaultRetryAfter = 1s;
+
+/* Returns whether the artifact is empty: the calls of a plain service. */
+inline bool IsPlain(const Artifact& aArtifact)
+{
+  return aArtifact.model.empty();
+}
+
 enum class RequestState : std::uint8_t
 {
   kClaiming,
