--- /dev/null
+++ b/bench/policy_bench.cpp
@@ -0,0 +1,184 @@
+/* Compares keep-alive policies: the decision library alone, over generated arrivals with given
+ * time. Prints a table of medians over the seeds, and the runs as JSON. */
+#include "bench/cell_world.h"
+
+#include <CLI/CLI.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <cstdio>
+#include <fstream>
+#include <numeric>
+#include <thread>
+
+namespace {
+
+using namespace rhubarbtrail;
+using namespace rhubarbtrail::bench;
+using nlohmann::json;
+
+struct Candidate
+{
+  std::string name;
+  KeepAlivePolicy policy;
+};
+
+struct Run
+{
+  std::string deployment;
+  std::string policy;
+  std::uint64_t seed = 0;
+  KeepAlivePolicy keepAlive;
+  Outcome outcome;
+};
+
+double Percentile(std::vector<double> aValues, double aShare)
+{
+  if (aValues.empty()) {
+    return 0;
+  }
+  const auto rank = static_cast<std::size_t>(aShare * static_cast<double>(aValues.size() - 1));
+  std::nth_element(aValues.begin(), aValues.begin() + static_cast<long>(rank), aValues.end());
+  return aValues[rank];
+}
+
+json ToJson(const Run& aRun)
+{
+  const Outcome& outcome = aRun.outcome;
+  json refusals = json::object();
+  for (const auto& [code, count] : outcome.refusals) {
+    refusals[std::to_string(static_cast<int>(code))] = count;
+  }
+  return { { "deployment", aRun.deployment },
+           { "policy", aRun.policy },
+           { "seed", aRun.seed },
+           { "p50_s", Percentile(outcome.wakeUpSeconds, 0.50) },
+           { "p95_s", Percentile(outcome.wakeUpSeconds, 0.95) },
+           { "p99_s", Percentile(outcome.wakeUpSeconds, 0.99) },
+           { "idle_hours", outcome.idleAcceleratorHours },
+           { "wake_ups", outcome.wakeUpSeconds.size() },
+           { "cold", outcome.coldWakeUps },
+           { "requests", outcome.requests },
+           { "loads", outcome.loads },
+           { "store_loads", outcome.storeLoads },
+           { "wasted", outcome.wastedLoads },
+           { "refused",
+             std::accumulate(outcome.refusals.begin(),
+                             outcome.refusals.end(),
+                             std::uint64_t{ 0 },
+                             [](auto aSum, const auto& aItem) { return aSum + aItem.second; }) },
+           { "refusals", refusals } };
+}
+
+double Median(const std::vector<json>& aRuns, const char* aField)
+{
+  std::vector<double> values;
+  for (const json& run : aRuns) {
+    values.push_back(run.at(aField).get<double>());
+  }
+  return Percentile(values, 0.5);
+}
+
+void PrintTable(const std::vector<json>& aRuns)
+{
+  std::map<std::pair<std::string, std::string>, std::vector<json>> groups;
+  for (const json& run : aRuns) {
+    groups[{ run.at("deployment"), run.at("policy") }].push_back(run);
+  }
+  std::printf("%-12s %-18s %7s %7s %7s %8s %6s %6s %7s %7s %7s\n",
+              "deployment",
+              "policy",
+              "p50 s",
+              "p95 s",
+              "p99 s",
+              "idle h",
+              "wakes",
+              "cold",
+              "loads",
+              "wasted",
+              "refused");
+  for (const auto& [key, runs] : groups) {
+    std::printf("%-12s %-18s %7.2f %7.2f %7.2f %8.2f %6.0f %6.0f %7.0f %7.0f %7.0f\n",
+                key.first.c_str(),
+                key.second.c_str(),
+                Median(runs, "p50_s"),
+                Median(runs, "p95_s"),
+                Median(runs, "p99_s"),
+                Median(runs, "idle_hours"),
+                Median(runs, "wake_ups"),
+                Median(runs, "cold"),
+                Median(runs, "loads"),
+                Median(runs, "wasted"),
+                Median(runs, "refused"));
+  }
+}
+
+} // namespace
+
+int main(int aArgc, char** aArgv)
+{
+  CLI::App app{ "Compares keep-alive policies over generated arrivals." };
+  std::vector<std::uint64_t> seeds{ 1, 2, 3 };
+  double hours = 24;
+  double warmUpHours = 4;
+  unsigned threads = 2;
+  std::vector<double> weights{ 0.02, 0.05, 0.1, 0.2, 0.5, 1.0 };
+  std::string out;
+  app.add_option("--seeds", seeds, "Seeds of the arrival lists.");
+  app.add_option("--hours", hours, "Length of each run.");
+  app.add_option("--warm-up-hours", warmUpHours, "Part at the start that is not counted.");
+  app.add_option("--threads", threads, "Runs at a time.");
+  app.add_option("--weights", weights, "Weights of the cost-aware policy.");
+  app.add_option("--json", out, "File for the runs as JSON.");
+  CLI11_PARSE(app, aArgc, aArgv);
+
+  std::vector<Candidate> candidates{ { "fixed 60 s", FixedKeepAlive{} },
+                                     { "histogram p90", HistogramKeepAlive{} } };
+  for (const double weight : weights) {
+    char name[32];
+    std::snprintf(name, sizeof name, "cost-aware %g", weight);
+    candidates.push_back({ name, CostAwareKeepAlive{ weight } });
+  }
+  std::vector<Run> runs;
+  for (const char* deployment : { "nominas", "lanna-wings" }) {
+    for (const Candidate& candidate : candidates) {
+      for (const std::uint64_t seed : seeds) {
+        runs.push_back({ deployment, candidate.name, seed, candidate.policy, {} });
+      }
+    }
+  }
+  const auto length =
+    std::chrono::duration_cast<Duration>(std::chrono::duration<double>(hours * 3'600));
+  const auto warmUp =
+    std::chrono::duration_cast<Duration>(std::chrono::duration<double>(warmUpHours * 3'600));
+  std::atomic<std::size_t> next = 0;
+  const auto work = [&] {
+    for (std::size_t i = next++; i < runs.size(); i = next++) {
+      Run& run = runs[i];
+      const Deployment deployment = run.deployment == "nominas"
+                                      ? NominasDeployment(run.keepAlive)
+                                      : LannaWingsDeployment(run.keepAlive);
+      const auto arrivals = GenerateArrivals(deployment, run.seed, length);
+      run.outcome = CellWorld(deployment, warmUp).Run(arrivals, length);
+    }
+  };
+  {
+    std::vector<std::jthread> pool;
+    for (unsigned i = 0; i < threads; ++i) {
+      pool.emplace_back(work);
+    }
+  }
+  std::vector<json> results;
+  std::printf("seeds:");
+  for (const std::uint64_t seed : seeds) {
+    std::printf(" %lu", static_cast<unsigned long>(seed));
+  }
+  std::printf("; %g h each, the first %g h not counted; medians\n", hours, warmUpHours);
+  std::transform(runs.begin(), runs.end(), std::back_inserter(results), ToJson);
+  PrintTable(results);
+  if (!out.empty()) {
+    std::ofstream(out) << json(results).dump(1) << '\n';
+  }
+  return 0;
+}
