Feature: [Scheduler] Hold replicas by cost, and pre-load expected models

Cause: the idle limits came from buckets that double, stopped at the first bucket in which holding did not pay (wrong for periodic models), and counted the pauses between reports of one session as idle times. Change: four buckets to each doubling; idle times below the routers' reporting interval are not counted; the cost-aware rule looks for the best horizon from the present idle time on, with the cell's histogram as the prior of a model that has shown little; a model whose return is expected is loaded once ahead into free memory, after the demands.

--- a/src/decision/scheduler/cell_base.h
+++ b/src/decision/scheduler/cell_base.h
@@ -140,6 +140,8 @@
   void StartDrain(Context& aContext, const View& aView, Runner& aRunner, Replica& aReplica);
   void ContinueDrains(Context& aContext, const View& aView);
   void UnloadIdle(Context& aContext, const View& aView);
+  void PreloadExpected(Context& aContext, const View& aView);
+  void NoteUse(const Context& aContext, const DemandMessage& aDemand);
   void WritePlacement(Context& aContext);
   PlacementRow MakePlacementRow(Context& aContext) const;
   void Remove(Runner& aRunner, const ModelId& aModel);
@@ -206,10 +208,12 @@
   TimePoint mNextLeaseAction{};
   TimePoint mNextPlacementWrite{};
   TimePoint mNextKeepAlive{};
+  TimePoint mNextPreload{};
   std::map<EndpointId, Runner> mRunners;
   std::map<Artifact, PendingDemand> mDemands;
   std::map<ModelId, EndpointId> mPlanned; ///< Where room is being made for a model.
   std::map<ModelId, ModelUsage> mUsage;
+  IdleHistogram mCellIdleTimes; ///< Of all models.
   double mLoadTokens = 1.0;
   TimePoint mLoadTokensAt{};
 };
--- a/src/decision/scheduler/cell_demand.cpp
+++ b/src/decision/scheduler/cell_demand.cpp
@@ -41,6 +41,26 @@
   aView.SendTo(aContext, aTo, std::move(aReply));
 }
 
+void Cell::NoteUse(const Context& aContext, const DemandMessage& aDemand)
+{
+  ModelUsage& usage = mUsage[aDemand.artifact.model];
+  const Duration idle = aContext.now() - usage.lastUsed;
+  // Routers report use more often than this, so a shorter pause may be none at all.
+  if (usage.isUsed && idle >= aContext.settings().replicaLifetime) {
+    usage.idleTimes.Add(idle);
+    mCellIdleTimes.Add(idle);
+  }
+  usage.lastUsed = aContext.now();
+  usage.isUsed = true;
+  usage.isPreloaded = false;
+  for (auto& [id, runner] : mRunners) {
+    const auto replica = runner.replicas.find(aDemand.artifact.model);
+    if (replica != runner.replicas.end()) {
+      replica->second.lastUsed = aContext.now();
+    }
+  }
+}
+
 void Cell::OnDemand(Context& aContext,
                     const View& aView,
                     const DaemonId& aFrom,
@@ -75,18 +95,7 @@
     return;
   }
   if (isNeeded || aDemand.startedSince > 0 || aDemand.inFlight > 0) {
-    ModelUsage& usage = mUsage[aDemand.artifact.model];
-    if (usage.isUsed && aDemand.startedSince + aDemand.waiting > 0) {
-      usage.idleTimes.Add(aContext.now() - usage.lastUsed);
-    }
-    usage.lastUsed = aContext.now();
-    usage.isUsed = true;
-    for (auto& [id, runner] : mRunners) {
-      const auto replica = runner.replicas.find(aDemand.artifact.model);
-      if (replica != runner.replicas.end()) {
-        replica->second.lastUsed = aContext.now();
-      }
-    }
+    NoteUse(aContext, aDemand);
   }
   if (IsReady(aDemand.artifact)) {
     Reply(aContext,
--- a/src/decision/scheduler/cell_lease.cpp
+++ b/src/decision/scheduler/cell_lease.cpp
@@ -32,6 +32,7 @@
   UnloadIdle(aContext, aView);
   ContinueDrains(aContext, aView);
   ServeDemands(aContext, aView);
+  PreloadExpected(aContext, aView);
   WritePlacement(aContext);
   SendOrders(aContext, aView);
 }
--- a/src/decision/scheduler/cell_placement.cpp
+++ b/src/decision/scheduler/cell_placement.cpp
@@ -294,11 +294,15 @@
       const double share = runner.memory.value == 0 ? 0.0
                                                     : static_cast<double>(replica.memory.value) /
                                                         static_cast<double>(runner.memory.value);
-      const Duration limit =
-        isDeclared
-          ? IdleLimit(service->keepAlive, { mUsage[model], spec->second.expectedLoad, share })
-          : Duration{};
-      if (replica.lastUsed + limit <= aContext.now()) {
+      // A pre-loaded replica has been idle since its model was last used, not since its load.
+      const ModelUsage& usage = mUsage[model];
+      const Duration idle = aContext.now() - (usage.isUsed ? usage.lastUsed : replica.lastUsed);
+      const bool isHeld =
+        isDeclared &&
+        (idle < aContext.settings().replicaLifetime ||
+         IsWorthHolding(
+           service->keepAlive, { usage, mCellIdleTimes, spec->second.expectedLoad, share }, idle));
+      if (!isHeld) {
         StartDrain(aContext, aView, runner, replica);
       }
     }
--- a/src/decision/scheduler/keep_alive.cpp
+++ b/src/decision/scheduler/keep_alive.cpp
@@ -4,58 +4,92 @@
 #include "core/overloaded.h"
 
 #include <algorithm>
-#include <bit>
+#include <cmath>
 
 namespace rhubarbtrail {
 
 namespace {
 
-/* Idle times that a model must have shown before its histogram is trusted. */
+/* Idle times that a model must have shown before its own histogram is trusted alone. */
 constexpr std::uint32_t kTrustedSamples = 8;
-/* Idle limit of a model whose histogram is not trusted yet. */
+/* Weight, in samples, of the cell's histogram beside a model's own. */
+constexpr double kPriorSamples = 2.0;
+/* Idle limit while neither the model nor its cell has shown idle times. */
 constexpr Duration kUntrustedLimit = 60s;
+/* Buckets to each doubling of the idle time. */
+constexpr double kBucketsPerOctave = 4.0;
+/* A pre-load must be worth this many times its cost, as the prediction may be wrong. */
+constexpr double kPreloadMargin = 1.5;
 
-Duration LimitOf(const HistogramKeepAlive& aPolicy, const KeepAliveInput& aInput)
+bool IsHeld(const HistogramKeepAlive& aPolicy, const KeepAliveInput& aInput, Duration aIdle)
 {
   if (aInput.usage.idleTimes.total() < kTrustedSamples) {
-    return std::clamp(kUntrustedLimit, aPolicy.minimum, aPolicy.maximum);
+    return aIdle < std::clamp(kUntrustedLimit, aPolicy.minimum, aPolicy.maximum);
   }
   const Duration tail = aInput.usage.idleTimes.Percentile(aPolicy.percentile);
   // A model that mostly returns later than the maximum is not worth keeping at all.
-  return tail > aPolicy.maximum ? aPolicy.minimum : std::max(tail, aPolicy.minimum);
+  return aIdle < (tail > aPolicy.maximum ? aPolicy.minimum : std::max(tail, aPolicy.minimum));
 }
 
-Duration LimitOf(const CostAwareKeepAlive& aPolicy, const KeepAliveInput& aInput)
+/* Returns the best ratio, over all horizons, of the expected cold start saved to the memory time
+ * spent by holding from aIdle on. Above 1, holding pays. */
+double HoldingRatio(const CostAwareKeepAlive& aPolicy, const KeepAliveInput& aInput, Duration aIdle)
 {
-  if (aInput.usage.idleTimes.total() < kTrustedSamples) {
-    return kUntrustedLimit;
+  const IdleHistogram& own = aInput.usage.idleTimes;
+  const IdleHistogram& cell = aInput.cellIdleTimes;
+  const double prior = cell.total() == 0 ? 0.0 : kPriorSamples / cell.total();
+  const auto weightOf = [&](std::size_t aBucket) {
+    return own.count(aBucket) + prior * cell.count(aBucket);
+  };
+  const std::size_t first = IdleHistogram::BucketOf(aIdle);
+  double remaining = 0;
+  for (std::size_t bucket = first; bucket < IdleHistogram::kBuckets; ++bucket) {
+    remaining += weightOf(bucket);
   }
-  const double benefit =
+  const double saving =
     aPolicy.coldStartWeight * std::chrono::duration<double>(aInput.expectedLoad).count();
-  Duration limit = 1s;
-  while (limit < 1h) {
-    const Duration next = 2 * limit;
-    const double cost = aInput.memoryShare * std::chrono::duration<double>(next - limit).count();
-    if (aInput.usage.idleTimes.ReturnShare(limit, next) * benefit < cost) {
-      break;
-    }
-    limit = next;
+  double best = 0;
+  double returned = 0;
+  double held = 0;
+  Duration from = aIdle;
+  for (std::size_t bucket = first; bucket < IdleHistogram::kBuckets && remaining > 0; ++bucket) {
+    const Duration end = IdleHistogram::UpperEnd(bucket);
+    const double length = std::chrono::duration<double>(end - from).count();
+    const double returning = weightOf(bucket);
+    // Those that return within the bucket do so at its middle on average.
+    held += length * (remaining - returning / 2);
+    remaining -= returning;
+    returned += returning;
+    best = std::max(best, returned * saving / std::max(1e-9, held * aInput.memoryShare));
+    from = end;
+  }
+  return best;
+}
+
+bool IsHeld(const CostAwareKeepAlive& aPolicy, const KeepAliveInput& aInput, Duration aIdle)
+{
+  if (aInput.usage.idleTimes.total() + aInput.cellIdleTimes.total() < kTrustedSamples) {
+    return aIdle < kUntrustedLimit;
   }
-  return limit;
+  return HoldingRatio(aPolicy, aInput, aIdle) >= 1.0;
 }
 
 } // namespace
 
 std::size_t IdleHistogram::BucketOf(Duration aIdle)
 {
-  const auto seconds =
-    static_cast<std::uint64_t>(std::max<Duration::rep>(0, aIdle.count()) / 1'000'000);
-  return std::min(kBuckets - 1, static_cast<std::size_t>(std::bit_width(seconds)));
+  const double seconds = std::chrono::duration<double>(aIdle).count();
+  if (seconds < 1.0) {
+    return 0;
+  }
+  return std::min(kBuckets - 1,
+                  1 + static_cast<std::size_t>(kBucketsPerOctave * std::log2(seconds)));
 }
 
 Duration IdleHistogram::UpperEnd(std::size_t aBucket)
 {
-  return std::chrono::seconds{ std::int64_t{ 1 } << aBucket };
+  const double seconds = std::exp2(static_cast<double>(aBucket) / kBucketsPerOctave);
+  return Duration{ static_cast<Duration::rep>(seconds * 1e6) };
 }
 
 void IdleHistogram::Add(Duration aIdle)
@@ -77,27 +111,21 @@
   return UpperEnd(kBuckets - 1);
 }
 
-double IdleHistogram::ReturnShare(Duration aFrom, Duration aTo) const
+bool IsWorthHolding(const KeepAlivePolicy& aPolicy, const KeepAliveInput& aInput, Duration aIdle)
 {
-  std::uint32_t longer = 0;
-  std::uint32_t within = 0;
-  for (std::size_t bucket = 0; bucket < kBuckets; ++bucket) {
-    if (UpperEnd(bucket) <= aFrom) {
-      continue;
-    }
-    longer += mCounts[bucket];
-    if (UpperEnd(bucket) <= aTo) {
-      within += mCounts[bucket];
-    }
-  }
-  return longer == 0 ? 0.0 : static_cast<double>(within) / longer;
+  return std::visit(
+    Overloaded{ [&](const FixedKeepAlive& aFixed) { return aIdle < aFixed.idleLimit; },
+                [&](const auto& aLearning) { return IsHeld(aLearning, aInput, aIdle); } },
+    aPolicy);
 }
 
-Duration IdleLimit(const KeepAlivePolicy& aPolicy, const KeepAliveInput& aInput)
+bool IsWorthPreloading(const KeepAlivePolicy& aPolicy, const KeepAliveInput& aInput, Duration aIdle)
 {
-  return std::visit(Overloaded{ [](const FixedKeepAlive& aFixed) { return aFixed.idleLimit; },
-                                [&](const auto& aLearning) { return LimitOf(aLearning, aInput); } },
-                    aPolicy);
+  const auto* policy = std::get_if<CostAwareKeepAlive>(&aPolicy);
+  if (policy == nullptr || aInput.usage.idleTimes.total() < kTrustedSamples) {
+    return false;
+  }
+  return HoldingRatio(*policy, aInput, aIdle) >= kPreloadMargin;
 }
 
 } // namespace rhubarbtrail
