Fix: [Test] Take crashed runners off the host list in the quarantine test

The stand-in's list kept the crashed runner as live; its model counted as possibly loaded there, and the attempts were spent on it. The platform takes hosts off its list; the test did not.

Ruled out: a wrong verdict of the attempt (the first crash made the request a suspect).

Change: the test does what the platform does, while the request is open.

--- a/demo/local_cluster.py
+++ b/demo/local_cluster.py
@@ -184,6 +184,9 @@
     def host(self, name: str) -> dict[str, str]:
         return self._hosts[name]
 
+    def has_host(self, name: str) -> bool:
+        return name in self._hosts
+
     def remove_host(self, name: str) -> None:
         self._hosts.pop(name, None)
         call(self.platform.address, "POST", "/admin/hosts", {"remove": [name]})
--- a/tests/process/test_operator.py
+++ b/tests/process/test_operator.py
@@ -5,6 +5,8 @@
 import os
 import subprocess
 import sys
+import time
+from concurrent.futures import ThreadPoolExecutor
 
 import yaml
 from examples import lanna_wings, nominas
@@ -175,7 +177,15 @@
 def test_a_quarantined_request_is_listed_and_released_on_every_daemon() -> None:
     with Cluster() as cluster:
         daemons = start(cluster, runners=4, daemons=2)
-        answer = chat(daemons[0], prompt="CRASH-THE-ENGINE")
+        with ThreadPoolExecutor(1) as pool:
+            crashing = pool.submit(chat, daemons[0], prompt="CRASH-THE-ENGINE")
+            while not crashing.done():
+                # The platform takes hosts that are gone off its list.
+                for name, process in cluster.processes.items():
+                    if process.popen.poll() is not None and cluster.has_host(name):
+                        cluster.remove_host(name)
+                time.sleep(0.02)
+        answer = crashing.result()
         assert answer.headers["x-result-code"] == "5103", answer
         wait_until(lambda: "5101" == chat(daemons[1], prompt="CRASH-THE-ENGINE")
                    .headers["x-result-code"])
