Fix: [Daemon] Read a configuration once when several peers send it

Cause: each peer's message with a new version was parsed until the first one was in force; at 0.2 s for a large document that is a burst of work for nothing.

Change: the newest version whose reading was begun is kept; the same one is not read again.

Ruled out: a lock around the reading; it would hold up the peers' thread for as long.

Conclusion: the process tests pass. The saving was not measured.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -67,6 +67,7 @@
   RcuPointer<Snapshot> mSnapshot;
   Snapshot mNextSnapshot; ///< Used by the decision thread only.
   std::atomic<std::uint64_t> mVersion{ 0 };
+  std::atomic<std::uint64_t> mNewestRead{ 0 }; ///< Newest version whose document was read.
   SessionMap mSessions;
   Metrics mMetrics;
   WorkerPool mTablePool;
@@ -362,9 +363,13 @@
 
 void Daemon::Install(const ConfigurationRow& aRow)
 {
-  if (aRow.version.value <= mVersion) {
-    return;
-  }
+  // Several peers may send the same version at once; it is read once.
+  std::uint64_t newest = mNewestRead;
+  do {
+    if (aRow.version.value <= newest) {
+      return;
+    }
+  } while (!mNewestRead.compare_exchange_weak(newest, aRow.version.value));
   auto parsed = ParseConfiguration(aRow.document, aRow.version);
   if (!parsed) {
     Log(log_part::kConfiguration)
