Fix: [Daemon] Tell the thread sanitizer about read-copy-update

Ruled out: a real race; the grace period of liburcu orders both, but the sanitizer does not see membarrier.

Change: readers and grace period are annotated, in sanitizer builds only.

--- a/src/core/rcu_pointer.h
+++ b/src/core/rcu_pointer.h
@@ -5,8 +5,28 @@
 #include <memory>
 #include <urcu/urcu-memb.h>
 
+#if defined(__SANITIZE_THREAD__)
+#include <sanitizer/tsan_interface.h>
+#endif
+
 namespace rhubarbtrail {
 
+/* Tells the thread sanitizer, which does not know read-copy-update, that a reader has finished. */
+inline void AnnotateReaderEnd([[maybe_unused]] const void* aPointer)
+{
+#if defined(__SANITIZE_THREAD__)
+  __tsan_release(const_cast<void*>(aPointer));
+#endif
+}
+
+/* Tells the thread sanitizer that all earlier readers have finished. */
+inline void AnnotateGracePeriod([[maybe_unused]] const void* aPointer)
+{
+#if defined(__SANITIZE_THREAD__)
+  __tsan_acquire(const_cast<void*>(aPointer));
+#endif
+}
+
 /* Registers the calling thread as a reader until it ends. */
 class RcuReaderThread
 {
@@ -37,9 +57,18 @@
     RcuReaderThread::Ensure();
     struct Section
     {
-      Section() { urcu_memb_read_lock(); }
-      ~Section() { urcu_memb_read_unlock(); }
-    } const section;
+      explicit Section(const void* aPointer)
+        : pointer(aPointer)
+      {
+        urcu_memb_read_lock();
+      }
+      ~Section()
+      {
+        AnnotateReaderEnd(pointer);
+        urcu_memb_read_unlock();
+      }
+      const void* pointer;
+    } const section{ &mValue };
     return aReader(*__atomic_load_n(&mValue, __ATOMIC_CONSUME));
   }
 
@@ -48,6 +77,7 @@
   {
     const Value* old = __atomic_exchange_n(&mValue, aValue.release(), __ATOMIC_ACQ_REL);
     urcu_memb_synchronize_rcu();
+    AnnotateGracePeriod(&mValue);
     delete old;
   }
 
