--- a/src/decision/router/router_quarantine.cpp
+++ b/src/decision/router/router_quarantine.cpp
@@ -43,4 +43,15 @@
     aConvicted.fingerprint, aContext.now() + aConvicted.expiresIn, aContext.now());
 }
 
+void Router::OnQuarantineReleased(Context& aContext,
+                                  const View& aView,
+                                  const QuarantineReleased& aReleased)
+{
+  mQuarantine.convicted.Remove(aReleased.fingerprint);
+  // A conviction that has expired on arrival replaces the one that the others hold.
+  for (const auto& [id, member] : aView.members()) {
+    aView.SendTo(aContext, id, ConvictedMessage{ aReleased.fingerprint, Duration{} });
+  }
+}
+
 } // namespace rhubarbtrail
