Feature: [Scheduler] Place loads where the checkpoint is kept

Change: a runner's inventory may list the checkpoints that its host keeps; a load goes there first, then to the model's candidates, then to the most free memory (placement_policy_type.h). The member is optional on the wire.

--- a/bench/cell_world.cpp
+++ b/bench/cell_world.cpp
@@ -21,8 +21,9 @@
 
 } // namespace
 
-CellWorld::CellWorld(const Deployment& aDeployment, Duration aWarmUp)
+CellWorld::CellWorld(const Deployment& aDeployment, Duration aWarmUp, CheckpointReport aReport)
   : mConfiguration(aDeployment.configuration)
+  , mReport(aReport)
   , mNode({ .self = { DaemonId{ "d0" }, IncarnationId{ "1" } },
             .zone = ZoneId{ "a" },
             .settings = {},
@@ -219,7 +220,11 @@
 {
   Inventory inventory{ .bootId = "boot",
                        .memory = mConfiguration.services.at(kService).runnerMemory,
-                       .models = {} };
+                       .models = {},
+                       .checkpoints = {} };
+  if (mReport == CheckpointReport::kListed) {
+    inventory.checkpoints.assign(aRunner.checkpoints.begin(), aRunner.checkpoints.end());
+  }
   for (const auto& [model, loaded] : aRunner.models) {
     inventory.models.push_back({ .model = model,
                                  .version = "1",
--- a/bench/cell_world.h
+++ b/bench/cell_world.h
@@ -26,11 +26,18 @@
   std::uint64_t storeLoads = 0;  ///< Loads that the weight store served.
 };
 
+/* Whether the runners say which checkpoints their hosts keep. */
+enum class CheckpointReport : std::uint8_t
+{
+  kNone,
+  kListed,
+};
+
 /* One cell, driven by one node that is both its router and its holder. */
 class CellWorld
 {
 public:
-  CellWorld(const Deployment& aDeployment, Duration aWarmUp);
+  CellWorld(const Deployment& aDeployment, Duration aWarmUp, CheckpointReport aReport);
   Outcome Run(const std::vector<Arrival>& aArrivals, Duration aLength);
 
 private:
@@ -75,6 +82,7 @@
   bool IsReady(const Artifact& aArtifact) const;
 
   Configuration mConfiguration;
+  CheckpointReport mReport;
   Node mNode;
   TimePoint mNow{};
   TimePoint mMeasureFrom{};
--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -22,6 +22,7 @@
 {
   std::string name;
   KeepAlivePolicy policy;
+  CheckpointReport report = CheckpointReport::kListed;
 };
 
 struct Run
@@ -29,7 +30,7 @@
   std::string deployment;
   std::string policy;
   std::uint64_t seed = 0;
-  KeepAlivePolicy keepAlive;
+  Candidate candidate;
   Outcome outcome;
 };
 
@@ -86,7 +87,7 @@
   for (const json& run : aRuns) {
     groups[{ run.at("deployment"), run.at("policy") }].push_back(run);
   }
-  std::printf("%-12s %-18s %7s %7s %7s %8s %6s %6s %7s %7s %7s\n",
+  std::printf("%-12s %-18s %7s %7s %7s %8s %6s %6s %7s %7s %7s %7s\n",
               "deployment",
               "policy",
               "p50 s",
@@ -97,9 +98,10 @@
               "cold",
               "loads",
               "wasted",
+              "store",
               "refused");
   for (const auto& [key, runs] : groups) {
-    std::printf("%-12s %-18s %7.2f %7.2f %7.2f %8.2f %6.0f %6.0f %7.0f %7.0f %7.0f\n",
+    std::printf("%-12s %-18s %7.2f %7.2f %7.2f %8.2f %6.0f %6.0f %7.0f %7.0f %7.0f %7.0f\n",
                 key.first.c_str(),
                 key.second.c_str(),
                 Median(runs, "p50_s"),
@@ -110,6 +112,7 @@
                 Median(runs, "cold"),
                 Median(runs, "loads"),
                 Median(runs, "wasted"),
+                Median(runs, "store_loads"),
                 Median(runs, "refused"));
   }
 }
@@ -133,7 +136,8 @@
   app.add_option("--json", out, "File for the runs as JSON.");
   CLI11_PARSE(app, aArgc, aArgv);
 
-  std::vector<Candidate> candidates{ { "fixed 60 s", FixedKeepAlive{} },
+  std::vector<Candidate> candidates{ { "baseline", FixedKeepAlive{}, CheckpointReport::kNone },
+                                     { "fixed 60 s", FixedKeepAlive{} },
                                      { "histogram p90", HistogramKeepAlive{} } };
   for (const double weight : weights) {
     char name[32];
@@ -144,7 +148,7 @@
   for (const char* deployment : { "nominas", "lanna-wings" }) {
     for (const Candidate& candidate : candidates) {
       for (const std::uint64_t seed : seeds) {
-        runs.push_back({ deployment, candidate.name, seed, candidate.policy, {} });
+        runs.push_back({ deployment, candidate.name, seed, candidate, {} });
       }
     }
   }
@@ -157,10 +161,10 @@
     for (std::size_t i = next++; i < runs.size(); i = next++) {
       Run& run = runs[i];
       const Deployment deployment = run.deployment == "nominas"
-                                      ? NominasDeployment(run.keepAlive)
-                                      : LannaWingsDeployment(run.keepAlive);
+                                      ? NominasDeployment(run.candidate.policy)
+                                      : LannaWingsDeployment(run.candidate.policy);
       const auto arrivals = GenerateArrivals(deployment, run.seed, length);
-      run.outcome = CellWorld(deployment, warmUp).Run(arrivals, length);
+      run.outcome = CellWorld(deployment, warmUp, run.candidate.report).Run(arrivals, length);
     }
   };
   {
--- a/src/codec/json_codec.cpp
+++ b/src/codec/json_codec.cpp
@@ -86,7 +86,7 @@
 RHUBARBTRAIL_FIELDS(SuspectsMessage, endpoint, bootId, fingerprints)
 RHUBARBTRAIL_FIELDS(ConvictedMessage, fingerprint, expiresIn)
 RHUBARBTRAIL_FIELDS(LoadedModel, model, version, ready, adapters, running)
-RHUBARBTRAIL_FIELDS(Inventory, bootId, memory, models, running, queued)
+RHUBARBTRAIL_FIELDS(Inventory, bootId, memory, models, running, queued, checkpoints)
 #undef RHUBARBTRAIL_FIELDS
 
 namespace {
--- a/src/decision/event_type.h
+++ b/src/decision/event_type.h
@@ -101,6 +101,7 @@
   std::vector<LoadedModel> models;
   std::uint32_t running = 0;
   std::uint32_t queued = 0;
+  std::vector<ModelId> checkpoints; ///< Kept by the runner's host, so that they load sooner.
 };
 
 enum class OrderOutcome : std::uint8_t
--- a/src/decision/scheduler/cell_base.h
+++ b/src/decision/scheduler/cell_base.h
@@ -4,6 +4,7 @@
 
 #include "decision/context_type.h"
 #include "decision/scheduler/keep_alive_base.h"
+#include "decision/scheduler/replica_count_policy_base.h"
 #include "decision/view/view_base.h"
 
 #include <cstdint>
@@ -60,6 +61,7 @@
   RunnerReach reach = RunnerReach::kUnknown;
   MemoryMb memory;
   std::map<ModelId, Replica> replicas;
+  std::set<ModelId> checkpoints; ///< Kept by its host.
   std::uint32_t reportedLoad = 0;
   OrderId inventory; ///< The inventory order under way; empty when none.
   TimePoint inventoryAskedAt{};
@@ -142,6 +144,14 @@
   void UnloadIdle(Context& aContext, const View& aView);
   void PreloadExpected(Context& aContext, const View& aView);
   void NoteUse(const Context& aContext, const DemandMessage& aDemand);
+
+  // replica_count_policy.cpp
+  std::uint32_t DecidedReplicas(const ModelId& aModel) const;
+  bool AreAllLoaded(const ModelId& aModel) const;
+  void UpdateReplicaCounts(Context& aContext, const View& aView);
+  void LoadSharedAdapters(Context& aContext, const View& aView, const ModelId& aModel);
+  void AddReplica(Context& aContext, const View& aView, const ModelSpec& aModel);
+  void GiveUpReplica(Context& aContext, const View& aView, const ModelId& aModel);
   void WritePlacement(Context& aContext);
   PlacementRow MakePlacementRow(Context& aContext) const;
   void Remove(Runner& aRunner, const ModelId& aModel);
@@ -209,11 +219,13 @@
   TimePoint mNextPlacementWrite{};
   TimePoint mNextKeepAlive{};
   TimePoint mNextPreload{};
+  TimePoint mNextCountUpdate{};
   std::map<EndpointId, Runner> mRunners;
   std::map<Artifact, PendingDemand> mDemands;
   std::map<ModelId, EndpointId> mPlanned; ///< Where room is being made for a model.
   std::map<ModelId, ModelUsage> mUsage;
-  IdleHistogram mCellIdleTimes; ///< Of all models.
+  std::map<ModelId, ReplicaCount> mCounts; ///< Of models that may have more than one replica.
+  IdleHistogram mCellIdleTimes;            ///< Of all models.
   double mLoadTokens = 1.0;
   TimePoint mLoadTokensAt{};
 };
--- a/src/decision/scheduler/cell_order.cpp
+++ b/src/decision/scheduler/cell_order.cpp
@@ -229,6 +229,7 @@
   aRunner.bootId = aInventory.bootId;
   aRunner.memory = aInventory.memory;
   aRunner.reportedLoad = aInventory.running + aInventory.queued;
+  aRunner.checkpoints = { aInventory.checkpoints.begin(), aInventory.checkpoints.end() };
   for (const LoadedModel& loaded : aInventory.models) {
     Replica& replica = aRunner.replicas[loaded.model];
     if (replica.model.empty()) {
--- a/src/decision/scheduler/cell_placement.cpp
+++ b/src/decision/scheduler/cell_placement.cpp
@@ -2,6 +2,7 @@
 #include "decision/scheduler/cell_base.h"
 
 #include "decision/rendezvous_func.h"
+#include "decision/scheduler/placement_policy_type.h"
 
 #include <algorithm>
 
@@ -119,7 +120,7 @@
     return false;
   }
   Runner* best = nullptr;
-  std::pair<bool, MemoryMb> bestScore{};
+  PlacementScore bestScore;
   for (auto& [id, runner] : mRunners) {
     const bool isUsable = runner.reach == RunnerReach::kReached &&
                           aView.IsUsable(id, aContext.now()) &&
@@ -131,7 +132,9 @@
     if (isUnwritten && !isCandidate) {
       continue;
     }
-    const std::pair score{ isCandidate, FreeMemory(aContext, aView, runner, aModel.id) };
+    const PlacementScore score{ .hasCheckpoint = runner.checkpoints.contains(aModel.id),
+                                .isCandidate = isCandidate,
+                                .free = FreeMemory(aContext, aView, runner, aModel.id) };
     if (best == nullptr || score > bestScore) {
       best = &runner;
       bestScore = score;
