Feature: [Scheduler] Decide the number of replicas from demand

Cause: max_replicas was in the configuration and unused; a cell loaded a model only when it had none. Change: replica_count_policy decides the number for each model that may have more than one replica: one more after demand exceeded the replicas' concurrency for 2 s, one less when half of the remaining capacity would do for 60 s, one step at a time and only while all replicas are loaded, so that a burst on a cold model still makes one load. Loads are decided while CountReplicas() is below that number; a surplus replica is drained. A new holder adopts what it finds. Adapters of one replica are loaded on the others. Ruled out: growing at once, which would answer a burst on a cold model with several loads. Known fault, not mended here: Router::Demand reports the requests in flight on the whole runner, those of other models included, so the number can grow too far on shared runners.

--- a/src/decision/scheduler/cell_demand.cpp
+++ b/src/decision/scheduler/cell_demand.cpp
@@ -96,6 +96,12 @@
   }
   if (isNeeded || aDemand.startedSince > 0 || aDemand.inFlight > 0) {
     NoteUse(aContext, aDemand);
+    if (spec->second.maxReplicas > 1) {
+      mCounts[aDemand.artifact.model].Report(aFrom,
+                                             aDemand.artifact.adapter,
+                                             aDemand.waiting + aDemand.inFlight,
+                                             aContext.now() + aContext.settings().replicaLifetime);
+    }
   }
   if (IsReady(aDemand.artifact)) {
     Reply(aContext,
@@ -218,6 +224,9 @@
       continue;
     }
     Replica& replica = found->second;
+    if (replica.adapters.contains(aArtifact.adapter)) {
+      continue;
+    }
     const auto loading = replica.adaptersLoading.find(aArtifact.adapter);
     if (loading != replica.adaptersLoading.end() && loading->second > aContext.now()) {
       aContext.WakeBy(std::min(loading->second, aContext.now() + 1s));
@@ -275,7 +284,8 @@
       LoadAdapter(aContext, aView, artifact);
       continue;
     }
-    const bool isDecided = CountReplicas(aContext, aView, artifact.model) > 0;
+    const bool isDecided =
+      CountReplicas(aContext, aView, artifact.model) >= DecidedReplicas(artifact.model);
     if (isDecided && aContext.IsEnabled(Mechanism::kDemandMerging)) {
       continue;
     }
--- a/src/decision/scheduler/cell_lease.cpp
+++ b/src/decision/scheduler/cell_lease.cpp
@@ -32,6 +32,7 @@
   UnloadIdle(aContext, aView);
   ContinueDrains(aContext, aView);
   ServeDemands(aContext, aView);
+  UpdateReplicaCounts(aContext, aView);
   PreloadExpected(aContext, aView);
   WritePlacement(aContext);
   SendOrders(aContext, aView);
@@ -267,6 +268,7 @@
   mHolder = aContext.self();
   mRunners.clear();
   mPlanned.clear();
+  mCounts.clear();
   mNextLeaseAction = aContext.now() + aContext.settings().leaseRenewal;
   mNextKeepAlive = aContext.now() + aContext.settings().replicaLifetime;
   for (const PlacementEntry& entry : aPlacement.entries) {
--- /dev/null
+++ b/tests/unit/replica_count_test.cpp
@@ -0,0 +1,76 @@
+/* The decided number of replicas follows demand with hysteresis. */
+#include "decision/scheduler/replica_count_policy_base.h"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+using namespace rhubarbtrail;
+
+TEST_CASE("the decided number of replicas")
+{
+  struct Row
+  {
+    const char* name;
+    std::vector<std::uint32_t> requests; ///< Reported each second.
+    std::uint32_t maximum;
+    std::uint32_t decided; ///< In the end.
+  };
+  const std::vector<std::uint32_t> calm(200, 5);
+  std::vector<std::uint32_t> peak(10, 100);
+  std::vector<std::uint32_t> dip = peak;
+  dip.insert(dip.end(), 30, 5);
+  std::vector<std::uint32_t> over = peak;
+  over.insert(over.end(), 200, 5);
+  std::vector<std::uint32_t> between = peak;
+  between.insert(between.end(), 200, 30);
+  const std::vector<Row> rows{
+    { "calm", calm, 4, 1 },
+    { "a peak of one second", { 5, 100, 5, 5 }, 4, 1 },
+    { "overload", peak, 4, 4 },
+    { "overload up to the limit", peak, 2, 2 },
+    { "a short dip", dip, 4, 4 },
+    { "the overload is over", over, 4, 1 },
+    { "too much for one replica less", between, 4, 4 },
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    ReplicaCount count;
+    TimePoint now{};
+    for (const std::uint32_t requests : row.requests) {
+      now += 1s;
+      count.Report(DaemonId{ "d0" }, {}, requests, now + 10s);
+      const std::uint32_t before = count.decided();
+      const std::uint32_t after = count.Update(now, { row.maximum, 16 });
+      CHECK(after <= row.maximum);
+      CHECK(after <= before + 1);
+    }
+    CHECK(count.decided() == row.decided);
+  }
+}
+
+TEST_CASE("reports of several routers add up and run out")
+{
+  ReplicaCount count;
+  TimePoint now{};
+  for (int second = 0; second < 5; ++second) {
+    now += 1s;
+    count.Report(DaemonId{ "d0" }, {}, 10, now + 10s);
+    count.Report(DaemonId{ "d1" }, {}, 10, now + 10s);
+    count.Update(now, { 4, 16 });
+  }
+  CHECK(count.decided() == 2);
+  for (int second = 0; second < 120; ++second) {
+    now += 1s;
+    count.Update(now, { 4, 16 });
+  }
+  CHECK(count.decided() == 1);
+}
+
+TEST_CASE("a new holder adopts the replicas that it finds")
+{
+  ReplicaCount count;
+  count.Adopt(3);
+  CHECK(count.Update(TimePoint{} + 1s, { 4, 16 }) == 3);
+  CHECK(count.Update(TimePoint{} + 2s, { 2, 16 }) == 2);
+}
