--- a/src/decision/scheduler/keep_alive.cpp
+++ b/src/decision/scheduler/keep_alive.cpp
@@ -18,10 +18,8 @@
 constexpr Duration kUntrustedLimit = 60s;
 /* Buckets to each doubling of the idle time. */
 constexpr double kBucketsPerOctave = 4.0;
-/* A load of this length counts in proportion, longer ones more and shorter ones less. */
-constexpr double kReferenceLoadSeconds = 5.0;
 /* A pre-load must be worth this many times its cost, as the prediction may be wrong. */
-constexpr double kPreloadMargin = 3.0;
+constexpr double kPreloadMargin = 1.5;
 
 bool IsHeld(const HistogramKeepAlive& aPolicy, const KeepAliveInput& aInput, Duration aIdle)
 {
@@ -48,9 +46,8 @@
   for (std::size_t bucket = first; bucket < IdleHistogram::kBuckets; ++bucket) {
     remaining += weightOf(bucket);
   }
-  // The tail of cold starts is made of long loads, so these count more than in proportion.
-  const double load = std::chrono::duration<double>(aInput.expectedLoad).count();
-  const double saving = aPolicy.coldStartWeight * load * load / kReferenceLoadSeconds;
+  const double saving =
+    aPolicy.coldStartWeight * std::chrono::duration<double>(aInput.expectedLoad).count();
   double best = 0;
   double returned = 0;
   double held = 0;
