Feature: [Build] Measure the cost of events as the fleet grows

Cause: docs/CAPACITY.md needs slopes. Change: bench/capacity_bench times requests, demands, inventories and wakes of one node that holds one cell, for growing numbers of members, endpoints, runners, models and cells, and counts heartbeats, heap and bytes.

--- /dev/null
+++ b/bench/capacity_bench.cpp
@@ -0,0 +1,385 @@
+/* Measures the slopes behind docs/CAPACITY.md: what an event costs as the fleet grows. */
+#include "codec/json_codec.h"
+#include "decision/decision.h"
+
+#include <CLI/CLI.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <malloc.h>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace rhubarbtrail;
+
+/* The parts of a fleet that one node knows. */
+struct Fleet
+{
+  std::uint32_t members = 7;
+  std::uint32_t endpoints = 9; ///< Of the whole fleet.
+  std::uint32_t runners = 9;   ///< Of the cell that the node holds.
+  std::uint32_t models = 50;
+  std::uint32_t adapters = 56;
+  std::uint32_t otherCells = 0; ///< Held by other daemons.
+};
+
+struct Cost
+{
+  double meanUs = 0;
+  double p99Us = 0;
+};
+
+/* Loaded models on each runner. */
+constexpr std::uint32_t kReplicasPerRunner = 5;
+constexpr std::uint32_t kEvents = 2'000;
+
+std::size_t HeapBytes()
+{
+  return mallinfo2().uordblks;
+}
+
+/* A node that holds one cell, all of whose runners have answered. */
+class Bench
+{
+public:
+  explicit Bench(const Fleet& aFleet)
+    : mFleet(aFleet)
+    , mNode({ .self = { DaemonId{ "d0" }, IncarnationId{ "1" } },
+              .zone = ZoneId{ "z0" },
+              .settings = {},
+              .disabled = {} })
+  {
+    Apply(ConfigurationLoaded{ ConfigurationRow{ .version = { 1 }, .document = {}, .author = {} },
+                               MakeConfiguration() });
+    const HostListReceived hosts = MakeHosts();
+    Apply(hosts);
+    for (int second = 0; second < 3; ++second) {
+      Advance(1s);
+      HearMembers();
+      Apply(Wake{});
+    }
+  }
+
+  /* Costs of requests for models with a known replica, arrival and end each. */
+  Cost Requests()
+  {
+    std::vector<double> costs;
+    for (std::uint32_t i = 0; i < kEvents; ++i) {
+      const RequestId request{ "q" + std::to_string(i) };
+      Advance(100us);
+      const Event arrived = RequestArrived{ .request = request,
+                                            .customer = CustomerId{ "c" },
+                                            .service = ServiceId{ "cell" },
+                                            .artifact = { ModelOn(i % mFleet.runners, 0), {} },
+                                            .requestClass = ClassId{ "default" },
+                                            .key = {},
+                                            .fingerprint = {} };
+      costs.push_back(Time(arrived));
+      Time(AttemptEnded{ .request = request,
+                         .attempt = { 1 },
+                         .outcome = AttemptOutcome::kCompleted,
+                         .contentType = {},
+                         .answer = {} });
+    }
+    return CostOf(costs);
+  }
+
+  /* Costs of demands that report the use of a loaded model. */
+  Cost Demands()
+  {
+    std::vector<double> costs;
+    for (std::uint32_t i = 0; i < kEvents; ++i) {
+      Advance(100us);
+      costs.push_back(
+        Time(MessageReceived{ { DaemonId{ "d1" }, IncarnationId{ "1" } },
+                              { 1 },
+                              DemandMessage{ .cell = CellId{ "cell" },
+                                             .artifact = { ModelOn(i % mFleet.runners, 1), {} },
+                                             .startedSince = 1 } }));
+    }
+    return CostOf(costs);
+  }
+
+  /* Costs of inventories, after which the holder looks at the whole cell. */
+  Cost Inventories()
+  {
+    std::vector<double> costs;
+    for (std::uint32_t i = 0; i < kEvents && !mInventories.empty(); ++i) {
+      Advance(1ms);
+      const SendOrder order = mInventories.back();
+      mInventories.pop_back();
+      costs.push_back(Time(ResultOf(order)));
+      if (mInventories.empty()) {
+        Advance(2s);
+        HearMembers();
+        Apply(Wake{});
+      }
+    }
+    return CostOf(costs);
+  }
+
+  /* Costs of one second's wake: heartbeats to all members and the look at the cell. */
+  Cost Wakes()
+  {
+    std::vector<double> costs;
+    for (std::uint32_t i = 0; i < 50; ++i) {
+      Advance(1s);
+      costs.push_back(Time(Wake{}));
+      HearMembers();
+    }
+    return CostOf(costs);
+  }
+
+  /* Returns the heartbeat messages sent in one second, replies to those of the members included. */
+  std::uint64_t HeartbeatsPerSecond()
+  {
+    Advance(1s);
+    mHeartbeats = 0;
+    Apply(Wake{});
+    for (std::uint32_t i = 1; i < mFleet.members; ++i) {
+      Apply(HeartbeatFrom(i));
+    }
+    return mHeartbeats;
+  }
+
+private:
+  static Cost CostOf(std::vector<double> aCosts)
+  {
+    if (aCosts.empty()) {
+      return {};
+    }
+    std::sort(aCosts.begin(), aCosts.end());
+    double sum = 0;
+    for (const double cost : aCosts) {
+      sum += cost;
+    }
+    return { sum / static_cast<double>(aCosts.size()), aCosts[aCosts.size() * 99 / 100] };
+  }
+
+  void Advance(Duration aTime) { mNow += aTime; }
+
+  ModelId ModelOn(std::uint32_t aRunner, std::uint32_t aSlot) const
+  {
+    return ModelId{ "m" + std::to_string((aRunner * kReplicasPerRunner + aSlot) % mFleet.models) };
+  }
+
+  std::string OtherCell(std::uint32_t aNumber) const
+  {
+    return "other" + std::to_string(aNumber % std::max(1U, mFleet.otherCells));
+  }
+
+  std::shared_ptr<const Configuration> MakeConfiguration() const
+  {
+    auto configuration = std::make_shared<Configuration>();
+    configuration->version = { 1 };
+    ServiceSpec service{ .id = ServiceId{ "cell" }, .routes = {} };
+    service.keepAlive = CostAwareKeepAlive{};
+    configuration->services[service.id] = service;
+    for (std::uint32_t i = 0; i < mFleet.otherCells; ++i) {
+      service.id = ServiceId{ OtherCell(i) };
+      configuration->services[service.id] = service;
+    }
+    service.id = ServiceId{ "cell" };
+    configuration->classes[ClassId{ "default" }] = { .id = ClassId{ "default" } };
+    CustomerSpec customer{ .id = CustomerId{ "c" }, .keyHashes = {}, .models = {}, .services = {} };
+    customer.allModels = true;
+    configuration->customers[customer.id] = customer;
+    for (std::uint32_t i = 0; i < mFleet.models; ++i) {
+      ModelSpec model{ .id = ModelId{ "m" + std::to_string(i) }, .service = service.id };
+      model.memory = { 8'000 };
+      configuration->models[model.id] = model;
+    }
+    for (std::uint32_t i = 0; i < mFleet.adapters; ++i) {
+      const AdapterId id{ "a" + std::to_string(i) };
+      configuration->models[ModelId{ "m" + std::to_string(i % mFleet.models) }].adapters[id] = {
+        .id = id, .memory = { 100 }
+      };
+    }
+    return configuration;
+  }
+
+  HostListReceived MakeHosts() const
+  {
+    HostListReceived hosts;
+    for (std::uint32_t i = 0; i < mFleet.members; ++i) {
+      hosts.hosts.push_back({ .kind = HostKind::kDaemon,
+                              .id = "d" + std::to_string(i),
+                              .bootId = {},
+                              .service = {},
+                              .zone = ZoneId{ "z" + std::to_string(i % 26) },
+                              .address = "10.0.0.1:7000" });
+    }
+    for (std::uint32_t i = 0; i < mFleet.endpoints; ++i) {
+      const bool isOurs = i < mFleet.runners;
+      hosts.hosts.push_back({ .kind = HostKind::kEndpoint,
+                              .id = "r" + std::to_string(i),
+                              .bootId = "b",
+                              .service = ServiceId{ isOurs ? "cell" : OtherCell(i) },
+                              .zone = ZoneId{ "z" + std::to_string(i % 26) },
+                              .address = "10.0.1.1:8000" });
+    }
+    return hosts;
+  }
+
+  OrderResult ResultOf(const SendOrder& aOrder) const
+  {
+    OrderResult result{ .cell = aOrder.cell,
+                        .runner = aOrder.runner,
+                        .order = aOrder.order,
+                        .inventory = { .bootId = "b", .memory = { 80'000 }, .models = {} } };
+    const auto runner =
+      static_cast<std::uint32_t>(std::strtoul(aOrder.runner.str().c_str() + 1, nullptr, 10));
+    for (std::uint32_t slot = 0; slot < kReplicasPerRunner; ++slot) {
+      result.inventory.models.push_back(
+        { .model = ModelOn(runner, slot), .version = "1", .ready = true, .adapters = {} });
+    }
+    return result;
+  }
+
+  static MessageReceived HeartbeatFrom(std::uint32_t aMember)
+  {
+    return { { DaemonId{ "d" + std::to_string(aMember) }, IncarnationId{ "1" } },
+             { 1 },
+             HeartbeatMessage{ { 1 }, false } };
+  }
+
+  void HearMembers()
+  {
+    for (std::uint32_t i = 1; i < mFleet.members; ++i) {
+      Apply(HeartbeatFrom(i));
+    }
+  }
+
+  double Time(const Event& aEvent)
+  {
+    const auto start = std::chrono::steady_clock::now();
+    std::vector<Action> actions = mNode.Apply(mNow, aEvent);
+    const auto end = std::chrono::steady_clock::now();
+    Answer(actions);
+    return std::chrono::duration<double, std::micro>(end - start).count();
+  }
+
+  void Apply(const Event& aEvent) { Answer(mNode.Apply(mNow, aEvent)); }
+
+  /* Answers what the node asks of the table and, once, of each runner. */
+  void Answer(const std::vector<Action>& aActions)
+  {
+    for (const Action& action : aActions) {
+      if (const auto* read = std::get_if<TableRead>(&action)) {
+        ReadResult result{ .read = read->read, .ok = true, .rows = {} };
+        for (const RowKey& key : read->keys) {
+          // The lease of another cell has a holder.
+          Row row{ .key = key, .version = {}, .value = {} };
+          if (key.str().starts_with("cell/other")) {
+            row.version = { ++mVersion };
+            row.value = CellLeaseRow{ .holder = { DaemonId{ "d1" }, IncarnationId{ "1" } } };
+          }
+          result.rows.push_back(row);
+        }
+        Apply(result);
+      } else if (const auto* write = std::get_if<TableTransaction>(&action)) {
+        TransactionResult result{ .change = write->change, .rows = {} };
+        for (const RowWrite& row : write->writes) {
+          result.rows.push_back({ row.key, { ++mVersion }, row.value });
+        }
+        Apply(result);
+      } else if (const auto* order = std::get_if<SendOrder>(&action)) {
+        if (order->kind != OrderKind::kInventory) {
+          continue;
+        }
+        if (mAnswered < mFleet.runners) {
+          ++mAnswered;
+          Apply(ResultOf(*order));
+        } else {
+          mInventories.push_back(*order);
+        }
+      } else if (const auto* message = std::get_if<SendMessage>(&action)) {
+        mHeartbeats += std::holds_alternative<HeartbeatMessage>(message->message) ? 1 : 0;
+        if (message->to == DaemonId{ "d0" }) {
+          Apply(
+            MessageReceived{ { DaemonId{ "d0" }, IncarnationId{ "1" } }, { 1 }, message->message });
+        }
+      }
+    }
+  }
+
+  Fleet mFleet;
+  Node mNode;
+  TimePoint mNow{ 1h };
+  std::uint64_t mVersion = 0;
+  std::uint32_t mAnswered = 0;
+  std::uint64_t mHeartbeats = 0;
+  std::vector<SendOrder> mInventories;
+};
+
+void PrintRow(const char* aName, const Fleet& aFleet)
+{
+  const std::size_t before = HeapBytes();
+  Bench bench(aFleet);
+  const double heapMb = static_cast<double>(HeapBytes() - before) / 1e6;
+  const Cost request = bench.Requests();
+  const Cost demand = bench.Demands();
+  const Cost inventory = bench.Inventories();
+  const Cost wake = bench.Wakes();
+  const auto heartbeats = bench.HeartbeatsPerSecond();
+  std::printf("%-22s %7u %9u %7u %6u %7.2f %7.2f %7.2f %7.2f %8.1f %8.1f %9.1f %8lu %7.2f\n",
+              aName,
+              aFleet.members,
+              aFleet.endpoints,
+              aFleet.runners,
+              aFleet.models,
+              request.meanUs,
+              request.p99Us,
+              demand.meanUs,
+              demand.p99Us,
+              inventory.meanUs,
+              inventory.p99Us,
+              wake.meanUs,
+              static_cast<unsigned long>(heartbeats),
+              heapMb);
+}
+
+} // namespace
+
+int main(int aArgc, char** aArgv)
+{
+  CLI::App app{ "Measures the cost of events as the fleet grows." };
+  CLI11_PARSE(app, aArgc, aArgv);
+  std::printf("%-22s %7s %9s %7s %6s %7s %7s %7s %7s %8s %8s %9s %8s %7s\n",
+              "fleet",
+              "members",
+              "endpoints",
+              "runners",
+              "models",
+              "req us",
+              "p99",
+              "dem us",
+              "p99",
+              "inv us",
+              "p99",
+              "wake us",
+              "beats/s",
+              "MB");
+  const Fleet today{};
+  PrintRow("today", today);
+  PrintRow("members 100", { 100, 9, 9, 50, 56 });
+  PrintRow("members 1100", { 1'100, 9, 9, 50, 56 });
+  PrintRow("endpoints 1000", { 7, 1'000, 9, 50, 56 });
+  PrintRow("endpoints 10000", { 7, 10'000, 9, 50, 56 });
+  PrintRow("models 1700", { 7, 9, 9, 1'700, 2'600 });
+  PrintRow("runners 64", { 7, 64, 64, 50, 56 });
+  PrintRow("runners 64 models 1700", { 7, 64, 64, 1'700, 2'600 });
+  PrintRow("cells 157", { 1'100, 9, 9, 50, 56, 156 });
+  PrintRow("letter 1", { 1'100, 10'000, 64, 1'700, 2'600, 156 });
+
+  const Envelope heartbeat{ .from = { DaemonId{ "daemon-0123" },
+                                      IncarnationId{ "0123456789abcdef" } },
+                            .senderVersion = { 8'200 },
+                            .message = HeartbeatMessage{ { 8'200 }, false } };
+  std::printf("heartbeat: %zu bytes encoded\n", EncodeEnvelope(heartbeat).size());
+  return 0;
+}
