Fix: [Endpoint] Tell a crash from a cut when the listening socket closes last

The probe after a broken connection could still be accepted: the system closes the sockets of a process that ends one after the other, the listening one not always first. The attempt then counted as cut, and the request as no suspect.

Change: a probe whose connection is accepted and breaks at once is repeated, at most five times with 10 ms between them; an endpoint that answers, or stays silent for the time-out, is alive as before.

Ruled out: the retry budget (its code is another one) and other requests on the same runner (the test sends one at a time).

--- a/src/endpoint/attempt.cpp
+++ b/src/endpoint/attempt.cpp
@@ -6,6 +6,7 @@
 #include <httplib.h>
 
 #include <algorithm>
+#include <thread>
 #include <unordered_map>
 
 namespace rhubarbtrail {
@@ -14,6 +15,9 @@
 
 /* Time allowed for a connection to an endpoint. */
 constexpr Duration kConnectTimeout = 1s;
+/* Questions to an endpoint whose connection broke, and the time between them. */
+constexpr int kProbeLimit = 5;
+constexpr Duration kProbePause = 10ms;
 /* Connections that one thread keeps open at most. */
 constexpr std::size_t kConnectionLimit = 32;
 constexpr int kHttpOk = 200;
@@ -50,14 +54,27 @@
   std::unordered_map<std::string, std::shared_ptr<httplib::Client>> mIdle;
 };
 
-/* Returns whether the process at an address has gone: it refuses connections. */
+/* Returns whether the process at an address has gone: it refuses connections. The system closes
+ * the sockets of a process one after the other, its listening socket not always first; so a
+ * connection that is accepted and breaks at once is tried again. */
 bool RefusesConnections(const std::string& aAddress)
 {
-  httplib::Client probe("http://" + aAddress);
-  probe.set_connection_timeout(kConnectTimeout);
-  probe.set_read_timeout(kConnectTimeout);
-  const auto result = probe.Get("/health");
-  return !result && result.error() == httplib::Error::Connection;
+  for (int tries = 0; tries < kProbeLimit; ++tries) {
+    httplib::Client probe("http://" + aAddress);
+    probe.set_connection_timeout(kConnectTimeout);
+    probe.set_read_timeout(kConnectTimeout);
+    const auto started = std::chrono::steady_clock::now();
+    const auto result = probe.Get("/health");
+    if (!result && result.error() == httplib::Error::Connection) {
+      return true;
+    }
+    const bool isAlive = result || std::chrono::steady_clock::now() - started >= kConnectTimeout;
+    if (isAlive) {
+      return false;
+    }
+    std::this_thread::sleep_for(kProbePause);
+  }
+  return false;
 }
 
 /* Follows one answer while it arrives. */
--- a/tests/process/test_operator.py
+++ b/tests/process/test_operator.py
@@ -188,11 +188,8 @@
 
 def test_a_quarantined_request_is_listed_and_released_on_every_daemon() -> None:
     with Cluster() as cluster:
-        daemons = start(cluster, runners=8, daemons=2)
-        codes = [send_and_take_off_the_dead(cluster, daemons[0])]
-        while codes[-1] == "3103" and len(codes) < 3:
-            codes.append(send_and_take_off_the_dead(cluster, daemons[0]))  # The caller tries again.
-        assert codes[-1] == "5103", codes
+        daemons = start(cluster, runners=4, daemons=2)
+        assert send_and_take_off_the_dead(cluster, daemons[0]) == "5103"
         wait_until(lambda: "5101" == chat(daemons[1], prompt="CRASH-THE-ENGINE")
                    .headers["x-result-code"])
         listed = yaml.safe_load(run("quarantine", "list", daemon=daemons[1]).stdout)
