Fix: [Daemon] Keep an overdue wake when another event comes first

Cause: an event applied after the time of a wake, and before the wake itself, forgot the wake and could ask for a later one, which replaced the overdue one in the driver: heartbeats, the poll of the configuration and lease renewals could be put off until the deadline of that request. Change: only a Wake event clears the wish. Ruled out: leaving it to the driver, whose contract is that a later wish replaces the earlier.

--- a/src/decision/node.cpp
+++ b/src/decision/node.cpp
@@ -122,7 +122,8 @@
 {
   mImpl->now = std::max(mImpl->now, aNow);
   Context context(mImpl->now, mImpl->options, mImpl->nextNumber);
-  if (std::holds_alternative<Wake>(aEvent) || mImpl->wake <= mImpl->now) {
+  // An overdue wake stays asked for until it comes: another event does not do its work.
+  if (std::holds_alternative<Wake>(aEvent)) {
     mImpl->wake = TimePoint::max();
   }
   std::visit([&](const auto& aKind) { mImpl->Handle(context, aKind); }, aEvent);
--- /dev/null
+++ b/tests/unit/wake_test.cpp
@@ -0,0 +1,60 @@
+/* A wake that is overdue is never put off by another event. */
+#include "decision/decision.h"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+
+using namespace rhubarbtrail;
+
+TEST_CASE("an event that comes before an overdue wake leaves it overdue")
+{
+  Node node({ .self = { DaemonId{ "d0" }, IncarnationId{ "1" } },
+              .zone = ZoneId{ "a" },
+              .settings = {},
+              .disabled = {} });
+  TimePoint now{ 1h };
+  TimePoint wake = TimePoint::max();
+  const auto apply = [&](const Event& aEvent) {
+    for (const Action& action : node.Apply(now, aEvent)) {
+      if (const auto* wakeAt = std::get_if<WakeAt>(&action)) {
+        wake = wakeAt->time;
+      }
+    }
+  };
+  auto configuration = std::make_shared<Configuration>();
+  configuration->version = { 1 };
+  const ServiceId service{ "s" };
+  configuration->services[service] = { .id = service, .kind = ServiceKind::kPlain, .routes = {} };
+  configuration->classes[ClassId{ "k" }] = { .id = ClassId{ "k" } };
+  configuration->customers[CustomerId{ "c" }] = {
+    .id = CustomerId{ "c" }, .keyHashes = {}, .models = {}, .services = { service }
+  };
+  apply(ConfigurationLoaded{ { .version = { 1 }, .document = {}, .author = {}, .comment = {} },
+                             configuration });
+  apply(HostListReceived{ { { .id = "e",
+                              .bootId = "b",
+                              .service = service,
+                              .zone = ZoneId{ "a" },
+                              .address = "127.0.0.1:1" },
+                            { .kind = HostKind::kDaemon,
+                              .id = "d1",
+                              .bootId = {},
+                              .service = {},
+                              .zone = {},
+                              .address = "127.0.0.1:2" } } });
+  apply(MessageReceived{
+    { DaemonId{ "d1" }, IncarnationId{ "1" } }, { 1 }, HeartbeatMessage{ { 1 }, true } });
+  apply(Wake{});
+  REQUIRE(wake < TimePoint::max());
+  const TimePoint due = wake;
+  now = due + 1ms;
+  apply(RequestArrived{ .request = RequestId{ "q" },
+                        .customer = CustomerId{ "c" },
+                        .service = service,
+                        .artifact = {},
+                        .requestClass = ClassId{ "k" },
+                        .key = {},
+                        .fingerprint = {} });
+  CHECK(wake <= now);
+}
