Feature: [View] Keep the cost of events flat in the fleet's size

Cause: a cell looked at all endpoints of the fleet with each event, each cell ranked all members with each wake, and each demand did so too. Change: the view keeps the endpoints of each service; whether a daemon is among a cell's watchers is decided by counting better ones, with an early end; routers remember who answered last for a cell, so a new target needs no ranking. The benchmark's other members now answer demands with the holder.

--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -299,7 +299,16 @@
         }
       } else if (const auto* message = std::get_if<SendMessage>(&action)) {
         mHeartbeats += std::holds_alternative<HeartbeatMessage>(message->message) ? 1 : 0;
-        if (message->to == DaemonId{ "d0" }) {
+        const auto* demand = std::get_if<DemandMessage>(&message->message);
+        if (demand != nullptr && message->to != DaemonId{ "d0" }) {
+          Apply(MessageReceived{ { message->to, IncarnationId{ "1" } },
+                                 { 1 },
+                                 DemandReplyMessage{ .cell = demand->cell,
+                                                     .artifact = demand->artifact,
+                                                     .status = DemandStatus::kNotHolder,
+                                                     .replicas = {},
+                                                     .holder = DaemonId{ "d0" } } });
+        } else if (message->to == DaemonId{ "d0" }) {
           Apply(
             MessageReceived{ { DaemonId{ "d0" }, IncarnationId{ "1" } }, { 1 }, message->message });
         }
--- a/src/decision/router/router_base.h
+++ b/src/decision/router/router_base.h
@@ -132,6 +132,7 @@
   ClaimBook mClaims;
   Quarantine mQuarantine;
   RetryBudget mBudget;
+  std::map<CellId, DaemonId> mHolders; ///< Who answered last for a cell.
 };
 
 } // namespace rhubarbtrail
--- a/src/decision/router/router_demand.cpp
+++ b/src/decision/router/router_demand.cpp
@@ -19,8 +19,11 @@
   aTarget.nextDemand = aContext.now() + aContext.settings().demandInterval;
   aContext.WakeBy(aTarget.nextDemand);
   const CellId cell{ aTarget.service.str() };
-  const auto ranked = aView.RankDaemons(aContext, cell.str());
+  if (aTarget.holder.empty()) {
+    aTarget.holder = mHolders[cell];
+  }
   if (aTarget.holder.empty() || aTarget.holderMisses >= kMissesBeforeNextHolder) {
+    const auto ranked = aView.RankDaemons(aContext, cell.str());
     aTarget.holder = ranked[(aTarget.holderMisses / kMissesBeforeNextHolder) % ranked.size()];
   }
   ++aTarget.holderMisses;
@@ -64,6 +67,7 @@
     return;
   }
   target.holder = aFrom;
+  mHolders[aReply.cell] = aFrom;
   target.holderMisses = 0;
   target.expectedWait = aReply.expectedWait;
   if (aReply.status == DemandStatus::kRefused) {
--- a/src/decision/scheduler/cell_lease.cpp
+++ b/src/decision/scheduler/cell_lease.cpp
@@ -43,10 +43,7 @@
   if (mPhase == LeasePhase::kAcquiring || aView.readiness() == Readiness::kStopping) {
     return;
   }
-  const auto ranked = aView.RankDaemons(aContext, mId.str());
-  const auto rank = static_cast<std::size_t>(
-    std::find(ranked.begin(), ranked.end(), aContext.self().daemon) - ranked.begin());
-  if (rank >= kWatchers && mDemands.empty()) {
+  if (mDemands.empty() && !aView.IsAmongFirst(aContext, mId.str(), kWatchers)) {
     return;
   }
   std::erase_if(mDemands,
--- a/src/decision/scheduler/cell_order.cpp
+++ b/src/decision/scheduler/cell_order.cpp
@@ -14,10 +14,8 @@
 
 void Cell::SyncRunners(Context& aContext, const View& aView)
 {
-  for (const auto& [id, info] : aView.endpoints()) {
-    if (info.service.str() != mId.str()) {
-      continue;
-    }
+  for (const EndpointId& id : aView.EndpointsOf(ServiceId{ mId.str() })) {
+    const EndpointInfo& info = *aView.FindEndpoint(id);
     Runner& runner = mRunners[id];
     runner.id = id;
     if (!runner.inventory.empty() || runner.nextInventory > aContext.now()) {
--- a/src/decision/scheduler/cell_placement.cpp
+++ b/src/decision/scheduler/cell_placement.cpp
@@ -63,10 +63,8 @@
 {
   const std::uint64_t weight = RendezvousWeight(aModel.str(), aRunner.str());
   std::uint32_t better = 0;
-  for (const auto& [id, info] : aView.endpoints()) {
-    if (info.service.str() == mId.str() && RendezvousWeight(aModel.str(), id.str()) > weight) {
-      ++better;
-    }
+  for (const EndpointId& id : aView.EndpointsOf(ServiceId{ mId.str() })) {
+    better += RendezvousWeight(aModel.str(), id.str()) > weight ? 1 : 0;
   }
   return better < aContext.settings().candidateRunners;
 }
--- a/src/decision/view/view.cpp
+++ b/src/decision/view/view.cpp
@@ -26,6 +26,13 @@
   return found == mMembers.end() ? nullptr : &found->second;
 }
 
+const std::vector<EndpointId>& View::EndpointsOf(const ServiceId& aService) const
+{
+  static const std::vector<EndpointId> kNone;
+  const auto found = mEndpointsOf.find(aService);
+  return found == mEndpointsOf.end() ? kNone : found->second;
+}
+
 bool View::IsUsable(const EndpointId& aEndpoint, TimePoint aNow) const
 {
   const EndpointInfo* info = FindEndpoint(aEndpoint);
@@ -63,6 +70,25 @@
   return order;
 }
 
+bool View::IsAmongFirst(const Context& aContext, const std::string& aKey, std::size_t aCount) const
+{
+  const std::string& self = aContext.self().daemon.str();
+  const std::pair own{ RendezvousWeight(aKey, self), std::string_view{ self } };
+  std::size_t better = 0;
+  for (const auto& [id, member] : mMembers) {
+    const bool isHeard =
+      member.heardAt && aContext.now() - *member.heardAt <= aContext.settings().memberTimeout;
+    if (!isHeard ||
+        std::pair{ RendezvousWeight(aKey, id.str()), std::string_view{ id.str() } } < own) {
+      continue;
+    }
+    if (++better >= aCount) {
+      return false;
+    }
+  }
+  return true;
+}
+
 void View::OnHostList(Context& aContext, const HostListReceived& aList)
 {
   mHostsKnown = true;
@@ -99,6 +125,10 @@
   }
   std::erase_if(mEndpoints,
                 [](const auto& aItem) { return aItem.second.state == EndpointState::kGone; });
+  mEndpointsOf.clear();
+  for (const auto& [id, info] : mEndpoints) {
+    mEndpointsOf[info.service].push_back(id);
+  }
   std::erase_if(mLeavingBoots,
                 [this](const auto& aItem) { return !mEndpoints.contains(aItem.first); });
   std::erase_if(mMembers, [&](const auto& aItem) {
--- a/src/decision/view/view_base.h
+++ b/src/decision/view/view_base.h
@@ -54,6 +54,9 @@
   const EndpointInfo* FindEndpoint(const EndpointId& aEndpoint) const;
   const Member* FindMember(const DaemonId& aDaemon) const;
 
+  /* Returns the endpoints of a service, so that a cell never looks at the rest of the fleet. */
+  const std::vector<EndpointId>& EndpointsOf(const ServiceId& aService) const;
+
   /* Returns whether requests may be sent to the endpoint now. */
   bool IsUsable(const EndpointId& aEndpoint, TimePoint aNow) const;
 
@@ -63,6 +66,9 @@
   /* Returns the listed or recently heard daemons, the best candidate for the key first. */
   std::vector<DaemonId> RankDaemons(const Context& aContext, const std::string& aKey) const;
 
+  /* Returns whether this daemon is among the first aCount of RankDaemons(). */
+  bool IsAmongFirst(const Context& aContext, const std::string& aKey, std::size_t aCount) const;
+
   void OnHostList(Context& aContext, const HostListReceived& aList);
   void OnMessage(Context& aContext, const MessageReceived& aReceived);
   void OnReadResult(Context& aContext, const ReadResult& aResult);
@@ -93,6 +99,7 @@
   std::shared_ptr<const Configuration> mConfiguration = std::make_shared<Configuration>();
   ConfigurationRow mRow;
   std::map<EndpointId, EndpointInfo> mEndpoints;
+  std::map<ServiceId, std::vector<EndpointId>> mEndpointsOf;
   std::map<DaemonId, Member> mMembers;
   std::map<EndpointId, std::string> mLeavingBoots; ///< Boot ids known to be leaving.
   Readiness mReadiness = Readiness::kStarting;
