Feature: [Scheduler] Look at the whole cell only when an inventory brings news

Cause: each of a cell's inventories (every 2 s a runner) led to a look at all runners, replicas and demands.

--- a/src/decision/scheduler/cell_order.cpp
+++ b/src/decision/scheduler/cell_order.cpp
@@ -114,6 +114,7 @@
   Runner& runner = found->second;
   if (aResult.order == runner.inventory) {
     runner.inventory = {};
+    const bool wasReached = runner.reach == RunnerReach::kReached;
     if (aResult.outcome == OrderOutcome::kDone) {
       runner.nextInventory = aContext.now() + kInventoryInterval;
       Reconcile(aContext, aView, runner, aResult.inventory);
@@ -121,6 +122,12 @@
       runner.nextInventory = aContext.now() + aContext.settings().orderRetry;
       runner.reach = RunnerReach::kUnreachable;
     }
+    const bool isReached = runner.reach == RunnerReach::kReached;
+    if (wasReached && isReached && !mIsDirty && mDemands.empty()) {
+      // Nothing new; the rest of the cell is looked at with the next wake.
+      aContext.WakeBy(runner.nextInventory);
+      return;
+    }
     OnWake(aContext, aView);
     return;
   }
