--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,8 @@
   libxxhash-dev libyaml-cpp-dev ninja-build nlohmann-json3-dev python3 python3-yaml
 SUDO = $(shell [ $$(id -u) = 0 ] || echo sudo)
 
-.PHONY: all packages configure build demo test unit process format lint format-check sanitize clean
+.PHONY: all packages configure build demo test unit process format lint format-check sanitize \
+  capacity policies clean
 
 all: build
 
@@ -53,5 +54,13 @@
 	@$(MAKE) unit BUILD=build-asan CMAKE_FLAGS="-DSANITIZE=address,undefined -DCMAKE_BUILD_TYPE=Debug"
 	@$(MAKE) unit BUILD=build-tsan CMAKE_FLAGS="-DSANITIZE=thread -DCMAKE_BUILD_TYPE=Debug"
 
+# Measures the slopes of docs/CAPACITY.md again.
+capacity: build
+	@$(BUILD)/capacity_bench
+
+# Measures the keep-alive policies of docs/MEASUREMENTS.md again.
+policies: build
+	@$(BUILD)/policy_bench --weights 0.5 1 2 4 --threads 2
+
 clean:
 	rm -rf build build-asan build-tsan
