--- /dev/null
+++ b/src/load/load_run.cpp
@@ -0,0 +1,99 @@
+/* An open loop: a slow answer never delays the intended time of another request. */
+#include "load/load_run.h"
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <cstdio>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+namespace rhubarbtrail {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+/* Requests of one group under way at most; beyond, the wait counts in the latency. */
+constexpr std::size_t kWorkerLimit = 512;
+constexpr std::chrono::seconds kAnswerTimeout{ 120 };
+constexpr std::chrono::seconds kProgressInterval{ 1 };
+
+double SecondsSince(Clock::time_point aStart)
+{
+  return std::chrono::duration<double>(Clock::now() - aStart).count();
+}
+
+RequestOutcome Send(const LoadGroup& aGroup,
+                    const PlannedRequest& aPlanned,
+                    const std::string& aDaemon,
+                    Clock::time_point aIntended)
+{
+  httplib::Client client("http://" + aDaemon);
+  client.set_read_timeout(kAnswerTimeout);
+  RequestOutcome outcome{ .group = aPlanned.group };
+  const nlohmann::json body{
+    { "model", aPlanned.model },
+    { "messages", { { { "role", "user" }, { "content", "hello" } } } },
+    { "max_tokens", aGroup.tokens },
+    { "stream", aGroup.stream },
+  };
+  httplib::Request request;
+  request.method = "POST";
+  request.path = "/v1/chat/completions";
+  request.headers = { { "Authorization", "Bearer " + aGroup.key },
+                      { "Content-Type", "application/json" } };
+  request.body = body.dump();
+  request.content_receiver = [&](const char*, std::size_t, std::uint64_t, std::uint64_t) {
+    if (outcome.firstByteSeconds == 0) {
+      outcome.firstByteSeconds = SecondsSince(aIntended);
+    }
+    return true;
+  };
+  const auto result = client.send(request);
+  outcome.status = result ? result->status : 0;
+  outcome.seconds = SecondsSince(aIntended);
+  return outcome;
+}
+
+} // namespace
+
+std::vector<RequestOutcome> RunScenario(const Scenario& aScenario,
+                                        const std::vector<std::string>& aDaemons)
+{
+  const auto plan = PlanRequests(aScenario, aDaemons.size());
+  std::vector<RequestOutcome> outcomes(plan.size());
+  std::atomic<std::size_t> done = 0;
+  const Clock::time_point start = Clock::now() + std::chrono::milliseconds{ 200 };
+  // Each group has workers of its own, so that a flood never delays another group's requests.
+  std::vector<std::vector<std::size_t>> byGroup(aScenario.groups.size());
+  for (std::size_t i = 0; i < plan.size(); ++i) {
+    byGroup[plan[i].group].push_back(i);
+  }
+  std::vector<std::atomic<std::size_t>> next(byGroup.size());
+  const auto work = [&](std::size_t aGroup) {
+    const std::vector<std::size_t>& indices = byGroup[aGroup];
+    for (std::size_t n = next[aGroup]++; n < indices.size(); n = next[aGroup]++) {
+      const PlannedRequest& planned = plan[indices[n]];
+      const Clock::time_point intended = start + planned.at;
+      std::this_thread::sleep_until(intended);
+      outcomes[indices[n]] =
+        Send(aScenario.groups[aGroup], planned, aDaemons[planned.daemon], intended);
+      ++done;
+    }
+  };
+  std::vector<std::jthread> workers;
+  for (std::size_t group = 0; group < byGroup.size(); ++group) {
+    for (std::size_t i = 0; i < std::min(byGroup[group].size(), kWorkerLimit); ++i) {
+      workers.emplace_back(work, group);
+    }
+  }
+  while (done < plan.size()) {
+    std::this_thread::sleep_for(kProgressInterval);
+    std::fprintf(stderr, "%zu of %zu requests answered\n", done.load(), plan.size());
+  }
+  return outcomes;
+}
+
+} // namespace rhubarbtrail
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,6 +1,7 @@
 /* The command line. */
 #include "config/configuration_document.h"
 #include "daemon/daemon.h"
+#include "load/load_commands.h"
 #include "operator/operator_commands.h"
 #include "settings/settings_base.h"
 
@@ -45,10 +46,15 @@
 
   rhubarbtrail::OperatorCommands commands;
   commands.Add(app);
+  rhubarbtrail::LoadCommands load;
+  load.Add(app);
 
   CLI11_PARSE(app, aArgc, aArgv);
   if (serve->parsed()) {
     return Serve(settingsFile, checkOnly);
   }
+  if (load.IsParsed()) {
+    return load.Run();
+  }
   return commands.Run();
 }
--- /dev/null
+++ b/tests/unit/load_scenario_test.cpp
@@ -0,0 +1,69 @@
+/* Scenarios are read and planned alike from one seed, and reports count what came back. */
+#include "load/load_report.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+using namespace rhubarbtrail;
+
+TEST_CASE("what a scenario must say")
+{
+  struct Row
+  {
+    const char* text;
+    bool isValid;
+  };
+  const std::vector<Row> rows{
+    { "{name: n, groups: [{name: g, key: k, models: [m], burst: 2}]}", true },
+    { "{name: n, groups: [{name: g, key: k, models: [m], rate: 2, end: 5}]}", true },
+    { "{name: n, groups: [{name: g, key: k, models: [m], rate: 2}]}", false },
+    { "{name: n, groups: [{name: g, key: k, models: [m]}]}", false },
+    { "{name: n, groups: [{name: g, key: k, models: [], burst: 1}]}", false },
+    { "{groups: []}", false },
+    { "]", false },
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.text);
+    CHECK(ParseScenario(row.text).has_value() == row.isValid);
+  }
+}
+
+TEST_CASE("one seed gives one plan")
+{
+  auto scenario = ParseScenario("{name: n, seed: 5, groups: ["
+                                "{name: b, key: k, models: [m], burst: 3, start: 2},"
+                                "{name: r, key: k, models: [m, o], rate: 20, end: 10}]}");
+  REQUIRE(scenario);
+  const auto plan = PlanRequests(*scenario, 4);
+  const auto again = PlanRequests(*scenario, 4);
+  REQUIRE(plan.size() == again.size());
+  for (std::size_t i = 0; i < plan.size(); ++i) {
+    CHECK(plan[i].at == again[i].at);
+    CHECK(plan[i].model == again[i].model);
+    CHECK((i == 0 || plan[i - 1].at <= plan[i].at));
+  }
+  const auto burst = std::count_if(
+    plan.begin(), plan.end(), [](const PlannedRequest& aRequest) { return aRequest.group == 0; });
+  CHECK(burst == 12);
+  scenario->seed = 6;
+  CHECK(PlanRequests(*scenario, 4).back().at != plan.back().at);
+}
+
+TEST_CASE("a report counts refusals apart from answers")
+{
+  const Scenario scenario{ .name = "n", .groups = { { .name = "g", .key = {}, .models = {} } } };
+  const std::vector<RequestOutcome> outcomes{
+    { 0, 200, 0.1, 1.0 }, { 0, 200, 0.2, 2.0 }, { 0, 503, 0.1, 9.0 }, { 0, 0, 0.0, 9.0 }
+  };
+  const nlohmann::json report = MakeReport(scenario, outcomes);
+  const nlohmann::json& group = report.at("groups").at(0);
+  CHECK(group.at("requests") == 4);
+  CHECK(group.at("statuses").at("200") == 2);
+  CHECK(group.at("statuses").at("503") == 1);
+  CHECK(group.at("p50_s") == 1.0);
+  CHECK(group.at("p99_s") == 2.0);
+  CHECK(group.at("first_byte_min_s") == 0.1);
+  CHECK(CompareReports(report, report).find("1.00") != std::string::npos);
+}
