--- a/src/decision/scheduler/cell_order.cpp
+++ b/src/decision/scheduler/cell_order.cpp
@@ -14,10 +14,8 @@
 
 void Cell::SyncRunners(Context& aContext, const View& aView)
 {
-  for (const auto& [id, info] : aView.endpoints()) {
-    if (info.service.str() != mId.str()) {
-      continue;
-    }
+  for (const EndpointId& id : aView.EndpointsOf(ServiceId{ mId.str() })) {
+    const EndpointInfo& info = *aView.FindEndpoint(id);
     Runner& runner = mRunners[id];
     runner.id = id;
     if (!runner.inventory.empty() || runner.nextInventory > aContext.now()) {
@@ -116,6 +114,7 @@
   Runner& runner = found->second;
   if (aResult.order == runner.inventory) {
     runner.inventory = {};
+    const bool wasReached = runner.reach == RunnerReach::kReached;
     if (aResult.outcome == OrderOutcome::kDone) {
       runner.nextInventory = aContext.now() + kInventoryInterval;
       Reconcile(aContext, aView, runner, aResult.inventory);
@@ -123,6 +122,12 @@
       runner.nextInventory = aContext.now() + aContext.settings().orderRetry;
       runner.reach = RunnerReach::kUnreachable;
     }
+    const bool isReached = runner.reach == RunnerReach::kReached;
+    if (wasReached && isReached && !mIsDirty && mDemands.empty()) {
+      // Nothing new; the rest of the cell is looked at with the next wake.
+      aContext.WakeBy(runner.nextInventory);
+      return;
+    }
     OnWake(aContext, aView);
     return;
   }
