Fix: [Router] Stop demand circles, expired locations and forgotten streams

Found by the fault matrix, which failed before (busy loop, cut stream): - Two daemons that each name the other as holder were asked in a circle at message speed (shutdown x cut, over 60,000 events). One hop for each demand now. - A location was used after its lifetime when the holder did not answer. It is not now. - A target with streams in flight but no new request was not renewed, so that a new holder did not learn of its use. It is renewed while anything is in flight. Ruled out: a fault of the fake network.

--- a/src/decision/router/router.cpp
+++ b/src/decision/router/router.cpp
@@ -148,6 +148,10 @@
                                                  const Request& aRequest) const
 {
   std::optional<EndpointId> best;
+  // The holder may have unloaded a replica whose location was not renewed.
+  if (!IsPlain(aTarget.artifact) && aTarget.knownUntil <= aContext.now()) {
+    return best;
+  }
   std::pair<double, std::uint64_t> bestCost{};
   for (const ReplicaLocation& replica : aTarget.replicas) {
     if (!aView.IsUsable(replica.runner, aContext.now()) || !HasRoom(aTarget, replica)) {
@@ -260,6 +264,7 @@
     aContext.WakeBy(aTarget.nextDemand);
     return;
   }
+  aTarget.isRedirected = false;
   aTarget.nextDemand = aContext.now() + aContext.settings().demandInterval;
   aContext.WakeBy(aTarget.nextDemand);
   const CellId cell{ aTarget.service.str() };
@@ -302,8 +307,12 @@
   if (aReply.status == DemandStatus::kNotHolder) {
     if (!aReply.holder.empty() && aReply.holder != target.holder) {
       target.holder = aReply.holder;
-      target.nextDemand = aContext.now();
-      Demand(aContext, aView, target);
+      // Daemons that name each other must not be asked in a circle: one hop for each demand.
+      if (!target.isRedirected) {
+        target.nextDemand = aContext.now();
+        Demand(aContext, aView, target);
+        target.isRedirected = true;
+      }
     }
     return;
   }
@@ -656,6 +665,18 @@
   }
 }
 
+bool Router::IsInUse(const Target& aTarget) const
+{
+  return std::any_of(
+    aTarget.replicas.begin(), aTarget.replicas.end(), [&](const ReplicaLocation& aReplica) {
+      const auto found = mInFlight.find(aReplica.runner);
+      return found != mInFlight.end() &&
+             std::any_of(found->second.begin(), found->second.end(), [&](const RequestId& aId) {
+               return mRequests.at(aId).arrived.artifact == aTarget.artifact;
+             });
+    });
+}
+
 void Router::OnWake(Context& aContext, View& aView)
 {
   ExpireDeadlines(aContext);
@@ -672,7 +693,7 @@
     const TimePoint refresh = target.knownUntil - aContext.settings().replicaLifetime / 2;
     if (refresh > aContext.now()) {
       aContext.WakeBy(refresh);
-    } else if (target.startedSince > 0) {
+    } else if (target.startedSince > 0 || IsInUse(target)) {
       Demand(aContext, aView, target);
     } else if (target.knownUntil <= aContext.now()) {
       target.replicas.clear();
--- a/src/decision/router/router_base.h
+++ b/src/decision/router/router_base.h
@@ -56,6 +56,7 @@
   std::uint32_t startedSince = 0;
   DaemonId holder;                ///< Who answered last, or was named as the holder.
   std::uint32_t holderMisses = 0; ///< Demands without an answer.
+  bool isRedirected = false;      ///< The last demand followed another daemon's word.
 };
 
 class Router
@@ -112,6 +113,8 @@
   void ReportDrained(Context& aContext, View& aView, const EndpointId& aEndpoint);
   void ExpireDeadlines(Context& aContext);
   Target* FindTarget(const Request& aRequest);
+  /* Returns whether a request of the target is in flight. */
+  bool IsInUse(const Target& aTarget) const;
 
   std::unordered_map<RequestId, Request> mRequests;
   std::set<std::pair<TimePoint, RequestId>> mDeadlines;
