Fix: [View] Count freshness from the question, and handle overdue wakes first

What is due is now handled before the event, which also makes a daemon that was frozen find itself stale before it admits a waiting request. - Heartbeats that lay in the buffers of a frozen daemon made it look fresh. A heartbeat carries the asker's clock and the answer echoes it; only that time counts for the majority.

--- a/src/decision/message_type.h
+++ b/src/decision/message_type.h
@@ -103,6 +103,7 @@
 {
   ConfigVersion version;
   bool reply = false; ///< Set when this answers a heartbeat.
+  Duration sentAt{};  ///< The asking daemon's own clock, echoed in the answer.
 };
 
 /* Carries a whole accepted configuration. */
--- a/src/decision/node.cpp
+++ b/src/decision/node.cpp
@@ -122,9 +122,15 @@
 {
   mImpl->now = std::max(mImpl->now, aNow);
   Context context(mImpl->now, mImpl->options, mImpl->nextNumber);
-  if (std::holds_alternative<Wake>(aEvent) || mImpl->wake <= mImpl->now) {
+  const bool isWake = std::holds_alternative<Wake>(aEvent);
+  const bool isOverdue = mImpl->wake <= mImpl->now;
+  if (isWake || isOverdue) {
     mImpl->wake = TimePoint::max();
   }
+  // What has become due comes before the event: it may have been held up by a pause.
+  if (isOverdue && !isWake) {
+    mImpl->Handle(context, Wake{});
+  }
   std::visit([&](const auto& aKind) { mImpl->Handle(context, aKind); }, aEvent);
   if (mImpl->isStopping) {
     mImpl->FinishShutdown(context);
--- a/src/decision/view/view.cpp
+++ b/src/decision/view/view.cpp
@@ -145,7 +145,14 @@
                        const HeartbeatMessage& aHeartbeat)
 {
   if (!aHeartbeat.reply) {
-    SendTo(aContext, aReceived.from.daemon, HeartbeatMessage{ mRow.version, true });
+    SendTo(
+      aContext, aReceived.from.daemon, HeartbeatMessage{ mRow.version, true, aHeartbeat.sentAt });
+    return;
+  }
+  // An answer shows what was in force when it was asked for, however long it was under way.
+  Member& member = mMembers[aReceived.from.daemon];
+  if (aHeartbeat.sentAt.count() > 0) {
+    member.confirmedAt = std::max(member.confirmedAt, TimePoint{ aHeartbeat.sentAt });
   }
 }
 
@@ -209,7 +216,8 @@
     }
     if (member.nextHeartbeat <= aContext.now()) {
       member.nextHeartbeat = aContext.now() + aContext.settings().heartbeatInterval;
-      SendTo(aContext, id, HeartbeatMessage{ mRow.version, false });
+      SendTo(
+        aContext, id, HeartbeatMessage{ mRow.version, false, aContext.now().time_since_epoch() });
     }
     aContext.WakeBy(member.nextHeartbeat);
   }
@@ -225,7 +233,8 @@
     }
     ++listed;
     const bool isCurrent =
-      member.heardAt && aContext.now() - *member.heardAt <= aContext.settings().freshnessLimit;
+      member.confirmedAt != TimePoint{} &&
+      aContext.now() - member.confirmedAt <= aContext.settings().freshnessLimit;
     if (isCurrent && member.version <= mRow.version) {
       ++heard;
     }
--- a/src/decision/view/view_base.h
+++ b/src/decision/view/view_base.h
@@ -40,6 +40,7 @@
   ConfigVersion version;
   bool listed = false;
   std::optional<TimePoint> heardAt;
+  TimePoint confirmedAt{}; ///< When it was asked for the version that it has answered.
   TimePoint nextHeartbeat{};
 };
 
