Fix: [Scheduler] Unload only what the runner reports as quiet; forget vanished replicas

Found by the fault matrix, which failed before (cut stream: request x cut; request x silence; recovery: takeover x lagging list; busy loop: load x table down): - After a takeover the routers that use a replica are unknown, and an unload cut their streams. Users now lapse by time, and the runner itself is asked what runs there when the last user is gone and once more before the order leaves, since the write of the intent may take long. - An inherited replica that was seen and then lost in a crash stayed in the placement for ever. - A watcher with a slow read woke itself without pause.

--- a/src/decision/scheduler/cell_base.h
+++ b/src/decision/scheduler/cell_base.h
@@ -43,7 +43,10 @@
   TimePoint unloadableFrom{};
   std::set<AdapterId> adapters;
   std::map<AdapterId, TimePoint> adaptersLoading; ///< With the time to repeat the order.
-  std::set<DaemonId> users;                       ///< Routers that may use it.
+  std::map<DaemonId, TimePoint> users;            ///< Routers that may use it, and until when.
+  bool isLastLook = false;   ///< The runner is asked what runs on it before the unload is ordered.
+  std::uint32_t running = 0; ///< Requests that the runner reports on it.
+  TimePoint drainedFrom{};   ///< When it was last known to be in use.
 };
 
 enum class RunnerReach : std::uint8_t
@@ -138,10 +141,14 @@
   bool TryPlace(Context& aContext, const View& aView, const ModelSpec& aModel);
   bool TryEvict(Context& aContext, const View& aView, const ModelSpec& aModel);
   void StartDrain(Context& aContext, const View& aView, Runner& aRunner, Replica& aReplica);
+  /* Has the runner asked once more what runs there, now that no router is known to use it. */
+  static void NoteUnused(const Context& aContext, Runner& aRunner, Replica& aReplica);
   void ContinueDrains(Context& aContext, const View& aView);
   void UnloadIdle(Context& aContext, const View& aView);
   void WritePlacement(Context& aContext);
   PlacementRow MakePlacementRow(Context& aContext) const;
+  /* Time for which a router may use a location, by its own clock, which may run slower. */
+  static Duration UseLimit(const Context& aContext);
   void Remove(Runner& aRunner, const ModelId& aModel);
 
   // cell_order.cpp
@@ -151,6 +158,8 @@
                const View& aView,
                const Runner& aRunner,
                const Replica& aReplica) const;
+  /* Returns whether the runner itself has just said that nothing runs on the replica. */
+  static bool IsQuiet(Context& aContext, Runner& aRunner, Replica& aReplica);
   void Reconcile(Context& aContext,
                  const View& aView,
                  Runner& aRunner,
--- a/src/decision/scheduler/cell_demand.cpp
+++ b/src/decision/scheduler/cell_demand.cpp
@@ -136,7 +136,7 @@
     if (!aArtifact.adapter.empty() && !replica.adapters.contains(aArtifact.adapter)) {
       continue;
     }
-    replica.users.insert(aRouter);
+    replica.users[aRouter] = aContext.now() + UseLimit(aContext);
     const auto sharers = static_cast<std::uint32_t>(replica.users.size());
     const std::uint32_t share = std::max(1U, service->endpointConcurrency / sharers);
     locations.push_back({ id, share, runner.reportedLoad });
--- a/src/decision/scheduler/cell_lease.cpp
+++ b/src/decision/scheduler/cell_lease.cpp
@@ -53,7 +53,9 @@
     ReadRows(aContext);
     mNextLeaseAction = aContext.now() + aContext.settings().leaseRenewal / 2;
   }
-  aContext.WakeBy(mNextLeaseAction);
+  if (mRead.empty() || mNextLeaseAction > aContext.now()) {
+    aContext.WakeBy(mNextLeaseAction);
+  }
 }
 
 void Cell::ReadRows(Context& aContext)
@@ -280,7 +282,7 @@
     replica.isWritten = true;
     replica.mayBeKnown = true;
     replica.lastUsed = aContext.now();
-    replica.unloadableFrom = aContext.now() + aContext.settings().replicaLifetime;
+    replica.unloadableFrom = aContext.now() + UseLimit(aContext);
     if (model != aView.configuration().models.end()) {
       replica.memory = model->second.memory;
       for (const auto& [id, adapter] : model->second.adapters) {
--- a/src/decision/scheduler/cell_order.cpp
+++ b/src/decision/scheduler/cell_order.cpp
@@ -68,6 +68,22 @@
   return !mIsTableUp && (isUnload || IsCandidate(aContext, aView, aReplica.model, aRunner.id));
 }
 
+bool Cell::IsQuiet(Context& aContext, Runner& aRunner, Replica& aReplica)
+{
+  if (!aContext.IsEnabled(Mechanism::kDrainBeforeUnload)) {
+    return true;
+  }
+  if (!aReplica.isLastLook) {
+    // The write of the intent may have taken long: the runner is asked once more.
+    aReplica.isLastLook = true;
+    NoteUnused(aContext, aRunner, aReplica);
+    aContext.WakeBy(aContext.now());
+    return false;
+  }
+  return aReplica.running == 0 && aRunner.inventory.empty() &&
+         aRunner.inventoryAskedAt >= aReplica.drainedFrom;
+}
+
 void Cell::SendOrders(Context& aContext, const View& aView)
 {
   for (auto& [id, runner] : mRunners) {
@@ -87,6 +103,9 @@
       if (info == nullptr || !MaySend(aContext, aView, runner, replica)) {
         continue;
       }
+      if (replica.phase == ReplicaPhase::kUnloadDecided && !IsQuiet(aContext, runner, replica)) {
+        continue;
+      }
       replica.phase = isLoad ? ReplicaPhase::kLoading : ReplicaPhase::kUnloading;
       // Until the outcome is reported, the order counts as under way and is not repeated.
       replica.nextOrder = TimePoint::max();
@@ -146,6 +165,7 @@
       ReplyReady(aContext, aView, { model, adapter });
     } else if (aResult.outcome != OrderOutcome::kAccepted) {
       replica.adaptersLoading[adapter] = aContext.now() + aContext.settings().orderRetry;
+      runner.nextInventory = aContext.now();
     }
     OnWake(aContext, aView);
     return;
@@ -239,7 +259,7 @@
       replica.order = OrderId{ aContext.NewName() };
       replica.issuer = aContext.self();
       replica.lastUsed = aContext.now();
-      replica.unloadableFrom = aContext.now() + aContext.settings().replicaLifetime;
+      replica.unloadableFrom = aContext.now() + UseLimit(aContext);
       replica.phase = loaded.ready ? ReplicaPhase::kLoaded : ReplicaPhase::kLoading;
       replica.isAnswered = true;
       replica.isWritten = true;
@@ -252,6 +272,12 @@
       mIsDirty = true;
     }
     replica.mayBeKnown = true;
+    replica.running = loaded.running;
+    if (replica.phase == ReplicaPhase::kLoaded && !replica.isAnswered) {
+      // Inherited and seen: when it is missing later, it is gone.
+      replica.isAnswered = true;
+      replica.answeredAt = aContext.now();
+    }
     replica.adapters.insert(loaded.adapters.begin(), loaded.adapters.end());
     const bool wasLoading = replica.phase == ReplicaPhase::kLoading;
     if (wasLoading && loaded.ready) {
--- a/src/decision/scheduler/cell_placement.cpp
+++ b/src/decision/scheduler/cell_placement.cpp
@@ -209,12 +209,18 @@
 {
   aReplica.phase = ReplicaPhase::kDraining;
   aReplica.nextOrder = aContext.now();
+  NoteUnused(aContext, aRunner, aReplica);
   if (!aContext.IsEnabled(Mechanism::kDrainBeforeUnload)) {
     aReplica.users.clear();
   }
   ContinueDrains(aContext, aView);
   aContext.WakeBy(aContext.now());
-  (void)aRunner;
+}
+
+void Cell::NoteUnused(const Context& aContext, Runner& aRunner, Replica& aReplica)
+{
+  aReplica.drainedFrom = aContext.now();
+  aRunner.nextInventory = aContext.now();
 }
 
 void Cell::ContinueDrains(Context& aContext, const View& aView)
@@ -224,10 +230,18 @@
       if (replica.phase != ReplicaPhase::kDraining) {
         continue;
       }
-      std::erase_if(replica.users, [&](const DaemonId& aUser) {
-        return aUser != aContext.self().daemon && aView.FindMember(aUser) == nullptr;
-      });
-      if (replica.users.empty()) {
+      const bool wasUsed = !replica.users.empty();
+      std::erase_if(replica.users,
+                    [&](const auto& aUser) { return aUser.second <= aContext.now(); });
+      if (wasUsed && replica.users.empty()) {
+        NoteUnused(aContext, runner, replica);
+      }
+      // Routers that a takeover has made unknown are seen in what the runner itself reports.
+      const bool isQuiet = replica.running == 0 && runner.inventoryAskedAt >= replica.drainedFrom &&
+                           runner.inventory.empty();
+      if (replica.users.empty() &&
+          (isQuiet || !aContext.IsEnabled(Mechanism::kDrainBeforeUnload))) {
+        replica.isLastLook = false;
         replica.phase = ReplicaPhase::kUnloadDecided;
         replica.order = OrderId{ aContext.NewName() };
         replica.issuer = aContext.self();
@@ -239,7 +253,7 @@
       if (replica.nextOrder <= aContext.now()) {
         replica.nextOrder = aContext.now() + kDrainRepeat;
         const DrainMessage drain{ mId, id, model, mFence };
-        for (const DaemonId& user : replica.users) {
+        for (const auto& [user, until] : replica.users) {
           if (user == aContext.self().daemon) {
             aContext.Emit(SendMessage{ user, {}, drain });
           } else {
@@ -267,6 +281,9 @@
     return;
   }
   replica->second.users.erase(aFrom);
+  if (replica->second.users.empty()) {
+    NoteUnused(aContext, runner->second, replica->second);
+  }
   OnWake(aContext, aView);
 }
 
@@ -342,6 +359,11 @@
                                   .writes = { { PlacementKey(mId), RowValue{ row } } } });
 }
 
+Duration Cell::UseLimit(const Context& aContext)
+{
+  return aContext.settings().replicaLifetime * 5 / 4;
+}
+
 void Cell::Remove(Runner& aRunner, const ModelId& aModel)
 {
   aRunner.replicas.erase(aModel);
