Feature: [Test] Fault matrix of the decision library with a mutation table

Several nodes with skewed and frozen clocks over fakes of table, runners, plain service, host list and network; every promise is checked as the world changes. 14 faults (none included) x 6 steps x checked and unchecked runners, then pairs and triples from printed seeds.

--- /dev/null
+++ b/tests/matrix/matrix_test.cpp
@@ -0,0 +1,172 @@
+/* The fault matrix: every fault at every step, then pairs of faults from printed seeds. */
+#include "tests/matrix/world.h"
+
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace rhubarbtrail::matrix {
+
+namespace {
+
+/* Plays scenarios and keeps count. */
+struct Tally
+{
+  std::uint64_t cells = 0;
+  std::uint64_t events = 0;
+  std::uint64_t answered = 0;
+  std::uint64_t refused = 0;
+  std::map<std::string, std::uint32_t> violations; ///< By promise.
+
+  void Add(const Scenario& aScenario)
+  {
+    const Verdict verdict = Play(aScenario);
+    ++cells;
+    events += verdict.events;
+    answered += verdict.answered;
+    refused += verdict.refused;
+    for (const std::string& violation : verdict.violations) {
+      const std::string promise = violation.substr(0, violation.find(':'));
+      if (++violations[promise] <= 3) {
+        MESSAGE(Describe(aScenario), ": ", violation);
+      }
+    }
+  }
+
+  void Print(const char* aName) const
+  {
+    std::string text;
+    for (const auto& [promise, count] : violations) {
+      text += " " + promise + "=" + std::to_string(count);
+    }
+    MESSAGE(std::string{ aName },
+            ": ",
+            cells,
+            " cells, ",
+            events,
+            " events, ",
+            answered,
+            " answered, ",
+            refused,
+            " refused, violations:",
+            text.empty() ? " none" : text);
+  }
+};
+
+std::uint64_t Setting(const char* aName, std::uint64_t aElse)
+{
+  const char* text = std::getenv(aName); // NOLINT(concurrency-mt-unsafe)
+  return text == nullptr ? aElse : std::strtoull(text, nullptr, 10);
+}
+
+/* Every step with every fault, for both kinds of runners. */
+std::vector<Scenario> AllCells(std::uint64_t aSeed)
+{
+  std::vector<Scenario> cells;
+  for (std::size_t step = 0; step < static_cast<std::size_t>(Step::kCount); ++step) {
+    for (std::size_t fault = 0; fault < static_cast<std::size_t>(Fault::kCount); ++fault) {
+      for (const OrderCheck check : { OrderCheck::kChecked, OrderCheck::kUnchecked }) {
+        cells.push_back({ .seed = aSeed + step * 101 + fault,
+                          .step = static_cast<Step>(step),
+                          .faults = { static_cast<Fault>(fault) },
+                          .check = check });
+      }
+    }
+  }
+  return cells;
+}
+
+/* A step with two or three faults, all chosen by the seed. */
+Scenario RandomScenario(std::uint64_t aSeed)
+{
+  std::mt19937_64 random(aSeed);
+  Scenario scenario{ .seed = aSeed };
+  scenario.step = static_cast<Step>(random() % static_cast<std::uint64_t>(Step::kCount));
+  const std::uint64_t count = 2 + random() % 2;
+  for (std::uint64_t index = 0; index < count; ++index) {
+    const std::uint64_t faults = static_cast<std::uint64_t>(Fault::kCount) - 1;
+    scenario.faults.push_back(static_cast<Fault>(1 + random() % faults));
+  }
+  scenario.check = random() % 2 == 0 ? OrderCheck::kChecked : OrderCheck::kUnchecked;
+  return scenario;
+}
+
+} // namespace
+
+TEST_CASE("matrix: every fault at every step")
+{
+  Tally tally;
+  const std::uint64_t seed = Setting("MATRIX_SEED", 1);
+  for (std::uint64_t round = 0; round < Setting("MATRIX_ROUNDS", 2); ++round) {
+    for (const Scenario& scenario : AllCells(seed * 1'000'003 + round * 1'009)) {
+      tally.Add(scenario);
+    }
+  }
+  tally.Print("single faults");
+  CHECK(tally.violations.empty());
+}
+
+TEST_CASE("matrix: pairs and repeats of faults")
+{
+  Tally tally;
+  const std::uint64_t first = Setting("MATRIX_SEED", 1) * 7'919;
+  MESSAGE("seeds from ", first);
+  for (std::uint64_t seed = first; seed < first + Setting("MATRIX_PAIRS", 500); ++seed) {
+    tally.Add(RandomScenario(seed));
+  }
+  tally.Print("pairs of faults");
+  CHECK(tally.violations.empty());
+}
+
+/* A mechanism, and the promise that must be seen broken when it is off. */
+struct Mutation
+{
+  Mechanism mechanism;
+  const char* name;
+  const char* promise;
+};
+
+constexpr Mutation kMutations[]{
+  { Mechanism::kWrittenIntent, "written intent", "written order" },
+  { Mechanism::kMemoryReservation, "memory reservation", "memory" },
+  { Mechanism::kDrainBeforeUnload, "drain before unload", "cut stream" },
+  { Mechanism::kDemandMerging, "demand merging", "replicas" },
+  { Mechanism::kClaimBeforeSend, "claim before send", "at most once" },
+  { Mechanism::kFinalOutcomeUnknown, "final outcome unknown", "at most once" },
+  { Mechanism::kDeadlineRefusal, "deadline refusal", "in time" },
+  { Mechanism::kLeavingNotice, "leaving notice", "leaving" },
+  { Mechanism::kFreshnessLimit, "freshness limit", "configuration" },
+  { Mechanism::kVersionMonotonic, "version monotonic", "configuration" },
+  { Mechanism::kShutdownDrain, "shutdown drain", "shutdown" },
+};
+
+TEST_CASE("matrix: a mechanism that is switched off is noticed")
+{
+  constexpr std::uint64_t kTries = 1'500;
+  for (const Mutation& mutation : kMutations) {
+    std::string found;
+    std::uint64_t tried = 0;
+    while (found.empty() && tried < Setting("MATRIX_TRIES", kTries)) {
+      Scenario scenario = RandomScenario(++tried);
+      scenario.disabled.set(static_cast<std::size_t>(mutation.mechanism));
+      for (const std::string& violation : Play(scenario).violations) {
+        if (violation.starts_with(mutation.promise)) {
+          found = Describe(scenario) + ": " + violation;
+          break;
+        }
+      }
+    }
+    MESSAGE(std::string{ mutation.name },
+            " off, tries ",
+            tried,
+            ": ",
+            found.empty() ? "NOT NOTICED" : found);
+    CHECK_FALSE(found.empty());
+  }
+}
+
+} // namespace rhubarbtrail::matrix
