--- a/src/decision/router/router.cpp
+++ b/src/decision/router/router.cpp
@@ -403,6 +403,7 @@
     for (const auto& [id, member] : aView.members()) {
       aView.SendTo(aContext, id, ConvictedMessage{ fingerprint, length });
     }
+    request.mayHaveRun = true;
     Finish(aContext, request, ResultCode::kCrashedEndpoints);
   } else {
     OnFailed(aContext, aView, request, aEnded);
@@ -521,7 +522,11 @@
 
 void Router::Finish(Context& aContext, Request& aRequest, ResultCode aCode, Duration aRetryAfter)
 {
-  if (aRequest.repeatability == Repeatability::kAtMostOnce) {
+  const bool isOnce = aRequest.repeatability == Repeatability::kAtMostOnce;
+  if (aRequest.mayHaveRun && Describe(aCode).execution == Execution::kNotRun) {
+    aCode = isOnce ? ResultCode::kOutcomeUnknown : ResultCode::kAttemptsExhausted;
+  }
+  if (isOnce) {
     if (aRequest.mayHaveRun) {
       mClaims.Record(aContext, aRequest.arrived.request, ClaimState::kUnknown, {});
     } else {
