Fix: [Scheduler] Write a placement again after a lost answer; judge inventories rightly

A lease write also cleared the orders of a placement write. - A failed inventory counted as one that saw nothing running, and an unload cut a stream. - A runner that was down at a takeover kept its lost replicas in the placement for ever, since its first inventory did not count as the first.

--- a/src/decision/scheduler/cell_base.h
+++ b/src/decision/scheduler/cell_base.h
@@ -158,6 +158,8 @@
                const View& aView,
                const Runner& aRunner,
                const Replica& aReplica) const;
+  /* Returns whether an answered inventory shows that nothing runs there since its last use. */
+  static bool IsSeenQuiet(const Runner& aRunner, const Replica& aReplica);
   /* Returns whether the runner itself has just said that nothing runs on the replica. */
   static bool IsQuiet(Context& aContext, Runner& aRunner, Replica& aReplica);
   void Reconcile(Context& aContext,
--- a/src/decision/scheduler/cell_lease.cpp
+++ b/src/decision/scheduler/cell_lease.cpp
@@ -207,12 +207,16 @@
   } else {
     mPlacementChange = {};
   }
+  if (isPlacement && aResult.outcome != TransactionOutcome::kCommitted) {
+    // What was to be written is not known to be written, so it is written again.
+    mIsDirty = true;
+    mWriting.clear();
+  }
   if (aResult.outcome == TransactionOutcome::kUnknown) {
     mNextLeaseAction = aContext.now() + aContext.settings().tableRetry;
     aContext.WakeBy(mNextLeaseAction);
     mPhase = mPhase == LeasePhase::kHeld && !mIsReleasing ? mPhase : LeasePhase::kWatching;
     mIsReleasing = false;
-    mWriting.clear();
     if (mRead.empty()) {
       ReadRows(aContext);
     }
@@ -225,7 +229,6 @@
     }
     // Either another daemon took over, or an earlier write of ours took effect late.
     mIsReleasing = false;
-    mWriting.clear();
     if (mRead.empty()) {
       ReadRows(aContext);
     }
--- a/src/decision/scheduler/cell_order.cpp
+++ b/src/decision/scheduler/cell_order.cpp
@@ -68,6 +68,12 @@
   return !mIsTableUp && (isUnload || IsCandidate(aContext, aView, aReplica.model, aRunner.id));
 }
 
+bool Cell::IsSeenQuiet(const Runner& aRunner, const Replica& aReplica)
+{
+  return aReplica.running == 0 && aRunner.reach == RunnerReach::kReached &&
+         aRunner.inventory.empty() && aRunner.inventoryAskedAt >= aReplica.drainedFrom;
+}
+
 bool Cell::IsQuiet(Context& aContext, Runner& aRunner, Replica& aReplica)
 {
   if (!aContext.IsEnabled(Mechanism::kDrainBeforeUnload)) {
@@ -80,8 +86,7 @@
     aContext.WakeBy(aContext.now());
     return false;
   }
-  return aReplica.running == 0 && aRunner.inventory.empty() &&
-         aRunner.inventoryAskedAt >= aReplica.drainedFrom;
+  return IsSeenQuiet(aRunner, aReplica);
 }
 
 void Cell::SendOrders(Context& aContext, const View& aView)
@@ -244,7 +249,7 @@
                      const Inventory& aInventory)
 {
   const bool isRestarted = !aRunner.bootId.empty() && aRunner.bootId != aInventory.bootId;
-  const bool isFirst = aRunner.reach == RunnerReach::kUnknown;
+  const bool isFirst = aRunner.bootId.empty();
   aRunner.reach = RunnerReach::kReached;
   aRunner.bootId = aInventory.bootId;
   aRunner.memory = aInventory.memory;
@@ -297,7 +302,10 @@
                   aInventory.models.end(),
                   [&](const LoadedModel& aLoaded) { return aLoaded.model == model; });
     // Only an inventory asked for after the order was answered can show that it is undone.
-    const bool isSettled = replica.isAnswered && replica.answeredAt < aRunner.inventoryAskedAt;
+    const bool wasLoaded =
+      replica.phase == ReplicaPhase::kLoaded || replica.phase == ReplicaPhase::kDraining;
+    const bool isSettled =
+      (replica.isAnswered || wasLoaded) && replica.answeredAt < aRunner.inventoryAskedAt;
     const bool isInherited = isFirst && replica.issuer != aContext.self();
     if (isListed || replica.phase == ReplicaPhase::kLoadDecided) {
       continue;
--- a/src/decision/scheduler/cell_placement.cpp
+++ b/src/decision/scheduler/cell_placement.cpp
@@ -237,10 +237,8 @@
         NoteUnused(aContext, runner, replica);
       }
       // Routers that a takeover has made unknown are seen in what the runner itself reports.
-      const bool isQuiet = replica.running == 0 && runner.inventoryAskedAt >= replica.drainedFrom &&
-                           runner.inventory.empty();
       if (replica.users.empty() &&
-          (isQuiet || !aContext.IsEnabled(Mechanism::kDrainBeforeUnload))) {
+          (IsSeenQuiet(runner, replica) || !aContext.IsEnabled(Mechanism::kDrainBeforeUnload))) {
         replica.isLastLook = false;
         replica.phase = ReplicaPhase::kUnloadDecided;
         replica.order = OrderId{ aContext.NewName() };
