--- a/src/decision/scheduler/cell_lease.cpp
+++ b/src/decision/scheduler/cell_lease.cpp
@@ -52,7 +52,9 @@
     ReadRows(aContext);
     mNextLeaseAction = aContext.now() + aContext.settings().leaseRenewal / 2;
   }
-  aContext.WakeBy(mNextLeaseAction);
+  if (mRead.empty() || mNextLeaseAction > aContext.now()) {
+    aContext.WakeBy(mNextLeaseAction);
+  }
 }
 
 void Cell::ReadRows(Context& aContext)
@@ -204,12 +206,16 @@
   } else {
     mPlacementChange = {};
   }
+  if (isPlacement && aResult.outcome != TransactionOutcome::kCommitted) {
+    // What was to be written is not known to be written, so it is written again.
+    mIsDirty = true;
+    mWriting.clear();
+  }
   if (aResult.outcome == TransactionOutcome::kUnknown) {
     mNextLeaseAction = aContext.now() + aContext.settings().tableRetry;
     aContext.WakeBy(mNextLeaseAction);
     mPhase = mPhase == LeasePhase::kHeld && !mIsReleasing ? mPhase : LeasePhase::kWatching;
     mIsReleasing = false;
-    mWriting.clear();
     if (mRead.empty()) {
       ReadRows(aContext);
     }
@@ -222,7 +228,6 @@
     }
     // Either another daemon took over, or an earlier write of ours took effect late.
     mIsReleasing = false;
-    mWriting.clear();
     if (mRead.empty()) {
       ReadRows(aContext);
     }
@@ -280,7 +285,7 @@
     replica.isWritten = true;
     replica.mayBeKnown = true;
     replica.lastUsed = aContext.now();
-    replica.unloadableFrom = aContext.now() + aContext.settings().replicaLifetime;
+    replica.unloadableFrom = aContext.now() + UseLimit(aContext);
     if (model != aView.configuration().models.end()) {
       replica.memory = model->second.memory;
       for (const auto& [id, adapter] : model->second.adapters) {
--- a/src/decision/scheduler/cell_order.cpp
+++ b/src/decision/scheduler/cell_order.cpp
@@ -66,6 +66,27 @@
   return !mIsTableUp && (isUnload || IsCandidate(aContext, aView, aReplica.model, aRunner.id));
 }
 
+bool Cell::IsSeenQuiet(const Runner& aRunner, const Replica& aReplica)
+{
+  return aReplica.running == 0 && aRunner.reach == RunnerReach::kReached &&
+         aRunner.inventory.empty() && aRunner.inventoryAskedAt >= aReplica.drainedFrom;
+}
+
+bool Cell::IsQuiet(Context& aContext, Runner& aRunner, Replica& aReplica)
+{
+  if (!aContext.IsEnabled(Mechanism::kDrainBeforeUnload)) {
+    return true;
+  }
+  if (!aReplica.isLastLook) {
+    // The write of the intent may have taken long: the runner is asked once more.
+    aReplica.isLastLook = true;
+    NoteUnused(aContext, aRunner, aReplica);
+    aContext.WakeBy(aContext.now());
+    return false;
+  }
+  return IsSeenQuiet(aRunner, aReplica);
+}
+
 void Cell::SendOrders(Context& aContext, const View& aView)
 {
   for (auto& [id, runner] : mRunners) {
@@ -85,6 +106,9 @@
       if (info == nullptr || !MaySend(aContext, aView, runner, replica)) {
         continue;
       }
+      if (replica.phase == ReplicaPhase::kUnloadDecided && !IsQuiet(aContext, runner, replica)) {
+        continue;
+      }
       replica.phase = isLoad ? ReplicaPhase::kLoading : ReplicaPhase::kUnloading;
       // Until the outcome is reported, the order counts as under way and is not repeated.
       replica.nextOrder = TimePoint::max();
@@ -151,6 +175,7 @@
       ReplyReady(aContext, aView, { model, adapter });
     } else if (aResult.outcome != OrderOutcome::kAccepted) {
       replica.adaptersLoading[adapter] = aContext.now() + aContext.settings().orderRetry;
+      runner.nextInventory = aContext.now();
     }
     OnWake(aContext, aView);
     return;
@@ -229,7 +254,7 @@
                      const Inventory& aInventory)
 {
   const bool isRestarted = !aRunner.bootId.empty() && aRunner.bootId != aInventory.bootId;
-  const bool isFirst = aRunner.reach == RunnerReach::kUnknown;
+  const bool isFirst = aRunner.bootId.empty();
   aRunner.reach = RunnerReach::kReached;
   aRunner.bootId = aInventory.bootId;
   aRunner.memory = aInventory.memory;
@@ -245,7 +270,7 @@
       replica.order = OrderId{ aContext.NewName() };
       replica.issuer = aContext.self();
       replica.lastUsed = aContext.now();
-      replica.unloadableFrom = aContext.now() + aContext.settings().replicaLifetime;
+      replica.unloadableFrom = aContext.now() + UseLimit(aContext);
       replica.phase = loaded.ready ? ReplicaPhase::kLoaded : ReplicaPhase::kLoading;
       replica.isAnswered = true;
       replica.isWritten = true;
@@ -258,6 +283,12 @@
       mIsDirty = true;
     }
     replica.mayBeKnown = true;
+    replica.running = loaded.running;
+    if (replica.phase == ReplicaPhase::kLoaded && !replica.isAnswered) {
+      // Inherited and seen: when it is missing later, it is gone.
+      replica.isAnswered = true;
+      replica.answeredAt = aContext.now();
+    }
     replica.adapters.insert(loaded.adapters.begin(), loaded.adapters.end());
     const bool wasLoading = replica.phase == ReplicaPhase::kLoading;
     if (wasLoading && loaded.ready) {
@@ -277,7 +308,10 @@
                   aInventory.models.end(),
                   [&](const LoadedModel& aLoaded) { return aLoaded.model == model; });
     // Only an inventory asked for after the order was answered can show that it is undone.
-    const bool isSettled = replica.isAnswered && replica.answeredAt < aRunner.inventoryAskedAt;
+    const bool wasLoaded =
+      replica.phase == ReplicaPhase::kLoaded || replica.phase == ReplicaPhase::kDraining;
+    const bool isSettled =
+      (replica.isAnswered || wasLoaded) && replica.answeredAt < aRunner.inventoryAskedAt;
     const bool isInherited = isFirst && replica.issuer != aContext.self();
     if (isListed || replica.phase == ReplicaPhase::kLoadDecided) {
       continue;
