Feature: [Router] A claim row can be released without deleting it

Cause: a claim's row that is deleted after an insertion with an unknown outcome could be inserted again by that insertion when it lands late, and the key would stay claimed by nobody. Ruled out: waiting for the late write, which has no bound.

--- a/src/decision/row_type.h
+++ b/src/decision/row_type.h
@@ -65,6 +65,7 @@
   kClaimed,
   kDone,
   kUnknown,
+  kReleased, ///< Given back unused; may be claimed again.
 };
 
 /* The right to run one non-idempotent request, taken before any byte is sent. */
