Fix: [Endpoint] Report a late answer of an at-most-once request as completed

Cause: an answer that came after the caller's last word was reported as cancelled, so that the claim could not store it. Change: an at-most-once answer is reported whole, whether or not the caller is still there. No process test yet. Conclusion: the next request with the key gets the stored answer.

--- a/src/endpoint/attempt.cpp
+++ b/src/endpoint/attempt.cpp
@@ -117,10 +117,13 @@
     }
     ended.httpStatus = static_cast<std::uint16_t>(mStatus);
     ended.contentType = mContentType;
-    if (mSession.call().repeatability == Repeatability::kAtMostOnce) {
+    const bool isOnce = mSession.call().repeatability == Repeatability::kAtMostOnce;
+    if (isOnce) {
       ended.answer = mBody;
     }
-    if (!mIsStream && !mSession.PushWhole(mStart.attempt, mStatus, mContentType, mBody)) {
+    const bool isPassedOn =
+      mIsStream || mSession.PushWhole(mStart.attempt, mStatus, mContentType, mBody);
+    if (!isPassedOn && !isOnce) {
       ended.outcome = AttemptOutcome::kCancelled;
     }
     return ended;
