--- a/src/decision/router/claim.cpp
+++ b/src/decision/router/claim.cpp
@@ -2,6 +2,7 @@
 #include "decision/router/claim_base.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace rhubarbtrail {
 
@@ -9,12 +10,14 @@
 
 /* Longest wait for a claim before the request is refused as not run. */
 constexpr Duration kClaimTimeout = 2s;
-/* Tries to write a claim's end before it is left to the table's retention. */
-constexpr std::uint32_t kRecordTries = 10'000;
+/* Time between the starts of two transactions, so that claims gather in groups. */
+constexpr Duration kCommitSpacing = 20ms;
+/* Transactions without an answer after which a stopping daemon waits no longer. */
+constexpr std::uint32_t kShutdownFailures = 10;
 
 } // namespace
 
-void ClaimBook::Ask(Context& aContext, const RequestArrived& aArrived)
+std::optional<ClaimVerdict> ClaimBook::Ask(Context& aContext, const RequestArrived& aArrived)
 {
   Entry entry;
   entry.key = ClaimKey(aArrived.customer, aArrived.key);
@@ -22,15 +25,41 @@
   entry.row.owner = aContext.self();
   entry.row.fingerprint = aArrived.fingerprint;
   entry.askedAt = aContext.now();
-  mEntries[aArrived.request] = std::move(entry);
-  mWaiting.push_back(aArrived.request);
+  const auto other = mByKey.find(entry.key);
+  if (other != mByKey.end()) {
+    const ClaimRow& found = mEntries.at(other->second).row;
+    const ClaimOutcome outcome = Judge(found, entry.row);
+    return ClaimVerdict{ aArrived.request,
+                         outcome == ClaimOutcome::kHeld ? ClaimOutcome::kInProgress : outcome,
+                         found };
+  }
+  mByKey[entry.key] = aArrived.request;
+  Entry& stored = mEntries[aArrived.request] = std::move(entry);
+  Queue(aArrived.request, stored);
   aContext.WakeBy(aContext.now() + kClaimTimeout);
   Send(aContext);
+  return std::nullopt;
+}
+
+void ClaimBook::Queue(const RequestId& aRequest, Entry& aEntry)
+{
+  if (!aEntry.isQueued && !aEntry.inBatch) {
+    aEntry.isQueued = true;
+    mWaiting.push_back(aRequest);
+  }
+}
+
+void ClaimBook::Erase(const RequestId& aRequest)
+{
+  const auto found = mEntries.find(aRequest);
+  mByKey.erase(found->second.key);
+  mEntries.erase(found);
 }
 
 void ClaimBook::Record(Context& aContext,
                        const RequestId& aRequest,
                        ClaimState aState,
+                       ClaimEnd aEnd,
                        const AttemptEnded& aEnded)
 {
   const auto found = mEntries.find(aRequest);
@@ -43,8 +72,8 @@
   entry.row.contentType = aEnded.contentType;
   entry.row.answer = aEnded.answer;
   entry.step = Step::kUpdate;
-  entry.tries = 0;
-  mWaiting.push_back(aRequest);
+  entry.isOpen = aEnd == ClaimEnd::kOpen;
+  Queue(aRequest, entry);
   Send(aContext);
 }
 
@@ -54,15 +83,19 @@
   if (found == mEntries.end()) {
     return;
   }
-  found->second.isAsked = false;
-  if (found->second.step != Step::kGranted) {
-    // The insertion may still take effect: it is settled first, and released then.
-    found->second.tries = 0;
+  Entry& entry = found->second;
+  entry.isAsked = false;
+  if (entry.step == Step::kInsert) {
+    const bool wasSent = entry.inBatch || entry.mayLand;
+    if (!wasSent) {
+      Erase(aRequest);
+    }
+    // Otherwise the insertion may still take effect: it is settled first, and released then.
     return;
   }
-  found->second.step = Step::kRelease;
-  found->second.tries = 0;
-  mWaiting.push_back(aRequest);
+  entry.step = Step::kRelease;
+  entry.isOpen = false;
+  Queue(aRequest, entry);
   Send(aContext);
 }
 
@@ -76,34 +109,31 @@
     return;
   }
   TableTransaction transaction;
-  std::set<RowKey> keys;
-  std::deque<RequestId> later;
   while (!mWaiting.empty() && mBatch.size() < aContext.settings().claimBatch) {
-    RequestId request = mWaiting.front();
+    const RequestId request = std::move(mWaiting.front());
     mWaiting.pop_front();
     const auto found = mEntries.find(request);
-    if (found == mEntries.end()) {
+    if (found == mEntries.end() || !found->second.isQueued) {
       continue;
     }
     Entry& entry = found->second;
-    if (!keys.insert(entry.key).second) {
-      later.push_back(std::move(request));
-      continue;
-    }
+    entry.isQueued = false;
     entry.inBatch = true;
-    transaction.conditions.push_back({ entry.key, entry.version });
     if (entry.step == Step::kRelease) {
-      transaction.writes.push_back({ entry.key, std::nullopt });
-    } else {
-      transaction.writes.push_back({ entry.key, RowValue{ entry.row } });
+      entry.row.state = ClaimState::kReleased;
     }
-    mBatch.push_back(std::move(request));
+    transaction.conditions.push_back({ entry.key, entry.version });
+    // A row that is deleted could be inserted again by a write that lands late.
+    const bool isDeleted = entry.step == Step::kRelease && !entry.mayLand;
+    transaction.writes.push_back(
+      { entry.key, isDeleted ? std::nullopt : std::optional<RowValue>{ entry.row } });
+    mBatch.push_back(request);
   }
-  mWaiting.insert(mWaiting.begin(), later.begin(), later.end());
   if (mBatch.empty()) {
     return;
   }
   mChange = ChangeId{ aContext.NewName() };
+  mNextSend = aContext.now() + kCommitSpacing;
   transaction.change = mChange;
   aContext.Emit(std::move(transaction));
 }
@@ -115,6 +145,7 @@
   }
   switch (aFound.state) {
     case ClaimState::kClaimed:
+    case ClaimState::kReleased:
       return ClaimOutcome::kHeld;
     case ClaimState::kDone:
       return ClaimOutcome::kDone;
@@ -126,79 +157,90 @@
 
 void ClaimBook::Settle(const RequestId& aRequest, const Row& aRow, std::vector<ClaimVerdict>& aOut)
 {
-  const auto found = mEntries.find(aRequest);
-  if (found == mEntries.end()) {
-    return;
-  }
-  Entry& entry = found->second;
+  Entry& entry = mEntries.at(aRequest);
   const auto* row = aRow.value ? std::get_if<ClaimRow>(&*aRow.value) : nullptr;
   const bool isOurs = row != nullptr && row->request == aRequest && row->owner == entry.row.owner;
   entry.version = aRow.version;
-  if (entry.step != Step::kInsert) {
-    // An ending: it is written when the row says so, and otherwise written again.
-    const bool isWritten =
-      entry.step == Step::kRelease ? !isOurs : (isOurs && row->state == entry.row.state) || !isOurs;
-    if (isWritten) {
-      mEntries.erase(found);
-    } else {
-      mWaiting.push_back(aRequest);
-    }
+  if (entry.step == Step::kInsert) {
+    SettleInsert(aRequest, entry, row, aOut);
     return;
   }
-  if (row == nullptr) {
-    mWaiting.push_back(aRequest);
+  // An ending: it is written when the row says so, and otherwise written again.
+  const bool isWritten = !isOurs || row->state == entry.row.state;
+  if (!isWritten) {
+    Queue(aRequest, entry);
+  } else if (entry.isOpen && isOurs) {
+    entry.step = Step::kGranted;
+  } else {
+    Erase(aRequest);
+  }
+}
+
+void ClaimBook::SettleInsert(const RequestId& aRequest,
+                             Entry& aEntry,
+                             const ClaimRow* aRow,
+                             std::vector<ClaimVerdict>& aOut)
+{
+  const bool isFree = aRow == nullptr || aRow->state == ClaimState::kReleased;
+  if (isFree) {
+    if (!aEntry.isAsked && !aEntry.mayLand) {
+      Erase(aRequest);
+      return;
+    }
+    Queue(aRequest, aEntry);
     return;
   }
-  if (!isOurs) {
-    if (entry.isAsked) {
-      aOut.push_back({ aRequest, Judge(*row, entry.row), *row });
+  if (aRow->request != aRequest || aRow->owner != aEntry.row.owner) {
+    if (aEntry.isAsked) {
+      aOut.push_back({ aRequest, Judge(*aRow, aEntry.row), *aRow });
     }
-    mEntries.erase(found);
+    Erase(aRequest);
     return;
   }
-  if (!entry.isAsked) {
-    entry.step = Step::kRelease;
-    mWaiting.push_back(aRequest);
+  if (!aEntry.isAsked) {
+    aEntry.step = Step::kRelease;
+    Queue(aRequest, aEntry);
     return;
   }
-  entry.isAsked = false;
-  entry.step = Step::kGranted;
+  aEntry.isAsked = false;
+  aEntry.step = Step::kGranted;
   aOut.push_back({ aRequest, ClaimOutcome::kGranted, {} });
 }
 
 std::vector<ClaimVerdict> ClaimBook::OnResult(Context& aContext, const TransactionResult& aResult)
 {
   std::vector<ClaimVerdict> verdicts;
-  if (aResult.change != mChange || mChange.empty()) {
+  if (mChange.empty() || aResult.change != mChange) {
     return verdicts;
   }
   mChange = {};
-  const std::vector<RequestId> batch = std::move(mBatch);
-  mBatch.clear();
-  if (aResult.outcome == TransactionOutcome::kUnknown) {
+  const bool isUnknown = aResult.outcome == TransactionOutcome::kUnknown;
+  mFailures = isUnknown ? mFailures + 1 : 0;
+  if (isUnknown) {
     mNextSend = aContext.now() + aContext.settings().tableRetry;
   }
+  const std::vector<RequestId> batch = std::exchange(mBatch, {});
   for (const RequestId& request : batch) {
-    const auto found = mEntries.find(request);
-    if (found == mEntries.end()) {
-      continue;
-    }
-    Entry& entry = found->second;
+    Entry& entry = mEntries.at(request);
     entry.inBatch = false;
+    entry.mayLand = entry.mayLand || isUnknown;
     const auto row = std::find_if(aResult.rows.begin(), aResult.rows.end(), [&](const Row& aRow) {
       return aRow.key == entry.key;
     });
-    if (row != aResult.rows.end() && aResult.outcome != TransactionOutcome::kUnknown) {
+    if (!isUnknown && row != aResult.rows.end()) {
       Settle(request, *row, verdicts);
-      continue;
     }
-    // Unknown, or held up by another row's conflict: the same write is tried again, and finds
-    // its own row if it has taken effect already.
-    if (++entry.tries > kRecordTries && !entry.isAsked) {
-      mEntries.erase(found);
-      continue;
+  }
+  // What is unknown, or held up by another row's conflict, goes first in the next batch: so no
+  // more than one batch of insertions can land late. A write that has landed finds its own row.
+  for (auto request = batch.rbegin(); request != batch.rend(); ++request) {
+    const auto found = mEntries.find(*request);
+    const bool isSettled =
+      found == mEntries.end() || found->second.isQueued || found->second.step == Step::kGranted;
+    if (!isSettled) {
+      found->second.isQueued = true;
+      mWaiting.push_front(*request);
     }
-    mWaiting.push_back(request);
   }
   Send(aContext);
   return verdicts;
@@ -222,4 +264,9 @@
   return verdicts;
 }
 
+bool ClaimBook::IsIdle() const
+{
+  return mEntries.empty() || mFailures >= kShutdownFailures;
+}
+
 } // namespace rhubarbtrail
--- a/src/decision/router/router.cpp
+++ b/src/decision/router/router.cpp
@@ -1,6 +1,8 @@
 /* Time, cancellations and changes of the view. */
 #include "decision/router/router_base.h"
 
+#include <algorithm>
+
 namespace rhubarbtrail {
 
 Target* Router::FindTarget(const Request& aRequest)
@@ -9,60 +11,68 @@
   return found == mTargets.end() ? nullptr : &found->second;
 }
 
-void Router::OnCancelled(Context& aContext, View& aView, const RequestCancelled& aCancelled)
+std::size_t Router::InFlight(const EndpointId& aEndpoint) const
+{
+  const auto found = mEndpoints.find(aEndpoint);
+  return found == mEndpoints.end() ? 0 : found->second.inFlight.size();
+}
+
+void Router::ReleaseUse(Request& aRequest)
+{
+  const auto endpoint = mEndpoints.find(aRequest.endpoint);
+  if (endpoint != mEndpoints.end()) {
+    endpoint->second.inFlight.erase(aRequest.arrived.request);
+  }
+  if (Target* target = FindTarget(aRequest)) {
+    --target->inFlight;
+  }
+  aRequest.endpoint = {};
+}
+
+void Router::OnCancelled(Context& aContext, View& /*aView*/, const RequestCancelled& aCancelled)
 {
   const auto found = mRequests.find(aCancelled.request);
-  if (found == mRequests.end()) {
+  if (found == mRequests.end() || found->second.state == RequestState::kAbandoned) {
     return;
   }
   Request& request = found->second;
-  const bool isOnce = request.repeatability == Repeatability::kAtMostOnce;
   if (request.state == RequestState::kInFlight) {
-    if (isOnce) {
-      // It runs to its end, so that its outcome can be recorded.
-      request.cancelled = true;
-      return;
-    }
-    const EndpointId endpoint = request.endpoint;
-    mInFlight[endpoint].erase(aCancelled.request);
-    aContext.Emit(StopAttempt{ aCancelled.request, request.attempt });
-    Erase(aCancelled.request);
-    ReportDrained(aContext, aView, endpoint);
-    DispatchEndpoint(aContext, aView, endpoint);
+    Abandon(aContext, request);
     return;
   }
-  if (Target* target = FindTarget(request)) {
-    target->queue.Remove(request.queued);
-  }
-  if (isOnce) {
+  if (request.repeatability == Repeatability::kAtMostOnce) {
     mClaims.Release(aContext, aCancelled.request);
   }
   Erase(aCancelled.request);
 }
 
-void Router::ExpireDeadlines(Context& aContext)
+void Router::Tidy(Context& aContext, View& aView)
 {
-  while (!mDeadlines.empty() && aContext.IsEnabled(Mechanism::kDeadlineRefusal)) {
-    const auto [deadline, id] = *mDeadlines.begin();
-    if (deadline > aContext.now()) {
-      aContext.WakeBy(deadline);
-      return;
-    }
-    Request& request = mRequests.at(id);
-    if (request.state == RequestState::kInFlight) {
-      aContext.Emit(StopAttempt{ id, request.attempt });
-      mInFlight[request.endpoint].erase(id);
-      request.mayHaveRun = true;
-    } else if (Target* target = FindTarget(request)) {
-      target->queue.Remove(request.queued);
-    }
-    const bool isOnce = request.repeatability == Repeatability::kAtMostOnce;
-    ResultCode code = ResultCode::kDeadlinePassed;
-    if (request.mayHaveRun) {
-      code = isOnce ? ResultCode::kOutcomeUnknown : ResultCode::kAttemptsExhausted;
+  for (auto item = mTargets.begin(); item != mTargets.end();) {
+    Target& target = item->second;
+    if (!target.queue.empty() || target.inFlight > 0) {
+      ++item;
+      continue;
     }
-    Finish(aContext, request, code, kDefaultRetryAfter);
+    const bool isForgotten = IsPlain(target.artifact) || (target.knownUntil <= aContext.now() &&
+                                                          !IsSilent(aContext, target.service));
+    item = isForgotten ? mTargets.erase(item) : std::next(item);
+  }
+  for (auto& [id, use] : mEndpoints) {
+    std::erase_if(use.backoffs, [&](const auto& aItem) {
+      const TimePoint forgetAt = aItem.second.until + aContext.settings().replicaLifetime;
+      if (forgetAt > aContext.now()) {
+        aContext.WakeBy(forgetAt);
+      }
+      return forgetAt <= aContext.now();
+    });
   }
+  std::erase_if(mEndpoints, [](const auto& aItem) {
+    return aItem.second.inFlight.empty() && aItem.second.backoffs.empty();
+  });
+  std::erase_if(mHolders, [&](const auto& aItem) {
+    return !aView.configuration().services.contains(aItem.first);
+  });
 }
 
 void Router::OnWake(Context& aContext, View& aView)
@@ -74,21 +84,20 @@
       DispatchTarget(aContext, aView, target);
       continue;
     }
-    if (IsPlain(target.artifact) || target.replicas.empty()) {
+    if (IsPlain(target.artifact)) {
       continue;
     }
     // Locations in use are refreshed before they run out; unused ones are forgotten.
     const TimePoint refresh = target.knownUntil - aContext.settings().replicaLifetime / 2;
     if (refresh > aContext.now()) {
       aContext.WakeBy(refresh);
-    } else if (target.startedSince > 0) {
+    } else if (target.startedSince > 0 || target.inFlight > 0) {
       Demand(aContext, aView, target);
-    } else if (target.knownUntil <= aContext.now()) {
-      target.replicas.clear();
-    } else {
+    } else if (target.knownUntil > aContext.now()) {
       aContext.WakeBy(target.knownUntil);
     }
   }
+  Tidy(aContext, aView);
 }
 
 void Router::OnViewChanged(Context& aContext, View& aView)
@@ -103,6 +112,9 @@
 void Router::Dump(std::vector<DumpEntry>& aOut) const
 {
   aOut.push_back({ "router.requests", std::to_string(mRequests.size()) });
+  aOut.push_back({ "router.targets", std::to_string(mTargets.size()) });
+  aOut.push_back({ "router.endpoints_in_use", std::to_string(mEndpoints.size()) });
+  aOut.push_back({ "router.claims", std::to_string(mClaims.size()) });
   aOut.push_back({ "router.suspects", std::to_string(mQuarantine.suspects.size()) });
   aOut.push_back({ "router.convicted", std::to_string(mQuarantine.convicted.size()) });
   for (const auto& [key, target] : mTargets) {
--- a/src/decision/router/router_admission.cpp
+++ b/src/decision/router/router_admission.cpp
@@ -70,7 +70,9 @@
   const bool needsClaim = stored.repeatability == Repeatability::kAtMostOnce;
   if (needsClaim && aContext.IsEnabled(Mechanism::kClaimBeforeSend)) {
     stored.state = RequestState::kClaiming;
-    mClaims.Ask(aContext, aArrived);
+    if (const auto verdict = mClaims.Ask(aContext, aArrived)) {
+      Decide(aContext, aView, *verdict);
+    }
     return;
   }
   Enqueue(aContext, aView, stored);
--- a/src/decision/router/router_base.h
+++ b/src/decision/router/router_base.h
@@ -32,7 +32,7 @@
   kClaiming,
   kQueued,
   kInFlight,
-  kRecording, ///< Answered; the claim is still to be marked.
+  kAbandoned, ///< The caller has its last word or has gone; the attempt has not ended yet.
 };
 
 /* One request between arrival and final answer. */
@@ -46,10 +46,11 @@
   AttemptNumber attempt;
   EndpointId endpoint; ///< Of the attempt in flight.
   std::set<EndpointId> failed;
-  std::uint32_t delivered = 0; ///< Stream events that the caller has.
+  std::uint32_t sentAttempts = 0;    ///< Attempts that may have run.
+  std::uint32_t refusedAttempts = 0; ///< Attempts that certainly did not run.
+  std::uint32_t delivered = 0;       ///< Stream events that the caller has.
   bool mayHaveRun = false;
   bool suspect = false;
-  bool cancelled = false;
 };
 
 /* The router's knowledge of the replicas of one artifact. */
@@ -61,12 +62,40 @@
   std::vector<ReplicaLocation> replicas;
   TimePoint knownUntil{};
   TimePoint nextDemand{};
-  Duration expectedWait{};
+  TimePoint readyAt{};   ///< When the holder expects a replica.
+  bool hasAsked = false; ///< A demand for waiting requests is unanswered.
   std::uint32_t startedSince = 0;
-  DaemonId holder;                ///< Who answered last, or was named as the holder.
-  std::uint32_t holderMisses = 0; ///< Demands without an answer.
+  std::uint32_t inFlight = 0; ///< Attempts that have not ended yet.
 };
 
+/* Whom the router takes for the holder of a cell, and how long it has been silent. */
+struct HolderContact
+{
+  DaemonId holder;                  ///< Who answered last, or was named as the holder.
+  Fence fence;                      ///< The newest holder's; answers of former ones are ignored.
+  std::uint32_t candidate = 0;      ///< Rank of the daemon that is being tried.
+  bool hasFollowed = false;         ///< This candidate's hint was followed.
+  std::optional<TimePoint> askedAt; ///< The first question it has not answered.
+  std::optional<TimePoint> silentSince; ///< The first demand that nobody has answered.
+};
+
+/* A pause after refused attempts; it grows with each refusal in a row. */
+struct Backoff
+{
+  std::uint32_t refusals = 0;
+  TimePoint until{};
+};
+
+/* What the router has under way at an endpoint; kept while there is anything. */
+struct EndpointUse
+{
+  std::set<RequestId> inFlight;
+  std::map<ModelId, Backoff> backoffs;
+};
+
+/* State is bounded: requests and attempts by settings().queueLimit, targets and endpoints by what
+ * these requests use or have used within settings().replicaLifetime, holders by the services,
+ * claims and fingerprints by the limits of their classes. */
 class Router
 {
 public:
@@ -102,30 +131,52 @@
                                            const View& aView,
                                            const Target& aTarget,
                                            const Request& aRequest) const;
-  bool HasRoom(const Target& aTarget, const ReplicaLocation& aReplica) const;
+  bool HasRoom(const Context& aContext,
+               const View& aView,
+               const Target& aTarget,
+               const ReplicaLocation& aReplica) const;
   void Start(Context& aContext,
              View& aView,
              Target& aTarget,
              Request& aRequest,
              const EndpointId& aEndpoint);
   void Demand(Context& aContext, View& aView, Target& aTarget);
+  DaemonId ChooseHolder(Context& aContext, const View& aView, const ServiceId& aService);
+  void Send(Context& aContext, const View& aView, const DaemonId& aTo, Message aMessage) const;
+  void OnNotHolder(Context& aContext,
+                   View& aView,
+                   Target& aTarget,
+                   const DemandReplyMessage& aReply);
+  void RefuseWaiting(Context& aContext, Target& aTarget, ResultCode aCode, Duration aRetryAfter);
+  bool IsSilent(const Context& aContext, const ServiceId& aService) const;
+  bool MayUse(const Context& aContext, const Target& aTarget, const Request& aRequest) const;
+  void ReleaseUse(Request& aRequest);
+  std::size_t InFlight(const EndpointId& aEndpoint) const;
+  void Tidy(Context& aContext, View& aView);
   void RefreshPlainReplicas(const Context& aContext, const View& aView, Target& aTarget) const;
 
   void OnCompleted(Context& aContext, Request& aRequest, const AttemptEnded& aEnded);
-  void OnFailed(Context& aContext, View& aView, Request& aRequest, const AttemptEnded& aEnded);
+  void OnAbandonedEnded(Context& aContext, Request& aRequest, const AttemptEnded& aEnded);
+  void NoteOutcome(Context& aContext, View& aView, Request& aRequest, AttemptOutcome aOutcome);
+  void Abandon(Context& aContext, Request& aRequest);
   void OnCrashed(Context& aContext, View& aView, Request& aRequest, const EndpointId& aEndpoint);
-  void Retry(Context& aContext, View& aView, Request& aRequest, const AttemptEnded& aEnded);
+  bool Convict(Context& aContext, View& aView, const Request& aRequest);
+  void Retry(Context& aContext, View& aView, Request& aRequest);
+  static ResultCode FailureCode(const Request& aRequest, ResultCode aNotRun);
   void Finish(Context& aContext, Request& aRequest, ResultCode aCode, Duration aRetryAfter = {});
   void Erase(const RequestId& aRequest);
+  void LeaveQueue(Request& aRequest);
   void ForgetReplica(const EndpointId& aEndpoint, const ModelId& aModel);
   void ReportDrained(Context& aContext, View& aView, const EndpointId& aEndpoint);
   void ExpireDeadlines(Context& aContext);
+  void Decide(Context& aContext, View& aView, const ClaimVerdict& aVerdict);
   Target* FindTarget(const Request& aRequest);
 
   std::unordered_map<RequestId, Request> mRequests;
   std::set<std::pair<TimePoint, RequestId>> mDeadlines;
   std::map<TargetKey, Target> mTargets;
-  std::map<EndpointId, std::set<RequestId>> mInFlight;
+  std::map<EndpointId, EndpointUse> mEndpoints;
+  std::map<ServiceId, HolderContact> mHolders;
   std::map<std::pair<EndpointId, ModelId>, std::pair<DaemonId, DrainMessage>> mDraining;
   std::map<CustomerId, std::uint32_t> mQueuedByCustomer;
   FairClock mClock;
--- a/src/decision/router/router_demand.cpp
+++ b/src/decision/router/router_demand.cpp
@@ -1,15 +1,61 @@
 /* How replicas are asked for, learned and given up. */
 #include "decision/router/router_base.h"
 
+#include <algorithm>
+
 namespace rhubarbtrail {
 
 namespace {
 
-/* Demands without an answer after which the next candidate daemon is asked. */
-constexpr std::uint32_t kMissesBeforeNextHolder = 2;
+/* Demand intervals without an answer after which the next candidate daemon is asked. */
+constexpr std::uint32_t kIntervalsBeforeNextHolder = 2;
 
 } // namespace
 
+bool Router::IsSilent(const Context& aContext, const ServiceId& aService) const
+{
+  const auto contact = mHolders.find(aService);
+  return contact != mHolders.end() && contact->second.silentSince &&
+         aContext.now() - *contact->second.silentSince >= aContext.settings().leaseLength;
+}
+
+bool Router::MayUse(const Context& aContext, const Target& aTarget, const Request& aRequest) const
+{
+  if (IsPlain(aTarget.artifact) || aTarget.knownUntil > aContext.now()) {
+    return true;
+  }
+  // With no holder to ask, an old location serves what can be repeated if it is gone.
+  return aRequest.repeatability == Repeatability::kIdempotent &&
+         IsSilent(aContext, aTarget.service);
+}
+
+DaemonId Router::ChooseHolder(Context& aContext, const View& aView, const ServiceId& aService)
+{
+  HolderContact& contact = mHolders[aService];
+  const Duration patience = kIntervalsBeforeNextHolder * aContext.settings().demandInterval;
+  const bool isMissing = contact.askedAt && aContext.now() - *contact.askedAt >= patience;
+  if (isMissing || contact.holder.empty()) {
+    const auto ranked = aView.RankDaemons(aContext, aService.str());
+    contact.candidate = isMissing ? contact.candidate + 1 : 0;
+    contact.holder = ranked[contact.candidate % ranked.size()];
+    contact.hasFollowed = false;
+    contact.askedAt.reset();
+  }
+  if (!contact.askedAt) {
+    contact.askedAt = aContext.now();
+  }
+  return contact.holder;
+}
+
+void Router::Send(Context& aContext, const View& aView, const DaemonId& aTo, Message aMessage) const
+{
+  if (aTo == aContext.self().daemon) {
+    aContext.Emit(SendMessage{ aTo, {}, std::move(aMessage) });
+    return;
+  }
+  aView.SendTo(aContext, aTo, std::move(aMessage));
+}
+
 void Router::Demand(Context& aContext, View& aView, Target& aTarget)
 {
   if (aTarget.nextDemand > aContext.now()) {
@@ -18,31 +64,57 @@
   }
   aTarget.nextDemand = aContext.now() + aContext.settings().demandInterval;
   aContext.WakeBy(aTarget.nextDemand);
-  const CellId cell{ aTarget.service.str() };
-  const auto ranked = aView.RankDaemons(aContext, cell.str());
-  if (aTarget.holder.empty() || aTarget.holderMisses >= kMissesBeforeNextHolder) {
-    aTarget.holder = ranked[(aTarget.holderMisses / kMissesBeforeNextHolder) % ranked.size()];
+  const DaemonId holder = ChooseHolder(aContext, aView, aTarget.service);
+  HolderContact& contact = mHolders[aTarget.service];
+  // Time enough for a lease to lapse and for another daemon to take it.
+  const Duration limit = aContext.settings().leaseLength + aContext.settings().memberTimeout;
+  if (contact.silentSince && aContext.now() - *contact.silentSince >= limit && aTarget.hasAsked) {
+    RefuseWaiting(aContext, aTarget, ResultCode::kReplicaUnavailable, kDefaultRetryAfter);
   }
-  ++aTarget.holderMisses;
-  std::uint32_t inFlight = 0;
-  for (const ReplicaLocation& replica : aTarget.replicas) {
-    const auto found = mInFlight.find(replica.runner);
-    inFlight += found == mInFlight.end() ? 0 : static_cast<std::uint32_t>(found->second.size());
+  aTarget.hasAsked = !aTarget.queue.empty();
+  if (aTarget.hasAsked && !contact.silentSince) {
+    contact.silentSince = aContext.now();
   }
   const TimePoint earliest = aTarget.queue.EarliestDeadline();
-  const DemandMessage demand{ .cell = cell,
-                              .artifact = aTarget.artifact,
-                              .timeLeft = earliest == TimePoint::max() ? Duration{}
-                                                                       : earliest - aContext.now(),
-                              .waiting = static_cast<std::uint32_t>(aTarget.queue.size()),
-                              .inFlight = inFlight,
-                              .startedSince = aTarget.startedSince };
+  Send(aContext,
+       aView,
+       holder,
+       DemandMessage{ .cell = CellId{ aTarget.service.str() },
+                      .artifact = aTarget.artifact,
+                      .timeLeft =
+                        earliest == TimePoint::max() ? Duration{} : earliest - aContext.now(),
+                      .waiting = static_cast<std::uint32_t>(aTarget.queue.size()),
+                      .inFlight = aTarget.inFlight,
+                      .startedSince = aTarget.startedSince });
   aTarget.startedSince = 0;
-  if (aTarget.holder == aContext.self().daemon) {
-    aContext.Emit(SendMessage{ aTarget.holder, {}, demand });
+}
+
+void Router::RefuseWaiting(Context& aContext,
+                           Target& aTarget,
+                           ResultCode aCode,
+                           Duration aRetryAfter)
+{
+  while (const auto next = aTarget.queue.Peek(mClock)) {
+    Request& request = mRequests.at(*next);
+    Finish(aContext, request, FailureCode(request, aCode), aRetryAfter);
+  }
+}
+
+void Router::OnNotHolder(Context& aContext,
+                         View& aView,
+                         Target& aTarget,
+                         const DemandReplyMessage& aReply)
+{
+  // One hint is followed for each candidate, so that two daemons can't send us to and fro.
+  HolderContact& contact = mHolders[aTarget.service];
+  if (aReply.holder.empty() || aReply.holder == contact.holder || contact.hasFollowed) {
     return;
   }
-  aView.SendTo(aContext, aTarget.holder, demand);
+  contact.holder = aReply.holder;
+  contact.hasFollowed = true;
+  contact.askedAt = aContext.now();
+  aTarget.nextDemand = aContext.now();
+  Demand(aContext, aView, aTarget);
 }
 
 void Router::OnDemandReply(Context& aContext,
@@ -56,30 +128,30 @@
   }
   Target& target = found->second;
   if (aReply.status == DemandStatus::kNotHolder) {
-    if (!aReply.holder.empty() && aReply.holder != target.holder) {
-      target.holder = aReply.holder;
-      target.nextDemand = aContext.now();
-      Demand(aContext, aView, target);
-    }
+    OnNotHolder(aContext, aView, target, aReply);
     return;
   }
-  target.holder = aFrom;
-  target.holderMisses = 0;
-  target.expectedWait = aReply.expectedWait;
+  HolderContact& contact = mHolders[target.service];
+  if (aReply.fence < contact.fence) {
+    return; // A former holder.
+  }
+  contact = { .holder = aFrom, .fence = aReply.fence };
+  target.hasAsked = false;
+  target.readyAt = aContext.now() + aReply.expectedWait;
   if (aReply.status == DemandStatus::kRefused) {
-    while (const auto next = target.queue.Peek(mClock)) {
-      Request& request = mRequests.at(*next);
-      target.queue.Remove(request.queued);
-      Finish(aContext, request, aReply.refusal, aReply.expectedWait);
-    }
+    RefuseWaiting(aContext, target, aReply.refusal, aReply.expectedWait);
     return;
   }
   if (aReply.status == DemandStatus::kReady) {
     target.replicas = aReply.replicas;
     target.knownUntil = aContext.now() + aContext.settings().replicaLifetime;
-    for (const ReplicaLocation& replica : target.replicas) {
+    for (ReplicaLocation& replica : target.replicas) {
       mDraining.erase({ replica.runner, target.artifact.model });
+      // What this daemon has in flight is counted here; the report covers the others' share.
+      const auto ours = static_cast<std::uint32_t>(InFlight(replica.runner));
+      replica.reportedLoad -= std::min(replica.reportedLoad, ours);
     }
+    aContext.WakeBy(target.knownUntil - aContext.settings().replicaLifetime / 2);
     DispatchTarget(aContext, aView, target);
   }
 }
@@ -96,23 +168,22 @@
 
 void Router::ReportDrained(Context& aContext, View& aView, const EndpointId& aEndpoint)
 {
+  const auto use = mEndpoints.find(aEndpoint);
   for (auto drain = mDraining.begin(); drain != mDraining.end();) {
     const auto& [endpoint, model] = drain->first;
     bool isBusy = endpoint != aEndpoint;
-    for (const RequestId& id : mInFlight[aEndpoint]) {
-      isBusy = isBusy || mRequests.at(id).arrived.artifact.model == model;
+    if (!isBusy && use != mEndpoints.end()) {
+      isBusy = std::any_of(
+        use->second.inFlight.begin(), use->second.inFlight.end(), [&](const RequestId& aRequest) {
+          return mRequests.at(aRequest).arrived.artifact.model == drain->first.second;
+        });
     }
     if (isBusy) {
       ++drain;
       continue;
     }
     const auto& [holder, message] = drain->second;
-    const DrainedMessage drained{ message.cell, endpoint, model, message.fence };
-    if (holder == aContext.self().daemon) {
-      aContext.Emit(SendMessage{ holder, {}, drained });
-    } else {
-      aView.SendTo(aContext, holder, drained);
-    }
+    Send(aContext, aView, holder, DrainedMessage{ message.cell, endpoint, model, message.fence });
     drain = mDraining.erase(drain);
   }
 }
--- a/src/decision/router/router_dispatch.cpp
+++ b/src/decision/router/router_dispatch.cpp
@@ -4,9 +4,18 @@
 #include "decision/rendezvous_func.h"
 
 #include <algorithm>
+#include <string>
+#include <tuple>
 
 namespace rhubarbtrail {
 
+namespace {
+
+/* Time past its deadline for which the answer of an at-most-once request is waited for. */
+constexpr Duration kLateAnswerGrace = 10s;
+
+} // namespace
+
 void Router::RefreshPlainReplicas(const Context& aContext, const View& aView, Target& aTarget) const
 {
   const auto service = aView.configuration().services.find(aTarget.service);
@@ -21,22 +30,29 @@
   }
 }
 
-bool Router::HasRoom(const Target& aTarget, const ReplicaLocation& aReplica) const
+bool Router::HasRoom(const Context& aContext,
+                     const View& aView,
+                     const Target& aTarget,
+                     const ReplicaLocation& aReplica) const
 {
-  const auto inFlight = mInFlight.find(aReplica.runner);
-  if (mDraining.contains({ aReplica.runner, aTarget.artifact.model })) {
+  const bool isDraining = mDraining.contains({ aReplica.runner, aTarget.artifact.model });
+  if (isDraining || !aView.IsUsable(aReplica.runner, aContext.now())) {
     return false;
   }
-  if (inFlight == mInFlight.end()) {
+  const auto use = mEndpoints.find(aReplica.runner);
+  if (use == mEndpoints.end()) {
     return true;
   }
-  for (const RequestId& other : inFlight->second) {
-    const auto found = mRequests.find(other);
-    if (found != mRequests.end() && found->second.suspect) {
+  const auto backoff = use->second.backoffs.find(aTarget.artifact.model);
+  if (backoff != use->second.backoffs.end() && backoff->second.until > aContext.now()) {
+    return false;
+  }
+  for (const RequestId& other : use->second.inFlight) {
+    if (mRequests.at(other).suspect) {
       return false;
     }
   }
-  return inFlight->second.size() < std::max(1U, aReplica.concurrency);
+  return use->second.inFlight.size() < std::max(1U, aReplica.concurrency);
 }
 
 std::optional<EndpointId> Router::ChooseEndpoint(const Context& aContext,
@@ -44,28 +60,37 @@
                                                  const Target& aTarget,
                                                  const Request& aRequest) const
 {
-  std::optional<EndpointId> best;
-  std::pair<double, std::uint64_t> bestCost{};
+  // Requests with the same prefix prefer the same two replicas; the less loaded one is taken.
+  constexpr std::size_t kCandidates = 2;
+  constexpr double kOtherZoneCost = 0.5;
+  const std::string key = aRequest.arrived.prefixHash == 0
+                            ? aRequest.arrived.request.str()
+                            : std::to_string(aRequest.arrived.prefixHash);
+  std::vector<std::tuple<bool, std::uint64_t, const ReplicaLocation*>> ranked;
   for (const ReplicaLocation& replica : aTarget.replicas) {
-    if (!aView.IsUsable(replica.runner, aContext.now()) || !HasRoom(aTarget, replica)) {
+    const bool mustBeEmpty = aRequest.suspect && InFlight(replica.runner) > 0;
+    if (mustBeEmpty || !HasRoom(aContext, aView, aTarget, replica)) {
       continue;
     }
-    const auto inFlight = mInFlight.find(replica.runner);
-    const std::size_t sent = inFlight == mInFlight.end() ? 0 : inFlight->second.size();
-    if (aRequest.suspect && sent > 0) {
-      continue;
+    ranked.emplace_back(aRequest.failed.contains(replica.runner),
+                        ~RendezvousWeight(key, replica.runner.str()),
+                        &replica);
+  }
+  std::sort(ranked.begin(), ranked.end());
+  ranked.resize(std::min(ranked.size(), kCandidates));
+  std::optional<EndpointId> best;
+  double bestCost = 0;
+  for (const auto& [hasFailed, affinity, replica] : ranked) {
+    if (hasFailed && best) {
+      break; // An endpoint that failed this request comes after all others.
     }
-    const bool hasFailed = aRequest.failed.contains(replica.runner);
-    const EndpointInfo* info = aView.FindEndpoint(replica.runner);
-    const double zoneCost = info->zone == aContext.options().zone ? 0.0 : 0.5;
-    const double load = static_cast<double>(sent + replica.reportedLoad);
-    const double cost = load + zoneCost + (hasFailed ? 1'000.0 : 0.0);
-    const std::uint64_t affinity =
-      ~RendezvousWeight(std::to_string(aRequest.arrived.prefixHash), replica.runner.str());
-    const std::pair candidate{ cost, affinity };
-    if (!best || candidate < bestCost) {
-      best = replica.runner;
-      bestCost = candidate;
+    const EndpointInfo* info = aView.FindEndpoint(replica->runner);
+    const double zoneCost = info->zone == aContext.options().zone ? 0.0 : kOtherZoneCost;
+    const double cost =
+      static_cast<double>(InFlight(replica->runner) + replica->reportedLoad) + zoneCost;
+    if (!best || cost < bestCost) {
+      best = replica->runner;
+      bestCost = cost;
     }
   }
   return best;
@@ -78,7 +103,9 @@
   }
   while (const auto next = aTarget.queue.Peek(mClock)) {
     Request& request = mRequests.at(*next);
-    const auto endpoint = ChooseEndpoint(aContext, aView, aTarget, request);
+    const auto endpoint = MayUse(aContext, aTarget, request)
+                            ? ChooseEndpoint(aContext, aView, aTarget, request)
+                            : std::nullopt;
     if (!endpoint) {
       break;
     }
@@ -128,6 +155,7 @@
   aTarget.queue.Remove(aRequest.queued);
   mClock.Charge(aRequest.arrived.customer, aRequest.queued.weight);
   ++aTarget.startedSince;
+  ++aTarget.inFlight;
   if (aRequest.attempt.value == 0) {
     mBudget.NoteFirstAttempt(
       aRequest.arrived.customer,
@@ -137,8 +165,10 @@
   ++aRequest.attempt.value;
   aRequest.endpoint = aEndpoint;
   aRequest.state = RequestState::kInFlight;
-  mInFlight[aEndpoint].insert(aRequest.arrived.request);
+  mEndpoints[aEndpoint].inFlight.insert(aRequest.arrived.request);
   const bool isOnce = aRequest.repeatability == Repeatability::kAtMostOnce;
+  // An at-most-once request may go on past its deadline, so that its answer can be stored.
+  const Duration grace = isOnce ? kLateAnswerGrace : Duration{};
   const bool resumes = aContext.IsEnabled(Mechanism::kResumeOffset);
   aContext.Emit(StartAttempt{ .request = aRequest.arrived.request,
                               .attempt = aRequest.attempt,
@@ -148,7 +178,7 @@
                               .priority = aRequest.queued.priority,
                               .reuse = isOnce ? ConnectionReuse::kFresh : ConnectionReuse::kAllowed,
                               .progressLimit = aContext.settings().progressLimit,
-                              .timeLeft = aRequest.deadline - aContext.now() });
+                              .timeLeft = aRequest.deadline - aContext.now() + grace });
 }
 
 } // namespace rhubarbtrail
--- a/src/decision/router/router_outcome.cpp
+++ b/src/decision/router/router_outcome.cpp
@@ -5,116 +5,176 @@
 
 namespace rhubarbtrail {
 
+namespace {
+
+/* Attempts of one request that endpoints may refuse before it is refused itself. */
+constexpr std::uint32_t kRefusedAttemptLimit = 16;
+/* Pause after the first refusal by an endpoint; it doubles with each one that follows. */
+constexpr Duration kFirstBackoff = 100ms;
+constexpr std::uint32_t kBackoffDoublings = 5;
+
+/* Returns whether the same request may be answered when it comes again later. */
+bool CanComeBack(ResultCode aCode)
+{
+  switch (aCode) {
+    case ResultCode::kIdempotencyKeyInProgress:
+    case ResultCode::kAttemptsExhausted:
+    case ResultCode::kRetryBudgetSpent:
+      return true;
+    default:
+      break;
+  }
+  const ResultCodeInfo& info = Describe(aCode);
+  constexpr std::uint16_t kTooManyRequests = 429;
+  return info.execution == Execution::kNotRun && info.httpStatus >= kTooManyRequests;
+}
+
+bool IsOnce(const Request& aRequest)
+{
+  return aRequest.repeatability == Repeatability::kAtMostOnce;
+}
+
+} // namespace
+
+/* Returns the code for a request that can't be served any more: what may have run says so. */
+ResultCode Router::FailureCode(const Request& aRequest, ResultCode aNotRun)
+{
+  if (!aRequest.mayHaveRun) {
+    return aNotRun;
+  }
+  return IsOnce(aRequest) ? ResultCode::kOutcomeUnknown : ResultCode::kAttemptsExhausted;
+}
+
 void Router::OnAttemptEnded(Context& aContext, View& aView, const AttemptEnded& aEnded)
 {
   const auto found = mRequests.find(aEnded.request);
   if (found == mRequests.end() || found->second.attempt != aEnded.attempt ||
-      found->second.state != RequestState::kInFlight) {
+      found->second.endpoint.empty()) {
     return;
   }
   Request& request = found->second;
   const EndpointId endpoint = request.endpoint;
-  const bool wasAlone = mInFlight[endpoint].size() == 1;
-  mInFlight[endpoint].erase(aEnded.request);
+  const bool wasAlone = InFlight(endpoint) == 1;
   request.delivered = std::max(request.delivered, aEnded.delivered);
-  if (aEnded.outcome == AttemptOutcome::kCompleted) {
+  NoteOutcome(aContext, aView, request, aEnded.outcome);
+  ReleaseUse(request);
+  if (request.state == RequestState::kAbandoned) {
+    OnAbandonedEnded(aContext, request, aEnded);
+  } else if (aEnded.outcome == AttemptOutcome::kCompleted) {
     OnCompleted(aContext, request, aEnded);
-  } else if (aEnded.outcome == AttemptOutcome::kCrashed && request.suspect && wasAlone &&
-             aContext.IsEnabled(Mechanism::kQuarantine)) {
-    const Duration length = aContext.settings().quarantineLength;
-    const FingerprintId fingerprint = request.arrived.fingerprint;
-    mQuarantine.convicted.Add(fingerprint, aContext.now() + length, aContext.now());
-    for (const auto& [id, member] : aView.members()) {
-      aView.SendTo(aContext, id, ConvictedMessage{ fingerprint, length });
-    }
+  } else if (aEnded.outcome == AttemptOutcome::kCrashed && wasAlone &&
+             Convict(aContext, aView, request)) {
     Finish(aContext, request, ResultCode::kCrashedEndpoints);
+  } else if (aEnded.outcome == AttemptOutcome::kRejected ||
+             aEnded.outcome == AttemptOutcome::kCancelled) {
+    Finish(aContext, request, FailureCode(request, ResultCode::kEndpointUnavailable));
   } else {
-    OnFailed(aContext, aView, request, aEnded);
+    request.suspect = request.suspect || aEnded.outcome == AttemptOutcome::kCrashed;
+    Retry(aContext, aView, request);
   }
   ReportDrained(aContext, aView, endpoint);
   DispatchEndpoint(aContext, aView, endpoint);
 }
 
-void Router::OnCompleted(Context& aContext, Request& aRequest, const AttemptEnded& aEnded)
-{
-  if (aRequest.repeatability == Repeatability::kAtMostOnce) {
-    mClaims.Record(aContext, aEnded.request, ClaimState::kDone, aEnded);
-  }
-  aContext.Emit(FinishRequest{ .request = aEnded.request, .code = ResultCode::kOk });
-  Erase(aEnded.request);
-}
-
-void Router::OnFailed(Context& aContext, View& aView, Request& aRequest, const AttemptEnded& aEnded)
+void Router::NoteOutcome(Context& aContext, View& aView, Request& aRequest, AttemptOutcome aOutcome)
 {
-  aRequest.failed.insert(aRequest.endpoint);
-  switch (aEnded.outcome) {
+  bool hasRefused = false;
+  switch (aOutcome) {
     case AttemptOutcome::kNotConnected:
       aView.NoteRefused(aContext, aRequest.endpoint);
+      hasRefused = true;
       break;
     case AttemptOutcome::kLeaving:
       aView.NoteLeaving(aContext, aRequest.endpoint);
+      hasRefused = true;
       break;
     case AttemptOutcome::kNotRun:
       if (Target* target = FindTarget(aRequest)) {
         ForgetReplica(aRequest.endpoint, aRequest.arrived.artifact.model);
-        target->nextDemand = aContext.now();
+        target->nextDemand = std::min(target->nextDemand, aContext.now());
       }
+      hasRefused = true;
       break;
     case AttemptOutcome::kCrashed:
-      aRequest.mayHaveRun = true;
       aView.NoteRefused(aContext, aRequest.endpoint);
       OnCrashed(aContext, aView, aRequest, aRequest.endpoint);
       break;
     case AttemptOutcome::kCut:
     case AttemptOutcome::kSilent:
     case AttemptOutcome::kMismatched:
-      aRequest.mayHaveRun = true;
-      break;
     case AttemptOutcome::kRejected:
     case AttemptOutcome::kCancelled:
     case AttemptOutcome::kCompleted:
-      aRequest.mayHaveRun = true;
-      Finish(aContext, aRequest, ResultCode::kAttemptsExhausted);
-      return;
+      break;
+  }
+  if (!hasRefused) {
+    aRequest.mayHaveRun = true;
+    ++aRequest.sentAttempts;
+    aRequest.failed.insert(aRequest.endpoint);
+    if (aOutcome == AttemptOutcome::kCompleted) {
+      mEndpoints[aRequest.endpoint].backoffs.erase(aRequest.arrived.artifact.model);
+    }
+    return;
+  }
+  ++aRequest.refusedAttempts;
+  Backoff& backoff = mEndpoints[aRequest.endpoint].backoffs[aRequest.arrived.artifact.model];
+  if (backoff.until <= aContext.now()) {
+    const std::uint32_t doublings = std::min(backoff.refusals, kBackoffDoublings);
+    backoff.until = aContext.now() + kFirstBackoff * (1U << doublings);
+    ++backoff.refusals;
+  }
+  aContext.WakeBy(backoff.until);
+}
+
+void Router::OnCompleted(Context& aContext, Request& aRequest, const AttemptEnded& aEnded)
+{
+  if (IsOnce(aRequest)) {
+    mClaims.Record(aContext, aEnded.request, ClaimState::kDone, ClaimEnd::kFinal, aEnded);
   }
-  Retry(aContext, aView, aRequest, aEnded);
+  aContext.Emit(FinishRequest{ .request = aEnded.request, .code = ResultCode::kOk });
+  Erase(aEnded.request);
 }
 
-void Router::Retry(Context& aContext, View& aView, Request& aRequest, const AttemptEnded& aEnded)
+void Router::OnAbandonedEnded(Context& aContext, Request& aRequest, const AttemptEnded& aEnded)
+{
+  if (IsOnce(aRequest)) {
+    if (aEnded.outcome == AttemptOutcome::kCompleted) {
+      mClaims.Record(aContext, aEnded.request, ClaimState::kDone, ClaimEnd::kFinal, aEnded);
+    } else if (aRequest.mayHaveRun) {
+      mClaims.Record(aContext, aEnded.request, ClaimState::kUnknown, ClaimEnd::kFinal, aEnded);
+    } else {
+      mClaims.Release(aContext, aEnded.request);
+    }
+  }
+  Erase(aEnded.request);
+}
+
+void Router::Retry(Context& aContext, View& aView, Request& aRequest)
 {
-  const bool isOnce = aRequest.repeatability == Repeatability::kAtMostOnce;
   const bool isFinal =
-    isOnce && aRequest.mayHaveRun && aContext.IsEnabled(Mechanism::kFinalOutcomeUnknown);
+    IsOnce(aRequest) && aRequest.mayHaveRun && aContext.IsEnabled(Mechanism::kFinalOutcomeUnknown);
   if (isFinal) {
-    mClaims.Record(aContext, aRequest.arrived.request, ClaimState::kUnknown, aEnded);
-    aContext.Emit(
-      FinishRequest{ .request = aRequest.arrived.request, .code = ResultCode::kOutcomeUnknown });
-    Erase(aRequest.arrived.request);
+    Finish(aContext, aRequest, ResultCode::kOutcomeUnknown);
     return;
   }
   if (aRequest.deadline <= aContext.now()) {
-    Finish(aContext,
-           aRequest,
-           aRequest.mayHaveRun ? ResultCode::kAttemptsExhausted : ResultCode::kDeadlinePassed);
+    Finish(aContext, aRequest, FailureCode(aRequest, ResultCode::kDeadlinePassed));
     return;
   }
-  if (aRequest.attempt.value >= aContext.settings().attemptLimit) {
-    Finish(aContext,
-           aRequest,
-           aRequest.mayHaveRun ? ResultCode::kAttemptsExhausted : ResultCode::kEndpointUnavailable,
-           kDefaultRetryAfter);
+  const bool isExhausted = aRequest.sentAttempts >= aContext.settings().attemptLimit ||
+                           aRequest.refusedAttempts >= kRefusedAttemptLimit;
+  if (isExhausted) {
+    Finish(aContext, aRequest, FailureCode(aRequest, ResultCode::kEndpointUnavailable));
     return;
   }
   const RetryBudgetOptions budget{ aContext.settings().retryBudgetRatio,
                                    aContext.settings().retryBudgetBurst };
+  // What an endpoint refused cost it nothing; the pauses between refusals bound such attempts.
   const bool isAllowed =
-    !aContext.IsEnabled(Mechanism::kRetryBudget) ||
+    !aContext.IsEnabled(Mechanism::kRetryBudget) || !aRequest.mayHaveRun ||
     mBudget.TakeRetry(aRequest.arrived.customer, aRequest.arrived.service, budget);
   if (!isAllowed) {
-    Finish(aContext,
-           aRequest,
-           aRequest.mayHaveRun ? ResultCode::kRetryBudgetSpent : ResultCode::kEndpointUnavailable,
-           kDefaultRetryAfter);
+    Finish(aContext, aRequest, ResultCode::kRetryBudgetSpent);
     return;
   }
   Enqueue(aContext, aView, aRequest);
@@ -122,74 +182,131 @@
 
 void Router::Finish(Context& aContext, Request& aRequest, ResultCode aCode, Duration aRetryAfter)
 {
-  if (aRequest.repeatability == Repeatability::kAtMostOnce) {
+  const Duration pause = aRetryAfter.count() > 0 ? aRetryAfter : kDefaultRetryAfter;
+  aContext.Emit(FinishRequest{ .request = aRequest.arrived.request,
+                               .code = aCode,
+                               .retryAfter = CanComeBack(aCode) ? pause : Duration{} });
+  if (IsOnce(aRequest)) {
     if (aRequest.mayHaveRun) {
-      mClaims.Record(aContext, aRequest.arrived.request, ClaimState::kUnknown, {});
+      mClaims.Record(
+        aContext, aRequest.arrived.request, ClaimState::kUnknown, ClaimEnd::kFinal, {});
     } else {
       mClaims.Release(aContext, aRequest.arrived.request);
     }
   }
-  aContext.Emit(
-    FinishRequest{ .request = aRequest.arrived.request, .code = aCode, .retryAfter = aRetryAfter });
   Erase(aRequest.arrived.request);
 }
 
-void Router::Erase(const RequestId& aRequest)
+void Router::Abandon(Context& aContext, Request& aRequest)
 {
-  const auto found = mRequests.find(aRequest);
-  if (found == mRequests.end()) {
+  if (IsOnce(aRequest)) {
+    // It runs on, so that its answer can still be stored.
+    mClaims.Record(aContext, aRequest.arrived.request, ClaimState::kUnknown, ClaimEnd::kOpen, {});
+  } else {
+    aContext.Emit(StopAttempt{ aRequest.arrived.request, aRequest.attempt });
+  }
+  LeaveQueue(aRequest);
+  aRequest.state = RequestState::kAbandoned;
+}
+
+void Router::LeaveQueue(Request& aRequest)
+{
+  if (aRequest.state == RequestState::kAbandoned) {
     return;
   }
-  Request& request = found->second;
-  mDeadlines.erase({ request.deadline, aRequest });
-  const auto queued = mQueuedByCustomer.find(request.arrived.customer);
+  if (aRequest.state == RequestState::kQueued) {
+    if (Target* target = FindTarget(aRequest)) {
+      target->queue.Remove(aRequest.queued);
+    }
+  }
+  mDeadlines.erase({ aRequest.deadline, aRequest.arrived.request });
+  const auto queued = mQueuedByCustomer.find(aRequest.arrived.customer);
   if (--queued->second == 0) {
     mQueuedByCustomer.erase(queued);
   }
+}
+
+void Router::Erase(const RequestId& aRequest)
+{
+  const auto found = mRequests.find(aRequest);
+  if (found == mRequests.end()) {
+    return;
+  }
+  LeaveQueue(found->second);
   mRequests.erase(found);
 }
 
-void Router::OnTransactionResult(Context& aContext, View& aView, const TransactionResult& aResult)
+void Router::ExpireDeadlines(Context& aContext)
 {
-  auto verdicts = mClaims.OnResult(aContext, aResult);
-  const auto late = mClaims.OnWake(aContext);
-  verdicts.insert(verdicts.end(), late.begin(), late.end());
-  for (const ClaimVerdict& verdict : verdicts) {
-    const auto found = mRequests.find(verdict.request);
-    if (found == mRequests.end()) {
-      mClaims.Release(aContext, verdict.request);
-      continue;
+  while (!mDeadlines.empty() && aContext.IsEnabled(Mechanism::kDeadlineRefusal)) {
+    const auto [deadline, id] = *mDeadlines.begin();
+    if (deadline > aContext.now()) {
+      aContext.WakeBy(deadline);
+      return;
     }
-    Request& request = found->second;
-    switch (verdict.outcome) {
-      case ClaimOutcome::kGranted:
-        Enqueue(aContext, aView, request);
-        break;
-      case ClaimOutcome::kHeld:
-        if (aView.IsProvenDead(verdict.row.owner)) {
-          Finish(aContext, request, ResultCode::kEarlierOutcomeUnknown);
-        } else {
-          Finish(aContext, request, ResultCode::kIdempotencyKeyInProgress, kDefaultRetryAfter);
-        }
-        break;
-      case ClaimOutcome::kDone:
-        aContext.Emit(FinishRequest{ .request = verdict.request,
-                                     .code = ResultCode::kOk,
-                                     .httpStatus = verdict.row.httpStatus,
-                                     .contentType = verdict.row.contentType,
-                                     .storedAnswer = verdict.row.answer });
-        Erase(verdict.request);
-        break;
-      case ClaimOutcome::kUnknown:
-        Finish(aContext, request, ResultCode::kEarlierOutcomeUnknown);
-        break;
-      case ClaimOutcome::kReused:
-        Finish(aContext, request, ResultCode::kIdempotencyKeyReused);
-        break;
-      case ClaimOutcome::kUnavailable:
-        Finish(aContext, request, ResultCode::kClaimUnavailable, kDefaultRetryAfter);
-        break;
+    Request& request = mRequests.at(id);
+    if (request.state != RequestState::kInFlight) {
+      Finish(aContext, request, FailureCode(request, ResultCode::kDeadlinePassed));
+      continue;
     }
+    const ResultCode code =
+      IsOnce(request) ? ResultCode::kOutcomeUnknown : ResultCode::kAttemptsExhausted;
+    aContext.Emit(
+      FinishRequest{ .request = id,
+                     .code = code,
+                     .retryAfter = CanComeBack(code) ? kDefaultRetryAfter : Duration{} });
+    Abandon(aContext, request);
+  }
+}
+
+void Router::OnTransactionResult(Context& aContext, View& aView, const TransactionResult& aResult)
+{
+  for (const ClaimVerdict& verdict : mClaims.OnResult(aContext, aResult)) {
+    Decide(aContext, aView, verdict);
+  }
+  for (const ClaimVerdict& verdict : mClaims.OnWake(aContext)) {
+    Decide(aContext, aView, verdict);
+  }
+}
+
+void Router::Decide(Context& aContext, View& aView, const ClaimVerdict& aVerdict)
+{
+  const auto found = mRequests.find(aVerdict.request);
+  if (found == mRequests.end()) {
+    mClaims.Release(aContext, aVerdict.request);
+    return;
+  }
+  Request& request = found->second;
+  switch (aVerdict.outcome) {
+    case ClaimOutcome::kGranted:
+      Enqueue(aContext, aView, request);
+      break;
+    case ClaimOutcome::kInProgress:
+      Finish(aContext, request, ResultCode::kIdempotencyKeyInProgress);
+      break;
+    case ClaimOutcome::kHeld:
+      Finish(aContext,
+             request,
+             aView.IsProvenDead(aVerdict.row.owner) ? ResultCode::kEarlierOutcomeUnknown
+                                                    : ResultCode::kIdempotencyKeyInProgress);
+      break;
+    case ClaimOutcome::kDone:
+      aContext.Emit(FinishRequest{ .request = aVerdict.request,
+                                   .code = ResultCode::kOk,
+                                   .httpStatus = aVerdict.row.httpStatus,
+                                   .contentType = aVerdict.row.contentType,
+                                   .storedAnswer = aVerdict.row.answer });
+      Erase(aVerdict.request);
+      break;
+    case ClaimOutcome::kUnknown:
+      Finish(aContext, request, ResultCode::kEarlierOutcomeUnknown);
+      break;
+    case ClaimOutcome::kReused:
+      Finish(aContext, request, ResultCode::kIdempotencyKeyReused);
+      break;
+    case ClaimOutcome::kUnavailable:
+      Finish(aContext, request, ResultCode::kClaimUnavailable);
+      break;
   }
 }
 
--- a/src/decision/router/router_quarantine.cpp
+++ b/src/decision/router/router_quarantine.cpp
@@ -13,19 +13,30 @@
   }
   const EndpointInfo* info = aView.FindEndpoint(aEndpoint);
   SuspectsMessage suspects{ aEndpoint, info != nullptr ? info->bootId : std::string{}, {} };
-  suspects.fingerprints.push_back(aRequest.arrived.fingerprint);
-  aRequest.suspect = true;
-  for (const RequestId& other : mInFlight[aEndpoint]) {
-    Request& request = mRequests.at(other);
-    request.suspect = true;
-    suspects.fingerprints.push_back(request.arrived.fingerprint);
+  for (const RequestId& other : mEndpoints[aEndpoint].inFlight) {
+    suspects.fingerprints.push_back(mRequests.at(other).arrived.fingerprint);
   }
+  (void)aRequest;
   OnSuspects(aContext, suspects);
   for (const auto& [id, member] : aView.members()) {
     aView.SendTo(aContext, id, suspects);
   }
 }
 
+bool Router::Convict(Context& aContext, View& aView, const Request& aRequest)
+{
+  if (!aRequest.suspect || !aContext.IsEnabled(Mechanism::kQuarantine)) {
+    return false;
+  }
+  const Duration length = aContext.settings().quarantineLength;
+  const FingerprintId& fingerprint = aRequest.arrived.fingerprint;
+  mQuarantine.convicted.Add(fingerprint, aContext.now() + length, aContext.now());
+  for (const auto& [id, member] : aView.members()) {
+    aView.SendTo(aContext, id, ConvictedMessage{ fingerprint, length });
+  }
+  return true;
+}
+
 void Router::OnSuspects(Context& aContext, const SuspectsMessage& aSuspects)
 {
   for (const FingerprintId& fingerprint : aSuspects.fingerprints) {
--- /dev/null
+++ b/tests/unit/claim_test.cpp
@@ -0,0 +1,146 @@
+/* An at-most-once request runs at most once, whatever the table and the daemons do. */
+#include "tests/unit/router_world.h"
+
+#include <doctest/doctest.h>
+
+using namespace rhubarbtrail;
+using namespace rhubarbtrail::test;
+
+namespace {
+
+RequestArrived Keyed(const char* aFingerprint = "f")
+{
+  return { .key = IdempotencyKey{ "k" }, .fingerprint = FingerprintId{ aFingerprint } };
+}
+
+} // namespace
+
+TEST_CASE("the same key again runs nothing and gets a true answer")
+{
+  struct Case
+  {
+    const char* name;
+    std::size_t daemon;
+    Duration pause; ///< Between the two; the first runs for 2 s.
+    const char* fingerprint;
+    bool firstDies;
+    int code;
+  };
+  const std::vector<Case> cases{
+    { "same daemon, before the claim is written", 0, 0ms, "f", false, 1302 },
+    { "same daemon, in flight", 0, 500ms, "f", false, 1302 },
+    { "same daemon, done", 0, 4s, "f", false, 1000 },
+    { "same daemon, other body", 0, 500ms, "g", false, 1303 },
+    { "other daemon, in flight", 1, 500ms, "f", false, 1302 },
+    { "other daemon, done", 1, 4s, "f", false, 1000 },
+    { "other daemon, other body", 1, 4s, "g", false, 1303 },
+    { "other daemon, the first one died", 1, 500ms, "f", true, 3102 },
+  };
+  for (const Case& row : cases) {
+    INFO(row.name);
+    World world({ .daemons = 2 });
+    world.serve = [](const Started&) {
+      return std::optional{ Served{ AttemptOutcome::kCompleted, 2s } };
+    };
+    world.Ask(Keyed());
+    world.Run(row.pause);
+    const std::size_t writes = world.transactions;
+    if (row.firstDies) {
+      world.Kill(0);
+      world.Run(1s);
+    }
+    const RequestId second = world.Ask(Keyed(row.fingerprint), row.daemon);
+    if (row.pause == 500ms && row.daemon == 0) {
+      CHECK(world.transactions == writes);
+    }
+    world.Run(1s);
+    CHECK(world.CodeOf(second) == row.code);
+    world.Run(30s);
+    CHECK(world.started.size() == 1);
+  }
+}
+
+TEST_CASE(
+  "a request that was refused as not claimed can be sent again, whatever became of the write")
+{
+  for (const TableMode mode : { TableMode::kDown, TableMode::kAnswerLost, TableMode::kLate }) {
+    for (const Duration landAfter : { 0ms, 3'000ms, 20'000ms }) {
+      INFO(static_cast<int>(mode), " ", landAfter.count());
+      World world({});
+      world.mode = mode;
+      const RequestId first = world.Ask(Keyed());
+      world.Run(2500ms);
+      CHECK(world.CodeOf(first) == 2103);
+      world.mode = TableMode::kUp;
+      if (landAfter == 0ms) {
+        world.LandLate();
+      }
+      world.Run(3s);
+      if (landAfter == 3s) {
+        world.LandLate();
+      }
+      const RequestId second = world.Ask(Keyed());
+      world.Run(10s);
+      CHECK(world.CodeOf(second) == 1000);
+      world.LandLate();
+      world.Run(5s);
+      CHECK(world.started.size() == 1);
+      REQUIRE(world.ClaimOf("k") != nullptr);
+      CHECK(world.ClaimOf("k")->state == ClaimState::kDone);
+      CHECK(world.DumpOf("router.claims") == "0");
+    }
+  }
+}
+
+TEST_CASE("a claim whose answer was lost is found again")
+{
+  World world({});
+  world.mode = TableMode::kAnswerLost;
+  const RequestId request = world.Ask(Keyed());
+  world.Run(100ms);
+  world.mode = TableMode::kUp;
+  world.Run(3s);
+  CHECK(world.CodeOf(request) == 1000);
+  CHECK(world.started.size() == 1);
+}
+
+TEST_CASE("a long outage leaves no more than one batch of claims behind")
+{
+  World world({});
+  world.mode = TableMode::kDown;
+  for (int index = 0; index < 1'000; ++index) {
+    world.Ask({ .key = IdempotencyKey{ "k" + std::to_string(index) } });
+    world.Run(20ms);
+  }
+  world.Run(3s);
+  CHECK(world.started.empty());
+  CHECK(std::stoul(world.DumpOf("router.claims")) <= 64);
+  world.mode = TableMode::kUp;
+  world.Run(5s);
+  CHECK(world.DumpOf("router.claims") == "0");
+}
+
+TEST_CASE("a daemon that stops writes its claims, and does not wait for ever for a table")
+{
+  for (const TableMode mode : { TableMode::kUp, TableMode::kDown }) {
+    INFO(static_cast<int>(mode));
+    World world({});
+    world.serve = [](const Started&) {
+      return std::optional{ Served{ AttemptOutcome::kCompleted, 2s } };
+    };
+    const RequestId request = world.Ask(Keyed());
+    world.Run(500ms);
+    world.mode = mode;
+    world.Apply(0, ShutdownRequested{});
+    world.Run(1s);
+    CHECK(world.complete.empty());
+    world.Run(30s);
+    CHECK(world.CodeOf(request) == 1000);
+    REQUIRE(world.ClaimOf("k") != nullptr);
+    CHECK((world.ClaimOf("k")->state == ClaimState::kDone) == (mode == TableMode::kUp));
+    CHECK(world.DumpOf("router.requests") == "0");
+    if (mode == TableMode::kUp) {
+      CHECK(world.complete.size() == 1);
+    }
+  }
+}
--- /dev/null
+++ b/tests/unit/router_fault_test.cpp
@@ -0,0 +1,187 @@
+/* What a request's caller is told, and what the router keeps, under each fault. */
+#include "tests/unit/router_world.h"
+
+#include <doctest/doctest.h>
+
+using namespace rhubarbtrail;
+using namespace rhubarbtrail::test;
+
+namespace {
+
+RequestArrived Once(const char* aKey)
+{
+  return { .key = IdempotencyKey{ aKey } };
+}
+
+} // namespace
+
+TEST_CASE("every outcome of an attempt ends in one true answer")
+{
+  struct Case
+  {
+    const char* name;
+    AttemptOutcome first;
+    bool isOnce;
+    int code;
+    std::size_t starts;
+  };
+  using enum AttemptOutcome;
+  const std::vector<Case> cases{
+    { "completed", kCompleted, false, 1000, 1 },
+    { "completed once", kCompleted, true, 1000, 1 },
+    { "not connected", kNotConnected, false, 1000, 2 },
+    { "not connected once", kNotConnected, true, 1000, 2 },
+    { "not run", kNotRun, false, 1000, 2 },
+    { "not run once", kNotRun, true, 1000, 2 },
+    { "cut", kCut, false, 1000, 2 },
+    { "cut once", kCut, true, 3101, 1 },
+    { "silent", kSilent, false, 1000, 2 },
+    { "silent once", kSilent, true, 3101, 1 },
+    { "mismatched", kMismatched, false, 1000, 2 },
+    { "mismatched once", kMismatched, true, 3101, 1 },
+    { "rejected", kRejected, false, 3103, 1 },
+    { "rejected once", kRejected, true, 3101, 1 },
+    { "crashed", kCrashed, false, 1000, 2 },
+    { "crashed once", kCrashed, true, 3101, 1 },
+  };
+  for (const Case& row : cases) {
+    INFO(row.name);
+    World world({ .runners = 2 });
+    world.serve = [&](const Started& aStarted) {
+      const bool isFirst = aStarted.attempt.attempt.value == 1;
+      return std::optional{ Served{ isFirst ? row.first : kCompleted, 10ms } };
+    };
+    const RequestId request = world.Ask(row.isOnce ? Once("k") : RequestArrived{});
+    world.Run(20s);
+    CHECK(world.CodeOf(request) == row.code);
+    CHECK(world.StartsOf(request) == row.starts);
+    if (row.isOnce) {
+      REQUIRE(world.ClaimOf("k") != nullptr);
+      CHECK(world.ClaimOf("k")->state ==
+            (row.code == 1000 ? ClaimState::kDone : ClaimState::kUnknown));
+    }
+  }
+}
+
+TEST_CASE("a late answer of a request given up on at its deadline becomes the stored answer")
+{
+  World world({});
+  world.serve = [](const Started&) {
+    return std::optional{ Served{ AttemptOutcome::kCompleted, 6s } };
+  };
+  RequestArrived arrived = Once("k");
+  arrived.timeLeft = 5s;
+  arrived.fingerprint = FingerprintId{ "same" };
+  const RequestId first = world.Ask(arrived);
+  world.Run(5500ms);
+  CHECK(world.CodeOf(first) == 3101);
+  REQUIRE(world.ClaimOf("k") != nullptr);
+  CHECK(world.ClaimOf("k")->state == ClaimState::kUnknown);
+  world.Run(2s);
+  CHECK(world.ClaimOf("k")->state == ClaimState::kDone);
+  const RequestId second = world.Ask(arrived);
+  world.Run(1s);
+  CHECK(world.CodeOf(second) == 1000);
+  CHECK(world.finished.at(second).finish.storedAnswer == "answer");
+  CHECK(world.started.size() == 1);
+}
+
+TEST_CASE("a request whose caller has gone is not started again, and its claim is settled")
+{
+  World world({});
+  world.serve = [](const Started&) {
+    return std::optional{ Served{ AttemptOutcome::kNotRun, 1s } };
+  };
+  const RequestId request = world.Ask(Once("k"));
+  world.Run(500ms);
+  CHECK(world.StartsOf(request) == 1);
+  world.Apply(0, RequestCancelled{ request });
+  world.Run(5s);
+  CHECK(world.StartsOf(request) == 1);
+  CHECK(world.ClaimOf("k") == nullptr);
+}
+
+TEST_CASE("an idle router keeps nothing")
+{
+  World world({ .runners = 2 });
+  for (int index = 0; index < 50; ++index) {
+    world.Ask({ .service = ServiceId{ index % 2 == 0 ? "models" : "plain" } });
+  }
+  world.Run(90s);
+  CHECK(world.DumpOf("router.requests") == "0");
+  CHECK(world.DumpOf("router.targets") == "0");
+  CHECK(world.DumpOf("router.endpoints_in_use") == "0");
+}
+
+TEST_CASE("refusals that can be retried say when")
+{
+  World world({ .configure = [](Configuration& aConfiguration, DecisionSettings&) {
+    aConfiguration.customers.at(CustomerId{ "big" }).queueLimit = 1;
+  } });
+  world.serve = [](const Started&) { return std::optional<Served>{}; };
+  const RequestId late = world.Ask({ .timeLeft = 1s });
+  const RequestId full = world.Ask({});
+  world.Run(2s);
+  CHECK(world.CodeOf(full) == 2101);
+  CHECK(world.finished.at(full).finish.retryAfter > 0s);
+  CHECK(world.CodeOf(late) == 3103);
+  CHECK(world.finished.at(late).finish.retryAfter > 0s);
+}
+
+TEST_CASE("without a holder a request is refused before its deadline")
+{
+  World world({ .configure = [](Configuration& aConfiguration, DecisionSettings&) {
+    aConfiguration.classes.at(ClassId{ "any" }).deadline = 60s;
+  } });
+  world.drop = [](std::size_t, const SendMessage& aMessage) {
+    return std::holds_alternative<DemandMessage>(aMessage.message);
+  };
+  const RequestId first = world.Ask({});
+  world.Run(15s);
+  CHECK(world.CodeOf(first) == 2104);
+  const RequestId second = world.Ask({});
+  world.Run(2s);
+  CHECK(world.CodeOf(second) == 2104);
+  world.drop = [](std::size_t, const SendMessage&) { return false; };
+  const RequestId third = world.Ask({});
+  world.Run(2s);
+  CHECK(world.CodeOf(third) == 1000);
+}
+
+TEST_CASE("refusals of a runner that lost the model cost innocent requests nothing")
+{
+  World world({});
+  const TimePoint ready = world.now + 5s;
+  world.serve = [&](const Started&) {
+    const bool isLoaded = world.now >= ready;
+    return std::optional{ Served{ isLoaded ? AttemptOutcome::kCompleted : AttemptOutcome::kNotRun,
+                                  1ms } };
+  };
+  std::vector<RequestId> requests;
+  for (int index = 0; index < 32; ++index) {
+    requests.push_back(world.Ask({}));
+  }
+  world.Run(25s);
+  for (const RequestId& request : requests) {
+    CHECK(world.CodeOf(request) == 1000);
+  }
+  CHECK(world.started.size() <= 32 * 8);
+}
+
+TEST_CASE("a long stream keeps its replica")
+{
+  World world({ .configure = [](Configuration& aConfiguration, DecisionSettings&) {
+    aConfiguration.classes.at(ClassId{ "any" }).deadline = 600s;
+    aConfiguration.services.at(ServiceId{ "models" }).keepAlive = FixedKeepAlive{ 15s };
+  } });
+  world.serve = [](const Started&) {
+    return std::optional{ Served{ AttemptOutcome::kCompleted, 90s } };
+  };
+  world.Ask({});
+  world.Run(60s);
+  std::size_t drains = 0;
+  for (const SendMessage& message : world.sent) {
+    drains += std::holds_alternative<DrainMessage>(message.message) ? 1 : 0;
+  }
+  CHECK(drains == 0);
+}
