Feature: [Scheduler] Keep one runner free for a suspect request

Cause: a suspect's retry must run alone on its runner across daemons, and only the cell's holder knows who uses a runner. Ruled out: a rendezvous choice of a runner without the holder, as routers that know the runner from the holder would still use it. Limit: a holder that steps down forgets the isolation; its successor may share the runner early.

--- a/src/codec/json_codec.cpp
+++ b/src/codec/json_codec.cpp
@@ -85,6 +85,10 @@
 RHUBARBTRAIL_FIELDS(EndpointLeavingMessage, endpoint, bootId)
 RHUBARBTRAIL_FIELDS(SuspectsMessage, endpoint, bootId, fingerprints)
 RHUBARBTRAIL_FIELDS(ConvictedMessage, fingerprint, expiresIn)
+RHUBARBTRAIL_FIELDS(ClearedMessage, fingerprint)
+RHUBARBTRAIL_FIELDS(IsolationRequestMessage, cell, artifact, request, ask, timeLeft)
+RHUBARBTRAIL_FIELDS(IsolationGrantMessage, cell, request, ask, status, runner, validFor, holder)
+RHUBARBTRAIL_FIELDS(IsolationReleaseMessage, cell, request)
 RHUBARBTRAIL_FIELDS(LoadedModel, model, version, ready, adapters, running)
 RHUBARBTRAIL_FIELDS(Inventory, bootId, memory, models, running, queued)
 #undef RHUBARBTRAIL_FIELDS
@@ -97,10 +101,12 @@
                                                                             "claim",
                                                                             "configuration" };
 constexpr std::array<const char*, std::variant_size_v<Message>> kMessageNames{
-  "demand",           "demand_reply",   "drain",
-  "drained",          "withdraw_order", "order_withdrawn",
-  "heartbeat",        "configuration",  "configuration_request",
-  "endpoint_leaving", "suspects",       "convicted"
+  "demand",           "demand_reply",      "drain",
+  "drained",          "withdraw_order",    "order_withdrawn",
+  "heartbeat",        "configuration",     "configuration_request",
+  "endpoint_leaving", "suspects",          "convicted",
+  "cleared",          "isolation_request", "isolation_grant",
+  "isolation_release"
 };
 
 template<typename Variant, std::size_t kIndex = 0>
--- a/src/decision/message_type.h
+++ b/src/decision/message_type.h
@@ -139,6 +139,49 @@
   Duration expiresIn{};
 };
 
+/* Says that a suspect request has completed, and is one no longer. */
+struct ClearedMessage
+{
+  FingerprintId fingerprint;
+};
+
+/* Asks the holder of a cell for a runner on which a suspect request runs alone. */
+struct IsolationRequestMessage
+{
+  CellId cell;
+  Artifact artifact;
+  RequestId request;
+  std::uint64_t ask = 0; ///< Rises with each repeat; the answer names it.
+  Duration timeLeft{};
+};
+
+enum class IsolationStatus : std::uint8_t
+{
+  kGranted,
+  kWaiting,
+  kRefused, ///< Too many suspects are waiting.
+  kNotHolder,
+};
+
+/* Answers an isolation request; sent again when the runner is free. */
+struct IsolationGrantMessage
+{
+  CellId cell;
+  RequestId request;
+  std::uint64_t ask = 0;
+  IsolationStatus status = IsolationStatus::kWaiting;
+  EndpointId runner;
+  Duration validFor{}; ///< From the time at which the ask was sent.
+  DaemonId holder;     ///< The holder as far as known, with kNotHolder.
+};
+
+/* Gives an isolated runner back, or a request for one up. */
+struct IsolationReleaseMessage
+{
+  CellId cell;
+  RequestId request;
+};
+
 using Message = std::variant<DemandMessage,
                              DemandReplyMessage,
                              DrainMessage,
@@ -150,7 +193,11 @@
                              ConfigurationRequestMessage,
                              EndpointLeavingMessage,
                              SuspectsMessage,
-                             ConvictedMessage>;
+                             ConvictedMessage,
+                             ClearedMessage,
+                             IsolationRequestMessage,
+                             IsolationGrantMessage,
+                             IsolationReleaseMessage>;
 
 } // namespace rhubarbtrail
 
--- a/src/decision/scheduler/cell_base.h
+++ b/src/decision/scheduler/cell_base.h
@@ -7,6 +7,7 @@
 #include "decision/view/view_base.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -75,6 +76,27 @@
   std::uint32_t waiting = 0;
 };
 
+/* A suspect request that is to run alone on a runner. */
+struct IsolationWait
+{
+  RequestId request;
+  Incarnation owner;
+  Artifact artifact;
+  std::uint64_t ask = 0;
+  TimePoint deadline{};
+  TimePoint expiresAt{}; ///< Forgotten unless its router repeats it.
+};
+
+/* The runner that is kept free of all requests but one. */
+struct Isolation
+{
+  IsolationWait wait;
+  EndpointId runner;
+  bool isGranted = false;
+  TimePoint until{}; ///< Taken back at this time.
+  TimePoint nextDrain{};
+};
+
 enum class LeasePhase : std::uint8_t
 {
   kWatching,
@@ -102,6 +124,13 @@
   void OnOrderWithdrawn(Context& aContext,
                         const View& aView,
                         const OrderWithdrawnMessage& aWithdrawn);
+  void OnIsolationRequest(Context& aContext,
+                          const View& aView,
+                          const Incarnation& aFrom,
+                          const IsolationRequestMessage& aRequest);
+  void OnIsolationRelease(Context& aContext,
+                          const View& aView,
+                          const IsolationReleaseMessage& aRelease);
   /* Drops an order that a newer holder has taken over. */
   void OnWithdraw(Context& aContext, const OrderId& aOrder);
   void HandOver(Context& aContext, const View& aView);
@@ -184,6 +213,17 @@
   bool IsReady(const Artifact& aArtifact) const;
   const ServiceSpec* Service(const View& aView) const;
 
+  // cell_isolation.cpp
+  void ServeIsolation(Context& aContext, const View& aView);
+  void ExpireIsolation(const Context& aContext, const View& aView);
+  void StartIsolation(const Context& aContext, const View& aView);
+  void DrainIsolated(Context& aContext, const View& aView);
+  void SendIsolationGrant(Context& aContext,
+                          const View& aView,
+                          const IsolationWait& aWait,
+                          IsolationStatus aStatus) const;
+  bool IsIsolated(const EndpointId& aRunner) const;
+
   CellId mId;
   LeasePhase mPhase = LeasePhase::kWatching;
   Incarnation mHolder;
@@ -210,6 +250,8 @@
   std::map<Artifact, PendingDemand> mDemands;
   std::map<ModelId, EndpointId> mPlanned; ///< Where room is being made for a model.
   std::map<ModelId, ModelUsage> mUsage;
+  std::deque<IsolationWait> mIsolationWaits;
+  std::optional<Isolation> mIsolation;
   double mLoadTokens = 1.0;
   TimePoint mLoadTokensAt{};
 };
--- a/src/decision/scheduler/cell_demand.cpp
+++ b/src/decision/scheduler/cell_demand.cpp
@@ -129,7 +129,7 @@
   for (auto& [id, runner] : mRunners) {
     const auto found = runner.replicas.find(aArtifact.model);
     if (found == runner.replicas.end() || found->second.phase != ReplicaPhase::kLoaded ||
-        !aView.IsUsable(id, aContext.now())) {
+        !aView.IsUsable(id, aContext.now()) || IsIsolated(id)) {
       continue;
     }
     Replica& replica = found->second;
--- a/src/decision/scheduler/cell_lease.cpp
+++ b/src/decision/scheduler/cell_lease.cpp
@@ -31,6 +31,7 @@
   ReleaseReserved(aContext, aView);
   UnloadIdle(aContext, aView);
   ContinueDrains(aContext, aView);
+  ServeIsolation(aContext, aView);
   ServeDemands(aContext, aView);
   WritePlacement(aContext);
   SendOrders(aContext, aView);
@@ -266,6 +267,8 @@
   mHolder = aContext.self();
   mRunners.clear();
   mPlanned.clear();
+  mIsolation.reset();
+  mIsolationWaits.clear();
   mNextLeaseAction = aContext.now() + aContext.settings().leaseRenewal;
   mNextKeepAlive = aContext.now() + aContext.settings().replicaLifetime;
   for (const PlacementEntry& entry : aPlacement.entries) {
@@ -316,6 +319,8 @@
   mWriting.clear();
   mRunners.clear();
   mPlanned.clear();
+  mIsolation.reset();
+  mIsolationWaits.clear();
   mNextLeaseAction = aContext.now() + aContext.settings().tableRetry;
   aContext.WakeBy(mNextLeaseAction);
 }
--- a/src/decision/scheduler/cell_placement.cpp
+++ b/src/decision/scheduler/cell_placement.cpp
@@ -263,7 +263,7 @@
   }
   const auto replica = runner->second.replicas.find(aDrained.model);
   if (replica == runner->second.replicas.end() ||
-      replica->second.phase != ReplicaPhase::kDraining) {
+      (replica->second.phase != ReplicaPhase::kDraining && !IsIsolated(aDrained.runner))) {
     return;
   }
   replica->second.users.erase(aFrom);
--- a/src/decision/scheduler/scheduler.cpp
+++ b/src/decision/scheduler/scheduler.cpp
@@ -69,6 +69,16 @@
     if (cell != mCells.end()) {
       cell->second.OnOrderWithdrawn(aContext, aView, *withdrawn);
     }
+  } else if (const auto* isolation = std::get_if<IsolationRequestMessage>(&aReceived.message)) {
+    const auto cell = mCells.find(isolation->cell);
+    if (cell != mCells.end()) {
+      cell->second.OnIsolationRequest(aContext, aView, aReceived.from, *isolation);
+    }
+  } else if (const auto* release = std::get_if<IsolationReleaseMessage>(&aReceived.message)) {
+    const auto cell = mCells.find(release->cell);
+    if (cell != mCells.end()) {
+      cell->second.OnIsolationRelease(aContext, aView, *release);
+    }
   } else if (const auto* withdraw = std::get_if<WithdrawOrderMessage>(&aReceived.message)) {
     OnWithdraw(aContext, aView, from, *withdraw);
   }
