Feature: [Router] Run suspects alone across daemons before they are convicted

Cause: a request that crashed a runner counted as alone when its own daemon had nothing else there, so innocents could be convicted, and other daemons' requests shared the runner. Change: a suspect waits for a grant by the holder of the cell (router_quarantine.cpp), of which only the answer to its last ask counts; a crash while alone convicts, completing clears on all daemons; a suspicion spreads to what other daemons have in flight there; a convicted request that waits gets its final answer at once. At most 64 suspects of a daemon wait; more are refused at once. Ruled out: retry budgets for suspects, which refused innocents of a large batch; one at a time in a cell bounds them. Figures: the killer gets 5103 after exactly 2 crashes with 1 and 3 daemons, wherever it arrives; 6 innocents in its batch are all answered; 5101 at once at each daemon afterwards. Limit: endpoints of plain services have no holder; there a suspect is alone of its daemon only.

--- a/src/decision/node.cpp
+++ b/src/decision/node.cpp
@@ -90,9 +90,13 @@
   } else if (const auto* drain = std::get_if<DrainMessage>(&aEvent.message)) {
     router.OnDrain(aContext, view, from, *drain);
   } else if (const auto* suspects = std::get_if<SuspectsMessage>(&aEvent.message)) {
-    router.OnSuspects(aContext, *suspects);
+    router.OnSuspects(aContext, view, *suspects);
   } else if (const auto* convicted = std::get_if<ConvictedMessage>(&aEvent.message)) {
     router.OnConvicted(aContext, *convicted);
+  } else if (const auto* cleared = std::get_if<ClearedMessage>(&aEvent.message)) {
+    router.OnCleared(*cleared);
+  } else if (const auto* grant = std::get_if<IsolationGrantMessage>(&aEvent.message)) {
+    router.OnIsolationGrant(aContext, view, from, *grant);
   } else {
     scheduler.OnMessage(aContext, view, aEvent);
   }
--- a/src/decision/router/router.cpp
+++ b/src/decision/router/router.cpp
@@ -79,6 +79,7 @@
 {
   ExpireDeadlines(aContext);
   OnTransactionResult(aContext, aView, {});
+  ServeIsolated(aContext, aView);
   for (auto& [key, target] : mTargets) {
     if (!target.queue.empty()) {
       DispatchTarget(aContext, aView, target);
--- a/src/decision/router/router_admission.cpp
+++ b/src/decision/router/router_admission.cpp
@@ -80,6 +80,10 @@
 
 void Router::Enqueue(Context& aContext, View& aView, Request& aRequest)
 {
+  if (MustIsolate(aContext, aRequest)) {
+    Isolate(aContext, aView, aRequest);
+    return;
+  }
   aRequest.state = RequestState::kQueued;
   Target& target = mTargets[{ aRequest.arrived.service, aRequest.arrived.artifact }];
   target.artifact = aRequest.arrived.artifact;
--- a/src/decision/router/router_base.h
+++ b/src/decision/router/router_base.h
@@ -31,6 +31,7 @@
 {
   kClaiming,
   kQueued,
+  kIsolating, ///< A suspect that waits for a runner of its own.
   kInFlight,
   kAbandoned, ///< The caller has its last word or has gone; the attempt has not ended yet.
 };
@@ -51,6 +52,10 @@
   std::uint32_t delivered = 0;       ///< Stream events that the caller has.
   bool mayHaveRun = false;
   bool suspect = false;
+  std::uint64_t isolationAsk = 0; ///< Of the last request for a runner of its own.
+  TimePoint isolationAskedAt{};
+  DaemonId isolatedBy;    ///< The holder that keeps the runner free for this attempt.
+  TimePoint aloneUntil{}; ///< The runner is kept free until then.
 };
 
 /* The router's knowledge of the replicas of one artifact. */
@@ -108,7 +113,12 @@
                      const DaemonId& aFrom,
                      const DemandReplyMessage& aReply);
   void OnDrain(Context& aContext, View& aView, const DaemonId& aFrom, const DrainMessage& aDrain);
-  void OnSuspects(Context& aContext, const SuspectsMessage& aSuspects);
+  void OnSuspects(Context& aContext, View& aView, const SuspectsMessage& aSuspects);
+  void OnCleared(const ClearedMessage& aCleared);
+  void OnIsolationGrant(Context& aContext,
+                        View& aView,
+                        const DaemonId& aFrom,
+                        const IsolationGrantMessage& aGrant);
   void OnConvicted(Context& aContext, const ConvictedMessage& aConvicted);
   void OnWake(Context& aContext, View& aView);
   void OnViewChanged(Context& aContext, View& aView);
@@ -159,7 +169,15 @@
   void OnAbandonedEnded(Context& aContext, Request& aRequest, const AttemptEnded& aEnded);
   void NoteOutcome(Context& aContext, View& aView, Request& aRequest, AttemptOutcome aOutcome);
   void Abandon(Context& aContext, Request& aRequest);
-  void OnCrashed(Context& aContext, View& aView, Request& aRequest, const EndpointId& aEndpoint);
+  void OnCrashed(Context& aContext, View& aView, const EndpointId& aEndpoint);
+  bool IsAloneSuspect(const Context& aContext, const Request& aRequest) const;
+  bool MustIsolate(const Context& aContext, const Request& aRequest) const;
+  void Isolate(Context& aContext, View& aView, Request& aRequest);
+  void AskIsolation(Context& aContext, View& aView, Request& aRequest);
+  void EndIsolation(Context& aContext, View& aView, Request& aRequest);
+  void ServeIsolated(Context& aContext, View& aView);
+  void Clear(Context& aContext, View& aView, const FingerprintId& aFingerprint);
+  void Broadcast(Context& aContext, const View& aView, const Message& aMessage) const;
   bool Convict(Context& aContext, View& aView, const Request& aRequest);
   void Retry(Context& aContext, View& aView, Request& aRequest);
   static ResultCode FailureCode(const Request& aRequest, ResultCode aNotRun);
@@ -182,6 +200,7 @@
   FairClock mClock;
   ClaimBook mClaims;
   Quarantine mQuarantine;
+  std::set<RequestId> mIsolated; ///< Requests that have or wait for a runner of their own.
   RetryBudget mBudget;
 };
 
--- a/src/decision/router/router_dispatch.cpp
+++ b/src/decision/router/router_dispatch.cpp
@@ -103,6 +103,11 @@
   }
   while (const auto next = aTarget.queue.Peek(mClock)) {
     Request& request = mRequests.at(*next);
+    if (MustIsolate(aContext, request)) {
+      aTarget.queue.Remove(request.queued);
+      Isolate(aContext, aView, request);
+      continue;
+    }
     const auto endpoint = MayUse(aContext, aTarget, request)
                             ? ChooseEndpoint(aContext, aView, aTarget, request)
                             : std::nullopt;
--- a/src/decision/router/router_outcome.cpp
+++ b/src/decision/router/router_outcome.cpp
@@ -54,10 +54,11 @@
   }
   Request& request = found->second;
   const EndpointId endpoint = request.endpoint;
-  const bool wasAlone = InFlight(endpoint) == 1;
+  const bool wasAlone = IsAloneSuspect(aContext, request);
   request.delivered = std::max(request.delivered, aEnded.delivered);
   NoteOutcome(aContext, aView, request, aEnded.outcome);
   ReleaseUse(request);
+  EndIsolation(aContext, aView, request);
   if (request.state == RequestState::kAbandoned) {
     OnAbandonedEnded(aContext, request, aEnded);
   } else if (aEnded.outcome == AttemptOutcome::kCompleted) {
@@ -69,7 +70,6 @@
              aEnded.outcome == AttemptOutcome::kCancelled) {
     Finish(aContext, request, FailureCode(request, ResultCode::kEndpointUnavailable));
   } else {
-    request.suspect = request.suspect || aEnded.outcome == AttemptOutcome::kCrashed;
     Retry(aContext, aView, request);
   }
   ReportDrained(aContext, aView, endpoint);
@@ -97,7 +97,7 @@
       break;
     case AttemptOutcome::kCrashed:
       aView.NoteRefused(aContext, aRequest.endpoint);
-      OnCrashed(aContext, aView, aRequest, aRequest.endpoint);
+      OnCrashed(aContext, aView, aRequest.endpoint);
       break;
     case AttemptOutcome::kCut:
     case AttemptOutcome::kSilent:
@@ -112,6 +112,7 @@
     ++aRequest.sentAttempts;
     aRequest.failed.insert(aRequest.endpoint);
     if (aOutcome == AttemptOutcome::kCompleted) {
+      Clear(aContext, aView, aRequest.arrived.fingerprint);
       mEndpoints[aRequest.endpoint].backoffs.erase(aRequest.arrived.artifact.model);
     }
     return;
@@ -170,8 +171,10 @@
   const RetryBudgetOptions budget{ aContext.settings().retryBudgetRatio,
                                    aContext.settings().retryBudgetBurst };
   // What an endpoint refused cost it nothing; the pauses between refusals bound such attempts.
+  // Suspects run one at a time in a cell, which bounds their retries.
+  const bool isFree = !aRequest.mayHaveRun || MustIsolate(aContext, aRequest);
   const bool isAllowed =
-    !aContext.IsEnabled(Mechanism::kRetryBudget) || !aRequest.mayHaveRun ||
+    !aContext.IsEnabled(Mechanism::kRetryBudget) || isFree ||
     mBudget.TakeRetry(aRequest.arrived.customer, aRequest.arrived.service, budget);
   if (!isAllowed) {
     Finish(aContext, aRequest, ResultCode::kRetryBudgetSpent);
@@ -219,6 +222,9 @@
       target->queue.Remove(aRequest.queued);
     }
   }
+  if (aRequest.state == RequestState::kIsolating) {
+    mIsolated.erase(aRequest.arrived.request);
+  }
   mDeadlines.erase({ aRequest.deadline, aRequest.arrived.request });
   const auto queued = mQueuedByCustomer.find(aRequest.arrived.customer);
   if (--queued->second == 0) {
--- a/src/decision/router/router_quarantine.cpp
+++ b/src/decision/router/router_quarantine.cpp
@@ -1,12 +1,26 @@
-/* Requests that crash endpoints. */
+/* Requests that crash endpoints: suspicion, a runner of their own, conviction. */
 #include "decision/router/router_base.h"
 
+#include <algorithm>
+#include <set>
+
 namespace rhubarbtrail {
 
-void Router::OnCrashed(Context& aContext,
-                       View& aView,
-                       Request& aRequest,
-                       const EndpointId& aEndpoint)
+namespace {
+
+/* Suspects of this daemon that wait for a runner or have one; more are refused at once. */
+constexpr std::size_t kIsolatedLimit = 64;
+
+} // namespace
+
+void Router::Broadcast(Context& aContext, const View& aView, const Message& aMessage) const
+{
+  for (const auto& [id, member] : aView.members()) {
+    aView.SendTo(aContext, id, aMessage);
+  }
+}
+
+void Router::OnCrashed(Context& aContext, View& aView, const EndpointId& aEndpoint)
 {
   if (!aContext.IsEnabled(Mechanism::kQuarantine)) {
     return;
@@ -14,35 +28,60 @@
   const EndpointInfo* info = aView.FindEndpoint(aEndpoint);
   SuspectsMessage suspects{ aEndpoint, info != nullptr ? info->bootId : std::string{}, {} };
   for (const RequestId& other : mEndpoints[aEndpoint].inFlight) {
-    suspects.fingerprints.push_back(mRequests.at(other).arrived.fingerprint);
+    Request& request = mRequests.at(other);
+    request.suspect = true;
+    const FingerprintId& fingerprint = request.arrived.fingerprint;
+    mQuarantine.suspects.Add(
+      fingerprint, aContext.now() + aContext.settings().quarantineLength, aContext.now());
+    suspects.fingerprints.push_back(fingerprint);
   }
-  (void)aRequest;
-  OnSuspects(aContext, suspects);
-  for (const auto& [id, member] : aView.members()) {
-    aView.SendTo(aContext, id, suspects);
+  if (!suspects.fingerprints.empty()) {
+    Broadcast(aContext, aView, suspects);
   }
 }
 
-bool Router::Convict(Context& aContext, View& aView, const Request& aRequest)
+void Router::OnSuspects(Context& aContext, View& aView, const SuspectsMessage& aSuspects)
 {
-  if (!aRequest.suspect || !aContext.IsEnabled(Mechanism::kQuarantine)) {
+  for (const FingerprintId& fingerprint : aSuspects.fingerprints) {
+    mQuarantine.suspects.Add(
+      fingerprint, aContext.now() + aContext.settings().quarantineLength, aContext.now());
+  }
+  // What this daemon has in flight there is suspect too; the others are told once.
+  const EndpointInfo* info = aView.FindEndpoint(aSuspects.endpoint);
+  const auto use = mEndpoints.find(aSuspects.endpoint);
+  if (info == nullptr || info->bootId != aSuspects.bootId || use == mEndpoints.end()) {
+    return;
+  }
+  const bool isNew =
+    std::any_of(use->second.inFlight.begin(),
+                use->second.inFlight.end(),
+                [&](const RequestId& aRequest) { return !mRequests.at(aRequest).suspect; });
+  if (isNew) {
+    OnCrashed(aContext, aView, aSuspects.endpoint);
+  }
+}
+
+bool Router::IsAloneSuspect(const Context& aContext, const Request& aRequest) const
+{
+  if (!aRequest.suspect) {
     return false;
   }
-  const Duration length = aContext.settings().quarantineLength;
-  const FingerprintId& fingerprint = aRequest.arrived.fingerprint;
-  mQuarantine.convicted.Add(fingerprint, aContext.now() + length, aContext.now());
-  for (const auto& [id, member] : aView.members()) {
-    aView.SendTo(aContext, id, ConvictedMessage{ fingerprint, length });
+  if (IsPlain(aRequest.arrived.artifact)) {
+    return InFlight(aRequest.endpoint) == 1;
   }
-  return true;
+  return !aRequest.isolatedBy.empty() && aContext.now() < aRequest.aloneUntil;
 }
 
-void Router::OnSuspects(Context& aContext, const SuspectsMessage& aSuspects)
+bool Router::Convict(Context& aContext, View& aView, const Request& aRequest)
 {
-  for (const FingerprintId& fingerprint : aSuspects.fingerprints) {
-    mQuarantine.suspects.Add(
-      fingerprint, aContext.now() + aContext.settings().quarantineLength, aContext.now());
+  if (!aContext.IsEnabled(Mechanism::kQuarantine)) {
+    return false;
   }
+  const ConvictedMessage convicted{ aRequest.arrived.fingerprint,
+                                    aContext.settings().quarantineLength };
+  OnConvicted(aContext, convicted);
+  Broadcast(aContext, aView, convicted);
+  return true;
 }
 
 void Router::OnConvicted(Context& aContext, const ConvictedMessage& aConvicted)
@@ -52,6 +91,169 @@
   }
   mQuarantine.convicted.Add(
     aConvicted.fingerprint, aContext.now() + aConvicted.expiresIn, aContext.now());
+  mQuarantine.suspects.Remove(aConvicted.fingerprint);
+  std::vector<RequestId> waiting;
+  for (const auto& [id, request] : mRequests) {
+    const bool isWaiting =
+      request.state == RequestState::kQueued || request.state == RequestState::kIsolating;
+    if (isWaiting && request.arrived.fingerprint == aConvicted.fingerprint) {
+      waiting.push_back(id);
+    }
+  }
+  for (const RequestId& id : waiting) {
+    Request& request = mRequests.at(id);
+    Finish(aContext,
+           request,
+           request.mayHaveRun ? ResultCode::kCrashedEndpoints : ResultCode::kQuarantined);
+  }
+}
+
+void Router::Clear(Context& aContext, View& aView, const FingerprintId& aFingerprint)
+{
+  if (mQuarantine.suspects.Contains(aFingerprint, aContext.now())) {
+    OnCleared({ aFingerprint });
+    Broadcast(aContext, aView, ClearedMessage{ aFingerprint });
+  }
+}
+
+void Router::OnCleared(const ClearedMessage& aCleared)
+{
+  mQuarantine.suspects.Remove(aCleared.fingerprint);
+}
+
+bool Router::MustIsolate(const Context& aContext, const Request& aRequest) const
+{
+  // No daemon holds the endpoints of a plain service: there a suspect runs alone of this daemon's.
+  const FingerprintId& fingerprint = aRequest.arrived.fingerprint;
+  const bool isMarked = mQuarantine.suspects.Contains(fingerprint, aContext.now()) ||
+                        mQuarantine.convicted.Contains(fingerprint, aContext.now());
+  return isMarked && aContext.IsEnabled(Mechanism::kQuarantine) &&
+         !IsPlain(aRequest.arrived.artifact);
+}
+
+void Router::Isolate(Context& aContext, View& aView, Request& aRequest)
+{
+  const FingerprintId& fingerprint = aRequest.arrived.fingerprint;
+  aRequest.state = RequestState::kIsolating;
+  aRequest.suspect = true;
+  if (mQuarantine.convicted.Contains(fingerprint, aContext.now())) {
+    Finish(aContext,
+           aRequest,
+           aRequest.mayHaveRun ? ResultCode::kCrashedEndpoints : ResultCode::kQuarantined);
+    return;
+  }
+  if (mIsolated.size() >= kIsolatedLimit) {
+    Finish(aContext, aRequest, FailureCode(aRequest, ResultCode::kReplicaUnavailable));
+    return;
+  }
+  mIsolated.insert(aRequest.arrived.request);
+  AskIsolation(aContext, aView, aRequest);
+}
+
+void Router::AskIsolation(Context& aContext, View& aView, Request& aRequest)
+{
+  const ServiceId& service = aRequest.arrived.service;
+  aRequest.isolationAskedAt = aContext.now();
+  ++aRequest.isolationAsk;
+  aContext.WakeBy(aContext.now() + aContext.settings().demandInterval);
+  Send(aContext,
+       aView,
+       ChooseHolder(aContext, aView, service),
+       IsolationRequestMessage{ .cell = CellId{ service.str() },
+                                .artifact = aRequest.arrived.artifact,
+                                .request = aRequest.arrived.request,
+                                .ask = aRequest.isolationAsk,
+                                .timeLeft = aRequest.deadline - aContext.now() });
+}
+
+void Router::OnIsolationGrant(Context& aContext,
+                              View& aView,
+                              const DaemonId& aFrom,
+                              const IsolationGrantMessage& aGrant)
+{
+  const auto found = mRequests.find(aGrant.request);
+  if (found == mRequests.end() || found->second.state != RequestState::kIsolating) {
+    const bool isInUse = found != mRequests.end() && found->second.isolatedBy == aFrom;
+    if (aGrant.status == IsolationStatus::kGranted && !isInUse) {
+      Send(aContext, aView, aFrom, IsolationReleaseMessage{ aGrant.cell, aGrant.request });
+    }
+    return;
+  }
+  Request& request = found->second;
+  if (request.isolationAsk != aGrant.ask) {
+    return; // It can't be told how long an answer to an earlier ask is good for.
+  }
+  HolderContact& contact = mHolders[request.arrived.service];
+  if (aGrant.status == IsolationStatus::kNotHolder) {
+    const bool isNew = !aGrant.holder.empty() && aGrant.holder != contact.holder;
+    if (isNew && !contact.hasFollowed) {
+      contact.holder = aGrant.holder;
+      contact.hasFollowed = true;
+      contact.askedAt = aContext.now();
+      AskIsolation(aContext, aView, request);
+    }
+    return;
+  }
+  contact.askedAt.reset();
+  contact.silentSince.reset();
+  if (aGrant.status == IsolationStatus::kRefused) {
+    Finish(aContext, request, FailureCode(request, ResultCode::kReplicaUnavailable));
+    return;
+  }
+  const bool isGranted = aGrant.status == IsolationStatus::kGranted;
+  if (!isGranted || !aView.IsUsable(aGrant.runner, aContext.now())) {
+    return;
+  }
+  request.isolatedBy = aFrom;
+  request.aloneUntil = request.isolationAskedAt + aGrant.validFor;
+  Target& target = mTargets[{ request.arrived.service, request.arrived.artifact }];
+  target.service = request.arrived.service;
+  target.artifact = request.arrived.artifact;
+  Start(aContext, aView, target, request, aGrant.runner);
+  aContext.WakeBy(request.aloneUntil);
+}
+
+void Router::EndIsolation(Context& aContext, View& aView, Request& aRequest)
+{
+  if (aRequest.isolatedBy.empty()) {
+    return;
+  }
+  const RequestId& id = aRequest.arrived.request;
+  Send(aContext,
+       aView,
+       aRequest.isolatedBy,
+       IsolationReleaseMessage{ CellId{ aRequest.arrived.service.str() }, id });
+  aRequest.isolatedBy = {};
+  mIsolated.erase(id);
+}
+
+void Router::ServeIsolated(Context& aContext, View& aView)
+{
+  for (const RequestId& id : std::set<RequestId>{ mIsolated }) {
+    const auto found = mRequests.find(id);
+    if (found == mRequests.end()) {
+      continue;
+    }
+    Request& request = found->second;
+    if (request.state == RequestState::kIsolating) {
+      const TimePoint next = request.isolationAskedAt + aContext.settings().demandInterval;
+      if (next > aContext.now()) {
+        aContext.WakeBy(next);
+      } else if (MustIsolate(aContext, request)) {
+        AskIsolation(aContext, aView, request);
+      } else {
+        mIsolated.erase(id);
+        Enqueue(aContext, aView, request);
+      }
+    } else if (request.state == RequestState::kInFlight && request.aloneUntil <= aContext.now()) {
+      // The runner is shared again, so the suspect must be gone from it.
+      const ResultCode code = FailureCode(request, ResultCode::kAttemptsExhausted);
+      aContext.Emit(FinishRequest{ .request = id, .code = code, .retryAfter = kDefaultRetryAfter });
+      Abandon(aContext, request);
+    } else if (request.state == RequestState::kInFlight) {
+      aContext.WakeBy(request.aloneUntil);
+    }
+  }
 }
 
 } // namespace rhubarbtrail
--- /dev/null
+++ b/tests/unit/quarantine_test.cpp
@@ -0,0 +1,139 @@
+/* A request that crashes runners is convicted after two crashes; the others in its batch are not.
+ */
+#include "tests/unit/router_world.h"
+
+#include <doctest/doctest.h>
+
+using namespace rhubarbtrail;
+using namespace rhubarbtrail::test;
+
+namespace {
+
+/* Runners that crash when they run the fingerprint "killer", with everything in flight there. */
+struct Crashing
+{
+  explicit Crashing(World& aWorld)
+    : world(aWorld)
+  {
+    world.serve = [this](const Started& aStarted) { return Serve(aStarted); };
+  }
+
+  std::optional<Served> Serve(const Started& aStarted)
+  {
+    const EndpointId runner = aStarted.attempt.endpoint;
+    auto& batch = running[runner];
+    std::erase_if(batch, [&](const auto& aItem) { return aItem.second <= world.now; });
+    const bool isKiller = killers.contains(aStarted.attempt.request);
+    Duration time = 300ms;
+    if (isKiller) {
+      ++crashes;
+      largest = std::max(largest, batch.size());
+      for (const auto& [started, end] : batch) {
+        world.Post(started.daemon,
+                   50ms,
+                   AttemptEnded{ .request = started.attempt.request,
+                                 .attempt = started.attempt.attempt,
+                                 .outcome = AttemptOutcome::kCrashed });
+      }
+      batch.clear();
+      return Served{ AttemptOutcome::kCrashed, 50ms };
+    }
+    batch.emplace_back(aStarted, world.now + time);
+    return Served{ AttemptOutcome::kCompleted, time };
+  }
+
+  World& world;
+  std::set<RequestId> killers;
+  std::map<EndpointId, std::vector<std::pair<Started, TimePoint>>> running;
+  int crashes = 0;
+  std::size_t largest = 0;
+};
+
+} // namespace
+
+TEST_CASE("a killer is convicted after two crashes, its batch on all daemons is not")
+{
+  for (const std::size_t daemons : { 1, 3 }) {
+    for (const std::size_t killerAt : { 0, 2 }) {
+      INFO(daemons, " daemons, killer at ", killerAt);
+      World world({ .daemons = daemons, .runners = 3 });
+      Crashing crashing(world);
+      for (std::size_t daemon = 0; daemon < daemons; ++daemon) {
+        world.Ask({}, daemon); // Loads the model and tells each daemon of it.
+      }
+      world.Run(2s);
+      std::vector<RequestId> innocents;
+      for (std::size_t index = 0; index < 6; ++index) {
+        innocents.push_back(world.Ask({}, index % daemons));
+      }
+      world.Run(50ms);
+      const std::size_t at = killerAt % daemons;
+      RequestArrived killer{ .fingerprint = FingerprintId{ "killer" } };
+      crashing.killers.insert(RequestId{ "r" + std::to_string(daemons + 7) });
+      const RequestId first = world.Ask(killer, at);
+      REQUIRE(crashing.killers.contains(first));
+      world.Run(25s);
+      CHECK(world.CodeOf(first) == 5103);
+      CHECK(crashing.crashes == 2);
+      for (const RequestId& innocent : innocents) {
+        CHECK(world.CodeOf(innocent) == 1000);
+      }
+      for (std::size_t daemon = 0; daemon < daemons; ++daemon) {
+        const RequestId again = world.Ask(killer, daemon);
+        CHECK(world.CodeOf(again) == 5101);
+        CHECK(world.DumpOf("router.suspects", daemon) == "0");
+      }
+      const RequestId after = world.Ask({}, 0);
+      world.Run(5s);
+      CHECK(world.CodeOf(after) == 1000);
+    }
+  }
+}
+
+TEST_CASE("nobody else uses the runner of an isolated suspect")
+{
+  World world({ .daemons = 3 });
+  Crashing crashing(world);
+  for (std::size_t daemon = 0; daemon < 3; ++daemon) {
+    world.Ask({}, daemon);
+  }
+  world.Run(2s);
+  crashing.killers.insert(RequestId{ "r4" });
+  const RequestId killer = world.Ask({ .fingerprint = FingerprintId{ "killer" } }, 1);
+  for (int index = 0; index < 100; ++index) {
+    world.Run(100ms);
+    world.Ask({}, static_cast<std::size_t>(index) % 3);
+  }
+  world.Run(30s);
+  CHECK(world.CodeOf(killer) == 5103);
+  CHECK(crashing.crashes == 2);
+  CHECK(crashing.largest == 0);
+  for (const auto& [request, finished] : world.finished) {
+    CHECK((request == killer || finished.finish.code == ResultCode::kOk));
+  }
+  CHECK(world.finished.size() == 104);
+}
+
+TEST_CASE("a runner is taken back when the daemon of its suspect dies")
+{
+  World world({ .daemons = 3 });
+  world.serve = [&](const Started& aStarted) {
+    const bool isSuspect = aStarted.attempt.request == RequestId{ "r1" };
+    const bool isFirst = aStarted.attempt.attempt.value == 1;
+    return isSuspect
+             ? (isFirst ? std::optional{ Served{ AttemptOutcome::kCrashed, 1ms } } : std::nullopt)
+             : std::optional{ Served{} };
+  };
+  // The daemon that does not hold the cell dies.
+  const std::size_t holder = world.DumpOf("cells.models.held", 0) == "yes" ? 0 : 1;
+  const std::size_t victim = 2 - holder;
+  world.Ask({ .fingerprint = FingerprintId{ "f" } }, victim);
+  world.Run(5s);
+  CHECK(world.started.size() == 2);
+  const RequestId blocked = world.Ask({}, holder);
+  world.Run(2s);
+  CHECK(world.CodeOf(blocked) == 0);
+  world.Kill(victim);
+  world.Run(3s);
+  CHECK(world.CodeOf(blocked) == 1000);
+}
