Feature: [Build] A benchmark of the router in given time

Cause: claims, retries and fairness need figures that do not depend on the machine. It uses the fake table and endpoints of tests/unit/router_world.h.

--- /dev/null
+++ b/tools/router_bench.cpp
@@ -0,0 +1,143 @@
+/* Measures the router in given time: table writes of claims, retries and fairness. */
+#include "tests/unit/router_world.h"
+
+#include <cmath>
+#include <cstdio>
+#include <random>
+
+using namespace rhubarbtrail;
+using namespace rhubarbtrail::test;
+
+namespace {
+
+constexpr std::uint64_t kSeed = 20'261;
+
+std::vector<Duration> LatenciesOf(const World& aWorld, const std::map<RequestId, TimePoint>& aAsked)
+{
+  std::vector<Duration> latencies;
+  for (const auto& [request, at] : aAsked) {
+    if (aWorld.CodeOf(request) == 1000) {
+      latencies.push_back(aWorld.finished.at(request).at - at);
+    }
+  }
+  std::sort(latencies.begin(), latencies.end());
+  return latencies;
+}
+
+double Percentile(const std::vector<Duration>& aSorted, double aShare)
+{
+  const auto index = static_cast<std::size_t>(aShare * static_cast<double>(aSorted.size() - 1));
+  return aSorted.empty() ? 0.0 : std::chrono::duration<double, std::milli>(aSorted[index]).count();
+}
+
+void MeasureClaims()
+{
+  std::printf("claims/s  transactions/claim  rows/claim  p50 ms  p99 ms\n");
+  for (const int rate : { 10, 100, 1'000 }) {
+    World world({ .runners = 4, .configure = [](Configuration& aConfiguration, DecisionSettings&) {
+                   aConfiguration.customers.at(CustomerId{ "big" }).queueLimit = 4'096;
+                 } });
+    std::mt19937_64 random(kSeed);
+    std::exponential_distribution<double> gap(rate);
+    std::map<RequestId, TimePoint> asked;
+    const int count = rate * 10;
+    for (int index = 0; index < count; ++index) {
+      world.Run(Duration{ static_cast<std::int64_t>(gap(random) * 1e6) });
+      const TimePoint at = world.now;
+      asked[world.Ask({ .service = ServiceId{ "plain" },
+                        .key = IdempotencyKey{ "k" + std::to_string(index) } })] = at;
+    }
+    world.Run(10s);
+    const auto latencies = LatenciesOf(world, asked);
+    std::printf("%8d  %18.2f  %10.2f  %6.1f  %6.1f  (%zu of %d answered)\n",
+                rate,
+                static_cast<double>(world.transactions) / count,
+                static_cast<double>(world.rowsWritten) / count,
+                Percentile(latencies, 0.5),
+                Percentile(latencies, 0.99),
+                latencies.size(),
+                count);
+  }
+}
+
+void MeasureRetries()
+{
+  std::printf("failing  budget  attempts/request  answered\n");
+  for (const bool hasBudget : { true, false }) {
+    for (const int percent : { 0, 10, 50, 100 }) {
+      MechanismSet disabled;
+      disabled.set(static_cast<std::size_t>(Mechanism::kRetryBudget), !hasBudget);
+      World world({ .runners = 4, .disabled = disabled });
+      std::mt19937_64 random(kSeed);
+      std::uniform_int_distribution<int> dice(0, 99);
+      world.serve = [&](const Started&) {
+        const bool fails = dice(random) < percent;
+        return std::optional{ Served{ fails ? AttemptOutcome::kCut : AttemptOutcome::kCompleted } };
+      };
+      constexpr int kRequests = 2'000;
+      std::map<RequestId, TimePoint> asked;
+      for (int index = 0; index < kRequests; ++index) {
+        const TimePoint at = world.now;
+        asked[world.Ask({ .service = ServiceId{ "plain" } })] = at;
+        world.Run(10ms);
+      }
+      world.Run(40s);
+      std::printf("%6d%%  %6s  %16.3f  %7.1f%%\n",
+                  percent,
+                  hasBudget ? "on" : "off",
+                  static_cast<double>(world.started.size()) / kRequests,
+                  100.0 * static_cast<double>(LatenciesOf(world, asked).size()) / kRequests);
+    }
+  }
+}
+
+/* One model on one runner of 16 slots, 100 ms a request on average: 160 requests a second. */
+void MeasureFairness()
+{
+  std::printf("large customer  small p50 ms  small p99 ms  small refused  large answered\n");
+  for (const bool hasLarge : { false, true }) {
+    World world({ .configure = [](Configuration& aConfiguration, DecisionSettings& aSettings) {
+      aConfiguration.customers.at(CustomerId{ "big" }).queueLimit = 100'000;
+      aSettings.queueLimit = 1'000;
+    } });
+    std::mt19937_64 random(kSeed);
+    std::mt19937_64 service(kSeed + 1);
+    std::gamma_distribution<double> time(4.0, 25'000.0);
+    world.serve = [&](const Started&) {
+      return std::optional{ Served{ AttemptOutcome::kCompleted,
+                                    Duration{ static_cast<std::int64_t>(time(service)) } } };
+    };
+    std::exponential_distribution<double> gap(8.0 + (hasLarge ? 1'600.0 : 0.0));
+    std::uniform_real_distribution<double> share(0.0, 8.0 + (hasLarge ? 1'600.0 : 0.0));
+    std::map<RequestId, TimePoint> small;
+    std::map<RequestId, TimePoint> large;
+    const TimePoint until = world.now + 120s;
+    while (world.now < until) {
+      world.Run(Duration{ static_cast<std::int64_t>(gap(random) * 1e6) });
+      const bool isSmall = share(random) < 8.0;
+      const TimePoint at = world.now;
+      const RequestId request = world.Ask({ .customer = CustomerId{ isSmall ? "small" : "big" } });
+      (isSmall ? small : large)[request] = at;
+    }
+    world.Run(60s);
+    const auto latencies = LatenciesOf(world, small);
+    std::printf("%14s  %12.1f  %12.1f  %6zu of %zu  %8zu of %zu\n",
+                hasLarge ? "10x" : "none",
+                Percentile(latencies, 0.5),
+                Percentile(latencies, 0.99),
+                small.size() - latencies.size(),
+                small.size(),
+                LatenciesOf(world, large).size(),
+                large.size());
+  }
+}
+
+} // namespace
+
+int main()
+{
+  std::printf("seed %llu\n", static_cast<unsigned long long>(kSeed));
+  MeasureClaims();
+  MeasureRetries();
+  MeasureFairness();
+}
