Feature: [Router] Refuse at once what can't be answered in time, and share the daemon's queue

Change: an estimate from the requests ahead under fair queueing, the slots known and the weighted mean of the service time refuses with 2102 and Retry-After; a full daemon refuses the last waiting request of the customer with the most in place of a smaller customer's new one. An at-most-once request is estimated after its claim, so that a stored answer is always found. Ruled out: an estimate that counts the service time on free slots: one slow answer then refused all later requests, with nothing to correct the mean (trial; a test keeps it out).

--- a/src/decision/router/fair_queue.cpp
+++ b/src/decision/router/fair_queue.cpp
@@ -30,8 +30,9 @@
 
 void FairQueue::Push(const QueuedRequest& aRequest)
 {
-  auto& requests = mByPriority[aRequest.priority][aRequest.customer];
-  if (requests.emplace(aRequest.deadline, aRequest.request).second) {
+  Backlog& backlog = mByPriority[aRequest.priority][aRequest.customer];
+  backlog.weight = std::max(1U, aRequest.weight);
+  if (backlog.requests.emplace(aRequest.deadline, aRequest.request).second) {
     ++mSize;
   }
 }
@@ -46,8 +47,8 @@
   if (requests == byCustomer->second.end()) {
     return;
   }
-  mSize -= requests->second.erase({ aRequest.deadline, aRequest.request });
-  if (requests->second.empty()) {
+  mSize -= requests->second.requests.erase({ aRequest.deadline, aRequest.request });
+  if (requests->second.requests.empty()) {
     byCustomer->second.erase(requests);
   }
   if (byCustomer->second.empty()) {
@@ -62,11 +63,11 @@
   }
   const auto& [priority, byCustomer] = *mByPriority.begin();
   Best best{ priority, 0, nullptr };
-  for (const auto& [customer, requests] : byCustomer) {
+  for (const auto& [customer, backlog] : byCustomer) {
     const double start = aClock.StartOf(customer);
     if (best.requests == nullptr || start < best.start) {
       best.start = start;
-      best.requests = &requests;
+      best.requests = &backlog.requests;
     }
   }
   return best;
@@ -90,12 +91,43 @@
   return std::pair{ best->priority, best->start };
 }
 
+double FairQueue::CountAhead(const QueuedRequest& aRequest) const
+{
+  double ahead = 0;
+  for (const auto& [priority, byCustomer] : mByPriority) {
+    if (priority > aRequest.priority) {
+      break;
+    }
+    const auto own = byCustomer.find(aRequest.customer);
+    const std::size_t ownWaiting = own == byCustomer.end() ? 0 : own->second.requests.size();
+    const double turns =
+      static_cast<double>(ownWaiting + 1) / static_cast<double>(std::max(1U, aRequest.weight));
+    for (const auto& [customer, backlog] : byCustomer) {
+      const auto waiting = static_cast<double>(backlog.requests.size());
+      const bool isShared = priority == aRequest.priority && customer != aRequest.customer;
+      ahead += isShared ? std::min(waiting, turns * backlog.weight) : waiting;
+    }
+  }
+  return ahead;
+}
+
+std::optional<RequestId> FairQueue::LastOf(const CustomerId& aCustomer) const
+{
+  for (auto byCustomer = mByPriority.rbegin(); byCustomer != mByPriority.rend(); ++byCustomer) {
+    const auto found = byCustomer->second.find(aCustomer);
+    if (found != byCustomer->second.end()) {
+      return found->second.requests.rbegin()->second;
+    }
+  }
+  return std::nullopt;
+}
+
 TimePoint FairQueue::EarliestDeadline() const
 {
   TimePoint earliest = TimePoint::max();
   for (const auto& [priority, byCustomer] : mByPriority) {
-    for (const auto& [customer, requests] : byCustomer) {
-      earliest = std::min(earliest, requests.begin()->first);
+    for (const auto& [customer, backlog] : byCustomer) {
+      earliest = std::min(earliest, backlog.requests.begin()->first);
     }
   }
   return earliest;
--- a/src/decision/router/fair_queue_base.h
+++ b/src/decision/router/fair_queue_base.h
@@ -54,6 +54,14 @@
   /* Returns the rank of the request that Peek() names; the smaller one goes first. */
   std::optional<std::pair<std::uint32_t, double>> BestRank(const FairClock& aClock) const;
 
+  /* Returns how many waiting requests go before this one if it is pushed now: those of higher
+   * priority, and of each customer as many as its weight allows while this customer's own
+   * requests go. */
+  double CountAhead(const QueuedRequest& aRequest) const;
+
+  /* Returns the customer's request that would go last. */
+  std::optional<RequestId> LastOf(const CustomerId& aCustomer) const;
+
   bool empty() const { return mSize == 0; }
   std::size_t size() const { return mSize; }
   TimePoint EarliestDeadline() const;
@@ -68,7 +76,13 @@
   };
   std::optional<Best> FindBest(const FairClock& aClock) const;
 
-  std::map<std::uint32_t, std::map<CustomerId, ByDeadline>> mByPriority;
+  struct Backlog
+  {
+    ByDeadline requests;
+    std::uint32_t weight = 1;
+  };
+
+  std::map<std::uint32_t, std::map<CustomerId, Backlog>> mByPriority;
   std::size_t mSize = 0;
 };
 
--- a/src/decision/router/router_admission.cpp
+++ b/src/decision/router/router_admission.cpp
@@ -1,6 +1,8 @@
 /* Which requests are taken, and how they enter the queue. */
 #include "decision/router/router_base.h"
 
+#include <algorithm>
+
 namespace rhubarbtrail {
 
 std::optional<ResultCode> Router::CheckAdmission(const Context& aContext,
@@ -31,7 +33,7 @@
   const auto queued = mQueuedByCustomer.find(aArrived.customer);
   const bool isCustomerFull =
     queued != mQueuedByCustomer.end() && queued->second >= customer->second.queueLimit;
-  if (isCustomerFull || mRequests.size() >= aContext.settings().queueLimit) {
+  if (isCustomerFull) {
     return ResultCode::kQueueFull;
   }
   return std::nullopt;
@@ -40,10 +42,7 @@
 void Router::OnRequest(Context& aContext, View& aView, const RequestArrived& aArrived)
 {
   if (const auto refusal = CheckAdmission(aContext, aView, aArrived)) {
-    const bool canComeBack = Describe(*refusal).httpStatus >= 429;
-    aContext.Emit(FinishRequest{ .request = aArrived.request,
-                                 .code = *refusal,
-                                 .retryAfter = canComeBack ? kDefaultRetryAfter : Duration{} });
+    Refuse(aContext, aArrived.request, *refusal);
     return;
   }
   const Configuration& configuration = aView.configuration();
@@ -62,6 +61,11 @@
                      .weight = customer.weight,
                      .priority = requestClass.priority,
                      .deadline = request.deadline };
+  if (mRequests.size() >= aContext.settings().queueLimit &&
+      !MakeRoom(aContext, aArrived.customer)) {
+    Refuse(aContext, aArrived.request, ResultCode::kQueueFull);
+    return;
+  }
   mDeadlines.emplace(request.deadline, aArrived.request);
   aContext.WakeBy(request.deadline);
   ++mQueuedByCustomer[aArrived.customer];
@@ -75,7 +79,64 @@
     }
     return;
   }
-  Enqueue(aContext, aView, stored);
+  Admit(aContext, aView, stored);
+}
+
+void Router::Admit(Context& aContext, View& aView, Request& aRequest)
+{
+  const Duration estimate = EstimateTime(aContext, aRequest);
+  const Duration timeLeft = aRequest.deadline - aContext.now();
+  if (estimate > timeLeft) {
+    Finish(aContext, aRequest, ResultCode::kDeadlineUnreachable, estimate - timeLeft);
+    return;
+  }
+  Enqueue(aContext, aView, aRequest);
+}
+
+Duration Router::EstimateTime(const Context& aContext, const Request& aRequest) const
+{
+  const auto found = mTargets.find({ aRequest.arrived.service, aRequest.arrived.artifact });
+  if (found == mTargets.end()) {
+    return {};
+  }
+  const Target& target = found->second;
+  const bool isKnown = IsPlain(target.artifact) || target.knownUntil > aContext.now();
+  if (!isKnown || target.replicas.empty()) {
+    return std::max(Duration{}, target.readyAt - aContext.now());
+  }
+  std::uint32_t slots = 0;
+  for (const ReplicaLocation& replica : target.replicas) {
+    slots += std::max(1U, replica.concurrency);
+  }
+  if (target.inFlight < slots) {
+    return {}; // It is tried, however long others took: that is how the mean stays current.
+  }
+  // Slots that are taken free up one after the other, each after its share of the service time.
+  const double turns = (target.queue.CountAhead(aRequest.queued) + 1.0) / slots + 1.0;
+  return Duration{ static_cast<std::int64_t>(turns *
+                                             static_cast<double>(target.serviceTime.count())) };
+}
+
+bool Router::MakeRoom(Context& aContext, const CustomerId& aFor)
+{
+  const auto largest = std::max_element(
+    mQueuedByCustomer.begin(), mQueuedByCustomer.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.second < aRight.second;
+    });
+  const auto own = mQueuedByCustomer.find(aFor);
+  const std::uint32_t ownCount = own == mQueuedByCustomer.end() ? 0 : own->second;
+  if (largest == mQueuedByCustomer.end() || largest->second <= ownCount + 1) {
+    return false;
+  }
+  const CustomerId customer = largest->first;
+  for (auto& [key, target] : mTargets) {
+    if (const auto last = target.queue.LastOf(customer)) {
+      Request& request = mRequests.at(*last);
+      Finish(aContext, request, FailureCode(request, ResultCode::kQueueFull));
+      return true;
+    }
+  }
+  return false;
 }
 
 void Router::Enqueue(Context& aContext, View& aView, Request& aRequest)
--- a/src/decision/router/router_base.h
+++ b/src/decision/router/router_base.h
@@ -46,6 +46,7 @@
   TimePoint deadline{};
   AttemptNumber attempt;
   EndpointId endpoint; ///< Of the attempt in flight.
+  TimePoint startedAt{};
   std::set<EndpointId> failed;
   std::uint32_t sentAttempts = 0;    ///< Attempts that may have run.
   std::uint32_t refusedAttempts = 0; ///< Attempts that certainly did not run.
@@ -67,8 +68,9 @@
   std::vector<ReplicaLocation> replicas;
   TimePoint knownUntil{};
   TimePoint nextDemand{};
-  TimePoint readyAt{};   ///< When the holder expects a replica.
-  bool hasAsked = false; ///< A demand for waiting requests is unanswered.
+  TimePoint readyAt{};    ///< When the holder expects a replica.
+  bool hasAsked = false;  ///< A demand for waiting requests is unanswered.
+  Duration serviceTime{}; ///< Exponentially weighted mean of completed attempts; 0 means unknown.
   std::uint32_t startedSince = 0;
   std::uint32_t inFlight = 0; ///< Attempts that have not ended yet.
 };
@@ -134,6 +136,15 @@
   std::optional<ResultCode> CheckAdmission(const Context& aContext,
                                            const View& aView,
                                            const RequestArrived& aArrived) const;
+  void Admit(Context& aContext, View& aView, Request& aRequest);
+  /* Returns the time until the request's answer as far as it is queued for; 0 when it starts at
+   * once. */
+  Duration EstimateTime(const Context& aContext, const Request& aRequest) const;
+  bool MakeRoom(Context& aContext, const CustomerId& aFor);
+  static void Refuse(Context& aContext,
+                     const RequestId& aRequest,
+                     ResultCode aCode,
+                     Duration aRetryAfter = {});
   void Enqueue(Context& aContext, View& aView, Request& aRequest);
   void DispatchTarget(Context& aContext, View& aView, Target& aTarget);
   void DispatchEndpoint(Context& aContext, View& aView, const EndpointId& aEndpoint);
--- a/src/decision/router/router_dispatch.cpp
+++ b/src/decision/router/router_dispatch.cpp
@@ -169,6 +169,7 @@
   }
   ++aRequest.attempt.value;
   aRequest.endpoint = aEndpoint;
+  aRequest.startedAt = aContext.now();
   aRequest.state = RequestState::kInFlight;
   mEndpoints[aEndpoint].inFlight.insert(aRequest.arrived.request);
   const bool isOnce = aRequest.repeatability == Repeatability::kAtMostOnce;
--- a/src/decision/router/router_outcome.cpp
+++ b/src/decision/router/router_outcome.cpp
@@ -12,6 +12,8 @@
 /* Pause after the first refusal by an endpoint; it doubles with each one that follows. */
 constexpr Duration kFirstBackoff = 100ms;
 constexpr std::uint32_t kBackoffDoublings = 5;
+/* Completed attempts over which the mean of the service time reaches back. */
+constexpr int kServiceTimeSpan = 16;
 
 /* Returns whether the same request may be answered when it comes again later. */
 bool CanComeBack(ResultCode aCode)
@@ -112,6 +114,12 @@
     ++aRequest.sentAttempts;
     aRequest.failed.insert(aRequest.endpoint);
     if (aOutcome == AttemptOutcome::kCompleted) {
+      if (Target* target = FindTarget(aRequest)) {
+        const Duration time = aContext.now() - aRequest.startedAt;
+        const bool isFirst = target->serviceTime.count() == 0;
+        target->serviceTime =
+          isFirst ? time : target->serviceTime + (time - target->serviceTime) / kServiceTimeSpan;
+      }
       Clear(aContext, aView, aRequest.arrived.fingerprint);
       mEndpoints[aRequest.endpoint].backoffs.erase(aRequest.arrived.artifact.model);
     }
@@ -183,12 +191,19 @@
   Enqueue(aContext, aView, aRequest);
 }
 
-void Router::Finish(Context& aContext, Request& aRequest, ResultCode aCode, Duration aRetryAfter)
+void Router::Refuse(Context& aContext,
+                    const RequestId& aRequest,
+                    ResultCode aCode,
+                    Duration aRetryAfter)
 {
   const Duration pause = aRetryAfter.count() > 0 ? aRetryAfter : kDefaultRetryAfter;
-  aContext.Emit(FinishRequest{ .request = aRequest.arrived.request,
-                               .code = aCode,
-                               .retryAfter = CanComeBack(aCode) ? pause : Duration{} });
+  aContext.Emit(FinishRequest{
+    .request = aRequest, .code = aCode, .retryAfter = CanComeBack(aCode) ? pause : Duration{} });
+}
+
+void Router::Finish(Context& aContext, Request& aRequest, ResultCode aCode, Duration aRetryAfter)
+{
+  Refuse(aContext, aRequest.arrived.request, aCode, aRetryAfter);
   if (IsOnce(aRequest)) {
     if (aRequest.mayHaveRun) {
       mClaims.Record(
@@ -257,10 +272,7 @@
     }
     const ResultCode code =
       IsOnce(request) ? ResultCode::kOutcomeUnknown : ResultCode::kAttemptsExhausted;
-    aContext.Emit(
-      FinishRequest{ .request = id,
-                     .code = code,
-                     .retryAfter = CanComeBack(code) ? kDefaultRetryAfter : Duration{} });
+    Refuse(aContext, id, code);
     Abandon(aContext, request);
   }
 }
@@ -285,7 +297,7 @@
   Request& request = found->second;
   switch (aVerdict.outcome) {
     case ClaimOutcome::kGranted:
-      Enqueue(aContext, aView, request);
+      Admit(aContext, aView, request);
       break;
     case ClaimOutcome::kInProgress:
       Finish(aContext, request, ResultCode::kIdempotencyKeyInProgress);
--- a/src/decision/router/router_quarantine.cpp
+++ b/src/decision/router/router_quarantine.cpp
@@ -248,7 +248,7 @@
     } else if (request.state == RequestState::kInFlight && request.aloneUntil <= aContext.now()) {
       // The runner is shared again, so the suspect must be gone from it.
       const ResultCode code = FailureCode(request, ResultCode::kAttemptsExhausted);
-      aContext.Emit(FinishRequest{ .request = id, .code = code, .retryAfter = kDefaultRetryAfter });
+      Refuse(aContext, id, code);
       Abandon(aContext, request);
     } else if (request.state == RequestState::kInFlight) {
       aContext.WakeBy(request.aloneUntil);
--- /dev/null
+++ b/tests/unit/fair_queue_test.cpp
@@ -0,0 +1,106 @@
+/* Small customers beside large ones: the queue, the daemon's bound, and the estimate of the wait.
+ */
+#include "decision/router/fair_queue_base.h"
+#include "tests/unit/router_world.h"
+
+#include <doctest/doctest.h>
+
+using namespace rhubarbtrail;
+using namespace rhubarbtrail::test;
+
+TEST_CASE("the count ahead of a request depends on its customer's own backlog")
+{
+  struct Case
+  {
+    const char* name;
+    const char* customer;
+    std::uint32_t weight;
+    std::uint32_t priority;
+    double ahead;
+  };
+  FairQueue queue;
+  for (int index = 0; index < 100; ++index) {
+    queue.Push({ .request = RequestId{ "b" + std::to_string(index) },
+                 .customer = CustomerId{ "big" },
+                 .priority = 1 });
+  }
+  queue.Push({ .request = RequestId{ "u" }, .customer = CustomerId{ "urgent" }, .priority = 0 });
+  const std::vector<Case> cases{
+    { "the large customer", "big", 1, 1, 101 },         { "a small customer", "small", 1, 1, 2 },
+    { "a heavier small customer", "small", 2, 1, 1.5 }, { "an urgent request", "small", 1, 0, 1 },
+    { "a request that can wait", "small", 1, 2, 101 },
+  };
+  for (const Case& row : cases) {
+    INFO(row.name);
+    CHECK(queue.CountAhead({ .request = RequestId{ "new" },
+                             .customer = CustomerId{ row.customer },
+                             .weight = row.weight,
+                             .priority = row.priority }) == doctest::Approx(row.ahead));
+  }
+  CHECK(queue.LastOf(CustomerId{ "urgent" }) == RequestId{ "u" });
+  CHECK(!queue.LastOf(CustomerId{ "nobody" }));
+}
+
+TEST_CASE("a large customer fills neither the daemon nor a small one's deadline")
+{
+  World world({ .configure = [](Configuration& aConfiguration, DecisionSettings& aSettings) {
+    aConfiguration.customers.at(CustomerId{ "big" }).queueLimit = 1'000;
+    aSettings.queueLimit = 100;
+  } });
+  world.serve = [](const Started&) {
+    return std::optional{ Served{ AttemptOutcome::kCompleted, 1s } };
+  };
+  world.Ask({}); // Loads the model and shows how long a request takes.
+  world.Run(3s);
+  std::vector<RequestId> large;
+  for (int index = 0; index < 200; ++index) {
+    large.push_back(world.Ask({}));
+  }
+  const RequestId small = world.Ask({ .customer = CustomerId{ "small" }, .timeLeft = 4s });
+  const RequestId hurried = world.Ask({ .timeLeft = 4s });
+  CHECK(world.CodeOf(hurried) == 2101);
+  world.Run(30s);
+  CHECK(world.CodeOf(small) == 1000);
+  std::size_t answered = 0;
+  for (const RequestId& request : large) {
+    const bool isAnswered = world.CodeOf(request) == 1000;
+    answered += isAnswered ? 1 : 0;
+    CHECK((isAnswered || world.CodeOf(request) == 2101));
+  }
+  CHECK(answered == 99);
+}
+
+TEST_CASE("what can't be answered in time is refused at once, with the time to come back")
+{
+  World world({});
+  world.serve = [](const Started&) {
+    return std::optional{ Served{ AttemptOutcome::kCompleted, 1s } };
+  };
+  world.Ask({});
+  world.Run(3s);
+  for (int index = 0; index < 80; ++index) {
+    world.Ask({});
+  }
+  const RequestId hopeless = world.Ask({ .timeLeft = 3s });
+  CHECK(world.CodeOf(hopeless) == 2102);
+  CHECK(world.finished.at(hopeless).finish.retryAfter > 2s);
+  const RequestId patient = world.Ask({ .timeLeft = 9s });
+  CHECK(world.CodeOf(patient) == 0);
+  world.Run(9s);
+  CHECK(world.CodeOf(patient) == 1000);
+}
+
+TEST_CASE("a request is not refused for the time that earlier ones took on free slots")
+{
+  World world({});
+  Duration time = 10s;
+  world.serve = [&](const Started&) {
+    return std::optional{ Served{ AttemptOutcome::kCompleted, time } };
+  };
+  world.Ask({});
+  world.Run(15s);
+  time = 100ms;
+  const RequestId request = world.Ask({ .timeLeft = 2s });
+  world.Run(2s);
+  CHECK(world.CodeOf(request) == 1000);
+}
