--- a/src/codec/json_codec.cpp
+++ b/src/codec/json_codec.cpp
@@ -90,7 +90,7 @@
 RHUBARBTRAIL_FIELDS(IsolationGrantMessage, cell, request, ask, status, runner, validFor, holder)
 RHUBARBTRAIL_FIELDS(IsolationReleaseMessage, cell, request)
 RHUBARBTRAIL_FIELDS(LoadedModel, model, version, ready, adapters, running)
-RHUBARBTRAIL_FIELDS(Inventory, bootId, memory, models, running, queued)
+RHUBARBTRAIL_FIELDS(Inventory, bootId, memory, models, running, queued, checkpoints)
 #undef RHUBARBTRAIL_FIELDS
 
 namespace {
--- a/src/decision/event_type.h
+++ b/src/decision/event_type.h
@@ -101,6 +101,7 @@
   std::vector<LoadedModel> models;
   std::uint32_t running = 0;
   std::uint32_t queued = 0;
+  std::vector<ModelId> checkpoints; ///< Kept by the runner's host, so that they load sooner.
 };
 
 enum class OrderOutcome : std::uint8_t
@@ -168,6 +169,12 @@
   std::shared_ptr<const Configuration> configuration;
 };
 
+/* An operator took a request out of quarantine. */
+struct QuarantineReleased
+{
+  FingerprintId fingerprint;
+};
+
 /* SIGTERM: hand over, finish, go. */
 struct ShutdownRequested
 {};
@@ -185,6 +192,7 @@
                            MessageReceived,
                            HostListReceived,
                            ConfigurationLoaded,
+                           QuarantineReleased,
                            ShutdownRequested,
                            Wake>;
 
--- a/src/decision/router/router.cpp
+++ b/src/decision/router/router.cpp
@@ -110,7 +110,7 @@
   }
 }
 
-void Router::Dump(std::vector<DumpEntry>& aOut) const
+void Router::Dump(std::vector<DumpEntry>& aOut, TimePoint aNow) const
 {
   aOut.push_back({ "router.requests", std::to_string(mRequests.size()) });
   aOut.push_back({ "router.targets", std::to_string(mTargets.size()) });
@@ -118,6 +118,12 @@
   aOut.push_back({ "router.claims", std::to_string(mClaims.size()) });
   aOut.push_back({ "router.suspects", std::to_string(mQuarantine.suspects.size()) });
   aOut.push_back({ "router.convicted", std::to_string(mQuarantine.convicted.size()) });
+  for (const auto& [fingerprint, until] : mQuarantine.convicted.entries()) {
+    if (until > aNow) {
+      const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until - aNow);
+      aOut.push_back({ "router.quarantined." + fingerprint.str(), std::to_string(left.count()) });
+    }
+  }
   for (const auto& [key, target] : mTargets) {
     const std::string path = "router.targets." + key.first.str() + "." + key.second.model.str() +
                              (key.second.adapter.empty() ? "" : "+" + key.second.adapter.str());
--- a/src/decision/router/router_base.h
+++ b/src/decision/router/router_base.h
@@ -122,13 +122,16 @@
                         const DaemonId& aFrom,
                         const IsolationGrantMessage& aGrant);
   void OnConvicted(Context& aContext, const ConvictedMessage& aConvicted);
+  void OnQuarantineReleased(Context& aContext,
+                            const View& aView,
+                            const QuarantineReleased& aReleased);
   void OnWake(Context& aContext, View& aView);
   void OnViewChanged(Context& aContext, View& aView);
 
   /* Returns whether nothing is left to finish. */
   bool IsIdle() const { return mRequests.empty() && mClaims.IsIdle(); }
 
-  void Dump(std::vector<DumpEntry>& aOut) const;
+  void Dump(std::vector<DumpEntry>& aOut, TimePoint aNow) const;
 
 private:
   using TargetKey = std::pair<ServiceId, Artifact>;
--- a/src/decision/router/router_quarantine.cpp
+++ b/src/decision/router/router_quarantine.cpp
@@ -89,9 +89,13 @@
   if (!aContext.IsEnabled(Mechanism::kQuarantine)) {
     return;
   }
+  mQuarantine.suspects.Remove(aConvicted.fingerprint);
+  if (aConvicted.expiresIn.count() <= 0) {
+    mQuarantine.convicted.Remove(aConvicted.fingerprint); // Taken back by an operator.
+    return;
+  }
   mQuarantine.convicted.Add(
     aConvicted.fingerprint, aContext.now() + aConvicted.expiresIn, aContext.now());
-  mQuarantine.suspects.Remove(aConvicted.fingerprint);
   std::vector<RequestId> waiting;
   for (const auto& [id, request] : mRequests) {
     const bool isWaiting =
@@ -256,4 +260,16 @@
   }
 }
 
+void Router::OnQuarantineReleased(Context& aContext,
+                                  const View& aView,
+                                  const QuarantineReleased& aReleased)
+{
+  mQuarantine.convicted.Remove(aReleased.fingerprint);
+  mQuarantine.suspects.Remove(aReleased.fingerprint);
+  // A conviction that has expired on arrival replaces the one that the others hold.
+  for (const auto& [id, member] : aView.members()) {
+    aView.SendTo(aContext, id, ConvictedMessage{ aReleased.fingerprint, Duration{} });
+  }
+}
+
 } // namespace rhubarbtrail
--- a/src/decision/scheduler/cell_lease.cpp
+++ b/src/decision/scheduler/cell_lease.cpp
@@ -33,6 +33,8 @@
   ContinueDrains(aContext, aView);
   ServeIsolation(aContext, aView);
   ServeDemands(aContext, aView);
+  UpdateReplicaCounts(aContext, aView);
+  PreloadExpected(aContext, aView);
   WritePlacement(aContext);
   SendOrders(aContext, aView);
 }
@@ -269,6 +271,7 @@
   mPlanned.clear();
   mIsolation.reset();
   mIsolationWaits.clear();
+  mCounts.clear();
   mNextLeaseAction = aContext.now() + aContext.settings().leaseRenewal;
   mNextKeepAlive = aContext.now() + aContext.settings().replicaLifetime;
   for (const PlacementEntry& entry : aPlacement.entries) {
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -137,3 +137,20 @@
   world.Run(3s);
   CHECK(world.CodeOf(blocked) == 1000);
 }
+
+TEST_CASE("a release by an operator refuses no request that waits")
+{
+  World world({ .daemons = 2 });
+  world.serve = [](const Started&) { return std::optional<Served>{}; };
+  const RequestArrived arrived{ .timeLeft = 20s, .fingerprint = FingerprintId{ "f" } };
+  std::vector<RequestId> requests;
+  for (int index = 0; index < 40; ++index) {
+    requests.push_back(world.Ask(arrived, 0));
+  }
+  world.Run(1s);
+  world.Apply(1, QuarantineReleased{ FingerprintId{ "f" } });
+  world.Run(1s);
+  for (const RequestId& request : requests) {
+    CHECK(world.CodeOf(request) == 0);
+  }
+}
