--- a/src/decision/scheduler/cell_lease.cpp
+++ b/src/decision/scheduler/cell_lease.cpp
@@ -31,6 +31,7 @@
   ReleaseReserved(aContext, aView);
   UnloadIdle(aContext, aView);
   ContinueDrains(aContext, aView);
+  ServeIsolation(aContext, aView);
   ServeDemands(aContext, aView);
   UpdateReplicaCounts(aContext, aView);
   PreloadExpected(aContext, aView);
@@ -270,6 +271,8 @@
   mHolder = aContext.self();
   mRunners.clear();
   mPlanned.clear();
+  mIsolation.reset();
+  mIsolationWaits.clear();
   mCounts.clear();
   mNextLeaseAction = aContext.now() + aContext.settings().leaseRenewal;
   mNextKeepAlive = aContext.now() + aContext.settings().replicaLifetime;
@@ -321,6 +324,8 @@
   mWriting.clear();
   mRunners.clear();
   mPlanned.clear();
+  mIsolation.reset();
+  mIsolationWaits.clear();
   mNextLeaseAction = aContext.now() + aContext.settings().tableRetry;
   aContext.WakeBy(mNextLeaseAction);
 }
