--- a/src/decision/scheduler/cell_order.cpp
+++ b/src/decision/scheduler/cell_order.cpp
@@ -20,6 +20,14 @@
     }
     Runner& runner = mRunners[id];
     runner.id = id;
+    const ServiceSpec* service = Service(aView);
+    if (!aContext.IsEnabled(Mechanism::kFencedRecovery) && runner.bootId.empty() &&
+        service != nullptr) {
+      // For tests: what a runner holds is assumed and not asked.
+      runner.bootId = info.bootId;
+      runner.reach = RunnerReach::kReached;
+      runner.memory = service->runnerMemory;
+    }
     if (!runner.inventory.empty() || runner.nextInventory > aContext.now()) {
       if (runner.inventory.empty()) {
         aContext.WakeBy(runner.nextInventory);
--- a/tests/matrix/world.h
+++ b/tests/matrix/world.h
@@ -47,6 +47,7 @@
   kLaggingList,
   kRacingOperators,
   kLateOrders,
+  kEndpointCut, ///< An endpoint runs on and cannot be reached.
   kCount,
 };
 
@@ -60,6 +61,7 @@
   std::vector<Fault> faults;
   OrderCheck check = OrderCheck::kChecked;
   MechanismSet disabled;
+  Duration spread = 1500ms; ///< Time within which the faults begin.
 };
 
 /* What a run came to. */
@@ -115,6 +117,7 @@
   ServiceId service;
   std::uint32_t boot = 1;
   bool isAlive = true;
+  bool isCut = false;
   bool isListed = true;
   std::optional<Clock> leavingSince;
   std::optional<Clock> noticedAt; ///< When the first daemon could know that it is leaving.
