Fix: [Scheduler] Send no order to a runner before its first inventory

Found by the matrix, which failed before (pair: a model loaded twice, memory overcommitted): a new holder repeated an inherited order in the same instant as its first inventory; that inventory, older than the order, did not list the model, so the replica was taken for void and placed elsewhere. Orders now wait for the first inventory of the tenure.

--- a/src/decision/scheduler/cell_order.cpp
+++ b/src/decision/scheduler/cell_order.cpp
@@ -100,6 +100,10 @@
 void Cell::SendOrders(Context& aContext, const View& aView)
 {
   for (auto& [id, runner] : mRunners) {
+    if (runner.bootId.empty()) {
+      // Its first inventory would be taken for one that came after the order.
+      continue;
+    }
     for (auto& [model, replica] : runner.replicas) {
       const bool isLoad =
         replica.phase == ReplicaPhase::kLoadDecided || replica.phase == ReplicaPhase::kLoading;
