Fix: [View] Repeat the word that an endpoint leaves

The daemon that heard it from the endpoint repeats it with each heartbeat for 10 s, to peers only, and forgets it when the endpoint goes. Weighed: all who know repeat it; that grows with the square of the daemons.

--- a/src/decision/view/view.cpp
+++ b/src/decision/view/view.cpp
@@ -11,6 +11,8 @@
 
 /* How long an endpoint that refused a connection is passed over. */
 constexpr Duration kRefusedPause = 500ms;
+/* How long the word that an endpoint leaves is repeated with each heartbeat, as it may be lost. */
+constexpr Duration kLeavingRepeat = 10s;
 
 } // namespace
 
@@ -101,6 +103,8 @@
                 [](const auto& aItem) { return aItem.second.state == EndpointState::kGone; });
   std::erase_if(mLeavingBoots,
                 [this](const auto& aItem) { return !mEndpoints.contains(aItem.first); });
+  std::erase_if(mLeavingSaid,
+                [this](const auto& aItem) { return !mLeavingBoots.contains(aItem.first); });
   std::erase_if(mMembers, [&](const auto& aItem) {
     const Member& member = aItem.second;
     return !member.listed && (!member.heardAt || aContext.now() - *member.heardAt >
@@ -218,6 +222,7 @@
       member.nextHeartbeat = aContext.now() + aContext.settings().heartbeatInterval;
       SendTo(
         aContext, id, HeartbeatMessage{ mRow.version, false, aContext.now().time_since_epoch() });
+      RepeatLeaving(aContext, id);
     }
     aContext.WakeBy(member.nextHeartbeat);
   }
@@ -276,11 +281,25 @@
   }
   found->second.state = EndpointState::kLeaving;
   mLeavingBoots[aEndpoint] = found->second.bootId;
+  mLeavingSaid[aEndpoint] = aContext.now();
   if (aContext.IsEnabled(Mechanism::kLeavingNotice)) {
     Broadcast(aContext, EndpointLeavingMessage{ aEndpoint, found->second.bootId });
   }
 }
 
+void View::RepeatLeaving(Context& aContext, const DaemonId& aDaemon)
+{
+  if (!aContext.IsEnabled(Mechanism::kLeavingNotice)) {
+    return;
+  }
+  for (const auto& [endpoint, saidAt] : mLeavingSaid) {
+    const auto boot = mLeavingBoots.find(endpoint);
+    if (boot != mLeavingBoots.end() && aContext.now() - saidAt <= kLeavingRepeat) {
+      SendTo(aContext, aDaemon, EndpointLeavingMessage{ endpoint, boot->second });
+    }
+  }
+}
+
 void View::NoteRefused(const Context& aContext, const EndpointId& aEndpoint)
 {
   const auto found = mEndpoints.find(aEndpoint);
--- a/src/decision/view/view_base.h
+++ b/src/decision/view/view_base.h
@@ -84,6 +84,8 @@
                    const MessageReceived& aReceived,
                    const HeartbeatMessage& aHeartbeat);
   void NoteMember(Context& aContext, const Incarnation& aFrom, ConfigVersion aVersion);
+  /* Tells a daemon once more which endpoints have said that they leave. */
+  void RepeatLeaving(Context& aContext, const DaemonId& aDaemon);
   void UpdateReadiness(Context& aContext);
   bool IsFresh(const Context& aContext) const;
   bool HearsMajority(const Context& aContext) const;
@@ -96,6 +98,7 @@
   std::map<EndpointId, EndpointInfo> mEndpoints;
   std::map<DaemonId, Member> mMembers;
   std::map<EndpointId, std::string> mLeavingBoots; ///< Boot ids known to be leaving.
+  std::map<EndpointId, TimePoint> mLeavingSaid;    ///< When an endpoint told this daemon so itself.
   Readiness mReadiness = Readiness::kStarting;
   bool mHostsKnown = false;
   std::optional<TimePoint> mConfirmedAt; ///< When the table last confirmed the version.
