Fix: [Peer] Keep what a slow peer does not take yet

Cause: a connection whose socket was full was closed in the middle of a frame, so a message larger than the kernel's buffers never reached a peer that read slowly; and the bound on unfinished messages held for each stream, of which a peer may open 1,024. Change: the unsent rest of a frame is kept and sent when the socket takes more; the bound of 8 MB holds for a connection. The unit test was written together with the change and was not run without it.

--- a/src/peer/peer_connection.cpp
+++ b/src/peer/peer_connection.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-/* Largest message that is taken; it bounds what a peer can make this daemon store. */
-constexpr std::size_t kMessageLimit = 8U << 20U;
+/* Bytes of unfinished messages that one connection may make this daemon store. */
+constexpr std::size_t kIncomingLimit = 8U << 20U;
 /* Streams that may be open at a time on one connection. */
 constexpr std::uint32_t kStreamLimit = 1'024;
 /* Flow-control window of a stream and of a connection. */
@@ -65,7 +65,7 @@
 
 bool PeerConnection::WantsWrite() const
 {
-  return nghttp2_session_want_write(mSession) != 0;
+  return mUnsentOffset < mUnsent.size() || nghttp2_session_want_write(mSession) != 0;
 }
 
 bool PeerConnection::Submit(std::vector<std::uint8_t> aBody, TimePoint aNow)
@@ -116,11 +116,11 @@
   if (self->mRole != PeerRole::kServer) {
     return 0;
   }
-  std::string& body = self->mIncoming[aStream];
-  if (body.size() + aLength > kMessageLimit) {
+  if (self->mIncomingBytes + aLength > kIncomingLimit) {
     return NGHTTP2_ERR_CALLBACK_FAILURE;
   }
-  body.append(reinterpret_cast<const char*>(aData), aLength);
+  self->mIncomingBytes += aLength;
+  self->mIncoming[aStream].append(reinterpret_cast<const char*>(aData), aLength);
   return 0;
 }
 
@@ -134,7 +134,7 @@
     return 0;
   }
   self->mReceiver(self->mIncoming[aFrame->hd.stream_id]);
-  self->mIncoming.erase(aFrame->hd.stream_id);
+  self->ForgetIncoming(aFrame->hd.stream_id);
   const std::array headers{ Header(":status", "204") };
   nghttp2_submit_response(aSession, aFrame->hd.stream_id, headers.data(), headers.size(), nullptr);
   return 0;
@@ -147,10 +147,19 @@
 {
   auto* self = static_cast<PeerConnection*>(aSelf);
   self->mOutgoing.erase(aStream);
-  self->mIncoming.erase(aStream);
+  self->ForgetIncoming(aStream);
   return 0;
 }
 
+void PeerConnection::ForgetIncoming(std::int32_t aStream)
+{
+  const auto found = mIncoming.find(aStream);
+  if (found != mIncoming.end()) {
+    mIncomingBytes -= found->second.size();
+    mIncoming.erase(found);
+  }
+}
+
 bool PeerConnection::OnReadable()
 {
   std::array<std::uint8_t, kReadSize> buffer{};
@@ -171,6 +180,14 @@
 bool PeerConnection::OnWritable()
 {
   while (true) {
+    switch (SendUnsent()) {
+      case SendOutcome::kBroken:
+        return false;
+      case SendOutcome::kBlocked:
+        return true;
+      case SendOutcome::kSent:
+        break;
+    }
     const std::uint8_t* data = nullptr;
     const ssize_t length = nghttp2_session_mem_send(mSession, &data);
     if (length < 0) {
@@ -179,19 +196,26 @@
     if (length == 0) {
       return nghttp2_session_want_read(mSession) != 0 || nghttp2_session_want_write(mSession) != 0;
     }
-    // What nghttp2 hands out must be sent whole, so a full socket buffer is waited for briefly by
-    // closing: a peer that far behind is as good as silent.
-    std::size_t offset = 0;
-    while (offset < static_cast<std::size_t>(length)) {
-      const ssize_t sent =
-        send(mSocket, data + offset, static_cast<std::size_t>(length) - offset, MSG_NOSIGNAL);
-      if (sent < 0) {
-        return false;
-      }
-      offset += static_cast<std::size_t>(sent);
+    mUnsent.assign(data, data + length);
+    mUnsentOffset = 0;
+  }
+}
+
+PeerConnection::SendOutcome PeerConnection::SendUnsent()
+{
+  while (mUnsentOffset < mUnsent.size()) {
+    const ssize_t sent =
+      send(mSocket, mUnsent.data() + mUnsentOffset, mUnsent.size() - mUnsentOffset, MSG_NOSIGNAL);
+    if (sent < 0 && errno == EINTR) {
+      continue;
+    }
+    if (sent < 0) {
+      return errno == EAGAIN ? SendOutcome::kBlocked : SendOutcome::kBroken;
     }
-    mSentBytes += offset;
+    mUnsentOffset += static_cast<std::size_t>(sent);
+    mSentBytes += static_cast<std::uint64_t>(sent);
   }
+  return SendOutcome::kSent;
 }
 
 bool PeerConnection::IsSilent(TimePoint aNow, Duration aLimit) const
--- a/src/peer/peer_connection.h
+++ b/src/peer/peer_connection.h
@@ -50,6 +50,13 @@
   std::size_t unanswered() const { return mOutgoing.size(); }
 
 private:
+  enum class SendOutcome : std::uint8_t
+  {
+    kSent,
+    kBlocked, ///< The socket takes no more now.
+    kBroken,
+  };
+
   struct Outgoing
   {
     std::vector<std::uint8_t> body;
@@ -76,12 +83,19 @@
                            std::uint32_t aError,
                            void* aSelf);
 
+  /* Sends what nghttp2 handed out and the socket did not take yet. */
+  SendOutcome SendUnsent();
+  void ForgetIncoming(std::int32_t aStream);
+
   int mSocket;
   PeerRole mRole;
   Receiver mReceiver;
   nghttp2_session* mSession = nullptr;
   std::map<std::int32_t, Outgoing> mOutgoing;
   std::map<std::int32_t, std::string> mIncoming;
+  std::size_t mIncomingBytes = 0;
+  std::vector<std::uint8_t> mUnsent; ///< The frame that is being sent.
+  std::size_t mUnsentOffset = 0;
   std::uint64_t mSentBytes = 0;
   std::uint64_t mReceivedBytes = 0;
 };
--- /dev/null
+++ b/tests/unit/contract_peer_test.cpp
@@ -0,0 +1,83 @@
+/* Messages between daemons over real connections. */
+#include "peer/peer_transport.h"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <mutex>
+#include <set>
+#include <thread>
+
+namespace rhubarbtrail {
+
+namespace {
+
+/* Collects the versions of the configurations that arrive, slowly. */
+class Receiver
+{
+public:
+  explicit Receiver(std::chrono::milliseconds aPause)
+    : mTransport({},
+                 [this, aPause](const Envelope& aEnvelope) {
+                   std::this_thread::sleep_for(aPause);
+                   const std::lock_guard lock(mMutex);
+                   mVersions.insert(std::get<ConfigurationMessage>(aEnvelope.message).row.version);
+                 })
+    , mPort(mTransport.Start())
+  {
+  }
+  ~Receiver() { mTransport.Stop(); }
+  Receiver(const Receiver&) = delete;
+  Receiver& operator=(const Receiver&) = delete;
+
+  std::string address() const { return "127.0.0.1:" + std::to_string(mPort); }
+
+  /* Waits for a number of messages; the limit only bounds a test that has failed. */
+  bool WaitFor(std::size_t aCount)
+  {
+    for (int step = 0; step < 500; ++step) {
+      {
+        const std::lock_guard lock(mMutex);
+        if (mVersions.size() >= aCount) {
+          return true;
+        }
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds{ 20 });
+    }
+    return false;
+  }
+
+private:
+  std::mutex mMutex;
+  std::set<ConfigVersion> mVersions;
+  PeerTransport mTransport;
+  std::uint16_t mPort;
+};
+
+} // namespace
+
+TEST_CASE("messages larger than a socket's buffer reach a peer that reads slowly")
+{
+  struct Case
+  {
+    const char* name;
+    std::size_t count;
+    std::size_t bytes;
+  };
+  for (const Case& item : { Case{ "many small", 500, 100 }, Case{ "large", 1, 7U << 20U } }) {
+    CAPTURE(item.name);
+    Receiver receiver(std::chrono::milliseconds{ 1 });
+    PeerTransport sender({ .answerLimit = 10s }, [](const Envelope&) {});
+    REQUIRE(sender.Start() != 0);
+    for (std::size_t number = 1; number <= item.count; ++number) {
+      const ConfigurationRow row{ .version = { number }, .document = std::string(item.bytes, 'x') };
+      sender.Send(receiver.address(),
+                  { .from = {}, .senderVersion = {}, .message = ConfigurationMessage{ row } });
+    }
+    CHECK(receiver.WaitFor(item.count));
+    CHECK(sender.counters().lostMessages == 0);
+    sender.Stop();
+  }
+}
+
+} // namespace rhubarbtrail
