Fix: [Router] Take no claim of this daemon for one of a dead daemon

Cause: the member list leaves this daemon out, and a daemon that is not listed counts as dead. So a key that was sent again through the same daemon while its first request was in flight got 3102 (outcome unknown) instead of 1302 (in progress). Test: the case send_twice_at_once of test_payment_runs_at_most_once failed first, with 3102 from daemon-0, and passes now. Conclusion: only claims of other incarnations are looked up.

--- a/src/decision/router/router_outcome.cpp
+++ b/src/decision/router/router_outcome.cpp
@@ -166,7 +166,7 @@
         Enqueue(aContext, aView, request);
         break;
       case ClaimOutcome::kHeld:
-        if (aView.IsProvenDead(verdict.row.owner)) {
+        if (verdict.row.owner != aContext.self() && aView.IsProvenDead(verdict.row.owner)) {
           Finish(aContext, request, ResultCode::kEarlierOutcomeUnknown);
         } else {
           Finish(aContext, request, ResultCode::kIdempotencyKeyInProgress, kDefaultRetryAfter);
