Fix: [Scheduler] Write again after a lost answer; move what a leaving runner holds

Three faults, each found by a test on real processes that failed first: - The answer to a placement write was lost. The row was read back but never written again, since the cell counted as clean: a load stayed "load decided" for ever (two cases of test_lost_answers_to_orders_and_table_calls_make_no_second_load, 504 after 20 s). The cell now counts as dirty after such a read. - A model on a leaving runner kept counting as its one replica, so requests for it failed until the host was gone (two cases of test_leaving_endpoint_gets_no_new_work). Replicas there are now drained, unloaded and loaded elsewhere. - With unchecked runners and the table down, a demand first evicted an idle model, which cannot be ordered either, and waited for it until the deadline (504 after 20 s in test_long_table_outage). It is now refused at once. After: all three tests pass.

--- a/src/decision/scheduler/cell_demand.cpp
+++ b/src/decision/scheduler/cell_demand.cpp
@@ -297,11 +297,11 @@
       continue;
     }
     mLoadTokens += 1.0;
-    if (TryEvict(aContext, aView, spec->second)) {
+    const bool isHopeless = !mIsTableUp && IsUnchecked(aView);
+    if (!isHopeless && TryEvict(aContext, aView, spec->second)) {
       aContext.WakeBy(aContext.now() + 100ms);
       continue;
     }
-    const bool isHopeless = !mIsTableUp && IsUnchecked(aView);
     const bool isFull = deadline - aContext.now() < spec->second.expectedLoad;
     if (!isHopeless && !isFull) {
       aContext.WakeBy(aContext.now() + 100ms);
--- a/src/decision/scheduler/cell_lease.cpp
+++ b/src/decision/scheduler/cell_lease.cpp
@@ -97,6 +97,8 @@
     mLeaseVersion = aLease.version;
     mRenewals = lease->renewals;
     mPlacementVersion = aPlacement.version;
+    // The write that was lost may have been that of the placement.
+    mIsDirty = true;
     mNextLeaseAction = aContext.now();
     mNextPlacementWrite = aContext.now();
     aContext.WakeBy(aContext.now());
--- a/src/decision/scheduler/cell_placement.cpp
+++ b/src/decision/scheduler/cell_placement.cpp
@@ -220,10 +220,22 @@
   (void)aRunner;
 }
 
+/* Returns whether a runner takes no new work any more. */
+static bool IsLeaving(const View& aView, const EndpointId& aRunner)
+{
+  const EndpointInfo* info = aView.FindEndpoint(aRunner);
+  return info != nullptr && info->state == EndpointState::kLeaving;
+}
+
 void Cell::ContinueDrains(Context& aContext, const View& aView)
 {
   for (auto& [id, runner] : mRunners) {
     for (auto& [model, replica] : runner.replicas) {
+      // What a leaving runner holds is given up, so that it can be loaded elsewhere.
+      if (replica.phase == ReplicaPhase::kLoaded && IsLeaving(aView, id)) {
+        replica.phase = ReplicaPhase::kDraining;
+        replica.nextOrder = aContext.now();
+      }
       if (replica.phase != ReplicaPhase::kDraining) {
         continue;
       }
