Fix: [Daemon] Bound what callers, runners and endpoints can hold up

Causes and changes, each with its test: - The HTTP library bounds neither the sum of the headers nor a chunked body, and keeps idle connections through a shutdown. Requests that must not be repeated still run to their end. - A slow reader made the session grow without bound; the attempt now waits beyond 256 kB. Shutdown ends after shutdown_limit with exit code 5 (test_caller_that_never_reads_does_not_hold_up_shutdown_for_ever). - An attempt stopped before it began was sent all the same, and a canceller could stop another attempt on the same connection; stopping could block the decision thread during a connect. Left: a caller that closes only its sending side counts as gone.

--- a/src/caller/caller_server.cpp
+++ b/src/caller/caller_server.cpp
@@ -1,6 +1,7 @@
 /* The HTTP front for callers, on cpp-httplib. */
 #include "caller/caller_server.h"
 
+#include "caller/caller_connection.h"
 #include "caller/error_body.h"
 #include "core/digest_func.h"
 #include "core/log_func.h"
@@ -19,10 +20,10 @@
 
 using nlohmann::json;
 
-/* Time a caller may take to send the next part of its request. */
-constexpr Duration kReadTimeout = 10s;
-/* Time an idle connection is kept open. */
-constexpr Duration kKeepAliveTimeout = 60s;
+/* Bytes that the headers of a request may take beside its body. */
+constexpr std::size_t kHeaderLimit = 64U << 10U;
+/* Time between looks whether a waiting caller has gone. */
+constexpr Duration kPresenceCheck = 200ms;
 /* Requests on one connection before it is closed. */
 constexpr std::size_t kKeepAliveRequests = 100'000;
 /* Characters of a prompt that identify the prefix which an engine may have cached. */
@@ -256,6 +257,7 @@
     , snapshot(aSnapshot)
     , sessions(aSessions)
     , post(std::move(aPost))
+    , server({ .requestLimit = options.bodyLimit + kHeaderLimit })
   {
   }
 
@@ -282,6 +284,7 @@
   void AnswerStream(const std::shared_ptr<Session>& aSession,
                     const Watch& aWatch,
                     httplib::Response& aResponse);
+  AnswerPart WaitPart(Session& aSession);
   void AddRoutes();
 
   CallerServerOptions options;
@@ -289,7 +292,7 @@
   SessionMap& sessions;
   std::function<void(Event)> post;
   std::atomic<std::uint64_t> nextNumber{ 1 };
-  httplib::Server server;
+  BoundedServer server;
   std::thread thread;
 };
 
@@ -363,11 +366,26 @@
   }
 }
 
+/* Waits for the next part of an answer; a caller that goes meanwhile cancels its request. */
+AnswerPart CallerServer::Impl::WaitPart(Session& aSession)
+{
+  const bool canCancel = aSession.call().repeatability != Repeatability::kAtMostOnce;
+  while (true) {
+    if (auto part = aSession.WaitPart(kPresenceCheck)) {
+      return std::move(*part);
+    }
+    if (canCancel && BoundedServer::IsCallerGone()) {
+      post(RequestCancelled{ aSession.id() });
+      aSession.Abandon();
+    }
+  }
+}
+
 void CallerServer::Impl::AnswerWhole(Session& aSession,
                                      const Watch& aWatch,
                                      httplib::Response& aResponse)
 {
-  const AnswerPart part = aSession.WaitPart();
+  const AnswerPart part = WaitPart(aSession);
   sessions.Remove(aSession.id());
   const FinishRequest& finish = *part.finish;
   NoteEnd(aWatch, finish.code);
@@ -390,7 +408,7 @@
                                       httplib::Response& aResponse)
 {
   // The status is sent once the first event has come; a refusal before it keeps its own.
-  auto first = std::make_shared<AnswerPart>(aSession->WaitPart());
+  auto first = std::make_shared<AnswerPart>(WaitPart(*aSession));
   const bool isRefused = first->finish && first->finish->code != ResultCode::kOk;
   if (isRefused && first->data.empty()) {
     sessions.Remove(aSession->id());
@@ -407,7 +425,7 @@
   }
   const auto provide = [this, aSession, aWatch, first](std::size_t aOffset,
                                                        httplib::DataSink& aSink) {
-    const AnswerPart part = aOffset == 0 ? *first : aSession->WaitPart();
+    const AnswerPart part = aOffset == 0 ? *first : WaitPart(*aSession);
     if (!part.data.empty() && !aSink.write(part.data.data(), part.data.size())) {
       return false;
     }
@@ -427,6 +445,7 @@
   const auto release = [this, aSession](bool aIsDone) {
     if (!aIsDone) {
       post(RequestCancelled{ aSession->id() });
+      aSession->Abandon();
     }
     sessions.Remove(aSession->id());
   };
@@ -456,9 +475,11 @@
     if (!aResponse.body.empty()) {
       return;
     }
-    const auto code = aResponse.status == 413   ? ResultCode::kBodyTooLarge
-                      : aResponse.status == 404 ? ResultCode::kServiceUnknown
-                                                : ResultCode::kRequestMalformed;
+    auto code =
+      aResponse.status == 404 ? ResultCode::kServiceUnknown : ResultCode::kRequestMalformed;
+    if (aResponse.status == 413 || BoundedServer::IsRequestTooLarge()) {
+      code = ResultCode::kBodyTooLarge;
+    }
     WriteRefusal(aResponse, { .request = NextRequestId(), .code = code });
   });
 }
@@ -478,13 +499,10 @@
 
 std::uint16_t CallerServer::Start()
 {
-  httplib::Server& server = mImpl->server;
+  BoundedServer& server = mImpl->server;
   const std::uint32_t threads = mImpl->options.threads;
   server.new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
   server.set_payload_max_length(mImpl->options.bodyLimit);
-  server.set_read_timeout(kReadTimeout);
-  server.set_keep_alive_timeout(
-    std::chrono::duration_cast<std::chrono::seconds>(kKeepAliveTimeout).count());
   server.set_keep_alive_max_count(kKeepAliveRequests);
   server.set_tcp_nodelay(true);
   mImpl->AddRoutes();
@@ -506,7 +524,7 @@
 
 void CallerServer::Stop()
 {
-  mImpl->server.stop();
+  mImpl->server.Close();
   if (mImpl->thread.joinable()) {
     mImpl->thread.join();
   }
--- a/src/caller/session.cpp
+++ b/src/caller/session.cpp
@@ -1,34 +1,63 @@
 /* The meeting point of a caller, its attempts and the decisions. */
 #include "caller/session.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace rhubarbtrail {
 
+namespace {
+
+/* Bytes of a stream that may wait for a slow caller; beyond it the endpoint is read no further. */
+constexpr std::size_t kUntakenLimit = 256U << 10U;
+
+} // namespace
+
 Session::Session(RequestId aId, EndpointCall aCall)
   : mId(std::move(aId))
   , mCall(std::move(aCall))
 {
 }
 
-void Session::BeginAttempt(AttemptNumber aAttempt)
+bool Session::BeginAttempt(AttemptNumber aAttempt)
 {
   const std::lock_guard lock(mMutex);
+  if (mFinish || IsStopped(aAttempt)) {
+    return false;
+  }
   mAttempt = aAttempt;
   mCanceller = nullptr;
+  mChanged.notify_all();
+  return true;
+}
+
+bool Session::IsStopped(AttemptNumber aAttempt) const
+{
+  return aAttempt <= mStopped;
+}
+
+bool Session::IsCurrent(AttemptNumber aAttempt) const
+{
+  return aAttempt == mAttempt && !IsStopped(aAttempt) && !mFinish;
 }
 
 bool Session::PushEvent(AttemptNumber aAttempt, std::uint32_t aIndex, std::string aData)
 {
   {
-    const std::lock_guard lock(mMutex);
-    if (aAttempt != mAttempt || mFinish || aIndex > mDelivered) {
+    std::unique_lock lock(mMutex);
+    mChanged.wait(
+      lock, [&] { return mUntakenBytes < kUntakenLimit || mIsAbandoned || !IsCurrent(aAttempt); });
+    if (!IsCurrent(aAttempt) || aIndex > mDelivered) {
       return false;
     }
     if (aIndex < mDelivered) {
       return true;
     }
     ++mDelivered;
+    if (mIsAbandoned) {
+      return true;
+    }
+    mUntakenBytes += aData.size();
     mParts.push_back(std::move(aData));
   }
   mChanged.notify_all();
@@ -41,7 +70,7 @@
                         std::string aBody)
 {
   const std::lock_guard lock(mMutex);
-  if (aAttempt != mAttempt || mFinish) {
+  if (!IsCurrent(aAttempt)) {
     return false;
   }
   mStatus = aStatus;
@@ -68,40 +97,68 @@
   mChanged.notify_all();
 }
 
+void Session::Abandon()
+{
+  const bool isOnce = mCall.repeatability == Repeatability::kAtMostOnce;
+  {
+    const std::lock_guard lock(mMutex);
+    mIsAbandoned = true;
+    mParts.clear();
+  }
+  mChanged.notify_all();
+  if (!isOnce) {
+    Finish({ .request = mId, .code = ResultCode::kDeadlinePassed });
+  }
+}
+
 void Session::StopAttempt(AttemptNumber aAttempt)
 {
   std::function<void()> canceller;
   {
     const std::lock_guard lock(mMutex);
-    mStopped = aAttempt;
+    mStopped = std::max(mStopped, aAttempt);
     if (aAttempt == mAttempt) {
       canceller = mCanceller;
     }
   }
+  mChanged.notify_all();
   if (canceller) {
     canceller();
   }
 }
 
-void Session::SetCanceller(AttemptNumber aAttempt, std::function<void()> aCanceller)
+bool Session::SetCanceller(AttemptNumber aAttempt, std::function<void()> aCanceller)
 {
   const std::lock_guard lock(mMutex);
-  if (aAttempt == mAttempt) {
-    mCanceller = std::move(aCanceller);
+  if (!IsCurrent(aAttempt)) {
+    return false;
   }
+  mCanceller = std::move(aCanceller);
+  return true;
+}
+
+bool Session::IsWanted(AttemptNumber aAttempt) const
+{
+  const std::lock_guard lock(mMutex);
+  return IsCurrent(aAttempt);
 }
 
-AnswerPart Session::WaitPart()
+std::optional<AnswerPart> Session::WaitPart(Duration aLimit)
 {
   std::unique_lock lock(mMutex);
-  // Parts of a whole answer are held until the outcome is known.
-  const bool isStream = mCall.form == AnswerForm::kStream;
-  mChanged.wait(lock, [&] { return mFinish || (isStream && !mParts.empty()); });
+  // A whole answer is held until its outcome is known; only events are counted as delivered.
+  const bool isReady =
+    mChanged.wait_for(lock, aLimit, [&] { return mFinish || (mDelivered > 0 && !mParts.empty()); });
+  if (!isReady) {
+    return std::nullopt;
+  }
   AnswerPart part;
   while (!mParts.empty()) {
     part.data += mParts.front();
     mParts.pop_front();
   }
+  mUntakenBytes = 0;
+  mChanged.notify_all();
   part.finish = mFinish;
   return part;
 }
--- a/src/caller/session.h
+++ b/src/caller/session.h
@@ -50,11 +50,13 @@
   const RequestId& id() const { return mId; }
   const EndpointCall& call() const { return mCall; }
 
-  /* Starts an attempt: only its parts are taken from now on. */
-  void BeginAttempt(AttemptNumber aAttempt);
+  /* Starts an attempt: only its parts are taken from now on. Returns false when the attempt was
+   * stopped or the request has ended. */
+  bool BeginAttempt(AttemptNumber aAttempt);
 
-  /* Passes on stream event number aIndex, counted from 0. Events that the caller already has
-   * are dropped. Returns false when the attempt is not the current one or an event is missing. */
+  /* Passes on stream event number aIndex, counted from 0, and waits while a slow caller has too
+   * much to take. Events that the caller already has are dropped. Returns false when the attempt
+   * is no longer wanted or an event is missing. */
   bool PushEvent(AttemptNumber aAttempt, std::uint32_t aIndex, std::string aData);
 
   /* Passes on a whole answer. Returns false when the attempt is not the current one. */
@@ -66,18 +68,28 @@
   /* Ends the request with its final outcome. */
   void Finish(FinishRequest aFinish);
 
+  /* The caller has gone. A request that must not be repeated runs to its end, so that its outcome
+   * can be recorded; any other one ends now. */
+  void Abandon();
+
   /* Stops the current attempt; the canceller closes its connection. */
   void StopAttempt(AttemptNumber aAttempt);
-  void SetCanceller(AttemptNumber aAttempt, std::function<void()> aCanceller);
+  /* Returns false when the attempt is no longer wanted. */
+  bool SetCanceller(AttemptNumber aAttempt, std::function<void()> aCanceller);
+  /* Returns whether the attempt is the current one and was not stopped. */
+  bool IsWanted(AttemptNumber aAttempt) const;
 
-  /* Waits for the next part of the answer. */
-  AnswerPart WaitPart();
+  /* Waits for the next part of the answer; nothing when the time has passed. */
+  std::optional<AnswerPart> WaitPart(Duration aLimit);
 
   /* The status and type of a whole answer; valid after the last part was taken. */
   int status() const { return mStatus; }
   const std::string& contentType() const { return mContentType; }
 
 private:
+  bool IsStopped(AttemptNumber aAttempt) const;
+  bool IsCurrent(AttemptNumber aAttempt) const;
+
   const RequestId mId;
   const EndpointCall mCall;
   mutable std::mutex mMutex;
@@ -85,7 +97,9 @@
   AttemptNumber mAttempt;
   std::uint32_t mDelivered = 0;
   std::deque<std::string> mParts;
+  std::size_t mUntakenBytes = 0; ///< Size of the stream events in mParts.
   std::optional<FinishRequest> mFinish;
+  bool mIsAbandoned = false;
   std::function<void()> mCanceller;
   AttemptNumber mStopped;
   int mStatus = 200;
--- a/src/core/exit_code_type.h
+++ b/src/core/exit_code_type.h
@@ -11,6 +11,7 @@
   kExitBadInput = 2,     ///< Wrong arguments, settings, keys or document.
   kExitCannotListen = 3, ///< A port cannot be bound.
   kExitUnreachable = 4,  ///< The daemon does not answer.
+  kExitRequestsLeft = 5, ///< Requests were still open when the shutdown limit had passed.
 };
 
 } // namespace rhubarbtrail
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -17,9 +17,13 @@
 #include "platform/host_list_client.h"
 #include "platform/table_client.h"
 
+#include <algorithm>
 #include <atomic>
+#include <condition_variable>
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
+#include <mutex>
 #include <pthread.h>
 
 namespace rhubarbtrail {
@@ -28,6 +32,10 @@
 
 /* Threads for calls to the table service. */
 constexpr std::size_t kTableThreads = 4;
+/* Threads that stop attempts; stopping can wait for a connect. */
+constexpr std::size_t kStopThreads = 2;
+/* Share of the order threads that one runner may keep busy. */
+constexpr std::size_t kOrderShare = 4;
 
 class Daemon
 {
@@ -36,8 +44,8 @@
 
   /* Binds all ports and starts; false when a port cannot be bound. */
   bool Start();
-  /* Waits for a signal or a drain, then finishes what is open. */
-  void WaitAndStop();
+  /* Waits for a signal or a drain, then finishes what is open; returns the exit code. */
+  int WaitAndStop();
 
 private:
   void Perform(Action aAction);
@@ -47,6 +55,7 @@
   void Do(TableTransaction aAction);
   void Do(TableRead aAction);
   void Do(SendOrder aAction);
+  void Follow(SendOrder aOrder);
   void Do(SendMessage aAction);
   void Do(const WakeAt& /*aAction*/) {}
   void Do(const PublishConfiguration& aAction);
@@ -72,11 +81,14 @@
   WorkerPool mTablePool;
   WorkerPool mOrderPool;
   WorkerPool mAttemptPool;
+  WorkerPool mStopPool;
   DecisionLoop mLoop;
   PeerTransport mPeers;
   CallerServer mCallers;
   AdminServer mAdmin;
   std::thread mHostThread;
+  std::mutex mStopMutex;
+  std::condition_variable mStopChanged;
   std::atomic<bool> mIsStopping{ false };
   std::atomic<bool> mIsComplete{ false };
   std::atomic<bool> mIsDrained{ false };
@@ -96,8 +108,10 @@
   , mStore(mTable)
   , mSnapshot(std::make_unique<const Snapshot>())
   , mTablePool(kTableThreads)
-  , mOrderPool(mSettings.orderThreads)
+  , mOrderPool(mSettings.orderThreads,
+               std::max<std::size_t>(1, mSettings.orderThreads / kOrderShare))
   , mAttemptPool(mSettings.attemptThreads)
+  , mStopPool(kStopThreads)
   , mLoop(MakeNodeOptions(mSettings, mSelf),
           [this](Action aAction) { Perform(std::move(aAction)); })
   , mPeers({ .address = mSettings.listenAddress, .port = mSettings.peerPort },
@@ -178,7 +192,8 @@
       mLoop.Post(std::move(*list));
     }
     mMetrics.Collect();
-    std::this_thread::sleep_for(mSettings.hostListInterval);
+    std::unique_lock lock(mStopMutex);
+    mStopChanged.wait_for(lock, mSettings.hostListInterval, [this] { return mIsStopping.load(); });
   }
 }
 
@@ -196,7 +211,7 @@
   });
 }
 
-void Daemon::WaitAndStop()
+int Daemon::WaitAndStop()
 {
   sigset_t signals;
   sigemptyset(&signals);
@@ -207,19 +222,31 @@
   }
   Log(log_part::kDaemon)->info("Stopping: finishing {} open requests.", mSessions.size());
   mLoop.Post(ShutdownRequested{});
+  const TimePoint end = DaemonNow() + mSettings.shutdownLimit;
   while (!mIsComplete || mSessions.size() > 0) {
+    if (DaemonNow() >= end) {
+      Log(log_part::kDaemon)->error("Gave {} open requests up.", mSessions.size());
+      // Threads may wait for callers that never read, so they are not joined.
+      std::_Exit(kExitRequestsLeft);
+    }
     std::this_thread::sleep_for(std::chrono::milliseconds{ 20 });
   }
-  mIsStopping = true;
+  {
+    const std::lock_guard lock(mStopMutex);
+    mIsStopping = true;
+  }
+  mStopChanged.notify_all();
   mCallers.Stop();
   mAdmin.Stop();
   mHostThread.join();
   mLoop.Stop();
   mPeers.Stop();
+  mStopPool.Stop();
   mAttemptPool.Stop();
   mOrderPool.Stop();
   mTablePool.Stop();
   Log(log_part::kDaemon)->info("Stopped.");
+  return kExitOk;
 }
 
 void Daemon::Perform(Action aAction)
@@ -240,14 +267,26 @@
                              .outcome = AttemptOutcome::kCancelled });
     return;
   }
-  mAttemptPool.Submit(
-    [this, session, start = std::move(aAction)] { mLoop.Post(RunAttempt(*session, start)); });
+  const TimePoint end = DaemonNow() + aAction.timeLeft;
+  mAttemptPool.Submit([this, session, end, start = std::move(aAction)]() mutable {
+    // All threads may have been busy for a while.
+    start.timeLeft = end - DaemonNow();
+    if (start.timeLeft <= Duration{ 0 }) {
+      mLoop.Post(AttemptEnded{ .request = start.request,
+                               .attempt = start.attempt,
+                               .outcome = AttemptOutcome::kNotConnected,
+                               .delivered = session->delivered() });
+      return;
+    }
+    mLoop.Post(RunAttempt(*session, start));
+  });
 }
 
 void Daemon::Do(const StopAttempt& aAction)
 {
-  if (const auto session = mSessions.Find(aAction.request)) {
-    session->StopAttempt(aAction.attempt);
+  if (auto session = mSessions.Find(aAction.request)) {
+    mStopPool.Submit(
+      [session = std::move(session), attempt = aAction.attempt] { session->StopAttempt(attempt); });
   }
 }
 
@@ -295,11 +334,35 @@
       mMetrics.Count(Counter::kAdapterLoads);
       break;
   }
-  mOrderPool.Submit([this, order = std::move(aAction)] {
-    CarryOutOrder({ .timeout = mSettings.callTimeout, .issuer = mSelf },
-                  order,
-                  [this](OrderResult aResult) { mLoop.Post(std::move(aResult)); });
-  });
+  std::string runner = aAction.runner.str();
+  mOrderPool.Submit(
+    [this, order = std::move(aAction)]() mutable {
+      OrderResult result = GiveOrder({ .timeout = mSettings.callTimeout, .issuer = mSelf }, order);
+      const bool isRunning = result.outcome == OrderOutcome::kAccepted;
+      mLoop.Post(std::move(result));
+      if (isRunning) {
+        Follow(std::move(order));
+      }
+    },
+    std::move(runner));
+}
+
+/* Asks about a running order until it ends. Each question is a job of its own, so that long
+ * loads leave threads to other orders. */
+void Daemon::Follow(SendOrder aOrder)
+{
+  std::string runner = aOrder.runner.str();
+  mOrderPool.Submit(
+    [this, order = std::move(aOrder)]() mutable {
+      OrderResult result =
+        FollowOrder({ .timeout = mSettings.callTimeout, .issuer = mSelf }, order);
+      if (result.outcome == OrderOutcome::kAccepted) {
+        Follow(std::move(order));
+      } else {
+        mLoop.Post(std::move(result));
+      }
+    },
+    std::move(runner));
 }
 
 void Daemon::Do(SendMessage aAction)
@@ -401,8 +464,7 @@
   if (!daemon.Start()) {
     return kExitCannotListen;
   }
-  daemon.WaitAndStop();
-  return kExitOk;
+  return daemon.WaitAndStop();
 }
 
 } // namespace rhubarbtrail
--- a/src/endpoint/attempt.cpp
+++ b/src/endpoint/attempt.cpp
@@ -6,6 +6,7 @@
 #include <httplib.h>
 
 #include <algorithm>
+#include <mutex>
 #include <unordered_map>
 
 namespace rhubarbtrail {
@@ -16,7 +17,10 @@
 constexpr Duration kConnectTimeout = 1s;
 /* Connections that one thread keeps open at most. */
 constexpr std::size_t kConnectionLimit = 32;
+/* Largest whole answer that is taken, in bytes. */
+constexpr std::size_t kAnswerLimit = 64U << 20U;
 constexpr int kHttpOk = 200;
+constexpr int kHttpNoContent = 204;
 constexpr int kHttpServerError = 500;
 
 /* The connections that a thread keeps, and the one in use. */
@@ -50,6 +54,33 @@
   std::unordered_map<std::string, std::shared_ptr<httplib::Client>> mIdle;
 };
 
+/* Stops a client's call from another thread, while the call is that of one attempt. */
+class Canceller
+{
+public:
+  explicit Canceller(std::shared_ptr<httplib::Client> aClient)
+    : mClient(std::move(aClient))
+  {
+  }
+  void Cancel()
+  {
+    const std::lock_guard lock(mMutex);
+    if (mClient != nullptr) {
+      mClient->stop();
+    }
+  }
+  /* From now on the client may serve other attempts. */
+  void Detach()
+  {
+    const std::lock_guard lock(mMutex);
+    mClient = nullptr;
+  }
+
+private:
+  std::mutex mMutex;
+  std::shared_ptr<httplib::Client> mClient;
+};
+
 /* Returns whether the process at an address has gone: it refuses connections. */
 bool RefusesConnections(const std::string& aAddress)
 {
@@ -64,10 +95,10 @@
 class AnswerReader
 {
 public:
-  AnswerReader(Session& aSession, const StartAttempt& aStart)
+  AnswerReader(Session& aSession, const StartAttempt& aStart, Duration aSilenceLimit)
     : mSession(aSession)
     , mStart(aStart)
-    , mNextIndex(aStart.resumeOffset)
+    , mSilenceLimit(aSilenceLimit)
   {
   }
 
@@ -79,14 +110,22 @@
     const std::string id = aResponse.get_header_value("X-Request-Id");
     mIsMismatched = !id.empty() && id != mStart.request.str();
     mIsStream = mSession.call().form == AnswerForm::kStream && mStatus == kHttpOk;
-    return !mIsMismatched;
+    // An engine that does not confirm the offset starts from the beginning.
+    const std::string offset = std::to_string(mStart.resumeOffset);
+    mNextIndex = aResponse.get_header_value("X-Resume-Offset") == offset ? mStart.resumeOffset : 0;
+    mHasEnd = aResponse.has_header("Content-Length") || mStatus == kHttpNoContent ||
+              aResponse.get_header_value("Transfer-Encoding") == "chunked";
+    return Progress() && !mIsMismatched;
   }
 
   bool OnData(std::string_view aBytes)
   {
+    if (!Progress()) {
+      return false;
+    }
     if (!mIsStream) {
       mBody += aBytes;
-      return true;
+      return mBody.size() <= kAnswerLimit;
     }
     if (!mSplitter.Feed(aBytes)) {
       return false;
@@ -144,6 +183,10 @@
     if (mIsStream) {
       return mIsEnded ? AttemptOutcome::kCompleted : AttemptOutcome::kCut;
     }
+    if (!mHasEnd) {
+      // The end of the connection is no proof that the answer is whole.
+      return AttemptOutcome::kCut;
+    }
     const bool isOnce = mSession.call().repeatability == Repeatability::kAtMostOnce;
     if (mStatus >= kHttpServerError && !isOnce) {
       return AttemptOutcome::kCut;
@@ -159,13 +202,28 @@
     if (aError == httplib::Error::Connection || aError == httplib::Error::ConnectionTimeout) {
       return AttemptOutcome::kNotConnected;
     }
+    if (!mSession.IsWanted(mStart.attempt)) {
+      return AttemptOutcome::kCancelled;
+    }
+    if (std::chrono::steady_clock::now() - mProgressAt >= mSilenceLimit) {
+      return AttemptOutcome::kSilent;
+    }
     return RefusesConnections(mStart.address) ? AttemptOutcome::kCrashed : AttemptOutcome::kCut;
   }
 
+  /* Notes that something arrived; false when the attempt is no longer wanted. */
+  bool Progress()
+  {
+    mProgressAt = std::chrono::steady_clock::now();
+    return mSession.IsWanted(mStart.attempt);
+  }
+
   Session& mSession;
   const StartAttempt& mStart;
+  const Duration mSilenceLimit;
+  std::chrono::steady_clock::time_point mProgressAt = std::chrono::steady_clock::now();
   SseSplitter mSplitter;
-  std::uint32_t mNextIndex;
+  std::uint32_t mNextIndex = 0;
   int mStatus = 0;
   std::string mContentType;
   std::string mRefusal;
@@ -173,6 +231,7 @@
   bool mIsStream = false;
   bool mIsEnded = false;
   bool mIsMismatched = false;
+  bool mHasEnd = false; ///< The answer says where it ends.
 };
 
 httplib::Request MakeRequest(const Session& aSession,
@@ -210,23 +269,27 @@
 AttemptEnded RunAttempt(Session& aSession, const StartAttempt& aStart)
 {
   thread_local Connections sConnections;
-  aSession.BeginAttempt(aStart.attempt);
+  AttemptEnded unsent{ .request = aStart.request,
+                       .attempt = aStart.attempt,
+                       .outcome = AttemptOutcome::kNotConnected,
+                       .delivered = aSession.delivered() };
+  if (!aSession.BeginAttempt(aStart.attempt)) {
+    return unsent;
+  }
   const auto client = sConnections.Take(aStart.address, aStart.reuse);
   const Duration limit = std::min(aStart.progressLimit, std::max(aStart.timeLeft, Duration{ 1ms }));
-  client->set_read_timeout(aSession.call().form == AnswerForm::kStream ? limit : aStart.timeLeft);
+  const Duration silence =
+    aSession.call().form == AnswerForm::kStream ? limit : std::max(aStart.timeLeft, limit);
+  client->set_read_timeout(silence);
   client->set_write_timeout(limit);
-  aSession.SetCanceller(aStart.attempt, [client] { client->stop(); });
-
-  AnswerReader reader(aSession, aStart);
-  const auto started = std::chrono::steady_clock::now();
+  const auto canceller = std::make_shared<Canceller>(client);
+  if (!aSession.SetCanceller(aStart.attempt, [canceller] { canceller->Cancel(); })) {
+    return unsent;
+  }
+  AnswerReader reader(aSession, aStart, silence);
   const httplib::Result result = client->send(MakeRequest(aSession, aStart, reader));
   AttemptEnded ended = reader.Judge(result);
-  const bool wasSilent = ended.outcome == AttemptOutcome::kCut && !result &&
-                         std::chrono::steady_clock::now() - started >= limit;
-  if (wasSilent) {
-    ended.outcome = AttemptOutcome::kSilent;
-  }
-  aSession.SetCanceller(aStart.attempt, nullptr);
+  canceller->Detach();
   if (result) {
     sConnections.Keep(aStart.address, client);
   }
--- a/src/endpoint/order_client.cpp
+++ b/src/endpoint/order_client.cpp
@@ -17,8 +17,6 @@
 constexpr std::array kKindNames{ "inventory", "load_model", "unload_model", "load_adapter" };
 /* How long the engine may hold the answer to a question about a running order. */
 constexpr Duration kFollowWait = 1s;
-/* Questions about a running order; a load that takes longer is asked about anew. */
-constexpr int kFollowLimit = 600;
 
 OrderOutcome OutcomeOf(const std::string& aState)
 {
@@ -31,7 +29,10 @@
   if (aState == "fenced") {
     return OrderOutcome::kFenced;
   }
-  return aState == "no_memory" ? OrderOutcome::kNoMemory : OrderOutcome::kFailed;
+  if (aState == "no_memory") {
+    return OrderOutcome::kNoMemory;
+  }
+  return aState == "failed" ? OrderOutcome::kFailed : OrderOutcome::kUnknown;
 }
 
 OrderResult ResultOf(const SendOrder& aOrder, const HttpAnswer& aAnswer)
@@ -66,9 +67,7 @@
 
 } // namespace
 
-void CarryOutOrder(const OrderClientOptions& aOptions,
-                   const SendOrder& aOrder,
-                   const std::function<void(OrderResult)>& aSink)
+OrderResult GiveOrder(const OrderClientOptions& aOptions, const SendOrder& aOrder)
 {
   const json body{ { "order", aOrder.order.str() },
                    { "kind", kKindNames[static_cast<std::size_t>(aOrder.kind)] },
@@ -78,30 +77,28 @@
                    { "adapter", aOrder.artifact.adapter.str() },
                    { "version", aOrder.version },
                    { "memory", aOrder.memory.value } };
+  return ResultOf(aOrder,
+                  CallHttp({ .address = aOrder.address,
+                             .method = "POST",
+                             .path = "/orders",
+                             .body = body.dump(),
+                             .timeout = aOptions.timeout }));
+}
+
+OrderResult FollowOrder(const OrderClientOptions& aOptions, const SendOrder& aOrder)
+{
+  const std::string path =
+    "/orders/" + aOrder.order.str() + "?wait_ms=" + std::to_string(kFollowWait / 1ms);
   OrderResult result = ResultOf(aOrder,
                                 CallHttp({ .address = aOrder.address,
-                                           .method = "POST",
-                                           .path = "/orders",
-                                           .body = body.dump(),
-                                           .timeout = aOptions.timeout }));
-  aSink(result);
-  if (result.outcome != OrderOutcome::kAccepted) {
-    return;
-  }
-  for (int tries = 0; tries < kFollowLimit && result.outcome == OrderOutcome::kAccepted; ++tries) {
-    const std::string path =
-      "/orders/" + aOrder.order.str() + "?wait_ms=" + std::to_string(kFollowWait / 1ms);
-    result = ResultOf(aOrder,
-                      CallHttp({ .address = aOrder.address,
-                                 .path = path,
-                                 .body = {},
-                                 .timeout = aOptions.timeout + kFollowWait }));
-  }
-  if (result.outcome == OrderOutcome::kAccepted || result.outcome == OrderOutcome::kNotConnected) {
+                                           .path = path,
+                                           .body = {},
+                                           .timeout = aOptions.timeout + kFollowWait }));
+  if (result.outcome == OrderOutcome::kNotConnected) {
     // The order was taken on, so it may still take effect.
     result.outcome = OrderOutcome::kUnknown;
   }
-  aSink(result);
+  return result;
 }
 
 } // namespace rhubarbtrail
--- a/src/endpoint/order_client.h
+++ b/src/endpoint/order_client.h
@@ -5,8 +5,6 @@
 #include "decision/action_type.h"
 #include "decision/event_type.h"
 
-#include <functional>
-
 namespace rhubarbtrail {
 
 struct OrderClientOptions
@@ -15,11 +13,11 @@
   Incarnation issuer;
 };
 
-/* Sends an order and follows it to its end. The sink gets kAccepted at once when the engine
- * takes time, and then the final outcome. */
-void CarryOutOrder(const OrderClientOptions& aOptions,
-                   const SendOrder& aOrder,
-                   const std::function<void(OrderResult)>& aSink);
+/* Sends an order; kAccepted means that the engine takes time for it. */
+OrderResult GiveOrder(const OrderClientOptions& aOptions, const SendOrder& aOrder);
+
+/* Waits a moment for the end of an accepted order; kAccepted means that it is still running. */
+OrderResult FollowOrder(const OrderClientOptions& aOptions, const SendOrder& aOrder);
 
 } // namespace rhubarbtrail
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -48,7 +48,8 @@
 {
   CLI::App app{ "rhubarbtrail serves rarely used models to many customers." };
   app.require_subcommand(1);
-  app.footer("Exit codes: 0 done, 1 refused, 2 bad input, 3 cannot listen, 4 unreachable.");
+  app.footer("Exit codes: 0 done, 1 refused, 2 bad input, 3 cannot listen, 4 unreachable, "
+             "5 requests left open at shutdown.");
 
   ServeOptions options;
   CLI::App* serve = app.add_subcommand("serve", "Run a daemon.");
--- a/src/platform/table_client.cpp
+++ b/src/platform/table_client.cpp
@@ -6,6 +6,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <stdexcept>
+
 namespace rhubarbtrail {
 
 namespace {
@@ -34,6 +37,14 @@
   return rows;
 }
 
+/* Returns whether a transaction touches a row. */
+bool Names(const TableTransaction& aTransaction, const RowKey& aKey)
+{
+  const auto isKey = [&aKey](const auto& aItem) { return aItem.key == aKey; };
+  return std::any_of(aTransaction.conditions.begin(), aTransaction.conditions.end(), isKey) ||
+         std::any_of(aTransaction.writes.begin(), aTransaction.writes.end(), isKey);
+}
+
 } // namespace
 
 TableClient::TableClient(TableClientOptions aOptions)
@@ -72,6 +83,12 @@
   }
   try {
     result.rows = ParseRows(json::parse(answer.body).at("rows"));
+    const bool isOurs = std::all_of(result.rows.begin(), result.rows.end(), [&](const Row& aRow) {
+      return Names(aTransaction, aRow.key);
+    });
+    if (!isOurs) {
+      throw std::invalid_argument("the answer belongs to another call");
+    }
     result.outcome =
       answer.status == kHttpOk ? TransactionOutcome::kCommitted : TransactionOutcome::kConflict;
   } catch (const std::exception&) {
@@ -97,7 +114,11 @@
   }
   try {
     result.rows = ParseRows(json::parse(answer.body).at("rows"));
-    result.ok = result.rows.size() == aRead.keys.size();
+    result.ok = std::equal(result.rows.begin(),
+                           result.rows.end(),
+                           aRead.keys.begin(),
+                           aRead.keys.end(),
+                           [](const Row& aRow, const RowKey& aKey) { return aRow.key == aKey; });
   } catch (const std::exception&) {
     result.rows.clear();
   }
--- a/src/settings/settings_base.h
+++ b/src/settings/settings_base.h
@@ -40,7 +40,8 @@
   std::uint32_t orderThreads = 16;
   std::uint64_t bodyLimit = 1U << 20U; ///< Bytes.
   Duration hostListInterval = 500ms;
-  Duration callTimeout = 2s; ///< Of one call to the platform or a runner's order interface.
+  Duration callTimeout = 2s;     ///< Of one call to the platform or a runner's order interface.
+  Duration shutdownLimit = 900s; ///< Longer than any deadline.
   DecisionSettings decision;
 };
 
--- a/standin/engine.cpp
+++ b/standin/engine.cpp
@@ -350,10 +350,12 @@
   aResponse.set_header("X-Request-Id",
                        aServer->faults.Take("crossed_answers") ? "another" : run->id);
   if (!refusal.empty()) {
+    aServer->journal.Add({ { "what", "refused" }, { "request", run->id }, { "why", refusal } });
     aResponse.status = 503;
     aResponse.set_header("X-Refusal", refusal);
     return;
   }
+  aResponse.set_header("X-Resume-Offset", std::to_string(run->next));
   EnterBatch(*aEngine, std::atoi(aRequest.get_header_value("X-Priority").c_str()));
   aServer->journal.Add({ { "what", "run" },
                          { "request", run->id },
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -27,6 +27,7 @@
 
 void LoseAnswer(httplib::Response& aResponse)
 {
+  aResponse.body.clear();
   aResponse.set_content_provider(
     1'000, "application/json", [](std::size_t, std::size_t, httplib::DataSink&) { return false; });
 }
--- a/standin/service.cpp
+++ b/standin/service.cpp
@@ -14,6 +14,7 @@
   const auto serve = [=](const httplib::Request& aRequest, httplib::Response& aResponse) {
     aResponse.set_header("X-Request-Id", aRequest.get_header_value("X-Request-Id"));
     if (*isLeaving) {
+      server->journal.Add({ { "what", "refused" }, { "why", "leaving" } });
       aResponse.status = 503;
       aResponse.set_header("X-Refusal", "leaving");
       return;
--- /dev/null
+++ b/tests/unit/contract_endpoint_test.cpp
@@ -0,0 +1,187 @@
+/* What attempts and orders make of right and wrong answers of endpoints. */
+#include "tests/unit/fake_server.h"
+
+#include "endpoint/attempt.h"
+#include "endpoint/order_client.h"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+namespace rhubarbtrail {
+
+namespace {
+
+constexpr Duration kLimit = 200ms;
+constexpr const char* kEvents = "data: a\n\ndata: b\n\n";
+constexpr const char* kWholeStream = "data: a\n\ndata: b\n\ndata: [DONE]\n\n";
+
+struct AttemptCase
+{
+  std::string name;
+  AnswerForm form;
+  FakeAnswer answer;
+  AttemptOutcome outcome;
+  std::uint32_t delivered = 0;
+};
+
+std::shared_ptr<Session> MakeSession(AnswerForm aForm)
+{
+  return std::make_shared<Session>(
+    RequestId{ "id" },
+    EndpointCall{ .method = "POST", .path = "/v1/completions", .body = "{}", .form = aForm });
+}
+
+StartAttempt MakeAttempt(const std::string& aAddress, std::uint32_t aOffset = 0)
+{
+  return { .request = RequestId{ "id" },
+           .attempt = AttemptNumber{ 2 },
+           .address = aAddress,
+           .resumeOffset = aOffset,
+           .reuse = ConnectionReuse::kFresh,
+           .progressLimit = kLimit,
+           .timeLeft = kLimit };
+}
+
+std::vector<AttemptCase> AttemptCases()
+{
+  using enum AnswerForm;
+  using enum AttemptOutcome;
+  using enum AnswerFault;
+  const httplib::Headers own{ { "X-Request-Id", "id" } };
+  const httplib::Headers other{ { "X-Request-Id", "other" } };
+  const httplib::Headers leaving{ { "X-Refusal", "leaving" } };
+  const httplib::Headers notLoaded{ { "X-Refusal", "not-loaded" } };
+  const std::string type = "text/event-stream";
+  return {
+    { "whole", kWhole, { .body = "{}", .headers = own }, kCompleted },
+    { "another's answer", kWhole, { .body = "{}", .headers = other }, kMismatched },
+    { "truncated", kWhole, { .body = "{}", .fault = kTruncated }, kCut },
+    { "no length", kWhole, { .body = "{}", .fault = kNoLength }, kCut },
+    { "late", kWhole, { .body = "{}", .fault = kLate }, kSilent },
+    { "error", kWhole, { .status = 500, .body = "{}" }, kCut },
+    { "refusal by the engine's own checks", kWhole, { .status = 400, .body = "{}" }, kCompleted },
+    { "leaving", kWhole, { .status = 503, .headers = leaving }, kLeaving },
+    { "not loaded", kWhole, { .status = 503, .headers = notLoaded }, kNotRun },
+    { "stream", kStream, { .body = kWholeStream, .contentType = type }, kCompleted, 3 },
+    { "no end mark", kStream, { .body = kEvents, .contentType = type }, kCut, 2 },
+    { "end mark, then cut",
+      kStream,
+      { .body = kWholeStream, .fault = kTruncated, .contentType = type },
+      kCompleted,
+      3 },
+    { "cut", kStream, { .body = kEvents, .fault = kTruncated, .contentType = type }, kCut, 2 },
+    { "half an event", kStream, { .body = "data: a", .contentType = type }, kCut, 0 },
+    { "another's stream",
+      kStream,
+      { .body = kWholeStream, .headers = other, .contentType = type },
+      kMismatched,
+      0 },
+    { "silent", kStream, { .body = kWholeStream, .fault = kLate }, kSilent, 0 },
+  };
+}
+
+} // namespace
+
+TEST_CASE("an attempt is judged by what came back")
+{
+  for (const AttemptCase& item : AttemptCases()) {
+    CAPTURE(item.name);
+    const FakeServer server(item.answer);
+    const auto session = MakeSession(item.form);
+    const AttemptEnded ended = RunAttempt(*session, MakeAttempt(server.address()));
+    CHECK(static_cast<int>(ended.outcome) == static_cast<int>(item.outcome));
+    CHECK(ended.delivered == item.delivered);
+    CHECK(server.calls() == 1);
+  }
+}
+
+TEST_CASE("an attempt that was not sent says so")
+{
+  const auto refused = MakeSession(AnswerForm::kWhole);
+  CHECK(RunAttempt(*refused, MakeAttempt(ClosedAddress())).outcome ==
+        AttemptOutcome::kNotConnected);
+  const FakeServer server({ .body = "{}" });
+  const auto stopped = MakeSession(AnswerForm::kWhole);
+  stopped->StopAttempt(AttemptNumber{ 2 });
+  CHECK(RunAttempt(*stopped, MakeAttempt(server.address())).outcome ==
+        AttemptOutcome::kNotConnected);
+  CHECK(server.calls() == 0);
+}
+
+TEST_CASE("a resumed stream is joined whether or not the engine honours the offset")
+{
+  const std::string type = "text/event-stream";
+  const std::vector<FakeAnswer> answers{
+    { .body = "data: b\n\ndata: [DONE]\n\n",
+      .headers = { { "X-Resume-Offset", "1" } },
+      .contentType = type },
+    { .body = kWholeStream, .contentType = type },
+  };
+  for (const FakeAnswer& answer : answers) {
+    const FakeServer server(answer);
+    const auto session = MakeSession(AnswerForm::kStream);
+    session->BeginAttempt(AttemptNumber{ 1 });
+    session->PushEvent(AttemptNumber{ 1 }, 0, "data: a\n\n");
+    CHECK(RunAttempt(*session, MakeAttempt(server.address(), 1)).delivered == 3);
+    CHECK(session->WaitPart(kLimit)->data == kWholeStream);
+  }
+}
+
+TEST_CASE("a stream waits for a slow caller, and a stopped one does not")
+{
+  const auto session = MakeSession(AnswerForm::kStream);
+  session->BeginAttempt(AttemptNumber{ 1 });
+  const std::string event(64U << 10U, 'x');
+  std::atomic<std::uint32_t> pushed{ 0 };
+  std::thread attempt([&] {
+    while (session->PushEvent(AttemptNumber{ 1 }, pushed, event)) {
+      ++pushed;
+    }
+  });
+  while (pushed < 4) {
+    std::this_thread::yield();
+  }
+  CHECK(session->WaitPart(kLimit)->data.size() >= 4 * event.size());
+  session->StopAttempt(AttemptNumber{ 1 });
+  attempt.join();
+  CHECK(session->delivered() <= 9);
+}
+
+TEST_CASE("an order's outcome is never guessed")
+{
+  struct Case
+  {
+    std::string name;
+    FakeAnswer answer;
+    OrderOutcome outcome;
+  };
+  using enum OrderOutcome;
+  const std::string done = R"({"order":"o","state":"done"})";
+  const std::vector<Case> cases{
+    { "done", { .body = done }, kDone },
+    { "running", { .body = R"({"order":"o","state":"running"})" }, kAccepted },
+    { "fenced", { .body = R"({"order":"o","state":"fenced"})" }, kFenced },
+    { "no memory", { .body = R"({"order":"o","state":"no_memory"})" }, kNoMemory },
+    { "another order", { .body = R"({"order":"x","state":"done"})" }, kUnknown },
+    { "no state", { .body = R"({"order":"o"})" }, kUnknown },
+    { "unknown state", { .body = R"({"order":"o","state":"?"})" }, kUnknown },
+    { "not JSON", { .body = "{" }, kUnknown },
+    { "error", { .status = 500, .body = done }, kUnknown },
+    { "unavailable", { .status = 503, .body = done }, kUnknown },
+    { "truncated", { .body = done, .fault = AnswerFault::kTruncated }, kUnknown },
+    { "late", { .body = done, .fault = AnswerFault::kLate }, kUnknown },
+  };
+  const OrderClientOptions options{ .timeout = kLimit, .issuer = {} };
+  for (const Case& item : cases) {
+    CAPTURE(item.name);
+    const FakeServer server(item.answer);
+    const SendOrder order{ .address = server.address(), .order = OrderId{ "o" } };
+    CHECK(static_cast<int>(GiveOrder(options, order).outcome) == static_cast<int>(item.outcome));
+  }
+  const SendOrder order{ .address = ClosedAddress(), .order = OrderId{ "o" } };
+  CHECK(GiveOrder(options, order).outcome == kNotConnected);
+  CHECK(FollowOrder(options, order).outcome == kUnknown);
+}
+
+} // namespace rhubarbtrail
--- /dev/null
+++ b/tests/unit/contract_platform_test.cpp
@@ -0,0 +1,97 @@
+/* What the clients of the platform make of right and wrong answers. */
+#include "tests/unit/fake_server.h"
+
+#include "platform/host_list_client.h"
+#include "platform/table_client.h"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+namespace rhubarbtrail {
+
+namespace {
+
+constexpr Duration kLimit = 200ms;
+constexpr const char* kAbsentRow = R"({"rows":[{"key":"k","version":0}]})";
+
+struct Case
+{
+  std::string name;
+  FakeAnswer answer;
+  bool isTaken;
+};
+
+/* Faults that every interface of the platform may show. */
+std::vector<Case> CommonFaults(const std::string& aGood)
+{
+  return { { "good", { .body = aGood }, true },
+           { "empty", { .body = "" }, false },
+           { "not JSON", { .body = "{" }, false },
+           { "another shape", { .body = R"({"rows":7,"hosts":7})" }, false },
+           { "error", { .status = 500, .body = aGood }, false },
+           { "unavailable", { .status = 503, .body = aGood }, false },
+           { "truncated", { .body = aGood, .fault = AnswerFault::kTruncated }, false },
+           { "late", { .body = aGood, .fault = AnswerFault::kLate }, false } };
+}
+
+TableTransaction MakeTransaction()
+{
+  return { .change = ChangeId{ "c" },
+           .conditions = { { RowKey{ "k" }, RowVersion{ 0 } } },
+           .writes = { { RowKey{ "k" }, std::nullopt } } };
+}
+
+TransactionOutcome Commit(const std::string& aAddress)
+{
+  const TableClient client({ .address = aAddress, .timeout = kLimit });
+  return client.Commit(MakeTransaction()).outcome;
+}
+
+} // namespace
+
+TEST_CASE("a transaction counts as decided only by a whole and fitting answer")
+{
+  std::vector<Case> cases = CommonFaults(kAbsentRow);
+  cases.push_back(
+    { "unreadable row", { .body = R"({"rows":[{"key":"k","version":1,"value":"?"}]})" }, false });
+  cases.push_back({ "another row", { .body = R"({"rows":[{"key":"x","version":1}]})" }, false });
+  for (const Case& item : cases) {
+    CAPTURE(item.name);
+    const FakeServer server(item.answer);
+    CHECK(Commit(server.address()) ==
+          (item.isTaken ? TransactionOutcome::kCommitted : TransactionOutcome::kUnknown));
+    CHECK(server.calls() == 1);
+  }
+  const FakeServer conflict({ .status = 409, .body = kAbsentRow });
+  CHECK(Commit(conflict.address()) == TransactionOutcome::kConflict);
+  CHECK(Commit(ClosedAddress()) == TransactionOutcome::kUnknown);
+}
+
+TEST_CASE("a read succeeds only with all the rows that were asked for")
+{
+  std::vector<Case> cases = CommonFaults(kAbsentRow);
+  cases.push_back({ "another row", { .body = R"({"rows":[{"key":"x","version":0}]})" }, false });
+  cases.push_back({ "no row", { .body = R"({"rows":[]})" }, false });
+  for (const Case& item : cases) {
+    CAPTURE(item.name);
+    const FakeServer server(item.answer);
+    const TableClient client({ .address = server.address(), .timeout = kLimit });
+    CHECK(client.Read({ ChangeId{ "r" }, { RowKey{ "k" } } }).ok == item.isTaken);
+  }
+}
+
+TEST_CASE("a host list is taken only whole")
+{
+  std::vector<Case> cases =
+    CommonFaults(R"({"hosts":[{"kind":"endpoint","id":"r","address":"127.0.0.1:1"}]})");
+  cases.push_back({ "no address", { .body = R"({"hosts":[{"kind":"daemon","id":"d"}]})" }, false });
+  for (const Case& item : cases) {
+    CAPTURE(item.name);
+    const FakeServer server(item.answer);
+    CHECK(ReadHostList({ .address = server.address(), .timeout = kLimit }).has_value() ==
+          item.isTaken);
+  }
+}
+
+} // namespace rhubarbtrail
