--- /dev/null
+++ b/bench/latency.cpp
@@ -0,0 +1,135 @@
+/* Measures what a daemon adds to a call of an engine: both paths side by side at a fixed rate. */
+#include <CLI/CLI.hpp>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <iostream>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+struct Options
+{
+  std::string direct;
+  std::string daemon;
+  std::string key;
+  std::string model = "m0";
+  int rate = 500; ///< Requests a second on each path; 0 sends as fast as answers come.
+  int seconds = 10;
+  int threads = 32;
+};
+
+/* The latencies of one path in microseconds. */
+class Latencies
+{
+public:
+  void Add(Clock::duration aLatency)
+  {
+    const std::lock_guard lock(mMutex);
+    mValues.push_back(std::chrono::duration<double, std::micro>(aLatency).count());
+  }
+  void AddFailure() { ++mFailures; }
+
+  nlohmann::json Summary()
+  {
+    std::sort(mValues.begin(), mValues.end());
+    const auto at = [this](double aShare) {
+      return mValues.empty() ? 0.0
+                             : mValues[static_cast<std::size_t>(
+                                 aShare * static_cast<double>(mValues.size() - 1))];
+    };
+    return { { "count", mValues.size() }, { "failures", mFailures.load() }, { "p50_us", at(0.5) },
+             { "p90_us", at(0.9) },       { "p99_us", at(0.99) },           { "max_us", at(1.0) } };
+  }
+
+private:
+  std::mutex mMutex;
+  std::vector<double> mValues;
+  std::atomic<int> mFailures{ 0 };
+};
+
+void Send(httplib::Client& aClient, const Options& aOptions, Latencies& aOut)
+{
+  const std::string body = nlohmann::json{
+    { "model", aOptions.model },
+    { "max_tokens", 1 },
+    { "messages", { { { "role", "user" }, { "content", "hello" } } } }
+  }.dump();
+  const httplib::Headers headers{ { "Authorization", "Bearer " + aOptions.key } };
+  const auto started = Clock::now();
+  const auto result = aClient.Post("/v1/chat/completions", headers, body, "application/json");
+  if (result && result->status == 200) {
+    aOut.Add(Clock::now() - started);
+  } else {
+    aOut.AddFailure();
+  }
+}
+
+/* Sends on one path; each thread takes the next turn of a common schedule. */
+void Load(const Options& aOptions, const std::string& aAddress, Latencies& aOut)
+{
+  const auto start = Clock::now() + std::chrono::milliseconds{ 200 };
+  const auto end = start + std::chrono::seconds{ aOptions.seconds };
+  std::atomic<int> turn{ 0 };
+  const auto work = [&] {
+    httplib::Client client("http://" + aAddress);
+    client.set_keep_alive(true);
+    client.set_tcp_nodelay(true);
+    while (true) {
+      const auto due = aOptions.rate == 0
+                         ? Clock::now()
+                         : start + std::chrono::seconds{ 1 } * turn++ / aOptions.rate;
+      if (due >= end) {
+        return;
+      }
+      std::this_thread::sleep_until(due);
+      Send(client, aOptions, aOut);
+    }
+  };
+  std::vector<std::thread> threads;
+  for (int index = 0; index < aOptions.threads; ++index) {
+    threads.emplace_back(work);
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+}
+
+} // namespace
+
+int main(int aArgc, char** aArgv)
+{
+  Options options;
+  CLI::App app{ "Measures the latency that a daemon adds." };
+  app.add_option("--direct", options.direct, "host:port of the engine; empty for none");
+  app.add_option("--daemon", options.daemon, "host:port of the daemon")->required();
+  app.add_option("--key", options.key, "API key")->required();
+  app.add_option("--model", options.model, "Model that is loaded");
+  app.add_option("--rate", options.rate, "Requests a second on each path; 0 for no pause");
+  app.add_option("--seconds", options.seconds, "Length of the run");
+  app.add_option("--threads", options.threads, "Connections on each path");
+  CLI11_PARSE(app, aArgc, aArgv);
+
+  Latencies direct;
+  Latencies daemon;
+  std::thread other;
+  if (!options.direct.empty()) {
+    other = std::thread([&] { Load(options, options.direct, direct); });
+  }
+  Load(options, options.daemon, daemon);
+  if (other.joinable()) {
+    other.join();
+  }
+  std::cout << nlohmann::json{
+    { "direct", direct.Summary() }, { "daemon", daemon.Summary() }
+  }.dump() << "\n";
+  return 0;
+}
