--- a/src/decision/router/router_outcome.cpp
+++ b/src/decision/router/router_outcome.cpp
@@ -305,8 +305,9 @@
     case ClaimOutcome::kHeld:
       Finish(aContext,
              request,
-             aView.IsProvenDead(aVerdict.row.owner) ? ResultCode::kEarlierOutcomeUnknown
-                                                    : ResultCode::kIdempotencyKeyInProgress);
+             aVerdict.row.owner != aContext.self() && aView.IsProvenDead(aVerdict.row.owner)
+               ? ResultCode::kEarlierOutcomeUnknown
+               : ResultCode::kIdempotencyKeyInProgress);
       break;
     case ClaimOutcome::kDone:
       aContext.Emit(FinishRequest{ .request = aVerdict.request,
