--- /dev/null
+++ b/src/config/document_shape.cpp
@@ -0,0 +1,122 @@
+/* The outer shape of a document. */
+#include "config/document_shape.h"
+
+#include <algorithm>
+#include <sstream>
+#include <yaml-cpp/eventhandler.h>
+#include <yaml-cpp/yaml.h>
+
+namespace rhubarbtrail {
+
+namespace {
+
+constexpr std::size_t kDocumentLimitBytes = 4U << 20U;
+/* The deepest value of a valid document is at models/NAME/adapters/NAME/memory_mb. */
+constexpr int kDepthLimit = 16;
+
+/* Looks at the events of a parse; keeps the first fault of each kind. */
+class ShapeHandler : public YAML::EventHandler
+{
+public:
+  void OnDocumentStart(const YAML::Mark& aMark) override { mLastLine = aMark.line + 1; }
+  void OnDocumentEnd() override {}
+  void OnNull(const YAML::Mark& /*aMark*/, YAML::anchor_t /*aAnchor*/) override {}
+  void OnAlias(const YAML::Mark& aMark, YAML::anchor_t /*aAnchor*/) override
+  {
+    Fail(aMark, "aliases are not supported; write the value out");
+  }
+  void OnScalar(const YAML::Mark& /*aMark*/,
+                const std::string& /*aTag*/,
+                YAML::anchor_t /*aAnchor*/,
+                const std::string& /*aValue*/) override
+  {
+  }
+  void OnSequenceStart(const YAML::Mark& aMark,
+                       const std::string& /*aTag*/,
+                       YAML::anchor_t /*aAnchor*/,
+                       YAML::EmitterStyle::value /*aStyle*/) override
+  {
+    Enter(aMark);
+  }
+  void OnSequenceEnd() override { --mDepth; }
+  void OnMapStart(const YAML::Mark& aMark,
+                  const std::string& /*aTag*/,
+                  YAML::anchor_t /*aAnchor*/,
+                  YAML::EmitterStyle::value /*aStyle*/) override
+  {
+    Enter(aMark);
+  }
+  void OnMapEnd() override { --mDepth; }
+
+  int lastLine() const { return mLastLine; }
+  std::vector<DocumentError>& errors() { return mErrors; }
+
+private:
+  void Enter(const YAML::Mark& aMark)
+  {
+    if (++mDepth > kDepthLimit) {
+      Fail(aMark, "is nested too deeply");
+    }
+  }
+  void Fail(const YAML::Mark& aMark, const std::string& aReason)
+  {
+    const bool isKnown = std::any_of(
+      mErrors.begin(), mErrors.end(), [&](const auto& aError) { return aError.reason == aReason; });
+    if (!isKnown) {
+      mErrors.push_back({ aMark.line + 1, "", aReason });
+    }
+  }
+
+  int mDepth = 0;
+  int mLastLine = 1;
+  std::vector<DocumentError> mErrors;
+};
+
+/* Returns whether flow collections may be nested deeper than allowed. */
+bool MayBeDeep(const std::string& aDocument)
+{
+  int depth = 0;
+  for (const char character : aDocument) {
+    depth += character == '[' || character == '{' ? 1 : 0;
+    depth -= character == ']' || character == '}' ? 1 : 0;
+    if (depth > kDepthLimit) {
+      return true;
+    }
+  }
+  return false;
+}
+
+/* Returns whether the document can be free of what the pass over its events looks for. That pass
+ * takes as long as the reading itself, and most documents need none. */
+bool IsPlain(const std::string& aDocument)
+{
+  const bool hasMarkers = aDocument.find("---") != std::string::npos ||
+                          aDocument.find("...") != std::string::npos ||
+                          aDocument.find('*') != std::string::npos;
+  const bool hasText = aDocument.find_first_not_of(" \t\r\n") != std::string::npos;
+  return hasText && !hasMarkers && !MayBeDeep(aDocument);
+}
+
+} // namespace
+
+std::vector<DocumentError> CheckShape(const std::string& aDocument)
+{
+  if (aDocument.size() > kDocumentLimitBytes) {
+    return { { 1, "", "is larger than 4 MiB" } };
+  }
+  if (IsPlain(aDocument)) {
+    return {};
+  }
+  std::istringstream stream(aDocument);
+  YAML::Parser parser(stream);
+  ShapeHandler handler;
+  if (!parser.HandleNextDocument(handler)) {
+    return { { 1, "", "the document is empty" } };
+  }
+  if (handler.errors().empty() && parser.HandleNextDocument(handler)) {
+    handler.errors().push_back({ handler.lastLine(), "", "holds more than one document" });
+  }
+  return std::move(handler.errors());
+}
+
+} // namespace rhubarbtrail
--- a/src/decision/node.cpp
+++ b/src/decision/node.cpp
@@ -64,6 +64,10 @@
     router.OnWake(aContext, view);
     scheduler.OnWake(aContext, view);
   }
+  void Handle(Context& aContext, const QuarantineReleased& aEvent)
+  {
+    router.OnQuarantineReleased(aContext, view, aEvent);
+  }
   void Handle(Context& aContext, const MessageReceived& aEvent);
 
   void FinishShutdown(Context& aContext);
@@ -130,6 +134,7 @@
   // What has become due comes before the event: it may have been held up by a pause.
   if (isOverdue && !isWake) {
     mImpl->Handle(context, Wake{});
+    context.WakeBy(mImpl->now); // The driver is still owed the wake it was asked for.
   }
   std::visit([&](const auto& aKind) { mImpl->Handle(context, aKind); }, aEvent);
   if (mImpl->isStopping) {
@@ -150,7 +155,7 @@
   entries.push_back({ "daemon", mImpl->options.self.daemon.str() });
   entries.push_back({ "incarnation", mImpl->options.self.id.str() });
   mImpl->view.Dump(entries, mImpl->now);
-  mImpl->router.Dump(entries);
+  mImpl->router.Dump(entries, mImpl->now);
   mImpl->scheduler.Dump(entries);
   return entries;
 }
--- a/src/decision/router/router_base.h
+++ b/src/decision/router/router_base.h
@@ -18,6 +18,15 @@
 
 namespace rhubarbtrail {
 
+/* Time to come back after a refusal when nothing better is known. */
+constexpr Duration kDefaultRetryAfter = 1s;
+
+/* Returns whether the artifact is empty: the calls of a plain service. */
+inline bool IsPlain(const Artifact& aArtifact)
+{
+  return aArtifact.model.empty();
+}
+
 enum class RequestState : std::uint8_t
 {
   kClaiming,
@@ -73,13 +82,16 @@
   void OnDrain(Context& aContext, View& aView, const DaemonId& aFrom, const DrainMessage& aDrain);
   void OnSuspects(Context& aContext, const SuspectsMessage& aSuspects);
   void OnConvicted(Context& aContext, const ConvictedMessage& aConvicted);
+  void OnQuarantineReleased(Context& aContext,
+                            const View& aView,
+                            const QuarantineReleased& aReleased);
   void OnWake(Context& aContext, View& aView);
   void OnViewChanged(Context& aContext, View& aView);
 
   /* Returns whether nothing is left to finish. */
   bool IsIdle() const { return mRequests.empty() && mClaims.IsIdle(); }
 
-  void Dump(std::vector<DumpEntry>& aOut) const;
+  void Dump(std::vector<DumpEntry>& aOut, TimePoint aNow) const;
 
 private:
   using TargetKey = std::pair<ServiceId, Artifact>;
@@ -126,6 +138,7 @@
   ClaimBook mClaims;
   Quarantine mQuarantine;
   RetryBudget mBudget;
+  std::map<CellId, DaemonId> mHolders; ///< Who answered last for a cell.
 };
 
 } // namespace rhubarbtrail
--- a/src/decision/scheduler/cell_lease.cpp
+++ b/src/decision/scheduler/cell_lease.cpp
@@ -32,6 +32,8 @@
   UnloadIdle(aContext, aView);
   ContinueDrains(aContext, aView);
   ServeDemands(aContext, aView);
+  UpdateReplicaCounts(aContext, aView);
+  PreloadExpected(aContext, aView);
   WritePlacement(aContext);
   SendOrders(aContext, aView);
 }
@@ -41,10 +43,7 @@
   if (mPhase == LeasePhase::kAcquiring || aView.readiness() == Readiness::kStopping) {
     return;
   }
-  const auto ranked = aView.RankDaemons(aContext, mId.str());
-  const auto rank = static_cast<std::size_t>(
-    std::find(ranked.begin(), ranked.end(), aContext.self().daemon) - ranked.begin());
-  if (rank >= kWatchers && mDemands.empty()) {
+  if (mDemands.empty() && !aView.IsAmongFirst(aContext, mId.str(), kWatchers)) {
     return;
   }
   std::erase_if(mDemands,
@@ -271,6 +270,7 @@
   mHolder = aContext.self();
   mRunners.clear();
   mPlanned.clear();
+  mCounts.clear();
   mNextLeaseAction = aContext.now() + aContext.settings().leaseRenewal;
   mNextKeepAlive = aContext.now() + aContext.settings().replicaLifetime;
   for (const PlacementEntry& entry : aPlacement.entries) {
--- a/src/decision/scheduler/cell_placement.cpp
+++ b/src/decision/scheduler/cell_placement.cpp
@@ -2,6 +2,7 @@
 #include "decision/scheduler/cell_base.h"
 
 #include "decision/rendezvous_func.h"
+#include "decision/scheduler/placement_policy_type.h"
 
 #include <algorithm>
 
@@ -62,10 +63,8 @@
 {
   const std::uint64_t weight = RendezvousWeight(aModel.str(), aRunner.str());
   std::uint32_t better = 0;
-  for (const auto& [id, info] : aView.endpoints()) {
-    if (info.service.str() == mId.str() && RendezvousWeight(aModel.str(), id.str()) > weight) {
-      ++better;
-    }
+  for (const EndpointId& id : aView.EndpointsOf(ServiceId{ mId.str() })) {
+    better += RendezvousWeight(aModel.str(), id.str()) > weight ? 1 : 0;
   }
   return better < aContext.settings().candidateRunners;
 }
@@ -119,7 +118,7 @@
     return false;
   }
   Runner* best = nullptr;
-  std::pair<bool, MemoryMb> bestScore{};
+  PlacementScore bestScore;
   for (auto& [id, runner] : mRunners) {
     const bool isUsable = runner.reach == RunnerReach::kReached &&
                           aView.IsUsable(id, aContext.now()) &&
@@ -131,7 +130,9 @@
     if (isUnwritten && !isCandidate) {
       continue;
     }
-    const std::pair score{ isCandidate, FreeMemory(aContext, aView, runner, aModel.id) };
+    const PlacementScore score{ .hasCheckpoint = runner.checkpoints.contains(aModel.id),
+                                .isCandidate = isCandidate,
+                                .free = FreeMemory(aContext, aView, runner, aModel.id) };
     if (best == nullptr || score > bestScore) {
       best = &runner;
       bestScore = score;
@@ -309,11 +310,15 @@
       const double share = runner.memory.value == 0 ? 0.0
                                                     : static_cast<double>(replica.memory.value) /
                                                         static_cast<double>(runner.memory.value);
-      const Duration limit =
-        isDeclared
-          ? IdleLimit(service->keepAlive, { mUsage[model], spec->second.expectedLoad, share })
-          : Duration{};
-      if (replica.lastUsed + limit <= aContext.now()) {
+      // A pre-loaded replica has been idle since its model was last used, not since its load.
+      const ModelUsage& usage = mUsage[model];
+      const Duration idle = aContext.now() - (usage.isUsed ? usage.lastUsed : replica.lastUsed);
+      const bool isHeld =
+        isDeclared &&
+        (idle < aContext.settings().replicaLifetime ||
+         IsWorthHolding(
+           service->keepAlive, { usage, mCellIdleTimes, spec->second.expectedLoad, share }, idle));
+      if (!isHeld) {
         StartDrain(aContext, aView, runner, replica);
       }
     }
--- a/src/decision/view/view.cpp
+++ b/src/decision/view/view.cpp
@@ -28,6 +28,13 @@
   return found == mMembers.end() ? nullptr : &found->second;
 }
 
+const std::vector<EndpointId>& View::EndpointsOf(const ServiceId& aService) const
+{
+  static const std::vector<EndpointId> kNone;
+  const auto found = mEndpointsOf.find(aService);
+  return found == mEndpointsOf.end() ? kNone : found->second;
+}
+
 bool View::IsUsable(const EndpointId& aEndpoint, TimePoint aNow) const
 {
   const EndpointInfo* info = FindEndpoint(aEndpoint);
@@ -65,8 +72,32 @@
   return order;
 }
 
+bool View::IsAmongFirst(const Context& aContext, const std::string& aKey, std::size_t aCount) const
+{
+  const std::string& self = aContext.self().daemon.str();
+  const std::pair own{ RendezvousWeight(aKey, self), std::string_view{ self } };
+  std::size_t better = 0;
+  for (const auto& [id, member] : mMembers) {
+    // Right after the start nobody has been heard: then the listed ones count, so that daemons
+    // that start together do not all take themselves for the first.
+    const bool isHeard =
+      member.heardAt
+        ? aContext.now() - *member.heardAt <= aContext.settings().memberTimeout
+        : member.listed && aContext.now() - mHostsKnownSince <= aContext.settings().memberTimeout;
+    if (!isHeard ||
+        std::pair{ RendezvousWeight(aKey, id.str()), std::string_view{ id.str() } } < own) {
+      continue;
+    }
+    if (++better >= aCount) {
+      return false;
+    }
+  }
+  return true;
+}
+
 void View::OnHostList(Context& aContext, const HostListReceived& aList)
 {
+  mHostsKnownSince = mHostsKnown ? mHostsKnownSince : aContext.now();
   mHostsKnown = true;
   for (auto& [id, info] : mEndpoints) {
     info.state = EndpointState::kGone;
@@ -101,6 +132,10 @@
   }
   std::erase_if(mEndpoints,
                 [](const auto& aItem) { return aItem.second.state == EndpointState::kGone; });
+  mEndpointsOf.clear();
+  for (const auto& [id, info] : mEndpoints) {
+    mEndpointsOf[info.service].push_back(id);
+  }
   std::erase_if(mLeavingBoots,
                 [this](const auto& aItem) { return !mEndpoints.contains(aItem.first); });
   std::erase_if(mLeavingSaid,
