--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,8 @@
   libxxhash-dev libyaml-cpp-dev ninja-build nlohmann-json3-dev python3 python3-yaml
 SUDO = $(shell [ $$(id -u) = 0 ] || echo sudo)
 
-.PHONY: all packages configure build demo test unit process format lint format-check sanitize fuzz clean
+.PHONY: all packages configure build demo test unit process format lint format-check sanitize \
+  fuzz capacity policies clean
 
 all: build
 
@@ -62,5 +63,13 @@
 	@build-fuzz/parsers_fuzz -seed=1 -max_total_time=$(FUZZ_SECONDS) -timeout=10 -rss_limit_mb=1024 \
 	  -max_len=4096 -artifact_prefix=build-fuzz/ build-fuzz/corpus fuzz/corpus
 
+# Measures the slopes of docs/CAPACITY.md again.
+capacity: build
+	@$(BUILD)/capacity_bench
+
+# Measures the keep-alive policies of docs/MEASUREMENTS.md again.
+policies: build
+	@$(BUILD)/policy_bench --weights 0.5 1 2 4 --threads 2
+
 clean:
 	rm -rf build build-asan build-tsan build-fuzz
--- a/src/decision/scheduler/cell_isolation.cpp
+++ b/src/decision/scheduler/cell_isolation.cpp
@@ -144,11 +144,11 @@
   bool isFree = true;
   for (auto& [model, replica] : mRunners.at(mIsolation->runner).replicas) {
     replica.lastUsed = aContext.now(); // Not to be unloaded meanwhile.
-    std::erase_if(replica.users, [&](const DaemonId& aUser) {
-      return aUser != aContext.self().daemon && aView.FindMember(aUser) == nullptr;
+    std::erase_if(replica.users, [&](const auto& aUser) {
+      return aUser.first != aContext.self().daemon && aView.FindMember(aUser.first) == nullptr;
     });
     isFree = isFree && replica.users.empty();
-    for (const DaemonId& user : replica.users) {
+    for (const auto& [user, until] : replica.users) {
       const DrainMessage drain{ mId, mIsolation->runner, model, mFence };
       if (isDrainDue && user == aContext.self().daemon) {
         aContext.Emit(SendMessage{ user, {}, drain });
--- a/src/decision/scheduler/cell_lease.cpp
+++ b/src/decision/scheduler/cell_lease.cpp
@@ -44,10 +44,7 @@
   if (mPhase == LeasePhase::kAcquiring || aView.readiness() == Readiness::kStopping) {
     return;
   }
-  const auto ranked = aView.RankDaemons(aContext, mId.str());
-  const auto rank = static_cast<std::size_t>(
-    std::find(ranked.begin(), ranked.end(), aContext.self().daemon) - ranked.begin());
-  if (rank >= kWatchers && mDemands.empty()) {
+  if (mDemands.empty() && !aView.IsAmongFirst(aContext, mId.str(), kWatchers)) {
     return;
   }
   std::erase_if(mDemands,
@@ -56,7 +53,9 @@
     ReadRows(aContext);
     mNextLeaseAction = aContext.now() + aContext.settings().leaseRenewal / 2;
   }
-  aContext.WakeBy(mNextLeaseAction);
+  if (mRead.empty() || mNextLeaseAction > aContext.now()) {
+    aContext.WakeBy(mNextLeaseAction);
+  }
 }
 
 void Cell::ReadRows(Context& aContext)
@@ -208,12 +207,16 @@
   } else {
     mPlacementChange = {};
   }
+  if (isPlacement && aResult.outcome != TransactionOutcome::kCommitted) {
+    // What was to be written is not known to be written, so it is written again.
+    mIsDirty = true;
+    mWriting.clear();
+  }
   if (aResult.outcome == TransactionOutcome::kUnknown) {
     mNextLeaseAction = aContext.now() + aContext.settings().tableRetry;
     aContext.WakeBy(mNextLeaseAction);
     mPhase = mPhase == LeasePhase::kHeld && !mIsReleasing ? mPhase : LeasePhase::kWatching;
     mIsReleasing = false;
-    mWriting.clear();
     if (mRead.empty()) {
       ReadRows(aContext);
     }
@@ -226,7 +229,6 @@
     }
     // Either another daemon took over, or an earlier write of ours took effect late.
     mIsReleasing = false;
-    mWriting.clear();
     if (mRead.empty()) {
       ReadRows(aContext);
     }
@@ -286,7 +288,7 @@
     replica.isWritten = true;
     replica.mayBeKnown = true;
     replica.lastUsed = aContext.now();
-    replica.unloadableFrom = aContext.now() + aContext.settings().replicaLifetime;
+    replica.unloadableFrom = aContext.now() + UseLimit(aContext);
     if (model != aView.configuration().models.end()) {
       replica.memory = model->second.memory;
       for (const auto& [id, adapter] : model->second.adapters) {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,6 +1,7 @@
 /* The command line. */
 #include "core/exit_code_type.h"
 #include "daemon/daemon.h"
+#include "load/load_commands.h"
 #include "operator/operator_commands.h"
 #include "settings/settings_base.h"
 
@@ -58,11 +59,16 @@
 
   rhubarbtrail::OperatorCommands commands;
   commands.Add(app);
+  rhubarbtrail::LoadCommands load;
+  load.Add(app);
 
   try {
     app.parse(aArgc, aArgv);
   } catch (const CLI::ParseError& error) {
     return app.exit(error) == 0 ? rhubarbtrail::kExitOk : rhubarbtrail::kExitBadInput;
   }
-  return serve->parsed() ? Serve(options) : commands.Run();
+  if (serve->parsed()) {
+    return Serve(options);
+  }
+  return load.IsParsed() ? load.Run() : commands.Run();
 }
