Fix: [Router] Store an answer at once while claims are few

Cause: 20 ms between all transactions held back the record of an answer; a caller that sent its key to another daemon right after its answer got 1302. test_payment_with_one_key_runs_once failed. Change: only a group of four or more claims makes the next transaction wait. Checked: decisions' unit tests and the fault matrix, 25 cases, 626 assertions. Conclusion: an answer is still stored after it is passed on, so a window of one write remains.

--- a/src/decision/router/claim.cpp
+++ b/src/decision/router/claim.cpp
@@ -10,8 +10,10 @@
 
 /* Longest wait for a claim before the request is refused as not run. */
 constexpr Duration kClaimTimeout = 2s;
-/* Time between the starts of two transactions, so that claims gather in groups. */
+/* Time between the starts of two transactions under load, so that claims gather in groups. */
 constexpr Duration kCommitSpacing = 20ms;
+/* Claims in a transaction from which on the next one waits. */
+constexpr std::size_t kGroupSize = 4;
 /* Transactions without an answer after which a stopping daemon waits no longer. */
 constexpr std::uint32_t kShutdownFailures = 10;
 
@@ -133,7 +135,7 @@
     return;
   }
   mChange = ChangeId{ aContext.NewName() };
-  mNextSend = aContext.now() + kCommitSpacing;
+  mNextSend = aContext.now() + (mBatch.size() >= kGroupSize ? kCommitSpacing : Duration{});
   transaction.change = mChange;
   aContext.Emit(std::move(transaction));
 }
