Fix: [Scheduler] Ask for no extra wake when a look for pre-loads is due

Cause: a look that was due asked for a wake at once, one superfluous event every 2 s. Change: the wake is asked for only when the look is not due.

--- a/src/decision/scheduler/preload_policy.cpp
+++ b/src/decision/scheduler/preload_policy.cpp
@@ -16,8 +16,8 @@
   if (service == nullptr || !std::holds_alternative<CostAwareKeepAlive>(service->keepAlive)) {
     return;
   }
-  aContext.WakeBy(mNextPreload);
   if (mNextPreload > aContext.now()) {
+    aContext.WakeBy(mNextPreload);
     return;
   }
   mNextPreload = aContext.now() + kPreloadInterval;
