Fix: [Test] Judge an overdue wake by its work

Cause: since main does the work of an overdue wake together with the event that comes first, the wish is gone afterwards, and the test's CHECK(wake <= now) failed although nothing was put off. Change: the test demands that the wake is still asked for, or that the heartbeat which was due has been sent with the event. A wake that is put off without its work still fails it.

--- a/tests/unit/wake_test.cpp
+++ b/tests/unit/wake_test.cpp
@@ -15,11 +15,14 @@
               .disabled = {} });
   TimePoint now{ 1h };
   TimePoint wake = TimePoint::max();
+  int heartbeats = 0;
   const auto apply = [&](const Event& aEvent) {
     for (const Action& action : node.Apply(now, aEvent)) {
       if (const auto* wakeAt = std::get_if<WakeAt>(&action)) {
         wake = wakeAt->time;
       }
+      const auto* message = std::get_if<SendMessage>(&action);
+      heartbeats += message != nullptr && message->to == DaemonId{ "d1" } ? 1 : 0;
     }
   };
   auto configuration = std::make_shared<Configuration>();
@@ -48,7 +51,8 @@
   apply(Wake{});
   REQUIRE(wake < TimePoint::max());
   const TimePoint due = wake;
-  now = due + 1ms;
+  now = due + 1s; // A heartbeat is due, too.
+  heartbeats = 0;
   apply(RequestArrived{ .request = RequestId{ "q" },
                         .customer = CustomerId{ "c" },
                         .service = service,
@@ -56,5 +60,6 @@
                         .requestClass = ClassId{ "k" },
                         .key = {},
                         .fingerprint = {} });
-  CHECK(wake <= now);
+  // Either the wake is still asked for, or its work was done with the event.
+  CHECK((wake <= now || heartbeats == 1));
 }
