Fix: [View] Do overdue work once, with the event that finds it overdue

Ruled out: that the driver needs the second wake; a WakeAt replaces the earlier wish, and a driver that got none still wakes at the old time.

Before: wake_test failed at "a later wake is asked for".

--- a/src/decision/node.cpp
+++ b/src/decision/node.cpp
@@ -138,7 +138,6 @@
   // What has become due comes before the event: it may have been held up by a pause.
   if (isOverdue && !isWake) {
     mImpl->Handle(context, Wake{});
-    context.WakeBy(mImpl->now); // The driver is still owed the wake it was asked for.
   }
   std::visit([&](const auto& aKind) { mImpl->Handle(context, aKind); }, aEvent);
   if (mImpl->isStopping) {
