Fix: [Operator] Tell a proposal from an equal one by its own change id

Cause: an operator whose conditional write met a conflict reads back whether the winner is its own write; it compared document, author and millisecond. Three operators that sent the same document with one key in the same millisecond were all told 200.

Ruled out: the table; one version was written.

--- a/src/decision/row_type.h
+++ b/src/decision/row_type.h
@@ -88,6 +88,7 @@
   std::string author;
   std::string comment;
   std::int64_t acceptedAtUnixMs = 0;
+  ChangeId change; ///< Tells a proposal's own row from an equal one.
 };
 
 using RowValue = std::variant<CellLeaseRow, PlacementRow, ClaimRow, ConfigurationRow>;
--- a/src/operator/configuration_store.cpp
+++ b/src/operator/configuration_store.cpp
@@ -78,8 +78,9 @@
                               .document = aProposal.document,
                               .author = aProposal.author,
                               .comment = aProposal.comment,
-                              .acceptedAtUnixMs = UnixMs() };
-  const TableTransaction transaction{ .change = ChangeId{ RandomHex() },
+                              .acceptedAtUnixMs = UnixMs(),
+                              .change = ChangeId{ RandomHex() } };
+  const TableTransaction transaction{ .change = row.change,
                                       .conditions = { { ConfigurationHeadKey(), head->rowVersion },
                                                       { ConfigurationHistoryKey(version), {} } },
                                       .writes = {
@@ -96,8 +97,7 @@
       continue;
     }
     const auto written = now->row.version == version ? now->row : Version(version);
-    if (written && written->document == row.document && written->author == row.author &&
-        written->acceptedAtUnixMs == row.acceptedAtUnixMs) {
+    if (written && written->change == row.change) {
       return row;
     }
     if (now->row.version >= version) {
