Fix: [Scheduler] Give up what a runner held whose process has gone

Cause: a crashed runner that the host list still names counts as holding its models, since an unreachable runner might. So its models could not be loaded anywhere until the list caught up, and their callers ran into their deadlines; innocents beside a crashing request among them.

Ruled out: quarantine; with the list up to date all innocents were answered.

Change: a connect that the host refuses (ECONNREFUSED, told from a time-out or a missing route by one connect of our own, as the HTTP library gives one error for all) shows that no process listens there, and what a process held that this tenure has seen is gone with it. Orders without an answer stay counted.

--- a/src/core/http_client.cpp
+++ b/src/core/http_client.cpp
@@ -1,6 +1,8 @@
 /* Plain HTTP calls on cpp-httplib. */
 #include "core/http_client_func.h"
 
+#include "core/connect_probe_func.h"
+
 #include <httplib.h>
 
 #include <memory>
@@ -55,7 +57,10 @@
   sClients.erase(aCall.address);
   const bool isUnsent = result.error() == httplib::Error::Connection ||
                         result.error() == httplib::Error::ConnectionTimeout;
-  return { isUnsent ? HttpOutcome::kNotConnected : HttpOutcome::kLost, 0, {} };
+  if (!isUnsent) {
+    return { HttpOutcome::kLost, 0, {} };
+  }
+  return { HttpOutcome::kNotConnected, 0, {}, IsConnectionRefused(aCall.address, aCall.timeout) };
 }
 
 } // namespace rhubarbtrail
--- a/src/core/http_client_func.h
+++ b/src/core/http_client_func.h
@@ -33,6 +33,7 @@
   HttpOutcome outcome = HttpOutcome::kLost;
   int status = 0;
   std::string body;
+  bool isRefused = false; ///< With kNotConnected: the host answered that nobody listens there.
 };
 
 /* Makes one call. A thread keeps its connections open for its next calls; a connection that
--- a/src/decision/event_type.h
+++ b/src/decision/event_type.h
@@ -113,6 +113,7 @@
   kFailed,
   kUnknown,      ///< No answer: it may take effect, now or later.
   kNotConnected, ///< No byte of the order can have left.
+  kRefused,      ///< The host refuses connections: the runner's process has gone.
 };
 
 /* The outcome of an order, with the inventory that the runner sent along. */
--- a/src/decision/scheduler/cell_order.cpp
+++ b/src/decision/scheduler/cell_order.cpp
@@ -9,6 +9,8 @@
 
 /* Time between looks at the inventory of a runner that answers. */
 constexpr Duration kInventoryInterval = 2s;
+/* Stands for the boot id of a runner whose process has gone; no process has it. */
+constexpr const char* kNoProcess = "none";
 
 } // namespace
 
@@ -155,6 +157,10 @@
       runner.nextInventory = aContext.now() + kInventoryInterval;
       Reconcile(aContext, aView, runner, aResult.inventory);
     } else {
+      if (aResult.outcome == OrderOutcome::kRefused && !runner.bootId.empty()) {
+        // What a process held that this tenure has seen is gone with it.
+        Reconcile(aContext, aView, runner, { .bootId = kNoProcess, .models = {} });
+      }
       runner.nextInventory = aContext.now() + aContext.settings().orderRetry;
       runner.reach = RunnerReach::kUnreachable;
     }
@@ -225,6 +231,7 @@
       Remove(aRunner, model);
       return;
     case OrderOutcome::kNotConnected:
+    case OrderOutcome::kRefused:
       aRunner.reach = RunnerReach::kUnreachable;
       aRunner.nextInventory = aContext.now();
       if (!aReplica.mayBeKnown && !aReplica.isReserved) {
--- a/src/endpoint/order_client.cpp
+++ b/src/endpoint/order_client.cpp
@@ -43,7 +43,7 @@
                       .outcome = OrderOutcome::kUnknown,
                       .inventory = {} };
   if (aAnswer.outcome == HttpOutcome::kNotConnected) {
-    result.outcome = OrderOutcome::kNotConnected;
+    result.outcome = aAnswer.isRefused ? OrderOutcome::kRefused : OrderOutcome::kNotConnected;
     return result;
   }
   if (aAnswer.outcome != HttpOutcome::kAnswered || aAnswer.status != 200) {
@@ -94,7 +94,7 @@
                                            .path = path,
                                            .body = {},
                                            .timeout = aOptions.timeout + kFollowWait }));
-  if (result.outcome == OrderOutcome::kNotConnected) {
+  if (result.outcome == OrderOutcome::kNotConnected || result.outcome == OrderOutcome::kRefused) {
     // The order was taken on, so it may still take effect.
     result.outcome = OrderOutcome::kUnknown;
   }
--- a/tests/process/test_faults_load.py
+++ b/tests/process/test_faults_load.py
@@ -123,3 +123,14 @@
             check_placement(cluster)
 
     each([("checked",), ("unchecked",)], check)
+
+
+def test_crashed_runner_that_stays_on_the_list_does_not_keep_its_models() -> None:
+    with Cluster() as cluster:
+        daemons = start(cluster, runners=3)
+        assert chat(daemons[0]).status == 200
+        holding = next(n for n in range(3) if entries(cluster, f"runner-{n}", "load"))
+        cluster.processes[f"runner-{holding}"].kill()
+        answers = [chat(daemon) for daemon in daemons]
+        assert [answer.status for answer in answers] == [200] * 3, answers
+        assert len(entries(cluster, "runner", "load")) == 1
