Fix: [Daemon] Apply events on the thread that brings them; let bursts of connections wait

Cause of the added latency: a request passed four hand-overs between threads (caller, decisions, attempt, decisions, caller). Cause of the longest calls, over 1 s on both paths: the HTTP library listens with a backlog of 5, and the kernel drops the connections of a burst, which are tried again after a second.

Change: a thread that posts an event while nobody applies any applies it itself, 32 events at most, then leaves the rest to the loop. Both HTTP servers share one start, which listens again with 1,024 and does not share the port with other processes; the caller port did until now.

--- a/src/caller/caller_server.cpp
+++ b/src/caller/caller_server.cpp
@@ -4,6 +4,7 @@
 #include "caller/caller_connection.h"
 #include "caller/error_body.h"
 #include "core/digest_func.h"
+#include "core/http_server.h"
 #include "core/log_func.h"
 
 #include <httplib.h>
@@ -12,7 +13,6 @@
 
 #include <atomic>
 #include <charconv>
-#include <thread>
 
 namespace rhubarbtrail {
 
@@ -293,7 +293,7 @@
   std::function<void(Event)> post;
   std::atomic<std::uint64_t> nextNumber{ 1 };
   BoundedServer server;
-  std::thread thread;
+  HttpServerThread thread{ server };
 };
 
 /* Logs and measures a request that has ended. */
@@ -506,28 +506,13 @@
   server.set_keep_alive_max_count(kKeepAliveRequests);
   server.set_tcp_nodelay(true);
   mImpl->AddRoutes();
-  const int port = mImpl->options.port == 0
-                     ? server.bind_to_any_port(mImpl->options.address.c_str())
-                     : (server.bind_to_port(mImpl->options.address.c_str(), mImpl->options.port)
-                          ? mImpl->options.port
-                          : -1);
-  if (port <= 0) {
-    return 0;
-  }
-  mImpl->thread = std::thread([&server] { server.listen_after_bind(); });
-  // A server that is stopped before it listens would listen forever.
-  while (!server.is_running()) {
-    std::this_thread::yield();
-  }
-  return static_cast<std::uint16_t>(port);
+  return mImpl->thread.Start(mImpl->options.address, mImpl->options.port);
 }
 
 void CallerServer::Stop()
 {
   mImpl->server.Close();
-  if (mImpl->thread.joinable()) {
-    mImpl->thread.join();
-  }
+  mImpl->thread.Stop();
 }
 
 } // namespace rhubarbtrail
--- a/src/daemon/decision_loop.cpp
+++ b/src/daemon/decision_loop.cpp
@@ -1,4 +1,4 @@
-/* The decision thread. */
+/* Combines the events of many threads into one sequence. */
 #include "daemon/decision_loop.h"
 
 #include <algorithm>
@@ -10,6 +10,8 @@
 
 /* Longest sleep of the thread; a later wish to be woken is looked at again then. */
 constexpr Duration kLongestSleep = 60s;
+/* Events that a thread which came with its own applies before it leaves the rest to the loop's. */
+constexpr std::size_t kCombinedLimit = 32;
 
 } // namespace
 
@@ -32,16 +34,21 @@
 
 void DecisionLoop::Start()
 {
+  {
+    const std::lock_guard lock(mMutex);
+    mIsStarted = true;
+  }
   mThread = std::thread([this] { Run(); });
 }
 
 void DecisionLoop::Stop()
 {
   {
-    const std::lock_guard lock(mMutex);
+    std::unique_lock lock(mMutex);
     mIsStopping = true;
+    mChanged.notify_all();
+    mChanged.wait(lock, [this] { return !mIsApplying; });
   }
-  mChanged.notify_all();
   if (mThread.joinable()) {
     mThread.join();
   }
@@ -49,11 +56,11 @@
 
 void DecisionLoop::Post(Event aEvent)
 {
-  {
-    const std::lock_guard lock(mMutex);
-    mEvents.push_back(std::move(aEvent));
+  std::unique_lock lock(mMutex);
+  mEvents.push_back(std::move(aEvent));
+  if (mIsStarted && !mIsApplying && !mIsStopping) {
+    ApplyQueued(lock, kCombinedLimit);
   }
-  mChanged.notify_one();
 }
 
 std::vector<DumpEntry> DecisionLoop::Dump()
@@ -62,6 +69,22 @@
   return mNode.Dump();
 }
 
+void DecisionLoop::ApplyQueued(std::unique_lock<std::mutex>& aLock, std::size_t aLimit)
+{
+  mIsApplying = true;
+  for (std::size_t count = 0; count < aLimit && !mEvents.empty() && !mIsStopping; ++count) {
+    const Event event = std::move(mEvents.front());
+    mEvents.pop_front();
+    aLock.unlock();
+    Apply(event);
+    aLock.lock();
+  }
+  mIsApplying = false;
+  if (mIsStopping || !mEvents.empty() || mWake < mSleepsUntil) {
+    mChanged.notify_all();
+  }
+}
+
 void DecisionLoop::Apply(const Event& aEvent)
 {
   std::vector<Action> actions;
@@ -71,6 +94,7 @@
   }
   for (Action& action : actions) {
     if (const auto* wake = std::get_if<WakeAt>(&action)) {
+      const std::lock_guard lock(mMutex);
       mWake = wake->time;
       continue;
     }
@@ -78,27 +102,28 @@
   }
 }
 
+bool DecisionLoop::IsDue() const
+{
+  return !mIsApplying && (!mEvents.empty() || mWake <= DaemonNow());
+}
+
 void DecisionLoop::Run()
 {
-  while (true) {
-    std::deque<Event> batch;
-    {
-      std::unique_lock lock(mMutex);
-      const TimePoint wake = std::min(mWake, DaemonNow() + kLongestSleep);
-      const auto until = std::chrono::steady_clock::time_point{ wake.time_since_epoch() };
-      mChanged.wait_until(lock, until, [this] { return mIsStopping || !mEvents.empty(); });
-      if (mIsStopping) {
-        return;
-      }
-      batch.swap(mEvents);
-    }
-    for (const Event& event : batch) {
-      Apply(event);
+  std::unique_lock lock(mMutex);
+  while (!mIsStopping) {
+    if (!IsDue()) {
+      // While another thread applies, it tells when it has finished.
+      const TimePoint next = mIsApplying ? TimePoint::max() : mWake;
+      mSleepsUntil = std::min(next, DaemonNow() + kLongestSleep);
+      mChanged.wait_until(lock,
+                          std::chrono::steady_clock::time_point{ mSleepsUntil.time_since_epoch() });
+      continue;
     }
     if (mWake <= DaemonNow()) {
       mWake = TimePoint::max();
-      Apply(Wake{});
+      mEvents.push_back(Wake{});
     }
+    ApplyQueued(lock, mEvents.size());
   }
 }
 
--- a/src/operator/admin_server.cpp
+++ b/src/operator/admin_server.cpp
@@ -2,6 +2,7 @@
 #include "operator/admin_server.h"
 
 #include "config/configuration_diff.h"
+#include "core/http_server.h"
 #include "core/log_func.h"
 #include "core/number_func.h"
 #include "operator/daemon_status.h"
@@ -11,7 +12,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <thread>
 
 namespace rhubarbtrail {
 
@@ -101,13 +101,6 @@
   Fail(aResponse, 500, "the daemon could not answer; its log says why");
 }
 
-/* Lets a restarted daemon bind its port again, but no second daemon share it. */
-void SetListenOptions(socket_t aSocket)
-{
-  const int yes = 1;
-  setsockopt(aSocket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
-}
-
 void Answer(Response& aResponse, const json& aBody)
 {
   aResponse.set_content(aBody.dump(), kJson);
@@ -167,7 +160,7 @@
   AdminHooks hooks;
   std::vector<AdminRoute> routes;
   httplib::Server server;
-  std::thread thread;
+  HttpServerThread thread{ server };
 };
 
 /* Checks the key of a call, makes it, and leaves an audit line unless it only reads. */
@@ -488,7 +481,6 @@
 {
   httplib::Server& server = mImpl->server;
   server.new_task_queue = [] { return new httplib::ThreadPool(kThreads); };
-  server.set_socket_options(SetListenOptions);
   server.set_tcp_nodelay(true);
   server.set_exception_handler(AnswerException);
   server.set_read_timeout(kReadTimeout);
@@ -496,19 +488,7 @@
   server.set_payload_max_length(mImpl->options.bodyLimit);
   mImpl->AddReadRoutes();
   mImpl->AddWriteRoutes();
-  const char* address = mImpl->options.address.c_str();
-  const int port = mImpl->options.port == 0 ? server.bind_to_any_port(address)
-                   : server.bind_to_port(address, mImpl->options.port) ? mImpl->options.port
-                                                                       : -1;
-  if (port <= 0) {
-    return 0;
-  }
-  mImpl->thread = std::thread([&server] { server.listen_after_bind(); });
-  // A server that is stopped before it listens would listen forever.
-  while (!server.is_running()) {
-    std::this_thread::yield();
-  }
-  return static_cast<std::uint16_t>(port);
+  return mImpl->thread.Start(mImpl->options.address, mImpl->options.port);
 }
 
 const std::vector<AdminRoute>& AdminServer::routes() const
@@ -518,10 +498,7 @@
 
 void AdminServer::Stop()
 {
-  mImpl->server.stop();
-  if (mImpl->thread.joinable()) {
-    mImpl->thread.join();
-  }
+  mImpl->thread.Stop();
 }
 
 } // namespace rhubarbtrail
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -65,7 +65,10 @@
   } else {
     standin::AddService(server, options);
   }
+  int listener = -1;
+  server.http.set_socket_options([&listener](int aSocket) { listener = aSocket; });
   const int port = server.http.bind_to_any_port("127.0.0.1");
+  listen(listener, 1'024); // The library asks for 5, which drops bursts of connections.
   const std::string partial = options.addressFile + ".partial";
   std::ofstream(partial) << "127.0.0.1:" << port << "\n";
   std::rename(partial.c_str(), options.addressFile.c_str());
