Feature: [Test] List three seeds of the matrix that break a promise

Not mended yet, so they stand in KNOWN-RED.txt with seed and command; the check is whole and the case is passed over, with its output.

--- a/tests/matrix/matrix_test.cpp
+++ b/tests/matrix/matrix_test.cpp
@@ -140,6 +140,17 @@
   CHECK(tally.violations.empty());
 }
 
+/* Seeds that break a promise and are not mended yet; listed in KNOWN-RED.txt. */
+TEST_CASE("matrix-known-red" * doctest::may_fail())
+{
+  Tally tally;
+  for (const std::uint64_t seed : { 610644, 611450, 611946 }) {
+    tally.Add(RandomScenario(seed));
+  }
+  tally.Print("known red");
+  CHECK(tally.violations.empty());
+}
+
 /* The long random run: make soak SEED=... MINUTES=... */
 TEST_CASE("matrix: soak" * doctest::skip())
 {
