Fix: [Scheduler] Sum the memory that a model reserves in one place

Cause: weights plus all adapters were summed in four places (placement, start of a tenure, inventories, the check of a document). Accelerator memory is safe only while all four agree.

--- a/src/config/configuration_check.cpp
+++ b/src/config/configuration_check.cpp
@@ -1,6 +1,8 @@
 /* Checks between the parts of a configuration. */
 #include "config/configuration_check.h"
 
+#include "decision/configuration_func.h"
+
 #include <algorithm>
 
 namespace rhubarbtrail {
@@ -28,10 +30,7 @@
     aReader.FailAt(path + ".service", "names the plain service '" + service.id.str() + "'");
     return;
   }
-  MemoryMb needed = aModel.memory;
-  for (const auto& [id, adapter] : aModel.adapters) {
-    needed += adapter.memory;
-  }
+  const MemoryMb needed = ReservedMemory(aModel);
   const MemoryMb available = service.runnerMemory - service.kvCacheReserve;
   if (service.kvCacheReserve < service.runnerMemory && needed > available) {
     aReader.FailAt(path + ".memory_mb",
--- a/src/decision/scheduler/cell_lease.cpp
+++ b/src/decision/scheduler/cell_lease.cpp
@@ -1,6 +1,8 @@
 /* A cell's lease: watching, taking, renewing and handing it over. */
 #include "decision/scheduler/cell_base.h"
 
+#include "decision/configuration_func.h"
+
 #include <algorithm>
 
 namespace rhubarbtrail {
@@ -292,10 +294,7 @@
     replica.lastUsed = aContext.now();
     replica.unloadableFrom = aContext.now() + UseLimit(aContext);
     if (model != aView.configuration().models.end()) {
-      replica.memory = model->second.memory;
-      for (const auto& [id, adapter] : model->second.adapters) {
-        replica.memory += adapter.memory;
-      }
+      replica.memory = ReservedMemory(model->second);
     }
     replica.isReserved = IsUnchecked(aView) && entry.issuer != aContext.self() &&
                          entry.state != PlacementState::kLoaded &&
--- a/src/decision/scheduler/cell_order.cpp
+++ b/src/decision/scheduler/cell_order.cpp
@@ -1,6 +1,8 @@
 /* Orders to the runners of a cell, and what they answer. */
 #include "decision/scheduler/cell_base.h"
 
+#include "decision/configuration_func.h"
+
 #include <algorithm>
 
 namespace rhubarbtrail {
@@ -297,10 +299,7 @@
       replica.isAnswered = true;
       replica.isWritten = true;
       if (spec != aView.configuration().models.end()) {
-        replica.memory = spec->second.memory;
-        for (const auto& [id, adapter] : spec->second.adapters) {
-          replica.memory += adapter.memory;
-        }
+        replica.memory = ReservedMemory(spec->second);
       }
       mIsDirty = true;
     }
--- a/src/decision/scheduler/cell_placement.cpp
+++ b/src/decision/scheduler/cell_placement.cpp
@@ -1,6 +1,7 @@
 /* Where replicas go, and which ones make room. */
 #include "decision/scheduler/cell_base.h"
 
+#include "decision/configuration_func.h"
 #include "decision/rendezvous_func.h"
 #include "decision/scheduler/placement_policy_type.h"
 
@@ -17,15 +18,6 @@
 /* Idle time after which a replica may make room for another model. */
 constexpr Duration kEvictableIdle = 1s;
 
-MemoryMb MemoryOf(const ModelSpec& aModel)
-{
-  MemoryMb memory = aModel.memory;
-  for (const auto& [id, adapter] : aModel.adapters) {
-    memory += adapter.memory;
-  }
-  return memory;
-}
-
 PlacementState StateOf(ReplicaPhase aPhase)
 {
   switch (aPhase) {
@@ -104,7 +96,7 @@
   for (const auto& [model, runner] : mPlanned) {
     const auto spec = aView.configuration().models.find(model);
     if (runner == aRunner.id && model != aFor && spec != aView.configuration().models.end()) {
-      free = free - MemoryOf(spec->second);
+      free = free - ReservedMemory(spec->second);
     }
   }
   return free;
@@ -112,7 +104,7 @@
 
 bool Cell::TryPlace(Context& aContext, const View& aView, const ModelSpec& aModel)
 {
-  const MemoryMb needed = MemoryOf(aModel);
+  const MemoryMb needed = ReservedMemory(aModel);
   const bool isUnwritten = !mIsTableUp;
   if (isUnwritten && IsUnchecked(aView)) {
     return false;
@@ -159,7 +151,7 @@
   if (mPlanned.contains(aModel.id)) {
     return true;
   }
-  const MemoryMb needed = MemoryOf(aModel);
+  const MemoryMb needed = ReservedMemory(aModel);
   Runner* best = nullptr;
   std::vector<Replica*> bestVictims;
   TimePoint bestAge = TimePoint::max();
