--- /dev/null
+++ b/src/core/event_log.cpp
@@ -0,0 +1,113 @@
+/* Structured logs: one JSON object a line, bounded in volume, never blocking. */
+#include "core/event_log.h"
+
+#include "core/boot_clock.h"
+#include "core/overloaded.h"
+
+#include <algorithm>
+#include <chrono>
+#include <climits>
+#include <nlohmann/json.hpp>
+#include <poll.h>
+#include <spdlog/fmt/chrono.h>
+#include <spdlog/fmt/fmt.h>
+#include <unistd.h>
+
+namespace rhubarbtrail {
+
+namespace {
+
+/* Returns the time of day, for people; decisions never use it. */
+std::string TimeOfDay()
+{
+  using namespace std::chrono;
+  const auto millis = duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
+  const std::time_t seconds = millis / 1'000;
+  return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z", fmt::gmtime(seconds), millis % 1'000);
+}
+
+/* Appends a text in quotes. Plain texts, which nearly all are, need no escapes. */
+void AppendText(std::string& aOut, const std::string& aText)
+{
+  const bool isPlain = std::all_of(aText.begin(), aText.end(), [](unsigned char aCharacter) {
+    return aCharacter >= 0x20 && aCharacter < 0x7f && aCharacter != '"' && aCharacter != '\\';
+  });
+  if (isPlain) {
+    aOut.append("\"").append(aText).append("\"");
+    return;
+  }
+  aOut += nlohmann::json(aText).dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
+}
+
+void AppendField(std::string& aOut, const LogField& aField)
+{
+  aOut.append(",\"").append(aField.name).append("\":");
+  std::visit(Overloaded{ [&](const std::string& aText) { AppendText(aOut, aText); },
+                         [&](std::int64_t aNumber) { aOut += std::to_string(aNumber); },
+                         [&](double aNumber) { aOut += fmt::format("{:.3f}", aNumber); },
+                         [&](bool aFlag) { aOut += aFlag ? "true" : "false"; } },
+             aField.value);
+}
+
+} // namespace
+
+EventLog::EventLog(EventLogOptions aOptions)
+  : mOptions(std::move(aOptions))
+{
+}
+
+EventLog::~EventLog()
+{
+  Flush();
+}
+
+void EventLog::Write(std::string_view aEvent, std::initializer_list<LogField> aFields)
+{
+  const TimePoint now = BootTime();
+  auto found = mBudgets.find(aEvent);
+  if (found == mBudgets.end()) {
+    found = mBudgets.emplace(std::string{ aEvent }, Budget{ mOptions.burst, now, 0 }).first;
+  }
+  Budget& budget = found->second;
+  const double seconds = std::chrono::duration<double>(now - budget.at).count();
+  budget.tokens = std::min(mOptions.burst, budget.tokens + seconds * mOptions.linesPerSecond);
+  budget.at = now;
+  if (budget.tokens < 1.0 || mBuffer.size() >= mOptions.bufferBytes) {
+    ++budget.leftOut;
+    ++mLeftOut;
+    return;
+  }
+  budget.tokens -= 1.0;
+  mBuffer += fmt::format(
+    "{{\"time\":\"{}\",\"daemon\":\"{}\",\"event\":\"{}\"", TimeOfDay(), mOptions.daemon, aEvent);
+  for (const LogField& field : aFields) {
+    AppendField(mBuffer, field);
+  }
+  if (budget.leftOut > 0) {
+    AppendField(mBuffer, { "left_out", budget.leftOut });
+    budget.leftOut = 0;
+  }
+  mBuffer += "}\n";
+}
+
+void EventLog::Flush()
+{
+  // A pipe that is ready takes at least this much without blocking.
+  constexpr std::size_t kPieceSize = PIPE_BUF;
+  std::size_t written = 0;
+  while (written < mBuffer.size()) {
+    pollfd state{ .fd = mOptions.descriptor, .events = POLLOUT, .revents = 0 };
+    if (poll(&state, 1, 0) != 1 || (state.revents & POLLOUT) == 0) {
+      break;
+    }
+    const std::size_t size = std::min(kPieceSize, mBuffer.size() - written);
+    const ssize_t result = write(mOptions.descriptor, mBuffer.data() + written, size);
+    if (result <= 0) {
+      break;
+    }
+    written += static_cast<std::size_t>(result);
+  }
+  mBuffer.erase(0, written);
+}
+
+} // namespace rhubarbtrail
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -14,8 +14,8 @@
 #include "operator/admin_server.h"
 #include "operator/daemon_status.h"
 #include "peer/peer_transport.h"
-#include "platform/host_list_client.h"
-#include "platform/table_client.h"
+#include "table/host_list_client.h"
+#include "table/table_client.h"
 
 #include <algorithm>
 #include <atomic>
--- /dev/null
+++ b/src/daemon/edge_daemon.cpp
@@ -0,0 +1,390 @@
+/* The daemon on the users' platform: one event loop between clients and endpoints. */
+#include "daemon/edge_daemon.h"
+
+#include "core/boot_clock.h"
+#include "core/digest_func.h"
+#include "core/exit_code_type.h"
+#include "fleet/store_client.h"
+#include "fleet/table_feed.h"
+#include "gateway/gateway.h"
+#include "platform/configuration_decoder.h"
+#include "platform/request_headers.h"
+#include "platform/runner_decoder.h"
+#include "platform/wire_names.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <cstdio>
+#include <optional>
+
+namespace rhubarbtrail {
+
+namespace {
+
+namespace asio = boost::asio;
+
+/* Time between two writes of collected log lines. */
+constexpr Duration kFlushInterval = 100ms;
+/* Time for which a stopping daemon still takes new connections: the balancer asks once a second
+ * and needs two answers. */
+constexpr Duration kFarewellTime = 2'500ms;
+/* Taken off the grace time, so that the process ends by itself. */
+constexpr Duration kGraceMargin = 700ms;
+constexpr Duration kStopCheckInterval = 50ms;
+/* Least time between two reads of the runners' table by a daemon that gives no orders. */
+constexpr Duration kRunnerInterval = 500ms;
+/* Descriptors left for files, the store, other daemons and listeners. */
+constexpr std::size_t kReservedDescriptors = 264;
+
+class EdgeDaemon
+{
+public:
+  EdgeDaemon(Settings aSettings, std::string aSettingsFile)
+    : mSettings(std::move(aSettings))
+    , mSettingsFile(std::move(aSettingsFile))
+    , mLoop(1)
+    , mIncarnation(RandomHex())
+    , mLog({ .daemon = mSettings.daemonId })
+    , mClient(mLoop, {})
+    , mStore(mClient, mSettings.edge.storeAddress)
+    , mPlacement([](const fleet::DispatchMessage&) { return false; })
+    , mGateway{ .loop = mLoop,
+                .client = mClient,
+                .log = mLog,
+                .metrics = mMetrics,
+                .runners = mRunners,
+                .placement = mPlacement,
+                .self = DaemonId{ mSettings.daemonId },
+                .zone = ZoneId{ mSettings.zone },
+                .onSuspect = [](const FingerprintId&) {},
+                .configuration = nullptr }
+    , mConfigurationFeed(mLoop,
+                         mStore,
+                         mLog,
+                         { .table = std::string{ platform::table::kOperator } },
+                         ConfigurationHandlers())
+    , mRunnerFeed(
+        mLoop,
+        mStore,
+        mLog,
+        { .table = std::string{ platform::table::kRunners }, .interval = kRunnerInterval },
+        RunnerHandlers())
+    , mFront(mLoop,
+             { .address = mSettings.edge.frontAddress,
+               .connectionLimit = ConnectionLimit(),
+               .name = "front" },
+             [this](http::Request aRequest, std::shared_ptr<http::Responder> aResponder) {
+               ServeRequest(mGateway, std::move(aRequest), std::move(aResponder));
+             })
+    , mReady(mLoop,
+             { .address = mSettings.edge.readyAddress, .name = "ready" },
+             [this](const http::Request& aRequest, std::shared_ptr<http::Responder> aResponder) {
+               AnswerReadiness(aRequest, *aResponder);
+             })
+    , mInspection(
+        mLoop,
+        { .address = mSettings.edge.metricsAddress, .name = "metrics" },
+        [this](const http::Request& aRequest, std::shared_ptr<http::Responder> aResponder) {
+          AnswerInspection(aRequest, *aResponder);
+        })
+    , mSignals(mLoop, SIGTERM, SIGINT, SIGHUP)
+    , mFlushTimer(mLoop)
+    , mStopTimer(mLoop)
+  {
+  }
+
+  int Run()
+  {
+    for (http::Server* server : { &mFront, &mReady }) {
+      if (const std::string error = server->Listen(); !error.empty()) {
+        std::fprintf(stderr, "cannot listen: %s\n", error.c_str());
+        return kExitCannotListen;
+      }
+    }
+    if (!mSettings.edge.metricsAddress.empty()) {
+      if (const std::string error = mInspection.Listen(); !error.empty()) {
+        mLog.Write("metrics_unavailable", { { "reason", error } });
+      }
+    }
+    mLog.Write("start",
+               { { "incarnation", mIncarnation },
+                 { "zone", mSettings.zone },
+                 { "front", mSettings.edge.frontAddress },
+                 { "store", mSettings.edge.storeAddress } });
+    ApplySettings();
+    WaitForSignal();
+    FlushLater();
+    mConfigurationFeed.Start();
+    mRunnerFeed.Start();
+    mLoop.run();
+    mLog.Flush();
+    return mExitCode;
+  }
+
+private:
+  std::size_t ConnectionLimit() const
+  {
+    return mSettings.edge.descriptorLimit > 2 * kReservedDescriptors
+             ? mSettings.edge.descriptorLimit / 2
+             : kReservedDescriptors;
+  }
+
+  void ApplySettings()
+  {
+    mGateway.retries.SetOptions({ .ratio = mSettings.decision.retryBudgetRatio,
+                                  .slack = mSettings.edge.retrySlack,
+                                  .window = mSettings.edge.retryWindow,
+                                  .daemons = mDaemons });
+  }
+
+  TableFeedHandlers ConfigurationHandlers()
+  {
+    return { .onRow = [this](const platform::StoreRow& aRow) { OnConfigurationRow(aRow); },
+             .onRemoved =
+               [this](const std::string& aKey) {
+                 mLog.Write("configuration_row_removed", { { "key", aKey } });
+               },
+             .onSynced = [] {},
+             .onLost = [] {},
+             .onRegained = [] {} };
+  }
+
+  TableFeedHandlers RunnerHandlers()
+  {
+    return { .onRow = [this](const platform::StoreRow& aRow) { OnRunnerRow(aRow); },
+             .onRemoved = [this](const std::string& aKey) { OnRunnerRemoved(EndpointId{ aKey }); },
+             .onSynced = [] {},
+             .onLost = [this] { mRunners.OnStoreLost(); },
+             .onRegained = [this] { mRunners.OnStoreRegained(BootTime()); } };
+  }
+
+  void OnConfigurationRow(const platform::StoreRow& aRow)
+  {
+    if (aRow.key != platform::kConfigurationKey) {
+      return;
+    }
+    auto decoded = platform::DecodeConfiguration(aRow.value);
+    if (!decoded) {
+      mLog.Write("configuration_rejected",
+                 { { "row_version", aRow.version.value }, { "reason", decoded.error() } });
+      return;
+    }
+    const auto& current = mGateway.configuration;
+    if (current && decoded->version <= current->version) {
+      mLog.Write("configuration_ignored",
+                 { { "version", decoded->version.value }, { "current", current->version.value } });
+      return;
+    }
+    mLog.Write("configuration_applied",
+               { { "version", decoded->version.value },
+                 { "former", current ? current->version.value : 0 },
+                 { "routes", decoded->routeCount() },
+                 { "services", decoded->services.size() },
+                 { "row_version", aRow.version.value } });
+    mFront.SetLimits({ .headerBytes = decoded->limits.headerBytes,
+                       .bodyBytes = decoded->limits.bodyBytes,
+                       .headerTime = decoded->limits.headerTime,
+                       .idleTime = decoded->limits.idleTime });
+    mGateway.configuration = std::make_shared<const fleet::FleetConfiguration>(std::move(*decoded));
+  }
+
+  void OnRunnerRow(const platform::StoreRow& aRow)
+  {
+    auto entry = platform::DecodeRunnerEntry(aRow.key, aRow.value);
+    if (!entry) {
+      mLog.Write("runner_entry_rejected",
+                 { { "endpoint", aRow.key },
+                   { "row_version", aRow.version.value },
+                   { "reason", entry.error() } });
+      return;
+    }
+    const auto change = mRunners.Apply(BootTime(), *entry);
+    if (change == fleet::RunnerRegistry::Change::kUpdated ||
+        change == fleet::RunnerRegistry::Change::kNone) {
+      return;
+    }
+    mLog.Write(change == fleet::RunnerRegistry::Change::kJoined    ? "runner_joined"
+               : change == fleet::RunnerRegistry::Change::kLeaving ? "runner_leaving"
+                                                                   : "runner_restarted",
+               { { "endpoint", entry->id },
+                 { "service", entry->service },
+                 { "address", entry->address },
+                 { "models", entry->holdings.models.size() },
+                 { "row_version", aRow.version.value } });
+    if (change != fleet::RunnerRegistry::Change::kJoined) {
+      mClient.Forget(entry->address);
+    }
+  }
+
+  void OnRunnerRemoved(const EndpointId& aRunner)
+  {
+    mRunners.Remove(BootTime(), aRunner);
+    mLog.Write("runner_gone", { { "endpoint", aRunner }, { "store_lost", mRunnerFeed.isLost() } });
+  }
+
+  bool IsReady() const { return !mIsStopping && mGateway.configuration && mRunnerFeed.isSynced(); }
+
+  void AnswerReadiness(const http::Request& aRequest, http::Responder& aResponder)
+  {
+    constexpr unsigned kOk = 200;
+    constexpr unsigned kUnavailable = 503;
+    constexpr unsigned kNotFound = 404;
+    if (!platform::IsReadinessCheck(aRequest)) {
+      aResponder.Send({ .status = kNotFound, .reason = "Not Found" }, "");
+      return;
+    }
+    aResponder.Send(IsReady() ? http::AnswerHead{ .status = kOk, .reason = "OK" }
+                              : http::AnswerHead{ .status = kUnavailable, .reason = "Not Ready" },
+                    "");
+  }
+
+  void AnswerInspection(const http::Request& aRequest, http::Responder& aResponder)
+  {
+    constexpr unsigned kOk = 200;
+    constexpr unsigned kNotFound = 404;
+    if (aRequest.target == "/metrics") {
+      aResponder.Send({ .status = kOk,
+                        .reason = "OK",
+                        .fields = { { "Content-Type", "text/plain; version=0.0.4" } } },
+                      mMetrics.ToText(Gauges()));
+      return;
+    }
+    aResponder.Send({ .status = kNotFound, .reason = "Not Found" }, "");
+  }
+
+  std::vector<Gauge> Gauges() const
+  {
+    const auto front = mFront.counts();
+    const auto client = mClient.counts();
+    const auto& store = mStore.counts();
+    return {
+      { "front_connections", "Open connections of clients.", front.connections },
+      { "front_accepted", "Connections of clients taken so far.", front.accepted },
+      { "front_rejected", "Malformed or oversized requests so far.", front.rejected },
+      { "open_requests", "Requests without a final answer.", mGateway.openRequests },
+      { "endpoint_connects", "Connections opened so far.", client.connects },
+      { "endpoint_spoiled", "Connections dropped for unasked bytes so far.", client.spoiled },
+      { "store_reads", "Reads of the store so far.", store.reads },
+      { "store_writes", "Writes to the store so far.", store.writes },
+      { "store_watches", "Waits for changes of the store so far.", store.watches },
+      { "store_failures", "Calls to the store that failed so far.", store.failures },
+      { "runners_known", "Runners that are known.", mRunners.runners().size() },
+      { "configuration_version",
+        "Version in force.",
+        mGateway.configuration ? mGateway.configuration->version.value : 0 },
+      { "log_lines_left_out", "Log lines beyond the budget so far.", mLog.leftOut() },
+    };
+  }
+
+  void FlushLater()
+  {
+    mFlushTimer.expires_after(kFlushInterval);
+    mFlushTimer.async_wait([this](boost::system::error_code aError) {
+      if (!aError) {
+        mLog.Flush();
+        mMetrics.Collect();
+        FlushLater();
+      }
+    });
+  }
+
+  void WaitForSignal()
+  {
+    mSignals.async_wait([this](boost::system::error_code aError, int aSignal) {
+      if (aError) {
+        return;
+      }
+      if (aSignal == SIGHUP) {
+        Reload();
+      } else {
+        Stop();
+      }
+      WaitForSignal();
+    });
+  }
+
+  void Reload()
+  {
+    auto settings = LoadSettings(mSettingsFile, SettingsUse::kEdge);
+    if (!settings) {
+      mLog.Write("reload_rejected",
+                 { { "file", mSettingsFile },
+                   { "line", settings.error().front().line },
+                   { "reason", settings.error().front().reason } });
+      return;
+    }
+    mSettings = std::move(*settings);
+    ApplySettings();
+    mLog.Write("reload", { { "file", mSettingsFile } });
+  }
+
+  void Stop()
+  {
+    if (mIsStopping) {
+      return;
+    }
+    mIsStopping = true;
+    mStoppedAt = BootTime();
+    mLog.Write("stopping", { { "open_requests", mGateway.openRequests } });
+    mFront.Drain();
+    CheckStopped();
+  }
+
+  void CheckStopped()
+  {
+    const Duration passed = BootTime() - mStoppedAt;
+    const bool isIdle = passed >= kFarewellTime && mGateway.openRequests == 0;
+    const bool isLate = passed >= mSettings.edge.shutdownGrace - kGraceMargin;
+    if (isIdle || isLate) {
+      mLog.Write(
+        "stop",
+        { { "open_requests", mGateway.openRequests }, { "took_ms", Milliseconds(passed) } });
+      mExitCode = mGateway.openRequests == 0 ? kExitOk : kExitRequestsLeft;
+      mLog.Flush();
+      mLoop.stop();
+      return;
+    }
+    mStopTimer.expires_after(kStopCheckInterval);
+    mStopTimer.async_wait([this](boost::system::error_code aError) {
+      if (!aError) {
+        CheckStopped();
+      }
+    });
+  }
+
+  Settings mSettings;
+  std::string mSettingsFile;
+  asio::io_context mLoop;
+  std::string mIncarnation;
+  EventLog mLog;
+  Metrics mMetrics;
+  http::Client mClient;
+  StoreClient mStore;
+  fleet::RunnerRegistry mRunners;
+  PlacementClient mPlacement;
+  GatewayContext mGateway;
+  TableFeed mConfigurationFeed;
+  TableFeed mRunnerFeed;
+  http::Server mFront;
+  http::Server mReady;
+  http::Server mInspection;
+  asio::signal_set mSignals;
+  asio::steady_timer mFlushTimer;
+  asio::steady_timer mStopTimer;
+  std::uint32_t mDaemons = 1;
+  bool mIsStopping = false;
+  TimePoint mStoppedAt{};
+  int mExitCode = kExitOk;
+};
+
+} // namespace
+
+int RunEdgeDaemon(const Settings& aSettings, const std::string& aSettingsFile)
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  return EdgeDaemon{ aSettings, aSettingsFile }.Run();
+}
+
+} // namespace rhubarbtrail
--- /dev/null
+++ b/src/decision/fleet/attempt_policy.cpp
@@ -0,0 +1,62 @@
+/* What follows an attempt at an endpoint. */
+#include "decision/fleet/attempt_policy.h"
+
+namespace rhubarbtrail::fleet {
+
+namespace {
+
+/* Refusals after which a request is given up: each is an arrival at an endpoint. */
+constexpr std::uint32_t kRefusalLimit = 4;
+/* Time below which another attempt cannot bring an answer. */
+constexpr Duration kShortestAttempt = 20ms;
+
+bool MayRunAgain(const AttemptState& aState)
+{
+  const bool isRepeatable = aState.kind == RouteKind::kIdempotent || aState.isResumable;
+  return isRepeatable && aState.runs < aState.maxAttempts && !aState.isConvicted &&
+         aState.timeLeft > kShortestAttempt;
+}
+
+} // namespace
+
+std::string_view ToString(AttemptEnd aEnd)
+{
+  switch (aEnd) {
+    case AttemptEnd::kAnswered:
+      return "answered";
+    case AttemptEnd::kFailure:
+      return "failure";
+    case AttemptEnd::kNotSent:
+      return "not_sent";
+    case AttemptEnd::kNotRun:
+      return "not_run";
+    case AttemptEnd::kLost:
+      return "lost";
+    case AttemptEnd::kCutMidway:
+      return "cut_midway";
+  }
+  return "unknown";
+}
+
+NextStep DecideNextStep(const AttemptState& aState, AttemptEnd aEnd)
+{
+  switch (aEnd) {
+    case AttemptEnd::kAnswered:
+      return NextStep::kPassOn;
+    case AttemptEnd::kFailure:
+      return MayRunAgain(aState) ? NextStep::kTryAgain : NextStep::kPassOn;
+    case AttemptEnd::kNotSent:
+    case AttemptEnd::kNotRun:
+      if (aState.refusals < kRefusalLimit && aState.timeLeft > kShortestAttempt) {
+        return NextStep::kTryAgain;
+      }
+      return aState.runs == 0 ? NextStep::kRefuse : NextStep::kFail;
+    case AttemptEnd::kLost:
+      return MayRunAgain(aState) ? NextStep::kTryAgain : NextStep::kFail;
+    case AttemptEnd::kCutMidway:
+      return MayRunAgain(aState) ? NextStep::kTryAgain : NextStep::kCut;
+  }
+  return NextStep::kFail;
+}
+
+} // namespace rhubarbtrail::fleet
--- /dev/null
+++ b/src/decision/fleet/fleet_configuration.cpp
@@ -0,0 +1,35 @@
+/* Look-ups in the configuration of a fleet. */
+#include "decision/fleet/fleet_configuration_type.h"
+
+namespace rhubarbtrail::fleet {
+
+const Route* FleetConfiguration::Match(std::string_view aHost, std::string_view aPath) const
+{
+  const auto routes = routesByHost.find(aHost);
+  if (routes == routesByHost.end()) {
+    return nullptr;
+  }
+  for (const Route& route : routes->second) {
+    if (aPath.starts_with(route.prefix)) {
+      return &route;
+    }
+  }
+  return nullptr;
+}
+
+const Service* FleetConfiguration::Find(const ServiceId& aService) const
+{
+  const auto found = services.find(aService);
+  return found == services.end() ? nullptr : &found->second;
+}
+
+std::size_t FleetConfiguration::routeCount() const
+{
+  std::size_t count = 0;
+  for (const auto& [host, routes] : routesByHost) {
+    count += routes.size();
+  }
+  return count;
+}
+
+} // namespace rhubarbtrail::fleet
--- /dev/null
+++ b/src/decision/fleet/retry_share.cpp
@@ -0,0 +1,63 @@
+/* One daemon's share of the retries that the whole fleet may make. */
+#include "decision/fleet/retry_share.h"
+
+#include <algorithm>
+
+namespace rhubarbtrail::fleet {
+
+namespace {
+
+/* Part of the limit that is used: what others count and when they count it differs a little. */
+constexpr double kUsedPart = 0.8;
+
+} // namespace
+
+std::int64_t RetryShare::SliceNumber(TimePoint aNow) const
+{
+  const Duration slice = std::max<Duration>(mOptions.window / kSlices, Duration{ 1 });
+  return aNow.time_since_epoch() / slice;
+}
+
+RetryShare::Slice& RetryShare::Current(TimePoint aNow, const ServiceId& aService)
+{
+  const std::int64_t number = SliceNumber(aNow);
+  Slice& slice = mUsages[aService].slices[static_cast<std::size_t>(number) % (kSlices + 1)];
+  if (slice.number != number) {
+    slice = { .number = number };
+  }
+  return slice;
+}
+
+void RetryShare::NoteRequest(TimePoint aNow, const ServiceId& aService)
+{
+  ++Current(aNow, aService).requests;
+}
+
+double RetryShare::Left(TimePoint aNow, const ServiceId& aService) const
+{
+  const std::int64_t newest = SliceNumber(aNow);
+  double requests = 0.0;
+  double retries = 0.0;
+  if (const auto found = mUsages.find(aService); found != mUsages.end()) {
+    for (const Slice& slice : found->second.slices) {
+      if (slice.number < 0 || newest - slice.number > static_cast<std::int64_t>(kSlices)) {
+        continue;
+      }
+      requests += slice.requests;
+      retries += slice.retries;
+    }
+  }
+  const double share = mOptions.slack / std::max<std::uint32_t>(mOptions.daemons, 1);
+  return kUsedPart * (mOptions.ratio * requests + share) - retries;
+}
+
+bool RetryShare::Take(TimePoint aNow, const ServiceId& aService)
+{
+  if (Left(aNow, aService) < 1.0) {
+    return false;
+  }
+  ++Current(aNow, aService).retries;
+  return true;
+}
+
+} // namespace rhubarbtrail::fleet
--- /dev/null
+++ b/src/decision/fleet/runner_registry.cpp
@@ -0,0 +1,182 @@
+/* The endpoints that a daemon may use, as it believes them to be. */
+#include "decision/fleet/runner_registry.h"
+
+#include "decision/rendezvous_func.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace rhubarbtrail::fleet {
+
+namespace {
+
+/* Share of each new outcome in the moving average of failures; five outcomes tell a runner that
+ * fails four requests in ten from one that fails one in ten. */
+constexpr double kFailureWeight = 0.2;
+/* Average of failures from which a runner is doubted. */
+constexpr double kDoubtedShare = 0.35;
+/* First and longest time for which a doubted runner gets no requests. */
+constexpr Duration kFirstAvoidance = 500ms;
+constexpr Duration kLongestAvoidance = 4s;
+/* Time for which a runner is left alone after it refused a request. */
+constexpr Duration kRefusalPause = 60ms;
+/* Age up to which a stated load is believed. */
+constexpr Duration kLoadLifetime = 400ms;
+/* How long a removed runner is remembered, for answers still under way. */
+constexpr Duration kForgetAfter = 60s;
+
+bool Holds(const RunnerEntry& aEntry, const ModelRef& aModel)
+{
+  const auto found = aEntry.holdings.models.find(aModel.model);
+  return found != aEntry.holdings.models.end() &&
+         (aModel.adapter.empty() || found->second.contains(aModel.adapter));
+}
+
+} // namespace
+
+RunnerRegistry::Change RunnerRegistry::Apply(TimePoint aNow, RunnerEntry aEntry)
+{
+  const EndpointId id = aEntry.id;
+  const auto found = mRunners.find(id);
+  if (found == mRunners.end()) {
+    mRunners.emplace(id, KnownRunner{ .entry = std::move(aEntry), .changedAt = aNow });
+    return Change::kJoined;
+  }
+  KnownRunner& runner = found->second;
+  const bool isRestarted = aEntry.startedAtMs != runner.entry.startedAtMs ||
+                           aEntry.address != runner.entry.address ||
+                           aEntry.service != runner.entry.service;
+  const bool isLeaving =
+    aEntry.state == RunnerState::kDraining && runner.entry.state != RunnerState::kDraining;
+  runner.entry = std::move(aEntry);
+  runner.changedAt = aNow;
+  runner.missingSince.reset();
+  if (isRestarted) {
+    runner.load = {};
+    runner.loadAt = {};
+    runner.failuresInRow = 0;
+    runner.failureShare = 0.0;
+    runner.avoidUntil = {};
+    return Change::kRestarted;
+  }
+  return isLeaving ? Change::kLeaving : Change::kUpdated;
+}
+
+void RunnerRegistry::Remove(TimePoint aNow, const EndpointId& aRunner)
+{
+  const auto found = mRunners.find(aRunner);
+  if (found != mRunners.end() && !found->second.missingSince) {
+    found->second.missingSince = aNow;
+  }
+  std::erase_if(mRunners, [&](const auto& aItem) {
+    const KnownRunner& runner = aItem.second;
+    return runner.missingSince && runner.inFlight == 0 &&
+           aNow - *runner.missingSince > kForgetAfter;
+  });
+}
+
+void RunnerRegistry::NoteStart(const EndpointId& aRunner)
+{
+  if (const auto found = mRunners.find(aRunner); found != mRunners.end()) {
+    ++found->second.inFlight;
+  }
+}
+
+void RunnerRegistry::NoteEnd(TimePoint aNow, const EndpointId& aRunner, EndpointSign aSign)
+{
+  const auto found = mRunners.find(aRunner);
+  if (found == mRunners.end()) {
+    return;
+  }
+  KnownRunner& runner = found->second;
+  runner.inFlight -= std::min<std::uint32_t>(runner.inFlight, 1);
+  const double failed = aSign == EndpointSign::kFailed ? 1.0 : 0.0;
+  switch (aSign) {
+    case EndpointSign::kGood:
+    case EndpointSign::kFailed:
+      runner.failureShare += kFailureWeight * (failed - runner.failureShare);
+      runner.failuresInRow = aSign == EndpointSign::kFailed ? runner.failuresInRow + 1 : 0;
+      if (aSign == EndpointSign::kFailed && runner.failureShare > kDoubtedShare) {
+        const auto doublings = std::min<std::uint32_t>(runner.failuresInRow, 4) - 1;
+        runner.avoidUntil = aNow + std::min(kFirstAvoidance * (1 << doublings), kLongestAvoidance);
+      }
+      break;
+    case EndpointSign::kRefused:
+      runner.avoidUntil = std::max(runner.avoidUntil, aNow + kRefusalPause);
+      break;
+    case EndpointSign::kMisaddressed:
+      // Its entry is old; a new one clears this.
+      runner.avoidUntil = aNow + kLongestAvoidance;
+      break;
+    case EndpointSign::kCancelled:
+      break;
+  }
+}
+
+void RunnerRegistry::NoteLoad(TimePoint aNow, const EndpointId& aRunner, const StatedLoad& aLoad)
+{
+  if (const auto found = mRunners.find(aRunner); found != mRunners.end()) {
+    found->second.load = aLoad;
+    found->second.loadAt = aNow;
+  }
+}
+
+bool RunnerRegistry::IsGone(TimePoint aNow, const KnownRunner& aRunner) const
+{
+  if (!aRunner.missingSince) {
+    return false;
+  }
+  // An entry that lapsed while the store was away may come back.
+  return mRegainedAt && aNow >= *mRegainedAt + kLapsedEntryGrace;
+}
+
+Exclusion RunnerRegistry::Check(TimePoint aNow, const KnownRunner& aRunner) const
+{
+  if (IsGone(aNow, aRunner)) {
+    return Exclusion::kGone;
+  }
+  if (aRunner.entry.state == RunnerState::kDraining) {
+    return Exclusion::kLeaving;
+  }
+  return aNow < aRunner.avoidUntil ? Exclusion::kDoubted : Exclusion::kNone;
+}
+
+std::optional<EndpointId> RunnerRegistry::Choose(TimePoint aNow, const Wanted& aWanted) const
+{
+  // Load that arrives at many daemons at once finds the same endpoint idle; the random-looking
+  // last member spreads it, by daemon and request.
+  using Rank = std::tuple<bool, std::uint32_t, bool, std::uint64_t>;
+  std::optional<Rank> best;
+  std::optional<EndpointId> chosen;
+  for (const auto& [id, runner] : mRunners) {
+    if (runner.entry.service != aWanted.service ||
+        (aWanted.excluded != nullptr && aWanted.excluded->contains(id)) ||
+        (aWanted.model != nullptr && !Holds(runner.entry, *aWanted.model))) {
+      continue;
+    }
+    const Exclusion exclusion = Check(aNow, runner);
+    if (exclusion == Exclusion::kLeaving || exclusion == Exclusion::kGone) {
+      continue;
+    }
+    const bool isLoadFresh = aNow - runner.loadAt < kLoadLifetime;
+    const std::uint32_t stated = isLoadFresh ? runner.load.running + runner.load.waiting : 0;
+    const std::uint32_t load = std::max(stated, runner.inFlight);
+    const std::uint64_t spread = ~RendezvousWeight(std::to_string(aWanted.affinity), id.str());
+    const Rank rank{
+      exclusion == Exclusion::kDoubted, load, runner.entry.zone != aWanted.zone, spread
+    };
+    if (!best || rank < *best) {
+      best = rank;
+      chosen = id;
+    }
+  }
+  return chosen;
+}
+
+const KnownRunner* RunnerRegistry::Find(const EndpointId& aRunner) const
+{
+  const auto found = mRunners.find(aRunner);
+  return found == mRunners.end() ? nullptr : &found->second;
+}
+
+} // namespace rhubarbtrail::fleet
--- /dev/null
+++ b/src/fleet/store_client.cpp
@@ -0,0 +1,122 @@
+/* Calls to the platform's store of rows. */
+#include "fleet/store_client.h"
+
+namespace rhubarbtrail {
+
+namespace {
+
+/* Limit of a read or write: twice what the store takes when it is as slow as it was ever seen. */
+constexpr Duration kCallLimit = 900ms;
+constexpr Duration kConnectLimit = 600ms;
+/* How long the answer to a watch may take beyond the time that it was to wait. */
+constexpr Duration kWatchMargin = 500ms;
+
+StoreOutcome OutcomeOf(unsigned aStatus)
+{
+  switch (aStatus) {
+    case 200:
+      return StoreOutcome::kDone;
+    case 412:
+      return StoreOutcome::kConflict;
+    case 410:
+      return StoreOutcome::kHistoryGone;
+    default:
+      return StoreOutcome::kUnavailable;
+  }
+}
+
+} // namespace
+
+std::string_view ToString(StoreOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case StoreOutcome::kDone:
+      return "done";
+    case StoreOutcome::kConflict:
+      return "conflict";
+    case StoreOutcome::kHistoryGone:
+      return "history_gone";
+    case StoreOutcome::kUnavailable:
+      return "unavailable";
+    case StoreOutcome::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+StoreClient::StoreClient(http::Client& aClient, std::string aAddress)
+  : mClient(aClient)
+  , mAddress(std::move(aAddress))
+{
+}
+
+void StoreClient::Write(const platform::StoreWrite& aWrite, Handler aHandler)
+{
+  ++mCounts.writes;
+  Start(platform::EncodeWrite(aWrite), kCallLimit, std::move(aHandler));
+}
+
+void StoreClient::Read(const std::string& aTable, const std::string& aFirstKey, Handler aHandler)
+{
+  ++mCounts.reads;
+  Start(platform::EncodeRead(aTable, aFirstKey), kCallLimit, std::move(aHandler));
+}
+
+void StoreClient::Watch(const std::string& aTable,
+                        RowVersion aAfter,
+                        Duration aWait,
+                        Handler aHandler)
+{
+  ++mCounts.watches;
+  Start(platform::EncodeWatch(aTable, aAfter, aWait), aWait + kWatchMargin, std::move(aHandler));
+}
+
+void StoreClient::Start(http::Request aRequest, Duration aLimit, Handler aHandler)
+{
+  struct Progress
+  {
+    unsigned status = 0;
+    std::string body;
+  };
+  auto progress = std::make_shared<Progress>();
+  auto finish = [this, progress, handler = std::move(aHandler)](http::CallResult aResult) {
+    StoreResult result;
+    if (aResult != http::CallResult::kComplete) {
+      ++mCounts.failures;
+      result.outcome = aResult == http::CallResult::kNotConnected ? StoreOutcome::kUnavailable
+                                                                  : StoreOutcome::kUnknown;
+      result.reason = http::ToString(aResult);
+      handler(std::move(result));
+      return;
+    }
+    result.outcome = OutcomeOf(progress->status);
+    result.reason = "status " + std::to_string(progress->status);
+    if (result.outcome == StoreOutcome::kDone || result.outcome == StoreOutcome::kConflict) {
+      auto answer = platform::DecodeStoreAnswer(progress->body);
+      if (answer) {
+        result.answer = std::move(*answer);
+      } else {
+        result.outcome = StoreOutcome::kUnknown;
+        result.reason = answer.error();
+      }
+    }
+    if (result.outcome == StoreOutcome::kUnavailable || result.outcome == StoreOutcome::kUnknown) {
+      ++mCounts.failures;
+    }
+    handler(std::move(result));
+  };
+  mClient.Start({ .address = mAddress,
+                  .request = std::move(aRequest),
+                  .connectTime = kConnectLimit,
+                  .answerTime = aLimit,
+                  .silenceTime = kCallLimit },
+                { .onHead =
+                    [progress](const http::AnswerHead& aHead) {
+                      progress->status = aHead.status;
+                      return true;
+                    },
+                  .onBody = [progress](std::string_view aBytes) { progress->body += aBytes; },
+                  .onEnd = std::move(finish) });
+}
+
+} // namespace rhubarbtrail
--- /dev/null
+++ b/src/fleet/table_feed.cpp
@@ -0,0 +1,187 @@
+/* Follows one table of the platform's store. */
+#include "fleet/table_feed.h"
+
+#include "core/boot_clock.h"
+
+#include <algorithm>
+
+namespace rhubarbtrail {
+
+namespace {
+
+/* First and longest pause after a failed call. The longest stays well below the 3 s within which
+ * a daemon must have caught up after the store's return. */
+constexpr Duration kFirstPause = 100ms;
+constexpr Duration kLongestPause = 500ms;
+
+} // namespace
+
+TableFeed::TableFeed(boost::asio::io_context& aContext,
+                     StoreClient& aStore,
+                     EventLog& aLog,
+                     TableFeedOptions aOptions,
+                     TableFeedHandlers aHandlers)
+  : mTimer(aContext)
+  , mStore(aStore)
+  , mLog(aLog)
+  , mOptions(std::move(aOptions))
+  , mHandlers(std::move(aHandlers))
+{
+}
+
+void TableFeed::Start()
+{
+  ReadAll({});
+}
+
+void TableFeed::Stop()
+{
+  mIsStopped = true;
+  mTimer.cancel();
+}
+
+void TableFeed::Later(Duration aTime, std::function<void()> aNext)
+{
+  mTimer.expires_after(aTime);
+  mTimer.async_wait([this, next = std::move(aNext)](boost::system::error_code aError) {
+    if (!aError && !mIsStopped) {
+      next();
+    }
+  });
+}
+
+void TableFeed::ReadAll(const std::string& aFirstKey)
+{
+  if (aFirstKey.empty()) {
+    mRead.clear();
+  }
+  mStore.Read(mOptions.table, aFirstKey, [this](StoreResult aResult) {
+    if (!mIsStopped) {
+      OnPage(std::move(aResult));
+    }
+  });
+}
+
+void TableFeed::OnPage(StoreResult aResult)
+{
+  if (aResult.outcome != StoreOutcome::kDone) {
+    OnFailure(aResult);
+    return;
+  }
+  OnAnswer();
+  const auto& answer = aResult.answer;
+  if (mRead.empty()) {
+    mReadVersion = answer.newest; // Changes during the following pages come with the watch.
+  }
+  for (const auto& row : answer.rows) {
+    mRead[row.key] = row.version;
+    Take(row);
+  }
+  if (answer.isTruncated && !answer.rows.empty()) {
+    ReadAll(answer.rows.back().key + "%01"); // The least key that follows, as a query has it.
+    return;
+  }
+  std::vector<std::string> removed;
+  for (const auto& [key, version] : mVersions) {
+    if (!mRead.contains(key)) {
+      removed.push_back(key);
+    }
+  }
+  for (const std::string& key : removed) {
+    mVersions.erase(key);
+    mHandlers.onRemoved(key);
+  }
+  mVersion = std::max(mVersion, mReadVersion);
+  mRead.clear();
+  mIsSynced = true;
+  mHandlers.onSynced();
+  Watch();
+}
+
+void TableFeed::Watch()
+{
+  mCalledAt = BootTime();
+  mStore.Watch(mOptions.table, mVersion, mOptions.wait, [this](StoreResult aResult) {
+    if (!mIsStopped) {
+      OnChanges(std::move(aResult));
+    }
+  });
+}
+
+void TableFeed::OnChanges(StoreResult aResult)
+{
+  if (aResult.outcome == StoreOutcome::kHistoryGone) {
+    mLog.Write("history_gone", { { "table", mOptions.table }, { "version", mVersion.value } });
+    ReadAll({});
+    return;
+  }
+  if (aResult.outcome != StoreOutcome::kDone) {
+    OnFailure(aResult);
+    return;
+  }
+  OnAnswer();
+  for (const auto& row : aResult.answer.rows) {
+    Take(row);
+    mVersion = std::max(mVersion, row.version);
+  }
+  mVersion = std::max(mVersion, aResult.answer.newest);
+  mHandlers.onSynced();
+  const Duration passed = BootTime() - mCalledAt;
+  if (passed < mOptions.interval) {
+    Later(mOptions.interval - passed, [this] { Watch(); });
+  } else {
+    Watch();
+  }
+}
+
+void TableFeed::Take(const platform::StoreRow& aRow)
+{
+  if (aRow.isRemoved) {
+    if (mVersions.erase(aRow.key) > 0) {
+      mHandlers.onRemoved(aRow.key);
+    }
+    return;
+  }
+  RowVersion& known = mVersions[aRow.key];
+  if (known.value != 0 && aRow.version <= known) {
+    return; // An older state of the row, or the same one.
+  }
+  known = aRow.version;
+  mHandlers.onRow(aRow);
+}
+
+void TableFeed::OnAnswer()
+{
+  mAnsweredAt = BootTime();
+  mFailures = 0;
+  if (mIsLost) {
+    mIsLost = false;
+    mLog.Write("dependency_regained", { { "dependency", "store" }, { "table", mOptions.table } });
+    mHandlers.onRegained();
+  }
+}
+
+void TableFeed::OnFailure(const StoreResult& aResult)
+{
+  ++mFailures;
+  if (!mIsLost) {
+    mIsLost = true;
+    mLog.Write("dependency_lost",
+               { { "dependency", "store" },
+                 { "table", mOptions.table },
+                 { "reason", aResult.reason },
+                 { "version", mVersion.value } });
+    mHandlers.onLost();
+  }
+  const auto doublings = std::min<std::uint32_t>(mFailures, 4) - 1;
+  const Duration pause = std::min(kFirstPause * (1 << doublings), kLongestPause);
+  Later(pause, [this] {
+    if (mIsSynced) {
+      Watch();
+    } else {
+      ReadAll({});
+    }
+  });
+}
+
+} // namespace rhubarbtrail
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,49 @@
+/* Takes clients' requests to endpoints and their answers back. */
+#ifndef RHUBARBTRAIL_GATEWAY_GATEWAY_H
+#define RHUBARBTRAIL_GATEWAY_GATEWAY_H
+
+#include "core/event_log.h"
+#include "core/metrics.h"
+#include "decision/fleet/crash_guard.h"
+#include "decision/fleet/fleet_configuration_type.h"
+#include "decision/fleet/retry_share.h"
+#include "decision/fleet/runner_registry.h"
+#include "gateway/placement_client.h"
+#include "http/http_client.h"
+#include "http/http_server.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+
+namespace rhubarbtrail {
+
+/* What all requests of a daemon share. Used by one thread. */
+struct GatewayContext
+{
+  boost::asio::io_context& loop;
+  http::Client& client;
+  EventLog& log;
+  Metrics& metrics;
+  fleet::RunnerRegistry& runners;
+  PlacementClient& placement;
+  DaemonId self;
+  ZoneId zone;
+  /* Tells the other daemons that a request broke a runner's connection. */
+  std::function<void(const FingerprintId&)> onSuspect;
+
+  std::shared_ptr<const fleet::FleetConfiguration> configuration; ///< Null until one is known.
+  fleet::RetryShare retries;
+  fleet::CrashGuard crashes;
+  std::uint64_t nextAsk = 1;
+  std::size_t openRequests = 0;
+};
+
+/* Serves one request from a client; ends by itself. */
+void ServeRequest(GatewayContext& aContext,
+                  http::Request aRequest,
+                  std::shared_ptr<http::Responder> aResponder);
+
+} // namespace rhubarbtrail
+
+#endif
--- /dev/null
+++ b/src/gateway/placement_client.cpp
@@ -0,0 +1,67 @@
+/* Asks the fleet's dispatcher where a request for a model may run. */
+#include "gateway/placement_client.h"
+
+#include "core/overloaded.h"
+
+namespace rhubarbtrail {
+
+PlacementClient::PlacementClient(Sender aSender)
+  : mSender(std::move(aSender))
+{
+}
+
+bool PlacementClient::Ask(const fleet::PlacementAsk& aAsk, Handler aHandler)
+{
+  // Kept before it is sent: a dispatcher in this process may answer at once.
+  mOpen.insert_or_assign(aAsk.id, Open{ aAsk, std::move(aHandler) });
+  if (!mSender(fleet::DispatchMessage{ aAsk })) {
+    mOpen.erase(aAsk.id);
+    return false;
+  }
+  return true;
+}
+
+void PlacementClient::Release(const fleet::AskId& aAsk, fleet::PlaceEnd aEnd)
+{
+  if (mOpen.erase(aAsk) + mPlaces.erase(aAsk) > 0) {
+    // A dispatcher that cannot be reached forgets this daemon's places by itself.
+    mSender(fleet::DispatchMessage{ fleet::PlaceReleased{ aAsk, aEnd } });
+  }
+}
+
+void PlacementClient::OnReply(const fleet::PlacementReply& aReply)
+{
+  const auto found = mOpen.find(aReply.id);
+  if (found == mOpen.end()) {
+    return; // Withdrawn meanwhile; the dispatcher was told.
+  }
+  const Open open = std::move(found->second);
+  mOpen.erase(found);
+  if (const auto* granted = std::get_if<fleet::PlaceGranted>(&aReply.answer)) {
+    mPlaces.insert_or_assign(aReply.id, fleet::PlaceInUse{ open.ask, granted->runner });
+  }
+  open.handler(aReply);
+}
+
+void PlacementClient::OnNewDispatcher()
+{
+  for (const auto& [id, place] : mPlaces) {
+    mSender(fleet::DispatchMessage{ place });
+  }
+  const auto open = mOpen;
+  for (const auto& [id, question] : open) {
+    if (mOpen.contains(id)) {
+      mSender(fleet::DispatchMessage{ question.ask });
+    }
+  }
+}
+
+void PlacementClient::OnLost()
+{
+  const auto open = std::exchange(mOpen, {});
+  for (const auto& [id, question] : open) {
+    question.handler({ .id = id, .answer = fleet::PlaceUnknown{} });
+  }
+}
+
+} // namespace rhubarbtrail
--- /dev/null
+++ b/src/gateway/request_flow.cpp
@@ -0,0 +1,767 @@
+/* One request on its way: the attempts at endpoints and the answer to the client. */
+#include "gateway/request_flow.h"
+
+#include "core/boot_clock.h"
+#include "core/overloaded.h"
+#include "decision/rendezvous_func.h"
+
+#include <algorithm>
+#include <spdlog/fmt/fmt.h>
+#include <xxhash.h>
+
+namespace rhubarbtrail {
+
+namespace {
+
+using fleet::AttemptEnd;
+using fleet::NextStep;
+using fleet::RouteKind;
+
+/* Longest time that a request without a deadline may take. */
+constexpr Duration kDefaultTimeLeft = 30s;
+/* Time between two looks for an endpoint while none is known. */
+constexpr Duration kLookInterval = 40ms;
+/* Part of the time left for which a request waits for an endpoint to appear. */
+constexpr int kWaitDivisor = 3;
+/* When clients are asked to come back if nothing better is known. */
+constexpr Duration kRetryLater = 500ms;
+/* Longest time to connect to an endpoint; connecting takes a few milliseconds. */
+constexpr Duration kConnectLimit = 250ms;
+/* Times the objective that a repeatable request waits for an answer before it is sent again, and
+ * the least such time. */
+constexpr int kSilenceObjectives = 3;
+constexpr Duration kLeastSilence = 250ms;
+/* Longest silence within a stream that can go on elsewhere, in times of the pause objective;
+ * clients give up after eight. */
+constexpr int kSilencePauses = 4;
+/* Unsent bytes above which an endpoint is not read from, until the client has taken them. */
+constexpr std::size_t kUnsentLimit = 256U << 10U;
+/* Largest answer that is stored before it is passed on. */
+constexpr std::size_t kStoredAnswerLimit = 8U << 20U;
+
+constexpr unsigned kBadGateway = 502;
+constexpr unsigned kFirstServerError = 500;
+
+/* Returns whether a status promises that the request has not run. */
+bool IsPromise(unsigned aStatus)
+{
+  return aStatus == 408 || aStatus == 421 || aStatus == 429 || aStatus == 503;
+}
+
+std::string_view HostName(std::string_view aHost)
+{
+  return aHost.substr(0, aHost.rfind(':'));
+}
+
+std::string_view PathOf(std::string_view aTarget)
+{
+  return aTarget.substr(0, aTarget.find('?'));
+}
+
+/* Returns a digest of what makes a request crash its runner: it comes again with these bytes. */
+FingerprintId Fingerprint(const http::Request& aRequest, const platform::ClientRequest& aClient)
+{
+  std::uint64_t hash = XXH3_64bits(aRequest.body.data(), aRequest.body.size());
+  const std::string rest = aRequest.method + " " + aRequest.target + " " +
+                           (aClient.work ? aClient.work->target.model.str() : std::string{});
+  hash = XXH3_64bits_withSeed(rest.data(), rest.size(), hash);
+  return FingerprintId{ fmt::format("{:016x}", hash) };
+}
+
+/* Requests that share the last part of their prompt go to the same runner. */
+std::uint64_t AffinityOf(const platform::ClientRequest& aClient)
+{
+  if (aClient.work && !aClient.work->parts.empty()) {
+    return aClient.work->parts.back().id;
+  }
+  return XXH3_64bits(aClient.requestId.data(), aClient.requestId.size());
+}
+
+/* The kind of request, for metrics: route names change too often. */
+ClassId ClassOf(const fleet::Route* aRoute)
+{
+  if (aRoute == nullptr) {
+    return ClassId{ "none" };
+  }
+  switch (aRoute->kind) {
+    case RouteKind::kIdempotent:
+      return ClassId{ "idempotent" };
+    case RouteKind::kNonIdempotent:
+      return ClassId{ "non_idempotent" };
+    case RouteKind::kStream:
+      return ClassId{ fmt::format("stream_p{}", std::min<std::uint32_t>(aRoute->priority, 9)) };
+  }
+  return ClassId{ "none" };
+}
+
+fleet::PlaceEnd PlaceEndOf(AttemptEnd aEnd)
+{
+  switch (aEnd) {
+    case AttemptEnd::kAnswered:
+    case AttemptEnd::kFailure:
+      return fleet::PlaceEnd::kDone;
+    case AttemptEnd::kNotRun:
+      return fleet::PlaceEnd::kRefused;
+    case AttemptEnd::kNotSent:
+      return fleet::PlaceEnd::kLost;
+    case AttemptEnd::kLost:
+    case AttemptEnd::kCutMidway:
+      return fleet::PlaceEnd::kFailed;
+  }
+  return fleet::PlaceEnd::kFailed;
+}
+
+} // namespace
+
+RequestFlow::RequestFlow(GatewayContext& aContext,
+                         http::Request aRequest,
+                         std::shared_ptr<http::Responder> aResponder)
+  : mContext(aContext)
+  , mRequest(std::move(aRequest))
+  , mResponder(std::move(aResponder))
+  , mArrivedAt(BootTime())
+  , mDeadlineTimer(aContext.loop)
+  , mWaitTimer(aContext.loop)
+{
+  ++mContext.openRequests;
+}
+
+RequestFlow::~RequestFlow()
+{
+  --mContext.openRequests;
+}
+
+void RequestFlow::Start()
+{
+  mClient = platform::DecodeClientRequest(mRequest);
+  mConfiguration = mContext.configuration;
+  std::string reason;
+  ResultCode code = ResultCode::kOk;
+  if (!CheckRoute(reason, code)) {
+    if (Describe(code).execution == Execution::kNotRun && Describe(code).httpStatus == 503) {
+      Refuse(code, kRetryLater, reason);
+    } else {
+      Fail(code, reason);
+    }
+    return;
+  }
+  OnRouted();
+}
+
+bool RequestFlow::CheckRoute(std::string& aReason, ResultCode& aCode)
+{
+  if (!mConfiguration) {
+    aReason = "no configuration is known yet";
+    aCode = ResultCode::kConfigurationStale;
+    return false;
+  }
+  const auto host = HostName(http::Find(mRequest.fields, "Host").value_or(""));
+  mRoute = mConfiguration->Match(host, PathOf(mRequest.target));
+  if (mRoute == nullptr) {
+    aReason = "no route matches";
+    aCode = ResultCode::kServiceUnknown;
+    return false;
+  }
+  if (mClient.requestId.empty()) {
+    aReason = "the request has no id";
+    aCode = ResultCode::kRequestMalformed;
+    return false;
+  }
+  mFingerprint = Fingerprint(mRequest, mClient);
+  if (mContext.crashes.IsConvicted(mArrivedAt, mFingerprint)) {
+    aReason = "it crashed the endpoints that ran it";
+    aCode = ResultCode::kEndpointUnavailable;
+    return false;
+  }
+  return true;
+}
+
+void RequestFlow::OnRouted()
+{
+  ChooseService();
+  Duration timeLeft = mClient.timeLeft.value_or(kDefaultTimeLeft);
+  if (mRoute->timeout > Duration::zero()) {
+    timeLeft = std::min(timeLeft, mRoute->timeout);
+  }
+  mDeadline = mArrivedAt + timeLeft;
+  mState = { .maxAttempts = mRoute->maxAttempts,
+             .kind = mRoute->kind,
+             .isResumable = mRoute->kind == RouteKind::kStream && mRoute->isResumable };
+  mContext.retries.NoteRequest(mArrivedAt, mService);
+  mResponder->OnGone([self = shared_from_this()] { self->OnClientGone(); });
+  mDeadlineTimer.expires_after(timeLeft);
+  mDeadlineTimer.async_wait([self = shared_from_this()](boost::system::error_code aError) {
+    if (!aError) {
+      self->OnDeadline();
+    }
+  });
+  mContext.log.Write("request_accepted",
+                     { { "id", mClient.requestId },
+                       { "route", mRoute->name },
+                       { "service", mService },
+                       { "model", UsesModels() ? mClient.work->target.model.str() : "" },
+                       { "adapter", UsesModels() ? mClient.work->target.adapter.str() : "" },
+                       { "time_left_ms", Milliseconds(timeLeft) },
+                       { "config_version", mConfiguration->version.value } });
+  Place();
+}
+
+/* Divides requests between the services of a route by weight. */
+void RequestFlow::ChooseService()
+{
+  std::uint64_t total = 0;
+  for (const auto& share : mRoute->services) {
+    total += share.weight;
+  }
+  std::uint64_t point =
+    total == 0 ? 0 : XXH3_64bits(mClient.requestId.data(), mClient.requestId.size()) % total;
+  for (const auto& share : mRoute->services) {
+    if (point < share.weight || total == 0) {
+      mService = share.service;
+      return;
+    }
+    point -= share.weight;
+  }
+}
+
+Duration RequestFlow::TimeLeft() const
+{
+  return std::max(mDeadline - BootTime(), Duration::zero());
+}
+
+void RequestFlow::Place()
+{
+  if (UsesModels()) {
+    PlaceByDispatcher();
+  } else {
+    PlaceLocally("by_load");
+  }
+}
+
+void RequestFlow::PlaceByDispatcher()
+{
+  const fleet::AskId id{ .daemon = mContext.self, .number = mContext.nextAsk++ };
+  fleet::PlacementAsk ask{
+    .id = id,
+    .requestId = mClient.requestId,
+    .route = mRoute->name,
+    .service = mService,
+    .work = *mClient.work,
+    .priority = mRoute->priority,
+    .objective = std::max(mRoute->objective - (BootTime() - mArrivedAt), Duration::zero()),
+    .timeLeft = TimeLeft(),
+    .isResumable = mState.isResumable,
+    .excluded = { mFailedAt.begin(), mFailedAt.end() },
+  };
+  mPlace = id;
+  const bool isAsked =
+    mContext.placement.Ask(ask, [weak = weak_from_this()](const fleet::PlacementReply& aReply) {
+      if (const auto self = weak.lock()) {
+        self->OnPlaced(aReply);
+      }
+    });
+  if (!isAsked) {
+    mPlace.reset();
+    PlaceLocally("no_dispatcher");
+  }
+}
+
+void RequestFlow::OnPlaced(const fleet::PlacementReply& aReply)
+{
+  if (mIsEnded) {
+    return;
+  }
+  std::visit(
+    Overloaded{ [&](const fleet::PlaceGranted& aGranted) { Send(aGranted.runner, "dispatched"); },
+                [&](const fleet::PlaceRefused& aRefused) {
+                  mPlace.reset();
+                  if (mState.runs == 0) {
+                    Refuse(aRefused.code, aRefused.retryAfter, "refused_by_dispatcher");
+                  } else {
+                    Fail(ResultCode::kAttemptsExhausted, "no_place_for_next_attempt");
+                  }
+                },
+                [&](const fleet::PlaceUnknown&) {
+                  mPlace.reset();
+                  PlaceLocally("dispatcher_lost");
+                } },
+    aReply.answer);
+}
+
+void RequestFlow::PlaceLocally(std::string_view aWhy)
+{
+  const TimePoint now = BootTime();
+  const auto chosen =
+    mContext.runners.Choose(now,
+                            { .service = mService,
+                              .zone = mContext.zone,
+                              .model = UsesModels() ? &mClient.work->target : nullptr,
+                              .affinity = AffinityOf(mClient),
+                              .excluded = &mFailedAt });
+  if (chosen) {
+    Send(*chosen, aWhy);
+    return;
+  }
+  WaitForEndpoint();
+}
+
+void RequestFlow::WaitForEndpoint()
+{
+  const TimePoint now = BootTime();
+  const Duration patience = (mDeadline - mArrivedAt) / kWaitDivisor;
+  if (now - mArrivedAt >= patience) {
+    if (mState.runs == 0) {
+      Refuse(ResultCode::kEndpointUnavailable, kRetryLater, "no_endpoint");
+    } else {
+      Fail(ResultCode::kAttemptsExhausted, "no_endpoint_for_next_attempt");
+    }
+    return;
+  }
+  // An endpoint that has failed this request may be the only one left.
+  if (mState.refusals > 0 || mState.runs > 0) {
+    mFailedAt.clear();
+  }
+  mWaitTimer.expires_after(kLookInterval);
+  mWaitTimer.async_wait([self = shared_from_this()](boost::system::error_code aError) {
+    if (!aError && !self->mIsEnded) {
+      self->Place();
+    }
+  });
+}
+
+Duration RequestFlow::AnswerLimit() const
+{
+  const Duration left = TimeLeft();
+  if (!mState.isResumable && !mRoute->MayRepeat()) {
+    return left; // It cannot be sent again, so nothing is gained by giving up early.
+  }
+  const bool isLastAttempt = mState.runs + 1 >= mState.maxAttempts;
+  return isLastAttempt
+           ? left
+           : std::min(left, std::max(mRoute->objective * kSilenceObjectives, kLeastSilence));
+}
+
+void RequestFlow::Send(const EndpointId& aEndpoint, std::string_view aWhy)
+{
+  const TimePoint now = BootTime();
+  const fleet::KnownRunner* runner = mContext.runners.Find(aEndpoint);
+  const fleet::Exclusion exclusion =
+    runner == nullptr ? fleet::Exclusion::kGone : mContext.runners.Check(now, *runner);
+  const bool isRepeat = mState.runs + mState.refusals > 0;
+  if (exclusion == fleet::Exclusion::kGone || exclusion == fleet::Exclusion::kLeaving) {
+    ReleasePlace(fleet::PlaceEnd::kLost);
+    WaitForEndpoint();
+    return;
+  }
+  if (isRepeat && !mContext.retries.Take(now, mService)) {
+    ReleasePlace(fleet::PlaceEnd::kWithdrawn);
+    if (mState.runs == 0) {
+      Refuse(ResultCode::kEndpointUnavailable, kRetryLater, "retry_share_spent");
+    } else if (mIsHeadSent) {
+      Cut("retry_share_spent");
+    } else {
+      Fail(ResultCode::kAttemptsExhausted, "retry_share_spent");
+    }
+    return;
+  }
+  mAttempt = {};
+  mAttempt.endpoint = aEndpoint;
+  mAttempt.startedAt = now;
+  mContext.runners.NoteStart(aEndpoint);
+  mContext.metrics.Count(isRepeat ? Counter::kRetries : Counter::kAttempts);
+  mContext.log.Write("request_sent",
+                     { { "id", mClient.requestId },
+                       { "endpoint", aEndpoint },
+                       { "why", aWhy },
+                       { "attempt", mState.runs + mState.refusals + 1 },
+                       { "waited_ms", Milliseconds(now - mArrivedAt) },
+                       { "entry_age_ms", Milliseconds(now - runner->changedAt) },
+                       { "last_event", mLastEventId } });
+  const bool mayRepeat = mRoute->MayRepeatOrResume();
+  http::CallOptions options{
+    .address = runner->entry.address,
+    .request = platform::EncodeForward(mRequest,
+                                       { .endpoint = aEndpoint,
+                                         .timeLeft = TimeLeft(),
+                                         .priority = mRoute->priority,
+                                         .hasPriority = UsesModels(),
+                                         .lastEventId = mLastEventId }),
+    .reuse = mayRepeat ? http::Reuse::kAllowed : http::Reuse::kFresh,
+    .connectTime = kConnectLimit,
+    .answerTime = AnswerLimit(),
+    .silenceTime = mState.isResumable && mRoute->pauseObjective > Duration::zero()
+                     ? mRoute->pauseObjective * kSilencePauses
+                     : Duration::zero(),
+  };
+  const auto weak = weak_from_this();
+  mAttempt.call = mContext.client.Start(
+    std::move(options),
+    { .onHead =
+        [weak](const http::AnswerHead& aHead) {
+          const auto self = weak.lock();
+          return self && self->OnHead(aHead);
+        },
+      .onBody =
+        [weak](std::string_view aBytes) {
+          if (const auto self = weak.lock()) {
+            self->OnBody(aBytes);
+          }
+        },
+      .onEnd = [self = shared_from_this()](http::CallResult aResult) { self->OnEnd(aResult); } });
+}
+
+bool RequestFlow::OnHead(const http::AnswerHead& aHead)
+{
+  auto meaning = platform::DecodeEndpointAnswer(aHead);
+  if (!meaning.requestId.empty() && meaning.requestId != mClient.requestId) {
+    mContext.log.Write("foreign_answer_skipped",
+                       { { "id", mClient.requestId },
+                         { "endpoint", mAttempt.endpoint },
+                         { "answer_id", meaning.requestId } });
+    return false;
+  }
+  if (meaning.load) {
+    mContext.runners.NoteLoad(BootTime(), mAttempt.endpoint, *meaning.load);
+  }
+  const bool isSuccess = aHead.status >= 200 && aHead.status < 300;
+  mAttempt.isInvalid = !meaning.isNotRun && (!meaning.isSigned || meaning.isEncoded);
+  mAttempt.isStream = isSuccess && !mAttempt.isInvalid && mRoute->kind == RouteKind::kStream;
+  mAttempt.head = aHead;
+  mAttempt.meaning = std::move(meaning);
+  return true;
+}
+
+void RequestFlow::OnBody(std::string_view aBytes)
+{
+  if (mIsEnded || mAttempt.isInvalid || mAttempt.meaning.isNotRun) {
+    return;
+  }
+  if (!mAttempt.isStream) {
+    if (mAttempt.body.size() + aBytes.size() > kStoredAnswerLimit) {
+      mAttempt.isInvalid = true;
+      mAttempt.body.clear();
+      return;
+    }
+    mAttempt.body += aBytes;
+    return;
+  }
+  mEvents.Feed(aBytes);
+  PassEvents();
+  if (mResponder->unsentBytes() > kUnsentLimit && mAttempt.call) {
+    mAttempt.call->Pause();
+    mResponder->OnDrained([weak = weak_from_this()] {
+      if (const auto self = weak.lock(); self && self->mAttempt.call) {
+        self->mAttempt.call->Resume();
+      }
+    });
+  }
+}
+
+/* Passes on the events that are whole, and none that the client has. */
+void RequestFlow::PassEvents()
+{
+  std::string passed;
+  while (auto event = mEvents.Next()) {
+    std::string id = platform::EventId(*event);
+    if (!id.empty()) {
+      mLastEventId = std::move(id);
+    }
+    ++mEventsPassed;
+    passed += *event;
+  }
+  if (passed.empty()) {
+    return;
+  }
+  SendHeadOnce();
+  mResponder->SendBody(passed);
+}
+
+void RequestFlow::SendHeadOnce()
+{
+  if (mIsHeadSent) {
+    return;
+  }
+  mIsHeadSent = true;
+  mFirstByteAt = BootTime();
+  http::AnswerHead head = platform::EncodeAnswer(*mAttempt.head);
+  head.framing = http::Framing::kChunked;
+  mResponder->SendHead(head);
+}
+
+AttemptEnd RequestFlow::Judge(http::CallResult aResult) const
+{
+  if (aResult == http::CallResult::kNotConnected) {
+    return AttemptEnd::kNotSent;
+  }
+  if (mAttempt.head && mAttempt.meaning.isNotRun) {
+    return AttemptEnd::kNotRun; // Its word stands even if the rest of the answer is lost.
+  }
+  if (aResult != http::CallResult::kComplete || !mAttempt.head || mAttempt.isInvalid) {
+    return mIsHeadSent ? AttemptEnd::kCutMidway : AttemptEnd::kLost;
+  }
+  const bool isServerError = mAttempt.head->status >= kFirstServerError;
+  if (mIsHeadSent && !mAttempt.isStream) {
+    return AttemptEnd::kCutMidway; // A stream that went on elsewhere got a failure there.
+  }
+  return isServerError ? AttemptEnd::kFailure : AttemptEnd::kAnswered;
+}
+
+void RequestFlow::OnEnd(http::CallResult aResult)
+{
+  mAttempt.call.reset();
+  if (mIsEnded) {
+    return;
+  }
+  const AttemptEnd end = Judge(aResult);
+  const TimePoint now = BootTime();
+  switch (end) {
+    case AttemptEnd::kAnswered:
+      mContext.runners.NoteEnd(now, mAttempt.endpoint, fleet::EndpointSign::kGood);
+      mContext.crashes.NoteAnswer(mFingerprint);
+      break;
+    case AttemptEnd::kFailure:
+    case AttemptEnd::kLost:
+    case AttemptEnd::kCutMidway:
+      mContext.runners.NoteEnd(now, mAttempt.endpoint, fleet::EndpointSign::kFailed);
+      if (aResult == http::CallResult::kBroken) {
+        mContext.crashes.NoteBreak(now, mFingerprint);
+        mContext.onSuspect(mFingerprint);
+      }
+      break;
+    case AttemptEnd::kNotSent:
+      mContext.runners.NoteEnd(now, mAttempt.endpoint, fleet::EndpointSign::kFailed);
+      break;
+    case AttemptEnd::kNotRun:
+      mContext.runners.NoteEnd(now,
+                               mAttempt.endpoint,
+                               mAttempt.head->status == 421 && !UsesModels()
+                                 ? fleet::EndpointSign::kMisaddressed
+                                 : fleet::EndpointSign::kRefused);
+      break;
+  }
+  ReleasePlace(PlaceEndOf(end));
+  Follow(end, http::ToString(aResult));
+}
+
+void RequestFlow::Follow(AttemptEnd aEnd, std::string_view aResult)
+{
+  const bool hasRun = aEnd != AttemptEnd::kNotSent && aEnd != AttemptEnd::kNotRun;
+  mState.runs += hasRun ? 1 : 0;
+  mState.refusals += hasRun ? 0 : 1;
+  mState.timeLeft = TimeLeft();
+  mState.isConvicted = mContext.crashes.IsConvicted(BootTime(), mFingerprint);
+  if (mRequest.method == "HEAD" && aEnd == AttemptEnd::kAnswered) {
+    mAttempt.body.clear();
+  }
+  NextStep step = DecideNextStep(mState, aEnd);
+  if (aEnd != AttemptEnd::kAnswered) {
+    mFailedAt.insert(mAttempt.endpoint);
+    mContext.log.Write("attempt_failed",
+                       { { "id", mClient.requestId },
+                         { "endpoint", mAttempt.endpoint },
+                         { "end", fleet::ToString(aEnd) },
+                         { "result", aResult },
+                         { "status", mAttempt.head ? mAttempt.head->status : 0U },
+                         { "signed", mAttempt.meaning.isSigned },
+                         { "took_ms", Milliseconds(BootTime() - mAttempt.startedAt) },
+                         { "runs", mState.runs },
+                         { "refusals", mState.refusals },
+                         { "events_passed", mEventsPassed },
+                         { "time_left_ms", Milliseconds(mState.timeLeft) } });
+  }
+  // Without a share for a retry, the runner's own failure is the better answer.
+  if (step == NextStep::kTryAgain && aEnd == AttemptEnd::kFailure &&
+      mContext.retries.Left(BootTime(), mService) < 1.0) {
+    step = NextStep::kPassOn;
+  }
+  switch (step) {
+    case NextStep::kTryAgain:
+      mEvents.Clear();
+      Place();
+      break;
+    case NextStep::kPassOn:
+      PassAnswer();
+      break;
+    case NextStep::kRefuse:
+      Refuse(ResultCode::kEndpointUnavailable, kRetryLater, "endpoints_refused");
+      break;
+    case NextStep::kFail:
+      Fail(ResultCode::kAttemptsExhausted, fleet::ToString(aEnd));
+      break;
+    case NextStep::kCut:
+      Cut(fleet::ToString(aEnd));
+      break;
+  }
+}
+
+void RequestFlow::ReleasePlace(fleet::PlaceEnd aEnd)
+{
+  if (mPlace) {
+    mContext.placement.Release(*std::exchange(mPlace, std::nullopt), aEnd);
+  }
+}
+
+void RequestFlow::PassAnswer()
+{
+  const unsigned status = mAttempt.head->status;
+  if (mAttempt.isStream) {
+    SendHeadOnce();
+    mResponder->SendBody(mEvents.rest());
+    mResponder->Finish();
+    End("answered", ResultCode::kOk, status);
+    return;
+  }
+  if (IsPromise(status)) {
+    // The endpoint ran the request, so its status would be a false promise.
+    Fail(ResultCode::kAttemptsExhausted, "status_would_promise_not_run");
+    return;
+  }
+  http::AnswerHead head = platform::EncodeAnswer(*mAttempt.head);
+  const bool hasNoBody = mRequest.method == "HEAD" || status == 204 || status == 304;
+  if (hasNoBody) {
+    mResponder->SendHead(head);
+    mResponder->Finish();
+  } else {
+    mResponder->Send(std::move(head), mAttempt.body);
+  }
+  End(status < kFirstServerError ? "answered" : "endpoint_failure", ResultCode::kOk, status);
+}
+
+void RequestFlow::Answer(ResultCode aCode, unsigned aStatus, Duration aRetryAfter)
+{
+  const ResultCodeInfo& info = Describe(aCode);
+  http::AnswerHead head = platform::EncodeOwnAnswer(aStatus, mClient.requestId, aRetryAfter);
+  head.reason = info.name;
+  mResponder->Send(std::move(head),
+                   fmt::format(R"({{"code":{},"name":"{}","message":"{}"}})",
+                               static_cast<int>(aCode),
+                               info.name,
+                               info.message));
+}
+
+/* Tells the client that its request has not run and never will. */
+void RequestFlow::Refuse(ResultCode aCode, Duration aRetryAfter, std::string_view aReason)
+{
+  if (mIsEnded) {
+    return;
+  }
+  if (mIsHeadSent) {
+    Cut(aReason);
+    return;
+  }
+  const ResultCodeInfo& info = Describe(aCode);
+  mContext.log.Write("request_refused",
+                     { { "id", mClient.requestId },
+                       { "reason", aReason },
+                       { "code", static_cast<int>(aCode) },
+                       { "retry_after_ms", Milliseconds(aRetryAfter) },
+                       { "waited_ms", Milliseconds(BootTime() - mArrivedAt) },
+                       { "refusals", mState.refusals } });
+  Answer(aCode, info.httpStatus, aRetryAfter);
+  End("refused", aCode, info.httpStatus);
+}
+
+/* Ends a request that may have run, or that is wrong in itself. */
+void RequestFlow::Fail(ResultCode aCode, std::string_view aReason)
+{
+  if (mIsEnded) {
+    return;
+  }
+  if (mIsHeadSent) {
+    Cut(aReason);
+    return;
+  }
+  const ResultCodeInfo& info = Describe(aCode);
+  mContext.log.Write("request_failed",
+                     { { "id", mClient.requestId },
+                       { "reason", aReason },
+                       { "code", static_cast<int>(aCode) },
+                       { "runs", mState.runs },
+                       { "endpoint", mAttempt.endpoint },
+                       { "waited_ms", Milliseconds(BootTime() - mArrivedAt) } });
+  const unsigned status =
+    IsPromise(info.httpStatus) && mState.runs > 0 ? kBadGateway : info.httpStatus;
+  Answer(aCode, status, Duration::zero());
+  End("failed", aCode, status);
+}
+
+/* Breaks off an answer of which a part was passed on. */
+void RequestFlow::Cut(std::string_view aReason)
+{
+  mContext.log.Write("stream_cut",
+                     { { "id", mClient.requestId },
+                       { "reason", aReason },
+                       { "endpoint", mAttempt.endpoint },
+                       { "events_passed", mEventsPassed },
+                       { "runs", mState.runs } });
+  mResponder->Abort();
+  End("cut", ResultCode::kAnswerLost, 0);
+}
+
+void RequestFlow::End(std::string_view aOutcome, ResultCode aCode, unsigned aStatus)
+{
+  if (std::exchange(mIsEnded, true)) {
+    return;
+  }
+  const TimePoint now = BootTime();
+  mDeadlineTimer.cancel();
+  mWaitTimer.cancel();
+  mResponder->OnGone(nullptr);
+  mResponder->OnDrained(nullptr);
+  mContext.metrics.Note(
+    { .code = aCode, .requestClass = ClassOf(mRoute), .latency = now - mArrivedAt });
+  mContext.log.Write(
+    "request_ended",
+    { { "id", mClient.requestId },
+      { "outcome", aOutcome },
+      { "status", aStatus },
+      { "endpoint", mAttempt.endpoint },
+      { "took_ms", Milliseconds(now - mArrivedAt) },
+      { "first_event_ms", mIsHeadSent ? Milliseconds(mFirstByteAt - mArrivedAt) : -1 },
+      { "events", mEventsPassed } });
+}
+
+void RequestFlow::StopAttempt()
+{
+  if (!mAttempt.call) {
+    ReleasePlace(fleet::PlaceEnd::kWithdrawn);
+    return;
+  }
+  mAttempt.call->Cancel();
+  mAttempt.call.reset();
+  mContext.runners.NoteEnd(BootTime(), mAttempt.endpoint, fleet::EndpointSign::kCancelled);
+  ReleasePlace(fleet::PlaceEnd::kDone);
+}
+
+void RequestFlow::OnClientGone()
+{
+  if (mIsEnded) {
+    return;
+  }
+  StopAttempt();
+  End("client_gone", ResultCode::kOk, 0);
+}
+
+void RequestFlow::OnDeadline()
+{
+  if (mIsEnded) {
+    return;
+  }
+  const bool isSent = mAttempt.call != nullptr || mState.runs > 0;
+  StopAttempt();
+  if (isSent) {
+    mState.runs = std::max<std::uint32_t>(mState.runs, 1);
+    Fail(ResultCode::kAttemptsExhausted, "deadline");
+  } else {
+    Fail(ResultCode::kDeadlinePassed, "deadline");
+  }
+}
+
+void ServeRequest(GatewayContext& aContext,
+                  http::Request aRequest,
+                  std::shared_ptr<http::Responder> aResponder)
+{
+  std::make_shared<RequestFlow>(aContext, std::move(aRequest), std::move(aResponder))->Start();
+}
+
+} // namespace rhubarbtrail
--- /dev/null
+++ b/src/http/http_client.cpp
@@ -0,0 +1,590 @@
+/* An event-driven HTTP/1.1 client on Boost.Beast's parser. */
+#include "http/http_client.h"
+
+#include "core/number_func.h"
+#include "http/socket_options.h"
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace rhubarbtrail::http {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast_http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::size_t kReadSize = 16U << 10U;
+constexpr std::uint32_t kHeaderLimit = 64U << 10U;
+/* Answers to other requests that one call reads past. */
+constexpr int kSkipLimit = 3;
+/* Taken off the idle time that an endpoint states, for the way there. */
+constexpr Duration kKeepAliveMargin = 800ms;
+
+using Parser = beast_http::response_parser<beast_http::string_body>;
+
+std::array<char, kReadSize>& ReadBuffer()
+{
+  thread_local std::array<char, kReadSize> sBuffer;
+  return sBuffer;
+}
+
+AnswerHead ToHead(const Parser& aParser)
+{
+  const auto& message = aParser.get();
+  const auto text = [](auto aView) { return std::string{ aView.data(), aView.size() }; };
+  AnswerHead head{ .status = message.result_int(), .reason = text(message.reason()) };
+  for (const auto& item : message) {
+    head.fields.push_back({ text(item.name_string()), text(item.value()) });
+  }
+  if (aParser.chunked()) {
+    head.framing = Framing::kChunked;
+  } else if (const auto length = aParser.content_length()) {
+    head.framing = Framing::kLength;
+    head.length = *length;
+  } else if (!aParser.is_done()) {
+    head.framing = Framing::kUntilClose;
+  }
+  return head;
+}
+
+/* Returns the idle time that an answer states for its connection, or nothing. */
+std::optional<Duration> StatedIdleTime(const AnswerHead& aHead)
+{
+  constexpr std::string_view kKey = "timeout=";
+  const auto field = Find(aHead.fields, "Keep-Alive");
+  if (!field || field->find(kKey) == std::string_view::npos) {
+    return std::nullopt;
+  }
+  std::string_view text = field->substr(field->find(kKey) + kKey.size());
+  text = text.substr(0, text.find_first_not_of("0123456789"));
+  const auto seconds = ParseNumber<int>(text, 0, 86'400);
+  return seconds ? std::optional<Duration>{ std::chrono::seconds{ *seconds } } : std::nullopt;
+}
+
+} // namespace
+
+std::string_view ToString(CallResult aResult)
+{
+  switch (aResult) {
+    case CallResult::kComplete:
+      return "complete";
+    case CallResult::kNotConnected:
+      return "not_connected";
+    case CallResult::kBroken:
+      return "broken";
+    case CallResult::kMalformed:
+      return "malformed";
+    case CallResult::kTimedOut:
+      return "timed_out";
+  }
+  return "unknown";
+}
+
+struct Client::Impl
+{
+  Impl(asio::io_context& aContext, ClientOptions aOptions)
+    : context(aContext)
+    , options(aOptions)
+  {
+  }
+
+  std::shared_ptr<ClientConnection> TakeIdle(const std::string& aAddress);
+  void Keep(const std::string& aAddress, std::shared_ptr<ClientConnection> aConnection);
+  void Remove(const std::string& aAddress, const ClientConnection* aConnection);
+
+  asio::io_context& context;
+  ClientOptions options;
+  ClientCounts counts;
+  bool isClosed = false;
+  std::map<std::string, std::deque<std::shared_ptr<ClientConnection>>> idle;
+};
+
+/* One connection to an endpoint, with at most one call on it. */
+class ClientConnection : public std::enable_shared_from_this<ClientConnection>
+{
+public:
+  ClientConnection(std::shared_ptr<Client::Impl> aClient, std::string aAddress)
+    : mClient(std::move(aClient))
+    , mAddress(std::move(aAddress))
+    , mSocket(mClient->context)
+    , mTimer(mClient->context)
+  {
+  }
+
+  /* Starts a call and returns its number on this connection. */
+  std::uint64_t Begin(CallOptions aOptions, CallHandlers aHandlers)
+  {
+    ++mCallNumber;
+    mHandlers = std::move(aHandlers);
+    mOut = Serialize(aOptions.request, mAddress);
+    mIsHead = aOptions.request.method == "HEAD";
+    mSilenceTime = aOptions.silenceTime;
+    mAnswerBy = asio::steady_timer::clock_type::now() + aOptions.answerTime;
+    mHasHead = false;
+    mSkipped = 0;
+    mIsPaused = false;
+    NewParser();
+    if (mState == State::kIdle) {
+      mState = State::kCalling;
+      SetTimer(mAnswerBy);
+      // Another turn of the loop, so that no handler runs before the caller has the call.
+      asio::post(mClient->context, [self = shared_from_this()] { self->Send(); });
+      return mCallNumber;
+    }
+    mState = State::kConnecting;
+    SetTimer(std::min(mAnswerBy, asio::steady_timer::clock_type::now() + aOptions.connectTime));
+    Connect();
+    return mCallNumber;
+  }
+
+  /* Returns whether a call is still the one under way. */
+  bool IsUnderWay(std::uint64_t aCallNumber) const
+  {
+    return mCallNumber == aCallNumber && mState != State::kIdle && mState != State::kClosed;
+  }
+
+  void Cancel()
+  {
+    mHandlers = {};
+    Close();
+  }
+
+  void Pause() { mIsPaused = true; }
+
+  void Resume()
+  {
+    if (std::exchange(mIsPaused, false)) {
+      WaitForBytes();
+    }
+  }
+
+  void Close()
+  {
+    if (mState == State::kClosed) {
+      return;
+    }
+    if (mState == State::kIdle) {
+      mClient->Remove(mAddress, this);
+    }
+    mState = State::kClosed;
+    error_code ignored; // The other end may have closed first.
+    mTimer.cancel(ignored);
+    mSocket.close(ignored);
+  }
+
+  void SetIdle(Duration aTime)
+  {
+    mState = State::kIdle;
+    mIn.shrink_to_fit();
+    SetTimer(asio::steady_timer::clock_type::now() + aTime);
+    WaitForBytes();
+  }
+
+private:
+  enum class State
+  {
+    kConnecting,
+    kCalling,
+    kIdle,
+    kClosed,
+  };
+
+  void NewParser()
+  {
+    mParser.emplace();
+    mParser->eager(true);
+    mParser->header_limit(kHeaderLimit);
+    mParser->body_limit(boost::none);
+    mParser->skip(mIsHead);
+  }
+
+  void Connect()
+  {
+    const auto endpoint = ParseEndpoint(mAddress);
+    error_code error;
+    if (endpoint) {
+      mSocket.open(endpoint->protocol(), error);
+    }
+    if (!endpoint || error) {
+      asio::post(mClient->context,
+                 [self = shared_from_this()] { self->End(CallResult::kNotConnected); });
+      return;
+    }
+    ++mClient->counts.connects;
+    SetSocketOptions(mSocket);
+    mSocket.async_connect(*endpoint, [self = shared_from_this()](error_code aError) {
+      if (self->mState != State::kConnecting) {
+        return;
+      }
+      if (aError) {
+        self->End(CallResult::kNotConnected);
+        return;
+      }
+      self->mState = State::kCalling;
+      self->SetTimer(self->mAnswerBy);
+      self->Send();
+    });
+  }
+
+  void Send()
+  {
+    if (mState != State::kCalling) {
+      return;
+    }
+    mIsWriting = true;
+    asio::async_write(mSocket,
+                      asio::buffer(mOut),
+                      [self = shared_from_this()](error_code aError, std::size_t /*aSize*/) {
+                        self->mIsWriting = false;
+                        // A failure to write shows as the end of the reading side as well; an
+                        // answer that came before it counts.
+                        if (!aError) {
+                          self->mOut.clear();
+                          self->mOut.shrink_to_fit();
+                        }
+                      });
+    WaitForBytes();
+  }
+
+  void WaitForBytes()
+  {
+    if (mIsWaiting || mIsPaused || mState == State::kClosed) {
+      return;
+    }
+    mIsWaiting = true;
+    mSocket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code aError) {
+      self->mIsWaiting = false;
+      self->OnReadable(aError);
+    });
+  }
+
+  void OnReadable(error_code aError)
+  {
+    if (mState == State::kClosed) {
+      return;
+    }
+    auto& buffer = ReadBuffer();
+    std::size_t size = 0;
+    if (!aError) {
+      mSocket.non_blocking(true, aError);
+    }
+    if (!aError) {
+      size = mSocket.read_some(asio::buffer(buffer), aError);
+    }
+    if (aError == asio::error::would_block) {
+      WaitForBytes();
+      return;
+    }
+    if (mState == State::kIdle) {
+      if (!aError && size > 0) {
+        ++mClient->counts.spoiled;
+      }
+      Close();
+      return;
+    }
+    if (aError) {
+      OnEndOfInput(aError == asio::error::eof);
+      return;
+    }
+    mIn.append(buffer.data(), size);
+    if (mHasHead && mSilenceTime > Duration::zero()) {
+      SetTimer(asio::steady_timer::clock_type::now() + mSilenceTime);
+    }
+    Parse();
+    WaitForBytes();
+  }
+
+  /* Takes the end of the reading side; an orderly one may end a body without a length. */
+  void OnEndOfInput(bool aIsOrderly)
+  {
+    if (aIsOrderly && mHasHead && !mIsSkipping && !mParser->is_done() && mParser->need_eof()) {
+      End(CallResult::kComplete);
+      return;
+    }
+    End(CallResult::kBroken);
+  }
+
+  void Parse()
+  {
+    while (mState == State::kCalling && !mIn.empty()) {
+      error_code error;
+      const std::size_t used = mParser->put(asio::buffer(mIn), error);
+      mIn.erase(0, used);
+      if (mParser->is_header_done() && !mHasHead && !OnHead()) {
+        continue;
+      }
+      if (error && error != beast_http::error::need_more) {
+        End(CallResult::kMalformed);
+        return;
+      }
+      PassBody();
+      if (mState != State::kCalling) {
+        return;
+      }
+      if (mParser->is_done()) {
+        OnAnswerDone();
+        continue;
+      }
+      if (error == beast_http::error::need_more || used == 0) {
+        return;
+      }
+    }
+  }
+
+  /* Takes a head; false when the parser was set up for the next answer. */
+  bool OnHead()
+  {
+    constexpr unsigned kFirstFinalStatus = 200;
+    if (mParser->get().result_int() < kFirstFinalStatus) {
+      NewParser(); // An interim answer; the final one follows.
+      return false;
+    }
+    mHasHead = true;
+    const AnswerHead head = ToHead(*mParser);
+    mStatedIdleTime = StatedIdleTime(head);
+    mIsSkipping = !mHandlers.onHead(head);
+    if (!mIsSkipping && mState == State::kCalling) {
+      if (mSilenceTime > Duration::zero()) {
+        SetTimer(asio::steady_timer::clock_type::now() + mSilenceTime);
+      } else {
+        error_code ignored; // Cancelling a timer does not fail.
+        mTimer.cancel(ignored);
+      }
+    }
+    return mState == State::kCalling;
+  }
+
+  void PassBody()
+  {
+    std::string body = std::exchange(mParser->get().body(), {});
+    if (!body.empty() && mHasHead && !mIsSkipping) {
+      mHandlers.onBody(body);
+    }
+  }
+
+  void OnAnswerDone()
+  {
+    if (!mIsSkipping) {
+      End(CallResult::kComplete);
+      return;
+    }
+    ++mClient->counts.spoiled;
+    if (++mSkipped > kSkipLimit || !mParser->keep_alive()) {
+      End(CallResult::kMalformed);
+      return;
+    }
+    mHasHead = false;
+    NewParser();
+  }
+
+  /* Ends the call; keeps the connection when nothing speaks against it. */
+  void End(CallResult aResult)
+  {
+    const bool isClean = aResult == CallResult::kComplete && mParser->is_done() &&
+                         mParser->keep_alive() && !mIsWriting && mOut.empty() && mIn.empty() &&
+                         mSkipped == 0;
+    if (aResult == CallResult::kComplete && !mIn.empty()) {
+      ++mClient->counts.spoiled;
+    }
+    auto handlers = std::exchange(mHandlers, {});
+    const Duration idleTime = std::min(mClient->options.idleTime,
+                                       mStatedIdleTime.value_or(mClient->options.idleTime) -
+                                         (mStatedIdleTime ? kKeepAliveMargin : Duration::zero()));
+    if (isClean && idleTime > Duration::zero() && !mClient->isClosed) {
+      SetIdle(idleTime);
+      mClient->Keep(mAddress, shared_from_this());
+    } else {
+      Close();
+    }
+    if (handlers.onEnd) {
+      handlers.onEnd(aResult);
+    }
+  }
+
+  void SetTimer(asio::steady_timer::time_point aTime)
+  {
+    mTimer.expires_at(aTime);
+    mTimer.async_wait([self = shared_from_this()](error_code aError) {
+      if (!aError && self->mTimer.expiry() <= asio::steady_timer::clock_type::now()) {
+        self->OnTimeout();
+      }
+    });
+  }
+
+  void OnTimeout()
+  {
+    switch (mState) {
+      case State::kConnecting:
+        End(CallResult::kNotConnected);
+        break;
+      case State::kCalling:
+        End(CallResult::kTimedOut);
+        break;
+      case State::kIdle:
+        Close();
+        break;
+      case State::kClosed:
+        break;
+    }
+  }
+
+  std::shared_ptr<Client::Impl> mClient;
+  std::string mAddress;
+  tcp::socket mSocket;
+  asio::steady_timer mTimer;
+  State mState = State::kConnecting;
+  std::uint64_t mCallNumber = 0;
+  CallHandlers mHandlers;
+  std::optional<Parser> mParser;
+  std::string mIn;
+  std::string mOut;
+  asio::steady_timer::time_point mAnswerBy;
+  Duration mSilenceTime{};
+  std::optional<Duration> mStatedIdleTime;
+  bool mIsHead = false;
+  bool mHasHead = false;
+  bool mIsSkipping = false;
+  int mSkipped = 0;
+  bool mIsPaused = false;
+  bool mIsWaiting = false;
+  bool mIsWriting = false;
+};
+
+std::shared_ptr<ClientConnection> Client::Impl::TakeIdle(const std::string& aAddress)
+{
+  const auto found = idle.find(aAddress);
+  if (found == idle.end() || found->second.empty()) {
+    return nullptr;
+  }
+  auto connection =
+    std::move(found->second.back()); // The one used last is the least likely to end.
+  found->second.pop_back();
+  if (found->second.empty()) {
+    idle.erase(found);
+  }
+  return connection;
+}
+
+void Client::Impl::Keep(const std::string& aAddress, std::shared_ptr<ClientConnection> aConnection)
+{
+  auto& list = idle[aAddress];
+  list.push_back(std::move(aConnection));
+  if (list.size() > options.idlePerAddress) {
+    const auto oldest = list.front();
+    oldest->Close();
+  }
+}
+
+void Client::Impl::Remove(const std::string& aAddress, const ClientConnection* aConnection)
+{
+  const auto found = idle.find(aAddress);
+  if (found == idle.end()) {
+    return;
+  }
+  std::erase_if(found->second, [&](const auto& aItem) { return aItem.get() == aConnection; });
+  if (found->second.empty()) {
+    idle.erase(found);
+  }
+}
+
+Client::Client(asio::io_context& aContext, ClientOptions aOptions)
+  : mImpl(std::make_shared<Impl>(aContext, aOptions))
+{
+}
+
+Client::~Client()
+{
+  Close();
+}
+
+std::unique_ptr<Call> Client::Start(CallOptions aOptions, CallHandlers aHandlers)
+{
+  ++mImpl->counts.calls;
+  std::shared_ptr<ClientConnection> connection;
+  if (aOptions.reuse == Reuse::kAllowed) {
+    connection = mImpl->TakeIdle(aOptions.address);
+  }
+  if (!connection) {
+    connection = std::make_shared<ClientConnection>(mImpl, aOptions.address);
+  }
+  const std::uint64_t number = connection->Begin(std::move(aOptions), std::move(aHandlers));
+  return std::make_unique<Call>(std::move(connection), number);
+}
+
+void Client::Forget(const std::string& aAddress)
+{
+  const auto found = mImpl->idle.find(aAddress);
+  if (found == mImpl->idle.end()) {
+    return;
+  }
+  const auto connections = found->second;
+  for (const auto& connection : connections) {
+    connection->Close();
+  }
+}
+
+void Client::Close()
+{
+  mImpl->isClosed = true;
+  const auto idle = mImpl->idle;
+  for (const auto& [address, connections] : idle) {
+    for (const auto& connection : connections) {
+      connection->Close();
+    }
+  }
+}
+
+ClientCounts Client::counts() const
+{
+  return mImpl->counts;
+}
+
+Call::Call(std::shared_ptr<ClientConnection> aConnection, std::uint64_t aNumber)
+  : mConnection(std::move(aConnection))
+  , mNumber(aNumber)
+{
+}
+
+Call::~Call() = default;
+
+std::shared_ptr<ClientConnection> Call::connection() const
+{
+  auto connection = mConnection.lock();
+  return connection && connection->IsUnderWay(mNumber) ? connection : nullptr;
+}
+
+void Call::Cancel()
+{
+  if (const auto current = connection()) {
+    current->Cancel();
+  }
+}
+
+void Call::Pause()
+{
+  if (const auto current = connection()) {
+    current->Pause();
+  }
+}
+
+void Call::Resume()
+{
+  if (const auto current = connection()) {
+    current->Resume();
+  }
+}
+
+} // namespace rhubarbtrail::http
--- /dev/null
+++ b/src/http/http_server.cpp
@@ -0,0 +1,628 @@
+/* An event-driven HTTP/1.1 server on Boost.Beast's parser. */
+#include "http/http_server.h"
+
+#include "http/socket_options.h"
+
+#include <algorithm>
+#include <array>
+#include <list>
+#include <optional>
+#include <unordered_set>
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace rhubarbtrail::http {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast_http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+/* Bytes read from a socket at a time. */
+constexpr std::size_t kReadSize = 16U << 10U;
+/* Bytes of following requests that are stored while one is being answered. */
+constexpr std::size_t kPipelineLimit = 64U << 10U;
+/* Time before accepting again after the host ran out of descriptors. */
+constexpr auto kAcceptPause = std::chrono::milliseconds{ 20 };
+/* Time for which a closing connection waits for the client's own close, so that the answer is not
+ * lost to a reset. */
+constexpr auto kLingerTime = std::chrono::milliseconds{ 500 };
+
+using Parser = beast_http::request_parser<beast_http::string_body>;
+
+/* The buffer into which all connections of the thread read; what is left over of a request is
+ * stored by its connection. */
+std::array<char, kReadSize>& ReadBuffer()
+{
+  thread_local std::array<char, kReadSize> sBuffer;
+  return sBuffer;
+}
+
+/* Returns what is wrong with a request's framing beyond what the parser checks: a coding that is
+ * not understood would leave the body to be read as the next request. */
+bool IsFramingSound(const Parser::value_type& aMessage, bool aIsChunked)
+{
+  const auto [first, last] = aMessage.equal_range(beast_http::field::transfer_encoding);
+  if (first != last) {
+    const bool isOne = std::next(first) == last;
+    const auto coding = first->value();
+    if (!isOne || !aIsChunked || aMessage.version() < 11 ||
+        !IsSameName({ coding.data(), coding.size() }, "chunked")) {
+      return false;
+    }
+  }
+  return aMessage.count(beast_http::field::content_length) <= 1 &&
+         aMessage.count(beast_http::field::host) == 1;
+}
+
+Request ToRequest(Parser::value_type& aMessage)
+{
+  const auto text = [](auto aView) { return std::string{ aView.data(), aView.size() }; };
+  Request request{ .method = text(aMessage.method_string()),
+                   .target = text(aMessage.target()),
+                   .fields = {},
+                   .body = std::move(aMessage.body()) };
+  for (const auto& item : aMessage) {
+    request.fields.push_back({ text(item.name_string()), text(item.value()) });
+  }
+  return request;
+}
+
+} // namespace
+
+struct Server::Impl : std::enable_shared_from_this<Server::Impl>
+{
+  Impl(asio::io_context& aContext, ServerOptions aOptions, Handler aHandler)
+    : context(aContext)
+    , options(std::move(aOptions))
+    , handler(std::move(aHandler))
+    , acceptor(aContext)
+    , acceptTimer(aContext)
+  {
+  }
+
+  void Accept();
+  void AcceptLater();
+  void CloseIdle();
+
+  asio::io_context& context;
+  ServerOptions options;
+  Handler handler;
+  tcp::acceptor acceptor;
+  asio::steady_timer acceptTimer;
+  ServerLimits limits;
+  bool isDraining = false;
+  bool isClosed = false;
+  ServerCounts counts;
+  std::unordered_set<ServerConnection*> connections;
+};
+
+/* One client connection. Reads go on while a request is being answered, so that the client's close
+ * is seen at once. */
+class ServerConnection : public std::enable_shared_from_this<ServerConnection>
+{
+public:
+  ServerConnection(std::shared_ptr<Server::Impl> aServer, tcp::socket aSocket)
+    : mServer(std::move(aServer))
+    , mSocket(std::move(aSocket))
+    , mTimer(mServer->context)
+  {
+    mServer->connections.insert(this);
+    ++mServer->counts.connections;
+  }
+
+  ~ServerConnection()
+  {
+    mServer->connections.erase(this);
+    --mServer->counts.connections;
+  }
+
+  void Start()
+  {
+    error_code ignored; // A connection that cannot be set up fails at its first read.
+    mSocket.non_blocking(true, ignored);
+    SetSocketOptions(mSocket);
+    SetTimer(mServer->limits.idleTime);
+    WaitForBytes();
+  }
+
+  bool isIdle() const { return mState == State::kReading && !mParser && mIn.empty(); }
+
+  void SendHead(const AnswerHead& aHead)
+  {
+    mFraming = aHead.framing;
+    const bool keeps =
+      mKeepsConnection && !mServer->isDraining && aHead.framing != Framing::kUntilClose;
+    mKeepsConnection = keeps;
+    Write(Serialize(aHead, keeps));
+  }
+
+  void SendBody(std::string_view aBytes)
+  {
+    if (aBytes.empty()) {
+      return;
+    }
+    Write(mFraming == Framing::kChunked ? Chunk(aBytes) : std::string{ aBytes });
+  }
+
+  void Finish()
+  {
+    if (mState != State::kAnswering) {
+      return;
+    }
+    if (mFraming == Framing::kChunked) {
+      Write(std::string{ kLastChunk });
+    }
+    EndAnswer();
+    if (!mKeepsConnection) {
+      mState = State::kClosing;
+      if (!mIsWriting) {
+        CloseSoftly();
+      }
+      return;
+    }
+    mState = State::kReading;
+    SetTimer(mServer->limits.idleTime);
+    // Another turn of the loop, so that the caller's stack is left before the next request.
+    asio::post(mServer->context, [self = shared_from_this()] {
+      self->WaitForBytes();
+      self->Parse();
+    });
+  }
+
+  void Abort()
+  {
+    if (mState == State::kAnswering) {
+      EndAnswer();
+    }
+    mState = State::kClosing;
+    if (!mIsWriting) {
+      Close();
+    } else {
+      mIsAborted = true;
+    }
+  }
+
+  std::size_t unsentBytes() const { return mWriting.size() + mOut.size(); }
+  void OnGone(std::function<void()> aHandler) { mOnGone = std::move(aHandler); }
+  void OnDrained(std::function<void()> aHandler) { mOnDrained = std::move(aHandler); }
+
+  void Close()
+  {
+    if (mState == State::kClosed) {
+      return;
+    }
+    const bool wasAnswering = mState == State::kAnswering;
+    mState = State::kClosed;
+    error_code ignored; // Closing twice or after a reset is no fault.
+    mTimer.cancel(ignored);
+    mSocket.close(ignored);
+    if (wasAnswering) {
+      --mServer->counts.openRequests;
+      auto gone = std::move(mOnGone);
+      mOnGone = nullptr;
+      mOnDrained = nullptr;
+      if (gone) {
+        gone();
+      }
+    }
+  }
+
+private:
+  enum class State
+  {
+    kReading,
+    kAnswering,
+    kClosing, ///< The last bytes are on their way.
+    kClosed,
+  };
+
+  void EndAnswer()
+  {
+    --mServer->counts.openRequests;
+    mOnGone = nullptr;
+    mOnDrained = nullptr;
+  }
+
+  void WaitForBytes()
+  {
+    if (mIsWaiting || mState == State::kClosed) {
+      return;
+    }
+    mIsWaiting = true;
+    mSocket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code aError) {
+      self->mIsWaiting = false;
+      self->OnReadable(aError);
+    });
+  }
+
+  void OnReadable(error_code aError)
+  {
+    if (mState == State::kClosed) {
+      return;
+    }
+    if (aError) {
+      Close();
+      return;
+    }
+    auto& buffer = ReadBuffer();
+    const std::size_t size = mSocket.read_some(asio::buffer(buffer), aError);
+    if (aError == asio::error::would_block) {
+      WaitForBytes();
+      return;
+    }
+    if (aError || size == 0) {
+      Close();
+      return;
+    }
+    if (mState == State::kClosing) {
+      WaitForBytes(); // Bytes after the last answer are dropped.
+      return;
+    }
+    mIn.append(buffer.data(), size);
+    Parse();
+    if (mState == State::kAnswering && mIn.size() > kPipelineLimit) {
+      Close();
+      return;
+    }
+    WaitForBytes();
+  }
+
+  /* Goes on with the request at the front of the stored bytes. */
+  void Parse()
+  {
+    if (mState != State::kReading || mIn.empty()) {
+      return;
+    }
+    if (!mParser) {
+      mParser.emplace();
+      mParser->eager(true);
+      mParser->header_limit(static_cast<std::uint32_t>(mServer->limits.headerBytes));
+      mParser->body_limit(mServer->limits.bodyBytes);
+      mHasHead = false;
+      SetTimer(mServer->limits.headerTime);
+    }
+    error_code error;
+    const std::size_t used = mParser->put(asio::buffer(mIn), error);
+    mIn.erase(0, used);
+    if (mParser->is_header_done() && !mHasHead && !OnHead()) {
+      return;
+    }
+    if (error && error != beast_http::error::need_more) {
+      Reject(error == beast_http::error::header_limit ? 431
+             : error == beast_http::error::body_limit ? 413
+                                                      : 400);
+      return;
+    }
+    if (!mParser->is_done()) {
+      return;
+    }
+    mKeepsConnection = mParser->keep_alive();
+    Request request = ToRequest(mParser->get());
+    mParser.reset();
+    if (mIn.empty()) {
+      mIn.shrink_to_fit();
+    }
+    BeginAnswer();
+    mServer->handler(std::move(request), std::make_shared<Responder>(shared_from_this()));
+  }
+
+  /* Checks a head that has just come in; false when the request was rejected. */
+  bool OnHead()
+  {
+    mHasHead = true;
+    const auto& message = mParser->get();
+    if (!IsFramingSound(message, mParser->chunked())) {
+      Reject(400);
+      return false;
+    }
+    SetTimer(mServer->limits.bodyTime);
+    const auto expected = message[beast_http::field::expect];
+    if (!mParser->is_done() && IsSameName({ expected.data(), expected.size() }, "100-continue")) {
+      Write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    return true;
+  }
+
+  void BeginAnswer()
+  {
+    mState = State::kAnswering;
+    ++mServer->counts.openRequests;
+    error_code ignored; // Cancelling a timer does not fail.
+    mTimer.cancel(ignored);
+  }
+
+  /* Answers a request that cannot be read, and closes. */
+  void Reject(unsigned aStatus)
+  {
+    ++mServer->counts.rejected;
+    mParser.reset();
+    mIn.clear();
+    mKeepsConnection = false;
+    BeginAnswer();
+    Responder{ shared_from_this() }.Send({ .status = aStatus, .reason = "Rejected" },
+                                         "{\"error\":\"the request is malformed or too large\"}");
+  }
+
+  void Write(std::string aBytes)
+  {
+    if (mState == State::kClosed || mState == State::kClosing) {
+      return;
+    }
+    mOut.append(aBytes);
+    if (!mIsWriting) {
+      WriteNext();
+    }
+  }
+
+  void WriteNext()
+  {
+    mIsWriting = true;
+    mWriting = std::exchange(mOut, {});
+    asio::async_write(mSocket,
+                      asio::buffer(mWriting),
+                      [self = shared_from_this()](error_code aError, std::size_t /*aSize*/) {
+                        self->OnWritten(aError);
+                      });
+  }
+
+  void OnWritten(error_code aError)
+  {
+    mIsWriting = false;
+    mWriting.clear();
+    if (mState == State::kClosed) {
+      return;
+    }
+    if (aError) {
+      Close();
+      return;
+    }
+    if (!mOut.empty()) {
+      WriteNext();
+      return;
+    }
+    if (mState == State::kClosing) {
+      if (mIsAborted) {
+        Close();
+      } else {
+        CloseSoftly();
+      }
+      return;
+    }
+    if (mState == State::kAnswering && mOnDrained) {
+      mOnDrained();
+    }
+  }
+
+  /* Ends the sending side and waits a little for the client to close. */
+  void CloseSoftly()
+  {
+    error_code ignored; // The client may have closed first.
+    mSocket.shutdown(tcp::socket::shutdown_send, ignored);
+    SetTimer(std::chrono::duration_cast<Duration>(kLingerTime));
+    mIn.clear();
+    WaitForBytes();
+  }
+
+  void SetTimer(Duration aTime)
+  {
+    mTimer.expires_after(aTime);
+    mTimer.async_wait([self = shared_from_this()](error_code aError) {
+      if (!aError && self->mState != State::kAnswering) {
+        self->OnTimeout();
+      }
+    });
+  }
+
+  void OnTimeout()
+  {
+    if (mTimer.expiry() > asio::steady_timer::clock_type::now()) {
+      return; // The timer was set anew while this call waited its turn.
+    }
+    if (mState == State::kReading && mParser) {
+      Reject(408);
+      return;
+    }
+    Close();
+  }
+
+  std::shared_ptr<Server::Impl> mServer;
+  tcp::socket mSocket;
+  asio::steady_timer mTimer;
+  State mState = State::kReading;
+  std::optional<Parser> mParser;
+  bool mHasHead = false;
+  bool mKeepsConnection = true;
+  bool mIsWaiting = false;
+  bool mIsWriting = false;
+  bool mIsAborted = false;
+  Framing mFraming = Framing::kNone;
+  std::string mIn;      ///< Read and not parsed yet.
+  std::string mOut;     ///< To be written after mWriting.
+  std::string mWriting; ///< Being written.
+  std::function<void()> mOnGone;
+  std::function<void()> mOnDrained;
+};
+
+void Server::Impl::Accept()
+{
+  acceptor.async_accept([self = shared_from_this()](error_code aError, tcp::socket aSocket) {
+    if (self->isClosed) {
+      return;
+    }
+    if (aError) {
+      self->CloseIdle();
+      self->AcceptLater();
+      return;
+    }
+    ++self->counts.accepted;
+    if (self->counts.connections >= self->options.connectionLimit) {
+      self->CloseIdle();
+    }
+    std::make_shared<ServerConnection>(self, std::move(aSocket))->Start();
+    self->Accept();
+  });
+}
+
+void Server::Impl::AcceptLater()
+{
+  acceptTimer.expires_after(kAcceptPause);
+  acceptTimer.async_wait([self = shared_from_this()](error_code aError) {
+    if (!aError && !self->isClosed) {
+      self->Accept();
+    }
+  });
+}
+
+/* Closes one connection without a request, to make room. */
+void Server::Impl::CloseIdle()
+{
+  const auto idle = std::find_if(connections.begin(),
+                                 connections.end(),
+                                 [](const ServerConnection* aItem) { return aItem->isIdle(); });
+  if (idle != connections.end()) {
+    (*idle)->shared_from_this()->Close();
+  }
+}
+
+Server::Server(asio::io_context& aContext, ServerOptions aOptions, Handler aHandler)
+  : mImpl(std::make_shared<Impl>(aContext, std::move(aOptions), std::move(aHandler)))
+{
+}
+
+Server::~Server()
+{
+  Close();
+}
+
+std::string Server::Listen()
+{
+  const auto endpoint = ParseEndpoint(mImpl->options.address);
+  if (!endpoint) {
+    return "'" + mImpl->options.address + "' is not an address";
+  }
+  error_code error;
+  mImpl->acceptor.open(endpoint->protocol(), error);
+  if (!error) {
+    mImpl->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    mImpl->acceptor.bind(*endpoint, error);
+  }
+  if (!error) {
+    mImpl->acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return mImpl->options.address + ": " + error.message();
+  }
+  mImpl->Accept();
+  return {};
+}
+
+void Server::SetLimits(const ServerLimits& aLimits)
+{
+  mImpl->limits = aLimits;
+}
+
+void Server::Drain()
+{
+  mImpl->isDraining = true;
+}
+
+void Server::Close()
+{
+  mImpl->isClosed = true;
+  error_code ignored; // Closing twice is no fault.
+  mImpl->acceptor.close(ignored);
+  mImpl->acceptTimer.cancel(ignored);
+  const auto open = mImpl->connections;
+  for (ServerConnection* connection : open) {
+    if (mImpl->connections.contains(connection)) {
+      connection->shared_from_this()->Close();
+    }
+  }
+}
+
+ServerCounts Server::counts() const
+{
+  return mImpl->counts;
+}
+
+std::uint16_t Server::port() const
+{
+  error_code ignored; // 0 before Listen().
+  return mImpl->acceptor.local_endpoint(ignored).port();
+}
+
+Responder::Responder(std::shared_ptr<ServerConnection> aConnection)
+  : mConnection(std::move(aConnection))
+{
+}
+
+Responder::~Responder() = default;
+
+void Responder::SendHead(const AnswerHead& aHead)
+{
+  if (const auto connection = mConnection.lock()) {
+    connection->SendHead(aHead);
+  }
+}
+
+void Responder::SendBody(std::string_view aBytes)
+{
+  if (const auto connection = mConnection.lock()) {
+    connection->SendBody(aBytes);
+  }
+}
+
+void Responder::Finish()
+{
+  if (const auto connection = std::exchange(mConnection, {}).lock()) {
+    connection->Finish();
+  }
+}
+
+void Responder::Abort()
+{
+  if (const auto connection = std::exchange(mConnection, {}).lock()) {
+    connection->Abort();
+  }
+}
+
+void Responder::Send(AnswerHead aHead, std::string_view aBody)
+{
+  aHead.framing = Framing::kLength;
+  aHead.length = aBody.size();
+  SendHead(aHead);
+  SendBody(aBody);
+  Finish();
+}
+
+std::size_t Responder::unsentBytes() const
+{
+  const auto connection = mConnection.lock();
+  return connection ? connection->unsentBytes() : 0;
+}
+
+void Responder::OnGone(std::function<void()> aHandler)
+{
+  if (const auto connection = mConnection.lock()) {
+    connection->OnGone(std::move(aHandler));
+  }
+}
+
+void Responder::OnDrained(std::function<void()> aHandler)
+{
+  if (const auto connection = mConnection.lock()) {
+    connection->OnDrained(std::move(aHandler));
+  }
+}
+
+} // namespace rhubarbtrail::http
--- /dev/null
+++ b/src/http/http_type.cpp
@@ -0,0 +1,134 @@
+/* Header fields and the form of messages on the wire. */
+#include "http/http_type.h"
+
+#include <algorithm>
+#include <array>
+#include <spdlog/fmt/fmt.h>
+
+namespace rhubarbtrail::http {
+
+namespace {
+
+char LowerCase(char aCharacter)
+{
+  return aCharacter >= 'A' && aCharacter <= 'Z' ? static_cast<char>(aCharacter - 'A' + 'a')
+                                                : aCharacter;
+}
+
+std::string_view Trim(std::string_view aText)
+{
+  while (!aText.empty() && (aText.front() == ' ' || aText.front() == '\t')) {
+    aText.remove_prefix(1);
+  }
+  while (!aText.empty() && (aText.back() == ' ' || aText.back() == '\t')) {
+    aText.remove_suffix(1);
+  }
+  return aText;
+}
+
+/* Returns whether a comma-separated list holds a word. */
+bool ListHolds(std::string_view aList, std::string_view aWord)
+{
+  while (!aList.empty()) {
+    const auto comma = aList.find(',');
+    if (IsSameName(Trim(aList.substr(0, comma)), aWord)) {
+      return true;
+    }
+    aList = comma == std::string_view::npos ? std::string_view{} : aList.substr(comma + 1);
+  }
+  return false;
+}
+
+void Append(std::string& aOut, std::string_view aName, std::string_view aValue)
+{
+  aOut.append(aName).append(": ").append(aValue).append("\r\n");
+}
+
+} // namespace
+
+bool IsSameName(std::string_view aLeft, std::string_view aRight)
+{
+  return std::equal(
+    aLeft.begin(), aLeft.end(), aRight.begin(), aRight.end(), [](char aFirst, char aSecond) {
+      return LowerCase(aFirst) == LowerCase(aSecond);
+    });
+}
+
+std::optional<std::string_view> Find(const Fields& aFields, std::string_view aName)
+{
+  for (const Field& field : aFields) {
+    if (IsSameName(field.name, aName)) {
+      return field.value;
+    }
+  }
+  return std::nullopt;
+}
+
+bool IsConnectionField(const Fields& aFields, std::string_view aName)
+{
+  constexpr std::array<std::string_view, 10> kNames{ "Connection",
+                                                     "Keep-Alive",
+                                                     "Proxy-Connection",
+                                                     "Proxy-Authenticate",
+                                                     "Proxy-Authorization",
+                                                     "TE",
+                                                     "Trailer",
+                                                     "Transfer-Encoding",
+                                                     "Upgrade",
+                                                     "Expect" };
+  if (std::any_of(kNames.begin(), kNames.end(), [&](std::string_view aKnown) {
+        return IsSameName(aKnown, aName);
+      })) {
+    return true;
+  }
+  return std::any_of(aFields.begin(), aFields.end(), [&](const Field& aField) {
+    return IsSameName(aField.name, "Connection") && ListHolds(aField.value, aName);
+  });
+}
+
+std::string Serialize(const AnswerHead& aHead, bool aKeepsConnection)
+{
+  std::string text = fmt::format("HTTP/1.1 {} {}\r\n", aHead.status, aHead.reason);
+  for (const Field& field : aHead.fields) {
+    Append(text, field.name, field.value);
+  }
+  switch (aHead.framing) {
+    case Framing::kLength:
+      Append(text, "Content-Length", std::to_string(aHead.length));
+      break;
+    case Framing::kChunked:
+      Append(text, "Transfer-Encoding", "chunked");
+      break;
+    case Framing::kNone:
+    case Framing::kUntilClose:
+      break;
+  }
+  if (!aKeepsConnection) {
+    Append(text, "Connection", "close");
+  }
+  return text.append("\r\n");
+}
+
+std::string Serialize(const Request& aRequest, std::string_view aHost)
+{
+  std::string text = aRequest.method + " " + aRequest.target + " HTTP/1.1\r\n";
+  if (!Find(aRequest.fields, "Host")) {
+    Append(text, "Host", aHost);
+  }
+  for (const Field& field : aRequest.fields) {
+    Append(text, field.name, field.value);
+  }
+  const bool hasBodyByNature = aRequest.method != "GET" && aRequest.method != "HEAD" &&
+                               aRequest.method != "DELETE" && aRequest.method != "OPTIONS";
+  if (!aRequest.body.empty() || hasBodyByNature) {
+    Append(text, "Content-Length", std::to_string(aRequest.body.size()));
+  }
+  return text.append("\r\n").append(aRequest.body);
+}
+
+std::string Chunk(std::string_view aBytes)
+{
+  return fmt::format("{:x}\r\n{}\r\n", aBytes.size(), aBytes);
+}
+
+} // namespace rhubarbtrail::http
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,6 +1,7 @@
 /* The command line. */
 #include "core/exit_code_type.h"
 #include "daemon/daemon.h"
+#include "daemon/edge_daemon.h"
 #include "load/load_commands.h"
 #include "operator/operator_commands.h"
 #include "settings/settings_base.h"
@@ -8,12 +9,17 @@
 #include <CLI/CLI.hpp>
 
 #include <cstdio>
+#include <cstdlib>
 #include <string>
 
 namespace {
 
+/* Where the users' platform says which settings file is meant. */
+constexpr const char* kSettingsVariable = "RHUBARBTRAIL_CONFIG";
+
 struct ServeOptions
 {
+  rhubarbtrail::SettingsUse use = rhubarbtrail::SettingsUse::kServe;
   std::string settingsFile;
   bool checkOnly = false;
   bool listOnly = false;
@@ -25,11 +31,17 @@
     std::fputs(rhubarbtrail::DescribeSettings().c_str(), stdout);
     return rhubarbtrail::kExitOk;
   }
-  if (aOptions.settingsFile.empty()) {
+  std::string file = aOptions.settingsFile;
+  const bool isEdge = aOptions.use == rhubarbtrail::SettingsUse::kEdge;
+  if (file.empty() && isEdge) {
+    const char* place = std::getenv(kSettingsVariable);
+    file = place == nullptr ? "" : place;
+  }
+  if (file.empty()) {
     std::fputs("--settings is required.\n", stderr);
     return rhubarbtrail::kExitBadInput;
   }
-  const auto settings = rhubarbtrail::LoadSettings(aOptions.settingsFile);
+  const auto settings = rhubarbtrail::LoadSettings(file, aOptions.use);
   if (!settings) {
     for (const auto& error : settings.error()) {
       std::fprintf(stderr, "%s:%d: %s\n", error.file.c_str(), error.line, error.reason.c_str());
@@ -40,7 +52,14 @@
     std::puts("The settings are valid.");
     return rhubarbtrail::kExitOk;
   }
-  return rhubarbtrail::RunDaemon(*settings);
+  return isEdge ? rhubarbtrail::RunEdgeDaemon(*settings, file) : rhubarbtrail::RunDaemon(*settings);
+}
+
+void AddServeOptions(CLI::App& aCommand, ServeOptions& aOptions)
+{
+  aCommand.add_option("--settings", aOptions.settingsFile, "Settings file (YAML).");
+  aCommand.add_flag("--check", aOptions.checkOnly, "Only check the settings.");
+  aCommand.add_flag("--list-settings", aOptions.listOnly, "Print the table of settings.");
 }
 
 } // namespace
@@ -52,11 +71,12 @@
   app.footer("Exit codes: 0 done, 1 refused, 2 bad input, 3 cannot listen, 4 unreachable, "
              "5 requests left open at shutdown.");
 
-  ServeOptions options;
+  ServeOptions serveOptions;
   CLI::App* serve = app.add_subcommand("serve", "Run a daemon.");
-  serve->add_option("--settings", options.settingsFile, "Settings file (YAML).");
-  serve->add_flag("--check", options.checkOnly, "Only check the settings.");
-  serve->add_flag("--list-settings", options.listOnly, "Print the table of settings.");
+  AddServeOptions(*serve, serveOptions);
+  ServeOptions edgeOptions{ .use = rhubarbtrail::SettingsUse::kEdge };
+  CLI::App* edge = app.add_subcommand("edge", "Run a daemon on the users' platform.");
+  AddServeOptions(*edge, edgeOptions);
 
   rhubarbtrail::OperatorCommands commands;
   commands.Add(app);
@@ -69,7 +89,10 @@
     return app.exit(error) == 0 ? rhubarbtrail::kExitOk : rhubarbtrail::kExitBadInput;
   }
   if (serve->parsed()) {
-    return Serve(options);
+    return Serve(serveOptions);
+  }
+  if (edge->parsed()) {
+    return Serve(edgeOptions);
   }
   return load.IsParsed() ? load.Run() : commands.Run();
 }
--- a/src/operator/configuration_store.h
+++ b/src/operator/configuration_store.h
@@ -3,7 +3,7 @@
 #define RHUBARBTRAIL_OPERATOR_CONFIGURATION_STORE_H
 
 #include "config/configuration_document.h"
-#include "platform/table_client.h"
+#include "table/table_client.h"
 
 #include <cstdint>
 #include <optional>
--- /dev/null
+++ b/src/platform/json_reader.h
@@ -0,0 +1,117 @@
+/* Strict reading of members of JSON objects. */
+#ifndef RHUBARBTRAIL_PLATFORM_JSON_READER_H
+#define RHUBARBTRAIL_PLATFORM_JSON_READER_H
+
+#include "core/unit_type.h"
+
+#include <cmath>
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <string>
+
+namespace rhubarbtrail::platform {
+
+using Json = nlohmann::json;
+
+/* Thrown by the readers below; caught at the decoder's door and turned into an error value. */
+class DecodeError : public std::runtime_error
+{
+public:
+  using std::runtime_error::runtime_error;
+};
+
+/* Parses bytes as JSON; throws DecodeError. */
+inline Json ParseJson(const std::string& aText)
+{
+  Json value = Json::parse(aText, nullptr, false);
+  if (value.is_discarded()) {
+    throw DecodeError("not JSON");
+  }
+  return value;
+}
+
+/* Returns a member, or throws when it is missing. */
+inline const Json& Member(const Json& aObject, const char* aName)
+{
+  const auto found = aObject.find(aName);
+  if (!aObject.is_object() || found == aObject.end()) {
+    throw DecodeError(std::string{ aName } + " is missing");
+  }
+  return *found;
+}
+
+inline const std::string& Text(const Json& aObject, const char* aName)
+{
+  const Json& value = Member(aObject, aName);
+  if (!value.is_string()) {
+    throw DecodeError(std::string{ aName } + " is not a text");
+  }
+  return value.get_ref<const std::string&>();
+}
+
+/* Returns a number that is not negative. */
+inline double Number(const Json& aObject, const char* aName)
+{
+  const Json& value = Member(aObject, aName);
+  if (!value.is_number() || !(value.get<double>() >= 0.0) || !std::isfinite(value.get<double>())) {
+    throw DecodeError(std::string{ aName } + " is not a number of 0 or more");
+  }
+  return value.get<double>();
+}
+
+inline double NumberOr(const Json& aObject, const char* aName, double aDefault)
+{
+  return aObject.contains(aName) ? Number(aObject, aName) : aDefault;
+}
+
+/* Returns a whole number that is not negative. */
+inline std::uint64_t Whole(const Json& aObject, const char* aName)
+{
+  const Json& value = Member(aObject, aName);
+  if (!value.is_number_integer() ||
+      (value.is_number_integer() && !value.is_number_unsigned() && value.get<std::int64_t>() < 0)) {
+    throw DecodeError(std::string{ aName } + " is not a whole number of 0 or more");
+  }
+  return value.get<std::uint64_t>();
+}
+
+inline std::uint64_t WholeOr(const Json& aObject, const char* aName, std::uint64_t aDefault)
+{
+  return aObject.contains(aName) ? Whole(aObject, aName) : aDefault;
+}
+
+inline bool FlagOr(const Json& aObject, const char* aName, bool aDefault)
+{
+  const auto found = aObject.find(aName);
+  if (found == aObject.end()) {
+    return aDefault;
+  }
+  if (!found->is_boolean()) {
+    throw DecodeError(std::string{ aName } + " is not true or false");
+  }
+  return found->get<bool>();
+}
+
+inline const Json& List(const Json& aObject, const char* aName)
+{
+  const Json& value = Member(aObject, aName);
+  if (!value.is_array()) {
+    throw DecodeError(std::string{ aName } + " is not a list");
+  }
+  return value;
+}
+
+inline Duration MillisecondsOf(double aValue)
+{
+  return Duration{ static_cast<Duration::rep>(aValue * 1e3) };
+}
+
+inline Duration SecondsOf(double aValue)
+{
+  return Duration{ static_cast<Duration::rep>(aValue * 1e6) };
+}
+
+} // namespace rhubarbtrail::platform
+
+#endif
--- /dev/null
+++ b/src/platform/request_headers.cpp
@@ -0,0 +1,210 @@
+/* Decodes the header fields of clients' requests and endpoints' answers, and sets our own. */
+#include "platform/request_headers.h"
+
+#include "platform/wire_names.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <spdlog/fmt/fmt.h>
+
+namespace rhubarbtrail::platform {
+
+namespace {
+
+/* Fields that only the system may set on the way to an endpoint. */
+constexpr std::array kOwnFields{ field::kTarget,    field::kPriority,      field::kHold,
+                                 field::kPin,       field::kBackup,        field::kResumeFrom,
+                                 field::kFetchFrom, field::kExpectVersion, field::kDeadline };
+
+template<typename Whole>
+std::optional<Whole> ParseWhole(std::string_view aText, int aBase = 10)
+{
+  Whole value{};
+  const auto [end, error] =
+    std::from_chars(aText.data(), aText.data() + aText.size(), value, aBase);
+  if (error != std::errc{} || end != aText.data() + aText.size()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+/* Takes the text up to a separator off the front of a list. */
+std::string_view TakeItem(std::string_view& aList, char aSeparator)
+{
+  const auto end = aList.find(aSeparator);
+  const std::string_view item = aList.substr(0, end);
+  aList = end == std::string_view::npos ? std::string_view{} : aList.substr(end + 1);
+  return item;
+}
+
+std::vector<fleet::PromptPart> DecodeParts(std::string_view aList)
+{
+  std::vector<fleet::PromptPart> parts;
+  while (!aList.empty()) {
+    std::string_view item = TakeItem(aList, ',');
+    const auto id = ParseWhole<std::uint64_t>(TakeItem(item, ':'), 16);
+    const auto tokens = ParseWhole<std::uint32_t>(item);
+    if (!id || !tokens) {
+      break; // What follows an unreadable part cannot be shared either.
+    }
+    parts.push_back({ .id = *id, .tokens = *tokens });
+  }
+  return parts;
+}
+
+std::optional<fleet::ModelWork> DecodeWork(const http::Fields& aFields)
+{
+  const auto model = http::Find(aFields, field::kModel);
+  if (!model) {
+    return std::nullopt;
+  }
+  fleet::ModelWork work;
+  std::string_view name = *model;
+  work.target.model = ModelId{ std::string{ TakeItem(name, '/') } };
+  work.target.adapter = AdapterId{ std::string{ name } };
+  if (auto tokens = http::Find(aFields, field::kTokens)) {
+    work.promptTokens = ParseWhole<std::uint32_t>(TakeItem(*tokens, ',')).value_or(0);
+    work.outputTokens = ParseWhole<std::uint32_t>(*tokens).value_or(0);
+  }
+  if (const auto parts = http::Find(aFields, field::kPromptParts)) {
+    work.parts = DecodeParts(*parts);
+  }
+  return work;
+}
+
+bool IsOwnField(std::string_view aName)
+{
+  return std::any_of(kOwnFields.begin(), kOwnFields.end(), [&](std::string_view aOwn) {
+    return http::IsSameName(aOwn, aName);
+  });
+}
+
+bool IsFramingField(std::string_view aName)
+{
+  return http::IsSameName(aName, "Content-Length") || http::IsSameName(aName, "Transfer-Encoding");
+}
+
+} // namespace
+
+ClientRequest DecodeClientRequest(const http::Request& aRequest)
+{
+  ClientRequest decoded;
+  decoded.requestId = std::string{ http::Find(aRequest.fields, field::kRequestId).value_or("") };
+  if (const auto deadline = http::Find(aRequest.fields, field::kDeadline)) {
+    if (const auto value = ParseWhole<std::int64_t>(*deadline); value && *value >= 0) {
+      decoded.timeLeft = std::chrono::milliseconds{ std::min<std::int64_t>(*value, 86'400'000) };
+    }
+  }
+  decoded.work = DecodeWork(aRequest.fields);
+  decoded.lastEventId =
+    std::string{ http::Find(aRequest.fields, field::kLastEventId).value_or("") };
+  return decoded;
+}
+
+http::Request EncodeForward(const http::Request& aRequest, const ForwardOptions& aOptions)
+{
+  http::Request forward{
+    .method = aRequest.method, .target = aRequest.target, .fields = {}, .body = aRequest.body
+  };
+  forward.fields.reserve(aRequest.fields.size() + 4);
+  for (const http::Field& item : aRequest.fields) {
+    const bool isReplaced =
+      !aOptions.lastEventId.empty() && http::IsSameName(item.name, field::kLastEventId);
+    if (http::IsConnectionField(aRequest.fields, item.name) || IsFramingField(item.name) ||
+        IsOwnField(item.name) || isReplaced) {
+      continue;
+    }
+    forward.fields.push_back(item);
+  }
+  const auto add = [&](std::string_view aName, std::string aValue) {
+    forward.fields.push_back({ std::string{ aName }, std::move(aValue) });
+  };
+  using std::chrono::milliseconds;
+  const auto left = std::chrono::duration_cast<milliseconds>(aOptions.timeLeft).count();
+  add(field::kDeadline, std::to_string(std::max<std::int64_t>(left, 1)));
+  add(field::kTarget, aOptions.endpoint.str());
+  if (aOptions.hasPriority) {
+    add(field::kPriority, std::to_string(std::min<std::uint32_t>(aOptions.priority, 9)));
+  }
+  if (!aOptions.lastEventId.empty()) {
+    add(field::kLastEventId, aOptions.lastEventId);
+  }
+  return forward;
+}
+
+EndpointAnswer DecodeEndpointAnswer(const http::AnswerHead& aHead)
+{
+  constexpr unsigned kMisdirected = 421;
+  EndpointAnswer answer;
+  answer.requestId = std::string{ http::Find(aHead.fields, field::kRequestId).value_or("") };
+  answer.isSigned = http::Find(aHead.fields, field::kSignature).has_value();
+  answer.isNotRun =
+    http::Find(aHead.fields, field::kNotExecuted).has_value() || aHead.status == kMisdirected;
+  const auto encoding = http::Find(aHead.fields, field::kContentEncoding);
+  answer.isEncoded = encoding && !http::IsSameName(*encoding, "identity");
+  if (auto load = http::Find(aHead.fields, field::kLoad)) {
+    const auto running = ParseWhole<std::uint32_t>(TakeItem(*load, ','));
+    const auto waiting = ParseWhole<std::uint32_t>(TakeItem(*load, ','));
+    const auto slots = ParseWhole<std::uint32_t>(*load);
+    if (running && waiting && slots) {
+      answer.load = { .running = *running, .waiting = *waiting, .slots = *slots };
+    }
+  }
+  return answer;
+}
+
+http::AnswerHead EncodeAnswer(const http::AnswerHead& aHead)
+{
+  http::AnswerHead answer{ .status = aHead.status, .reason = aHead.reason };
+  for (const http::Field& item : aHead.fields) {
+    if (http::IsConnectionField(aHead.fields, item.name) || IsFramingField(item.name) ||
+        http::IsSameName(item.name, field::kLoad)) {
+      continue;
+    }
+    answer.fields.push_back(item);
+  }
+  return answer;
+}
+
+http::AnswerHead EncodeOwnAnswer(unsigned aStatus,
+                                 const std::string& aRequestId,
+                                 Duration aRetryAfter)
+{
+  http::AnswerHead head{ .status = aStatus };
+  if (!aRequestId.empty()) {
+    head.fields.push_back({ std::string{ field::kRequestId }, aRequestId });
+  }
+  if (aRetryAfter > Duration::zero()) {
+    const double seconds = std::chrono::duration<double>(aRetryAfter).count();
+    head.fields.push_back({ std::string{ field::kRetryAfter }, fmt::format("{:.3f}", seconds) });
+  }
+  head.fields.push_back({ "Content-Type", "application/json" });
+  return head;
+}
+
+bool IsReadinessCheck(const http::Request& aRequest)
+{
+  return aRequest.method == "GET" && aRequest.target == path::kReady;
+}
+
+std::string EventId(std::string_view aEvent)
+{
+  while (!aEvent.empty()) {
+    std::string_view line = TakeItem(aEvent, '\n');
+    if (!line.starts_with("id:")) {
+      continue;
+    }
+    line.remove_prefix(3);
+    while (!line.empty() && (line.front() == ' ')) {
+      line.remove_prefix(1);
+    }
+    while (!line.empty() && line.back() == '\r') {
+      line.remove_suffix(1);
+    }
+    return std::string{ line };
+  }
+  return {};
+}
+
+} // namespace rhubarbtrail::platform
--- /dev/null
+++ b/src/platform/runner_decoder.cpp
@@ -0,0 +1,199 @@
+/* Decodes what runners say of themselves, and encodes orders to them. */
+#include "platform/runner_decoder.h"
+
+#include "platform/json_reader.h"
+#include "platform/wire_names.h"
+
+#include <algorithm>
+
+namespace rhubarbtrail::platform {
+
+namespace {
+
+/* Splits MODEL/ADAPTER@VERSION, the form in which arriving adapters are listed. */
+fleet::ModelRef DecodeArriving(const std::string& aText)
+{
+  const auto slash = aText.find('/');
+  if (slash == std::string::npos) {
+    throw DecodeError("an arriving adapter has no model");
+  }
+  return { .model = ModelId{ aText.substr(0, slash) },
+           .adapter = AdapterId{ aText.substr(slash + 1, aText.find('@') - slash - 1) } };
+}
+
+std::set<ModelId> DecodeModelNames(const Json& aObject, const char* aName)
+{
+  std::set<ModelId> names;
+  if (!aObject.contains(aName)) {
+    return names;
+  }
+  for (const Json& item : List(aObject, aName)) {
+    if (!item.is_string()) {
+      throw DecodeError(std::string{ aName } + " holds something else than names");
+    }
+    names.insert(ModelId{ item.get<std::string>() });
+  }
+  return names;
+}
+
+fleet::RunnerHoldings DecodeHoldings(const Json& aObject)
+{
+  fleet::RunnerHoldings holdings;
+  if (aObject.contains("models")) {
+    for (const Json& item : List(aObject, "models")) {
+      std::set<AdapterId>& adapters = holdings.models[ModelId{ Text(item, "name") }];
+      if (!item.contains("adapters")) {
+        continue;
+      }
+      for (const Json& adapter : List(item, "adapters")) {
+        if (!adapter.is_string()) {
+          throw DecodeError("adapters holds something else than names");
+        }
+        // An adapter may be followed by its version.
+        const std::string name = adapter.get<std::string>();
+        adapters.insert(AdapterId{ name.substr(0, name.find('@')) });
+      }
+    }
+  }
+  if (aObject.contains("coming")) {
+    for (const Json& item : List(aObject, "coming")) {
+      holdings.arriving.insert(DecodeArriving(item.get<std::string>()));
+    }
+  }
+  if (const auto copies = aObject.find("atHand"); copies != aObject.end()) {
+    holdings.inHostMemory = DecodeModelNames(*copies, "inMemory");
+    holdings.onDisk = DecodeModelNames(*copies, "onDisk");
+  }
+  return holdings;
+}
+
+fleet::RunnerState DecodeState(const std::string& aWord)
+{
+  if (aWord == "ready") {
+    return fleet::RunnerState::kReady;
+  }
+  if (aWord == "draining") {
+    return fleet::RunnerState::kDraining;
+  }
+  throw DecodeError("state is unknown: " + aWord);
+}
+
+std::int64_t DecodeStart(const Json& aObject)
+{
+  return static_cast<std::int64_t>(WholeOr(aObject, "born", 0));
+}
+
+/* Runs a decoder and turns what it throws into an error value. */
+template<typename Result, typename Decoder>
+tl::expected<Result, std::string> Guard(const Decoder& aDecoder)
+{
+  try {
+    return aDecoder();
+  } catch (const DecodeError& error) {
+    return tl::make_unexpected(std::string{ error.what() });
+  } catch (const Json::exception& error) {
+    return tl::make_unexpected(std::string{ error.what() });
+  }
+}
+
+bool IsAddress(const std::string& aText)
+{
+  const auto colon = aText.rfind(':');
+  return colon != std::string::npos && colon > 0 && colon + 1 < aText.size() &&
+         std::all_of(aText.begin() + static_cast<std::ptrdiff_t>(colon) + 1,
+                     aText.end(),
+                     [](char aCharacter) { return aCharacter >= '0' && aCharacter <= '9'; });
+}
+
+} // namespace
+
+tl::expected<fleet::RunnerEntry, std::string> DecodeRunnerEntry(const std::string& aId,
+                                                                const std::string& aDocument)
+{
+  return Guard<fleet::RunnerEntry>([&] {
+    const Json document = ParseJson(aDocument);
+    fleet::RunnerEntry entry;
+    entry.id = EndpointId{ aId };
+    entry.service = ServiceId{ Text(document, "backend") };
+    entry.zone = ZoneId{ Text(document, "zone") };
+    entry.address = Text(document, "address");
+    if (!IsAddress(entry.address)) {
+      throw DecodeError("address is not HOST:PORT");
+    }
+    entry.slots = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(Whole(document, "slots")));
+    entry.state = DecodeState(Text(document, "state"));
+    if (document.contains("remainingMs")) {
+      entry.leavesIn = MillisecondsOf(Number(document, "remainingMs"));
+    }
+    entry.orderCount = WholeOr(document, "seq", 0); // Counts accepted orders.
+    entry.startedAtMs = DecodeStart(document);
+    entry.holdings = DecodeHoldings(document);
+    return entry;
+  });
+}
+
+tl::expected<fleet::RunnerReport, std::string> DecodeRunnerReport(const std::string& aDocument)
+{
+  return Guard<fleet::RunnerReport>([&] {
+    const Json document = ParseJson(aDocument);
+    fleet::RunnerReport report;
+    report.isBusy = FlagOr(document, "busy", false);
+    report.orderCount = WholeOr(document, "seq", 0);
+    report.startedAtMs = DecodeStart(document);
+    report.running = static_cast<std::uint32_t>(WholeOr(document, "running", 0));
+    report.waiting = static_cast<std::uint32_t>(WholeOr(document, "waiting", 0));
+    report.cacheUsed = WholeOr(document, "kvUsed", 0);
+    if (document.contains("state")) {
+      report.state = DecodeState(Text(document, "state"));
+    }
+    report.holdings = DecodeHoldings(document);
+    return report;
+  });
+}
+
+http::Request EncodeReportCall(const EndpointId& aRunner)
+{
+  return { .method = "GET",
+           .target = std::string{ path::kReport },
+           .fields = { { std::string{ field::kTarget }, aRunner.str() } },
+           .body = {} };
+}
+
+http::Request EncodeOrder(const fleet::RunnerOrder& aOrder)
+{
+  Json body{ { "operation",
+               aOrder.kind == fleet::OrderKind::kLoad ? "model_load" : "model_unload" },
+             { "model", aOrder.subject.model.str() },
+             { "holder", aOrder.holder },
+             { "fencingToken", aOrder.fence.value },
+             { "expectedRev", aOrder.expectedOrderCount } }; // Compared with the order count.
+  if (!aOrder.subject.adapter.empty()) {
+    body["adapter"] = aOrder.subject.adapter.str();
+  }
+  return { .method = "POST",
+           .target = std::string{ path::kOrder },
+           .fields = { { "Content-Type", "application/json" },
+                       { std::string{ field::kTarget }, aOrder.runner.str() } },
+           .body = body.dump() };
+}
+
+fleet::OrderOutcome DecodeOrderAnswer(unsigned aStatus)
+{
+  switch (aStatus) {
+    case 202:
+      return fleet::OrderOutcome::kAccepted;
+    case 200:
+      return fleet::OrderOutcome::kHolds;
+    case 409:
+      return fleet::OrderOutcome::kConflict;
+    case 412:
+      return fleet::OrderOutcome::kFenced;
+    case 400:
+    case 421:
+      return fleet::OrderOutcome::kRejected;
+    default:
+      return fleet::OrderOutcome::kUnknown;
+  }
+}
+
+} // namespace rhubarbtrail::platform
--- /dev/null
+++ b/src/platform/store_codec.cpp
@@ -0,0 +1,125 @@
+/* Encodes calls to the platform's store of rows, and decodes its answers. */
+#include "platform/store_codec.h"
+
+#include "platform/json_reader.h"
+#include "platform/wire_names.h"
+
+#include <openssl/evp.h>
+#include <spdlog/fmt/fmt.h>
+
+namespace rhubarbtrail::platform {
+
+namespace {
+
+std::string ToBase64(const std::string& aBytes)
+{
+  std::string text(4 * ((aBytes.size() + 2) / 3) + 1, '\0'); // One more for the closing zero.
+  const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                                     reinterpret_cast<const unsigned char*>(aBytes.data()),
+                                     static_cast<int>(aBytes.size()));
+  text.resize(static_cast<std::size_t>(length));
+  return text;
+}
+
+/* Decodes base64; throws DecodeError. */
+std::string FromBase64(const std::string& aText)
+{
+  if (aText.empty()) {
+    return {};
+  }
+  std::string bytes(3 * (aText.size() / 4 + 1), '\0');
+  const int length = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+                                     reinterpret_cast<const unsigned char*>(aText.data()),
+                                     static_cast<int>(aText.size()));
+  if (length < 0 || aText.size() % 4 != 0) {
+    throw DecodeError("value is not base64");
+  }
+  std::size_t padding = 0;
+  while (padding < 2 && padding < aText.size() && aText[aText.size() - 1 - padding] == '=') {
+    ++padding;
+  }
+  bytes.resize(static_cast<std::size_t>(length) - padding);
+  return bytes;
+}
+
+StoreRow DecodeRow(const Json& aRow)
+{
+  StoreRow row{ .table = Text(aRow, "table"),
+                .key = Text(aRow, "key"),
+                .value = {},
+                .version = { WholeOr(aRow, "ver", 0) },
+                .isRemoved = FlagOr(aRow, "removed", false) };
+  if (!row.isRemoved && aRow.contains("value") && aRow["value"].is_string()) {
+    row.value = FromBase64(aRow["value"].get<std::string>());
+  }
+  return row;
+}
+
+} // namespace
+
+http::Request EncodeWrite(const StoreWrite& aWrite)
+{
+  const Json key{ { "table", aWrite.table }, { "part", "" }, { "key", aWrite.key } };
+  Json condition = key;
+  condition["ver"] = aWrite.expected.value;
+  // The member with the name of a revision holds the rows that must be unchanged.
+  Json body{ { "expectedRev", Json::array({ condition }) },
+             { "setKeys", Json::array() },
+             { "remove", Json::array() } };
+  if (aWrite.value) {
+    Json row = key;
+    row["value"] = ToBase64(*aWrite.value);
+    body["setKeys"].push_back(std::move(row));
+  } else {
+    body["remove"].push_back(key);
+  }
+  return { .method = "POST",
+           .target = std::string{ path::kTransaction },
+           .fields = { { "Content-Type", "application/json" } },
+           .body = body.dump() };
+}
+
+http::Request EncodeRead(const std::string& aTable, const std::string& aFirstKey)
+{
+  std::string target = fmt::format("{}?table={}&part=", path::kRows, aTable);
+  if (!aFirstKey.empty()) {
+    target += "&from=" + aFirstKey;
+  }
+  return { .method = "GET", .target = std::move(target), .fields = {}, .body = {} };
+}
+
+http::Request EncodeWatch(const std::string& aTable, RowVersion aAfter, Duration aWait)
+{
+  using std::chrono::duration_cast;
+  using std::chrono::milliseconds;
+  return { .method = "GET",
+           .target = fmt::format("{}?table={}&after={}&waitMs={}",
+                                 path::kChanges,
+                                 aTable,
+                                 aAfter.value,
+                                 duration_cast<milliseconds>(aWait).count()),
+           .fields = {},
+           .body = {} };
+}
+
+tl::expected<StoreAnswer, std::string> DecodeStoreAnswer(const std::string& aBody)
+{
+  try {
+    const Json body = ParseJson(aBody);
+    StoreAnswer answer;
+    answer.newest = { Whole(body, "ver") };
+    answer.isTruncated = FlagOr(body, "truncated", false);
+    if (body.contains("rows")) {
+      for (const Json& row : List(body, "rows")) {
+        answer.rows.push_back(DecodeRow(row));
+      }
+    }
+    return answer;
+  } catch (const DecodeError& error) {
+    return tl::make_unexpected(std::string{ error.what() });
+  } catch (const Json::exception& error) {
+    return tl::make_unexpected(std::string{ error.what() });
+  }
+}
+
+} // namespace rhubarbtrail::platform
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -29,17 +29,19 @@
   }
 }
 
-SettingInfo Text(std::string_view aName,
-                 std::string Settings::*aField,
-                 std::string_view aDescription)
+template<typename Access>
+SettingInfo Text(std::string_view aName, Access aAccess, std::string_view aDescription)
 {
   return { aName,
            "text",
            "any",
            aDescription,
-           [aField](const Settings& aSettings) { return aSettings.*aField; },
-           [aField](Settings& aSettings, const std::string& aText) -> SetResult {
-             aSettings.*aField = aText;
+           [aAccess](const Settings& aSettings) {
+             Settings copy = aSettings;
+             return aAccess(copy);
+           },
+           [aAccess](Settings& aSettings, const std::string& aText) -> SetResult {
+             aAccess(aSettings) = aText;
              return {};
            } };
 }
@@ -99,6 +101,34 @@
            } };
 }
 
+/* A duration in seconds, with decimals. */
+template<typename Access>
+SettingInfo Seconds(std::string_view aName,
+                    std::string_view aRange,
+                    Access aAccess,
+                    double aLow,
+                    double aHigh,
+                    std::string_view aDescription)
+{
+  return { aName,
+           "s",
+           aRange,
+           aDescription,
+           [aAccess](const Settings& aSettings) {
+             Settings copy = aSettings;
+             return ShowNumber(std::chrono::duration<double>(aAccess(copy)).count());
+           },
+           [=](Settings& aSettings, const std::string& aText) -> SetResult {
+             const auto value = ParseNumber<double>(aText, aLow, aHigh);
+             if (!value) {
+               return tl::make_unexpected(value.error());
+             }
+             aAccess(aSettings) =
+               std::chrono::duration_cast<Duration>(std::chrono::duration<double>{ *value });
+             return {};
+           } };
+}
+
 SettingInfo Choice(std::string_view aName,
                    std::string_view aRange,
                    std::vector<std::string> aWords,
@@ -131,9 +161,9 @@
 {
   constexpr std::int64_t kHourMs = 3'600'000;
   return {
-    Text("daemon_id", &Settings::daemonId, "Name of this daemon, unique among all."),
-    Text("zone", &Settings::zone, "Availability zone of this host."),
-    Text("listen_address", &Settings::listenAddress, "IP number to listen on."),
+    Text("daemon_id", FIELD(daemonId), "Name of this daemon, unique among all."),
+    Text("zone", FIELD(zone), "Availability zone of this host."),
+    Text("listen_address", FIELD(listenAddress), "IP number to listen on."),
     Numeric("caller_port",
             "port",
             "0..65535",
@@ -155,10 +185,10 @@
             0,
             65'535,
             "Port for other daemons; 0 lets the kernel choose."),
-    Text("address_file", &Settings::addressFile, "File that receives the ports in use."),
-    Text("table", &Settings::table, "host:port of the platform's table service."),
-    Text("host_list", &Settings::hostList, "host:port of the platform's host list."),
-    Text("operator_keys", &Settings::operatorKeys, "YAML file with hashes of operators' keys."),
+    Text("address_file", FIELD(addressFile), "File that receives the ports in use."),
+    Text("table", FIELD(table), "host:port of the platform's table service."),
+    Text("host_list", FIELD(hostList), "host:port of the platform's host list."),
+    Text("operator_keys", FIELD(operatorKeys), "YAML file with hashes of operators' keys."),
     Choice(
       "log_level",
       "debug|info|warn|error",
@@ -325,6 +355,65 @@
             0.0,
             1'000.0,
             "Retries that can be saved up."),
+    Text("front_address", FIELD(edge.frontAddress), "host:port for clients (`edge`)."),
+    Text("ready_address", FIELD(edge.readyAddress), "host:port for the balancer (`edge`)."),
+    Text("link_address", FIELD(edge.linkAddress), "host:port for other daemons (`edge`)."),
+    Text("metrics_address",
+         FIELD(edge.metricsAddress),
+         "host:port of the metrics and the state dump (`edge`)."),
+    Text("store_address", FIELD(edge.storeAddress), "host:port of the platform's store (`edge`)."),
+    Numeric("cpu_share",
+            "cores",
+            "0.01..1024",
+            FIELD(edge.cpuShare),
+            0.01,
+            1'024.0,
+            "Processor that the host has; the best equipped host gives the orders (`edge`)."),
+    Numeric("descriptor_limit",
+            "descriptors",
+            "256..1000000",
+            FIELD(edge.descriptorLimit),
+            256,
+            1'000'000,
+            "Files and sockets that may be open (`edge`)."),
+    Seconds("shutdown_grace",
+            "0.5..3600",
+            FIELD(edge.shutdownGrace),
+            0.5,
+            3'600.0,
+            "Time from SIGTERM until the process is killed (`edge`)."),
+    Milliseconds("lease_spacing",
+                 "100..60000",
+                 FIELD(edge.leaseSpacing),
+                 100,
+                 60'000,
+                 "Least time between orders of two holders (`edge`)."),
+    Seconds("retry_window",
+            "1..3600",
+            FIELD(edge.retryWindow),
+            1.0,
+            3'600.0,
+            "Time over which retries are counted (`edge`)."),
+    Numeric("retry_slack",
+            "retries",
+            "0..100000",
+            FIELD(edge.retrySlack),
+            0.0,
+            100'000.0,
+            "Retries in a window beyond the ratio, of the whole fleet (`edge`)."),
+    Seconds("load_window",
+            "0.1..3600",
+            FIELD(edge.loadWindow),
+            0.1,
+            3'600.0,
+            "Time over which loads from the weight store are counted (`edge`)."),
+    Numeric("load_overage",
+            "times",
+            "0.1..100",
+            FIELD(edge.loadOverage),
+            0.1,
+            100.0,
+            "Loads allowed in the window, in times of the stated rate (`edge`)."),
   };
 }
 
@@ -336,6 +425,7 @@
 /* Finds required settings that are missing and pairs that contradict each other. A pair gets the
  * line of its member that comes last in the file. */
 void CheckPairs(const Settings& aSettings,
+                SettingsUse aUse,
                 const std::string& aFile,
                 const SettingLines& aLines,
                 std::vector<SettingError>& aErrors)
@@ -344,7 +434,12 @@
     const auto found = aLines.find(aName);
     return found == aLines.end() ? 1 : found->second;
   };
-  for (const char* name : { "daemon_id", "table", "host_list" }) {
+  const std::vector<const char*> required =
+    aUse == SettingsUse::kServe
+      ? std::vector<const char*>{ "daemon_id", "table", "host_list" }
+      : std::vector<const char*>{ "daemon_id",     "zone",         "front_address",
+                                  "ready_address", "link_address", "store_address" };
+  for (const char* name : required) {
     if (!aLines.contains(name)) {
       aErrors.push_back({ aFile, 1, std::string{ name } + " is missing" });
     }
@@ -433,7 +528,8 @@
 }
 
 tl::expected<Settings, std::vector<SettingError>> ParseSettings(const std::string& aText,
-                                                                const std::string& aFile)
+                                                                const std::string& aFile,
+                                                                SettingsUse aUse)
 {
   Settings settings;
   std::vector<SettingError> errors;
@@ -442,7 +538,7 @@
     const YAML::Node root = YAML::Load(aText);
     if (root.IsMap()) {
       ReadEntries(root, aFile, settings, lines, errors);
-      CheckPairs(settings, aFile, lines, errors);
+      CheckPairs(settings, aUse, aFile, lines, errors);
     } else {
       errors.push_back({ aFile, 1, "the file must be a mapping of settings" });
     }
@@ -458,14 +554,15 @@
   return settings;
 }
 
-tl::expected<Settings, std::vector<SettingError>> LoadSettings(const std::string& aFile)
+tl::expected<Settings, std::vector<SettingError>> LoadSettings(const std::string& aFile,
+                                                               SettingsUse aUse)
 {
   std::ifstream file(aFile);
   if (!file) {
     return tl::make_unexpected(
       std::vector<SettingError>{ { aFile, 1, "the file cannot be read" } });
   }
-  return ParseSettings(std::string{ std::istreambuf_iterator<char>(file), {} }, aFile);
+  return ParseSettings(std::string{ std::istreambuf_iterator<char>(file), {} }, aFile, aUse);
 }
 
 } // namespace rhubarbtrail
--- a/src/settings/settings_base.h
+++ b/src/settings/settings_base.h
@@ -21,6 +21,24 @@
   kJson,
 };
 
+/* Settings of a daemon on the users' platform. */
+struct EdgeSettings
+{
+  std::string frontAddress;   ///< host:port for clients.
+  std::string readyAddress;   ///< host:port for the balancer's questions.
+  std::string linkAddress;    ///< host:port for other daemons.
+  std::string metricsAddress; ///< host:port of metrics and the state dump; empty: none.
+  std::string storeAddress;   ///< host:port of the platform's store.
+  double cpuShare = 1.0;      ///< Part of a core that the host has.
+  std::uint32_t descriptorLimit = 1'024;
+  Duration shutdownGrace = 8s; ///< From SIGTERM to SIGKILL.
+  Duration leaseSpacing = 3s;  ///< Least time between orders of two holders to one runner.
+  Duration retryWindow = 10s;  ///< Time over which retries are counted.
+  double retrySlack = 50.0;    ///< Retries in a window beyond the ratio, of the whole fleet.
+  Duration loadWindow = 5s;    ///< Time over which loads from the weight store are counted.
+  double loadOverage = 1.0;    ///< Loads allowed in the window, in times of the stated rate.
+};
+
 struct Settings
 {
   std::string daemonId;
@@ -43,6 +61,14 @@
   Duration callTimeout = 2s;     ///< Of one call to the platform or a runner's order interface.
   Duration shutdownLimit = 900s; ///< Longer than any deadline.
   DecisionSettings decision;
+  EdgeSettings edge;
+};
+
+/* Which daemon the settings are for; it decides what must be set. */
+enum class SettingsUse : std::uint8_t
+{
+  kServe, ///< The product's own interface.
+  kEdge,  ///< The users' platform.
 };
 
 /* One row of the settings table. */
@@ -71,11 +97,15 @@
 };
 
 /* Reads and checks settings; the errors name the file. */
-tl::expected<Settings, std::vector<SettingError>> ParseSettings(const std::string& aText,
-                                                                const std::string& aFile);
+tl::expected<Settings, std::vector<SettingError>> ParseSettings(
+  const std::string& aText,
+  const std::string& aFile,
+  SettingsUse aUse = SettingsUse::kServe);
 
 /* Reads and checks a settings file; all errors at once. */
-tl::expected<Settings, std::vector<SettingError>> LoadSettings(const std::string& aFile);
+tl::expected<Settings, std::vector<SettingError>> LoadSettings(
+  const std::string& aFile,
+  SettingsUse aUse = SettingsUse::kServe);
 
 } // namespace rhubarbtrail
 
--- a/src/platform/host_list_client.cpp
+++ b/src/table/host_list_client.cpp
@@ -1,5 +1,5 @@
 /* The host list over HTTP and JSON. */
-#include "platform/host_list_client.h"
+#include "table/host_list_client.h"
 
 #include "core/http_client_func.h"
 
--- a/src/platform/host_list_client.h
+++ b/src/table/host_list_client.h
@@ -1,6 +1,6 @@
 /* The platform's list of hosts. */
-#ifndef RHUBARBTRAIL_PLATFORM_HOST_LIST_CLIENT_H
-#define RHUBARBTRAIL_PLATFORM_HOST_LIST_CLIENT_H
+#ifndef RHUBARBTRAIL_TABLE_HOST_LIST_CLIENT_H
+#define RHUBARBTRAIL_TABLE_HOST_LIST_CLIENT_H
 
 #include "decision/event_type.h"
 
--- a/src/platform/table_client.cpp
+++ b/src/table/table_client.cpp
@@ -1,5 +1,5 @@
 /* The table service over HTTP and JSON; docs/INTERFACES.md describes the protocol. */
-#include "platform/table_client.h"
+#include "table/table_client.h"
 
 #include "codec/json_codec.h"
 #include "core/http_client_func.h"
--- a/src/platform/table_client.h
+++ b/src/table/table_client.h
@@ -1,6 +1,6 @@
 /* The platform's transactional table service. */
-#ifndef RHUBARBTRAIL_PLATFORM_TABLE_CLIENT_H
-#define RHUBARBTRAIL_PLATFORM_TABLE_CLIENT_H
+#ifndef RHUBARBTRAIL_TABLE_TABLE_CLIENT_H
+#define RHUBARBTRAIL_TABLE_TABLE_CLIENT_H
 
 #include "decision/action_type.h"
 #include "decision/event_type.h"
--- a/tests/unit/contract_platform_test.cpp
+++ b/tests/unit/contract_platform_test.cpp
@@ -1,8 +1,8 @@
 /* What the clients of the platform make of right and wrong answers. */
 #include "tests/unit/fake_server.h"
 
-#include "platform/host_list_client.h"
-#include "platform/table_client.h"
+#include "table/host_list_client.h"
+#include "table/table_client.h"
 
 #include <doctest/doctest.h>
 
