--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -4,6 +4,7 @@
 #include "core/boot_clock.h"
 #include "core/digest_func.h"
 #include "core/exit_code_type.h"
+#include "fleet/fleet_member.h"
 #include "fleet/store_client.h"
 #include "fleet/table_feed.h"
 #include "gateway/gateway.h"
@@ -33,11 +34,26 @@
 /* Taken off the grace time, so that the process ends by itself. */
 constexpr Duration kGraceMargin = 700ms;
 constexpr Duration kStopCheckInterval = 50ms;
+/* Time between two looks for runners whose entries have not come back. */
+constexpr Duration kSweepInterval = 250ms;
 /* Least time between two reads of the runners' table by a daemon that gives no orders. */
 constexpr Duration kRunnerInterval = 500ms;
 /* Descriptors left for files, the store, other daemons and listeners. */
 constexpr std::size_t kReservedDescriptors = 264;
 
+/* Returns the names of the models that a runner holds, for logs. */
+std::string NamesOf(const std::map<ModelId, std::set<AdapterId>>& aModels)
+{
+  std::string names;
+  for (const auto& [model, adapters] : aModels) {
+    names += (names.empty() ? "" : ",") + model.str();
+    if (!adapters.empty()) {
+      names += "+" + std::to_string(adapters.size());
+    }
+  }
+  return names;
+}
+
 class EdgeDaemon
 {
 public:
@@ -49,7 +65,8 @@
     , mLog({ .daemon = mSettings.daemonId })
     , mClient(mLoop, {})
     , mStore(mClient, mSettings.edge.storeAddress)
-    , mPlacement([](const fleet::DispatchMessage&) { return false; })
+    , mPlacement(
+        [this](const fleet::DispatchMessage& aMessage) { return mMember.ToDispatcher(aMessage); })
     , mGateway{ .loop = mLoop,
                 .client = mClient,
                 .log = mLog,
@@ -58,8 +75,26 @@
                 .placement = mPlacement,
                 .self = DaemonId{ mSettings.daemonId },
                 .zone = ZoneId{ mSettings.zone },
-                .onSuspect = [](const FingerprintId&) {},
+                .onSuspect =
+                  [this](const FingerprintId& aRequest) { mMember.ReportSuspect(aRequest); },
                 .configuration = nullptr }
+    , mMember({ .loop = mLoop,
+                .client = mClient,
+                .store = mStore,
+                .log = mLog,
+                .metrics = mMetrics,
+                .placement = mPlacement,
+                .dispatcher = mDispatcher,
+                .onSuspect =
+                  [this](const FingerprintId& aRequest) {
+                    mGateway.crashes.NoteBreak(BootTime(), aRequest);
+                  },
+                .onDaemonCount = [this](std::uint32_t aCount) { OnDaemonCount(aCount); } },
+              { .self = DaemonId{ mSettings.daemonId },
+                .incarnation = IncarnationId{ mIncarnation },
+                .zone = ZoneId{ mSettings.zone },
+                .address = mSettings.edge.linkAddress,
+                .leaseSpacing = mSettings.edge.leaseSpacing })
     , mConfigurationFeed(mLoop,
                          mStore,
                          mLog,
@@ -92,6 +127,7 @@
     , mSignals(mLoop, SIGTERM, SIGINT, SIGHUP)
     , mFlushTimer(mLoop)
     , mStopTimer(mLoop)
+    , mSweepTimer(mLoop)
   {
   }
 
@@ -116,8 +152,13 @@
     ApplySettings();
     WaitForSignal();
     FlushLater();
+    if (const std::string error = mMember.Start(); !error.empty()) {
+      std::fprintf(stderr, "cannot listen: %s\n", error.c_str());
+      return kExitCannotListen;
+    }
     mConfigurationFeed.Start();
     mRunnerFeed.Start();
+    SweepRunnersLater();
     mLoop.run();
     mLog.Flush();
     return mExitCode;
@@ -137,6 +178,39 @@
                                   .slack = mSettings.edge.retrySlack,
                                   .window = mSettings.edge.retryWindow,
                                   .daemons = mDaemons });
+    mDispatcher.SetStoreLimits(
+      { .window = mSettings.edge.loadWindow, .overage = mSettings.edge.loadOverage });
+  }
+
+  void OnDaemonCount(std::uint32_t aCount)
+  {
+    if (aCount != mDaemons) {
+      mLog.Write("daemon_count", { { "count", aCount }, { "former", mDaemons } });
+      mDaemons = aCount;
+      ApplySettings();
+    }
+  }
+
+  /* Takes runners out whose entries have been gone for long enough. */
+  void SweepRunnersLater()
+  {
+    mSweepTimer.expires_after(kSweepInterval);
+    mSweepTimer.async_wait([this](boost::system::error_code aError) {
+      if (aError) {
+        return;
+      }
+      const TimePoint now = BootTime();
+      for (const auto& [id, runner] : mRunners.runners()) {
+        if (runner.missingSince && mDispatcher.runners().contains(id) &&
+            mRunners.Check(now, runner) == fleet::Exclusion::kGone) {
+          mLog.Write(
+            "runner_given_up",
+            { { "endpoint", id }, { "missing_ms", Milliseconds(now - *runner.missingSince) } });
+          mDispatcher.OnRunnerGone(id);
+        }
+      }
+      SweepRunnersLater();
+    });
   }
 
   TableFeedHandlers ConfigurationHandlers()
@@ -188,6 +262,8 @@
                        .headerTime = decoded->limits.headerTime,
                        .idleTime = decoded->limits.idleTime });
     mGateway.configuration = std::make_shared<const fleet::FleetConfiguration>(std::move(*decoded));
+    mDispatcher.SetConfiguration(mGateway.configuration);
+    mMember.OnChange();
   }
 
   void OnRunnerRow(const platform::StoreRow& aRow)
@@ -200,6 +276,8 @@
                    { "reason", entry.error() } });
       return;
     }
+    mDispatcher.OnRunner(BootTime(), *entry);
+    mMember.OnChange();
     const auto change = mRunners.Apply(BootTime(), *entry);
     if (change == fleet::RunnerRegistry::Change::kUpdated ||
         change == fleet::RunnerRegistry::Change::kNone) {
@@ -211,7 +289,8 @@
                { { "endpoint", entry->id },
                  { "service", entry->service },
                  { "address", entry->address },
-                 { "models", entry->holdings.models.size() },
+                 { "models", NamesOf(entry->holdings.models) },
+                 { "on_disk", entry->holdings.onDisk.size() },
                  { "row_version", aRow.version.value } });
     if (change != fleet::RunnerRegistry::Change::kJoined) {
       mClient.Forget(entry->address);
@@ -221,6 +300,11 @@
   void OnRunnerRemoved(const EndpointId& aRunner)
   {
     mRunners.Remove(BootTime(), aRunner);
+    const fleet::KnownRunner* runner = mRunners.Find(aRunner);
+    if (runner == nullptr || mRunners.Check(BootTime(), *runner) == fleet::Exclusion::kGone) {
+      mDispatcher.OnRunnerGone(aRunner);
+      mMember.OnChange();
+    }
     mLog.Write("runner_gone", { { "endpoint", aRunner }, { "store_lost", mRunnerFeed.isLost() } });
   }
 
@@ -270,6 +354,11 @@
       { "store_writes", "Writes to the store so far.", store.writes },
       { "store_watches", "Waits for changes of the store so far.", store.watches },
       { "store_failures", "Calls to the store that failed so far.", store.failures },
+      { "dispatcher", "1 while this daemon gives the orders.", mMember.isDispatcher() ? 1U : 0U },
+      { "dispatcher_reachable", "1 while one can be asked.", mMember.HasDispatcher() ? 1U : 0U },
+      { "questions_open", "Requests that wait for a place.", mPlacement.openQuestions() },
+      { "places_waiting", "Requests of all daemons that wait here.", mDispatcher.waiting() },
+      { "places_in_use", "Places given out here.", mDispatcher.placesInUse() },
       { "runners_known", "Runners that are known.", mRunners.runners().size() },
       { "configuration_version",
         "Version in force.",
@@ -329,6 +418,7 @@
     mStoppedAt = BootTime();
     mLog.Write("stopping", { { "open_requests", mGateway.openRequests } });
     mFront.Drain();
+    mMember.Release();
     CheckStopped();
   }
 
@@ -363,8 +453,10 @@
   http::Client mClient;
   StoreClient mStore;
   fleet::RunnerRegistry mRunners;
+  fleet::Dispatcher mDispatcher;
   PlacementClient mPlacement;
   GatewayContext mGateway;
+  FleetMember mMember;
   TableFeed mConfigurationFeed;
   TableFeed mRunnerFeed;
   http::Server mFront;
@@ -373,6 +465,7 @@
   asio::signal_set mSignals;
   asio::steady_timer mFlushTimer;
   asio::steady_timer mStopTimer;
+  asio::steady_timer mSweepTimer;
   std::uint32_t mDaemons = 1;
   bool mIsStopping = false;
   TimePoint mStoppedAt{};
--- /dev/null
+++ b/src/decision/fleet/dispatcher.cpp
@@ -0,0 +1,308 @@
+/* The dispatcher's view of runners, questions and places. */
+#include "decision/fleet/dispatcher.h"
+
+#include "decision/fleet/dispatch_estimate.h"
+
+#include <algorithm>
+
+namespace rhubarbtrail::fleet {
+
+namespace {
+
+/* Longest time between two ticks while there is something to watch. */
+constexpr Duration kWatchInterval = 100ms;
+constexpr Duration kIdleInterval = 500ms;
+/* Age up to which an entry may be older than an order; entries are written about every second and
+ * arrive within another one. */
+constexpr Duration kEntryLag = 2'500ms;
+
+EndpointSign SignOf(PlaceEnd aEnd)
+{
+  switch (aEnd) {
+    case PlaceEnd::kDone:
+      return EndpointSign::kGood;
+    case PlaceEnd::kRefused:
+      return EndpointSign::kRefused;
+    case PlaceEnd::kFailed:
+    case PlaceEnd::kLost:
+      return EndpointSign::kFailed;
+    case PlaceEnd::kWithdrawn:
+      return EndpointSign::kCancelled;
+  }
+  return EndpointSign::kCancelled;
+}
+
+} // namespace
+
+void Dispatcher::SetConfiguration(std::shared_ptr<const FleetConfiguration> aConfiguration)
+{
+  mConfiguration = std::move(aConfiguration);
+  for (auto& [id, runner] : mRunners) {
+    if (const Engine* engine = EngineOf(runner.entry.service)) {
+      runner.cache.SetCapacity(engine->cacheTokens);
+    }
+  }
+}
+
+void Dispatcher::SetOrderRight(const OrderRight& aRight)
+{
+  if (aRight.fence != mRight.fence) {
+    // Another daemon may have given orders meanwhile.
+    for (auto& [id, runner] : mRunners) {
+      runner.isVerified = false;
+      runner.order.reset();
+    }
+    ForgetSwaps();
+  }
+  mRight = aRight;
+}
+
+void Dispatcher::ForgetSwaps()
+{
+  mSwaps.clear();
+  for (auto& [id, runner] : mRunners) {
+    for (auto& [model, held] : runner.models) {
+      held.isLeaving = false;
+    }
+  }
+}
+
+const Engine* Dispatcher::EngineOf(const ServiceId& aService) const
+{
+  const Service* service = mConfiguration ? mConfiguration->Find(aService) : nullptr;
+  return service != nullptr && service->engine ? &*service->engine : nullptr;
+}
+
+void Dispatcher::Wake(TimePoint aTime)
+{
+  mNextWake = std::min(mNextWake, aTime);
+}
+
+void Dispatcher::Reset(TimePoint aNow, ManagedRunner& aRunner, const RunnerEntry& aEntry)
+{
+  aRunner = {};
+  aRunner.entry = aEntry;
+  if (const Engine* engine = EngineOf(aEntry.service)) {
+    aRunner.cache.SetCapacity(engine->cacheTokens);
+  }
+  std::erase_if(mPlaces, [&](const auto& aItem) { return aItem.second.runner == aEntry.id; });
+  std::erase_if(mSwaps, [&](const Swap& aSwap) { return aSwap.runner == aEntry.id; });
+  AdoptHoldings(aNow, aRunner, aEntry.holdings);
+}
+
+void Dispatcher::OnRunner(TimePoint aNow, const RunnerEntry& aEntry)
+{
+  ManagedRunner& runner = mRunners[aEntry.id];
+  const bool isOther = runner.entry.id.empty() || runner.entry.address != aEntry.address ||
+                       runner.entry.startedAtMs != aEntry.startedAtMs ||
+                       runner.entry.service != aEntry.service;
+  if (isOther) {
+    Reset(aNow, runner, aEntry);
+    return;
+  }
+  runner.entry = aEntry;
+  runner.isGone = false;
+  // An entry does not tell which orders it follows; beside recent orders, only reports count.
+  if (!runner.order && aNow - runner.lastOrderAt > kEntryLag) {
+    AdoptHoldings(aNow, runner, aEntry.holdings);
+  } else if (runner.order && runner.order->phase == PendingOrder::Phase::kAccepted) {
+    WantReport(aNow, runner);
+  }
+}
+
+void Dispatcher::OnRunnerGone(const EndpointId& aRunner)
+{
+  if (const auto found = mRunners.find(aRunner); found != mRunners.end()) {
+    found->second.isGone = true;
+    std::erase_if(mSwaps, [&](const Swap& aSwap) { return aSwap.runner == aRunner; });
+    if (found->second.inFlight == 0) {
+      mRunners.erase(found);
+    }
+  }
+}
+
+void Dispatcher::AdoptHoldings(TimePoint aNow,
+                               ManagedRunner& aRunner,
+                               const RunnerHoldings& aHoldings)
+{
+  std::erase_if(aRunner.models, [&](const auto& aItem) {
+    const bool isHeld = aHoldings.models.contains(aItem.first);
+    if (!isHeld) {
+      aRunner.cache.Drop(aItem.first);
+    }
+    return !isHeld;
+  });
+  for (const auto& [model, adapters] : aHoldings.models) {
+    HeldModel& held = aRunner.models[model];
+    std::erase_if(held.adapters, [&](const auto& aItem) {
+      return !adapters.contains(aItem.first) &&
+             !aHoldings.arriving.contains({ .model = model, .adapter = aItem.first });
+    });
+    for (const AdapterId& adapter : adapters) {
+      HeldAdapter& known = held.adapters[adapter];
+      known.isOrdered = false;
+      known.readyAt = std::min(known.readyAt, aNow);
+    }
+  }
+  for (const ModelRef& arriving : aHoldings.arriving) {
+    if (const auto held = aRunner.models.find(arriving.model); held != aRunner.models.end()) {
+      held->second.adapters.try_emplace(arriving.adapter,
+                                        HeldAdapter{ .readyAt = aNow + kAdapterLoadTime });
+    }
+  }
+  aRunner.inHostMemory = aHoldings.inHostMemory;
+  aRunner.onDisk = aHoldings.onDisk;
+}
+
+void Dispatcher::OnAsk(TimePoint aNow, const PlacementAsk& aAsk, const ZoneId& aZone)
+{
+  if (const auto place = mPlaces.find(aAsk.id); place != mPlaces.end()) {
+    // The answer was lost with a connection.
+    mActions.emplace_back(
+      PlacementReply{ .id = aAsk.id, .answer = PlaceGranted{ place->second.runner } });
+    return;
+  }
+  const bool isKnown = std::any_of(mWaiting.begin(), mWaiting.end(), [&](const Waiting& aItem) {
+    return aItem.ask.id == aAsk.id;
+  });
+  if (isKnown) {
+    return;
+  }
+  mDemand.Note(aNow, aAsk.work.target.model, EstimateWork(aAsk.work));
+  mWaiting.push_back(
+    { .ask = aAsk, .zone = aZone, .askedAt = aNow, .deadline = aNow + aAsk.timeLeft });
+}
+
+void Dispatcher::OnReleased(TimePoint aNow, const PlaceReleased& aReleased)
+{
+  std::erase_if(mWaiting, [&](const Waiting& aItem) { return aItem.ask.id == aReleased.id; });
+  const auto place = mPlaces.find(aReleased.id);
+  if (place == mPlaces.end()) {
+    return;
+  }
+  const auto runner = mRunners.find(place->second.runner);
+  if (runner != mRunners.end()) {
+    runner->second.health.Note(aNow, SignOf(aReleased.end));
+    if (aReleased.end == PlaceEnd::kRefused) {
+      // It may not hold what it is believed to hold.
+      const ModelRef target = place->second.model;
+      if (const auto held = runner->second.models.find(target.model);
+          held != runner->second.models.end() && !target.adapter.empty()) {
+        held->second.adapters.erase(target.adapter);
+      }
+      WantReport(aNow, runner->second);
+    }
+  }
+  Free(aNow, aReleased.id);
+}
+
+void Dispatcher::OnPlaceInUse(TimePoint aNow, const PlaceInUse& aPlace)
+{
+  const auto runner = mRunners.find(aPlace.runner);
+  if (runner != mRunners.end() && !mPlaces.contains(aPlace.ask.id)) {
+    Occupy(aNow, aPlace.ask, runner->second);
+  }
+}
+
+void Dispatcher::OnDaemonLost(const DaemonId& aDaemon)
+{
+  std::erase_if(mWaiting, [&](const Waiting& aItem) { return aItem.ask.id.daemon == aDaemon; });
+  std::vector<AskId> places;
+  for (const auto& [id, place] : mPlaces) {
+    if (id.daemon == aDaemon) {
+      places.push_back(id);
+    }
+  }
+  for (const AskId& id : places) {
+    Free({}, id);
+  }
+}
+
+void Dispatcher::Clear()
+{
+  mWaiting.clear();
+  ForgetSwaps();
+  std::vector<AskId> places;
+  for (const auto& [id, place] : mPlaces) {
+    places.push_back(id);
+  }
+  for (const AskId& id : places) {
+    Free({}, id);
+  }
+  for (auto& [id, runner] : mRunners) {
+    runner.order.reset();
+    runner.isVerified = false;
+    runner.reportAt.reset();
+  }
+}
+
+void Dispatcher::Occupy(TimePoint aNow, const PlacementAsk& aAsk, ManagedRunner& aRunner)
+{
+  const ModelRef& target = aAsk.work.target;
+  const Place place{ .runner = aRunner.entry.id,
+                     .model = target,
+                     .tokens = aAsk.work.promptTokens + aAsk.work.outputTokens };
+  mPlaces.insert_or_assign(aAsk.id, place);
+  ++aRunner.inFlight;
+  aRunner.tokens += place.tokens;
+  const std::uint32_t kept = aRunner.cache.KeptTokens(aAsk.work);
+  aRunner.readingUntil =
+    std::max(aRunner.readingUntil, aNow) +
+    ReadingTime(aAsk.work.promptTokens - std::min(kept, aAsk.work.promptTokens));
+  aRunner.cache.Note(aAsk.work);
+  if (const auto held = aRunner.models.find(target.model); held != aRunner.models.end()) {
+    ++held->second.inFlight;
+    held->second.lastUsed = aNow;
+    if (const auto adapter = held->second.adapters.find(target.adapter);
+        adapter != held->second.adapters.end()) {
+      ++adapter->second.inFlight;
+      adapter->second.lastUsed = aNow;
+    }
+  }
+}
+
+void Dispatcher::Free(TimePoint aNow, const AskId& aAsk)
+{
+  const auto found = mPlaces.find(aAsk);
+  if (found == mPlaces.end()) {
+    return;
+  }
+  const Place place = found->second;
+  mPlaces.erase(found);
+  const auto runner = mRunners.find(place.runner);
+  if (runner == mRunners.end()) {
+    return;
+  }
+  const auto decrement = [](auto& aCount, auto aBy) { aCount -= std::min(aCount, aBy); };
+  decrement(runner->second.inFlight, 1U);
+  decrement(runner->second.tokens, place.tokens);
+  const auto held = runner->second.models.find(place.model.model);
+  if (held != runner->second.models.end()) {
+    decrement(held->second.inFlight, 1U);
+    held->second.lastUsed = std::max(held->second.lastUsed, aNow);
+    if (const auto adapter = held->second.adapters.find(place.model.adapter);
+        adapter != held->second.adapters.end()) {
+      decrement(adapter->second.inFlight, 1U);
+    }
+  }
+  if (runner->second.isGone && runner->second.inFlight == 0) {
+    mRunners.erase(runner);
+  }
+}
+
+std::vector<DispatchAction> Dispatcher::Tick(TimePoint aNow)
+{
+  mNextWake = aNow + (mWaiting.empty() && mSwaps.empty() ? kIdleInterval : kWatchInterval);
+  while (!mStoreLoads.empty() && aNow - mStoreLoads.front() > mStoreLimits.window) {
+    mStoreLoads.pop_front();
+  }
+  ServeWaiting(aNow);
+  if (mRight.mayOrder) {
+    PlanModels(aNow);
+    FollowSwaps(aNow);
+    FollowReports(aNow);
+  }
+  return std::exchange(mActions, {});
+}
+
+} // namespace rhubarbtrail::fleet
--- /dev/null
+++ b/src/decision/fleet/dispatcher_grant.cpp
@@ -0,0 +1,179 @@
+/* Gives waiting requests places at runners that hold their models. */
+#include "decision/fleet/dispatch_estimate.h"
+#include "decision/fleet/dispatcher.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace rhubarbtrail::fleet {
+
+namespace {
+
+/* Part of a runner's token memory that is given out: when it is full, running requests are
+ * preempted and read anew, which serves nobody. */
+constexpr double kUsableMemory = 0.92;
+/* Extra time that an adapter costs where it cannot be ordered at once. */
+constexpr Duration kAdapterWait = 300ms;
+/* Time before the deadline below which an answer cannot be whole any more. */
+constexpr Duration kLeastServiceTime = 250ms;
+/* How long a request waits for a model while no order may be given: a lease changes hands within
+ * some seconds. */
+constexpr Duration kPatienceWithoutOrders = 6s;
+/* When to come back while nothing can be loaded. */
+constexpr Duration kRetryWithoutOrders = 1'500ms;
+
+} // namespace
+
+void Dispatcher::ServeWaiting(TimePoint aNow)
+{
+  // Load pattern: bursts at several hosts at once. The most urgent goes first over all hosts;
+  // among equals, who has waited longest.
+  std::stable_sort(
+    mWaiting.begin(), mWaiting.end(), [](const Waiting& aLeft, const Waiting& aRight) {
+      return std::tie(aLeft.ask.priority, aLeft.askedAt) <
+             std::tie(aRight.ask.priority, aRight.askedAt);
+    });
+  std::erase_if(mWaiting, [&](const Waiting& aWaiting) { return Serve(aNow, aWaiting); });
+}
+
+bool Dispatcher::IsUsable(const ManagedRunner& aRunner) const
+{
+  return !aRunner.isGone && aRunner.entry.state == RunnerState::kReady;
+}
+
+std::optional<Duration> Dispatcher::EstimateStart(TimePoint aNow,
+                                                  const ManagedRunner& aRunner,
+                                                  const Waiting& aWaiting) const
+{
+  const PlacementAsk& ask = aWaiting.ask;
+  const auto held = aRunner.models.find(ask.work.target.model);
+  if (held == aRunner.models.end() || held->second.isLeaving) {
+    return std::nullopt;
+  }
+  const Engine* engine = EngineOf(ask.service);
+  const std::uint64_t tokens = ask.work.promptTokens + ask.work.outputTokens;
+  const bool isFull =
+    aRunner.inFlight >= aRunner.entry.slots ||
+    (aRunner.inFlight > 0 && static_cast<double>(aRunner.tokens + tokens) >
+                               kUsableMemory * static_cast<double>(engine->cacheTokens));
+  if (isFull) {
+    return std::nullopt;
+  }
+  const std::uint32_t kept = std::min(aRunner.cache.KeptTokens(ask.work), ask.work.promptTokens);
+  Duration time = std::max(aRunner.readingUntil - aNow, Duration::zero()) +
+                  ReadingTime(ask.work.promptTokens - kept) + aRunner.inFlight * kBatchDelay;
+  if (aRunner.entry.zone != aWaiting.zone) {
+    time += kZoneDelay;
+  }
+  if (!ask.work.target.adapter.empty()) {
+    const auto adapter = held->second.adapters.find(ask.work.target.adapter);
+    if (adapter != held->second.adapters.end()) {
+      time += adapter->second.isOrdered
+                ? kAdapterLoadTime
+                : std::max(adapter->second.readyAt - aNow, Duration::zero());
+    } else if (MayOrderTo(aNow, aRunner)) {
+      time += kAdapterLoadTime;
+    } else if (mRight.mayOrder) {
+      time += kAdapterWait;
+    } else {
+      return std::nullopt;
+    }
+  }
+  return time;
+}
+
+bool Dispatcher::Serve(TimePoint aNow, const Waiting& aWaiting)
+{
+  const PlacementAsk& ask = aWaiting.ask;
+  const Engine* engine = EngineOf(ask.service);
+  if (engine == nullptr || !engine->models.contains(ask.work.target.model)) {
+    // The asking daemon has another configuration; it may know more.
+    mActions.emplace_back(PlacementReply{ .id = ask.id, .answer = PlaceUnknown{} });
+    return true;
+  }
+  ManagedRunner* best = nullptr;
+  std::tuple<bool, bool, Duration> bestRank;
+  for (auto& [id, runner] : mRunners) {
+    if (runner.entry.service != ask.service || !IsUsable(runner)) {
+      continue;
+    }
+    const auto time = EstimateStart(aNow, runner, aWaiting);
+    if (!time) {
+      continue;
+    }
+    const bool hasFailed =
+      std::find(ask.excluded.begin(), ask.excluded.end(), id) != ask.excluded.end();
+    const std::tuple rank{ hasFailed, runner.health.IsDoubted(aNow), *time };
+    if (best == nullptr || rank < bestRank) {
+      best = &runner;
+      bestRank = rank;
+    }
+  }
+  if (best == nullptr) {
+    if (aWaiting.deadline - aNow < kLeastServiceTime) {
+      Refuse(aNow, aWaiting, ResultCode::kDeadlineUnreachable, "no_place_before_deadline");
+      return true;
+    }
+    if (!mRight.mayOrder && aNow - aWaiting.askedAt > kPatienceWithoutOrders) {
+      Refuse(aNow, aWaiting, ResultCode::kReplicaUnavailable, "no_orders_possible");
+      return true;
+    }
+    return false;
+  }
+  const ModelRef& target = ask.work.target;
+  if (!target.adapter.empty()) {
+    HeldModel& held = best->models[target.model];
+    const auto adapter = held.adapters.find(target.adapter);
+    if (adapter == held.adapters.end()) {
+      PlanAdapter(aNow, target, *best);
+      return false;
+    }
+    if (adapter->second.isOrdered) {
+      return false;
+    }
+    if (adapter->second.readyAt > aNow) {
+      Wake(adapter->second.readyAt);
+      return false;
+    }
+  }
+  Grant(aNow, aWaiting, *best, std::get<Duration>(bestRank));
+  return true;
+}
+
+void Dispatcher::Grant(TimePoint aNow,
+                       const Waiting& aWaiting,
+                       ManagedRunner& aRunner,
+                       Duration aExpected)
+{
+  Note({ .event = "place_granted",
+         .request = aWaiting.ask.requestId,
+         .runner = aRunner.entry.id,
+         .model = aWaiting.ask.work.target,
+         .why = aNow - aWaiting.askedAt > kAdapterLoadTime ? "waited" : "at_once",
+         .time = aExpected,
+         .count = aRunner.inFlight });
+  Occupy(aNow, aWaiting.ask, aRunner);
+  mActions.emplace_back(
+    PlacementReply{ .id = aWaiting.ask.id, .answer = PlaceGranted{ aRunner.entry.id } });
+}
+
+void Dispatcher::Refuse(TimePoint aNow,
+                        const Waiting& aWaiting,
+                        ResultCode aCode,
+                        std::string_view aWhy)
+{
+  Note({ .event = "place_refused",
+         .request = aWaiting.ask.requestId,
+         .runner = {},
+         .model = aWaiting.ask.work.target,
+         .why = aWhy,
+         .time = aNow - aWaiting.askedAt,
+         .count = mWaiting.size() });
+  const bool isEarly = aCode == ResultCode::kReplicaUnavailable;
+  mActions.emplace_back(PlacementReply{
+    .id = aWaiting.ask.id,
+    .answer = PlaceRefused{ .code = aCode,
+                            .retryAfter = isEarly ? kRetryWithoutOrders : Duration::zero() } });
+}
+
+} // namespace rhubarbtrail::fleet
--- /dev/null
+++ b/src/decision/fleet/dispatcher_order.cpp
@@ -0,0 +1,354 @@
+/* Gives orders to runners, one at a time to each, and finds out what came of them. */
+#include "decision/fleet/dispatch_estimate.h"
+#include "decision/fleet/dispatcher.h"
+
+#include <algorithm>
+
+namespace rhubarbtrail::fleet {
+
+namespace {
+
+/* Pause after an order that a runner did not take. */
+constexpr Duration kConflictPause = 50ms;
+constexpr Duration kRejectionPause = 1s;
+/* Reports are some hundred milliseconds old; a newer one is asked for after this time. */
+constexpr Duration kReportInterval = 110ms;
+/* Age of an order from which a report tells whether it was accepted. */
+constexpr Duration kReportLag = 400ms;
+/* Time after which an order that should have been carried out is given up. */
+constexpr Duration kOrderLimit = 20s;
+/* Adapters that may be on their way to one runner. */
+constexpr std::size_t kArrivingLimit = 4;
+/* Loads from the weight store that run at full speed at the same time. */
+constexpr std::size_t kStoreLoadsAtOnce = 4;
+/* Part of the weight store's rate that is used: what it counts differs a little in time. */
+constexpr double kUsedLoadRate = 0.9;
+
+} // namespace
+
+bool Dispatcher::MayOrderTo(TimePoint aNow, const ManagedRunner& aRunner) const
+{
+  return mRight.mayOrder && aRunner.isVerified && !aRunner.order && aNow >= aRunner.nextOrder &&
+         IsUsable(aRunner);
+}
+
+void Dispatcher::PlanAdapter(TimePoint aNow, const ModelRef& aAdapter, ManagedRunner& aRunner)
+{
+  const Engine* engine = EngineOf(aRunner.entry.service);
+  if (!MayOrderTo(aNow, aRunner) || engine == nullptr) {
+    Wake(aNow + kConflictPause);
+    return;
+  }
+  std::size_t held = 0;
+  std::size_t arriving = 0;
+  std::optional<std::pair<TimePoint, ModelRef>> idle;
+  for (const auto& [modelId, model] : aRunner.models) {
+    for (const auto& [adapterId, adapter] : model.adapters) {
+      ++held;
+      const bool isArriving = adapter.isOrdered || adapter.readyAt > aNow;
+      arriving += isArriving ? 1 : 0;
+      const bool isIdle = adapter.inFlight == 0 && !isArriving;
+      if (isIdle && (!idle || adapter.lastUsed < idle->first)) {
+        idle = { adapter.lastUsed, { .model = modelId, .adapter = adapterId } };
+      }
+    }
+  }
+  if (arriving >= kArrivingLimit) {
+    Wake(aNow + kAdapterLoadTime);
+    return;
+  }
+  if (held >= engine->adapterSlots) {
+    if (idle) {
+      SendOrder(aNow,
+                aRunner,
+                OrderKind::kUnload,
+                idle->second,
+                { .expected = Duration::zero(), .isFromStore = false, .why = "makes_room" });
+    }
+    return;
+  }
+  SendOrder(aNow,
+            aRunner,
+            OrderKind::kLoad,
+            aAdapter,
+            { .expected = kAdapterLoadTime, .isFromStore = false, .why = "asked_for" });
+}
+
+void Dispatcher::SendOrder(TimePoint aNow,
+                           ManagedRunner& aRunner,
+                           OrderKind aKind,
+                           const ModelRef& aSubject,
+                           const OrderDetails& aDetails)
+{
+  const RunnerOrder order{ .runner = aRunner.entry.id,
+                           .address = aRunner.entry.address,
+                           .kind = aKind,
+                           .subject = aSubject,
+                           .expectedOrderCount = aRunner.orderCount,
+                           .holder = mRight.holder,
+                           .fence = mRight.fence };
+  aRunner.order = PendingOrder{ .order = order,
+                                .phase = PendingOrder::Phase::kSent,
+                                .sentAt = aNow,
+                                .expectedAt = aNow + aDetails.expected,
+                                .isFromStore = aDetails.isFromStore };
+  aRunner.lastOrderAt = aNow;
+  if (aKind == OrderKind::kLoad && !aSubject.adapter.empty()) {
+    aRunner.models[aSubject.model].adapters[aSubject.adapter] = { .isOrdered = true,
+                                                                  .lastUsed = aNow };
+  }
+  Note({ .event = aKind == OrderKind::kLoad ? "load_ordered" : "unload_ordered",
+         .request = {},
+         .runner = aRunner.entry.id,
+         .model = aSubject,
+         .why = aDetails.why,
+         .time = aDetails.expected,
+         .count = aRunner.orderCount });
+  mActions.emplace_back(order);
+}
+
+void Dispatcher::DropOrder(ManagedRunner& aRunner)
+{
+  const PendingOrder pending = *std::exchange(aRunner.order, std::nullopt);
+  const ModelRef subject = pending.order.subject;
+  const auto held = aRunner.models.find(subject.model);
+  if (held == aRunner.models.end()) {
+    return;
+  }
+  const auto adapter = held->second.adapters.find(subject.adapter);
+  if (adapter != held->second.adapters.end() && adapter->second.isOrdered) {
+    held->second.adapters.erase(adapter); // The runner did not take the order.
+  }
+}
+
+void Dispatcher::OnOrderResult(TimePoint aNow, const EndpointId& aRunner, OrderOutcome aOutcome)
+{
+  const auto found = mRunners.find(aRunner);
+  if (found == mRunners.end() || !found->second.order ||
+      found->second.order->phase != PendingOrder::Phase::kSent) {
+    return; // The runner has restarted or the right was lost meanwhile.
+  }
+  ManagedRunner& runner = found->second;
+  switch (aOutcome) {
+    case OrderOutcome::kAccepted:
+      OnAccepted(aNow, runner);
+      break;
+    case OrderOutcome::kHolds:
+      OnHeld(aNow, runner);
+      break;
+    case OrderOutcome::kConflict:
+      DropOrder(runner);
+      runner.nextOrder = aNow + kConflictPause;
+      WantReport(aNow, runner);
+      break;
+    case OrderOutcome::kNotSent:
+      DropOrder(runner);
+      runner.nextOrder = aNow + kReportInterval;
+      break;
+    case OrderOutcome::kFenced:
+    case OrderOutcome::kRejected:
+      DropOrder(runner);
+      runner.nextOrder = aNow + kRejectionPause;
+      WantReport(aNow, runner);
+      break;
+    case OrderOutcome::kUnknown:
+      runner.order->phase = PendingOrder::Phase::kUnsure;
+      WantReport(aNow, runner);
+      break;
+  }
+}
+
+void Dispatcher::OnAccepted(TimePoint aNow, ManagedRunner& aRunner)
+{
+  PendingOrder& pending = *aRunner.order;
+  ++aRunner.orderCount;
+  const ModelRef subject = pending.order.subject;
+  if (pending.IsAboutAdapter()) {
+    if (const auto held = aRunner.models.find(subject.model); held != aRunner.models.end()) {
+      if (pending.order.kind == OrderKind::kLoad) {
+        held->second.adapters[subject.adapter] = { .readyAt = aNow + kAdapterLoadTime,
+                                                   .lastUsed = aNow };
+      } else {
+        held->second.adapters.erase(subject.adapter);
+      }
+    }
+    DropOrder(aRunner);
+    return;
+  }
+  pending.phase = PendingOrder::Phase::kAccepted;
+  pending.expectedAt = aNow + (pending.expectedAt - pending.sentAt);
+  if (pending.order.kind == OrderKind::kUnload) {
+    // Nothing ran on the model, so it has gone; the next order finds out if not.
+    FinishOrder(aNow, aRunner);
+    return;
+  }
+  WantReport(pending.expectedAt, aRunner);
+}
+
+/* The runner says that what was ordered already holds. */
+void Dispatcher::OnHeld(TimePoint aNow, ManagedRunner& aRunner)
+{
+  const PendingOrder pending = *aRunner.order;
+  const ModelRef subject = pending.order.subject;
+  if (!pending.IsAboutAdapter()) {
+    FinishOrder(aNow, aRunner);
+    WantReport(aNow + kReportInterval, aRunner);
+    return;
+  }
+  if (const auto held = aRunner.models.find(subject.model); held != aRunner.models.end()) {
+    if (pending.order.kind == OrderKind::kLoad) {
+      held->second.adapters[subject.adapter] = { .readyAt = aNow, .lastUsed = aNow };
+    } else {
+      held->second.adapters.erase(subject.adapter);
+      ++aRunner.orderCount; // An unload that is done at once counts as an order.
+    }
+  }
+  DropOrder(aRunner);
+}
+
+void Dispatcher::FinishOrder(TimePoint aNow, ManagedRunner& aRunner)
+{
+  const PendingOrder pending = *std::exchange(aRunner.order, std::nullopt);
+  const ModelId model = pending.order.subject.model;
+  if (pending.order.kind == OrderKind::kLoad) {
+    aRunner.models[model].lastUsed = aNow;
+    aRunner.inHostMemory.insert(model);
+    aRunner.onDisk.insert(model);
+  } else {
+    aRunner.models.erase(model);
+    aRunner.cache.Drop(model);
+  }
+  Note({ .event = "order_finished",
+         .request = {},
+         .runner = aRunner.entry.id,
+         .model = pending.order.subject,
+         .why = pending.order.kind == OrderKind::kLoad ? "loaded" : "unloaded",
+         .time = aNow - pending.sentAt,
+         .count = aRunner.orderCount });
+}
+
+void Dispatcher::WantReport(TimePoint aAt, ManagedRunner& aRunner)
+{
+  aRunner.reportAt = aRunner.reportAt ? std::min(*aRunner.reportAt, aAt) : aAt;
+  Wake(aAt);
+}
+
+void Dispatcher::FollowReports(TimePoint aNow)
+{
+  for (auto& [id, runner] : mRunners) {
+    if (runner.isGone || EngineOf(runner.entry.service) == nullptr) {
+      continue;
+    }
+    if (!runner.isVerified && !runner.reportAt) {
+      WantReport(aNow, runner);
+    }
+    if (!runner.reportAt || runner.isReportUnderWay) {
+      continue;
+    }
+    if (*runner.reportAt > aNow) {
+      Wake(*runner.reportAt);
+      continue;
+    }
+    runner.reportAt.reset();
+    runner.isReportUnderWay = true;
+    mActions.emplace_back(ReportWanted{ .runner = id, .address = runner.entry.address });
+  }
+}
+
+void Dispatcher::OnReport(TimePoint aNow, const EndpointId& aRunner, const RunnerReport* aReport)
+{
+  const auto found = mRunners.find(aRunner);
+  if (found == mRunners.end()) {
+    return;
+  }
+  ManagedRunner& runner = found->second;
+  runner.isReportUnderWay = false;
+  if (aReport == nullptr) {
+    WantReport(aNow + kReportLag, runner);
+    return;
+  }
+  if (aReport->startedAtMs != runner.entry.startedAtMs) {
+    WantReport(aNow + kReportLag, runner); // It has restarted; its entry will tell.
+    return;
+  }
+  runner.isVerified = true;
+  if (runner.order) {
+    SettleByReport(aNow, runner, *aReport);
+    return;
+  }
+  const bool mayBeOld = aNow - runner.lastOrderAt < kReportLag;
+  if (aReport->orderCount < runner.orderCount && mayBeOld) {
+    WantReport(aNow + kReportInterval, runner); // Made before the last order was accepted.
+    return;
+  }
+  runner.orderCount = aReport->orderCount;
+  AdoptHoldings(aNow, runner, aReport->holdings);
+  if (aReport->isBusy) {
+    // An order of a former holder, or one of ours that had no answer, is being carried out.
+    runner.nextOrder = aNow + kReportInterval;
+    WantReport(aNow + kReportInterval, runner);
+  }
+}
+
+void Dispatcher::SettleByReport(TimePoint aNow, ManagedRunner& aRunner, const RunnerReport& aReport)
+{
+  PendingOrder& pending = *aRunner.order;
+  const bool isAccepted = aReport.orderCount > pending.order.expectedOrderCount;
+  if (pending.phase == PendingOrder::Phase::kSent) {
+    return;
+  }
+  if (pending.phase == PendingOrder::Phase::kUnsure) {
+    if (!isAccepted) {
+      if (aNow - pending.sentAt < kReportLag) {
+        WantReport(pending.sentAt + kReportLag, aRunner);
+        return;
+      }
+      // It was not carried out so far. If it comes late, the count that it expects keeps it from
+      // taking effect beside the next order.
+      Note({ .event = "order_unanswered",
+             .request = {},
+             .runner = aRunner.entry.id,
+             .model = pending.order.subject,
+             .why = "not_accepted",
+             .time = aNow - pending.sentAt,
+             .count = aReport.orderCount });
+      DropOrder(aRunner);
+      AdoptHoldings(aNow, aRunner, aReport.holdings);
+      return;
+    }
+    aRunner.orderCount = aReport.orderCount;
+    pending.phase = PendingOrder::Phase::kAccepted;
+  }
+  const bool isHeld = aReport.holdings.models.contains(pending.order.subject.model);
+  const bool isDone =
+    !aReport.isBusy && isAccepted &&
+    (pending.IsAboutAdapter() || isHeld == (pending.order.kind == OrderKind::kLoad));
+  if (isDone || aNow - pending.expectedAt > kOrderLimit) {
+    if (pending.IsAboutAdapter()) {
+      aRunner.order.reset();
+    } else {
+      FinishOrder(aNow, aRunner);
+    }
+    aRunner.orderCount = std::max(aRunner.orderCount, aReport.orderCount);
+    AdoptHoldings(aNow, aRunner, aReport.holdings);
+    return;
+  }
+  WantReport(aNow + kReportInterval, aRunner);
+}
+
+bool Dispatcher::MayLoadFromStore(TimePoint aNow, const Engine& aEngine) const
+{
+  std::size_t underWay = 0;
+  for (const auto& [id, runner] : mRunners) {
+    underWay += runner.order && runner.order->isFromStore ? 1 : 0;
+  }
+  const auto recent =
+    static_cast<double>(std::count_if(mStoreLoads.begin(), mStoreLoads.end(), [&](TimePoint aTime) {
+      return aNow - aTime < mStoreLimits.window;
+    }));
+  const double seconds = std::chrono::duration<double>(mStoreLimits.window).count();
+  const double limit = kUsedLoadRate * mStoreLimits.overage * aEngine.loadsPerSecond * seconds;
+  return underWay < kStoreLoadsAtOnce && recent + 1.0 <= std::max(limit, 1.0);
+}
+
+} // namespace rhubarbtrail::fleet
--- /dev/null
+++ b/src/decision/fleet/dispatcher_plan.cpp
@@ -0,0 +1,317 @@
+/* Decides which runner holds which model. */
+#include "decision/fleet/dispatcher.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace rhubarbtrail::fleet {
+
+namespace {
+
+/* Work, in runners, that one replica of a model should have at most; more makes prompts wait. */
+constexpr double kReplicaWork = 0.5;
+/* Time ahead for which it is weighed whether a model will be asked for. */
+constexpr double kHorizonS = 8.0;
+/* Delay of callers for each request a second that loses a replica, in seconds. */
+constexpr double kCrowdingCost = 0.3;
+/* What a replica beyond those needed is worth, as a part of one that is needed. */
+constexpr double kSurplusValue = 0.05;
+/* Expected wait for the requests that a replica still runs, in seconds. */
+constexpr double kDrainTimeS = 1.2;
+/* Added for a runner that has another swap ahead, in seconds. */
+constexpr double kSwapTimeS = 1.3;
+/* Least worth of a further replica: its load must be earned back. */
+constexpr double kLeastBenefitS = 1.5;
+/* Time after which a planned swap is given up when its runner takes no orders. */
+constexpr Duration kSwapLimit = 15s;
+
+double SecondsOf(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+/* Room that is kept for adapters, so that loading one never overcommits the runner. */
+MemoryMb AdapterReserve(const Engine& aEngine)
+{
+  MemoryMb largest;
+  for (const auto& [id, model] : aEngine.models) {
+    if (model.adapters > 0) {
+      largest = std::max(largest, model.adapterWeights);
+    }
+  }
+  return { largest.value * static_cast<std::int64_t>(aEngine.adapterSlots) };
+}
+
+MemoryMb WeightsOf(const Engine& aEngine, const ModelId& aModel)
+{
+  const auto found = aEngine.models.find(aModel);
+  // A model that the configuration no longer names is taken for the largest one.
+  if (found != aEngine.models.end()) {
+    return found->second.weights;
+  }
+  MemoryMb largest;
+  for (const auto& [id, model] : aEngine.models) {
+    largest = std::max(largest, model.weights);
+  }
+  return largest;
+}
+
+} // namespace
+
+std::uint32_t Dispatcher::Replicas(const ServiceId& aService, const ModelId& aModel) const
+{
+  std::uint32_t count = 0;
+  for (const auto& [id, runner] : mRunners) {
+    if (runner.entry.service != aService || !IsUsable(runner)) {
+      continue;
+    }
+    const auto held = runner.models.find(aModel);
+    count += held != runner.models.end() && !held->second.isLeaving ? 1 : 0;
+  }
+  return count;
+}
+
+bool Dispatcher::IsComing(const ServiceId& aService, const ModelId& aModel) const
+{
+  const bool isPlanned = std::any_of(mSwaps.begin(), mSwaps.end(), [&](const Swap& aSwap) {
+    return aSwap.model == aModel && aSwap.service == aService;
+  });
+  return isPlanned || std::any_of(mRunners.begin(), mRunners.end(), [&](const auto& aItem) {
+           const ManagedRunner& runner = aItem.second;
+           return runner.entry.service == aService && IsUsable(runner) && runner.order &&
+                  runner.order->order.kind == OrderKind::kLoad && !runner.order->IsAboutAdapter() &&
+                  runner.order->order.subject.model == aModel;
+         });
+}
+
+const Dispatcher::Swap* Dispatcher::SwapAt(const EndpointId& aRunner) const
+{
+  const auto found = std::find_if(
+    mSwaps.begin(), mSwaps.end(), [&](const Swap& aSwap) { return aSwap.runner == aRunner; });
+  return found == mSwaps.end() ? nullptr : &*found;
+}
+
+/* Returns the delay of callers to expect when a replica goes, in seconds. */
+double Dispatcher::KeepValue(TimePoint aNow,
+                             const ManagedRunner& aRunner,
+                             const Engine& aEngine,
+                             const ModelId& aModel) const
+{
+  const auto model = aEngine.models.find(aModel);
+  if (model == aEngine.models.end()) {
+    return 0.0; // Nobody may ask for it any more.
+  }
+  const double rate = mDemand.Rate(aNow, aModel);
+  const double needed = std::max(1.0, std::ceil(mDemand.Work(aNow, aModel) / kReplicaWork));
+  const double replicas = std::max<double>(Replicas(aRunner.entry.service, aModel), 1.0);
+  const Duration reload = aRunner.inHostMemory.contains(aModel) ? model->second.memoryLoad
+                          : aRunner.onDisk.contains(aModel)     ? model->second.diskLoad
+                                                                : model->second.storeLoad;
+  const double isAsked = 1.0 - std::exp(-rate * kHorizonS);
+  const double value = isAsked * SecondsOf(reload) + kCrowdingCost * rate / replicas;
+  // Among models that nobody asks for, the one used last stays.
+  const auto held = aRunner.models.find(aModel);
+  const double age = held == aRunner.models.end() ? 0.0 : SecondsOf(aNow - held->second.lastUsed);
+  const double recency = 1e-3 / (1.0 + std::max(age, 0.0));
+  return (replicas > needed ? kSurplusValue * value : value) + recency;
+}
+
+std::optional<Dispatcher::Swap> Dispatcher::FindSwap(TimePoint aNow,
+                                                     const ManagedRunner& aRunner,
+                                                     const Engine& aEngine,
+                                                     const Model& aModel) const
+{
+  const bool hasMemoryCopy = aRunner.inHostMemory.contains(aModel.id);
+  const bool hasCopy = hasMemoryCopy || aRunner.onDisk.contains(aModel.id);
+  Swap swap{ .runner = aRunner.entry.id,
+             .service = aRunner.entry.service,
+             .model = aModel.id,
+             .victims = {},
+             .loadTime = hasMemoryCopy ? aModel.memoryLoad
+                         : hasCopy     ? aModel.diskLoad
+                                       : aModel.storeLoad,
+             .isFromStore = !hasCopy,
+             .plannedAt = aNow };
+  swap.cost = SecondsOf(swap.loadTime);
+  if (aRunner.order && !aRunner.order->IsAboutAdapter()) {
+    swap.cost += std::max(SecondsOf(aRunner.order->expectedAt - aNow), 0.1);
+  }
+  if (SwapAt(aRunner.entry.id) != nullptr) {
+    swap.cost += kSwapTimeS;
+  }
+  MemoryMb room = aEngine.weights - AdapterReserve(aEngine);
+  std::vector<std::pair<double, ModelId>> candidates;
+  for (const auto& [id, held] : aRunner.models) {
+    room = room - WeightsOf(aEngine, id);
+    if (!held.isLeaving) {
+      const double drain = held.inFlight > 0 ? kDrainTimeS : 0.0;
+      candidates.emplace_back(KeepValue(aNow, aRunner, aEngine, id) + drain, id);
+    }
+  }
+  std::sort(candidates.begin(), candidates.end());
+  for (const auto& [value, id] : candidates) {
+    if (room >= aModel.weights) {
+      break;
+    }
+    room += WeightsOf(aEngine, id);
+    swap.cost += value;
+    swap.victims.push_back(id);
+  }
+  return room >= aModel.weights ? std::optional{ std::move(swap) } : std::nullopt;
+}
+
+void Dispatcher::PlanModels(TimePoint aNow)
+{
+  // Load pattern: many rare models, each asked for now and then. A waiting request is worth a
+  // swap wherever that delays other callers least.
+  std::map<std::pair<ServiceId, ModelId>, std::uint32_t> missing;
+  std::map<std::pair<ServiceId, ModelId>, std::uint32_t> crowded;
+  for (const Waiting& waiting : mWaiting) {
+    const std::pair key{ waiting.ask.service, waiting.ask.work.target.model };
+    ++(Replicas(key.first, key.second) == 0 ? missing : crowded)[key];
+  }
+  std::vector<std::pair<std::uint32_t, std::pair<ServiceId, ModelId>>> ordered;
+  for (const auto& [key, count] : missing) {
+    ordered.emplace_back(count, key);
+  }
+  std::stable_sort(ordered.begin(), ordered.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft.first > aRight.first;
+  });
+  for (const auto& [count, key] : ordered) {
+    PlanSwap(aNow, key.first, key.second, 1e9, "asked_for");
+  }
+  // Load pattern: demand for few models that outgrows their replicas, or moves to others.
+  if (!mConfiguration) {
+    return;
+  }
+  for (const auto& [serviceId, service] : mConfiguration->services) {
+    if (!service.engine) {
+      continue;
+    }
+    for (const auto& [modelId, model] : service.engine->models) {
+      const double work = mDemand.Work(aNow, modelId);
+      const std::uint32_t replicas = Replicas(serviceId, modelId);
+      if (replicas == 0 || work <= kReplicaWork * replicas) {
+        continue;
+      }
+      const double benefit = (work / replicas - kReplicaWork) * kHorizonS;
+      PlanSwap(aNow, serviceId, modelId, benefit, "crowded");
+    }
+  }
+}
+
+void Dispatcher::PlanSwap(TimePoint aNow,
+                          const ServiceId& aService,
+                          const ModelId& aModel,
+                          double aBenefit,
+                          std::string_view aWhy)
+{
+  const Engine* engine = EngineOf(aService);
+  const auto model =
+    engine == nullptr ? std::map<ModelId, Model>::const_iterator{} : engine->models.find(aModel);
+  if (engine == nullptr || model == engine->models.end() || IsComing(aService, aModel) ||
+      aBenefit < kLeastBenefitS) {
+    return;
+  }
+  std::optional<Swap> best;
+  for (const auto& [id, runner] : mRunners) {
+    if (runner.entry.service != aService || !IsUsable(runner) || runner.models.contains(aModel) ||
+        runner.health.IsDoubted(aNow)) {
+      continue;
+    }
+    auto swap = FindSwap(aNow, runner, *engine, model->second);
+    if (swap && (!best || swap->cost < best->cost)) {
+      best = std::move(swap);
+    }
+  }
+  // When the best runner is still busy, waiting for it is better than going elsewhere.
+  if (!best || best->cost > aBenefit || SwapAt(best->runner) != nullptr) {
+    return;
+  }
+  ManagedRunner& runner = mRunners[best->runner];
+  if (runner.order && !runner.order->IsAboutAdapter()) {
+    return;
+  }
+  if (best->isFromStore && !MayLoadFromStore(aNow, *engine)) {
+    return;
+  }
+  for (const ModelId& victim : best->victims) {
+    runner.models[victim].isLeaving = true;
+  }
+  Note({ .event = "swap_planned",
+         .request = {},
+         .runner = best->runner,
+         .model = { .model = aModel, .adapter = {} },
+         .why = aWhy,
+         .time = best->loadTime,
+         .count = best->victims.size() });
+  mSwaps.push_back(std::move(*best));
+}
+
+void Dispatcher::FollowSwaps(TimePoint aNow)
+{
+  std::erase_if(mSwaps, [&](const Swap& aSwap) { return FollowSwap(aNow, aSwap); });
+}
+
+/* Takes a swap one step further; returns whether it needs no more attention. */
+bool Dispatcher::FollowSwap(TimePoint aNow, const Swap& aSwap)
+{
+  const auto found = mRunners.find(aSwap.runner);
+  if (found == mRunners.end()) {
+    return true;
+  }
+  ManagedRunner& runner = found->second;
+  const bool isTooLate = aNow - aSwap.plannedAt > kSwapLimit;
+  if (!IsUsable(runner) || isTooLate || runner.models.contains(aSwap.model)) {
+    for (const ModelId& victim : aSwap.victims) {
+      if (const auto held = runner.models.find(victim); held != runner.models.end()) {
+        held->second.isLeaving = false;
+      }
+    }
+    return true;
+  }
+  if (!MayOrderTo(aNow, runner)) {
+    return false;
+  }
+  bool hasVictims = false;
+  for (const ModelId& victim : aSwap.victims) {
+    const auto held = runner.models.find(victim);
+    if (held == runner.models.end()) {
+      continue;
+    }
+    hasVictims = true;
+    held->second.isLeaving = true;
+    if (held->second.inFlight == 0) {
+      SendOrder(aNow,
+                runner,
+                OrderKind::kUnload,
+                { .model = victim, .adapter = {} },
+                { .expected = Duration::zero(), .isFromStore = false, .why = "makes_room" });
+      return false;
+    }
+  }
+  if (hasVictims) {
+    return false;
+  }
+  const Engine* engine = EngineOf(aSwap.service);
+  MemoryMb used;
+  for (const auto& [id, held] : runner.models) {
+    used += engine == nullptr ? MemoryMb{} : WeightsOf(*engine, id);
+  }
+  // Checked again: what the runner holds may have changed since the swap was planned.
+  if (engine == nullptr ||
+      used + WeightsOf(*engine, aSwap.model) + AdapterReserve(*engine) > engine->weights) {
+    return true;
+  }
+  if (aSwap.isFromStore) {
+    mStoreLoads.push_back(aNow);
+  }
+  SendOrder(aNow,
+            runner,
+            OrderKind::kLoad,
+            { .model = aSwap.model, .adapter = {} },
+            { .expected = aSwap.loadTime, .isFromStore = aSwap.isFromStore, .why = "asked_for" });
+  return true;
+}
+
+} // namespace rhubarbtrail::fleet
--- /dev/null
+++ b/src/decision/fleet/prompt_cache.cpp
@@ -0,0 +1,79 @@
+/* What a runner is believed to keep of the prompts that it has read. */
+#include "decision/fleet/prompt_cache.h"
+
+#include <string>
+#include <xxhash.h>
+
+namespace rhubarbtrail::fleet {
+
+namespace {
+
+/* Parts are kept for a model and adapter, and only count behind all parts before them. */
+std::uint64_t FirstKey(const ModelRef& aModel)
+{
+  const std::string name = aModel.model.str() + "/" + aModel.adapter.str();
+  return XXH3_64bits(name.data(), name.size());
+}
+
+std::uint64_t NextKey(std::uint64_t aKey, const PromptPart& aPart)
+{
+  return XXH3_64bits_withSeed(&aPart.id, sizeof(aPart.id), aKey);
+}
+
+} // namespace
+
+std::uint32_t PromptCache::KeptTokens(const ModelWork& aWork) const
+{
+  std::uint64_t key = FirstKey(aWork.target);
+  std::uint32_t kept = 0;
+  for (const PromptPart& part : aWork.parts) {
+    key = NextKey(key, part);
+    if (!mIndex.contains(key)) {
+      break;
+    }
+    kept += part.tokens;
+  }
+  return kept;
+}
+
+void PromptCache::Note(const ModelWork& aWork)
+{
+  std::uint64_t key = FirstKey(aWork.target);
+  for (const PromptPart& part : aWork.parts) {
+    key = NextKey(key, part);
+    if (const auto found = mIndex.find(key); found != mIndex.end()) {
+      mParts.splice(mParts.begin(), mParts, found->second);
+      continue;
+    }
+    mParts.push_front({ .key = key, .tokens = part.tokens, .model = aWork.target.model });
+    mIndex.emplace(key, mParts.begin());
+    mTokens += part.tokens;
+  }
+  while (mTokens > mCapacity && !mParts.empty()) {
+    mTokens -= mParts.back().tokens;
+    mIndex.erase(mParts.back().key);
+    mParts.pop_back();
+  }
+}
+
+void PromptCache::Drop(const ModelId& aModel)
+{
+  for (auto part = mParts.begin(); part != mParts.end();) {
+    if (part->model != aModel) {
+      ++part;
+      continue;
+    }
+    mTokens -= part->tokens;
+    mIndex.erase(part->key);
+    part = mParts.erase(part);
+  }
+}
+
+void PromptCache::Clear()
+{
+  mParts.clear();
+  mIndex.clear();
+  mTokens = 0;
+}
+
+} // namespace rhubarbtrail::fleet
--- a/src/decision/fleet/runner_registry.cpp
+++ b/src/decision/fleet/runner_registry.cpp
@@ -10,16 +10,6 @@
 
 namespace {
 
-/* Share of each new outcome in the moving average of failures; five outcomes tell a runner that
- * fails four requests in ten from one that fails one in ten. */
-constexpr double kFailureWeight = 0.2;
-/* Average of failures from which a runner is doubted. */
-constexpr double kDoubtedShare = 0.35;
-/* First and longest time for which a doubted runner gets no requests. */
-constexpr Duration kFirstAvoidance = 500ms;
-constexpr Duration kLongestAvoidance = 4s;
-/* Time for which a runner is left alone after it refused a request. */
-constexpr Duration kRefusalPause = 60ms;
 /* Age up to which a stated load is believed. */
 constexpr Duration kLoadLifetime = 400ms;
 /* How long a removed runner is remembered, for answers still under way. */
@@ -54,9 +44,7 @@
   if (isRestarted) {
     runner.load = {};
     runner.loadAt = {};
-    runner.failuresInRow = 0;
-    runner.failureShare = 0.0;
-    runner.avoidUntil = {};
+    runner.health.Reset();
     return Change::kRestarted;
   }
   return isLeaving ? Change::kLeaving : Change::kUpdated;
@@ -90,27 +78,7 @@
   }
   KnownRunner& runner = found->second;
   runner.inFlight -= std::min<std::uint32_t>(runner.inFlight, 1);
-  const double failed = aSign == EndpointSign::kFailed ? 1.0 : 0.0;
-  switch (aSign) {
-    case EndpointSign::kGood:
-    case EndpointSign::kFailed:
-      runner.failureShare += kFailureWeight * (failed - runner.failureShare);
-      runner.failuresInRow = aSign == EndpointSign::kFailed ? runner.failuresInRow + 1 : 0;
-      if (aSign == EndpointSign::kFailed && runner.failureShare > kDoubtedShare) {
-        const auto doublings = std::min<std::uint32_t>(runner.failuresInRow, 4) - 1;
-        runner.avoidUntil = aNow + std::min(kFirstAvoidance * (1 << doublings), kLongestAvoidance);
-      }
-      break;
-    case EndpointSign::kRefused:
-      runner.avoidUntil = std::max(runner.avoidUntil, aNow + kRefusalPause);
-      break;
-    case EndpointSign::kMisaddressed:
-      // Its entry is old; a new one clears this.
-      runner.avoidUntil = aNow + kLongestAvoidance;
-      break;
-    case EndpointSign::kCancelled:
-      break;
-  }
+  runner.health.Note(aNow, aSign);
 }
 
 void RunnerRegistry::NoteLoad(TimePoint aNow, const EndpointId& aRunner, const StatedLoad& aLoad)
@@ -138,7 +106,7 @@
   if (aRunner.entry.state == RunnerState::kDraining) {
     return Exclusion::kLeaving;
   }
-  return aNow < aRunner.avoidUntil ? Exclusion::kDoubted : Exclusion::kNone;
+  return aRunner.health.IsDoubted(aNow) ? Exclusion::kDoubted : Exclusion::kNone;
 }
 
 std::optional<EndpointId> RunnerRegistry::Choose(TimePoint aNow, const Wanted& aWanted) const
--- a/src/decision/fleet/runner_registry.h
+++ b/src/decision/fleet/runner_registry.h
@@ -2,6 +2,7 @@
 #ifndef RHUBARBTRAIL_DECISION_FLEET_RUNNER_REGISTRY_H
 #define RHUBARBTRAIL_DECISION_FLEET_RUNNER_REGISTRY_H
 
+#include "decision/fleet/endpoint_health.h"
 #include "decision/fleet/runner_type.h"
 
 #include <map>
@@ -16,16 +17,6 @@
  * operators state about two seconds; the rest is for the way here. */
 constexpr Duration kLapsedEntryGrace = 2'300ms;
 
-/* How an attempt at an endpoint went, as far as its health is concerned. */
-enum class EndpointSign : std::uint8_t
-{
-  kGood,
-  kRefused,      ///< It was full, or did not hold what was asked for.
-  kFailed,       ///< It failed the request, broke off or said nothing.
-  kMisaddressed, ///< Another endpoint has the address.
-  kCancelled,    ///< We stopped it, which says nothing.
-};
-
 struct KnownRunner
 {
   RunnerEntry entry;
@@ -34,9 +25,7 @@
   std::uint32_t inFlight = 0;            ///< Requests of this daemon.
   StatedLoad load;
   TimePoint loadAt{};
-  std::uint32_t failuresInRow = 0;
-  double failureShare = 0.0; ///< Moving average of attempts that failed.
-  TimePoint avoidUntil{};
+  EndpointHealth health;
 };
 
 /* Why a runner is left out. */
--- a/src/decision/fleet/runner_type.h
+++ b/src/decision/fleet/runner_type.h
@@ -50,7 +50,6 @@
   std::uint32_t slots = 1;
   RunnerState state = RunnerState::kReady;
   std::optional<Duration> leavesIn; ///< Time until the runner is gone, whatever it runs.
-  std::uint64_t orderCount = 0;     ///< Orders that it has accepted since it started.
   std::int64_t startedAtMs = 0;     ///< Unix time of its start; tells one life from the next.
   RunnerHoldings holdings;
 
@@ -60,8 +59,8 @@
 /* The answer to a question about a runner's state; some hundred milliseconds old. */
 struct RunnerReport
 {
-  bool isBusy = false; ///< An order about a model is being carried out.
-  std::uint64_t orderCount = 0;
+  bool isBusy = false;          ///< An order about a model is being carried out.
+  std::uint64_t orderCount = 0; ///< Orders that it has accepted since it started.
   std::int64_t startedAtMs = 0;
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
--- /dev/null
+++ b/src/fleet/fleet_message.cpp
@@ -0,0 +1,231 @@
+/* Messages between the daemons of a fleet, as MessagePack. */
+#include "fleet/fleet_message.h"
+
+#include "core/overloaded.h"
+
+#include <nlohmann/json.hpp>
+
+namespace rhubarbtrail {
+
+namespace {
+
+using Json = nlohmann::json;
+using namespace fleet;
+
+Json ToJson(const LeaseRow& aRow)
+{
+  return { { "holder", aRow.holder.str() },
+           { "incarnation", aRow.incarnation.str() },
+           { "address", aRow.address },
+           { "waited", aRow.hasWaited },
+           { "renewals", aRow.renewals } };
+}
+
+LeaseRow LeaseFrom(const Json& aJson)
+{
+  return { .holder = DaemonId{ aJson.at("holder").get<std::string>() },
+           .incarnation = IncarnationId{ aJson.at("incarnation").get<std::string>() },
+           .address = aJson.at("address").get<std::string>(),
+           .hasWaited = aJson.at("waited").get<bool>(),
+           .renewals = aJson.at("renewals").get<std::uint64_t>() };
+}
+
+Json ToJson(const AskId& aId)
+{
+  return { { "daemon", aId.daemon.str() }, { "number", aId.number } };
+}
+
+AskId AskIdFrom(const Json& aJson)
+{
+  return { .daemon = DaemonId{ aJson.at("daemon").get<std::string>() },
+           .number = aJson.at("number").get<std::uint64_t>() };
+}
+
+Json ToJson(const PlacementAsk& aAsk)
+{
+  Json parts = Json::array();
+  for (const PromptPart& part : aAsk.work.parts) {
+    parts.push_back({ part.id, part.tokens });
+  }
+  Json excluded = Json::array();
+  for (const EndpointId& endpoint : aAsk.excluded) {
+    excluded.push_back(endpoint.str());
+  }
+  return { { "id", ToJson(aAsk.id) },
+           { "request", aAsk.requestId },
+           { "route", aAsk.route },
+           { "service", aAsk.service.str() },
+           { "model", aAsk.work.target.model.str() },
+           { "adapter", aAsk.work.target.adapter.str() },
+           { "prompt", aAsk.work.promptTokens },
+           { "output", aAsk.work.outputTokens },
+           { "parts", std::move(parts) },
+           { "priority", aAsk.priority },
+           { "objective", aAsk.objective.count() },
+           { "left", aAsk.timeLeft.count() },
+           { "resumable", aAsk.isResumable },
+           { "excluded", std::move(excluded) } };
+}
+
+PlacementAsk AskFrom(const Json& aJson)
+{
+  PlacementAsk ask{
+    .id = AskIdFrom(aJson.at("id")),
+    .requestId = aJson.at("request").get<std::string>(),
+    .route = aJson.at("route").get<std::string>(),
+    .service = ServiceId{ aJson.at("service").get<std::string>() },
+    .work = { .target = { .model = ModelId{ aJson.at("model").get<std::string>() },
+                          .adapter = AdapterId{ aJson.at("adapter").get<std::string>() } },
+              .promptTokens = aJson.at("prompt").get<std::uint32_t>(),
+              .outputTokens = aJson.at("output").get<std::uint32_t>(),
+              .parts = {} },
+    .priority = aJson.at("priority").get<std::uint32_t>(),
+    .objective = Duration{ aJson.at("objective").get<Duration::rep>() },
+    .timeLeft = Duration{ aJson.at("left").get<Duration::rep>() },
+    .isResumable = aJson.at("resumable").get<bool>(),
+    .excluded = {},
+  };
+  for (const Json& part : aJson.at("parts")) {
+    ask.work.parts.push_back(
+      { .id = part.at(0).get<std::uint64_t>(), .tokens = part.at(1).get<std::uint32_t>() });
+  }
+  for (const Json& endpoint : aJson.at("excluded")) {
+    ask.excluded.emplace_back(endpoint.get<std::string>());
+  }
+  return ask;
+}
+
+Json ToJson(const PlacementReply& aReply)
+{
+  Json json{ { "id", ToJson(aReply.id) } };
+  std::visit(
+    Overloaded{ [&](const PlaceGranted& aGranted) { json["runner"] = aGranted.runner.str(); },
+                [&](const PlaceRefused& aRefused) {
+                  json["code"] = static_cast<int>(aRefused.code);
+                  json["retry"] = aRefused.retryAfter.count();
+                },
+                [](const PlaceUnknown&) {} },
+    aReply.answer);
+  return json;
+}
+
+PlacementReply ReplyFrom(const Json& aJson)
+{
+  PlacementReply reply{ .id = AskIdFrom(aJson.at("id")), .answer = PlaceUnknown{} };
+  if (aJson.contains("runner")) {
+    reply.answer = PlaceGranted{ EndpointId{ aJson.at("runner").get<std::string>() } };
+  } else if (aJson.contains("code")) {
+    reply.answer = PlaceRefused{ .code = static_cast<ResultCode>(aJson.at("code").get<int>()),
+                                 .retryAfter = Duration{ aJson.at("retry").get<Duration::rep>() } };
+  }
+  return reply;
+}
+
+Json ToJson(const FleetBody& aBody)
+{
+  return std::visit(
+    Overloaded{ [](const HelloMessage& aHello) {
+                 return Json{ { "kind", "hello" },
+                              { "zone", aHello.zone.str() },
+                              { "address", aHello.address } };
+               },
+                [](const BeaconMessage& aBeacon) {
+                  return Json{ { "kind", "beacon" },
+                               { "lease", ToJson(aBeacon.lease) },
+                               { "version", aBeacon.version.value },
+                               { "stalled", aBeacon.state == HolderState::kStalled },
+                               { "daemons", aBeacon.daemons } };
+                },
+                [](const SuspectMessage& aSuspect) {
+                  return Json{ { "kind", "suspect" }, { "request", aSuspect.request.str() } };
+                },
+                [](const PlacementAsk& aAsk) {
+                  return Json{ { "kind", "ask" }, { "ask", ToJson(aAsk) } };
+                },
+                [](const PlaceReleased& aReleased) {
+                  return Json{ { "kind", "released" },
+                               { "id", ToJson(aReleased.id) },
+                               { "end", static_cast<int>(aReleased.end) } };
+                },
+                [](const PlaceInUse& aPlace) {
+                  return Json{ { "kind", "in_use" },
+                               { "ask", ToJson(aPlace.ask) },
+                               { "runner", aPlace.runner.str() } };
+                },
+                [](const PlacementReply& aReply) {
+                  return Json{ { "kind", "reply" }, { "reply", ToJson(aReply) } };
+                } },
+    aBody);
+}
+
+FleetBody BodyFrom(const Json& aJson)
+{
+  const std::string kind = aJson.at("kind").get<std::string>();
+  if (kind == "hello") {
+    return HelloMessage{ .zone = ZoneId{ aJson.at("zone").get<std::string>() },
+                         .address = aJson.at("address").get<std::string>() };
+  }
+  if (kind == "beacon") {
+    return BeaconMessage{ .lease = LeaseFrom(aJson.at("lease")),
+                          .version = { aJson.at("version").get<std::uint64_t>() },
+                          .state = aJson.at("stalled").get<bool>() ? HolderState::kStalled
+                                                                   : HolderState::kRenewing,
+                          .daemons = aJson.at("daemons").get<std::uint32_t>() };
+  }
+  if (kind == "suspect") {
+    return SuspectMessage{ FingerprintId{ aJson.at("request").get<std::string>() } };
+  }
+  if (kind == "ask") {
+    return AskFrom(aJson.at("ask"));
+  }
+  if (kind == "released") {
+    return PlaceReleased{ .id = AskIdFrom(aJson.at("id")),
+                          .end = static_cast<PlaceEnd>(aJson.at("end").get<int>()) };
+  }
+  if (kind == "in_use") {
+    return PlaceInUse{ .ask = AskFrom(aJson.at("ask")),
+                       .runner = EndpointId{ aJson.at("runner").get<std::string>() } };
+  }
+  if (kind == "reply") {
+    return ReplyFrom(aJson.at("reply"));
+  }
+  throw std::invalid_argument("unknown kind '" + kind + "'");
+}
+
+} // namespace
+
+std::vector<std::uint8_t> EncodeFleetMessage(const FleetMessage& aMessage)
+{
+  Json json = ToJson(aMessage.body);
+  json["from"] = aMessage.from.str();
+  json["incarnation"] = aMessage.incarnation.str();
+  return Json::to_msgpack(json);
+}
+
+tl::expected<FleetMessage, std::string> DecodeFleetMessage(const std::string& aBytes)
+{
+  try {
+    const Json json = Json::from_msgpack(aBytes);
+    return FleetMessage{ .from = DaemonId{ json.at("from").get<std::string>() },
+                         .incarnation = IncarnationId{ json.at("incarnation").get<std::string>() },
+                         .body = BodyFrom(json) };
+  } catch (const std::exception& error) {
+    return tl::make_unexpected(std::string{ error.what() });
+  }
+}
+
+std::string EncodeLeaseRow(const LeaseRow& aRow)
+{
+  return ToJson(aRow).dump();
+}
+
+tl::expected<LeaseRow, std::string> DecodeLeaseRow(const std::string& aText)
+{
+  try {
+    return LeaseFrom(Json::parse(aText));
+  } catch (const Json::exception& error) {
+    return tl::make_unexpected(std::string{ error.what() });
+  }
+}
+
+} // namespace rhubarbtrail
--- a/src/platform/runner_decoder.cpp
+++ b/src/platform/runner_decoder.cpp
@@ -125,7 +125,7 @@
     if (document.contains("remainingMs")) {
       entry.leavesIn = MillisecondsOf(Number(document, "remainingMs"));
     }
-    entry.orderCount = WholeOr(document, "seq", 0); // Counts accepted orders.
+    // "seq" is left out: in an entry it counts writes of the entry, in a report accepted orders.
     entry.startedAtMs = DecodeStart(document);
     entry.holdings = DecodeHoldings(document);
     return entry;
@@ -138,7 +138,7 @@
     const Json document = ParseJson(aDocument);
     fleet::RunnerReport report;
     report.isBusy = FlagOr(document, "busy", false);
-    report.orderCount = WholeOr(document, "seq", 0);
+    report.orderCount = WholeOr(document, "seq", 0); // Accepted orders, unlike in an entry.
     report.startedAtMs = DecodeStart(document);
     report.running = static_cast<std::uint32_t>(WholeOr(document, "running", 0));
     report.waiting = static_cast<std::uint32_t>(WholeOr(document, "waiting", 0));
