Fix: [Scheduler] Order only on what reports prove; let a stopping daemon send late requests on

Cause: (1) an accepted unload counted as done, though it waits for its runs; a report made before it brought the model back into the view, the same unload was ordered again and answered 202 without being counted, and the count was off for good.

Ruled out: late orders (none was in force at that time), a second holder (one fence in the log).

Change: a load on top of an accepted unload is tried, and only its acceptance or a report proves the unload; who gives orders adopts reports only; a stopping daemon closes idle connections after the farewell time and answers later requests with 503 and a time to come back.

--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -425,6 +425,10 @@
   void CheckStopped()
   {
     const Duration passed = BootTime() - mStoppedAt;
+    if (passed >= kFarewellTime && !std::exchange(mGateway.isLeaving, true)) {
+      // The balancer sends nobody here any more; who still holds a connection is sent on.
+      mFront.CloseIdle();
+    }
     const bool isIdle = passed >= kFarewellTime && mGateway.openRequests == 0;
     const bool isLate = passed >= mSettings.edge.shutdownGrace - kGraceMargin;
     if (isIdle || isLate) {
--- a/src/decision/fleet/dispatcher.cpp
+++ b/src/decision/fleet/dispatcher.cpp
@@ -12,9 +12,6 @@
 /* Longest time between two ticks while there is something to watch. */
 constexpr Duration kWatchInterval = 100ms;
 constexpr Duration kIdleInterval = 500ms;
-/* Age up to which an entry may be older than an order; entries are written about every second and
- * arrive within another one. */
-constexpr Duration kEntryLag = 2'500ms;
 
 EndpointSign SignOf(PlaceEnd aEnd)
 {
@@ -102,10 +99,11 @@
   }
   runner.entry = aEntry;
   runner.isGone = false;
-  // An entry does not tell which orders it follows; beside recent orders, only reports count.
-  if (!runner.order && aNow - runner.lastOrderAt > kEntryLag) {
+  // An entry does not tell which orders it follows. Who gives orders believes reports only, and
+  // asks for one when something seems to have changed.
+  if (!runner.isVerified) {
     AdoptHoldings(aNow, runner, aEntry.holdings);
-  } else if (runner.order && runner.order->phase == PendingOrder::Phase::kAccepted) {
+  } else {
     WantReport(aNow, runner);
   }
 }
--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -83,6 +83,9 @@
   TimePoint sentAt{};
   TimePoint expectedAt{}; ///< When it should have been carried out.
   bool isFromStore = false;
+  /* A load that was ordered while this unload may still have been under way; its acceptance shows
+   * that the unload is done, since a runner carries out one order at a time. */
+  std::optional<ModelId> after;
 
   bool IsAboutAdapter() const { return !order.subject.adapter.empty(); }
 };
@@ -98,8 +101,8 @@
   std::set<ModelId> onDisk;
   std::uint64_t orderCount = 0;
   std::optional<PendingOrder> order;
-  TimePoint nextOrder{}; ///< No order before this time.
-  TimePoint lastOrderAt{};
+  TimePoint nextOrder{};             ///< No order before this time.
+  TimePoint lastOrderAt{};           ///< When an order was last accepted, or may have been.
   std::optional<TimePoint> reportAt; ///< A report is wanted from this time on.
   bool isReportUnderWay = false;
   std::uint32_t inFlight = 0;
@@ -226,6 +229,8 @@
   // dispatcher_order.cpp
   void PlanAdapter(TimePoint aNow, const ModelRef& aAdapter, ManagedRunner& aRunner);
   bool MayOrderTo(TimePoint aNow, const ManagedRunner& aRunner) const;
+  bool MayLoadAfterUnload(TimePoint aNow, const ManagedRunner& aRunner) const;
+  void OnConflict(TimePoint aNow, ManagedRunner& aRunner);
   void SendOrder(TimePoint aNow,
                  ManagedRunner& aRunner,
                  OrderKind aKind,
--- a/src/decision/fleet/dispatcher_order.cpp
+++ b/src/decision/fleet/dispatcher_order.cpp
@@ -32,6 +32,15 @@
          IsUsable(aRunner);
 }
 
+/* Returns whether a load may be tried while an unload was accepted and not seen to be done: reports
+ * are old, and the runner refuses the load if it is too early. */
+bool Dispatcher::MayLoadAfterUnload(TimePoint aNow, const ManagedRunner& aRunner) const
+{
+  return mRight.mayOrder && aRunner.isVerified && aNow >= aRunner.nextOrder && IsUsable(aRunner) &&
+         aRunner.order && aRunner.order->phase == PendingOrder::Phase::kAccepted &&
+         aRunner.order->order.kind == OrderKind::kUnload && !aRunner.order->IsAboutAdapter();
+}
+
 void Dispatcher::PlanAdapter(TimePoint aNow, const ModelRef& aAdapter, ManagedRunner& aRunner)
 {
   const Engine* engine = EngineOf(aRunner.entry.service);
@@ -87,12 +96,15 @@
                            .expectedOrderCount = aRunner.orderCount,
                            .holder = mRight.holder,
                            .fence = mRight.fence };
-  aRunner.order = PendingOrder{ .order = order,
-                                .phase = PendingOrder::Phase::kSent,
-                                .sentAt = aNow,
-                                .expectedAt = aNow + aDetails.expected,
-                                .isFromStore = aDetails.isFromStore };
-  aRunner.lastOrderAt = aNow;
+  PendingOrder pending{ .order = order,
+                        .phase = PendingOrder::Phase::kSent,
+                        .sentAt = aNow,
+                        .expectedAt = aNow + aDetails.expected,
+                        .isFromStore = aDetails.isFromStore };
+  if (aRunner.order) {
+    pending.after = aRunner.order->order.subject.model;
+  }
+  aRunner.order = std::move(pending);
   if (aKind == OrderKind::kLoad && !aSubject.adapter.empty()) {
     aRunner.models[aSubject.model].adapters[aSubject.adapter] = { .isOrdered = true,
                                                                   .lastUsed = aNow };
@@ -137,31 +149,55 @@
       OnHeld(aNow, runner);
       break;
     case OrderOutcome::kConflict:
-      DropOrder(runner);
-      runner.nextOrder = aNow + kConflictPause;
-      WantReport(aNow, runner);
+      OnConflict(aNow, runner);
       break;
     case OrderOutcome::kNotSent:
-      DropOrder(runner);
+      OnConflict(aNow, runner);
       runner.nextOrder = aNow + kReportInterval;
       break;
     case OrderOutcome::kFenced:
     case OrderOutcome::kRejected:
-      DropOrder(runner);
+      OnConflict(aNow, runner);
       runner.nextOrder = aNow + kRejectionPause;
-      WantReport(aNow, runner);
       break;
     case OrderOutcome::kUnknown:
+      runner.lastOrderAt = aNow;
       runner.order->phase = PendingOrder::Phase::kUnsure;
       WantReport(aNow, runner);
       break;
   }
 }
 
+/* The runner did not take the order: another one is under way, or it has accepted others. */
+void Dispatcher::OnConflict(TimePoint aNow, ManagedRunner& aRunner)
+{
+  const PendingOrder pending = *aRunner.order;
+  DropOrder(aRunner);
+  if (pending.after) {
+    // The unload before it is still under way.
+    PendingOrder unload{ .order = pending.order,
+                         .phase = PendingOrder::Phase::kAccepted,
+                         .sentAt = pending.sentAt,
+                         .expectedAt = pending.sentAt };
+    unload.order.kind = OrderKind::kUnload;
+    unload.order.subject = { .model = *pending.after, .adapter = {} };
+    unload.order.expectedOrderCount = pending.order.expectedOrderCount - 1;
+    aRunner.order = std::move(unload);
+  }
+  aRunner.nextOrder = aNow + kConflictPause;
+  WantReport(aNow, aRunner);
+}
+
 void Dispatcher::OnAccepted(TimePoint aNow, ManagedRunner& aRunner)
 {
   PendingOrder& pending = *aRunner.order;
   ++aRunner.orderCount;
+  aRunner.lastOrderAt = aNow;
+  if (pending.after) {
+    aRunner.models.erase(*pending.after);
+    aRunner.cache.Drop(*pending.after);
+    pending.after.reset();
+  }
   const ModelRef subject = pending.order.subject;
   if (pending.IsAboutAdapter()) {
     if (const auto held = aRunner.models.find(subject.model); held != aRunner.models.end()) {
@@ -175,14 +211,12 @@
     DropOrder(aRunner);
     return;
   }
+  if (pending.isFromStore) {
+    mStoreLoads.push_back(aNow);
+  }
   pending.phase = PendingOrder::Phase::kAccepted;
   pending.expectedAt = aNow + (pending.expectedAt - pending.sentAt);
-  if (pending.order.kind == OrderKind::kUnload) {
-    // Nothing ran on the model, so it has gone; the next order finds out if not.
-    FinishOrder(aNow, aRunner);
-    return;
-  }
-  WantReport(pending.expectedAt, aRunner);
+  WantReport(std::max(pending.expectedAt, aNow + kReportInterval), aRunner);
 }
 
 /* The runner says that what was ordered already holds. */
@@ -267,11 +301,24 @@
     WantReport(aNow + kReportLag, runner);
     return;
   }
-  if (aReport->startedAtMs != runner.entry.startedAtMs) {
-    WantReport(aNow + kReportLag, runner); // It has restarted; its entry will tell.
+  if (aReport->startedAtMs < runner.entry.startedAtMs) {
+    WantReport(aNow + kReportLag, runner); // Of the runner's life before.
     return;
   }
+  if (aReport->startedAtMs > runner.entry.startedAtMs) {
+    RunnerEntry entry = runner.entry; // It has restarted, and its entry does not tell yet.
+    entry.startedAtMs = aReport->startedAtMs;
+    entry.holdings = aReport->holdings;
+    Reset(aNow, runner, entry);
+  }
   runner.isVerified = true;
+  Note({ .event = "report_read",
+         .request = {},
+         .runner = aRunner,
+         .model = {},
+         .why = aReport->isBusy ? "busy" : "idle",
+         .time = aNow - runner.lastOrderAt,
+         .count = aReport->orderCount });
   if (runner.order) {
     SettleByReport(aNow, runner, *aReport);
     return;
@@ -318,6 +365,10 @@
     }
     aRunner.orderCount = aReport.orderCount;
     pending.phase = PendingOrder::Phase::kAccepted;
+    if (pending.after) {
+      aRunner.models.erase(*pending.after);
+      pending.after.reset();
+    }
   }
   const bool isHeld = aReport.holdings.models.contains(pending.order.subject.model);
   const bool isDone =
--- a/src/decision/fleet/dispatcher_plan.cpp
+++ b/src/decision/fleet/dispatcher_plan.cpp
@@ -262,7 +262,10 @@
   }
   ManagedRunner& runner = found->second;
   const bool isTooLate = aNow - aSwap.plannedAt > kSwapLimit;
-  if (!IsUsable(runner) || isTooLate || runner.models.contains(aSwap.model)) {
+  const bool isLoading = runner.order && runner.order->order.kind == OrderKind::kLoad &&
+                         runner.order->order.subject.model == aSwap.model &&
+                         runner.order->phase == PendingOrder::Phase::kAccepted;
+  if (!IsUsable(runner) || isTooLate || isLoading || runner.models.contains(aSwap.model)) {
     for (const ModelId& victim : aSwap.victims) {
       if (const auto held = runner.models.find(victim); held != runner.models.end()) {
         held->second.isLeaving = false;
@@ -270,18 +273,21 @@
     }
     return true;
   }
-  if (!MayOrderTo(aNow, runner)) {
+  // The model whose unload was accepted counts as gone for the next order only.
+  const bool isAfterUnload = MayLoadAfterUnload(aNow, runner);
+  const ModelId going = isAfterUnload ? runner.order->order.subject.model : ModelId{};
+  if (!isAfterUnload && !MayOrderTo(aNow, runner)) {
     return false;
   }
   bool hasVictims = false;
   for (const ModelId& victim : aSwap.victims) {
     const auto held = runner.models.find(victim);
-    if (held == runner.models.end()) {
+    if (held == runner.models.end() || victim == going) {
       continue;
     }
     hasVictims = true;
     held->second.isLeaving = true;
-    if (held->second.inFlight == 0) {
+    if (held->second.inFlight == 0 && !isAfterUnload) {
       SendOrder(aNow,
                 runner,
                 OrderKind::kUnload,
@@ -296,22 +302,19 @@
   const Engine* engine = EngineOf(aSwap.service);
   MemoryMb used;
   for (const auto& [id, held] : runner.models) {
-    used += engine == nullptr ? MemoryMb{} : WeightsOf(*engine, id);
+    used += engine == nullptr || id == going ? MemoryMb{} : WeightsOf(*engine, id);
   }
   // Checked again: what the runner holds may have changed since the swap was planned.
   if (engine == nullptr ||
       used + WeightsOf(*engine, aSwap.model) + AdapterReserve(*engine) > engine->weights) {
     return true;
   }
-  if (aSwap.isFromStore) {
-    mStoreLoads.push_back(aNow);
-  }
   SendOrder(aNow,
             runner,
             OrderKind::kLoad,
             { .model = aSwap.model, .adapter = {} },
             { .expected = aSwap.loadTime, .isFromStore = aSwap.isFromStore, .why = "asked_for" });
-  return true;
+  return false;
 }
 
 } // namespace rhubarbtrail::fleet
--- a/src/decision/fleet/order_lease.cpp
+++ b/src/decision/fleet/order_lease.cpp
@@ -47,9 +47,10 @@
     mSentAt = aNow;
     const bool isFirst = mVersion.value == 0;
     const bool isContinued = isOwn && mRow.hasWaited; // The same host was the last to give orders.
-    mOrdersFrom = isFirst || isContinued
-                    ? aNow
-                    : mChangedAt + mOptions.orderWindow + mOptions.flight + mOptions.spacing;
+    // A holder that hands the lease back has given no order since.
+    const Duration window = mRow.holder.empty() ? Duration::zero() : mOptions.orderWindow;
+    mOrdersFrom =
+      isFirst || isContinued ? aNow : mChangedAt + window + mOptions.flight + mOptions.spacing;
     mWriting = OwnRow(aNow);
     return WriteLease{ mWriting, mVersion };
   }
--- a/src/fleet/fleet_member.cpp
+++ b/src/fleet/fleet_member.cpp
@@ -315,13 +315,26 @@
                 [&](const auto& aQuestion) {
                   if (isDispatcher()) {
                     Dispatch(message->from, fleet::DispatchMessage{ aQuestion });
+                  } else {
+                    Disown(message->from, fleet::DispatchMessage{ aQuestion });
                   }
                 } },
     message->body);
 }
 
+/* Tells a daemon whose question came too late that this one is not the dispatcher any more. */
+void FleetMember::Disown(const DaemonId& aFrom, const fleet::DispatchMessage& aMessage)
+{
+  const auto* ask = std::get_if<fleet::PlacementAsk>(&aMessage);
+  const auto address = mAddresses.find(aFrom);
+  if (ask != nullptr && address != mAddresses.end()) {
+    Send(address->second, fleet::PlacementReply{ .id = ask->id, .answer = fleet::PlaceUnknown{} });
+  }
+}
+
 void FleetMember::OnHello(const FleetMessage& aMessage, const HelloMessage& aHello)
 {
+  mAddresses[aMessage.from] = aHello.address;
   if (!isDispatcher()) {
     return;
   }
--- a/src/fleet/fleet_member.h
+++ b/src/fleet/fleet_member.h
@@ -95,6 +95,7 @@
   void OnBeacon(const FleetMessage& aMessage, const BeaconMessage& aBeacon);
   void OnSuspect(const FleetMessage& aMessage, const SuspectMessage& aSuspect);
   void Dispatch(const DaemonId& aFrom, const fleet::DispatchMessage& aMessage);
+  void Disown(const DaemonId& aFrom, const fleet::DispatchMessage& aMessage);
   void SendBeacons();
   void SendHello();
   void CheckMembers(TimePoint aNow);
@@ -117,6 +118,7 @@
   boost::asio::steady_timer mTimer;
   boost::asio::steady_timer mDispatchTimer;
   std::map<DaemonId, Member> mMembers;
+  std::map<DaemonId, std::string> mAddresses; ///< Of all daemons that made themselves known.
   bool mIsLinked = false;    ///< The dispatcher, another daemon, was heard of lately.
   fleet::LeaseRow mLinkedTo; ///< The dispatcher that questions go to.
   TimePoint mBeaconAt{};     ///< When the dispatcher was last heard of.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -37,6 +37,7 @@
   fleet::CrashGuard crashes;
   std::uint64_t nextAsk = 1;
   std::size_t openRequests = 0;
+  bool isLeaving = false; ///< The daemon stops soon and takes no more requests.
 };
 
 /* Serves one request from a client; ends by itself. */
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -150,6 +150,11 @@
 
 bool RequestFlow::CheckRoute(std::string& aReason, ResultCode& aCode)
 {
+  if (mContext.isLeaving) {
+    aReason = "the daemon stops";
+    aCode = ResultCode::kShuttingDown;
+    return false;
+  }
   if (!mConfiguration) {
     aReason = "no configuration is known yet";
     aCode = ResultCode::kConfigurationStale;
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -536,6 +536,16 @@
   mImpl->isDraining = true;
 }
 
+void Server::CloseIdle()
+{
+  const auto open = mImpl->connections;
+  for (ServerConnection* connection : open) {
+    if (mImpl->connections.contains(connection) && connection->isIdle()) {
+      connection->shared_from_this()->Close();
+    }
+  }
+}
+
 void Server::Close()
 {
   mImpl->isClosed = true;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -86,6 +86,8 @@
   void SetLimits(const ServerLimits& aLimits);
   /* Lets every connection end with its next answer. New connections are still taken. */
   void Drain();
+  /* Closes the connections that have no request. */
+  void CloseIdle();
   /* Stops listening and closes all connections. */
   void Close();
   ServerCounts counts() const;
