Fix: [Scheduler] Give a runner no order while one of a former holder is under way

Ruled out: late orders, two holders at a time (one fence at a time in the log).

Change: a busy runner without an order of ours counts as unverified until a report says that it is idle; idle connections are closed only when nothing has arrived on them, and the process ends when the server has been quiet in two checks.

--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -429,7 +429,10 @@
       // The balancer sends nobody here any more; who still holds a connection is sent on.
       mFront.CloseIdle();
     }
-    const bool isIdle = passed >= kFarewellTime && mGateway.openRequests == 0;
+    const bool isQuiet = passed >= kFarewellTime && mGateway.openRequests == 0 && mFront.IsQuiet();
+    // Twice in a row: the last bytes of an answer may still be on their way out.
+    const bool wasQuiet = std::exchange(mWasQuiet, isQuiet);
+    const bool isIdle = isQuiet && wasQuiet;
     const bool isLate = passed >= mSettings.edge.shutdownGrace - kGraceMargin;
     if (isIdle || isLate) {
       mLog.Write(
@@ -472,6 +475,7 @@
   asio::steady_timer mSweepTimer;
   std::uint32_t mDaemons = 1;
   bool mIsStopping = false;
+  bool mWasQuiet = false;
   TimePoint mStoppedAt{};
   int mExitCode = kExitOk;
 };
--- a/src/decision/fleet/dispatcher_order.cpp
+++ b/src/decision/fleet/dispatcher_order.cpp
@@ -311,7 +311,9 @@
     entry.holdings = aReport->holdings;
     Reset(aNow, runner, entry);
   }
-  runner.isVerified = true;
+  // A load of a former holder, or one of ours without an answer, may be under way; what it brings
+  // is not listed yet, so there may be less room than it seems.
+  runner.isVerified = !aReport->isBusy || runner.order;
   Note({ .event = "report_read",
          .request = {},
          .runner = aRunner,
@@ -331,8 +333,6 @@
   runner.orderCount = aReport->orderCount;
   AdoptHoldings(aNow, runner, aReport->holdings);
   if (aReport->isBusy) {
-    // An order of a former holder, or one of ours that had no answer, is being carried out.
-    runner.nextOrder = aNow + kReportInterval;
     WantReport(aNow + kReportInterval, runner);
   }
 }
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -133,7 +133,13 @@
     WaitForBytes();
   }
 
-  bool isIdle() const { return mState == State::kReading && !mParser && mIn.empty(); }
+  /* Returns whether no request has begun on the connection, read or unread. */
+  bool isIdle() const
+  {
+    error_code error;
+    return mState == State::kReading && !mParser && mIn.empty() && unsentBytes() == 0 &&
+           mSocket.available(error) == 0;
+  }
 
   void SendHead(const AnswerHead& aHead)
   {
@@ -190,6 +196,7 @@
     }
   }
 
+  bool isEnding() const { return mState == State::kClosing || mState == State::kClosed; }
   std::size_t unsentBytes() const { return mWriting.size() + mOut.size(); }
   void OnGone(std::function<void()> aHandler) { mOnGone = std::move(aHandler); }
   void OnDrained(std::function<void()> aHandler) { mOnDrained = std::move(aHandler); }
@@ -546,6 +553,14 @@
   }
 }
 
+bool Server::IsQuiet() const
+{
+  return std::all_of(
+    mImpl->connections.begin(), mImpl->connections.end(), [](const ServerConnection* aItem) {
+      return aItem->unsentBytes() == 0 && (aItem->isIdle() || aItem->isEnding());
+    });
+}
+
 void Server::Close()
 {
   mImpl->isClosed = true;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -88,6 +88,8 @@
   void Drain();
   /* Closes the connections that have no request. */
   void CloseIdle();
+  /* Returns whether no connection has a request, or bytes that its client has not taken. */
+  bool IsQuiet() const;
   /* Stops listening and closes all connections. */
   void Close();
   ServerCounts counts() const;
