Feature: [Scheduler] Carry the dispatcher to the grown fleet: index of holders, plans in slices

Change: runners are found by model through an index; plans stop when no runner is free and take twelve models a tick; better equipped hosts take the lease first; daemons that give no orders read the runners' table once a second.

--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -37,10 +37,21 @@
 /* Time between two looks for runners whose entries have not come back. */
 constexpr Duration kSweepInterval = 250ms;
 /* Least time between two reads of the runners' table by a daemon that gives no orders. */
-constexpr Duration kRunnerInterval = 500ms;
+constexpr Duration kRunnerInterval = 1s;
+/* The same for the daemon that gives the orders. */
+constexpr Duration kHolderRunnerInterval = 300ms;
 /* Descriptors left for files, the store, other daemons and listeners. */
 constexpr std::size_t kReservedDescriptors = 264;
 
+/* Returns how long a host leaves the lease to better equipped ones: the dispatcher of a large fleet
+ * needs about a third of a core. */
+Duration HeadStart(double aCpuShare)
+{
+  constexpr double kEnoughCores = 0.25;
+  constexpr Duration kModestWait = 700ms;
+  return aCpuShare >= kEnoughCores ? Duration::zero() : kModestWait;
+}
+
 /* Returns the names of the models that a runner holds, for logs. */
 std::string NamesOf(const std::map<ModelId, std::set<AdapterId>>& aModels)
 {
@@ -94,7 +105,8 @@
                 .incarnation = IncarnationId{ mIncarnation },
                 .zone = ZoneId{ mSettings.zone },
                 .address = mSettings.edge.linkAddress,
-                .leaseSpacing = mSettings.edge.leaseSpacing })
+                .leaseSpacing = mSettings.edge.leaseSpacing,
+                .headStart = HeadStart(mSettings.edge.cpuShare) })
     , mConfigurationFeed(mLoop,
                          mStore,
                          mLog,
@@ -201,6 +213,7 @@
         return;
       }
       const TimePoint now = BootTime();
+      mRunnerFeed.SetInterval(mMember.isDispatcher() ? kHolderRunnerInterval : kRunnerInterval);
       for (const auto& [id, runner] : mRunners.runners()) {
         if (runner.missingSince && mDispatcher.runners().contains(id) &&
             mRunners.Check(now, runner) == fleet::Exclusion::kGone) {
--- a/src/decision/fleet/demand.h
+++ b/src/decision/fleet/demand.h
@@ -8,6 +8,7 @@
 #include <cmath>
 #include <cstdint>
 #include <map>
+#include <vector>
 
 namespace rhubarbtrail::fleet {
 
@@ -30,7 +31,16 @@
   /* Returns the work, in runners: 1 keeps one runner busy. */
   double Work(TimePoint aNow, const ModelId& aModel) const { return Read(aNow, aModel).work; }
 
-  void Clear() { mEntries.clear(); }
+  /* Returns the models that were asked for. */
+  std::vector<ModelId> Models() const
+  {
+    std::vector<ModelId> models;
+    models.reserve(mEntries.size());
+    for (const auto& item : mEntries) {
+      models.push_back(item.first);
+    }
+    return models;
+  }
 
 private:
   static constexpr double kTimeConstant = 6.0; ///< Seconds.
--- a/src/decision/fleet/dispatcher.cpp
+++ b/src/decision/fleet/dispatcher.cpp
@@ -37,9 +37,8 @@
 {
   mConfiguration = std::move(aConfiguration);
   for (auto& [id, runner] : mRunners) {
-    if (const Engine* engine = EngineOf(runner.entry.service)) {
-      runner.cache.SetCapacity(engine->cacheTokens);
-    }
+    runner.engine = EngineOf(runner.entry.service);
+    runner.cache.SetCapacity(runner.engine == nullptr ? 0 : runner.engine->cacheTokens);
   }
 }
 
@@ -81,11 +80,10 @@
 {
   aRunner = {};
   aRunner.entry = aEntry;
-  if (const Engine* engine = EngineOf(aEntry.service)) {
-    aRunner.cache.SetCapacity(engine->cacheTokens);
-  }
+  aRunner.engine = EngineOf(aEntry.service);
+  aRunner.cache.SetCapacity(aRunner.engine == nullptr ? 0 : aRunner.engine->cacheTokens);
   std::erase_if(mPlaces, [&](const auto& aItem) { return aItem.second.runner == aEntry.id; });
-  std::erase_if(mSwaps, [&](const Swap& aSwap) { return aSwap.runner == aEntry.id; });
+  mSwaps.erase(aEntry.id);
   AdoptHoldings(aNow, aRunner, aEntry.holdings);
 }
 
@@ -114,8 +112,9 @@
 {
   if (const auto found = mRunners.find(aRunner); found != mRunners.end()) {
     found->second.isGone = true;
-    std::erase_if(mSwaps, [&](const Swap& aSwap) { return aSwap.runner == aRunner; });
+    mSwaps.erase(aRunner);
     if (found->second.inFlight == 0) {
+      mIsIndexStale = true;
       mRunners.erase(found);
     }
   }
@@ -125,6 +124,7 @@
                                ManagedRunner& aRunner,
                                const RunnerHoldings& aHoldings)
 {
+  mIsIndexStale = true;
   std::erase_if(aRunner.models, [&](const auto& aItem) {
     const bool isHeld = aHoldings.models.contains(aItem.first);
     if (!isHeld) {
@@ -158,10 +158,10 @@
 
 void Dispatcher::OnAsk(TimePoint aNow, const PlacementAsk& aAsk, const ZoneId& aZone)
 {
-  if (const auto place = mPlaces.find(aAsk.id); place != mPlaces.end()) {
+  if (const auto known = mPlaces.find(aAsk.id); known != mPlaces.end()) {
     // The answer was lost with a connection.
     mActions.emplace_back(
-      PlacementReply{ .id = aAsk.id, .answer = PlaceGranted{ place->second.runner } });
+      PlacementReply{ .id = aAsk.id, .answer = PlaceGranted{ known->second.runner } });
     return;
   }
   const bool isKnown = std::any_of(mWaiting.begin(), mWaiting.end(), [&](const Waiting& aItem) {
@@ -171,8 +171,14 @@
     return;
   }
   mDemand.Note(aNow, aAsk.work.target.model, EstimateWork(aAsk.work));
-  mWaiting.push_back(
-    { .ask = aAsk, .zone = aZone, .askedAt = aNow, .deadline = aNow + aAsk.timeLeft });
+  // Load pattern: bursts at several hosts at once. The most urgent goes first over all hosts.
+  const auto place = std::upper_bound(
+    mWaiting.begin(),
+    mWaiting.end(),
+    aAsk.priority,
+    [](std::uint32_t aPriority, const Waiting& aItem) { return aPriority < aItem.ask.priority; });
+  mWaiting.insert(
+    place, { .ask = aAsk, .zone = aZone, .askedAt = aNow, .deadline = aNow + aAsk.timeLeft });
 }
 
 void Dispatcher::OnReleased(TimePoint aNow, const PlaceReleased& aReleased)
@@ -290,6 +296,7 @@
     }
   }
   if (runner->second.isGone && runner->second.inFlight == 0) {
+    mIsIndexStale = true;
     mRunners.erase(runner);
   }
 }
--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -94,6 +95,7 @@
 struct ManagedRunner
 {
   RunnerEntry entry;
+  const Engine* engine = nullptr; ///< Of its service; null for plain services.
   bool isGone = false;
   bool isVerified = false; ///< A report was read since orders may be given.
   std::map<ModelId, HeldModel> models;
@@ -212,6 +214,8 @@
                 const ModelId& aModel,
                 double aBenefit,
                 std::string_view aWhy);
+  /* Returns whether a runner has neither a swap ahead nor a model on its way. */
+  bool IsFree(const ManagedRunner& aRunner) const;
   std::optional<Swap> FindSwap(TimePoint aNow,
                                const ManagedRunner& aRunner,
                                const Engine& aEngine,
@@ -221,6 +225,10 @@
                    const Engine& aEngine,
                    const ModelId& aModel) const;
   std::uint32_t Replicas(const ServiceId& aService, const ModelId& aModel) const;
+  /* Returns the runners that hold a model, of all services. */
+  const std::vector<ManagedRunner*>& Holders(const ModelId& aModel) const;
+  void PlanMissing(TimePoint aNow);
+  void PlanCrowded(TimePoint aNow);
   bool IsComing(const ServiceId& aService, const ModelId& aModel) const;
   const Swap* SwapAt(const EndpointId& aRunner) const;
   void FollowSwaps(TimePoint aNow);
@@ -248,9 +256,13 @@
   std::shared_ptr<const FleetConfiguration> mConfiguration;
   OrderRight mRight;
   std::map<EndpointId, ManagedRunner> mRunners;
-  std::deque<Waiting> mWaiting;
+  /* The runners by the models that they hold; made anew when it is asked for after a change. */
+  mutable std::unordered_map<ModelId, std::vector<ManagedRunner*>> mHolders;
+  mutable bool mIsIndexStale = true;
+  std::deque<Waiting> mWaiting; ///< The most urgent first; among equals, the oldest.
+  TimePoint mNextCrowdedCheck{};
   std::map<AskId, Place> mPlaces;
-  std::vector<Swap> mSwaps; ///< At most one a runner.
+  std::map<EndpointId, Swap> mSwaps; ///< By runner.
   DemandBook mDemand;
   StoreLimits mStoreLimits;
   std::deque<TimePoint> mStoreLoads; ///< Starts of loads from the weight store.
--- a/src/decision/fleet/dispatcher_grant.cpp
+++ b/src/decision/fleet/dispatcher_grant.cpp
@@ -26,13 +26,6 @@
 
 void Dispatcher::ServeWaiting(TimePoint aNow)
 {
-  // Load pattern: bursts at several hosts at once. The most urgent goes first over all hosts;
-  // among equals, who has waited longest.
-  std::stable_sort(
-    mWaiting.begin(), mWaiting.end(), [](const Waiting& aLeft, const Waiting& aRight) {
-      return std::tie(aLeft.ask.priority, aLeft.askedAt) <
-             std::tie(aRight.ask.priority, aRight.askedAt);
-    });
   std::erase_if(mWaiting, [&](const Waiting& aWaiting) { return Serve(aNow, aWaiting); });
 }
 
@@ -50,7 +43,7 @@
   if (held == aRunner.models.end() || held->second.isLeaving) {
     return std::nullopt;
   }
-  const Engine* engine = EngineOf(ask.service);
+  const Engine* engine = aRunner.engine;
   const std::uint64_t tokens = ask.work.promptTokens + ask.work.outputTokens;
   const bool isFull =
     aRunner.inFlight >= aRunner.entry.slots ||
@@ -93,19 +86,19 @@
   }
   ManagedRunner* best = nullptr;
   std::tuple<bool, bool, Duration> bestRank;
-  for (auto& [id, runner] : mRunners) {
-    if (runner.entry.service != ask.service || !IsUsable(runner)) {
+  for (ManagedRunner* runner : Holders(ask.work.target.model)) {
+    if (runner->entry.service != ask.service || !IsUsable(*runner)) {
       continue;
     }
-    const auto time = EstimateStart(aNow, runner, aWaiting);
+    const auto time = EstimateStart(aNow, *runner, aWaiting);
     if (!time) {
       continue;
     }
     const bool hasFailed =
-      std::find(ask.excluded.begin(), ask.excluded.end(), id) != ask.excluded.end();
-    const std::tuple rank{ hasFailed, runner.health.IsDoubted(aNow), *time };
+      std::find(ask.excluded.begin(), ask.excluded.end(), runner->entry.id) != ask.excluded.end();
+    const std::tuple rank{ hasFailed, runner->health.IsDoubted(aNow), *time };
     if (best == nullptr || rank < bestRank) {
-      best = &runner;
+      best = runner;
       bestRank = rank;
     }
   }
--- a/src/decision/fleet/dispatcher_order.cpp
+++ b/src/decision/fleet/dispatcher_order.cpp
@@ -43,7 +43,7 @@
 
 void Dispatcher::PlanAdapter(TimePoint aNow, const ModelRef& aAdapter, ManagedRunner& aRunner)
 {
-  const Engine* engine = EngineOf(aRunner.entry.service);
+  const Engine* engine = aRunner.engine;
   if (!MayOrderTo(aNow, aRunner) || engine == nullptr) {
     Wake(aNow + kConflictPause);
     return;
@@ -106,6 +106,7 @@
   }
   aRunner.order = std::move(pending);
   if (aKind == OrderKind::kLoad && !aSubject.adapter.empty()) {
+    mIsIndexStale = true;
     aRunner.models[aSubject.model].adapters[aSubject.adapter] = { .isOrdered = true,
                                                                   .lastUsed = aNow };
   }
@@ -193,6 +194,7 @@
   PendingOrder& pending = *aRunner.order;
   ++aRunner.orderCount;
   aRunner.lastOrderAt = aNow;
+  mIsIndexStale = true;
   if (pending.after) {
     aRunner.models.erase(*pending.after);
     aRunner.cache.Drop(*pending.after);
@@ -244,6 +246,7 @@
 {
   const PendingOrder pending = *std::exchange(aRunner.order, std::nullopt);
   const ModelId model = pending.order.subject.model;
+  mIsIndexStale = true;
   if (pending.order.kind == OrderKind::kLoad) {
     aRunner.models[model].lastUsed = aNow;
     aRunner.inHostMemory.insert(model);
@@ -270,7 +273,7 @@
 void Dispatcher::FollowReports(TimePoint aNow)
 {
   for (auto& [id, runner] : mRunners) {
-    if (runner.isGone || EngineOf(runner.entry.service) == nullptr) {
+    if (runner.isGone || runner.engine == nullptr) {
       continue;
     }
     if (!runner.isVerified && !runner.reportAt) {
@@ -366,6 +369,7 @@
     aRunner.orderCount = aReport.orderCount;
     pending.phase = PendingOrder::Phase::kAccepted;
     if (pending.after) {
+      mIsIndexStale = true;
       aRunner.models.erase(*pending.after);
       pending.after.reset();
     }
--- a/src/decision/fleet/dispatcher_plan.cpp
+++ b/src/decision/fleet/dispatcher_plan.cpp
@@ -22,6 +22,13 @@
 constexpr double kSwapTimeS = 1.3;
 /* Least worth of a further replica: its load must be earned back. */
 constexpr double kLeastBenefitS = 1.5;
+/* Worth of a model that requests wait for: any swap is better than none. */
+constexpr double kWantedBenefitS = 1e9;
+/* Models planned for in one tick, and the time to the next one when some are left. */
+constexpr std::size_t kPlansAtOnce = 12;
+constexpr Duration kPlanInterval = 10ms;
+/* Time between two looks at models whose demand outgrows their replicas. */
+constexpr Duration kCrowdedInterval = 200ms;
 /* Time after which a planned swap is given up when its runner takes no orders. */
 constexpr Duration kSwapLimit = 15s;
 
@@ -58,23 +65,36 @@
 
 } // namespace
 
+const std::vector<ManagedRunner*>& Dispatcher::Holders(const ModelId& aModel) const
+{
+  static const std::vector<ManagedRunner*> kNone;
+  if (std::exchange(mIsIndexStale, false)) {
+    mHolders.clear();
+    for (const auto& [id, runner] : mRunners) {
+      for (const auto& [model, held] : runner.models) {
+        // The index belongs to this object, which owns the runners.
+        mHolders[model].push_back(const_cast<ManagedRunner*>(&runner));
+      }
+    }
+  }
+  const auto found = mHolders.find(aModel);
+  return found == mHolders.end() ? kNone : found->second;
+}
+
 std::uint32_t Dispatcher::Replicas(const ServiceId& aService, const ModelId& aModel) const
 {
   std::uint32_t count = 0;
-  for (const auto& [id, runner] : mRunners) {
-    if (runner.entry.service != aService || !IsUsable(runner)) {
-      continue;
-    }
-    const auto held = runner.models.find(aModel);
-    count += held != runner.models.end() && !held->second.isLeaving ? 1 : 0;
+  for (const ManagedRunner* runner : Holders(aModel)) {
+    const bool isOther = runner->entry.service != aService || !IsUsable(*runner);
+    count += isOther || runner->models.at(aModel).isLeaving ? 0 : 1;
   }
   return count;
 }
 
 bool Dispatcher::IsComing(const ServiceId& aService, const ModelId& aModel) const
 {
-  const bool isPlanned = std::any_of(mSwaps.begin(), mSwaps.end(), [&](const Swap& aSwap) {
-    return aSwap.model == aModel && aSwap.service == aService;
+  const bool isPlanned = std::any_of(mSwaps.begin(), mSwaps.end(), [&](const auto& aItem) {
+    return aItem.second.model == aModel && aItem.second.service == aService;
   });
   return isPlanned || std::any_of(mRunners.begin(), mRunners.end(), [&](const auto& aItem) {
            const ManagedRunner& runner = aItem.second;
@@ -86,9 +106,14 @@
 
 const Dispatcher::Swap* Dispatcher::SwapAt(const EndpointId& aRunner) const
 {
-  const auto found = std::find_if(
-    mSwaps.begin(), mSwaps.end(), [&](const Swap& aSwap) { return aSwap.runner == aRunner; });
-  return found == mSwaps.end() ? nullptr : &*found;
+  const auto found = mSwaps.find(aRunner);
+  return found == mSwaps.end() ? nullptr : &found->second;
+}
+
+bool Dispatcher::IsFree(const ManagedRunner& aRunner) const
+{
+  return aRunner.engine != nullptr && IsUsable(aRunner) && aRunner.isVerified &&
+         (!aRunner.order || aRunner.order->IsAboutAdapter()) && !mSwaps.contains(aRunner.entry.id);
 }
 
 /* Returns the delay of callers to expect when a replica goes, in seconds. */
@@ -162,41 +187,68 @@
 
 void Dispatcher::PlanModels(TimePoint aNow)
 {
-  // Load pattern: many rare models, each asked for now and then. A waiting request is worth a
-  // swap wherever that delays other callers least.
+  PlanMissing(aNow);
+  if (aNow >= mNextCrowdedCheck) {
+    mNextCrowdedCheck = aNow + kCrowdedInterval;
+    PlanCrowded(aNow);
+  }
+}
+
+/* Load pattern: many rare models, each asked for now and then. A waiting request is worth a swap
+ * wherever that delays other callers least. */
+void Dispatcher::PlanMissing(TimePoint aNow)
+{
+  auto free = std::count_if(
+    mRunners.begin(), mRunners.end(), [&](const auto& aItem) { return IsFree(aItem.second); });
+  if (free == 0 || mWaiting.empty()) {
+    return;
+  }
   std::map<std::pair<ServiceId, ModelId>, std::uint32_t> missing;
-  std::map<std::pair<ServiceId, ModelId>, std::uint32_t> crowded;
   for (const Waiting& waiting : mWaiting) {
-    const std::pair key{ waiting.ask.service, waiting.ask.work.target.model };
-    ++(Replicas(key.first, key.second) == 0 ? missing : crowded)[key];
+    ++missing[{ waiting.ask.service, waiting.ask.work.target.model }];
   }
   std::vector<std::pair<std::uint32_t, std::pair<ServiceId, ModelId>>> ordered;
   ordered.reserve(missing.size());
   for (const auto& [key, count] : missing) {
-    ordered.emplace_back(count, key);
+    if (Replicas(key.first, key.second) == 0 && !IsComing(key.first, key.second)) {
+      ordered.emplace_back(count, key);
+    }
   }
   std::stable_sort(ordered.begin(), ordered.end(), [](const auto& aLeft, const auto& aRight) {
     return aLeft.first > aRight.first;
   });
+  // Each plan looks at all runners; what is left is planned in the next ticks.
+  std::size_t planned = 0;
   for (const auto& [count, key] : ordered) {
-    PlanSwap(aNow, key.first, key.second, 1e9, "asked_for");
+    if (++planned > kPlansAtOnce) {
+      Wake(aNow + kPlanInterval);
+      break;
+    }
+    PlanSwap(aNow, key.first, key.second, kWantedBenefitS, "asked_for");
   }
-  // Load pattern: demand for few models that outgrows their replicas, or moves to others.
+}
+
+/* Load pattern: demand for few models that outgrows their replicas, or moves to others. */
+void Dispatcher::PlanCrowded(TimePoint aNow)
+{
   if (!mConfiguration) {
     return;
   }
-  for (const auto& [serviceId, service] : mConfiguration->services) {
-    if (!service.engine) {
+  for (const ModelId& model : mDemand.Models()) {
+    const double work = mDemand.Work(aNow, model);
+    if (work <= kReplicaWork) {
       continue;
     }
-    for (const auto& [modelId, model] : service.engine->models) {
-      const double work = mDemand.Work(aNow, modelId);
-      const std::uint32_t replicas = Replicas(serviceId, modelId);
+    for (const auto& [serviceId, service] : mConfiguration->services) {
+      const std::uint32_t replicas = Replicas(serviceId, model);
       if (replicas == 0 || work <= kReplicaWork * replicas) {
         continue;
       }
-      const double benefit = (work / replicas - kReplicaWork) * kHorizonS;
-      PlanSwap(aNow, serviceId, modelId, benefit, "crowded");
+      PlanSwap(aNow,
+               serviceId,
+               model,
+               (work / replicas - kReplicaWork) * kHorizonS + kLeastBenefitS,
+               "crowded");
     }
   }
 }
@@ -230,7 +282,7 @@
     return;
   }
   ManagedRunner& runner = mRunners[best->runner];
-  if (runner.order && !runner.order->IsAboutAdapter()) {
+  if (!IsFree(runner)) {
     return;
   }
   if (best->isFromStore && !MayLoadFromStore(aNow, *engine)) {
@@ -246,12 +298,13 @@
          .why = aWhy,
          .time = best->loadTime,
          .count = best->victims.size() });
-  mSwaps.push_back(std::move(*best));
+  const EndpointId runnerId = best->runner;
+  mSwaps.emplace(runnerId, std::move(*best));
 }
 
 void Dispatcher::FollowSwaps(TimePoint aNow)
 {
-  std::erase_if(mSwaps, [&](const Swap& aSwap) { return FollowSwap(aNow, aSwap); });
+  std::erase_if(mSwaps, [&](const auto& aItem) { return FollowSwap(aNow, aItem.second); });
 }
 
 /* Takes a swap one step further; returns whether it needs no more attention. */
--- a/src/decision/fleet/order_lease.cpp
+++ b/src/decision/fleet/order_lease.cpp
@@ -35,7 +35,8 @@
     return std::nullopt;
   }
   const bool isOwn = mRow.holder == mOptions.self;
-  const bool isFree = mIsKnown && (mRow.holder.empty() || isOwn);
+  const bool isFree =
+    mIsKnown && (isOwn || (mRow.holder.empty() && aNow - mChangedAt >= mOptions.headStart));
   // The store must have shown the same row for a while: after an outage that kept the holder from
   // renewing, the holder comes first.
   const bool isSilent = mIsKnown && aNow - mHeardAt >= mOptions.patience + mOptions.headStart &&
