Feature: [Scheduler] Plan swaps by what waiting requests are worth, and learn how fast models run

The estimates took all models for equally fast.

Change: crowded models are planned for first, within their benefit; missing ones by the worth of who waits, with a late answer at a fifth; who has waited one and a half objectives for a model that is not on its way is refused with a time to come back; clients' patience with a silent stream bounds the wait. Each first event corrects a factor on the estimates of its model.

--- a/src/decision/fleet/dispatch_estimate.h
+++ b/src/decision/fleet/dispatch_estimate.h
@@ -26,6 +26,11 @@
   return Duration{ static_cast<Duration::rep>(aTokens / kReadingRate * 1e3) };
 }
 
+inline Duration ScaleBy(Duration aTime, double aFactor)
+{
+  return Duration{ static_cast<Duration::rep>(static_cast<double>(aTime.count()) * aFactor) };
+}
+
 /* Returns for how long a request keeps a runner from serving others. */
 inline Duration EstimateWork(const ModelWork& aWork)
 {
--- a/src/decision/fleet/dispatch_type.h
+++ b/src/decision/fleet/dispatch_type.h
@@ -33,7 +33,7 @@
   ModelWork work;
   std::uint32_t priority = 0;
   Duration objective{}; ///< From now to the first event, for full credit.
-  Duration timeLeft{};  ///< Until the caller's deadline.
+  Duration timeLeft{};  ///< Until the caller gives up.
   bool isResumable = false;
   std::vector<EndpointId> excluded; ///< Runners that it has failed at.
 };
@@ -75,6 +75,7 @@
 {
   AskId id;
   PlaceEnd end = PlaceEnd::kDone;
+  Duration firstEvent{}; ///< From the request's sending to its first event; 0: there was none.
 };
 
 /* A place that is in use, told to a dispatcher that does not know of it. */
--- a/src/decision/fleet/dispatcher.cpp
+++ b/src/decision/fleet/dispatcher.cpp
@@ -170,7 +170,9 @@
   if (isKnown) {
     return;
   }
-  mDemand.Note(aNow, aAsk.work.target.model, EstimateWork(aAsk.work));
+  const ModelId& model = aAsk.work.target.model;
+  const double factor = mPaces.Factor(model);
+  mDemand.Note(aNow, model, ScaleBy(EstimateWork(aAsk.work), factor));
   // Load pattern: bursts at several hosts at once. The most urgent goes first over all hosts.
   const auto place = std::upper_bound(
     mWaiting.begin(),
@@ -188,6 +190,9 @@
   if (place == mPlaces.end()) {
     return;
   }
+  if (place->second.model.adapter.empty() && place->second.expected > Duration::zero()) {
+    mPaces.Note(place->second.model.model, place->second.expected, aReleased.firstEvent);
+  }
   const auto runner = mRunners.find(place->second.runner);
   if (runner != mRunners.end()) {
     runner->second.health.Note(aNow, SignOf(aReleased.end));
@@ -210,7 +215,7 @@
 {
   const auto runner = mRunners.find(aPlace.runner);
   if (runner != mRunners.end() && !mPlaces.contains(aPlace.ask.id)) {
-    Occupy(aNow, aPlace.ask, runner->second);
+    Occupy(aNow, aPlace.ask, runner->second, Duration::zero());
   }
 }
 
@@ -246,19 +251,24 @@
   }
 }
 
-void Dispatcher::Occupy(TimePoint aNow, const PlacementAsk& aAsk, ManagedRunner& aRunner)
+void Dispatcher::Occupy(TimePoint aNow,
+                        const PlacementAsk& aAsk,
+                        ManagedRunner& aRunner,
+                        Duration aExpected)
 {
   const ModelRef& target = aAsk.work.target;
   const Place place{ .runner = aRunner.entry.id,
                      .model = target,
-                     .tokens = aAsk.work.promptTokens + aAsk.work.outputTokens };
+                     .tokens = aAsk.work.promptTokens + aAsk.work.outputTokens,
+                     .expected = aExpected };
   mPlaces.insert_or_assign(aAsk.id, place);
   ++aRunner.inFlight;
   aRunner.tokens += place.tokens;
   const std::uint32_t kept = aRunner.cache.KeptTokens(aAsk.work);
-  aRunner.readingUntil =
-    std::max(aRunner.readingUntil, aNow) +
+  const Duration reading =
     ReadingTime(aAsk.work.promptTokens - std::min(kept, aAsk.work.promptTokens));
+  aRunner.readingUntil =
+    std::max(aRunner.readingUntil, aNow) + ScaleBy(reading, mPaces.Factor(target.model));
   aRunner.cache.Note(aAsk.work);
   if (const auto held = aRunner.models.find(target.model); held != aRunner.models.end()) {
     ++held->second.inFlight;
@@ -303,6 +313,7 @@
 
 std::vector<DispatchAction> Dispatcher::Tick(TimePoint aNow)
 {
+  NoteComing();
   mNextWake = aNow + (mWaiting.empty() && mSwaps.empty() ? kIdleInterval : kWatchInterval);
   while (!mStoreLoads.empty() && aNow - mStoreLoads.front() > mStoreLimits.window) {
     mStoreLoads.pop_front();
--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -8,6 +8,7 @@
 #include "decision/fleet/endpoint_health.h"
 #include "decision/fleet/fleet_configuration_type.h"
 #include "decision/fleet/order_type.h"
+#include "decision/fleet/pace.h"
 #include "decision/fleet/prompt_cache.h"
 
 #include <deque>
@@ -163,6 +164,7 @@
     EndpointId runner;
     ModelRef model;
     std::uint64_t tokens = 0;
+    Duration expected{}; ///< Time to the first event, as expected when it was given.
   };
 
   /* A model that takes the place of others at a runner. */
@@ -191,7 +193,7 @@
   void Note(DispatchNote aNote) { mActions.emplace_back(std::move(aNote)); }
   void Reset(TimePoint aNow, ManagedRunner& aRunner, const RunnerEntry& aEntry);
   void AdoptHoldings(TimePoint aNow, ManagedRunner& aRunner, const RunnerHoldings& aHoldings);
-  void Occupy(TimePoint aNow, const PlacementAsk& aAsk, ManagedRunner& aRunner);
+  void Occupy(TimePoint aNow, const PlacementAsk& aAsk, ManagedRunner& aRunner, Duration aExpected);
   void Free(TimePoint aNow, const AskId& aAsk);
   void ForgetSwaps();
   const Engine* EngineOf(const ServiceId& aService) const;
@@ -228,7 +230,9 @@
   /* Returns the runners that hold a model, of all services. */
   const std::vector<ManagedRunner*>& Holders(const ModelId& aModel) const;
   void PlanMissing(TimePoint aNow);
+  double ValueOf(TimePoint aNow, const Waiting& aWaiting, Duration aLoadTime) const;
   void PlanCrowded(TimePoint aNow);
+  void NoteComing();
   bool IsComing(const ServiceId& aService, const ModelId& aModel) const;
   const Swap* SwapAt(const EndpointId& aRunner) const;
   void FollowSwaps(TimePoint aNow);
@@ -261,9 +265,11 @@
   mutable bool mIsIndexStale = true;
   std::deque<Waiting> mWaiting; ///< The most urgent first; among equals, the oldest.
   TimePoint mNextCrowdedCheck{};
+  std::set<std::pair<ServiceId, ModelId>> mComing; ///< Models on their way to a runner.
   std::map<AskId, Place> mPlaces;
   std::map<EndpointId, Swap> mSwaps; ///< By runner.
   DemandBook mDemand;
+  PaceBook mPaces;
   StoreLimits mStoreLimits;
   std::deque<TimePoint> mStoreLoads; ///< Starts of loads from the weight store.
   std::vector<DispatchAction> mActions;
--- a/src/decision/fleet/dispatcher_grant.cpp
+++ b/src/decision/fleet/dispatcher_grant.cpp
@@ -19,6 +19,8 @@
 /* How long a request waits for a model while no order may be given: a lease changes hands within
  * some seconds. */
 constexpr Duration kPatienceWithoutOrders = 6s;
+/* Least time for which a request waits for its model to be planned for. */
+constexpr Duration kLeastPatience = 1s;
 /* When to come back while nothing can be loaded. */
 constexpr Duration kRetryWithoutOrders = 1'500ms;
 
@@ -53,8 +55,10 @@
     return std::nullopt;
   }
   const std::uint32_t kept = std::min(aRunner.cache.KeptTokens(ask.work), ask.work.promptTokens);
-  Duration time = std::max(aRunner.readingUntil - aNow, Duration::zero()) +
-                  ReadingTime(ask.work.promptTokens - kept) + aRunner.inFlight * kBatchDelay;
+  Duration time =
+    std::max(aRunner.readingUntil - aNow, Duration::zero()) +
+    ScaleBy(ReadingTime(ask.work.promptTokens - kept), mPaces.Factor(ask.work.target.model)) +
+    aRunner.inFlight * kBatchDelay;
   if (aRunner.entry.zone != aWaiting.zone) {
     time += kZoneDelay;
   }
@@ -107,6 +111,14 @@
       Refuse(aNow, aWaiting, ResultCode::kDeadlineUnreachable, "no_place_before_deadline");
       return true;
     }
+    // Load pattern: more models asked for than can be swapped in. Who will not be served in time is
+    // told so while coming back may still help.
+    const Duration patience = std::max(ask.objective * 3 / 2, kLeastPatience);
+    if (mRight.mayOrder && aNow - aWaiting.askedAt > patience &&
+        Holders(ask.work.target.model).empty() && !IsComing(ask.service, ask.work.target.model)) {
+      Refuse(aNow, aWaiting, ResultCode::kReplicaUnavailable, "no_replica_in_time");
+      return true;
+    }
     if (!mRight.mayOrder && aNow - aWaiting.askedAt > kPatienceWithoutOrders) {
       Refuse(aNow, aWaiting, ResultCode::kReplicaUnavailable, "no_orders_possible");
       return true;
@@ -145,7 +157,7 @@
          .why = aNow - aWaiting.askedAt > kAdapterLoadTime ? "waited" : "at_once",
          .time = aExpected,
          .count = aRunner.inFlight });
-  Occupy(aNow, aWaiting.ask, aRunner);
+  Occupy(aNow, aWaiting.ask, aRunner, aExpected);
   mActions.emplace_back(
     PlacementReply{ .id = aWaiting.ask.id, .answer = PlaceGranted{ aRunner.entry.id } });
 }
--- a/src/decision/fleet/dispatcher_plan.cpp
+++ b/src/decision/fleet/dispatcher_plan.cpp
@@ -22,6 +22,8 @@
 constexpr double kSwapTimeS = 1.3;
 /* Least worth of a further replica: its load must be earned back. */
 constexpr double kLeastBenefitS = 1.5;
+/* Worth of a late answer against one in time; operators state a seventh to a half. */
+constexpr double kLateValue = 0.2;
 /* Worth of a model that requests wait for: any swap is better than none. */
 constexpr double kWantedBenefitS = 1e9;
 /* Models planned for in one tick, and the time to the next one when some are left. */
@@ -91,17 +93,24 @@
   return count;
 }
 
+/* Notes which models are planned for or on their way. */
+void Dispatcher::NoteComing()
+{
+  mComing.clear();
+  for (const auto& [id, swap] : mSwaps) {
+    mComing.emplace(swap.service, swap.model);
+  }
+  for (const auto& [id, runner] : mRunners) {
+    if (runner.order && runner.order->order.kind == OrderKind::kLoad &&
+        !runner.order->IsAboutAdapter() && IsUsable(runner)) {
+      mComing.emplace(runner.entry.service, runner.order->order.subject.model);
+    }
+  }
+}
+
 bool Dispatcher::IsComing(const ServiceId& aService, const ModelId& aModel) const
 {
-  const bool isPlanned = std::any_of(mSwaps.begin(), mSwaps.end(), [&](const auto& aItem) {
-    return aItem.second.model == aModel && aItem.second.service == aService;
-  });
-  return isPlanned || std::any_of(mRunners.begin(), mRunners.end(), [&](const auto& aItem) {
-           const ManagedRunner& runner = aItem.second;
-           return runner.entry.service == aService && IsUsable(runner) && runner.order &&
-                  runner.order->order.kind == OrderKind::kLoad && !runner.order->IsAboutAdapter() &&
-                  runner.order->order.subject.model == aModel;
-         });
+  return mComing.contains({ aService, aModel });
 }
 
 const Dispatcher::Swap* Dispatcher::SwapAt(const EndpointId& aRunner) const
@@ -187,11 +196,19 @@
 
 void Dispatcher::PlanModels(TimePoint aNow)
 {
-  PlanMissing(aNow);
   if (aNow >= mNextCrowdedCheck) {
     mNextCrowdedCheck = aNow + kCrowdedInterval;
     PlanCrowded(aNow);
   }
+  PlanMissing(aNow);
+}
+
+/* Returns what it is worth to bring a request's model now: an answer within the objective is worth
+ * several late ones, and who has waited too long for it gains little. */
+double Dispatcher::ValueOf(TimePoint aNow, const Waiting& aWaiting, Duration aLoadTime) const
+{
+  const bool isInTime = aNow + aLoadTime <= aWaiting.askedAt + aWaiting.ask.objective;
+  return isInTime ? 1.0 : kLateValue;
 }
 
 /* Load pattern: many rare models, each asked for now and then. A waiting request is worth a swap
@@ -203,15 +220,21 @@
   if (free == 0 || mWaiting.empty()) {
     return;
   }
-  std::map<std::pair<ServiceId, ModelId>, std::uint32_t> missing;
+  std::map<std::pair<ServiceId, ModelId>, double> missing;
   for (const Waiting& waiting : mWaiting) {
-    ++missing[{ waiting.ask.service, waiting.ask.work.target.model }];
+    const ModelId& id = waiting.ask.work.target.model;
+    const Engine* engine = EngineOf(waiting.ask.service);
+    const auto model =
+      engine == nullptr ? std::map<ModelId, Model>::const_iterator{} : engine->models.find(id);
+    if (engine != nullptr && model != engine->models.end()) {
+      missing[{ waiting.ask.service, id }] += ValueOf(aNow, waiting, model->second.diskLoad);
+    }
   }
-  std::vector<std::pair<std::uint32_t, std::pair<ServiceId, ModelId>>> ordered;
+  std::vector<std::pair<double, std::pair<ServiceId, ModelId>>> ordered;
   ordered.reserve(missing.size());
-  for (const auto& [key, count] : missing) {
+  for (const auto& [key, value] : missing) {
     if (Replicas(key.first, key.second) == 0 && !IsComing(key.first, key.second)) {
-      ordered.emplace_back(count, key);
+      ordered.emplace_back(value, key);
     }
   }
   std::stable_sort(ordered.begin(), ordered.end(), [](const auto& aLeft, const auto& aRight) {
@@ -219,7 +242,7 @@
   });
   // Each plan looks at all runners; what is left is planned in the next ticks.
   std::size_t planned = 0;
-  for (const auto& [count, key] : ordered) {
+  for (const auto& [value, key] : ordered) {
     if (++planned > kPlansAtOnce) {
       Wake(aNow + kPlanInterval);
       break;
@@ -299,6 +322,7 @@
          .time = best->loadTime,
          .count = best->victims.size() });
   const EndpointId runnerId = best->runner;
+  mComing.emplace(aService, aModel);
   mSwaps.emplace(runnerId, std::move(*best));
 }
 
--- a/src/fleet/fleet_message.cpp
+++ b/src/fleet/fleet_message.cpp
@@ -145,7 +145,8 @@
                 [](const PlaceReleased& aReleased) {
                   return Json{ { "kind", "released" },
                                { "id", ToJson(aReleased.id) },
-                               { "end", static_cast<int>(aReleased.end) } };
+                               { "end", static_cast<int>(aReleased.end) },
+                     { "first", aReleased.firstEvent.count() } };
                 },
                 [](const PlaceInUse& aPlace) {
                   return Json{ { "kind", "in_use" },
@@ -180,7 +181,8 @@
   }
   if (kind == "released") {
     return PlaceReleased{ .id = AskIdFrom(aJson.at("id")),
-                          .end = static_cast<PlaceEnd>(aJson.at("end").get<int>()) };
+                          .end = static_cast<PlaceEnd>(aJson.at("end").get<int>()),
+                          .firstEvent = Duration{ aJson.value("first", Duration::rep{ 0 }) } };
   }
   if (kind == "in_use") {
     return PlaceInUse{ .ask = AskFrom(aJson.at("ask")),
--- a/src/gateway/placement_client.cpp
+++ b/src/gateway/placement_client.cpp
@@ -21,11 +21,11 @@
   return true;
 }
 
-void PlacementClient::Release(const fleet::AskId& aAsk, fleet::PlaceEnd aEnd)
+void PlacementClient::Release(const fleet::PlaceReleased& aReleased)
 {
-  if (mOpen.erase(aAsk) + mPlaces.erase(aAsk) > 0) {
+  if (mOpen.erase(aReleased.id) + mPlaces.erase(aReleased.id) > 0) {
     // A dispatcher that cannot be reached forgets this daemon's places by itself.
-    mSender(fleet::DispatchMessage{ fleet::PlaceReleased{ aAsk, aEnd } });
+    mSender(fleet::DispatchMessage{ aReleased });
   }
 }
 
--- a/src/gateway/placement_client.h
+++ b/src/gateway/placement_client.h
@@ -26,7 +26,7 @@
    * keeps nothing, when no dispatcher can be reached. */
   bool Ask(const fleet::PlacementAsk& aAsk, Handler aHandler);
   /* Withdraws a question, or gives a place back. */
-  void Release(const fleet::AskId& aAsk, fleet::PlaceEnd aEnd);
+  void Release(const fleet::PlaceReleased& aReleased);
 
   /* Takes an answer of the dispatcher. */
   void OnReply(const fleet::PlacementReply& aReply);
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -34,6 +34,11 @@
 /* Longest silence within a stream that can go on elsewhere, in times of the pause objective;
  * clients give up after eight. */
 constexpr int kSilencePauses = 4;
+/* Clients give up a stream after a silence of two seconds, four objectives or eight pauses,
+ * whichever is longest. */
+constexpr Duration kLeastPatience = 2s;
+constexpr int kPatienceObjectives = 4;
+constexpr int kPatiencePauses = 8;
 /* Unsent bytes above which an endpoint is not read from, until the client has taken them. */
 constexpr std::size_t kUnsentLimit = 256U << 10U;
 /* Largest answer that is stored before it is passed on. */
@@ -234,6 +239,14 @@
   return std::max(mDeadline - BootTime(), Duration::zero());
 }
 
+/* Returns how long a client waits for the first event of a stream before it gives up. */
+Duration RequestFlow::Patience() const
+{
+  return std::max({ kLeastPatience,
+                    mRoute->objective * kPatienceObjectives,
+                    mRoute->pauseObjective * kPatiencePauses });
+}
+
 void RequestFlow::Place()
 {
   if (UsesModels()) {
@@ -254,7 +267,7 @@
     .work = *mClient.work,
     .priority = mRoute->priority,
     .objective = std::max(mRoute->objective - (BootTime() - mArrivedAt), Duration::zero()),
-    .timeLeft = TimeLeft(),
+    .timeLeft = std::min(TimeLeft(), Patience() - (BootTime() - mArrivedAt)),
     .isResumable = mState.isResumable,
     .excluded = { mFailedAt.begin(), mFailedAt.end() },
   };
@@ -474,6 +487,9 @@
     ++mEventsPassed;
     passed += *event;
   }
+  if (!passed.empty() && mAttempt.firstEvent == Duration::zero()) {
+    mAttempt.firstEvent = BootTime() - mAttempt.startedAt;
+  }
   if (passed.empty()) {
     return;
   }
@@ -602,7 +618,9 @@
 void RequestFlow::ReleasePlace(fleet::PlaceEnd aEnd)
 {
   if (mPlace) {
-    mContext.placement.Release(*std::exchange(mPlace, std::nullopt), aEnd);
+    mContext.placement.Release({ .id = *std::exchange(mPlace, std::nullopt),
+                                 .end = aEnd,
+                                 .firstEvent = mAttempt.firstEvent });
   }
 }
 
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -34,6 +34,7 @@
   {
     EndpointId endpoint;
     TimePoint startedAt{};
+    Duration firstEvent{}; ///< From the start to the first event; 0: there was none yet.
     std::unique_ptr<http::Call> call;
     std::optional<http::AnswerHead> head;
     platform::EndpointAnswer meaning;
@@ -76,6 +77,7 @@
   void StopAttempt();
   Duration TimeLeft() const;
   Duration AnswerLimit() const;
+  Duration Patience() const;
   bool UsesModels() const { return mClient.work.has_value(); }
 
   GatewayContext& mContext;
