--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -34,11 +34,14 @@
 /* Taken off the grace time, so that the process ends by itself. */
 constexpr Duration kGraceMargin = 700ms;
 constexpr Duration kStopCheckInterval = 50ms;
+/* Time between two lines about the daemon's state. */
+constexpr Duration kStatusInterval = 10s;
 /* Time between two looks for runners whose entries have not come back. */
 constexpr Duration kSweepInterval = 250ms;
-/* Least time between two reads of the runners' table by a daemon that gives no orders. */
-constexpr Duration kRunnerInterval = 1s;
-/* The same for the daemon that gives the orders. */
+/* Part of the drain limit after which the runners' table is read again by a daemon that gives no
+ * orders; the rest is for the way to the store and back. */
+constexpr double kRunnerIntervalPart = 0.6;
+/* The same time for the daemon that gives the orders. */
 constexpr Duration kHolderRunnerInterval = 300ms;
 /* Descriptors left for files, the store, other daemons and listeners. */
 constexpr std::size_t kReservedDescriptors = 264;
@@ -116,7 +119,7 @@
         mLoop,
         mStore,
         mLog,
-        { .table = std::string{ platform::table::kRunners }, .interval = kRunnerInterval },
+        { .table = std::string{ platform::table::kRunners }, .interval = RunnerInterval() },
         RunnerHandlers())
     , mFront(mLoop,
              { .address = mSettings.edge.frontAddress,
@@ -141,6 +144,7 @@
     , mFlushTimer(mLoop)
     , mStopTimer(mLoop)
     , mSweepTimer(mLoop)
+    , mStatusTimer(mLoop)
   {
   }
 
@@ -172,6 +176,7 @@
     mConfigurationFeed.Start();
     mRunnerFeed.Start();
     SweepRunnersLater();
+    NoteStatusLater();
     mLoop.run();
     mLog.Flush();
     return mExitCode;
@@ -185,6 +190,11 @@
              : kReservedDescriptors;
   }
 
+  Duration RunnerInterval() const
+  {
+    return std::chrono::duration_cast<Duration>(mSettings.edge.drainLimit * kRunnerIntervalPart);
+  }
+
   void ApplySettings()
   {
     mGateway.retries.SetOptions({ .ratio = mSettings.decision.retryBudgetRatio,
@@ -204,6 +214,35 @@
     }
   }
 
+  /* Writes what an on-call engineer looks at first; counts are since the start. */
+  void NoteStatus()
+  {
+    const auto& store = mStore.counts();
+    mLog.Write("status",
+               { { "open_requests", mGateway.openRequests },
+                 { "connections", mFront.counts().connections },
+                 { "questions_open", mPlacement.openQuestions() },
+                 { "dispatcher", mMember.lease().holder },
+                 { "dispatcher_reachable", mMember.HasDispatcher() },
+                 { "store_reads", store.reads },
+                 { "store_writes", store.writes },
+                 { "store_watches", store.watches },
+                 { "store_failures", store.failures },
+                 { "runners", mRunners.runners().size() },
+                 { "lines_left_out", mLog.leftOut() } });
+  }
+
+  void NoteStatusLater()
+  {
+    mStatusTimer.expires_after(kStatusInterval);
+    mStatusTimer.async_wait([this](boost::system::error_code aError) {
+      if (!aError) {
+        NoteStatus();
+        NoteStatusLater();
+      }
+    });
+  }
+
   /* Takes runners out whose entries have been gone for long enough. */
   void SweepRunnersLater()
   {
@@ -213,7 +252,7 @@
         return;
       }
       const TimePoint now = BootTime();
-      mRunnerFeed.SetInterval(mMember.isDispatcher() ? kHolderRunnerInterval : kRunnerInterval);
+      mRunnerFeed.SetInterval(mMember.isDispatcher() ? kHolderRunnerInterval : RunnerInterval());
       for (const auto& [id, runner] : mRunners.runners()) {
         if (runner.missingSince && mDispatcher.runners().contains(id) &&
             mRunners.Check(now, runner) == fleet::Exclusion::kGone) {
@@ -449,6 +488,7 @@
     const bool isIdle = isQuiet && wasQuiet;
     const bool isLate = passed >= mSettings.edge.shutdownGrace - kGraceMargin;
     if (isIdle || isLate) {
+      NoteStatus();
       mLog.Write(
         "stop",
         { { "open_requests", mGateway.openRequests }, { "took_ms", Milliseconds(passed) } });
@@ -487,6 +527,7 @@
   asio::steady_timer mFlushTimer;
   asio::steady_timer mStopTimer;
   asio::steady_timer mSweepTimer;
+  asio::steady_timer mStatusTimer;
   std::uint32_t mDaemons = 1;
   bool mIsStopping = false;
   bool mWasQuiet = false;
--- a/src/decision/fleet/order_lease.cpp
+++ b/src/decision/fleet/order_lease.cpp
@@ -55,7 +55,8 @@
     mWriting = OwnRow(aNow);
     return WriteLease{ mWriting, mVersion };
   }
-  if (!mIsKnown || aNow - mHeardAt >= mOptions.look) {
+  const bool isHeld = mIsKnown && !mRow.holder.empty();
+  if (!isHeld || aNow - mHeardAt >= mOptions.silence) {
     mIsBusy = true;
     mNextAction = aNow + mOptions.look;
     return ReadLease{};
--- a/src/decision/fleet/order_lease.h
+++ b/src/decision/fleet/order_lease.h
@@ -35,7 +35,8 @@
   Duration patience = 2'200ms;    ///< Silence after which the lease is taken over.
   Duration flight = 200ms;        ///< Longest time that an order is on its way.
   Duration proof = 1'200ms;       ///< Time for which the store must show the same row before that.
-  Duration look = 400ms;          ///< Time between reads while nothing is heard of the holder.
+  Duration silence = 1'100ms;     ///< Time without word from the holder before the row is read.
+  Duration look = 400ms;          ///< Time between reads from then on.
   Duration headStart{};           ///< How much longer this host waits than better equipped ones.
 };
 
--- a/src/settings/settings_base.h
+++ b/src/settings/settings_base.h
@@ -32,6 +32,7 @@
   double cpuShare = 1.0;      ///< Part of a core that the host has.
   std::uint32_t descriptorLimit = 1'024;
   Duration shutdownGrace = 8s; ///< From SIGTERM to SIGKILL.
+  Duration drainLimit = 2s;    ///< Time in which a leaving runner must get no more requests.
   Duration leaseSpacing = 3s;  ///< Least time between orders of two holders to one runner.
   Duration retryWindow = 10s;  ///< Time over which retries are counted.
   double retrySlack = 50.0;    ///< Retries in a window beyond the ratio, of the whole fleet.
--- /dev/null
+++ b/tests/fleet/fleet_parts_test.cpp
@@ -0,0 +1,288 @@
+/* The smaller decisions on the path of a request. */
+#include "decision/fleet/attempt_policy.h"
+#include "decision/fleet/crash_guard.h"
+#include "decision/fleet/endpoint_health.h"
+#include "decision/fleet/fleet_configuration_type.h"
+#include "decision/fleet/prompt_cache.h"
+#include "decision/fleet/retry_share.h"
+#include "decision/fleet/runner_registry.h"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+using namespace rhubarbtrail;
+using namespace rhubarbtrail::fleet;
+
+namespace {
+
+const TimePoint kStart{ 1'000s };
+const ServiceId kService{ "plain" };
+
+RunnerEntry EntryOf(const char* aId, RunnerState aState = RunnerState::kReady)
+{
+  return { .id = EndpointId{ aId },
+           .service = kService,
+           .zone = ZoneId{ "a" },
+           .address = "10.0.0.1:1",
+           .state = aState };
+}
+
+std::optional<EndpointId> Choose(const RunnerRegistry& aRegistry, TimePoint aNow)
+{
+  return aRegistry.Choose(aNow, { .service = kService, .zone = ZoneId{ "a" } });
+}
+
+ModelWork WorkOf(const char* aModel, std::vector<PromptPart> aParts)
+{
+  return { .target = { .model = ModelId{ aModel }, .adapter = {} },
+           .promptTokens = 100,
+           .outputTokens = 10,
+           .parts = std::move(aParts) };
+}
+
+} // namespace
+
+TEST_CASE("what follows an attempt: a table of all ends by kind of route")
+{
+  using enum AttemptEnd;
+  using enum NextStep;
+  struct Case
+  {
+    const char* name;
+    AttemptState state;
+    AttemptEnd end;
+    NextStep step;
+  };
+  const AttemptState once{ .runs = 1, .maxAttempts = 2, .timeLeft = 1s };
+  const AttemptState idempotent{ .runs = 1,
+                                 .maxAttempts = 2,
+                                 .kind = RouteKind::kIdempotent,
+                                 .timeLeft = 1s };
+  const AttemptState resumable{ .runs = 1,
+                                .maxAttempts = 2,
+                                .kind = RouteKind::kStream,
+                                .isResumable = true,
+                                .timeLeft = 1s };
+  const auto with = [](AttemptState aState, auto aChange) {
+    aChange(aState);
+    return aState;
+  };
+  const std::vector<Case> cases{
+    { "answered", once, kAnswered, kPassOn },
+    { "not sent, first time", with(once, [](auto& s) { s.runs = 0; }), kNotSent, kTryAgain },
+    { "not run, first time", with(once, [](auto& s) { s.runs = 0; }), kNotRun, kTryAgain },
+    { "not run, many times",
+      with(once,
+           [](auto& s) {
+             s.runs = 0;
+             s.refusals = 4;
+           }),
+      kNotRun,
+      kRefuse },
+    { "not run after a run, many times",
+      with(idempotent, [](auto& s) { s.refusals = 4; }),
+      kNotRun,
+      kFail },
+    { "lost, once only", once, kLost, kFail },
+    { "failure, once only", once, kFailure, kPassOn },
+    { "lost, idempotent", idempotent, kLost, kTryAgain },
+    { "failure, idempotent", idempotent, kFailure, kTryAgain },
+    { "lost, idempotent, no attempts left",
+      with(idempotent, [](auto& s) { s.runs = 2; }),
+      kLost,
+      kFail },
+    { "lost, idempotent, no time left",
+      with(idempotent, [](auto& s) { s.timeLeft = 5ms; }),
+      kLost,
+      kFail },
+    { "lost, convicted", with(idempotent, [](auto& s) { s.isConvicted = true; }), kLost, kFail },
+    { "cut midway, once only", once, kCutMidway, kCut },
+    { "cut midway, resumable", resumable, kCutMidway, kTryAgain },
+    { "cut midway, resumable, no attempts left",
+      with(resumable, [](auto& s) { s.runs = 2; }),
+      kCutMidway,
+      kCut },
+  };
+  for (const Case& row : cases) {
+    INFO(row.name);
+    CHECK(DecideNextStep(row.state, row.end) == row.step);
+  }
+}
+
+TEST_CASE("a refusal is only sent when nothing has run")
+{
+  for (std::uint32_t runs = 0; runs <= 3; ++runs) {
+    for (std::uint32_t refusals = 0; refusals <= 6; ++refusals) {
+      for (const RouteKind kind :
+           { RouteKind::kIdempotent, RouteKind::kNonIdempotent, RouteKind::kStream }) {
+        for (int end = 0; end <= static_cast<int>(AttemptEnd::kCutMidway); ++end) {
+          const AttemptState state{ .runs = runs,
+                                    .refusals = refusals,
+                                    .maxAttempts = 2,
+                                    .kind = kind,
+                                    .timeLeft = 1s };
+          if (DecideNextStep(state, static_cast<AttemptEnd>(end)) == NextStep::kRefuse) {
+            CHECK(runs == 0);
+          }
+        }
+      }
+    }
+  }
+}
+
+TEST_CASE("retries stay within the share in every window")
+{
+  RetryShare share;
+  share.SetOptions({ .ratio = 0.2, .slack = 50.0, .window = 10s, .daemons = 10 });
+  TimePoint now = kStart;
+  std::vector<TimePoint> requests;
+  std::vector<TimePoint> retries;
+  for (int step = 0; step < 6'000; ++step) { // 60 s, in which all requests want retries.
+    now += 10ms;
+    if (step % 4 == 0) {
+      share.NoteRequest(now, kService);
+      requests.push_back(now);
+    }
+    if (share.Take(now, kService)) {
+      retries.push_back(now);
+    }
+  }
+  const auto within = [](const std::vector<TimePoint>& aTimes, TimePoint aFrom) {
+    return std::count_if(aTimes.begin(), aTimes.end(), [&](TimePoint aTime) {
+      return aTime >= aFrom && aTime < aFrom + 10s;
+    });
+  };
+  for (TimePoint from = kStart; from < now - 10s; from += 500ms) {
+    const auto allowed = 0.2 * static_cast<double>(within(requests, from)) + 5.0;
+    CHECK(static_cast<double>(within(retries, from)) <= allowed);
+  }
+  CHECK(retries.size() > 200);
+}
+
+TEST_CASE("a request is refused after it broke three runners, and an answer clears it")
+{
+  CrashGuard guard;
+  const FingerprintId killer{ "k" };
+  guard.NoteBreak(kStart, killer);
+  guard.NoteBreak(kStart + 1s, killer);
+  CHECK_FALSE(guard.IsConvicted(kStart + 1s, killer));
+  guard.NoteBreak(kStart + 2s, killer);
+  CHECK(guard.IsConvicted(kStart + 2s, killer));
+  CHECK_FALSE(guard.IsConvicted(kStart + 2s, FingerprintId{ "other" }));
+  CHECK_FALSE(guard.IsConvicted(kStart + 2s + 2 * kSuspicionTime, killer));
+  guard.NoteAnswer(killer);
+  CHECK_FALSE(guard.IsConvicted(kStart + 2s, killer));
+}
+
+TEST_CASE("an endpoint that fails four in ten is doubted, one that fails one in ten is not")
+{
+  for (const int failures : { 1, 4 }) {
+    EndpointHealth health;
+    TimePoint now = kStart;
+    int doubted = 0;
+    for (int step = 0; step < 500; ++step) {
+      now += 50ms;
+      health.Note(now, step % 10 < failures ? EndpointSign::kFailed : EndpointSign::kGood);
+      doubted += health.IsDoubted(now) ? 1 : 0;
+    }
+    INFO(failures, " in ten");
+    CHECK((doubted > 50) == (failures == 4));
+  }
+}
+
+TEST_CASE("a doubted endpoint is tried again")
+{
+  EndpointHealth health;
+  for (int failure = 0; failure < 10; ++failure) {
+    health.Note(kStart, EndpointSign::kFailed);
+  }
+  CHECK(health.IsDoubted(kStart + 100ms));
+  CHECK_FALSE(health.IsDoubted(kStart + 5s));
+}
+
+TEST_CASE("entries that lapse while the store is away are gone two seconds after its return")
+{
+  RunnerRegistry registry;
+  registry.Apply(kStart, EntryOf("r1"));
+  registry.OnStoreLost();
+  registry.Remove(kStart + 1s, EndpointId{ "r1" });
+  CHECK(Choose(registry, kStart + 60s).has_value());
+  registry.OnStoreRegained(kStart + 60s);
+  CHECK(Choose(registry, kStart + 61s).has_value());
+  CHECK_FALSE(Choose(registry, kStart + 63s).has_value());
+}
+
+TEST_CASE("an entry that goes while the store is there is gone at once")
+{
+  RunnerRegistry registry;
+  registry.Apply(kStart, EntryOf("r1"));
+  registry.Remove(kStart + 10s, EndpointId{ "r1" });
+  CHECK_FALSE(Choose(registry, kStart + 10s).has_value());
+  CHECK(registry.Apply(kStart + 11s, EntryOf("r1")) == RunnerRegistry::Change::kUpdated);
+  CHECK(Choose(registry, kStart + 11s).has_value());
+}
+
+TEST_CASE("a draining endpoint gets no requests, and a restart is told from an update")
+{
+  RunnerRegistry registry;
+  CHECK(registry.Apply(kStart, EntryOf("r1")) == RunnerRegistry::Change::kJoined);
+  CHECK(registry.Apply(kStart, EntryOf("r1", RunnerState::kDraining)) ==
+        RunnerRegistry::Change::kLeaving);
+  CHECK_FALSE(Choose(registry, kStart).has_value());
+  RunnerEntry reborn = EntryOf("r1");
+  reborn.startedAtMs = 5;
+  CHECK(registry.Apply(kStart, reborn) == RunnerRegistry::Change::kRestarted);
+  CHECK(Choose(registry, kStart).has_value());
+}
+
+TEST_CASE("the less loaded endpoint is chosen, and a doubted one only when there is no other")
+{
+  RunnerRegistry registry;
+  registry.Apply(kStart, EntryOf("r1"));
+  registry.Apply(kStart, EntryOf("r2"));
+  registry.NoteLoad(kStart, EndpointId{ "r1" }, { .running = 5, .waiting = 0, .slots = 6 });
+  CHECK(Choose(registry, kStart) == EndpointId{ "r2" });
+  for (int failure = 0; failure < 5; ++failure) {
+    registry.NoteEnd(kStart, EndpointId{ "r2" }, EndpointSign::kFailed);
+  }
+  CHECK(Choose(registry, kStart) == EndpointId{ "r1" });
+  registry.Apply(kStart, EntryOf("r1", RunnerState::kDraining));
+  CHECK(Choose(registry, kStart) == EndpointId{ "r2" });
+}
+
+TEST_CASE("kept parts count only behind all parts before them, for the same model")
+{
+  PromptCache cache;
+  cache.SetCapacity(1'000);
+  cache.Note(WorkOf("m0", { { 1, 100 }, { 2, 50 } }));
+  CHECK(cache.KeptTokens(WorkOf("m0", { { 1, 100 }, { 2, 50 }, { 3, 10 } })) == 150);
+  CHECK(cache.KeptTokens(WorkOf("m0", { { 2, 50 } })) == 0);
+  CHECK(cache.KeptTokens(WorkOf("m1", { { 1, 100 } })) == 0);
+  cache.Drop(ModelId{ "m0" });
+  CHECK(cache.KeptTokens(WorkOf("m0", { { 1, 100 } })) == 0);
+}
+
+TEST_CASE("the least recently used parts yield")
+{
+  PromptCache cache;
+  cache.SetCapacity(250);
+  cache.Note(WorkOf("m0", { { 1, 100 } }));
+  cache.Note(WorkOf("m0", { { 2, 100 } }));
+  cache.Note(WorkOf("m0", { { 1, 100 } }));
+  cache.Note(WorkOf("m0", { { 3, 100 } }));
+  CHECK(cache.KeptTokens(WorkOf("m0", { { 1, 100 } })) == 100);
+  CHECK(cache.KeptTokens(WorkOf("m0", { { 2, 100 } })) == 0);
+}
+
+TEST_CASE("the longest prefix of the host decides")
+{
+  FleetConfiguration configuration;
+  configuration.routesByHost["h"] = { { .name = "long", .prefix = "/a/b/" },
+                                      { .name = "short", .prefix = "/a/" } };
+  REQUIRE(configuration.Match("h", "/a/b/c") != nullptr);
+  CHECK(configuration.Match("h", "/a/b/c")->name == "long");
+  CHECK(configuration.Match("h", "/a/x")->name == "short");
+  CHECK(configuration.Match("h", "/b/") == nullptr);
+  CHECK(configuration.Match("other", "/a/") == nullptr);
+}
--- /dev/null
+++ b/tests/platform/decoder_test.cpp
@@ -0,0 +1,242 @@
+/* The platform's documents, whole and damaged: a damaged one changes nothing. */
+#include "platform/configuration_decoder.h"
+#include "platform/request_headers.h"
+#include "platform/runner_decoder.h"
+#include "platform/store_codec.h"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <filesystem>
+#include <fstream>
+#include <string>
+#include <vector>
+
+using namespace rhubarbtrail;
+using namespace rhubarbtrail::platform;
+
+namespace {
+
+const std::string kEntry =
+  R"({"backend":"s1","address":"10.0.0.9:8080","zone":"a","version":"v1","slots":64,)"
+  R"("state":"ready","coldLeftMs":0,"models":[{"name":"m1","version":1,"adapters":["a1@2","a3"]}],)"
+  R"("seq":4,"born":17,"atHand":{"inMemory":["m1"],"onDisk":["m1","m2"]}})";
+
+const std::string kConfiguration =
+  R"({"version":7,"routes":[)"
+  R"({"name":"r1","host":"h","prefix":"/a/","kind":"streaming","timeoutMs":20000,)"
+  R"("targetLatencyMs":3000,"priority":1,"backend":"s1","maxAttempts":2,"sticky":true,)"
+  R"("resumable":true,"gapAimMs":300},)"
+  R"({"name":"r2","host":"h","prefix":"/a/b/","kind":"non_idempotent","timeoutMs":800,)"
+  R"("targetLatencyMs":100,"priority":2,"weightedBackends":[{"backend":"s1","weight":90},)"
+  R"({"backend":"s2","weight":10}],"maxAttempts":1}],)"
+  R"("services":[{"name":"s1","healthPath":"/healthz","maxConns":360,"engine":{"slots":64,)"
+  R"("kvTokens":1000,"models":[{"name":"m1","weightsMb":65099.99,"loadTimeS":6.0,"adapters":2,)"
+  R"("adapterMb":12.0,"warmS":0.76,"diskS":0.99}],"weightsMb":220000.0,"adapterSlots":8,)"
+  R"("loadsPerS":3.8}},{"name":"s2","healthPath":"/healthz","maxConns":100}],)"
+  R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,)"
+  R"("idleTimeoutMs":15000}})";
+
+/* Returns a text with one part replaced. */
+std::string With(std::string aText, const std::string& aOld, const std::string& aNew)
+{
+  const auto position = aText.find(aOld);
+  REQUIRE(position != std::string::npos);
+  return aText.replace(position, aOld.size(), aNew);
+}
+
+} // namespace
+
+TEST_CASE("an entry of a runner is decoded into our names")
+{
+  const auto entry = DecodeRunnerEntry("i-1", kEntry);
+  REQUIRE(entry.has_value());
+  CHECK(entry->service == ServiceId{ "s1" });
+  CHECK(entry->slots == 64);
+  CHECK(entry->startedAtMs == 17);
+  CHECK(entry->holdings.models.at(ModelId{ "m1" }) ==
+        std::set{ AdapterId{ "a1" }, AdapterId{ "a3" } });
+  CHECK(entry->holdings.onDisk.size() == 2);
+}
+
+TEST_CASE("an entry with a missing, foreign or wrong member is refused")
+{
+  const std::vector<std::pair<const char*, std::string>> cases{
+    { "not JSON", "{" },
+    { "bytes", std::string("\xff\x00\x01", 3) },
+    { "a list", "[]" },
+    { "empty", "" },
+    { "no service", With(kEntry, R"("backend":"s1",)", "") },
+    { "service is a number", With(kEntry, R"("backend":"s1")", R"("backend":1)") },
+    { "address without port", With(kEntry, "10.0.0.9:8080", "10.0.0.9") },
+    { "address is a list", With(kEntry, R"("10.0.0.9:8080")", "[]") },
+    { "unknown state", With(kEntry, R"("ready")", R"("sleeping")") },
+    { "state is null", With(kEntry, R"("ready")", "null") },
+    { "negative slots", With(kEntry, R"("slots":64)", R"("slots":-1)") },
+    { "slots is a text", With(kEntry, R"("slots":64)", R"("slots":"64")") },
+    { "models is a text", With(kEntry, R"([{"name":"m1")", R"(["m1",{"name":"m1")") },
+    { "adapters is a number", With(kEntry, R"(["a1@2","a3"])", "3") },
+    { "born is a text", With(kEntry, R"("born":17)", R"("born":"x")") },
+    { "copies are numbers", With(kEntry, R"(["m1","m2"])", "[1,2]") },
+  };
+  for (const auto& [name, document] : cases) {
+    INFO(name);
+    CHECK_FALSE(DecodeRunnerEntry("i-1", document).has_value());
+  }
+}
+
+TEST_CASE("every cut of an entry or a configuration is refused, none throws")
+{
+  for (std::size_t length = 0; length < kEntry.size(); ++length) {
+    CHECK_FALSE(DecodeRunnerEntry("i-1", kEntry.substr(0, length)).has_value());
+  }
+  for (std::size_t length = 0; length < kConfiguration.size(); ++length) {
+    CHECK_FALSE(DecodeConfiguration(kConfiguration.substr(0, length)).has_value());
+  }
+}
+
+TEST_CASE("a report counts orders, an entry does not")
+{
+  const auto report = DecodeRunnerReport(
+    R"({"stage":"combined","models":[{"name":"m1","version":1,"adapters":[]}],"busy":true,)"
+    R"("seq":2,"waiting":1,"running":12,"kvUsed":41000,"kvTotal":90000,"coming":["m1/a2@1"]})");
+  REQUIRE(report.has_value());
+  CHECK(report->isBusy);
+  CHECK(report->orderCount == 2);
+  CHECK(report->holdings.arriving.size() == 1);
+}
+
+TEST_CASE("a configuration is decoded into our names")
+{
+  const auto configuration = DecodeConfiguration(kConfiguration);
+  REQUIRE(configuration.has_value());
+  CHECK(configuration->version.value == 7);
+  const fleet::Route* route = configuration->Match("h", "/a/b/c");
+  REQUIRE(route != nullptr);
+  CHECK(route->name == "r2");
+  CHECK(route->kind == fleet::RouteKind::kNonIdempotent);
+  CHECK(route->services.size() == 2);
+  CHECK_FALSE(route->MayRepeatOrResume());
+  const fleet::Service* service = configuration->Find(ServiceId{ "s1" });
+  REQUIRE(service != nullptr);
+  REQUIRE(service->engine.has_value());
+  CHECK(service->engine->models.at(ModelId{ "m1" }).weights.value == 65'100);
+  CHECK(service->engine->models.at(ModelId{ "m1" }).diskLoad == 990ms);
+  CHECK_FALSE(configuration->Find(ServiceId{ "s2" })->engine.has_value());
+}
+
+TEST_CASE("an unknown kind of route counts as the strictest one")
+{
+  const auto configuration =
+    DecodeConfiguration(With(kConfiguration, R"("streaming")", R"("something_new")"));
+  REQUIRE(configuration.has_value());
+  CHECK_FALSE(configuration->Match("h", "/a/x")->MayRepeatOrResume());
+}
+
+TEST_CASE("fields that are ours to set are dropped from clients, and all others stay")
+{
+  const http::Request request{ .method = "POST",
+                               .target = "/a/x?q=1",
+                               .fields = { { "Host", "h" },
+                                           { "X-Request-Id", "id" },
+                                           { "X-Model", "m1/a2" },
+                                           { "X-Token-Usage", "1460,80" },
+                                           { "X-Prompt-Prefix", "5c:800,9:410" },
+                                           { "X-Deadline-Ms", "1500" },
+                                           { "x-hold", "1" },
+                                           { "X-Pin-Ms", "1" },
+                                           { "X-Kv-Backup", "1" },
+                                           { "Kv-From", "1" },
+                                           { "X-Target-Instance", "other" },
+                                           { "X-Request-Priority", "0" },
+                                           { "Connection", "close, X-Private" },
+                                           { "X-Private", "1" },
+                                           { "Transfer-Encoding", "chunked" },
+                                           { "X-Custom", "kept" } },
+                               .body = "body" };
+  const auto client = DecodeClientRequest(request);
+  CHECK(client.requestId == "id");
+  CHECK(client.timeLeft == 1'500ms);
+  REQUIRE(client.work.has_value());
+  CHECK(client.work->target.adapter == AdapterId{ "a2" });
+  CHECK(client.work->promptTokens == 1'460);
+  REQUIRE(client.work->parts.size() == 2);
+  CHECK(client.work->parts[0].id == 0x5c);
+  const auto forward = EncodeForward(request,
+                                     { .endpoint = EndpointId{ "i-1" },
+                                       .timeLeft = 700ms,
+                                       .priority = 2,
+                                       .hasPriority = true });
+  CHECK(forward.method == "POST");
+  CHECK(forward.target == "/a/x?q=1");
+  CHECK(forward.body == "body");
+  CHECK(http::Find(forward.fields, "X-Deadline-Ms") == "700");
+  CHECK(http::Find(forward.fields, "X-Target-Instance") == "i-1");
+  CHECK(http::Find(forward.fields, "X-Request-Priority") == "2");
+  CHECK(http::Find(forward.fields, "X-Custom") == "kept");
+  CHECK(http::Find(forward.fields, "X-Prompt-Prefix") == "5c:800,9:410");
+  for (const char* dropped :
+       { "X-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From", "X-Private", "Transfer-Encoding" }) {
+    INFO(dropped);
+    CHECK_FALSE(http::Find(forward.fields, dropped).has_value());
+  }
+}
+
+TEST_CASE("an endpoint's answer is told by its fields")
+{
+  const auto full = DecodeEndpointAnswer(
+    { .status = 503, .fields = { { "X-Not-Executed", "1" }, { "X-Server-Load", "3,1,8" } } });
+  CHECK(full.isNotRun);
+  CHECK_FALSE(full.isSigned);
+  REQUIRE(full.load.has_value());
+  CHECK(full.load->waiting == 1);
+  CHECK(DecodeEndpointAnswer({ .status = 421 }).isNotRun);
+  CHECK_FALSE(DecodeEndpointAnswer({ .status = 503 }).isNotRun);
+  CHECK(DecodeEndpointAnswer({ .status = 200, .fields = { { "Content-Encoding", "gzip" } } })
+          .isEncoded);
+  CHECK_FALSE(
+    DecodeEndpointAnswer({ .status = 200, .fields = { { "X-Server-Load", "3,x,8" } } }).load);
+}
+
+TEST_CASE("rows of the store survive the way there and back")
+{
+  const auto write = EncodeWrite(
+    { .table = "t", .key = "k", .value = std::string("a\0b", 3), .expected = { 4 } });
+  CHECK(write.body.find("YQBi") != std::string::npos);
+  const auto answer = DecodeStoreAnswer(
+    R"({"rows":[{"table":"t","part":"","key":"k","value":"YQBi","ver":5},)"
+    R"({"table":"t","key":"gone","ver":6,"removed":true}],"truncated":false,"ver":9,"nowMs":1})");
+  REQUIRE(answer.has_value());
+  CHECK(answer->rows[0].value == std::string("a\0b", 3));
+  CHECK(answer->rows[1].isRemoved);
+  CHECK(answer->newest.value == 9);
+  CHECK_FALSE(DecodeStoreAnswer(R"({"rows":[{"table":"t"}],"ver":9})").has_value());
+  CHECK_FALSE(DecodeStoreAnswer("nonsense").has_value());
+}
+
+TEST_CASE("an event's id is read whatever its line ends")
+{
+  CHECK(EventId("id: 12\ndata: x\n\n") == "12");
+  CHECK(EventId("x-weight-versions: 3\r\nid:7\r\ndata: x\r\n\r\n") == "7");
+  CHECK(EventId("data: id: 5\n\n").empty());
+}
+
+TEST_CASE("only the adapter knows the platform's names")
+{
+  constexpr std::array kNames{ "X-Target-Instance", "X-Not-Executed", "X-Response-Signature",
+                               "rows-tx",           "rows-feed",      "fencingToken",
+                               "expectedRev",       "coldLeftMs",     "weightedBackends" };
+  for (const auto& item :
+       std::filesystem::recursive_directory_iterator(std::string{ SOURCE_DIR } + "/src")) {
+    const std::string path = item.path().string();
+    if (!item.is_regular_file() || path.find("/src/platform/") != std::string::npos) {
+      continue;
+    }
+    std::ifstream file(item.path());
+    const std::string text{ std::istreambuf_iterator<char>(file), {} };
+    for (const char* name : kNames) {
+      INFO(path, ": ", name);
+      CHECK(text.find(name) == std::string::npos);
+    }
+  }
+}
