Feature: [Gateway] Send waiting requests on before a daemon ends; histograms, state dump, tests of HTTP

A length given as a list of equal numbers got past the framing check; a test found it.

Change: 2.5 s before the end of the grace time, requests that no endpoint works on are refused with a time to come back.

--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -7,6 +7,10 @@
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
 
+#include <boost/histogram/axis/variable.hpp>
+#include <boost/histogram/indexed.hpp>
+#include <boost/histogram/make_histogram.hpp>
+
 #include <functional>
 #include <sstream>
 #include <string_view>
@@ -26,6 +30,12 @@
 constexpr std::size_t kStripeLimit = 8'192;
 constexpr std::array kQuantiles{ 0.5, 0.95, 0.99 };
 
+/* Upper bounds of the latency buckets, in seconds: from a plain call to the longest deadline. */
+using LatencyAxis = boost::histogram::axis::variable<double>;
+const LatencyAxis kLatencyAxis{ 0.0, 0.005, 0.01, 0.025, 0.05, 0.1,  0.25,
+                                0.5, 1.0,   2.5,  5.0,   10.0, 20.0, 60.0 };
+using LatencyHistogram = decltype(boost::histogram::make_histogram(kLatencyAxis));
+
 struct CounterInfo
 {
   std::string_view name;
@@ -60,12 +70,14 @@
   {
     const double seconds = std::chrono::duration<double>(aLatency).count();
     total(seconds);
+    histogram(seconds);
     for (Quantile& quantile : quantiles) {
       quantile(seconds);
     }
   }
 
   Total total;
+  LatencyHistogram histogram = boost::histogram::make_histogram(kLatencyAxis);
   std::array<Quantile, kQuantiles.size()> quantiles{
     Quantile{ accumulators::quantile_probability = kQuantiles[0] },
     Quantile{ accumulators::quantile_probability = kQuantiles[1] },
@@ -131,6 +143,21 @@
          << "\nrhubarbtrail_request_seconds_count" << label << "} "
          << accumulators::count(series->total) << "\n";
   }
+  WriteHead(text, "request_latency_seconds", "histogram", "The same times in buckets.");
+  for (const auto& [requestClass, series] : mLatencies) {
+    const std::string name = "rhubarbtrail_request_latency_seconds";
+    const std::string label = "{class=\"" + requestClass.str() + "\"";
+    double below = 0.0;
+    for (const auto& bucket : boost::histogram::indexed(series->histogram)) {
+      below += *bucket;
+      text << name << "_bucket" << label << ",le=\"" << bucket.bin().upper() << "\"} " << below
+           << "\n";
+    }
+    const auto count = accumulators::count(series->total);
+    text << name << "_bucket" << label << ",le=\"+Inf\"} " << count << "\n"
+         << name << "_sum" << label << "} " << accumulators::sum(series->total) << "\n"
+         << name << "_count" << label << "} " << count << "\n";
+  }
   WriteHead(text, "samples_dropped_total", "counter", "Requests that were not measured.");
   text << "rhubarbtrail_samples_dropped_total " << mDropped << "\n";
   for (std::size_t index = 0; index < kCounterInfos.size(); ++index) {
--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -18,6 +18,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <cstdio>
+#include <nlohmann/json.hpp>
 #include <optional>
 
 namespace rhubarbtrail {
@@ -33,6 +34,8 @@
 constexpr Duration kFarewellTime = 2'500ms;
 /* Taken off the grace time, so that the process ends by itself. */
 constexpr Duration kGraceMargin = 700ms;
+/* Time before the end of the grace time at which requests that still wait are sent on. */
+constexpr Duration kHandOnTime = 2'500ms;
 constexpr Duration kStopCheckInterval = 50ms;
 /* Time between two lines about the daemon's state. */
 constexpr Duration kStatusInterval = 10s;
@@ -219,7 +222,7 @@
   {
     const auto& store = mStore.counts();
     mLog.Write("status",
-               { { "open_requests", mGateway.openRequests },
+               { { "open_requests", mGateway.openRequests.size() },
                  { "connections", mFront.counts().connections },
                  { "questions_open", mPlacement.openQuestions() },
                  { "dispatcher", mMember.lease().holder },
@@ -388,9 +391,57 @@
                       mMetrics.ToText(Gauges()));
       return;
     }
+    if (aRequest.target == "/state") {
+      aResponder.Send(
+        { .status = kOk, .reason = "OK", .fields = { { "Content-Type", "application/json" } } },
+        DescribeState());
+      return;
+    }
     aResponder.Send({ .status = kNotFound, .reason = "Not Found" }, "");
   }
 
+  /* Returns the state of this daemon, for people. */
+  std::string DescribeState() const
+  {
+    const TimePoint now = BootTime();
+    nlohmann::ordered_json state{
+      { "daemon", mSettings.daemonId },
+      { "incarnation", mIncarnation },
+      { "ready", IsReady() },
+      { "configuration", mGateway.configuration ? mGateway.configuration->version.value : 0 },
+      { "open_requests", mGateway.openRequests.size() },
+      { "dispatcher", mMember.lease().holder.str() },
+      { "is_dispatcher", mMember.isDispatcher() },
+      { "members", mMember.memberCount() },
+      { "runners", nlohmann::ordered_json::array() }
+    };
+    for (const auto& [id, runner] : mRunners.runners()) {
+      const auto managed = mDispatcher.runners().find(id);
+      nlohmann::ordered_json item{
+        { "endpoint", id.str() },
+        { "service", runner.entry.service.str() },
+        { "address", runner.entry.address },
+        { "usable", mRunners.Check(now, runner) == fleet::Exclusion::kNone },
+        { "in_flight_here", runner.inFlight },
+        { "failure_share", runner.health.failureShare() },
+        { "entry_age_ms", Milliseconds(now - runner.changedAt) },
+      };
+      if (mMember.isDispatcher() && managed != mDispatcher.runners().end()) {
+        item["models"] = nlohmann::ordered_json::array();
+        for (const auto& [model, held] : managed->second.models) {
+          item["models"].push_back({ { "model", model.str() },
+                                     { "in_flight", held.inFlight },
+                                     { "leaving", held.isLeaving },
+                                     { "adapters", held.adapters.size() } });
+        }
+        item["order_count"] = managed->second.orderCount;
+        item["order_under_way"] = managed->second.order.has_value();
+      }
+      state["runners"].push_back(std::move(item));
+    }
+    return state.dump(1);
+  }
+
   std::vector<Gauge> Gauges() const
   {
     const auto front = mFront.counts();
@@ -400,7 +451,7 @@
       { "front_connections", "Open connections of clients.", front.connections },
       { "front_accepted", "Connections of clients taken so far.", front.accepted },
       { "front_rejected", "Malformed or oversized requests so far.", front.rejected },
-      { "open_requests", "Requests without a final answer.", mGateway.openRequests },
+      { "open_requests", "Requests without a final answer.", mGateway.openRequests.size() },
       { "endpoint_connects", "Connections opened so far.", client.connects },
       { "endpoint_spoiled", "Connections dropped for unasked bytes so far.", client.spoiled },
       { "store_reads", "Reads of the store so far.", store.reads },
@@ -469,7 +520,7 @@
     }
     mIsStopping = true;
     mStoppedAt = BootTime();
-    mLog.Write("stopping", { { "open_requests", mGateway.openRequests } });
+    mLog.Write("stopping", { { "open_requests", mGateway.openRequests.size() } });
     mFront.Drain();
     mMember.Release();
     CheckStopped();
@@ -482,7 +533,11 @@
       // The balancer sends nobody here any more; who still holds a connection is sent on.
       mFront.CloseIdle();
     }
-    const bool isQuiet = passed >= kFarewellTime && mGateway.openRequests == 0 && mFront.IsQuiet();
+    if (passed >= mSettings.edge.shutdownGrace - kHandOnTime) {
+      EndWaitingRequests(mGateway);
+    }
+    const bool isQuiet =
+      passed >= kFarewellTime && mGateway.openRequests.empty() && mFront.IsQuiet();
     // Twice in a row: the last bytes of an answer may still be on their way out.
     const bool wasQuiet = std::exchange(mWasQuiet, isQuiet);
     const bool isIdle = isQuiet && wasQuiet;
@@ -491,8 +546,8 @@
       NoteStatus();
       mLog.Write(
         "stop",
-        { { "open_requests", mGateway.openRequests }, { "took_ms", Milliseconds(passed) } });
-      mExitCode = mGateway.openRequests == 0 ? kExitOk : kExitRequestsLeft;
+        { { "open_requests", mGateway.openRequests.size() }, { "took_ms", Milliseconds(passed) } });
+      mExitCode = mGateway.openRequests.empty() ? kExitOk : kExitRequestsLeft;
       mLog.Flush();
       mLoop.stop();
       return;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -15,9 +15,12 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <set>
 
 namespace rhubarbtrail {
 
+class RequestFlow;
+
 /* What all requests of a daemon share. Used by one thread. */
 struct GatewayContext
 {
@@ -36,10 +39,13 @@
   fleet::RetryShare retries;
   fleet::CrashGuard crashes;
   std::uint64_t nextAsk = 1;
-  std::size_t openRequests = 0;
+  std::set<RequestFlow*> openRequests;
   bool isLeaving = false; ///< The daemon stops soon and takes no more requests.
 };
 
+/* Ends the requests that wait for a place, so that their clients come back elsewhere in time. */
+void EndWaitingRequests(GatewayContext& aContext);
+
 /* Serves one request from a client; ends by itself. */
 void ServeRequest(GatewayContext& aContext,
                   http::Request aRequest,
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -25,6 +25,8 @@
 constexpr int kWaitDivisor = 3;
 /* When clients are asked to come back if nothing better is known. */
 constexpr Duration kRetryLater = 500ms;
+/* When to come back to another daemon. */
+constexpr Duration kRetryAtOnce = 50ms;
 /* Longest time to connect to an endpoint; connecting takes a few milliseconds. */
 constexpr Duration kConnectLimit = 250ms;
 /* Times the objective that a repeatable request waits for an answer before it is sent again, and
@@ -128,12 +130,12 @@
   , mDeadlineTimer(aContext.loop)
   , mWaitTimer(aContext.loop)
 {
-  ++mContext.openRequests;
+  mContext.openRequests.insert(this);
 }
 
 RequestFlow::~RequestFlow()
 {
-  --mContext.openRequests;
+  mContext.openRequests.erase(this);
 }
 
 void RequestFlow::Start()
@@ -144,7 +146,7 @@
   ResultCode code = ResultCode::kOk;
   if (!CheckRoute(reason, code)) {
     if (Describe(code).execution == Execution::kNotRun && Describe(code).httpStatus == 503) {
-      Refuse(code, kRetryLater, reason);
+      Refuse(code, code == ResultCode::kShuttingDown ? kRetryAtOnce : kRetryLater, reason);
     } else {
       Fail(code, reason);
     }
@@ -756,6 +758,19 @@
   ReleasePlace(fleet::PlaceEnd::kDone);
 }
 
+void RequestFlow::EndIfWaiting()
+{
+  if (mIsEnded || mAttempt.call) {
+    return;
+  }
+  StopAttempt();
+  if (mState.runs == 0) {
+    Refuse(ResultCode::kShuttingDown, kRetryAtOnce, "the daemon stops");
+  } else {
+    Fail(ResultCode::kAttemptsExhausted, "the daemon stops");
+  }
+}
+
 void RequestFlow::OnClientGone()
 {
   if (mIsEnded) {
@@ -780,6 +795,17 @@
   }
 }
 
+void EndWaitingRequests(GatewayContext& aContext)
+{
+  std::vector<std::shared_ptr<RequestFlow>> flows;
+  for (RequestFlow* flow : aContext.openRequests) {
+    flows.push_back(flow->shared_from_this());
+  }
+  for (const auto& flow : flows) {
+    flow->EndIfWaiting();
+  }
+}
+
 void ServeRequest(GatewayContext& aContext,
                   http::Request aRequest,
                   std::shared_ptr<http::Responder> aResponder)
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -27,6 +27,8 @@
   RequestFlow& operator=(const RequestFlow&) = delete;
 
   void Start();
+  /* Ends the request unless an endpoint is at work on it. */
+  void EndIfWaiting();
 
 private:
   /* An attempt under way, or the last one. */
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -58,7 +58,11 @@
       return false;
     }
   }
-  return aMessage.count(beast_http::field::content_length) <= 1 &&
+  const auto length = aMessage[beast_http::field::content_length];
+  const bool isOneNumber = std::all_of(length.begin(), length.end(), [](char aCharacter) {
+    return aCharacter >= '0' && aCharacter <= '9'; // The parser takes lists of equal numbers.
+  });
+  return isOneNumber && aMessage.count(beast_http::field::content_length) <= 1 &&
          aMessage.count(beast_http::field::host) == 1;
 }
 
--- a/tests/fleet/fleet_parts_test.cpp
+++ b/tests/fleet/fleet_parts_test.cpp
@@ -55,15 +55,12 @@
     NextStep step;
   };
   const AttemptState once{ .runs = 1, .maxAttempts = 2, .timeLeft = 1s };
-  const AttemptState idempotent{ .runs = 1,
-                                 .maxAttempts = 2,
-                                 .kind = RouteKind::kIdempotent,
-                                 .timeLeft = 1s };
-  const AttemptState resumable{ .runs = 1,
-                                .maxAttempts = 2,
-                                .kind = RouteKind::kStream,
-                                .isResumable = true,
-                                .timeLeft = 1s };
+  const AttemptState idempotent{
+    .runs = 1, .maxAttempts = 2, .kind = RouteKind::kIdempotent, .timeLeft = 1s
+  };
+  const AttemptState resumable{
+    .runs = 1, .maxAttempts = 2, .kind = RouteKind::kStream, .isResumable = true, .timeLeft = 1s
+  };
   const auto with = [](AttemptState aState, auto aChange) {
     aChange(aState);
     return aState;
@@ -117,11 +114,9 @@
       for (const RouteKind kind :
            { RouteKind::kIdempotent, RouteKind::kNonIdempotent, RouteKind::kStream }) {
         for (int end = 0; end <= static_cast<int>(AttemptEnd::kCutMidway); ++end) {
-          const AttemptState state{ .runs = runs,
-                                    .refusals = refusals,
-                                    .maxAttempts = 2,
-                                    .kind = kind,
-                                    .timeLeft = 1s };
+          const AttemptState state{
+            .runs = runs, .refusals = refusals, .maxAttempts = 2, .kind = kind, .timeLeft = 1s
+          };
           if (DecideNextStep(state, static_cast<AttemptEnd>(end)) == NextStep::kRefuse) {
             CHECK(runs == 0);
           }
--- a/tests/fleet/order_lease_test.cpp
+++ b/tests/fleet/order_lease_test.cpp
@@ -43,10 +43,11 @@
     const std::string name = "d" + std::to_string(aNumber);
     return { .name = name,
              .life = aLife,
-             .lease = OrderLease({ .self = DaemonId{ name },
-                                   .incarnation = IncarnationId{ name + "." + std::to_string(aLife) },
-                                   .address = "10.0.0.1:1",
-                                   .spacing = kSpacing }) };
+             .lease =
+               OrderLease({ .self = DaemonId{ name },
+                            .incarnation = IncarnationId{ name + "." + std::to_string(aLife) },
+                            .address = "10.0.0.1:1",
+                            .spacing = kSpacing }) };
   }
 
   void Restart(std::size_t aNumber) { daemons[aNumber] = Make(aNumber, daemons[aNumber].life + 1); }
--- /dev/null
+++ b/tests/http/http_test.cpp
@@ -0,0 +1,376 @@
+/* The event-driven HTTP server and client on real sockets of this host. */
+#include "http/http_client.h"
+#include "http/http_server.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace rhubarbtrail;
+using namespace rhubarbtrail::http;
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+/* Longest time that a test waits for something that must come. */
+constexpr auto kPatience = std::chrono::seconds{ 10 };
+
+/* Runs the loop until a condition holds; false when it never does. */
+template<typename Condition>
+bool RunUntil(asio::io_context& aLoop, const Condition& aCondition)
+{
+  const auto end = std::chrono::steady_clock::now() + kPatience;
+  aLoop.restart();
+  while (!aCondition()) {
+    if (std::chrono::steady_clock::now() > end) {
+      return false;
+    }
+    aLoop.run_one_for(std::chrono::milliseconds{ 20 });
+  }
+  return true;
+}
+
+/* A server that stores the requests it gets. */
+struct Site
+{
+  Site()
+    : server(loop,
+             { .address = "127.0.0.1:0", .name = "test" },
+             [this](Request aRequest, std::shared_ptr<Responder> aResponder) {
+               aResponder->OnGone([this] { ++gone; });
+               requests.push_back(std::move(aRequest));
+               responders.push_back(std::move(aResponder));
+             })
+  {
+    REQUIRE(server.Listen().empty());
+  }
+
+  std::unique_ptr<tcp::socket> Connect()
+  {
+    auto socket = std::make_unique<tcp::socket>(loop);
+    socket->connect({ asio::ip::make_address("127.0.0.1"), server.port() });
+    return socket;
+  }
+
+  /* Sends bytes as they are and returns what comes back until the server closes. */
+  std::string Exchange(const std::string& aBytes)
+  {
+    auto socket = Connect();
+    asio::write(*socket, asio::buffer(aBytes));
+    std::string answer;
+    bool isClosed = false;
+    asio::async_read(*socket,
+                     asio::dynamic_buffer(answer),
+                     [&](boost::system::error_code, std::size_t) { isClosed = true; });
+    RunUntil(loop, [&] { return isClosed || !requests.empty(); });
+    boost::system::error_code ignored;
+    socket->close(ignored);
+    RunUntil(loop, [&] { return isClosed; });
+    return answer;
+  }
+
+  asio::io_context loop{ 1 };
+  std::vector<Request> requests;
+  std::vector<std::shared_ptr<Responder>> responders;
+  int gone = 0;
+  Server server;
+};
+
+/* An endpoint that answers each connection with given bytes, one text for each request. */
+struct Endpoint
+{
+  explicit Endpoint(std::vector<std::string> aAnswers)
+    : answers(std::move(aAnswers))
+    , acceptor(loop, { asio::ip::make_address("127.0.0.1"), 0 })
+    , client(loop, {})
+  {
+    Accept();
+  }
+
+  void Accept()
+  {
+    acceptor.async_accept([this](boost::system::error_code aError, tcp::socket aSocket) {
+      if (!aError) {
+        ++connections;
+        sockets.push_back(std::make_unique<tcp::socket>(std::move(aSocket)));
+        Read(*sockets.back());
+        Accept();
+      }
+    });
+  }
+
+  void Read(tcp::socket& aSocket)
+  {
+    auto buffer = std::make_shared<std::string>(4'096, '\0');
+    aSocket.async_read_some(
+      asio::buffer(*buffer),
+      [this, &aSocket, buffer](boost::system::error_code aError, std::size_t) {
+        if (aError || next >= answers.size()) {
+          return;
+        }
+        const std::string answer = answers[next++];
+        boost::system::error_code ignored;
+        asio::write(aSocket, asio::buffer(answer), ignored);
+        if (isClosing) {
+          aSocket.close(ignored);
+          return;
+        }
+        Read(aSocket);
+      });
+  }
+
+  /* Makes a call and returns how it ended. */
+  CallResult Call(Reuse aReuse = Reuse::kAllowed, const std::string& aId = {})
+  {
+    std::optional<CallResult> result;
+    status = 0;
+    body.clear();
+    const auto call =
+      client.Start({ .address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()),
+                     .request = { .method = "GET", .target = "/" },
+                     .reuse = aReuse,
+                     .answerTime = 3s },
+                   { .onHead =
+                       [&](const AnswerHead& aHead) {
+                         const auto id = Find(aHead.fields, "X-Id");
+                         if (!aId.empty() && id && *id != aId) {
+                           return false;
+                         }
+                         status = aHead.status;
+                         return true;
+                       },
+                     .onBody = [&](std::string_view aBytes) { body += aBytes; },
+                     .onEnd = [&](CallResult aResult) { result = aResult; } });
+    REQUIRE(RunUntil(loop, [&] { return result.has_value(); }));
+    return *result;
+  }
+
+  asio::io_context loop{ 1 };
+  std::vector<std::string> answers;
+  std::size_t next = 0;
+  bool isClosing = false;
+  int connections = 0;
+  unsigned status = 0;
+  std::string body;
+  tcp::acceptor acceptor;
+  std::vector<std::unique_ptr<tcp::socket>> sockets;
+  Client client;
+};
+
+std::string Answer(const std::string& aBody, const std::string& aFields = {})
+{
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(aBody.size()) + "\r\n" + aFields +
+         "\r\n" + aBody;
+}
+
+} // namespace
+
+TEST_CASE("requests whose framing is unsound are refused and reach nobody")
+{
+  const std::vector<std::pair<std::string, std::string>> cases{
+    { "negative length", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: -5\r\n\r\n" },
+    { "signed length", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: +5\r\n\r\nhello" },
+    { "two lengths",
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello" },
+    { "length list", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5, 5\r\n\r\nhello" },
+    { "length and chunks",
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "0\r\n\r\n" },
+    { "chunks and length",
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n"
+      "0\r\n\r\n" },
+    { "unknown coding",
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\nGET /x HTTP/1.1\r\n\r\n" },
+    { "coding after chunks",
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked, x\r\n\r\n0\r\n\r\n" },
+    { "hidden coding",
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n" },
+    { "space before the colon", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length : 5\r\n\r\nhello" },
+    { "two hosts", "GET / HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n" },
+    { "no host", "GET / HTTP/1.1\r\n\r\n" },
+    { "chunks in HTTP/1.0",
+      "POST / HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" },
+    { "wrong chunk size",
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n\r\n" },
+    { "not HTTP", "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03 nonsense\r\n\r\n" },
+  };
+  for (const auto& [name, bytes] : cases) {
+    INFO(name);
+    Site site;
+    const std::string answer = site.Exchange(bytes);
+    CHECK(answer.starts_with("HTTP/1.1 4"));
+    CHECK(site.requests.empty());
+  }
+}
+
+TEST_CASE("a body in chunks arrives byte for byte")
+{
+  Site site;
+  site.Exchange("POST /a?b=c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "5\r\nhello\r\n1\r\n!\r\n0\r\n\r\n");
+  REQUIRE(site.requests.size() == 1);
+  CHECK(site.requests[0].body == "hello!");
+  CHECK(site.requests[0].target == "/a?b=c");
+}
+
+TEST_CASE("limits on head and body are kept")
+{
+  Site site;
+  site.server.SetLimits({ .headerBytes = 1'000, .bodyBytes = 100 });
+  CHECK(site.Exchange("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(2'000, 'x') + "\r\n\r\n")
+          .starts_with("HTTP/1.1 431"));
+  CHECK(site.Exchange("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200\r\n\r\n")
+          .starts_with("HTTP/1.1 413"));
+  CHECK(site.requests.empty());
+}
+
+TEST_CASE("a client that closes is noticed while its request is open")
+{
+  Site site;
+  auto socket = site.Connect();
+  asio::write(*socket, asio::buffer(std::string{ "GET / HTTP/1.1\r\nHost: h\r\n\r\n" }));
+  REQUIRE(RunUntil(site.loop, [&] { return site.requests.size() == 1; }));
+  socket->close();
+  CHECK(RunUntil(site.loop, [&] { return site.gone == 1; }));
+}
+
+TEST_CASE("requests that are sent ahead are answered one after the other")
+{
+  Site site;
+  auto socket = site.Connect();
+  const std::string one = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+  asio::write(*socket, asio::buffer(one + "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n"));
+  REQUIRE(RunUntil(site.loop, [&] { return site.requests.size() == 1; }));
+  site.responders[0]->Send({ .status = 200, .reason = "OK" }, "first");
+  REQUIRE(RunUntil(site.loop, [&] { return site.requests.size() == 2; }));
+  CHECK(site.requests[1].target == "/2");
+}
+
+TEST_CASE("a new connection is answered beside many that are idle")
+{
+  Site site;
+  std::vector<std::unique_ptr<tcp::socket>> open;
+  for (int number = 0; number < 400; ++number) { // Within the usual limit of descriptors.
+    open.push_back(site.Connect());
+  }
+  REQUIRE(RunUntil(site.loop, [&] { return site.server.counts().connections == 400; }));
+  auto socket = site.Connect();
+  asio::write(*socket, asio::buffer(std::string{ "GET / HTTP/1.1\r\nHost: h\r\n\r\n" }));
+  CHECK(RunUntil(site.loop, [&] { return site.requests.size() == 1; }));
+}
+
+TEST_CASE("closing idle connections spares one on which a request has arrived")
+{
+  Site site;
+  auto idle = site.Connect();
+  auto busy = site.Connect();
+  REQUIRE(RunUntil(site.loop, [&] { return site.server.counts().connections == 2; }));
+  asio::write(*busy, asio::buffer(std::string{ "GET / HTTP/1.1\r\nHost: h\r\n\r\n" }));
+  std::this_thread::sleep_for(std::chrono::milliseconds{ 50 }); // The bytes cross the loopback.
+  site.server.CloseIdle();
+  REQUIRE(RunUntil(site.loop, [&] { return site.requests.size() == 1; }));
+  CHECK(site.server.counts().connections == 1);
+  CHECK_FALSE(site.server.IsQuiet());
+}
+
+TEST_CASE("an aborted answer in chunks does not look complete")
+{
+  Site site;
+  auto socket = site.Connect();
+  asio::write(*socket, asio::buffer(std::string{ "GET / HTTP/1.1\r\nHost: h\r\n\r\n" }));
+  REQUIRE(RunUntil(site.loop, [&] { return site.requests.size() == 1; }));
+  site.responders[0]->SendHead({ .status = 200, .reason = "OK", .framing = Framing::kChunked });
+  site.responders[0]->SendBody("part");
+  site.responders[0]->Abort();
+  std::string answer;
+  bool isClosed = false;
+  asio::async_read(*socket,
+                   asio::dynamic_buffer(answer),
+                   [&](boost::system::error_code, std::size_t) { isClosed = true; });
+  REQUIRE(RunUntil(site.loop, [&] { return isClosed; }));
+  CHECK(answer.ends_with("4\r\npart\r\n"));
+}
+
+TEST_CASE("a connection is used again after a clean answer, and not after extra bytes")
+{
+  Endpoint clean({ Answer("a"), Answer("b") });
+  CHECK(clean.Call() == CallResult::kComplete);
+  CHECK(clean.Call() == CallResult::kComplete);
+  CHECK(clean.body == "b");
+  CHECK(clean.connections == 1);
+
+  Endpoint extra({ Answer("a") + Answer("extra"), Answer("b") });
+  CHECK(extra.Call() == CallResult::kComplete);
+  CHECK(extra.body == "a");
+  CHECK(extra.Call() == CallResult::kComplete);
+  CHECK(extra.body == "b");
+  CHECK(extra.connections == 2);
+}
+
+TEST_CASE("a fresh connection is made when it is asked for")
+{
+  Endpoint endpoint({ Answer("a"), Answer("b") });
+  CHECK(endpoint.Call() == CallResult::kComplete);
+  CHECK(endpoint.Call(Reuse::kFresh) == CallResult::kComplete);
+  CHECK(endpoint.connections == 2);
+}
+
+TEST_CASE("an answer to another request is read past")
+{
+  Endpoint endpoint({ Answer("other", "X-Id: 1\r\n") + Answer("mine", "X-Id: 2\r\n") });
+  CHECK(endpoint.Call(Reuse::kAllowed, "2") == CallResult::kComplete);
+  CHECK(endpoint.body == "mine");
+}
+
+TEST_CASE(
+  "an answer that breaks off is not complete, one without a length ends with its connection")
+{
+  Endpoint cut({ "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf" });
+  cut.isClosing = true;
+  CHECK(cut.Call() == CallResult::kBroken);
+
+  Endpoint chunked({ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n" });
+  chunked.isClosing = true;
+  CHECK(chunked.Call() == CallResult::kBroken);
+
+  Endpoint open({ "HTTP/1.1 200 OK\r\n\r\nwhole" });
+  open.isClosing = true;
+  CHECK(open.Call() == CallResult::kComplete);
+  CHECK(open.body == "whole");
+}
+
+TEST_CASE("what is no answer, and silence, end a call")
+{
+  Endpoint nonsense({ "nonsense\r\n\r\n" });
+  CHECK(nonsense.Call() == CallResult::kMalformed);
+
+  Endpoint interim({ "HTTP/1.1 103 Early Hints\r\n\r\n" + Answer("final") });
+  CHECK(interim.Call() == CallResult::kComplete);
+  CHECK(interim.status == 200);
+  CHECK(interim.body == "final");
+}
+
+TEST_CASE("a closed address is told from a lost answer")
+{
+  Endpoint endpoint({});
+  endpoint.acceptor.close();
+  asio::io_context loop{ 1 };
+  Client client(loop, {});
+  std::optional<CallResult> result;
+  const auto call =
+    client.Start({ .address = "127.0.0.1:1", .request = { .method = "GET", .target = "/" } },
+                 { .onHead = [](const AnswerHead&) { return true; },
+                   .onBody = [](std::string_view) {},
+                   .onEnd = [&](CallResult aResult) { result = aResult; } });
+  REQUIRE(RunUntil(loop, [&] { return result.has_value(); }));
+  CHECK(*result == CallResult::kNotConnected);
+}
--- a/tests/platform/decoder_test.cpp
+++ b/tests/platform/decoder_test.cpp
@@ -61,7 +61,7 @@
 
 TEST_CASE("an entry with a missing, foreign or wrong member is refused")
 {
-  const std::vector<std::pair<const char*, std::string>> cases{
+  const std::vector<std::pair<std::string, std::string>> cases{
     { "not JSON", "{" },
     { "bytes", std::string("\xff\x00\x01", 3) },
     { "a list", "[]" },
@@ -162,11 +162,9 @@
   CHECK(client.work->promptTokens == 1'460);
   REQUIRE(client.work->parts.size() == 2);
   CHECK(client.work->parts[0].id == 0x5c);
-  const auto forward = EncodeForward(request,
-                                     { .endpoint = EndpointId{ "i-1" },
-                                       .timeLeft = 700ms,
-                                       .priority = 2,
-                                       .hasPriority = true });
+  const auto forward = EncodeForward(
+    request,
+    { .endpoint = EndpointId{ "i-1" }, .timeLeft = 700ms, .priority = 2, .hasPriority = true });
   CHECK(forward.method == "POST");
   CHECK(forward.target == "/a/x?q=1");
   CHECK(forward.body == "body");
@@ -200,8 +198,8 @@
 
 TEST_CASE("rows of the store survive the way there and back")
 {
-  const auto write = EncodeWrite(
-    { .table = "t", .key = "k", .value = std::string("a\0b", 3), .expected = { 4 } });
+  const auto write =
+    EncodeWrite({ .table = "t", .key = "k", .value = std::string("a\0b", 3), .expected = { 4 } });
   CHECK(write.body.find("YQBi") != std::string::npos);
   const auto answer = DecodeStoreAnswer(
     R"({"rows":[{"table":"t","part":"","key":"k","value":"YQBi","ver":5},)"
