Fix: [Scheduler] Keep the slot of an adapter that requests unknown to the dispatcher use

Cause: while no dispatcher is reached, daemons send requests by their own view. A dispatcher that comes after does not count them, takes the adapter that they use for idle and orders it unloaded; the runner accepts that (202) and keeps the adapter until its runs end, but the slot counted as free: one load too many.

Change: the slot stays taken until a report shows the adapter gone. A daemon that a host list has shown and shows no more is dead at once, as before; only one that no list has shown yet gets the time that the list may lag. Only streams are resumable, whatever a route says.

--- a/src/decision/fleet/dispatcher_order.cpp
+++ b/src/decision/fleet/dispatcher_order.cpp
@@ -207,10 +207,13 @@
         held->second.adapters[subject.adapter] = { .readyAt = aNow + kAdapterLoadTime,
                                                    .lastUsed = aNow };
       } else {
-        held->second.adapters.erase(subject.adapter);
+        // Requests that the dispatcher does not know still use it; its slot is taken until a report
+        // shows it gone.
+        held->second.adapters[subject.adapter].isOrdered = true;
+        WantReport(aNow + kReportLag, aRunner);
       }
     }
-    DropOrder(aRunner);
+    aRunner.order.reset();
     return;
   }
   if (pending.isFromStore) {
--- a/src/decision/view/view.cpp
+++ b/src/decision/view/view.cpp
@@ -47,6 +47,9 @@
   if (member != nullptr && !member->incarnation.empty() && member->incarnation != aIncarnation.id) {
     return true;
   }
+  if (mHostsKnown && member != nullptr && member->wasListed && !member->listed) {
+    return true; // The list has shown it, and shows it no more.
+  }
   const TimePoint now = aContext.now();
   const Duration limit = aContext.settings().memberTimeout;
   const bool isHeard = member != nullptr && member->heardAt && now - *member->heardAt <= limit;
@@ -120,6 +123,7 @@
       member.id = DaemonId{ host.id };
       member.address = host.address;
       member.listed = true;
+      member.wasListed = true;
       continue;
     }
     EndpointInfo& info = mEndpoints[EndpointId{ host.id }];
--- a/src/decision/view/view_base.h
+++ b/src/decision/view/view_base.h
@@ -39,6 +39,7 @@
   IncarnationId incarnation; ///< Empty until it was heard or listed.
   ConfigVersion version;
   bool listed = false;
+  bool wasListed = false; ///< Some host list has shown it.
   std::optional<TimePoint> heardAt;
   TimePoint confirmedAt{}; ///< When it was asked for the version that it has answered.
   TimePoint nextHeartbeat{};
--- a/src/platform/configuration_decoder.cpp
+++ b/src/platform/configuration_decoder.cpp
@@ -28,7 +28,7 @@
   route.host = Text(aRoute, "host");
   route.prefix = Text(aRoute, "prefix");
   route.kind = DecodeKind(Text(aRoute, "kind"));
-  route.isResumable = FlagOr(aRoute, "resumable", false);
+  route.isResumable = route.kind == fleet::RouteKind::kStream && FlagOr(aRoute, "resumable", false);
   route.usesModels = FlagOr(aRoute, "sticky", false); // Set on routes that carry prompts.
   route.timeout = MillisecondsOf(NumberOr(aRoute, "timeoutMs", 0.0));
   route.objective = MillisecondsOf(NumberOr(aRoute, "targetLatencyMs", 0.0));
--- a/tests/fleet/dispatcher_test.cpp
+++ b/tests/fleet/dispatcher_test.cpp
@@ -171,6 +171,24 @@
   CheckSound(world);
 }
 
+TEST_CASE("an adapter that requests unknown to the dispatcher use keeps its slot")
+{
+  FleetWorld world({ .runners = 1, .models = 3, .adapters = 8, .adapterSlots = 4 });
+  world.runTime = 6s;
+  for (int adapter = 1; adapter <= 4; ++adapter) {
+    world.Ask("m0", "a" + std::to_string(adapter));
+    world.Run(100ms);
+  }
+  world.TakeOver();
+  world.Run(3'500ms); // Orders may be given again; the first four requests still run.
+  for (int adapter = 5; adapter <= 8; ++adapter) {
+    world.Ask("m0", "a" + std::to_string(adapter));
+  }
+  world.Run(12s);
+  CheckSound(world);
+  CHECK(world.Served() == 8);
+}
+
 TEST_CASE("the more urgent request goes first when a place is free")
 {
   FleetWorld world({ .runners = 1, .models = 3, .slots = 1 });
--- a/tests/fleet/fleet_world.cpp
+++ b/tests/fleet/fleet_world.cpp
@@ -172,6 +172,13 @@
            .holdings = ReportOf(aRunner).holdings };
 }
 
+bool FleetWorld::IsUsed(const SimRunner& aRunner, const ModelRef& aAdapter)
+{
+  return std::any_of(aRunner.runs.begin(), aRunner.runs.end(), [&](const auto& aRun) {
+    return aRun.second.model == aAdapter;
+  });
+}
+
 /* What a runner does with an order that reaches it. */
 OrderOutcome FleetWorld::Take(const RunnerOrder& aOrder)
 {
@@ -190,6 +197,10 @@
   if (!isModel) {
     auto& adapters = runner.models[model];
     if (aOrder.kind == OrderKind::kUnload) {
+      if (IsUsed(runner, aOrder.subject)) {
+        runner.leaving.insert(aOrder.subject);
+        return OrderOutcome::kAccepted;
+      }
       adapters.erase(aOrder.subject.adapter);
       return OrderOutcome::kHolds;
     }
@@ -250,7 +261,7 @@
                    return;
                  }
                  outcome.startedAt = now;
-                 runner.runs[aReply.id.number] = { .model = { .model = ModelId{ outcome.model } },
+                 runner.runs[aReply.id.number] = { .model = mAsks[aReply.id.number].work.target,
                                                    .endsAt = now + runTime };
                },
                 [this](const RunnerOrder& aOrder) {
@@ -313,6 +324,15 @@
         runner.order.reset();
       }
     }
+    std::erase_if(runner.leaving, [&](const ModelRef& aAdapter) {
+      if (IsUsed(runner, aAdapter)) {
+        return false;
+      }
+      if (const auto held = runner.models.find(aAdapter.model); held != runner.models.end()) {
+        held->second.erase(aAdapter.adapter);
+      }
+      return true;
+    });
     runner.history.emplace_back(now, ReportOf(runner));
     if (runner.history.size() > 200) {
       runner.history.pop_front();
--- a/tests/fleet/fleet_world.h
+++ b/tests/fleet/fleet_world.h
@@ -49,6 +49,7 @@
   std::uint64_t orderCount = 0;
   std::map<ModelId, std::set<AdapterId>> models;
   std::set<ModelRef> arriving; ///< Adapters on their way.
+  std::set<ModelRef> leaving;  ///< Adapters that go when no request uses them.
   std::set<ModelId> onDisk;
   std::optional<Order> order;
   std::map<std::uint64_t, Run> runs;                      ///< By question.
@@ -120,6 +121,7 @@
   RunnerReport ReportOf(const SimRunner& aRunner) const;
   OrderOutcome Take(const RunnerOrder& aOrder);
   void AskAgain(std::uint64_t aNumber);
+  static bool IsUsed(const SimRunner& aRunner, const ModelRef& aAdapter);
   void Step();
   void Carry(const DispatchAction& aAction);
   void Later(Duration aTime, std::function<void()> aAction, bool aIsAnswer = false);
--- a/tests/unit/view_test.cpp
+++ b/tests/unit/view_test.cpp
@@ -85,3 +85,12 @@
   CHECK(watcher.IsProvenDead("d1", "i1"));
   CHECK_FALSE(watcher.IsProvenDead("d1", "i2"));
 }
+
+TEST_CASE("a daemon that the host list has shown and shows no more is proven dead at once")
+{
+  Watcher watcher;
+  watcher.List({ "d0", "d1" });
+  CHECK_FALSE(watcher.IsProvenDead("d1", "i1"));
+  watcher.List({ "d0" });
+  CHECK(watcher.IsProvenDead("d1", "i1"));
+}
