--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -93,7 +93,13 @@
                 .self = DaemonId{ mSettings.daemonId },
                 .zone = ZoneId{ mSettings.zone },
                 .onSuspect =
-                  [this](const FingerprintId& aRequest) { mMember.ReportSuspect(aRequest); },
+                  [this](const FingerprintId& aRequest) {
+                    mMember.ReportSuspect({ .request = aRequest });
+                  },
+                .onCleared =
+                  [this](const FingerprintId& aRequest) {
+                    mMember.ReportSuspect({ .request = aRequest, .isCleared = true });
+                  },
                 .configuration = nullptr }
     , mMember({ .loop = mLoop,
                 .client = mClient,
@@ -103,8 +109,12 @@
                 .placement = mPlacement,
                 .dispatcher = mDispatcher,
                 .onSuspect =
-                  [this](const FingerprintId& aRequest) {
-                    mGateway.crashes.NoteBreak(BootTime(), aRequest);
+                  [this](const SuspectMessage& aSuspect) {
+                    if (aSuspect.isCleared) {
+                      mGateway.crashes.NoteAnswer(aSuspect.request);
+                    } else {
+                      mGateway.crashes.NoteBreak(BootTime(), aSuspect.request);
+                    }
                   },
                 .onDaemonCount = [this](std::uint32_t aCount) { OnDaemonCount(aCount); } },
               { .self = DaemonId{ mSettings.daemonId },
--- a/src/decision/fleet/crash_guard.h
+++ b/src/decision/fleet/crash_guard.h
@@ -23,10 +23,10 @@
 class CrashGuard
 {
 public:
-  /* Notes that a runner broke off while it ran the request. */
+  /* Notes that a runner's process ended while it ran the request. */
   void NoteBreak(TimePoint aNow, const FingerprintId& aRequest);
-  /* Notes that the request was answered, which clears it. */
-  void NoteAnswer(const FingerprintId& aRequest) { mSuspects.erase(aRequest); }
+  /* Notes that the request was answered, which clears it; returns whether it was a suspect. */
+  bool NoteAnswer(const FingerprintId& aRequest) { return mSuspects.erase(aRequest) > 0; }
   bool IsConvicted(TimePoint aNow, const FingerprintId& aRequest) const;
 
 private:
--- a/src/fleet/fleet_member.cpp
+++ b/src/fleet/fleet_member.cpp
@@ -387,7 +387,7 @@
 
 void FleetMember::OnSuspect(const FleetMessage& aMessage, const SuspectMessage& aSuspect)
 {
-  mServices.onSuspect(aSuspect.request);
+  mServices.onSuspect(aSuspect);
   if (!isDispatcher()) {
     return;
   }
@@ -398,15 +398,14 @@
   }
 }
 
-void FleetMember::ReportSuspect(const FingerprintId& aRequest)
+void FleetMember::ReportSuspect(const SuspectMessage& aMessage)
 {
-  const SuspectMessage message{ aRequest };
   if (isDispatcher()) {
     for (const auto& [id, member] : mMembers) {
-      Send(member.address, message);
+      Send(member.address, aMessage);
     }
   } else if (mIsLinked) {
-    Send(mLinkedTo.address, message);
+    Send(mLinkedTo.address, aMessage);
   }
 }
 
--- a/src/fleet/fleet_member.h
+++ b/src/fleet/fleet_member.h
@@ -40,7 +40,7 @@
   Metrics& metrics;
   PlacementClient& placement;
   fleet::Dispatcher& dispatcher;
-  std::function<void(const FingerprintId&)> onSuspect;
+  std::function<void(const SuspectMessage&)> onSuspect;
   std::function<void(std::uint32_t)> onDaemonCount;
 };
 
@@ -59,8 +59,8 @@
   /* Sends a message to the dispatcher, or takes it where this daemon is the dispatcher. Returns
    * false when no dispatcher can be reached. */
   bool ToDispatcher(const fleet::DispatchMessage& aMessage);
-  /* Tells the other daemons of a request that broke a runner's connection. */
-  void ReportSuspect(const FingerprintId& aRequest);
+  /* Tells the other daemons of a request that ended a runner's process, or was cleared of it. */
+  void ReportSuspect(const SuspectMessage& aMessage);
   /* Something that the dispatcher decides by has changed. */
   void OnChange() { TickDispatcherSoon(); }
 
--- a/src/fleet/fleet_message.cpp
+++ b/src/fleet/fleet_message.cpp
@@ -137,7 +137,9 @@
                                { "daemons", aBeacon.daemons } };
                 },
                 [](const SuspectMessage& aSuspect) {
-                  return Json{ { "kind", "suspect" }, { "request", aSuspect.request.str() } };
+                  return Json{ { "kind", "suspect" },
+                               { "request", aSuspect.request.str() },
+                               { "cleared", aSuspect.isCleared } };
                 },
                 [](const PlacementAsk& aAsk) {
                   return Json{ { "kind", "ask" }, { "ask", ToJson(aAsk) } };
@@ -146,7 +148,7 @@
                   return Json{ { "kind", "released" },
                                { "id", ToJson(aReleased.id) },
                                { "end", static_cast<int>(aReleased.end) },
-                     { "first", aReleased.firstEvent.count() } };
+                               { "first", aReleased.firstEvent.count() } };
                 },
                 [](const PlaceInUse& aPlace) {
                   return Json{ { "kind", "in_use" },
@@ -174,7 +176,8 @@
                           .daemons = aJson.at("daemons").get<std::uint32_t>() };
   }
   if (kind == "suspect") {
-    return SuspectMessage{ FingerprintId{ aJson.at("request").get<std::string>() } };
+    return SuspectMessage{ .request = FingerprintId{ aJson.at("request").get<std::string>() },
+                           .isCleared = aJson.value("cleared", false) };
   }
   if (kind == "ask") {
     return AskFrom(aJson.at("ask"));
--- a/src/fleet/fleet_message.h
+++ b/src/fleet/fleet_message.h
@@ -29,10 +29,11 @@
   std::uint32_t daemons = 1; ///< Known to the dispatcher, itself included.
 };
 
-/* A runner broke off while it ran a request. */
+/* A runner's process ended while it ran a request, or a suspect was answered. */
 struct SuspectMessage
 {
   FingerprintId request;
+  bool isCleared = false;
 };
 
 using FleetBody = std::variant<HelloMessage,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -32,8 +32,10 @@
   PlacementClient& placement;
   DaemonId self;
   ZoneId zone;
-  /* Tells the other daemons that a request broke a runner's connection. */
+  /* Tells the other daemons that a runner's process ended while it ran a request. */
   std::function<void(const FingerprintId&)> onSuspect;
+  /* Tells the other daemons that a suspect was answered. */
+  std::function<void(const FingerprintId&)> onCleared;
 
   std::shared_ptr<const fleet::FleetConfiguration> configuration; ///< Null until one is known.
   fleet::RetryShare retries;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -4,6 +4,7 @@
 #include "core/boot_clock.h"
 #include "core/overloaded.h"
 #include "decision/rendezvous_func.h"
+#include "platform/runner_decoder.h"
 
 #include <algorithm>
 #include <spdlog/fmt/fmt.h>
@@ -540,15 +541,16 @@
   switch (end) {
     case AttemptEnd::kAnswered:
       mContext.runners.NoteEnd(now, mAttempt.endpoint, fleet::EndpointSign::kGood);
-      mContext.crashes.NoteAnswer(mFingerprint);
+      if (mContext.crashes.NoteAnswer(mFingerprint)) {
+        mContext.onCleared(mFingerprint);
+      }
       break;
     case AttemptEnd::kFailure:
     case AttemptEnd::kLost:
     case AttemptEnd::kCutMidway:
       mContext.runners.NoteEnd(now, mAttempt.endpoint, fleet::EndpointSign::kFailed);
       if (aResult == http::CallResult::kBroken) {
-        mContext.crashes.NoteBreak(now, mFingerprint);
-        mContext.onSuspect(mFingerprint);
+        ProbeEndpoint();
       }
       break;
     case AttemptEnd::kNotSent:
@@ -566,6 +568,36 @@
   Follow(end, http::ToString(aResult));
 }
 
+void RequestFlow::ProbeEndpoint()
+{
+  const fleet::KnownRunner* runner = mContext.runners.Find(mAttempt.endpoint);
+  if (runner == nullptr) {
+    return;
+  }
+  // A connection breaks for many reasons; only a process that has gone accepts none any more.
+  mContext.client.Start({ .address = runner->entry.address,
+                          .request = platform::EncodeReportCall(mAttempt.endpoint),
+                          .reuse = http::Reuse::kFresh,
+                          .connectTime = kConnectLimit,
+                          .answerTime = kConnectLimit },
+                        { .onHead = [](const http::AnswerHead&) { return true; },
+                          .onBody = [](std::string_view) {},
+                          .onEnd =
+                            [&context = mContext,
+                             request = mFingerprint,
+                             id = mClient.requestId,
+                             endpoint = mAttempt.endpoint](http::CallResult aResult) {
+                              if (aResult != http::CallResult::kNotConnected) {
+                                return;
+                              }
+                              context.log.Write(
+                                "request_suspected",
+                                { { "id", id }, { "endpoint", endpoint }, { "bytes", request } });
+                              context.crashes.NoteBreak(BootTime(), request);
+                              context.onSuspect(request);
+                            } });
+}
+
 void RequestFlow::Follow(AttemptEnd aEnd, std::string_view aResult)
 {
   const bool hasRun = aEnd != AttemptEnd::kNotSent && aEnd != AttemptEnd::kNotRun;
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -64,6 +64,8 @@
   fleet::AttemptEnd Judge(http::CallResult aResult) const;
   void Follow(fleet::AttemptEnd aEnd, std::string_view aResult);
   void ReleasePlace(fleet::PlaceEnd aEnd);
+  /* Finds out whether the endpoint's process has ended, and suspects the request if so. */
+  void ProbeEndpoint();
 
   void PassEvents();
   void SendHeadOnce();
--- /dev/null
+++ b/tests/edge/edge_cluster.py
@@ -0,0 +1,183 @@
+"""Daemons of the users' platform as separate processes, and a client that judges what it gets."""
+
+from __future__ import annotations
+
+import http.client
+import os
+import re
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+import uuid
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Optional
+
+from standin import EVENT_COUNT, Platform
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+BINARY = ROOT / os.environ.get("BUILD", "build") / "rhubarbtrail"
+START_LIMIT_S = 20.0
+
+
+def free_ports(count: int) -> list[int]:
+    """Returns ports that the kernel chose and nobody uses now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+@dataclass
+class Result:
+    """What a client saw of one request."""
+
+    id: str
+    kind: str
+    status: int = 0  # 0: no whole answer.
+    body: bytes = b""
+    fields: dict[str, str] = field(default_factory=dict)
+    seconds: float = 0.0
+
+    @property
+    def is_whole(self) -> bool:
+        if self.status != 200:
+            return False
+        if self.kind in ("chat", "draft"):
+            ids = [int(n) for n in re.findall(rb"id: (\d+)\n", self.body)]
+            return ids == list(range(1, EVENT_COUNT + 1))
+        return self.body == f"done {self.id}".encode()
+
+
+class Daemon:
+    """One process of the daemon."""
+
+    def __init__(self, name: str, store_port: int, folder: Path, grace_s: float = 4.0) -> None:
+        self.name = name
+        self.front, self.ready, self.link, self.metrics = free_ports(4)
+        self.log = folder / f"{name}.log"
+        self.settings = folder / f"{name}.yaml"
+        self.settings.write_text(f"""daemon_id: {name}
+zone: a
+front_address: 127.0.0.1:{self.front}
+ready_address: 127.0.0.1:{self.ready}
+link_address: 127.0.0.1:{self.link}
+metrics_address: 127.0.0.1:{self.metrics}
+store_address: 127.0.0.1:{store_port}
+shutdown_grace: {grace_s}
+lease_spacing: 1000
+retry_slack: 1000
+""")
+        self.popen: Optional[subprocess.Popen] = None
+        self.start()
+
+    def start(self) -> None:
+        with self.log.open("ab") as log:
+            self.popen = subprocess.Popen([BINARY, "edge", "--settings", self.settings], stdout=log,
+                                          stderr=log)
+
+    def signal(self, number: int) -> None:
+        assert self.popen is not None
+        if self.popen.poll() is None:
+            os.kill(self.popen.pid, number)
+
+    def kill(self) -> None:
+        self.signal(signal.SIGKILL)
+        assert self.popen is not None
+        self.popen.wait(10)
+
+    def is_ready(self) -> bool:
+        try:
+            connection = http.client.HTTPConnection("127.0.0.1", self.ready, timeout=1)
+            connection.request("GET", "/rhubarbtrail/readyz")
+            return connection.getresponse().status == 200
+        except OSError:
+            return False
+
+    def fetch(self, path: str) -> str:
+        connection = http.client.HTTPConnection("127.0.0.1", self.metrics, timeout=5)
+        connection.request("GET", path)
+        return connection.getresponse().read().decode()
+
+    def send(self, kind: str, model: str = "m0", body: bytes = b"", timeout_s: float = 10.0,
+             **fields: str) -> Result:
+        """Sends one request on a new connection and reads its answer to the end."""
+        result = Result(uuid.uuid4().hex[:16], kind)
+        headers = {"Host": "h.example", "X-Request-Id": result.id,
+                   "X-Deadline-Ms": str(int(timeout_s * 1000)),
+                   **{name.replace("_", "-"): value for name, value in fields.items()}}
+        if kind in ("chat", "draft"):
+            headers |= {"X-Model": model, "X-Token-Usage": "100,20",
+                        "X-Prompt-Prefix": "5c:60,9:40"}
+        method = "GET" if kind == "check" else "POST"
+        started = time.monotonic()
+        try:
+            connection = http.client.HTTPConnection("127.0.0.1", self.front, timeout=timeout_s)
+            connection.request(method, f"/{kind}/x?y=1", body, headers)
+            answer = connection.getresponse()
+            result.fields = {name.lower(): value for name, value in answer.getheaders()}
+            result.body = answer.read()
+            result.status = answer.status
+        except (OSError, http.client.HTTPException):
+            result.status = 0
+        result.seconds = time.monotonic() - started
+        return result
+
+
+class EdgeCluster:
+    """A platform and daemons before it; ends what it started."""
+
+    def __init__(self, daemons: int = 2, grace_s: float = 4.0, **platform: int) -> None:
+        self.folder = tempfile.TemporaryDirectory()
+        self.platform = Platform(**platform)
+        self.daemons = [Daemon(f"d{number}", self.platform.store.site.port,
+                               Path(self.folder.name), grace_s) for number in range(daemons)]
+
+    def __enter__(self) -> "EdgeCluster":
+        self.wait(lambda: all(daemon.is_ready() for daemon in self.daemons), "readiness")
+        self.wait(self.has_orders, "a daemon that gives orders")
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for daemon in self.daemons:
+            daemon.kill()
+        self.platform.close()
+        self.folder.cleanup()
+
+    def has_orders(self) -> bool:
+        return any('"event":"orders_allowed"' in daemon.log.read_text()
+                   for daemon in self.daemons)
+
+    def holder(self) -> Daemon:
+        return next(daemon for daemon in self.daemons
+                    if "rhubarbtrail_dispatcher 1" in daemon.fetch("/metrics"))
+
+    @staticmethod
+    def wait(condition, what: str, limit_s: float = START_LIMIT_S) -> None:
+        end = time.monotonic() + limit_s
+        while not condition():
+            assert time.monotonic() < end, f"waited in vain for {what}"
+            time.sleep(0.05)
+
+    def runs(self, result: Result) -> int:
+        return len(self.platform.runs.get(result.id, []))
+
+    def judge(self, result: Result) -> Optional[str]:
+        """Returns which promise an answer breaks, or nothing."""
+        runs = self.platform.runs.get(result.id, [])
+        if result.kind in ("pay", "draft") and len(runs) > 1:
+            return f"{result.kind} {result.id} ran {len(runs)} times"
+        if result.status in (408, 421, 429, 503) and runs:
+            return f"{result.kind} {result.id} was refused with {result.status} and ran"
+        if result.status == 200 and not result.is_whole:
+            return f"{result.kind} {result.id} got an answer that is not whole: {result.body!r}"
+        if result.status == 200 and "x-response-signature" not in result.fields:
+            return f"{result.kind} {result.id} got a success without signature"
+        if result.status in (400, 401, 403, 404):
+            return f"{result.kind} {result.id} was denied with {result.status}"
+        return None
--- /dev/null
+++ b/tests/edge/standin.py
@@ -0,0 +1,422 @@
+"""The users' platform in small: its store, runners that load models, and plain endpoints.
+
+Everything runs on one event loop in a thread of the test; faults are switched by attributes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import threading
+import time
+from collections import defaultdict
+from dataclasses import dataclass, field
+from typing import Any, Awaitable, Callable, Optional
+from urllib.parse import parse_qs, urlsplit
+
+EVENT_COUNT = 6
+
+
+@dataclass
+class Call:
+    """A request as it came in."""
+
+    method: str
+    target: str
+    fields: dict[str, str]
+    body: bytes
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    @property
+    def path(self) -> str:
+        return urlsplit(self.target).path
+
+    def query(self, name: str) -> str:
+        return parse_qs(urlsplit(self.target).query, keep_blank_values=True).get(name, [""])[0]
+
+
+def head(status: int, fields: dict[str, str]) -> bytes:
+    lines = [f"HTTP/1.1 {status} X"] + [f"{name}: {value}" for name, value in fields.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def answer(call: Call, status: int, body: bytes = b"", **fields: str) -> None:
+    names = {name.replace("_", "-"): value for name, value in fields.items()}
+    call.writer.write(head(status, {**names, "Content-Length": str(len(body))}) + body)
+
+
+class HttpSite:
+    """A small HTTP/1.1 server; one handler for all calls."""
+
+    def __init__(self, handler: Callable[[Call], Awaitable[None]]) -> None:
+        self.handler = handler
+        self.server: Optional[asyncio.base_events.Server] = None
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.port = 0
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Stops listening and resets all connections, as a crash does."""
+        if self.server is not None:
+            self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
+        try:
+            while True:
+                raw = await reader.readuntil(b"\r\n\r\n")
+                lines = raw.decode("latin-1").split("\r\n")
+                method, target, _ = lines[0].split(" ", 2)
+                fields = {}
+                for line in lines[1:]:
+                    if line:
+                        name, value = line.split(":", 1)
+                        fields[name.strip().lower()] = value.strip()
+                body = await reader.readexactly(int(fields.get("content-length", "0")))
+                await self.handler(Call(method, target, fields, body, reader, writer))
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, OSError, ValueError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+
+class Store:
+    """The table of rows, with a feed of changes."""
+
+    def __init__(self) -> None:
+        self.site = HttpSite(self._handle)
+        self.rows: dict[tuple[str, str], tuple[str, int]] = {}
+        self.changes: list[tuple[int, str, str, Optional[str]]] = []
+        self.version = 0
+        self.forgotten = 0  # Changes up to here are not known any more.
+        self.changed = asyncio.Event()
+        self.is_down = False
+        self.delay_s = 0.0
+        self.lose_writes = 0
+        self.refused_hosts: set[str] = set()
+
+    def put(self, table: str, key: str, value: Optional[bytes]) -> int:
+        self.version += 1
+        text = None if value is None else base64.b64encode(value).decode()
+        if text is None:
+            self.rows.pop((table, key), None)
+        else:
+            self.rows[table, key] = (text, self.version)
+        self.changes.append((self.version, table, key, text))
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return self.version
+
+    def forget(self) -> None:
+        self.forgotten = self.version
+        self.changes.clear()
+
+    async def _handle(self, call: Call) -> None:
+        await asyncio.sleep(0.002 + self.delay_s)
+        if self.is_down:
+            answer(call, 503)
+            return
+        if call.path.endswith("/rows-tx"):
+            await self._transact(call)
+        elif call.path.endswith("/rows-get"):
+            table = call.query("table")
+            rows = [self._row(t, k) for (t, k) in sorted(self.rows) if t == table]
+            self._send(call, rows)
+        else:
+            await self._feed(call)
+
+    async def _transact(self, call: Call) -> None:
+        body = json.loads(call.body)
+        if any(entry["table"] in ("op", "servers") for entry in body["setKeys"]):
+            answer(call, 403)
+            return
+        for condition in body["expectedRev"]:
+            found = self.rows.get((condition["table"], condition["key"]))
+            if (found[1] if found else 0) != condition["ver"]:
+                rows = [self._row(c["table"], c["key"]) for c in body["expectedRev"]
+                        if (c["table"], c["key"]) in self.rows]
+                self._send(call, rows, 412)
+                return
+        for entry in body["setKeys"]:
+            self.put(entry["table"], entry["key"], base64.b64decode(entry["value"]))
+        for entry in body["remove"]:
+            self.put(entry["table"], entry["key"], None)
+        if self.lose_writes > 0:
+            self.lose_writes -= 1
+            call.writer.transport.abort()
+            return
+        self._send(call, [])
+
+    async def _feed(self, call: Call) -> None:
+        table, after = call.query("table"), int(call.query("after"))
+        deadline = time.monotonic() + int(call.query("waitMs")) / 1000
+        while True:
+            if after < self.forgotten:
+                answer(call, 410)
+                return
+            rows = [self._change(c) for c in self.changes if c[0] > after and c[1] == table]
+            left = deadline - time.monotonic()
+            if rows or left <= 0 or self.is_down:
+                self._send(call, rows)
+                return
+            try:
+                await asyncio.wait_for(self.changed.wait(), min(left, 0.2))
+            except asyncio.TimeoutError:
+                pass
+
+    def _row(self, table: str, key: str) -> dict[str, Any]:
+        value, version = self.rows[table, key]
+        return {"table": table, "part": "", "key": key, "value": value, "ver": version}
+
+    @staticmethod
+    def _change(change: tuple[int, str, str, Optional[str]]) -> dict[str, Any]:
+        version, table, key, value = change
+        row = {"table": table, "part": "", "key": key, "ver": version}
+        return {**row, "removed": True} if value is None else {**row, "value": value}
+
+    def _send(self, call: Call, rows: list[dict[str, Any]], status: int = 200) -> None:
+        body = {"rows": rows, "truncated": False, "ver": self.version, "nowMs": 1}
+        answer(call, status, json.dumps(body).encode(), Content_Type="application/json")
+
+
+@dataclass
+class Run:
+    """A request that an endpoint began to work on."""
+
+    request: str
+    endpoint: str
+    at: float
+    fields: dict[str, str]
+    target: str
+    body: bytes
+    is_cut: bool = False
+
+
+@dataclass
+class Faults:
+    """What an endpoint does wrong."""
+
+    mute: bool = False             # It runs requests and says nothing.
+    drop_after_run: int = 0        # Answers that are lost after the run.
+    cut_after_events: int = 0      # Events after which a stream breaks off.
+    extra_answer: bool = False     # A second answer follows each one.
+    shed: bool = False             # It refuses all requests.
+    fail: bool = False             # It answers 500.
+    fatal_body: bytes = b""        # It crashes when it runs this body.
+
+
+class Endpoint:
+    """A runner with models, or a plain endpoint without."""
+
+    def __init__(self, platform: "Platform", name: str, service: str, models: list[str]) -> None:
+        self.platform, self.id, self.service = platform, name, service
+        self.site = HttpSite(self._handle)
+        self.models: dict[str, list[str]] = {model: [] for model in models}
+        self.on_disk = set(platform.models) if models else set()
+        self.faults = Faults()
+        self.born, self.orders, self.busy_until = 1, 0, 0.0
+        self.state = "ready"
+        self.most_models = 0
+        self.order_log: list[dict[str, Any]] = []
+
+    def announce(self) -> None:
+        entry = {"backend": self.service, "address": f"127.0.0.1:{self.site.port}", "zone": "a",
+                 "version": "v1", "slots": 8, "state": self.state, "coldLeftMs": 0,
+                 "born": self.born, "seq": int(time.time()), **self._holdings()}
+        self.platform.store.put("servers", self.id, json.dumps(entry).encode())
+
+    def _holdings(self) -> dict[str, Any]:
+        models = [{"name": m, "version": 1, "adapters": a} for m, a in self.models.items()]
+        return {"stage": "combined", "models": models,
+                "atHand": {"inMemory": [], "onDisk": sorted(self.on_disk)}}
+
+    async def crash(self, back_after_s: Optional[float]) -> None:
+        await self.site.stop()
+        self.platform.store.put("servers", self.id, None)
+        if back_after_s is None:
+            return
+        await asyncio.sleep(back_after_s)
+        self.born, self.orders, self.busy_until = self.born + 1000, 0, 0.0
+        self.models = {}
+        await self.site.start()
+        self.announce()
+
+    async def _handle(self, call: Call) -> None:
+        if call.fields.get("x-target-instance", self.id) != self.id:
+            answer(call, 421)
+        elif call.path.endswith("/report"):
+            report = {**self._holdings(), "busy": self.busy_until > time.monotonic(),
+                      "seq": self.orders, "born": self.born, "waiting": 0, "running": 0}
+            answer(call, 200, json.dumps(report).encode())
+        elif call.path.endswith("/order"):
+            await self._order(call)
+        else:
+            await self._run(call)
+
+    async def _order(self, call: Call) -> None:
+        order = json.loads(call.body)
+        self.order_log.append({**order, "at": time.monotonic(), "runner": self.id})
+        if self.busy_until > time.monotonic() or order.get("expectedRev", 0) != self.orders:
+            answer(call, 409)
+            return
+        self.orders += 1
+        model, adapter = order["model"], order.get("adapter")
+        if order["operation"] == "model_load" and adapter:
+            self.models[model].append(adapter)
+        elif order["operation"] == "model_load":
+            self.busy_until = time.monotonic() + self.platform.load_s
+            asyncio.get_running_loop().call_later(self.platform.load_s, self._loaded, model)
+        elif adapter:
+            self.models[model].remove(adapter)
+        else:
+            self.models.pop(model, None)
+        answer(call, 202)
+
+    def _loaded(self, model: str) -> None:
+        self.models[model] = []
+        self.most_models = max(self.most_models, len(self.models))
+        self.announce()
+
+    async def _run(self, call: Call) -> None:
+        request = call.fields.get("x-request-id", "")
+        model, _, adapter = call.fields.get("x-model", "").partition("/")
+        is_missing = model and (model not in self.models
+                                or (adapter and adapter not in self.models[model]))
+        if self.faults.shed or is_missing:
+            answer(call, 421 if is_missing else 503, X_Not_Executed="1", X_Request_Id=request)
+            return
+        run = Run(request, self.id, time.monotonic(), call.fields, call.target, call.body)
+        self.platform.runs[request].append(run)
+        if self.faults.fatal_body and self.faults.fatal_body in call.body:
+            run.is_cut = True
+            asyncio.ensure_future(self.crash(0.4))
+            return
+        if self.faults.mute:
+            await asyncio.sleep(30)
+        await asyncio.sleep(self.platform.work_s)
+        if self.faults.drop_after_run > 0:
+            self.faults.drop_after_run -= 1
+            call.writer.transport.abort()
+            return
+        signed = {"X-Request-Id": request, "X-Response-Signature": f"{self.id}.{request}",
+                  "X-Server-Load": "1,0,8"}
+        if self.faults.fail:
+            call.writer.write(head(500, {**signed, "Content-Length": "0"}))
+        elif model:
+            await self._stream(call, run, signed)
+        else:
+            body = f"done {request}".encode()
+            call.writer.write(head(200, {**signed, "Content-Length": str(len(body))}) + body)
+            if self.faults.extra_answer:
+                call.writer.write(head(200, {**signed, "X-Request-Id": "nobody",
+                                             "Content-Length": "5"}) + b"extra")
+
+    async def _stream(self, call: Call, run: Run, signed: dict[str, str]) -> None:
+        first = int(call.fields.get("last-event-id", "0") or "0") + 1
+        call.writer.write(head(200, {**signed, "Content-Type": "text/event-stream",
+                                     "Transfer-Encoding": "chunked"}))
+        for sent, number in enumerate(range(first, EVENT_COUNT + 1)):
+            if self.faults.cut_after_events and sent >= self.faults.cut_after_events:
+                run.is_cut = True
+                call.writer.write(b"9\r\nid: 99\nda")  # In the middle of an event.
+                await call.writer.drain()
+                call.writer.transport.abort()
+                return
+            event = f"id: {number}\ndata: {run.request} {number}\n\n".encode()
+            call.writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await call.writer.drain()
+            await asyncio.sleep(self.platform.work_s)
+        call.writer.write(b"0\r\n\r\n")
+
+
+class Platform:
+    """The store, the operator's configuration and all endpoints, on a loop of their own."""
+
+    def __init__(self, models: int = 6, runners: int = 2, plain: int = 2, places: int = 2) -> None:
+        self.models = [f"m{number}" for number in range(models)]
+        self.places = places
+        self.load_s, self.work_s = 0.3, 0.01
+        self.runs: dict[str, list[Run]] = defaultdict(list)
+        self.endpoints: dict[str, Endpoint] = {}
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self.thread.start()
+        self.version = 0
+        self.call(self._start(runners, plain))
+
+    def call(self, work: Awaitable[Any]) -> Any:
+        """Runs a coroutine on the platform's loop and returns what it returns."""
+        return asyncio.run_coroutine_threadsafe(work, self.loop).result(30)
+
+    def do(self, action: Callable[[], Any]) -> Any:
+        async def run() -> Any:
+            return action()
+
+        return self.call(run())
+
+    async def _start(self, runners: int, plain: int) -> None:
+        self.store = Store()
+        await self.store.site.start()
+        for number in range(runners):
+            held = [self.models[(number * self.places + place) % len(self.models)]
+                    for place in range(self.places)]
+            await self._add(f"r{number}", "llm", held)
+        for number in range(plain):
+            await self._add(f"p{number}", "plain", [])
+        self._configure()
+
+    async def _add(self, name: str, service: str, models: list[str]) -> None:
+        endpoint = Endpoint(self, name, service, models)
+        await endpoint.site.start()
+        self.endpoints[name] = endpoint
+        endpoint.announce()
+
+    def _configure(self, **changes: Any) -> None:
+        self.version += 3
+        route = {"host": "h.example", "priority": 1, "maxAttempts": 2, "timeoutMs": 8000}
+        engine = {"slots": 8, "kvTokens": 100000, "weightsMb": 1000.0 * self.places + 100,
+                  "adapterSlots": 2, "loadsPerS": 4.0,
+                  "models": [{"name": name, "weightsMb": 1000.0, "loadTimeS": self.load_s,
+                              "adapters": 3, "adapterMb": 10.0, "diskS": self.load_s}
+                             for name in self.models]}
+        routes = [
+            {**route, "name": "chat", "prefix": "/chat/", "kind": "streaming", "backend": "llm",
+             "targetLatencyMs": 1000, "sticky": True, "resumable": True, "gapAimMs": 300},
+            {**route, "name": "draft", "prefix": "/draft/", "kind": "streaming", "backend": "llm",
+             "targetLatencyMs": 1000, "sticky": True, "resumable": False, "gapAimMs": 300},
+            {**route, "name": "pay", "prefix": "/pay/", "kind": "non_idempotent",
+             "backend": "plain", "targetLatencyMs": 200, "timeoutMs": 2000},
+            {**route, "name": "check", "prefix": "/check/", "kind": "idempotent",
+             "backend": "plain", "targetLatencyMs": 200, "timeoutMs": 2000},
+        ]
+        document = {"version": self.version, "routes": routes + changes.get("routes", []),
+                    "services": [{"name": "llm", "healthPath": "/healthz", "maxConns": 99,
+                                  "engine": engine},
+                                 {"name": "plain", "healthPath": "/healthz", "maxConns": 99}],
+                    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20,
+                               "headerTimeoutMs": 2000, "idleTimeoutMs": 15000}}
+        self.store.put("op", "config", json.dumps(document).encode())
+
+    def configure(self, **changes: Any) -> None:
+        self.do(lambda: self._configure(**changes))
+
+    def close(self) -> None:
+        async def stop() -> None:
+            for endpoint in self.endpoints.values():
+                await endpoint.site.stop()
+            await self.store.site.stop()
+            for task in asyncio.all_tasks() - {asyncio.current_task()}:
+                task.cancel()
+
+        self.call(stop())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join(5)
--- a/tests/process/run.py
+++ b/tests/process/run.py
@@ -13,7 +13,8 @@
 HERE = Path(__file__).resolve().parent
 ROOT = HERE.parent.parent
 TESTS_AT_ONCE = 3
-sys.path[:0] = [str(HERE), str(ROOT / "demo"), str(ROOT / "python")]
+EDGE = HERE.parent / "edge"
+sys.path[:0] = [str(HERE), str(EDGE), str(ROOT / "demo"), str(ROOT / "python")]
 
 
 def known_red() -> set[str]:
@@ -28,7 +29,7 @@
 def tests(wanted: list[str]) -> list[tuple[str, Callable[[], None]]]:
     """Returns the tests that are wanted; all when none is named."""
     found = []
-    for path in sorted(HERE.glob("test_*.py")):
+    for path in sorted([*HERE.glob("test_*.py"), *EDGE.glob("test_*.py")]):
         for name, function in sorted(vars(importlib.import_module(path.stem)).items()):
             if name.startswith("test_") and (not wanted or name in wanted):
                 found.append((name, function))
