--- a/src/decision/view/view.cpp
+++ b/src/decision/view/view.cpp
@@ -124,6 +124,7 @@
       member.address = host.address;
       member.listed = true;
       member.wasListed = true;
+      member.lastListedAt = aContext.now();
       continue;
     }
     EndpointInfo& info = mEndpoints[EndpointId{ host.id }];
@@ -152,8 +153,8 @@
                 [this](const auto& aItem) { return !mLeavingBoots.contains(aItem.first); });
   std::erase_if(mMembers, [&](const auto& aItem) {
     const Member& member = aItem.second;
-    return !member.listed && (!member.heardAt || aContext.now() - *member.heardAt >
-                                                   2 * aContext.settings().memberTimeout);
+    const TimePoint lastSeen = std::max(member.heardAt.value_or(TimePoint{}), member.lastListedAt);
+    return !member.listed && aContext.now() - lastSeen > 2 * aContext.settings().memberTimeout;
   });
 }
 
--- a/src/decision/view/view_base.h
+++ b/src/decision/view/view_base.h
@@ -39,7 +39,8 @@
   IncarnationId incarnation; ///< Empty until it was heard or listed.
   ConfigVersion version;
   bool listed = false;
-  bool wasListed = false; ///< Some host list has shown it.
+  bool wasListed = false;   ///< Some host list has shown it.
+  TimePoint lastListedAt{}; ///< When one last did.
   std::optional<TimePoint> heardAt;
   TimePoint confirmedAt{}; ///< When it was asked for the version that it has answered.
   TimePoint nextHeartbeat{};
--- a/tests/edge/standin.py
+++ b/tests/edge/standin.py
@@ -82,7 +82,7 @@
                 body = await reader.readexactly(int(fields.get("content-length", "0")))
                 await self.handler(Call(method, target, fields, body, reader, writer))
                 await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError, OSError, ValueError):
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, OSError, ValueError):
             pass
         finally:
             self.writers.discard(writer)
