Feature: [Scheduler] Fill free room before callers wait, and learn how many store loads run at full speed

Change: a free runner with room gets the model whose next miss would cost most, after those that callers wait for and with half of the store's loads; planned loads count as under way; slow loads lower the number at once, and unhurt ones raise it step by step.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 SUDO = $(shell [ $$(id -u) = 0 ] || echo sudo)
 
 .PHONY: all packages configure build demo test unit process format lint format-check sanitize \
-  soak fuzz capacity policies clean
+  soak fault-soak fuzz capacity policies clean
 
 all: build
 
@@ -39,6 +39,7 @@
 
 process: build
 	@$(PYTHON) tests/process/run.py
+	@$(PYTHON) tests/edge/soak.py --seed 1 --seconds 8
 
 # A long random run of the fault matrix, bounded in time.
 SEED ?= 1
@@ -46,6 +47,11 @@
 soak: build
 	@SEED=$(SEED) MINUTES=$(MINUTES) $(BUILD)/unit_tests --no-skip --test-case="matrix: soak"
 
+# A randomized soak of real processes with faults from outside.
+SECONDS ?= 30
+fault-soak: build
+	@$(PYTHON) tests/edge/soak.py --seed $(SEED) --seconds $(SECONDS)
+
 format:
 	@clang-format -i $(SOURCES)
 
--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -84,7 +84,9 @@
   Phase phase = Phase::kSent;
   TimePoint sentAt{};
   TimePoint expectedAt{}; ///< When it should have been carried out.
+  Duration expected{};    ///< Its duration at full speed.
   bool isFromStore = false;
+  std::size_t besides = 0; ///< Other loads from the store when it was given.
   /* A load that was ordered while this unload may still have been under way; its acceptance shows
    * that the unload is done, since a runner carries out one order at a time. */
   std::optional<ModelId> after;
@@ -232,6 +234,9 @@
   void PlanMissing(TimePoint aNow);
   double ValueOf(TimePoint aNow, const Waiting& aWaiting, Duration aLoadTime) const;
   void PlanCrowded(TimePoint aNow);
+  void PlanRoom(TimePoint aNow);
+  std::optional<ModelId> BestForRoom(TimePoint aNow, const ManagedRunner& aRunner) const;
+  bool HasCopy(const ServiceId& aService, const ModelId& aModel) const;
   void NoteComing();
   bool IsComing(const ServiceId& aService, const ModelId& aModel) const;
   const Swap* SwapAt(const EndpointId& aRunner) const;
@@ -256,6 +261,8 @@
   void WantReport(TimePoint aAt, ManagedRunner& aRunner);
   void SettleByReport(TimePoint aNow, ManagedRunner& aRunner, const RunnerReport& aReport);
   bool MayLoadFromStore(TimePoint aNow, const Engine& aEngine) const;
+  std::size_t StoreLoadsUnderWay() const;
+  void LearnStoreSpeed(const PendingOrder& aLoad, Duration aTook);
 
   std::shared_ptr<const FleetConfiguration> mConfiguration;
   OrderRight mRight;
@@ -271,6 +278,7 @@
   DemandBook mDemand;
   PaceBook mPaces;
   StoreLimits mStoreLimits;
+  double mStoreLoadsAtOnce = 4.0;    ///< That run at full speed, as far as seen.
   std::deque<TimePoint> mStoreLoads; ///< Starts of loads from the weight store.
   std::vector<DispatchAction> mActions;
   TimePoint mNextWake{};
--- a/src/decision/fleet/dispatcher_order.cpp
+++ b/src/decision/fleet/dispatcher_order.cpp
@@ -3,6 +3,7 @@
 #include "decision/fleet/dispatcher.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace rhubarbtrail::fleet {
 
@@ -19,8 +20,11 @@
 constexpr Duration kOrderLimit = 20s;
 /* Adapters that may be on their way to one runner. */
 constexpr std::size_t kArrivingLimit = 4;
-/* Loads from the weight store that run at full speed at the same time. */
-constexpr std::size_t kStoreLoadsAtOnce = 4;
+/* Duration of a load, in times of the stated one, from which the store counts as shared; by how
+ * much the number of loads grows when they are not slowed, and its bound. */
+constexpr double kSlowLoad = 1.3;
+constexpr double kStoreLoadsStep = 0.25;
+constexpr double kMostStoreLoads = 16.0;
 /* Part of the weight store's rate that is used: what it counts differs a little in time. */
 constexpr double kUsedLoadRate = 0.9;
 
@@ -100,7 +104,9 @@
                         .phase = PendingOrder::Phase::kSent,
                         .sentAt = aNow,
                         .expectedAt = aNow + aDetails.expected,
-                        .isFromStore = aDetails.isFromStore };
+                        .expected = aDetails.expected,
+                        .isFromStore = aDetails.isFromStore,
+                        .besides = std::max<std::size_t>(StoreLoadsUnderWay(), 1) - 1 };
   if (aRunner.order) {
     pending.after = aRunner.order->order.subject.model;
   }
@@ -251,6 +257,7 @@
   const ModelId model = pending.order.subject.model;
   mIsIndexStale = true;
   if (pending.order.kind == OrderKind::kLoad) {
+    LearnStoreSpeed(pending, aNow - pending.sentAt);
     aRunner.models[model].lastUsed = aNow;
     aRunner.inHostMemory.insert(model);
     aRunner.onDisk.insert(model);
@@ -394,19 +401,45 @@
   WantReport(aNow + kReportInterval, aRunner);
 }
 
-bool Dispatcher::MayLoadFromStore(TimePoint aNow, const Engine& aEngine) const
+/* Returns the loads from the weight store that are under way or planned. */
+std::size_t Dispatcher::StoreLoadsUnderWay() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mRunners.begin(), mRunners.end(), [this](const auto& aItem) {
+      const Swap* swap = SwapAt(aItem.first);
+      return (aItem.second.order && aItem.second.order->isFromStore) ||
+             (swap != nullptr && swap->isFromStore);
+    }));
+}
+
+/* Load pattern: many cold models at once. Beyond some number of loads each takes longer in
+ * proportion, so more at once only make all of them late; the number shows in how long they take.
+ */
+void Dispatcher::LearnStoreSpeed(const PendingOrder& aLoad, Duration aTook)
 {
-  std::size_t underWay = 0;
-  for (const auto& [id, runner] : mRunners) {
-    underWay += runner.order && runner.order->isFromStore ? 1 : 0;
+  if (!aLoad.isFromStore || aLoad.expected <= Duration::zero()) {
+    return;
   }
+  const double slowness =
+    static_cast<double>(aTook.count()) / static_cast<double>((aLoad.expected + kReportLag).count());
+  const double loads = static_cast<double>(aLoad.besides) + 1.0;
+  if (slowness > kSlowLoad) {
+    mStoreLoadsAtOnce = std::max(1.0, std::min(mStoreLoadsAtOnce, loads / slowness));
+  } else if (loads >= std::floor(mStoreLoadsAtOnce)) {
+    mStoreLoadsAtOnce = std::min(mStoreLoadsAtOnce + kStoreLoadsStep, kMostStoreLoads);
+  }
+}
+
+bool Dispatcher::MayLoadFromStore(TimePoint aNow, const Engine& aEngine) const
+{
+  const auto underWay = static_cast<double>(StoreLoadsUnderWay());
   const auto recent =
     static_cast<double>(std::count_if(mStoreLoads.begin(), mStoreLoads.end(), [&](TimePoint aTime) {
       return aNow - aTime < mStoreLimits.window;
     }));
   const double seconds = std::chrono::duration<double>(mStoreLimits.window).count();
   const double limit = kUsedLoadRate * mStoreLimits.overage * aEngine.loadsPerSecond * seconds;
-  return underWay < kStoreLoadsAtOnce && recent + 1.0 <= std::max(limit, 1.0);
+  return underWay + 1.0 <= std::max(mStoreLoadsAtOnce, 1.0) && recent + 1.0 <= std::max(limit, 1.0);
 }
 
 } // namespace rhubarbtrail::fleet
--- a/src/decision/fleet/dispatcher_plan.cpp
+++ b/src/decision/fleet/dispatcher_plan.cpp
@@ -22,6 +22,10 @@
 constexpr double kSwapTimeS = 1.3;
 /* Least worth of a further replica: its load must be earned back. */
 constexpr double kLeastBenefitS = 1.5;
+/* Part of the weight store's loads that may fill room; callers that wait come first. */
+constexpr double kRoomPart = 0.5;
+/* Least worth of filling free room: delay of callers for each second, in seconds. */
+constexpr double kLeastRoomValueS = 0.02;
 /* Worth of a late answer against one in time; operators state a seventh to a half. */
 constexpr double kLateValue = 0.2;
 /* Worth of a model that requests wait for: any swap is better than none. */
@@ -199,8 +203,11 @@
   if (aNow >= mNextCrowdedCheck) {
     mNextCrowdedCheck = aNow + kCrowdedInterval;
     PlanCrowded(aNow);
+    PlanMissing(aNow);
+    PlanRoom(aNow);
+  } else {
+    PlanMissing(aNow);
   }
-  PlanMissing(aNow);
 }
 
 /* Returns what it is worth to bring a request's model now: an answer within the objective is worth
@@ -276,6 +283,75 @@
   }
 }
 
+bool Dispatcher::HasCopy(const ServiceId& aService, const ModelId& aModel) const
+{
+  return std::any_of(mRunners.begin(), mRunners.end(), [&](const auto& aItem) {
+    const ManagedRunner& runner = aItem.second;
+    return runner.entry.service == aService && IsUsable(runner) &&
+           (runner.onDisk.contains(aModel) || runner.inHostMemory.contains(aModel));
+  });
+}
+
+/* Load pattern: runners are replaced one after the other, and the new ones hold nothing and have no
+ * copies. Free room costs nobody anything, so it is filled before callers wait: with what is asked
+ * for most, where a miss would cost most. */
+void Dispatcher::PlanRoom(TimePoint aNow)
+{
+  for (auto& [id, runner] : mRunners) {
+    if (!IsFree(runner) || !MayOrderTo(aNow, runner) || runner.health.IsDoubted(aNow)) {
+      continue;
+    }
+    const auto model = BestForRoom(aNow, runner);
+    if (!model) {
+      continue;
+    }
+    auto swap = FindSwap(aNow, runner, *runner.engine, runner.engine->models.at(*model));
+    const bool isStoreBusy =
+      swap && swap->isFromStore &&
+      (!MayLoadFromStore(aNow, *runner.engine) || static_cast<double>(StoreLoadsUnderWay()) + 1.0 >
+                                                    std::max(kRoomPart * mStoreLoadsAtOnce, 1.0));
+    if (!swap || !swap->victims.empty() || isStoreBusy) {
+      continue;
+    }
+    Note({ .event = "swap_planned",
+           .request = {},
+           .runner = id,
+           .model = { .model = *model, .adapter = {} },
+           .why = "fills_room",
+           .time = swap->loadTime,
+           .count = 0 });
+    mComing.emplace(runner.entry.service, *model);
+    mSwaps.emplace(id, std::move(*swap));
+  }
+}
+
+std::optional<ModelId> Dispatcher::BestForRoom(TimePoint aNow, const ManagedRunner& aRunner) const
+{
+  const Engine& engine = *aRunner.engine;
+  MemoryMb room = engine.weights - AdapterReserve(engine);
+  for (const auto& [model, held] : aRunner.models) {
+    room = room - WeightsOf(engine, model);
+  }
+  std::optional<ModelId> best;
+  double bestValue = kLeastRoomValueS;
+  for (const ModelId& id : mDemand.Models()) {
+    const auto model = engine.models.find(id);
+    if (model == engine.models.end() || model->second.weights > room ||
+        aRunner.models.contains(id) || IsComing(aRunner.entry.service, id)) {
+      continue;
+    }
+    const double replicas = Replicas(aRunner.entry.service, id);
+    const double miss = SecondsOf(HasCopy(aRunner.entry.service, id) ? model->second.diskLoad
+                                                                     : model->second.storeLoad);
+    const double value = mDemand.Rate(aNow, id) * miss / ((1.0 + replicas) * (1.0 + replicas));
+    if (value > bestValue) {
+      best = id;
+      bestValue = value;
+    }
+  }
+  return best;
+}
+
 void Dispatcher::PlanSwap(TimePoint aNow,
                           const ServiceId& aService,
                           const ModelId& aModel,
--- a/tests/fleet/dispatcher_test.cpp
+++ b/tests/fleet/dispatcher_test.cpp
@@ -274,3 +274,45 @@
     CheckSound(world);
   }
 }
+
+TEST_CASE("load: runners that join empty are filled with what is asked for, before callers wait")
+{
+  FleetWorld world({ .runners = 4, .models = 16, .storeLoad = 3s });
+  std::uniform_int_distribution<int> model(0, 11);
+  const auto ask = [&](Duration aTime) {
+    for (const TimePoint end = world.now + aTime; world.now < end;) {
+      world.Ask("m" + std::to_string(model(world.random)));
+      world.Run(200ms);
+    }
+  };
+  ask(4s);
+  for (const std::size_t replaced : { 0U, 1U }) {
+    world.Restart(replaced);
+    world.runners[replaced].onDisk.clear();
+    world.Announce(replaced);
+    ask(12s);
+    CHECK(world.runners[replaced].models.size() == 3);
+  }
+  world.Run(5s);
+  CHECK(world.Waiting() == 0);
+  CheckSound(world);
+}
+
+TEST_CASE("load: cold models are loaded as many at once as the weight store takes at full speed")
+{
+  FleetWorld world({ .runners = 8, .models = 40, .storeLoad = 3s, .hasAllOnDisk = false });
+  world.storeLoadsAtOnce = 1; // Each further load slows all of them.
+  std::size_t most = 0;
+  for (int step = 0; step < 600; ++step) {
+    if (step % 4 == 0) {
+      world.Ask("m" + std::to_string(24 + step / 4 % 16), {}, 1, 60s);
+    }
+    world.Run(100ms);
+    if (step > 300) {
+      most = std::max(most, world.StoreLoadsUnderWay());
+    }
+  }
+  CHECK(most <= 2);
+  CHECK(world.storeLoads >= 10);
+  CheckSound(world);
+}
--- a/tests/fleet/fleet_world.cpp
+++ b/tests/fleet/fleet_world.cpp
@@ -230,7 +230,9 @@
     runner.order =
       SimRunner::Order{ .kind = OrderKind::kLoad,
                         .subject = aOrder.subject,
-                        .doneAt = now + (isFromStore ? options.storeLoad : options.diskLoad) };
+                        .doneAt = isFromStore ? TimePoint::max() : now + options.diskLoad,
+                        .isFromStore = isFromStore,
+                        .left = 1.0 };
     return OrderOutcome::kAccepted;
   }
   runner.order =
@@ -297,6 +299,15 @@
 void FleetWorld::Step()
 {
   now += kStep;
+  const double sharing =
+    std::max(1.0, static_cast<double>(StoreLoadsUnderWay()) / storeLoadsAtOnce);
+  for (SimRunner& runner : runners) {
+    if (runner.order && runner.order->isFromStore) {
+      runner.order->left -= static_cast<double>(kStep.count()) /
+                            static_cast<double>(options.storeLoad.count()) / sharing;
+      runner.order->doneAt = runner.order->left <= 0.0 ? now : TimePoint::max();
+    }
+  }
   for (SimRunner& runner : runners) {
     std::vector<std::uint64_t> ended;
     for (const auto& [number, run] : runner.runs) {
@@ -372,6 +383,14 @@
     outcomes.begin(), outcomes.end(), [](const auto& aItem) { return aItem.second.isRefused; }));
 }
 
+std::size_t FleetWorld::StoreLoadsUnderWay() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(runners.begin(), runners.end(), [](const SimRunner& aRunner) {
+      return aRunner.order && aRunner.order->isFromStore;
+    }));
+}
+
 std::size_t FleetWorld::Waiting() const
 {
   return outcomes.size() - Served() - Refused();
--- a/tests/fleet/fleet_world.h
+++ b/tests/fleet/fleet_world.h
@@ -37,6 +37,8 @@
     OrderKind kind = OrderKind::kLoad;
     ModelRef subject;
     TimePoint doneAt{};
+    bool isFromStore = false;
+    double left = 0.0; ///< Part of a load from the store that is still to come.
   };
   struct Run
   {
@@ -90,6 +92,7 @@
   std::size_t Served() const;
   std::size_t Refused() const;
   std::size_t Waiting() const;
+  std::size_t StoreLoadsUnderWay() const;
   /* Returns the longest wait of the requests that were given a place. */
   Duration LongestWait() const;
   std::uint32_t Holding(const std::string& aModel) const;
@@ -102,8 +105,9 @@
   std::vector<std::string> violations;
   std::uint64_t orders = 0;
   std::uint64_t storeLoads = 0;
-  std::uint64_t refusedByRunner = 0; ///< Requests sent to a runner that did not hold the model.
-  Duration runTime = 1'500ms;        ///< Of each request.
+  std::uint32_t storeLoadsAtOnce = 100; ///< At full speed; more share it.
+  std::uint64_t refusedByRunner = 0;    ///< Requests sent to a runner that did not hold the model.
+  Duration runTime = 1'500ms;           ///< Of each request.
   std::mt19937 random;
   /* Decides what becomes of an order; nothing: the runner takes it at once. */
   std::function<std::optional<OrderOutcome>(const RunnerOrder&)> interfere;
