Feature: [Scheduler] Plan several replicas at once for a model whose demand jumps

Change: as many replicas as the work needs are planned at once, each within its benefit; the work is the larger of a short and a long average. Lint findings in the new code are mended.

--- a/src/decision/fleet/demand.h
+++ b/src/decision/fleet/demand.h
@@ -5,15 +5,42 @@
 #include "core/id_type.h"
 #include "core/unit_type.h"
 
+#include <algorithm>
 #include <cmath>
-#include <cstdint>
 #include <map>
 #include <vector>
 
 namespace rhubarbtrail::fleet {
 
-/* Moving averages with a time constant of some seconds: demand moves to other models several times
- * in a minute, and a swap takes about a second. */
+/* A moving average of events a second, with a weight each. */
+class DecayingRate
+{
+public:
+  explicit DecayingRate(double aTimeConstantS)
+    : mTimeConstantS(aTimeConstantS)
+  {
+  }
+
+  void Add(TimePoint aNow, double aWeight)
+  {
+    mValue = Read(aNow) + aWeight / mTimeConstantS;
+    mAt = aNow;
+  }
+
+  double Read(TimePoint aNow) const
+  {
+    const double seconds = std::chrono::duration<double>(aNow - mAt).count();
+    return mValue * std::exp(-seconds / mTimeConstantS);
+  }
+
+private:
+  double mTimeConstantS;
+  double mValue = 0.0;
+  TimePoint mAt{};
+};
+
+/* Demand moves to other models several times in a minute. A short average follows a rise within a
+ * swap or two, a long one keeps models over the gaps between their callers. */
 class DemandBook
 {
 public:
@@ -21,15 +48,27 @@
   void Note(TimePoint aNow, const ModelId& aModel, Duration aWork)
   {
     Entry& entry = mEntries[aModel];
-    Decay(aNow, entry);
-    entry.rate += 1.0 / kTimeConstant;
-    entry.work += std::chrono::duration<double>(aWork).count() / kTimeConstant;
+    const double work = std::chrono::duration<double>(aWork).count();
+    entry.rate.Add(aNow, 1.0);
+    entry.longWork.Add(aNow, work);
+    entry.shortWork.Add(aNow, work);
   }
 
   /* Returns requests a second. */
-  double Rate(TimePoint aNow, const ModelId& aModel) const { return Read(aNow, aModel).rate; }
+  double Rate(TimePoint aNow, const ModelId& aModel) const
+  {
+    const auto found = mEntries.find(aModel);
+    return found == mEntries.end() ? 0.0 : found->second.rate.Read(aNow);
+  }
+
   /* Returns the work, in runners: 1 keeps one runner busy. */
-  double Work(TimePoint aNow, const ModelId& aModel) const { return Read(aNow, aModel).work; }
+  double Work(TimePoint aNow, const ModelId& aModel) const
+  {
+    const auto found = mEntries.find(aModel);
+    return found == mEntries.end()
+             ? 0.0
+             : std::max(found->second.longWork.Read(aNow), found->second.shortWork.Read(aNow));
+  }
 
   /* Returns the models that were asked for. */
   std::vector<ModelId> Models() const
@@ -43,35 +82,16 @@
   }
 
 private:
-  static constexpr double kTimeConstant = 6.0; ///< Seconds.
+  static constexpr double kLongS = 6.0;
+  static constexpr double kShortS = 1.5;
 
   struct Entry
   {
-    double rate = 0.0;
-    double work = 0.0;
-    TimePoint at{};
+    DecayingRate rate{ kLongS };
+    DecayingRate longWork{ kLongS };
+    DecayingRate shortWork{ kShortS };
   };
 
-  static void Decay(TimePoint aNow, Entry& aEntry)
-  {
-    const double seconds = std::chrono::duration<double>(aNow - aEntry.at).count();
-    const double factor = std::exp(-seconds / kTimeConstant);
-    aEntry.rate *= factor;
-    aEntry.work *= factor;
-    aEntry.at = aNow;
-  }
-
-  Entry Read(TimePoint aNow, const ModelId& aModel) const
-  {
-    const auto found = mEntries.find(aModel);
-    if (found == mEntries.end()) {
-      return {};
-    }
-    Entry entry = found->second;
-    Decay(aNow, entry);
-    return entry;
-  }
-
   std::map<ModelId, Entry> mEntries;
 };
 
--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -213,7 +213,8 @@
 
   // dispatcher_plan.cpp
   void PlanModels(TimePoint aNow);
-  void PlanSwap(TimePoint aNow,
+  /* Plans a replica where it costs least, if that is below its benefit; returns whether it did. */
+  bool PlanSwap(TimePoint aNow,
                 const ServiceId& aService,
                 const ModelId& aModel,
                 double aBenefit,
@@ -238,7 +239,7 @@
   std::optional<ModelId> BestForRoom(TimePoint aNow, const ManagedRunner& aRunner) const;
   bool HasCopy(const ServiceId& aService, const ModelId& aModel) const;
   void NoteComing();
-  bool IsComing(const ServiceId& aService, const ModelId& aModel) const;
+  std::uint32_t Coming(const ServiceId& aService, const ModelId& aModel) const;
   const Swap* SwapAt(const EndpointId& aRunner) const;
   void FollowSwaps(TimePoint aNow);
   bool FollowSwap(TimePoint aNow, const Swap& aSwap);
@@ -272,7 +273,8 @@
   mutable bool mIsIndexStale = true;
   std::deque<Waiting> mWaiting; ///< The most urgent first; among equals, the oldest.
   TimePoint mNextCrowdedCheck{};
-  std::set<std::pair<ServiceId, ModelId>> mComing; ///< Models on their way to a runner.
+  /* How many replicas of a model are planned for or on their way. */
+  std::map<std::pair<ServiceId, ModelId>, std::uint32_t> mComing;
   std::map<AskId, Place> mPlaces;
   std::map<EndpointId, Swap> mSwaps; ///< By runner.
   DemandBook mDemand;
--- a/src/decision/fleet/dispatcher_grant.cpp
+++ b/src/decision/fleet/dispatcher_grant.cpp
@@ -115,7 +115,7 @@
     // told so while coming back may still help.
     const Duration patience = std::max(ask.objective * 3 / 2, kLeastPatience);
     if (mRight.mayOrder && aNow - aWaiting.askedAt > patience &&
-        Holders(ask.work.target.model).empty() && !IsComing(ask.service, ask.work.target.model)) {
+        Holders(ask.work.target.model).empty() && Coming(ask.service, ask.work.target.model) == 0) {
       Refuse(aNow, aWaiting, ResultCode::kReplicaUnavailable, "no_replica_in_time");
       return true;
     }
--- a/src/decision/fleet/dispatcher_plan.cpp
+++ b/src/decision/fleet/dispatcher_plan.cpp
@@ -102,19 +102,20 @@
 {
   mComing.clear();
   for (const auto& [id, swap] : mSwaps) {
-    mComing.emplace(swap.service, swap.model);
+    ++mComing[{ swap.service, swap.model }];
   }
   for (const auto& [id, runner] : mRunners) {
     if (runner.order && runner.order->order.kind == OrderKind::kLoad &&
-        !runner.order->IsAboutAdapter() && IsUsable(runner)) {
-      mComing.emplace(runner.entry.service, runner.order->order.subject.model);
+        !runner.order->IsAboutAdapter() && IsUsable(runner) && !mSwaps.contains(id)) {
+      ++mComing[{ runner.entry.service, runner.order->order.subject.model }];
     }
   }
 }
 
-bool Dispatcher::IsComing(const ServiceId& aService, const ModelId& aModel) const
+std::uint32_t Dispatcher::Coming(const ServiceId& aService, const ModelId& aModel) const
 {
-  return mComing.contains({ aService, aModel });
+  const auto found = mComing.find({ aService, aModel });
+  return found == mComing.end() ? 0 : found->second;
 }
 
 const Dispatcher::Swap* Dispatcher::SwapAt(const EndpointId& aRunner) const
@@ -240,7 +241,7 @@
   std::vector<std::pair<double, std::pair<ServiceId, ModelId>>> ordered;
   ordered.reserve(missing.size());
   for (const auto& [key, value] : missing) {
-    if (Replicas(key.first, key.second) == 0 && !IsComing(key.first, key.second)) {
+    if (Replicas(key.first, key.second) == 0 && Coming(key.first, key.second) == 0) {
       ordered.emplace_back(value, key);
     }
   }
@@ -270,15 +271,19 @@
       continue;
     }
     for (const auto& [serviceId, service] : mConfiguration->services) {
-      const std::uint32_t replicas = Replicas(serviceId, model);
-      if (replicas == 0 || work <= kReplicaWork * replicas) {
-        continue;
+      double replicas = Replicas(serviceId, model);
+      if (replicas == 0.0) {
+        continue; // Requests for it wait; PlanMissing() sees to that.
+      }
+      // A jump needs several replicas at once: one after the other would take a second each.
+      replicas += Coming(serviceId, model);
+      while (work > kReplicaWork * replicas) {
+        const double benefit = (work / replicas - kReplicaWork) * kHorizonS + kLeastBenefitS;
+        if (!PlanSwap(aNow, serviceId, model, benefit, "crowded")) {
+          break;
+        }
+        replicas += 1.0;
       }
-      PlanSwap(aNow,
-               serviceId,
-               model,
-               (work / replicas - kReplicaWork) * kHorizonS + kLeastBenefitS,
-               "crowded");
     }
   }
 }
@@ -320,7 +325,7 @@
            .why = "fills_room",
            .time = swap->loadTime,
            .count = 0 });
-    mComing.emplace(runner.entry.service, *model);
+    ++mComing[{ runner.entry.service, *model }];
     mSwaps.emplace(id, std::move(*swap));
   }
 }
@@ -337,7 +342,7 @@
   for (const ModelId& id : mDemand.Models()) {
     const auto model = engine.models.find(id);
     if (model == engine.models.end() || model->second.weights > room ||
-        aRunner.models.contains(id) || IsComing(aRunner.entry.service, id)) {
+        aRunner.models.contains(id) || Coming(aRunner.entry.service, id) > 0) {
       continue;
     }
     const double replicas = Replicas(aRunner.entry.service, id);
@@ -352,7 +357,7 @@
   return best;
 }
 
-void Dispatcher::PlanSwap(TimePoint aNow,
+bool Dispatcher::PlanSwap(TimePoint aNow,
                           const ServiceId& aService,
                           const ModelId& aModel,
                           double aBenefit,
@@ -361,9 +366,8 @@
   const Engine* engine = EngineOf(aService);
   const auto model =
     engine == nullptr ? std::map<ModelId, Model>::const_iterator{} : engine->models.find(aModel);
-  if (engine == nullptr || model == engine->models.end() || IsComing(aService, aModel) ||
-      aBenefit < kLeastBenefitS) {
-    return;
+  if (engine == nullptr || model == engine->models.end() || aBenefit < kLeastBenefitS) {
+    return false;
   }
   std::optional<Swap> best;
   for (const auto& [id, runner] : mRunners) {
@@ -378,14 +382,14 @@
   }
   // When the best runner is still busy, waiting for it is better than going elsewhere.
   if (!best || best->cost > aBenefit || SwapAt(best->runner) != nullptr) {
-    return;
+    return false;
   }
   ManagedRunner& runner = mRunners[best->runner];
   if (!IsFree(runner)) {
-    return;
+    return false;
   }
   if (best->isFromStore && !MayLoadFromStore(aNow, *engine)) {
-    return;
+    return false;
   }
   for (const ModelId& victim : best->victims) {
     runner.models[victim].isLeaving = true;
@@ -398,8 +402,9 @@
          .time = best->loadTime,
          .count = best->victims.size() });
   const EndpointId runnerId = best->runner;
-  mComing.emplace(aService, aModel);
+  ++mComing[{ aService, aModel }];
   mSwaps.emplace(runnerId, std::move(*best));
+  return true;
 }
 
 void Dispatcher::FollowSwaps(TimePoint aNow)
--- a/src/fleet/fleet_member.cpp
+++ b/src/fleet/fleet_member.cpp
@@ -55,7 +55,7 @@
 
 std::string FleetMember::Start()
 {
-  const std::string error = mLink.Listen();
+  std::string error = mLink.Listen();
   if (error.empty()) {
     Tick();
   }
--- a/src/fleet/fleet_member.h
+++ b/src/fleet/fleet_member.h
@@ -127,7 +127,6 @@
   std::string mKnownHolder; ///< As last logged.
   bool mCouldOrder = false;
   bool mIsTickPosted = false;
-  bool mIsTicking = false;
   bool mIsClosed = false;
 };
 
--- a/src/fleet/table_feed.cpp
+++ b/src/fleet/table_feed.cpp
@@ -55,14 +55,14 @@
   if (aFirstKey.empty()) {
     mRead.clear();
   }
-  mStore.Read(mOptions.table, aFirstKey, [this](StoreResult aResult) {
+  mStore.Read(mOptions.table, aFirstKey, [this](const StoreResult& aResult) {
     if (!mIsStopped) {
-      OnPage(std::move(aResult));
+      OnPage(aResult);
     }
   });
 }
 
-void TableFeed::OnPage(StoreResult aResult)
+void TableFeed::OnPage(const StoreResult& aResult)
 {
   if (aResult.outcome != StoreOutcome::kDone) {
     OnFailure(aResult);
@@ -101,14 +101,14 @@
 void TableFeed::Watch()
 {
   mCalledAt = BootTime();
-  mStore.Watch(mOptions.table, mVersion, mOptions.wait, [this](StoreResult aResult) {
+  mStore.Watch(mOptions.table, mVersion, mOptions.wait, [this](const StoreResult& aResult) {
     if (!mIsStopped) {
-      OnChanges(std::move(aResult));
+      OnChanges(aResult);
     }
   });
 }
 
-void TableFeed::OnChanges(StoreResult aResult)
+void TableFeed::OnChanges(const StoreResult& aResult)
 {
   if (aResult.outcome == StoreOutcome::kHistoryGone) {
     mLog.Write("history_gone", { { "table", mOptions.table }, { "version", mVersion.value } });
--- a/src/fleet/table_feed.h
+++ b/src/fleet/table_feed.h
@@ -51,9 +51,9 @@
 
 private:
   void ReadAll(const std::string& aFirstKey);
-  void OnPage(StoreResult aResult);
+  void OnPage(const StoreResult& aResult);
   void Watch();
-  void OnChanges(StoreResult aResult);
+  void OnChanges(const StoreResult& aResult);
   void Take(const platform::StoreRow& aRow);
   void OnFailure(const StoreResult& aResult);
   void OnAnswer();
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -416,7 +416,7 @@
   };
   const auto weak = weak_from_this();
   mAttempt.call = mContext.client.Start(
-    std::move(options),
+    options,
     { .onHead =
         [weak](const http::AnswerHead& aHead) {
           const auto self = weak.lock();
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -95,7 +95,7 @@
 
 struct Client::Impl
 {
-  Impl(asio::io_context& aContext, ClientOptions aOptions)
+  Impl(asio::io_context& aContext, const ClientOptions& aOptions)
     : context(aContext)
     , options(aOptions)
   {
@@ -125,7 +125,7 @@
   }
 
   /* Starts a call and returns its number on this connection. */
-  std::uint64_t Begin(CallOptions aOptions, CallHandlers aHandlers)
+  std::uint64_t Begin(const CallOptions& aOptions, CallHandlers aHandlers)
   {
     ++mCallNumber;
     mHandlers = std::move(aHandlers);
@@ -500,7 +500,7 @@
   }
 }
 
-Client::Client(asio::io_context& aContext, ClientOptions aOptions)
+Client::Client(asio::io_context& aContext, const ClientOptions& aOptions)
   : mImpl(std::make_shared<Impl>(aContext, aOptions))
 {
 }
@@ -510,7 +510,7 @@
   Close();
 }
 
-std::unique_ptr<Call> Client::Start(CallOptions aOptions, CallHandlers aHandlers)
+std::unique_ptr<Call> Client::Start(const CallOptions& aOptions, CallHandlers aHandlers)
 {
   ++mImpl->counts.calls;
   std::shared_ptr<ClientConnection> connection;
@@ -520,8 +520,8 @@
   if (!connection) {
     connection = std::make_shared<ClientConnection>(mImpl, aOptions.address);
   }
-  const std::uint64_t number = connection->Begin(std::move(aOptions), std::move(aHandlers));
-  return std::make_unique<Call>(std::move(connection), number);
+  const std::uint64_t number = connection->Begin(aOptions, std::move(aHandlers));
+  return std::make_unique<Call>(connection, number);
 }
 
 void Client::Forget(const std::string& aAddress)
@@ -552,8 +552,8 @@
   return mImpl->counts;
 }
 
-Call::Call(std::shared_ptr<ClientConnection> aConnection, std::uint64_t aNumber)
-  : mConnection(std::move(aConnection))
+Call::Call(const std::shared_ptr<ClientConnection>& aConnection, std::uint64_t aNumber)
+  : mConnection(aConnection)
   , mNumber(aNumber)
 {
 }
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -56,7 +56,7 @@
 class Call
 {
 public:
-  Call(std::shared_ptr<ClientConnection> aConnection, std::uint64_t aNumber);
+  Call(const std::shared_ptr<ClientConnection>& aConnection, std::uint64_t aNumber);
   ~Call();
   Call(const Call&) = delete;
   Call& operator=(const Call&) = delete;
@@ -91,13 +91,13 @@
 class Client
 {
 public:
-  Client(boost::asio::io_context& aContext, ClientOptions aOptions);
+  Client(boost::asio::io_context& aContext, const ClientOptions& aOptions);
   ~Client();
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
 
   /* Starts a call. No handler is called before this returns. */
-  std::unique_ptr<Call> Start(CallOptions aOptions, CallHandlers aHandlers);
+  std::unique_ptr<Call> Start(const CallOptions& aOptions, CallHandlers aHandlers);
   /* Closes the idle connections to an address. */
   void Forget(const std::string& aAddress);
   void Close();
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -159,7 +159,11 @@
     if (aBytes.empty()) {
       return;
     }
-    Write(mFraming == Framing::kChunked ? Chunk(aBytes) : std::string{ aBytes });
+    if (mFraming == Framing::kChunked) {
+      Write(Chunk(aBytes));
+    } else {
+      Write(aBytes);
+    }
   }
 
   void Finish()
@@ -168,7 +172,7 @@
       return;
     }
     if (mFraming == Framing::kChunked) {
-      Write(std::string{ kLastChunk });
+      Write(kLastChunk);
     }
     EndAnswer();
     if (!mKeepsConnection) {
@@ -362,7 +366,7 @@
                                          "{\"error\":\"the request is malformed or too large\"}");
   }
 
-  void Write(std::string aBytes)
+  void Write(std::string_view aBytes)
   {
     if (mState == State::kClosed || mState == State::kClosing) {
       return;
@@ -590,8 +594,8 @@
   return mImpl->acceptor.local_endpoint(ignored).port();
 }
 
-Responder::Responder(std::shared_ptr<ServerConnection> aConnection)
-  : mConnection(std::move(aConnection))
+Responder::Responder(const std::shared_ptr<ServerConnection>& aConnection)
+  : mConnection(aConnection)
 {
 }
 
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -19,7 +19,7 @@
 class Responder
 {
 public:
-  explicit Responder(std::shared_ptr<ServerConnection> aConnection);
+  explicit Responder(const std::shared_ptr<ServerConnection>& aConnection);
   ~Responder();
   Responder(const Responder&) = delete;
   Responder& operator=(const Responder&) = delete;
--- a/tests/fleet/dispatcher_test.cpp
+++ b/tests/fleet/dispatcher_test.cpp
@@ -316,3 +316,17 @@
   CHECK(world.storeLoads >= 10);
   CheckSound(world);
 }
+
+TEST_CASE("load: demand that jumps to one model gets several replicas at once")
+{
+  FleetWorld world({ .runners = 8, .models = 24 });
+  for (int step = 0; step < 240; ++step) { // 40 a second: six runners' worth, after a quiet time.
+    world.Ask("m5");
+    world.Run(20ms);
+    if (step == 120) {
+      CHECK(world.Holding("m5") >= 4);
+    }
+  }
+  CHECK(world.Holding("m5") >= 6);
+  CheckSound(world);
+}
