--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -519,26 +519,11 @@
 
 std::string Server::Listen()
 {
-  const auto endpoint = ParseEndpoint(mImpl->options.address);
-  if (!endpoint) {
-    return "'" + mImpl->options.address + "' is not an address";
+  std::string error = rhubarbtrail::http::Listen(mImpl->acceptor, mImpl->options.address);
+  if (error.empty()) {
+    mImpl->Accept();
   }
-  error_code error;
-  mImpl->acceptor.open(endpoint->protocol(), error);
-  if (!error) {
-    mImpl->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-  }
-  if (!error) {
-    mImpl->acceptor.bind(*endpoint, error);
-  }
-  if (!error) {
-    mImpl->acceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return mImpl->options.address + ": " + error.message();
-  }
-  mImpl->Accept();
-  return {};
+  return error;
 }
 
 void Server::SetLimits(const ServerLimits& aLimits)
--- a/src/http/socket_options.cpp
+++ b/src/http/socket_options.cpp
@@ -22,6 +22,26 @@
   setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnacknowledgedLimitMs, sizeof(int));
 }
 
+std::string Listen(boost::asio::ip::tcp::acceptor& aAcceptor, const std::string& aAddress)
+{
+  const auto endpoint = ParseEndpoint(aAddress);
+  if (!endpoint) {
+    return "'" + aAddress + "' is not an address";
+  }
+  boost::system::error_code error;
+  aAcceptor.open(endpoint->protocol(), error);
+  if (!error) {
+    aAcceptor.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    aAcceptor.bind(*endpoint, error);
+  }
+  if (!error) {
+    aAcceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+  }
+  return error ? aAddress + ": " + error.message() : std::string{};
+}
+
 std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(const std::string& aAddress)
 {
   const auto colon = aAddress.rfind(':');
--- a/src/http/socket_options.h
+++ b/src/http/socket_options.h
@@ -22,6 +22,9 @@
  * two ends has forgotten are noticed by the kernel's probes. */
 void SetSocketOptions(boost::asio::ip::tcp::socket& aSocket);
 
+/* Binds an acceptor to "host:port" and listens; returns why not, or an empty text. */
+std::string Listen(boost::asio::ip::tcp::acceptor& aAcceptor, const std::string& aAddress);
+
 /* Reads "host:port" with an IP number. */
 std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(const std::string& aAddress);
 
--- a/src/peer/fleet_link.cpp
+++ b/src/peer/fleet_link.cpp
@@ -302,26 +302,11 @@
 
 std::string FleetLink::Listen()
 {
-  const auto endpoint = http::ParseEndpoint(mImpl->options.address);
-  if (!endpoint) {
-    return "'" + mImpl->options.address + "' is not an address";
+  std::string error = http::Listen(mImpl->acceptor, mImpl->options.address);
+  if (error.empty()) {
+    mImpl->Accept();
   }
-  error_code error;
-  mImpl->acceptor.open(endpoint->protocol(), error);
-  if (!error) {
-    mImpl->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-  }
-  if (!error) {
-    mImpl->acceptor.bind(*endpoint, error);
-  }
-  if (!error) {
-    mImpl->acceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return mImpl->options.address + ": " + error.message();
-  }
-  mImpl->Accept();
-  return {};
+  return error;
 }
 
 void FleetLink::Send(const std::string& aAddress, std::vector<std::uint8_t> aBytes)
--- a/tests/edge/edge_cluster.py
+++ b/tests/edge/edge_cluster.py
@@ -9,6 +9,7 @@
 import socket
 import subprocess
 import tempfile
+import threading
 import time
 import uuid
 from dataclasses import dataclass, field
@@ -74,6 +75,7 @@
 retry_slack: 1000
 """)
         self.popen: Optional[subprocess.Popen] = None
+        self.lock = threading.Lock()  # Held by whoever ends or freezes the process.
         self.start()
 
     def start(self) -> None:
--- a/tests/edge/soak.py
+++ b/tests/edge/soak.py
@@ -21,7 +21,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent))
 
-from edge_cluster import EdgeCluster, Result  # noqa: E402
+from edge_cluster import Daemon, EdgeCluster, Result  # noqa: E402
 
 KINDS = ("chat", "draft", "pay", "check")
 RECOVERY_S = 12.0
@@ -64,20 +64,30 @@
             run.__name__ = name
             return run
 
-        def kill_daemon() -> None:
-            daemon = choose(cluster.daemons)
+        def alone(work: Callable[[Daemon], None]) -> Callable[[], None]:
+            """One fault at a time ends or freezes a process, so that none is started twice."""
+            def run() -> None:
+                daemon = choose(cluster.daemons)
+                if not daemon.lock.acquire(blocking=False):
+                    return
+                try:
+                    work(daemon)
+                finally:
+                    daemon.lock.release()
+            run.__name__ = work.__name__
+            return run
+
+        def kill_daemon(daemon: Daemon) -> None:
             daemon.kill()
             time.sleep(pause())
             daemon.start()
 
-        def restart_daemon() -> None:
-            daemon = choose(cluster.daemons)
+        def restart_daemon(daemon: Daemon) -> None:
             daemon.signal(signal.SIGTERM)
             daemon.popen.wait(20)
             daemon.start()
 
-        def freeze_daemon() -> None:
-            daemon = choose(cluster.daemons)
+        def freeze_daemon(daemon: Daemon) -> None:
             daemon.signal(signal.SIGSTOP)
             time.sleep(pause())
             daemon.signal(signal.SIGCONT)
@@ -112,8 +122,8 @@
 
         return [flaw("mute", True, False), flaw("drop_after_run", 5, 0),
                 flaw("cut_after_events", 2, 0), flaw("extra_answer", True, False),
-                flaw("shed", True, False), flaw("fail", True, False), kill_daemon, restart_daemon,
-                freeze_daemon, reload_daemon, crash_endpoint, drain_endpoint, store_down,
+                flaw("shed", True, False), flaw("fail", True, False), alone(kill_daemon),
+                alone(restart_daemon), alone(freeze_daemon), reload_daemon, crash_endpoint, drain_endpoint, store_down,
                 store_slow, store_loses_answers, store_forgets, configure]
 
     def run(self, seconds: float, clients: int) -> list[str]:
@@ -122,12 +132,13 @@
             for number in range(clients):
                 pool.submit(self.send_until_over, number)
             lanes = [pool.submit(self.inject, started + seconds) for _ in range(2)]
-            for lane in lanes:
-                lane.result()
-            healed = time.monotonic()
-            time.sleep(RECOVERY_S)
-            self.is_over.set()
-        return self.judge(healed)
+            try:
+                for lane in lanes:
+                    lane.result()
+                time.sleep(RECOVERY_S)
+            finally:
+                self.is_over.set()
+        return self.judge()
 
     def inject(self, end: float) -> None:
         """Injects one fault after the other; two of these run side by side."""
@@ -137,13 +148,10 @@
             fault = self.random.choice(faults)
             self.timeline.append(f"{started - time.monotonic():.1f} s before the end: "
                                  f"{fault.__name__}")
-            try:
-                fault()
-            except ProcessLookupError:
-                pass  # The other lane has ended that process.
+            fault()
             time.sleep(self.random.uniform(0.05, 0.5))
 
-    def judge(self, healed: float) -> list[str]:
+    def judge(self) -> list[str]:
         cluster = self.cluster
         broken = [fault for fault in map(cluster.judge, self.results) if fault]
         for endpoint in cluster.platform.endpoints.values():
--- a/tests/edge/standin.py
+++ b/tests/edge/standin.py
@@ -224,7 +224,7 @@
         self.on_disk = set(platform.models) if models else set()
         self.faults = Faults()
         self.born, self.orders, self.busy_until = 1, 0, 0.0
-        self.state = "ready"
+        self.state, self.is_down = "ready", False
         self.most_models = 0
         self.order_log: list[dict[str, Any]] = []
 
@@ -240,6 +240,9 @@
                 "atHand": {"inMemory": [], "onDisk": sorted(self.on_disk)}}
 
     async def crash(self, back_after_s: Optional[float]) -> None:
+        if self.is_down:
+            return
+        self.is_down = True
         await self.site.stop()
         self.platform.store.put("servers", self.id, None)
         if back_after_s is None:
@@ -248,6 +251,7 @@
         self.born, self.orders, self.busy_until = self.born + 1000, 0, 0.0
         self.models = {}
         await self.site.start()
+        self.is_down = False
         self.announce()
 
     async def _handle(self, call: Call) -> None:
@@ -414,8 +418,10 @@
             for endpoint in self.endpoints.values():
                 await endpoint.site.stop()
             await self.store.site.stop()
-            for task in asyncio.all_tasks() - {asyncio.current_task()}:
+            tasks = asyncio.all_tasks() - {asyncio.current_task()}
+            for task in tasks:
                 task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
 
         self.call(stop())
         self.loop.call_soon_threadsafe(self.loop.stop)
