Fix: [Caller] Let idle connections give their threads up, and refuse unsound framing

Ruled out for now: moving this front to the event-driven server of src/http; it answers from blocking sessions, which would have to change first.

Change: while connections wait for a thread, those without a request close after 10 ms; a request whose body's end is uncertain is answered 400 before it is read, and its connection ends.

--- a/src/caller/caller_connection.cpp
+++ b/src/caller/caller_connection.cpp
@@ -18,6 +18,8 @@
 
 /* Longest sleep of an idle connection before it looks whether the server is closing. */
 constexpr Duration kIdlePoll = 100ms;
+/* The same while other connections wait for a thread. */
+constexpr Duration kPressedPoll = 10ms;
 constexpr std::size_t kReadSize = 4'096;
 
 /* The socket that this thread serves, or -1. */
@@ -145,6 +147,35 @@
   Clock::time_point mRequestEnd{};
 };
 
+/* Counts the connections that no thread has taken yet. */
+class CountingQueue : public httplib::TaskQueue
+{
+public:
+  CountingQueue(std::size_t aThreads, std::atomic<int>& aWaiting)
+    : mPool(aThreads)
+    , mWaiting(aWaiting)
+  {
+  }
+
+  void enqueue(std::function<void()> aTask) override
+  {
+    ++mWaiting;
+    mPool.enqueue([this, task = std::move(aTask)] {
+      --mWaiting;
+      task();
+    });
+  }
+
+  void shutdown() override { mPool.shutdown(); }
+
+private:
+  httplib::ThreadPool mPool;
+  std::atomic<int>& mWaiting;
+};
+
+/* Whether the framing of the request that this thread serves is unsound. */
+thread_local bool sIsUnsound = false;
+
 } // namespace
 
 BoundedServer::BoundedServer(CallerConnectionOptions aOptions)
@@ -170,14 +201,27 @@
   return sIsTooLarge;
 }
 
+httplib::TaskQueue* BoundedServer::MakeQueue(std::size_t aThreads)
+{
+  return new CountingQueue(aThreads, mWaiting);
+}
+
+void BoundedServer::RefuseFraming(httplib::Response& aResponse)
+{
+  sIsUnsound = true;
+  aResponse.status = 400;
+  aResponse.set_header("Connection", "close");
+}
+
 bool BoundedServer::WaitForRequest(httplib::Stream& aStream) const
 {
   const auto end = Clock::now() + mOptions.idleTime;
   while (Clock::now() < end) {
-    if (Poll(aStream.socket(), POLLIN, kIdlePoll)) {
+    const bool isPressed = mWaiting > 0;
+    if (Poll(aStream.socket(), POLLIN, isPressed ? kPressedPoll : kIdlePoll)) {
       return true;
     }
-    if (mIsClosing) {
+    if (mIsClosing || isPressed) {
       return false;
     }
   }
@@ -194,8 +238,10 @@
       break;
     }
     stream.BeginRequest();
+    sIsUnsound = false;
     bool isClosed = false;
-    isOpen = process_request(stream, left == 1 || mIsClosing, isClosed, nullptr) && !isClosed;
+    isOpen = process_request(stream, left == 1 || mIsClosing, isClosed, nullptr) && !isClosed &&
+             !sIsUnsound;
   }
   sSocket = -1;
   shutdown(aSocket, SHUT_RDWR);
--- a/src/caller/caller_connection.h
+++ b/src/caller/caller_connection.h
@@ -27,6 +27,14 @@
   /* Closes the listening socket and the connections that wait for a next request. */
   void Close();
 
+  /* Returns a queue for connections that wait for a thread. While some wait, connections without a
+   * request give their threads up, so that idle callers do not keep others out. */
+  httplib::TaskQueue* MakeQueue(std::size_t aThreads);
+
+  /* Refuses the request that this thread reads, and closes its connection afterwards: where its
+   * body ends is not certain. */
+  static void RefuseFraming(httplib::Response& aResponse);
+
   /* Returns whether the caller that this thread serves has closed its connection. */
   static bool IsCallerGone();
   /* Returns whether the request that this thread reads has exceeded its limit. */
@@ -38,6 +46,7 @@
 
   const CallerConnectionOptions mOptions;
   std::atomic<bool> mIsClosing{ false };
+  std::atomic<int> mWaiting{ 0 }; ///< Connections that wait for a thread.
 };
 
 } // namespace rhubarbtrail
--- a/src/caller/caller_server.cpp
+++ b/src/caller/caller_server.cpp
@@ -233,6 +233,17 @@
   return checked;
 }
 
+/* Returns whether it is certain where a request's body ends: one length, a number, or chunks. */
+bool IsFramingSound(const httplib::Request& aRequest)
+{
+  const std::size_t lengths = aRequest.get_header_value_count("Content-Length");
+  const bool isChunked = aRequest.has_header("Transfer-Encoding");
+  const std::string length = aRequest.get_header_value("Content-Length");
+  return lengths + (isChunked ? 1 : 0) <= 1 &&
+         length.find_first_not_of("0123456789") == std::string::npos &&
+         (lengths == 0 || !length.empty());
+}
+
 void WriteRefusal(httplib::Response& aResponse,
                   const FinishRequest& aFinish,
                   const std::string& aDetail = {})
@@ -454,6 +465,14 @@
 
 void CallerServer::Impl::AddRoutes()
 {
+  server.set_pre_routing_handler(
+    [](const httplib::Request& aRequest, httplib::Response& aResponse) {
+      if (IsFramingSound(aRequest)) {
+        return httplib::Server::HandlerResponse::Unhandled;
+      }
+      BoundedServer::RefuseFraming(aResponse);
+      return httplib::Server::HandlerResponse::Handled;
+    });
   const auto completion = [this](const httplib::Request& aRequest, httplib::Response& aResponse) {
     Serve(aRequest, aResponse, CheckCompletion);
   };
@@ -501,7 +520,7 @@
 {
   BoundedServer& server = mImpl->server;
   const std::uint32_t threads = mImpl->options.threads;
-  server.new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
+  server.new_task_queue = [&server, threads] { return server.MakeQueue(threads); };
   server.set_payload_max_length(mImpl->options.bodyLimit);
   server.set_keep_alive_max_count(kKeepAliveRequests);
   server.set_tcp_nodelay(true);
