Feature: [Test] Test the bounds of the log and the messages between daemons

Cause: the structured log's promises (whole lines, bounded, never blocking) and the codec between daemons had no test of their own.

Change: a log whose reader stands still, budgets by kind of event, values that need escapes; every kind of message there and back, and every cut of one refused.

--- /dev/null
+++ b/tests/fleet/fleet_message_test.cpp
@@ -0,0 +1,107 @@
+/* Messages between daemons survive the way there and back; damaged ones are refused. */
+#include "fleet/fleet_message.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+using namespace rhubarbtrail;
+using namespace rhubarbtrail::fleet;
+
+namespace {
+
+const PlacementAsk kAsk{ .id = { .daemon = DaemonId{ "d1" }, .number = 7 },
+                         .requestId = "r1",
+                         .route = "route",
+                         .service = ServiceId{ "s1" },
+                         .work = { .target = { .model = ModelId{ "m1" },
+                                               .adapter = AdapterId{ "a1" } },
+                                   .promptTokens = 1'460,
+                                   .outputTokens = 80,
+                                   .parts = { { .id = 0xffff'ffff'ffff'ffffULL, .tokens = 800 },
+                                              { .id = 2, .tokens = 410 } } },
+                         .priority = 2,
+                         .objective = 600ms,
+                         .timeLeft = 15s,
+                         .isResumable = true,
+                         .excluded = { EndpointId{ "e1" } } };
+
+std::string Encode(FleetBody aBody)
+{
+  const auto bytes = EncodeFleetMessage(
+    { .from = DaemonId{ "d0" }, .incarnation = IncarnationId{ "i0" }, .body = std::move(aBody) });
+  return { bytes.begin(), bytes.end() };
+}
+
+/* Returns the body of the kind asked for after the way there and back. */
+template<typename Body>
+Body Back(FleetBody aBody)
+{
+  const auto message = DecodeFleetMessage(Encode(std::move(aBody)));
+  REQUIRE(message.has_value());
+  CHECK(message->from == DaemonId{ "d0" });
+  REQUIRE(std::holds_alternative<Body>(message->body));
+  return std::get<Body>(message->body);
+}
+
+} // namespace
+
+TEST_CASE("every kind of message survives the way there and back")
+{
+  const auto ask = Back<PlacementAsk>(kAsk);
+  CHECK(ask.id == kAsk.id);
+  CHECK(ask.work.target == kAsk.work.target);
+  REQUIRE(ask.work.parts.size() == 2);
+  CHECK(ask.work.parts[0].id == kAsk.work.parts[0].id);
+  CHECK(ask.timeLeft == kAsk.timeLeft);
+  CHECK(ask.excluded == kAsk.excluded);
+
+  const auto released = Back<PlaceReleased>(
+    PlaceReleased{ .id = kAsk.id, .end = PlaceEnd::kFailed, .firstEvent = 90ms });
+  CHECK(released.end == PlaceEnd::kFailed);
+  CHECK(released.firstEvent == 90ms);
+
+  CHECK(Back<PlaceInUse>(PlaceInUse{ .ask = kAsk, .runner = EndpointId{ "e1" } }).runner ==
+        EndpointId{ "e1" });
+  const auto granted = Back<PlacementReply>(
+    PlacementReply{ .id = kAsk.id, .answer = PlaceGranted{ EndpointId{ "e2" } } });
+  CHECK(std::get<PlaceGranted>(granted.answer).runner == EndpointId{ "e2" });
+  const auto refused = Back<PlacementReply>(PlacementReply{
+    .id = kAsk.id,
+    .answer = PlaceRefused{ .code = ResultCode::kDeadlineUnreachable, .retryAfter = 1500ms } });
+  CHECK(std::get<PlaceRefused>(refused.answer).retryAfter == 1500ms);
+  const auto unknown =
+    Back<PlacementReply>(PlacementReply{ .id = kAsk.id, .answer = PlaceUnknown{} });
+  CHECK(std::holds_alternative<PlaceUnknown>(unknown.answer));
+
+  const LeaseRow lease{ .holder = DaemonId{ "d0" },
+                        .incarnation = IncarnationId{ "i0" },
+                        .address = "10.0.0.1:1",
+                        .hasWaited = true,
+                        .renewals = 9 };
+  const auto beacon = Back<BeaconMessage>(BeaconMessage{
+    .lease = lease, .version = { 12 }, .state = HolderState::kStalled, .daemons = 8 });
+  CHECK(beacon.lease == lease);
+  CHECK(beacon.state == HolderState::kStalled);
+  CHECK(Back<HelloMessage>(HelloMessage{ .zone = ZoneId{ "a" }, .address = "x:1" }).address ==
+        "x:1");
+  CHECK(Back<SuspectMessage>(SuspectMessage{ .request = FingerprintId{ "f" }, .isCleared = true })
+          .isCleared);
+}
+
+TEST_CASE("every cut of a message is refused, none throws")
+{
+  const std::string whole = Encode(kAsk);
+  for (std::size_t length = 0; length < whole.size(); ++length) {
+    CHECK_FALSE(DecodeFleetMessage(whole.substr(0, length)).has_value());
+  }
+  CHECK_FALSE(DecodeFleetMessage("nonsense").has_value());
+  CHECK_FALSE(DecodeLeaseRow("{}").has_value());
+}
+
+TEST_CASE("the row of the lease survives the way there and back")
+{
+  const LeaseRow lease{ .holder = DaemonId{ "d0" }, .address = "10.0.0.1:1", .renewals = 3 };
+  CHECK(DecodeLeaseRow(EncodeLeaseRow(lease)) == lease);
+}
--- /dev/null
+++ b/tests/unit/event_log_test.cpp
@@ -0,0 +1,102 @@
+/* Structured logs: whole JSON lines, bounded in volume, and no wait for the reader. */
+#include "core/event_log.h"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <fcntl.h>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <string>
+#include <unistd.h>
+#include <vector>
+
+using namespace rhubarbtrail;
+
+namespace {
+
+/* A pipe whose reading end may stand still. */
+struct Pipe
+{
+  Pipe()
+  {
+    REQUIRE(pipe(ends.data()) == 0);
+    fcntl(ends[0], F_SETFL, O_NONBLOCK);
+  }
+
+  ~Pipe()
+  {
+    close(ends[0]);
+    close(ends[1]);
+  }
+
+  std::vector<nlohmann::json> Lines()
+  {
+    std::string text;
+    std::array<char, 4'096> buffer{};
+    for (ssize_t size = 0; (size = read(ends[0], buffer.data(), buffer.size())) > 0;) {
+      text.append(buffer.data(), static_cast<std::size_t>(size));
+    }
+    std::vector<nlohmann::json> lines;
+    std::istringstream stream(text);
+    for (std::string line; std::getline(stream, line);) {
+      lines.push_back(nlohmann::json::parse(line));
+    }
+    return lines;
+  }
+
+  std::array<int, 2> ends{};
+};
+
+} // namespace
+
+TEST_CASE("a line is one JSON object, whatever its values hold")
+{
+  Pipe pipe;
+  EventLog log({ .daemon = "d0", .descriptor = pipe.ends[1] });
+  log.Write("event",
+            { { "text", "a \"quoted\" \\ line\nwith \xff bytes" },
+              { "number", -3 },
+              { "share", 0.5 },
+              { "flag", true },
+              { "id", EndpointId{ "e0" } } });
+  log.Flush();
+  const auto lines = pipe.Lines();
+  REQUIRE(lines.size() == 1);
+  CHECK(lines[0]["event"] == "event");
+  CHECK(lines[0]["daemon"] == "d0");
+  CHECK(lines[0]["number"] == -3);
+  CHECK(lines[0]["flag"] == true);
+  CHECK(lines[0]["id"] == "e0");
+}
+
+TEST_CASE("each kind of event has a budget, and what was left out is counted")
+{
+  Pipe pipe;
+  EventLog log(
+    { .daemon = "d0", .descriptor = pipe.ends[1], .linesPerSecond = 1e-6, .burst = 10.0 });
+  for (int number = 0; number < 100; ++number) {
+    log.Write("frequent", { { "number", number } });
+  }
+  log.Write("rare", {});
+  log.Flush();
+  CHECK(pipe.Lines().size() == 11);
+  CHECK(log.leftOut() == 90);
+}
+
+TEST_CASE("a reader that stands still costs lines, not time")
+{
+  Pipe pipe;
+  EventLog log({ .daemon = "d0",
+                 .descriptor = pipe.ends[1],
+                 .linesPerSecond = 1e9,
+                 .burst = 1e9,
+                 .bufferBytes = 10'000 });
+  const std::string text(100, 'x');
+  for (int number = 0; number < 10'000; ++number) { // Far more than pipe and buffer hold.
+    log.Write("event", { { "text", text } });
+    log.Flush();
+  }
+  CHECK(log.leftOut() > 0);
+  CHECK_FALSE(pipe.Lines().empty());
+}
