Fix: [Scheduler] Do not take the count of a late order for the order after it

Cause: an order without an answer was taken for accepted as soon as the runner's count of orders had moved. The count may have been moved by an earlier unanswered order that was given up and carried out late.

Ruled out: expected counts of a former holder's orders (the spacing keeps them apart); reports older than an answered order (the next order is refused by its count).

Change: only the effect tells that an unanswered order was carried out; an idle runner without it has taken another one, and the order is given up as overtaken. A given-up order also takes over the count of the report that decided it, so that what the report does not know yet refuses the next order. A model whose adapter is on its way is not unloaded: the adapter would keep a slot that no report shows under a model that is held.

--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -248,6 +248,7 @@
   void PlanAdapter(TimePoint aNow, const ModelRef& aAdapter, ManagedRunner& aRunner);
   bool MayOrderTo(TimePoint aNow, const ManagedRunner& aRunner) const;
   std::size_t ArrivingAdapters(TimePoint aNow) const;
+  static bool HasArrivingAdapter(TimePoint aNow, const HeldModel& aModel);
   bool MayLoadAfterUnload(TimePoint aNow, const ManagedRunner& aRunner) const;
   void OnConflict(TimePoint aNow, ManagedRunner& aRunner);
   void SendOrder(TimePoint aNow,
@@ -262,6 +263,10 @@
   void FollowReports(TimePoint aNow);
   void WantReport(TimePoint aAt, ManagedRunner& aRunner);
   void SettleByReport(TimePoint aNow, ManagedRunner& aRunner, const RunnerReport& aReport);
+  void GiveUpOrder(TimePoint aNow,
+                   ManagedRunner& aRunner,
+                   const RunnerReport& aReport,
+                   std::string_view aWhy);
   bool MayLoadFromStore(TimePoint aNow, const Engine& aEngine) const;
   std::size_t StoreLoadsUnderWay() const;
   void LearnStoreSpeed(const PendingOrder& aLoad, Duration aTook);
--- a/src/decision/fleet/dispatcher_order.cpp
+++ b/src/decision/fleet/dispatcher_order.cpp
@@ -56,6 +56,15 @@
          aRunner.order->order.kind == OrderKind::kUnload && !aRunner.order->IsAboutAdapter();
 }
 
+/* Returns whether an adapter of the model is on its way: it takes a slot until it is there, even
+ * when its model has gone, and then nobody knows of it. */
+bool Dispatcher::HasArrivingAdapter(TimePoint aNow, const HeldModel& aModel)
+{
+  return std::any_of(aModel.adapters.begin(), aModel.adapters.end(), [&](const auto& aItem) {
+    return IsArriving(aNow, aItem.second);
+  });
+}
+
 void Dispatcher::PlanAdapter(TimePoint aNow, const ModelRef& aAdapter, ManagedRunner& aRunner)
 {
   const Engine* engine = aRunner.engine;
@@ -379,42 +388,31 @@
 
 void Dispatcher::SettleByReport(TimePoint aNow, ManagedRunner& aRunner, const RunnerReport& aReport)
 {
-  PendingOrder& pending = *aRunner.order;
-  const bool isAccepted = aReport.orderCount > pending.order.expectedOrderCount;
+  const PendingOrder& pending = *aRunner.order;
   if (pending.phase == PendingOrder::Phase::kSent) {
     return;
   }
-  if (pending.phase == PendingOrder::Phase::kUnsure) {
-    if (!isAccepted) {
-      if (aNow - pending.sentAt < kReportLag) {
-        WantReport(pending.sentAt + kReportLag, aRunner);
-        return;
-      }
-      // It was not carried out so far. If it comes late, the count that it expects keeps it from
-      // taking effect beside the next order.
-      Note({ .event = "order_unanswered",
-             .request = {},
-             .runner = aRunner.entry.id,
-             .model = pending.order.subject,
-             .why = "not_accepted",
-             .time = aNow - pending.sentAt,
-             .count = aReport.orderCount });
-      DropOrder(aRunner);
-      AdoptHoldings(aNow, aRunner, aReport.holdings);
-      return;
-    }
-    aRunner.orderCount = aReport.orderCount;
-    pending.phase = PendingOrder::Phase::kAccepted;
-    if (pending.after) {
-      mIsIndexStale = true;
-      aRunner.models.erase(*pending.after);
-      pending.after.reset();
-    }
+  const bool isUnsure = pending.phase == PendingOrder::Phase::kUnsure;
+  const bool hasCountMoved = aReport.orderCount > pending.order.expectedOrderCount;
+  if (isUnsure && !hasCountMoved && aNow - pending.sentAt < kReportLag) {
+    WantReport(pending.sentAt + kReportLag, aRunner);
+    return;
+  }
+  if (isUnsure && !hasCountMoved) {
+    // If it comes late, the count that it expects keeps it from taking effect beside the next one.
+    GiveUpOrder(aNow, aRunner, aReport, "not_accepted");
+    return;
   }
   const bool isHeld = aReport.holdings.models.contains(pending.order.subject.model);
-  const bool isDone =
-    !aReport.isBusy && isAccepted &&
-    (pending.IsAboutAdapter() || isHeld == (pending.order.kind == OrderKind::kLoad));
+  const bool hasEffect =
+    pending.IsAboutAdapter() || isHeld == (pending.order.kind == OrderKind::kLoad);
+  if (isUnsure && !aReport.isBusy && !hasEffect) {
+    // An earlier order without an answer was carried out late, and the count moved by it. This one
+    // cannot take effect any more.
+    GiveUpOrder(aNow, aRunner, aReport, "overtaken");
+    return;
+  }
+  const bool isDone = !aReport.isBusy && hasCountMoved && hasEffect;
   if (isDone || aNow - pending.expectedAt > kOrderLimit) {
     if (pending.IsAboutAdapter()) {
       aRunner.order.reset();
@@ -428,6 +426,24 @@
   WantReport(aNow + kReportInterval, aRunner);
 }
 
+/* Forgets an order without an answer that was not carried out so far. */
+void Dispatcher::GiveUpOrder(TimePoint aNow,
+                             ManagedRunner& aRunner,
+                             const RunnerReport& aReport,
+                             std::string_view aWhy)
+{
+  Note({ .event = "order_unanswered",
+         .request = {},
+         .runner = aRunner.entry.id,
+         .model = aRunner.order->order.subject,
+         .why = aWhy,
+         .time = aNow - aRunner.order->sentAt,
+         .count = aReport.orderCount });
+  DropOrder(aRunner);
+  aRunner.orderCount = aReport.orderCount;
+  AdoptHoldings(aNow, aRunner, aReport.holdings);
+}
+
 /* Returns the loads from the weight store that are under way or planned. */
 std::size_t Dispatcher::StoreLoadsUnderWay() const
 {
--- a/src/decision/fleet/dispatcher_plan.cpp
+++ b/src/decision/fleet/dispatcher_plan.cpp
@@ -446,7 +446,7 @@
     }
     hasVictims = true;
     held->second.isLeaving = true;
-    if (held->second.inFlight == 0 && !isAfterUnload) {
+    if (held->second.inFlight == 0 && !isAfterUnload && !HasArrivingAdapter(aNow, held->second)) {
       SendOrder(aNow,
                 runner,
                 OrderKind::kUnload,
--- a/tests/fleet/dispatcher_test.cpp
+++ b/tests/fleet/dispatcher_test.cpp
@@ -123,6 +123,64 @@
   }
 }
 
+TEST_CASE("the count of a late order does not stand for the order after it")
+{
+  // The load of an adapter is given up unanswered, and so is the unload after it; then the runner
+  // carries out the first one, and its count moves.
+  FleetWorld world({ .runners = 1, .models = 6, .adapters = 4 });
+  int number = 0;
+  world.interfere = [&](const RunnerOrder& aOrder) -> std::optional<OrderOutcome> {
+    switch (++number) {
+      case 1:
+        return world.TakeLate(aOrder, 800ms);
+      case 2:
+        return world.TakeLate(aOrder, 5s);
+      default:
+        return std::nullopt;
+    }
+  };
+  const std::uint64_t first = world.Ask("m0", "a1");
+  world.Run(50ms);
+  world.Withdraw(first);
+  world.Run(600ms);
+  world.Ask("m5");
+  world.Run(8s);
+  CheckSound(world);
+  CHECK(world.Served() == 1);
+  CHECK(world.LongestWait() < 4s);
+}
+
+TEST_CASE("load: orders that are carried out late overload no runner")
+{
+  for (std::uint32_t seed = 1; seed <= 40; ++seed) {
+    INFO("seed ", seed);
+    FleetWorld world(
+      { .runners = 3, .models = 14, .adapters = 8, .adapterSlots = 4, .seed = seed });
+    std::uniform_int_distribution<int> dice(0, 99);
+    std::uniform_int_distribution<int> model(0, 13);
+    std::uniform_int_distribution<int> late(10, 4'000);
+    world.interfere = [&](const RunnerOrder& aOrder) -> std::optional<OrderOutcome> {
+      return dice(world.random) < 40 ? std::optional{ world.TakeLate(
+                                         aOrder, std::chrono::milliseconds(late(world.random))) }
+                                     : std::nullopt;
+    };
+    for (int step = 0; step < 300; ++step) {
+      const int chance = dice(world.random);
+      const std::uint64_t asked =
+        world.Ask("m" + std::to_string(model(world.random)),
+                  chance < 60 ? "a" + std::to_string(1 + chance % 8) : "");
+      if (chance == 99) {
+        world.TakeOver();
+      }
+      world.Run(80ms);
+      if (chance % 3 == 0 && !world.outcomes[asked].startedAt) {
+        world.Withdraw(asked);
+      }
+    }
+    CheckSound(world);
+  }
+}
+
 TEST_CASE("a runner that starts anew is believed to hold nothing")
 {
   FleetWorld world({ .runners = 1, .models = 3 });
--- a/tests/fleet/fleet_world.cpp
+++ b/tests/fleet/fleet_world.cpp
@@ -180,6 +180,24 @@
   });
 }
 
+void FleetWorld::Withdraw(std::uint64_t aNumber)
+{
+  outcomes[aNumber].isRefused = true;
+  dispatcher.OnReleased(
+    now, { .id = { .daemon = DaemonId{ "d0" }, .number = aNumber }, .end = PlaceEnd::kWithdrawn });
+}
+
+OrderOutcome FleetWorld::TakeLate(const RunnerOrder& aOrder, Duration aTime)
+{
+  const std::int64_t life = Find(aOrder.runner).startedAtMs;
+  Later(aTime, [this, aOrder, life] {
+    if (Find(aOrder.runner).startedAtMs == life) {
+      Take(aOrder);
+    }
+  });
+  return OrderOutcome::kUnknown;
+}
+
 /* What a runner does with an order that reaches it. */
 OrderOutcome FleetWorld::Take(const RunnerOrder& aOrder)
 {
--- a/tests/fleet/fleet_world.h
+++ b/tests/fleet/fleet_world.h
@@ -89,6 +89,10 @@
   /* Tells the dispatcher what the entry of a runner says now. */
   void Announce(std::size_t aRunner);
   void Leave(std::size_t aRunner);
+  /* The caller gives up before it was answered. */
+  void Withdraw(std::uint64_t aNumber);
+  /* A runner leaves an order unanswered and takes it after some time, if it still may. */
+  OrderOutcome TakeLate(const RunnerOrder& aOrder, Duration aTime);
 
   std::size_t Served() const;
   std::size_t Refused() const;
