Change: [Caller] Serve callers from one event loop

Change: CallerServer runs src/http's server on one thread; CallerExchange passes a session's answer on as the session tells that a part is there, and lets the session hold the endpoint back when its caller is slow. Checks of requests stand in request_check.cpp. A server can make its own answer to unreadable requests. A stored answer is also passed on to a caller that asked for a stream. `caller_threads` is accepted and does nothing; `caller_connections` bounds open connections.

--- /dev/null
+++ b/src/caller/caller_exchange.cpp
@@ -0,0 +1,186 @@
+/* Passes answers on to callers. */
+#include "caller/caller_exchange.h"
+
+#include "caller/error_body.h"
+#include "core/log_func.h"
+
+#include <boost/asio/post.hpp>
+
+namespace rhubarbtrail {
+
+namespace {
+
+/* Bytes that a slow caller may leave untaken before the session is asked for no more; the session
+ * then holds the endpoint back. */
+constexpr std::size_t kUnsentLimit = 256U << 10U;
+
+} // namespace
+
+void NoteRequestEnd(const ExchangeContext& aContext, const ExchangeWatch& aWatch, ResultCode aCode)
+{
+  const auto latency =
+    std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - aWatch.started);
+  Log(log_part::kRouter)
+    ->debug("Request {} of class '{}' ended with {} {} after {} us.",
+            aWatch.id.str(),
+            aWatch.requestClass.str(),
+            static_cast<int>(aCode),
+            Describe(aCode).name,
+            latency.count());
+  if (aContext.finished) {
+    aContext.finished({ .code = aCode, .requestClass = aWatch.requestClass, .latency = latency });
+  }
+}
+
+void SendRefusal(http::Responder& aResponder,
+                 const FinishRequest& aFinish,
+                 const std::string& aDetail)
+{
+  http::AnswerHead head{ .status = static_cast<unsigned>(Describe(aFinish.code).httpStatus),
+                         .reason = "Refused",
+                         .fields = {
+                           { "X-Request-Id", aFinish.request.str() },
+                           { "X-Result-Code", std::to_string(static_cast<int>(aFinish.code)) },
+                           { "Content-Type", "application/json" } } };
+  if (aFinish.retryAfter.count() > 0) {
+    head.fields.push_back({ "Retry-After", RetryAfterSeconds(aFinish.retryAfter) });
+  }
+  aResponder.Send(std::move(head), MakeErrorBody(aFinish.code, aFinish.request, aDetail));
+}
+
+CallerExchange::CallerExchange(ExchangeContext& aContext,
+                               ExchangeWatch aWatch,
+                               std::shared_ptr<Session> aSession,
+                               std::shared_ptr<http::Responder> aResponder)
+  : mContext(aContext)
+  , mWatch(std::move(aWatch))
+  , mSession(std::move(aSession))
+  , mResponder(std::move(aResponder))
+{
+}
+
+void CallerExchange::Start()
+{
+  mResponder->OnGone([self = shared_from_this()] { self->OnGone(); });
+  mResponder->OnDrained([self = shared_from_this()] { self->Pump(); });
+  mSession->SetListener([self = shared_from_this()] { self->PumpSoon(); });
+  Pump();
+}
+
+/* Called by any thread. */
+void CallerExchange::PumpSoon()
+{
+  if (!mIsPumpPosted.exchange(true)) {
+    boost::asio::post(mContext.loop, [self = shared_from_this()] {
+      self->mIsPumpPosted = false;
+      self->Pump();
+    });
+  }
+}
+
+void CallerExchange::Pump()
+{
+  while (!mIsEnded && mResponder->unsentBytes() <= kUnsentLimit) {
+    const auto part = mSession->TakePart();
+    if (!part) {
+      return;
+    }
+    Pass(*part);
+  }
+}
+
+void CallerExchange::Pass(const AnswerPart& aPart)
+{
+  if (mIsGone) {
+    if (aPart.finish) {
+      End(aPart.finish->code);
+    }
+    return;
+  }
+  if (!mIsHeadSent) {
+    PassFirst(aPart);
+    return;
+  }
+  mResponder->SendBody(aPart.data);
+  if (!aPart.finish) {
+    return;
+  }
+  if (aPart.finish->code != ResultCode::kOk) {
+    // No end mark follows, so that the caller cannot take the stream for whole.
+    mResponder->SendBody(
+      "event: error\ndata: " + MakeErrorBody(aPart.finish->code, mSession->id()) + "\n\n");
+  }
+  mResponder->Finish();
+  End(aPart.finish->code);
+}
+
+/* The status is sent once the first event has come; a refusal before it keeps its own. */
+void CallerExchange::PassFirst(const AnswerPart& aPart)
+{
+  const bool isWhole = mSession->call().form == AnswerForm::kWhole || mSession->delivered() == 0;
+  if (aPart.finish && aPart.finish->code != ResultCode::kOk && (isWhole || aPart.data.empty())) {
+    SendRefusal(*mResponder, *aPart.finish);
+    End(aPart.finish->code);
+    return;
+  }
+  if (aPart.finish && isWhole) {
+    const FinishRequest& finish = *aPart.finish;
+    if (finish.httpStatus != 0) {
+      SendWhole({ .status = static_cast<unsigned>(finish.httpStatus),
+                  .reason = "Answered",
+                  .fields = { { "Idempotent-Replay", "true" } } },
+                finish.contentType,
+                finish.storedAnswer);
+    } else {
+      SendWhole({ .status = static_cast<unsigned>(mSession->status()), .reason = "Answered" },
+                mSession->contentType(),
+                aPart.data);
+    }
+    End(finish.code);
+    return;
+  }
+  mIsHeadSent = true;
+  mResponder->SendHead(
+    { .status = 200,
+      .reason = "OK",
+      .fields = { { "X-Request-Id", mWatch.id.str() }, { "Content-Type", "text/event-stream" } },
+      .framing = http::Framing::kChunked });
+  Pass(aPart);
+}
+
+void CallerExchange::SendWhole(http::AnswerHead aHead,
+                               const std::string& aType,
+                               const std::string& aBody)
+{
+  aHead.fields.push_back({ "X-Request-Id", mWatch.id.str() });
+  if (!aType.empty()) {
+    aHead.fields.push_back({ "Content-Type", aType });
+  }
+  mResponder->Send(std::move(aHead), aBody);
+}
+
+void CallerExchange::End(ResultCode aCode)
+{
+  mIsEnded = true;
+  mResponder->OnGone(nullptr);
+  mResponder->OnDrained(nullptr);
+  mSession->SetListener(nullptr);
+  mContext.sessions.Remove(mSession->id());
+  NoteRequestEnd(mContext, mWatch, aCode);
+}
+
+/* A caller that goes cancels its request, but not a whole answer of a request that runs at most
+ * once: its outcome is recorded. */
+void CallerExchange::OnGone()
+{
+  mIsGone = true;
+  const bool isKept = mSession->call().form == AnswerForm::kWhole &&
+                      mSession->call().repeatability == Repeatability::kAtMostOnce;
+  if (!isKept) {
+    mContext.post(RequestCancelled{ mSession->id() });
+    mSession->Abandon();
+  }
+  PumpSoon();
+}
+
+} // namespace rhubarbtrail
--- a/src/caller/caller_server.h
+++ b/src/caller/caller_server.h
@@ -17,9 +17,9 @@
 {
   std::string address = "127.0.0.1";
   std::uint16_t port = 0;
-  std::uint32_t threads = 256;
-  std::uint64_t bodyLimit = 1U << 20U;         ///< Bytes.
-  std::string requestIdPrefix;                 ///< Makes the ids of this process unique.
+  std::uint32_t connections = 4'096;   ///< Beyond it, connections without a request are closed.
+  std::uint64_t bodyLimit = 1U << 20U; ///< Bytes.
+  std::string requestIdPrefix;         ///< Makes the ids of this process unique.
   std::function<void(RequestSample)> finished; ///< Told of each request that has ended.
 };
 
@@ -37,7 +37,7 @@
   /* Binds and starts to serve; returns the port, or 0 when it cannot be bound. */
   std::uint16_t Start();
 
-  /* Closes the listening socket and waits for the answers under way. */
+  /* Waits for the answers under way, for some seconds at most, and closes all connections. */
   void Stop();
 
 private:
--- /dev/null
+++ b/src/caller/request_check.cpp
@@ -0,0 +1,265 @@
+/* Checks callers' requests: who asks, for what, by when. */
+#include "caller/request_check.h"
+
+#include "core/digest_func.h"
+
+#include <array>
+#include <charconv>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace rhubarbtrail {
+
+namespace {
+
+using nlohmann::json;
+
+/* Characters of a prompt that identify the prefix which an engine may have cached. */
+constexpr std::size_t kPrefixLength = 256;
+constexpr std::size_t kKeyLengthLimit = 128;
+/* Longest deadline that a caller may ask for. */
+constexpr std::int64_t kDeadlineLimitMs = 86'400'000;
+constexpr const char* kBearer = "Bearer ";
+constexpr const char* kDefaultClass = "default";
+constexpr std::string_view kServicePrefix = "/services/";
+/* Methods that a call to a plain service may use. */
+constexpr std::array kServiceMethods{ "GET", "POST", "PUT", "PATCH", "DELETE" };
+
+/* A call to a plain service: its name, and the path behind it. */
+struct ServicePath
+{
+  ServiceId service;
+  std::string rest;
+};
+
+std::string HeaderOf(const http::Request& aRequest, std::string_view aName)
+{
+  return std::string{ http::Find(aRequest.fields, aName).value_or("") };
+}
+
+/* Splits "/services/NAME/PATH"; nothing for other paths. */
+std::optional<ServicePath> SplitServicePath(const std::string& aPath)
+{
+  if (!aPath.starts_with(kServicePrefix)) {
+    return std::nullopt;
+  }
+  const auto slash = aPath.find('/', kServicePrefix.size());
+  if (slash == std::string::npos || slash == kServicePrefix.size()) {
+    return std::nullopt;
+  }
+  return ServicePath{ .service = ServiceId{ aPath.substr(kServicePrefix.size(),
+                                                         slash - kServicePrefix.size()) },
+                      .rest = aPath.substr(slash) };
+}
+
+tl::unexpected<Refusal> Refuse(ResultCode aCode, std::string aDetail = {})
+{
+  return tl::make_unexpected(Refusal{ aCode, std::move(aDetail) });
+}
+
+/* Fills in what headers say: class, deadline and idempotency key. */
+tl::expected<void, Refusal> ReadHeaders(const http::Request& aRequest, CheckedRequest& aChecked)
+{
+  const std::string deadline = HeaderOf(aRequest, "X-Deadline-Ms");
+  if (!deadline.empty()) {
+    std::int64_t value = 0;
+    const auto [end, error] =
+      std::from_chars(deadline.data(), deadline.data() + deadline.size(), value);
+    const bool isNumber = error == std::errc{} && end == deadline.data() + deadline.size();
+    if (!isNumber || value < 1 || value > kDeadlineLimitMs) {
+      return Refuse(ResultCode::kRequestMalformed, "X-Deadline-Ms must be 1 to 86400000");
+    }
+    aChecked.arrived.timeLeft = std::chrono::milliseconds{ value };
+  }
+  const std::string key = HeaderOf(aRequest, "Idempotency-Key");
+  if (key.size() > kKeyLengthLimit) {
+    return Refuse(ResultCode::kRequestMalformed, "Idempotency-Key has at most 128 characters");
+  }
+  aChecked.arrived.key = IdempotencyKey{ key };
+  const std::string requestClass = HeaderOf(aRequest, "X-Request-Class");
+  aChecked.arrived.requestClass = ClassId{ requestClass.empty() ? kDefaultClass : requestClass };
+  return {};
+}
+
+void ReadFingerprint(const http::Request& aRequest, CheckedRequest& aChecked)
+{
+  aChecked.arrived.fingerprint =
+    FingerprintId{ Sha256Hex(aRequest.method + " " + PathOf(aRequest) + "\n" + aRequest.body) };
+  aChecked.arrived.prefixHash =
+    std::hash<std::string_view>{}(std::string_view{ aRequest.body }.substr(0, kPrefixLength));
+  aChecked.arrived.bytes = aRequest.body.size();
+}
+
+/* Splits "model:adapter" and finds both in the configuration. */
+tl::expected<Artifact, Refusal> FindArtifact(const Configuration& aConfiguration,
+                                             const CustomerSpec& aCustomer,
+                                             const std::string& aName)
+{
+  const auto colon = aName.find(':');
+  const ModelId modelId{ aName.substr(0, colon) };
+  const auto model = aConfiguration.models.find(modelId);
+  const bool isAllowed = aCustomer.allModels || aCustomer.models.contains(modelId);
+  if (model == aConfiguration.models.end() || !isAllowed) {
+    return Refuse(ResultCode::kModelUnknown);
+  }
+  Artifact artifact{ .model = modelId, .adapter = {} };
+  if (colon != std::string::npos) {
+    artifact.adapter = AdapterId{ aName.substr(colon + 1) };
+    if (!model->second.adapters.contains(artifact.adapter)) {
+      return Refuse(ResultCode::kModelUnknown, "the model has no such adapter");
+    }
+  }
+  return artifact;
+}
+
+tl::expected<json, Refusal> ReadCompletionBody(const std::string& aBody)
+{
+  json body = json::parse(aBody, nullptr, false);
+  if (body.is_discarded() || !body.is_object()) {
+    return Refuse(ResultCode::kRequestMalformed, "the body is not a JSON object");
+  }
+  if (!body.contains("model") || !body["model"].is_string()) {
+    return Refuse(ResultCode::kRequestMalformed, "model must be a text");
+  }
+  if (body.contains("stream") && !body["stream"].is_boolean()) {
+    return Refuse(ResultCode::kRequestMalformed, "stream must be true or false");
+  }
+  if (body.contains("max_tokens") && !body["max_tokens"].is_number_unsigned()) {
+    return Refuse(ResultCode::kRequestMalformed, "max_tokens must be a whole number");
+  }
+  return body;
+}
+
+CheckResult CheckCompletion(const Snapshot& aSnapshot, const http::Request& aRequest)
+{
+  const auto customerId = Authenticate(aSnapshot, aRequest);
+  if (!customerId) {
+    return tl::make_unexpected(customerId.error());
+  }
+  const auto body = ReadCompletionBody(aRequest.body);
+  if (!body) {
+    return tl::make_unexpected(body.error());
+  }
+  const Configuration& configuration = *aSnapshot.configuration;
+  const CustomerSpec& customer = configuration.customers.at(*customerId);
+  const auto artifact = FindArtifact(configuration, customer, body->at("model").get<std::string>());
+  if (!artifact) {
+    return tl::make_unexpected(artifact.error());
+  }
+  CheckedRequest checked;
+  if (const auto headers = ReadHeaders(aRequest, checked); !headers) {
+    return tl::make_unexpected(headers.error());
+  }
+  const auto requestClass = configuration.classes.find(checked.arrived.requestClass);
+  if (requestClass == configuration.classes.end()) {
+    return Refuse(ResultCode::kRequestMalformed, "X-Request-Class names no declared class");
+  }
+  checked.arrived.customer = *customerId;
+  checked.arrived.artifact = *artifact;
+  checked.arrived.service = configuration.models.at(artifact->model).service;
+  ReadFingerprint(aRequest, checked);
+  checked.call = { .method = "POST",
+                   .path = PathOf(aRequest),
+                   .contentType = "application/json",
+                   .body = aRequest.body,
+                   .headers = {},
+                   .form = body->value("stream", false) ? AnswerForm::kStream : AnswerForm::kWhole,
+                   .repeatability = requestClass->second.repeatability };
+  return checked;
+}
+
+/* Headers that a call to a plain service keeps. */
+constexpr std::array kPassedHeaders{ "Accept", "Accept-Language", "Idempotency-Key" };
+
+CheckResult CheckServiceCall(const Snapshot& aSnapshot,
+                             const http::Request& aRequest,
+                             const ServicePath& aPath)
+{
+  const auto customerId = Authenticate(aSnapshot, aRequest);
+  if (!customerId) {
+    return tl::make_unexpected(customerId.error());
+  }
+  const Configuration& configuration = *aSnapshot.configuration;
+  const CustomerSpec& customer = configuration.customers.at(*customerId);
+  const ServiceId& serviceId = aPath.service;
+  const auto service = configuration.services.find(serviceId);
+  const bool isKnown = service != configuration.services.end() &&
+                       service->second.kind == ServiceKind::kPlain &&
+                       customer.services.contains(serviceId);
+  if (!isKnown) {
+    return Refuse(ResultCode::kServiceUnknown);
+  }
+  CheckedRequest checked;
+  if (const auto headers = ReadHeaders(aRequest, checked); !headers) {
+    return tl::make_unexpected(headers.error());
+  }
+  const std::string& path = aPath.rest;
+  const auto& routes = service->second.routes;
+  const auto route = std::find_if(routes.begin(), routes.end(), [&](const RouteSpec& aRoute) {
+    return (aRoute.method.empty() || aRoute.method == aRequest.method) &&
+           path.starts_with(aRoute.pathPrefix);
+  });
+  if (route == routes.end()) {
+    return Refuse(ResultCode::kServiceUnknown, "the service declares no such route");
+  }
+  checked.arrived.requestClass = route->requestClass;
+  checked.arrived.customer = *customerId;
+  checked.arrived.service = serviceId;
+  ReadFingerprint(aRequest, checked);
+  const auto query = aRequest.target.find('?');
+  checked.call = { .method = aRequest.method,
+                   .path = path + (query == std::string::npos ? "" : aRequest.target.substr(query)),
+                   .contentType = HeaderOf(aRequest, "Content-Type"),
+                   .body = aRequest.body,
+                   .headers = {},
+                   .form = AnswerForm::kWhole,
+                   .repeatability = configuration.classes.at(route->requestClass).repeatability };
+  for (const char* name : kPassedHeaders) {
+    if (const auto value = http::Find(aRequest.fields, name)) {
+      checked.call.headers.emplace_back(name, *value);
+    }
+  }
+  return checked;
+}
+
+} // namespace
+
+tl::expected<CustomerId, Refusal> Authenticate(const Snapshot& aSnapshot,
+                                               const http::Request& aRequest)
+{
+  const std::string header = HeaderOf(aRequest, "Authorization");
+  if (!header.starts_with(kBearer)) {
+    return Refuse(ResultCode::kKeyMissing);
+  }
+  const auto found = aSnapshot.customersByKeyHash.find(
+    Sha256Hex(std::string_view{ header }.substr(std::string_view{ kBearer }.size())));
+  if (found == aSnapshot.customersByKeyHash.end()) {
+    return Refuse(ResultCode::kKeyWrong);
+  }
+  return found->second;
+}
+
+std::string PathOf(const http::Request& aRequest)
+{
+  // Rules for paths are compared without escapes, so that no spelling gets around them.
+  return httplib::detail::decode_url(aRequest.target.substr(0, aRequest.target.find('?')), false);
+}
+
+CheckResult CheckRequest(const Snapshot& aSnapshot, const http::Request& aRequest)
+{
+  const std::string path = PathOf(aRequest);
+  const bool isCompletion = path == "/v1/chat/completions" || path == "/v1/completions";
+  if (isCompletion && aRequest.method == "POST") {
+    return CheckCompletion(aSnapshot, aRequest);
+  }
+  const auto service = SplitServicePath(path);
+  const bool isAllowed =
+    std::find(kServiceMethods.begin(), kServiceMethods.end(), aRequest.method) !=
+    kServiceMethods.end();
+  if (service && isAllowed) {
+    return CheckServiceCall(aSnapshot, aRequest, *service);
+  }
+  return Refuse(ResultCode::kServiceUnknown);
+}
+
+} // namespace rhubarbtrail
--- a/src/caller/session.cpp
+++ b/src/caller/session.cpp
@@ -60,7 +60,7 @@
     mUntakenBytes += aData.size();
     mParts.push_back(std::move(aData));
   }
-  mChanged.notify_all();
+  Tell();
   return true;
 }
 
@@ -94,7 +94,7 @@
     }
     mFinish = std::move(aFinish);
   }
-  mChanged.notify_all();
+  Tell();
 }
 
 void Session::Abandon()
@@ -143,26 +143,45 @@
   return IsCurrent(aAttempt);
 }
 
-std::optional<AnswerPart> Session::WaitPart(Duration aLimit)
+std::optional<AnswerPart> Session::TakePart()
 {
-  std::unique_lock lock(mMutex);
-  // A whole answer is held until its outcome is known; only events are counted as delivered.
-  const bool isReady =
-    mChanged.wait_for(lock, aLimit, [&] { return mFinish || (mDelivered > 0 && !mParts.empty()); });
-  if (!isReady) {
-    return std::nullopt;
-  }
   AnswerPart part;
-  while (!mParts.empty()) {
-    part.data += mParts.front();
-    mParts.pop_front();
+  {
+    const std::lock_guard lock(mMutex);
+    // A whole answer is held until its outcome is known; only events are counted as delivered.
+    if (!mFinish && (mDelivered == 0 || mParts.empty())) {
+      return std::nullopt;
+    }
+    while (!mParts.empty()) {
+      part.data += mParts.front();
+      mParts.pop_front();
+    }
+    mUntakenBytes = 0;
+    part.finish = mFinish;
   }
-  mUntakenBytes = 0;
   mChanged.notify_all();
-  part.finish = mFinish;
   return part;
 }
 
+void Session::SetListener(std::function<void()> aListener)
+{
+  const std::lock_guard lock(mMutex);
+  mListener = std::move(aListener);
+}
+
+void Session::Tell()
+{
+  std::function<void()> listener;
+  {
+    const std::lock_guard lock(mMutex);
+    listener = mListener;
+  }
+  mChanged.notify_all();
+  if (listener) {
+    listener();
+  }
+}
+
 void SessionMap::Add(std::shared_ptr<Session> aSession)
 {
   const std::lock_guard lock(mMutex);
--- a/src/caller/session.h
+++ b/src/caller/session.h
@@ -79,8 +79,10 @@
   /* Returns whether the attempt is the current one and was not stopped. */
   bool IsWanted(AttemptNumber aAttempt) const;
 
-  /* Waits for the next part of the answer; nothing when the time has passed. */
-  std::optional<AnswerPart> WaitPart(Duration aLimit);
+  /* Returns the next part of the answer; nothing while there is none. */
+  std::optional<AnswerPart> TakePart();
+  /* Sets whom to tell, on any thread, that there may be a part to take; null: nobody. */
+  void SetListener(std::function<void()> aListener);
 
   /* The status and type of a whole answer; valid after the last part was taken. */
   int status() const { return mStatus; }
@@ -89,6 +91,7 @@
 private:
   bool IsStopped(AttemptNumber aAttempt) const;
   bool IsCurrent(AttemptNumber aAttempt) const;
+  void Tell();
 
   const RequestId mId;
   const EndpointCall mCall;
@@ -101,6 +104,7 @@
   std::optional<FinishRequest> mFinish;
   bool mIsAbandoned = false;
   std::function<void()> mCanceller;
+  std::function<void()> mListener;
   AttemptNumber mStopped;
   int mStatus = 200;
   std::string mContentType = "application/json";
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -126,7 +126,7 @@
            })
   , mCallers({ .address = mSettings.listenAddress,
                .port = mSettings.callerPort,
-               .threads = mSettings.callerThreads,
+               .connections = mSettings.callerConnections,
                .bodyLimit = mSettings.bodyLimit,
                .requestIdPrefix = mSettings.daemonId + "-" + mSelf.id.str(),
                .finished = [this](RequestSample aSample) { mMetrics.Note(std::move(aSample)); } },
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -362,8 +362,15 @@
     mIn.clear();
     mKeepsConnection = false;
     BeginAnswer();
-    Responder{ shared_from_this() }.Send({ .status = aStatus, .reason = "Rejected" },
-                                         "{\"error\":\"the request is malformed or too large\"}");
+    Rejection rejection{ .status = aStatus,
+                         .fields = {},
+                         .body = "{\"error\":\"the request is malformed or too large\"}" };
+    if (mServer->options.rejection) {
+      rejection = mServer->options.rejection(aStatus);
+    }
+    Responder{ shared_from_this() }.Send(
+      { .status = rejection.status, .reason = "Rejected", .fields = std::move(rejection.fields) },
+      rejection.body);
   }
 
   void Write(std::string_view aBytes)
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -56,11 +56,21 @@
   Duration idleTime = 15s;  ///< Between requests.
 };
 
+/* The answer to a request that could not be read. */
+struct Rejection
+{
+  unsigned status = 0;
+  Fields fields;
+  std::string body;
+};
+
 struct ServerOptions
 {
   std::string address;                 ///< host:port
   std::size_t connectionLimit = 2'000; ///< Idle connections are closed beyond it.
   std::string name;                    ///< For logs.
+  /* Makes the answer to an unreadable request from its status; null: a plain one. */
+  std::function<Rejection(unsigned)> rejection;
 };
 
 struct ServerCounts
--- a/src/settings/settings_base.h
+++ b/src/settings/settings_base.h
@@ -54,7 +54,8 @@
   std::string operatorKeys; ///< YAML file with the hashes of operators' keys.
   std::string logLevel = "info";
   LogFormat logFormat = LogFormat::kText;
-  std::uint32_t callerThreads = 256;
+  std::uint32_t callerThreads = 256; ///< Not used any more.
+  std::uint32_t callerConnections = 4'096;
   std::uint32_t attemptThreads = 256;
   std::uint32_t orderThreads = 16;
   std::uint64_t bodyLimit = 1U << 20U; ///< Bytes.
--- a/tests/process/test_front.py
+++ b/tests/process/test_front.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import re
+import resource
 import socket
+from pathlib import Path
 
 from fixture import pay, start
 from local_cluster import Cluster
 
-IDLE_CONNECTIONS = 1_500
+IDLE_CONNECTIONS = 4_000
+DESCRIPTORS = 2 * IDLE_CONNECTIONS + 1_000  # Of this process and of the daemon.
+MEMORY_LIMIT_KB = 60 * 1_024
 
 
 def connect(address: str) -> socket.socket:
@@ -15,12 +20,22 @@
     return socket.create_connection((host, int(port)), timeout=20)
 
 
+def memory_kb(pid: int) -> int:
+    """Returns the resident memory of a process."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    return int(re.search(r"VmRSS:\s+(\d+) kB", status).group(1))
+
+
 def test_payment_beside_idle_connections() -> None:
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    assert hard == resource.RLIM_INFINITY or hard >= DESCRIPTORS, "too few descriptors allowed"
+    resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, hard))
     with Cluster() as cluster:
         daemons = start(cluster, runners=0, ledgers=1, daemons=1)
         idle = [connect(daemons[0].addresses["caller"]) for _ in range(IDLE_CONNECTIONS)]
         answer = pay(daemons[0], "beside-idle")
         assert answer.status == 200, answer
+        assert memory_kb(daemons[0].popen.pid) < MEMORY_LIMIT_KB
         for connection in idle:
             connection.close()
 
--- a/tests/unit/contract_endpoint_test.cpp
+++ b/tests/unit/contract_endpoint_test.cpp
@@ -5,6 +5,7 @@
 #include "endpoint/order_client.h"
 
 #include <doctest/doctest.h>
+#include <semaphore>
 
 #include <vector>
 
@@ -81,6 +82,19 @@
   };
 }
 
+/* Waits for the next part of an answer; nothing when the limit has passed. */
+std::optional<AnswerPart> WaitPart(Session& aSession)
+{
+  const auto told = std::make_shared<std::counting_semaphore<>>(0); // May be told after the end.
+  aSession.SetListener([told] { told->release(); });
+  auto part = aSession.TakePart();
+  if (!part && told->try_acquire_for(kLimit)) {
+    part = aSession.TakePart();
+  }
+  aSession.SetListener(nullptr);
+  return part;
+}
+
 } // namespace
 
 TEST_CASE("an attempt is judged by what came back")
@@ -124,7 +138,7 @@
     session->BeginAttempt(AttemptNumber{ 1 });
     session->PushEvent(AttemptNumber{ 1 }, 0, "data: a\n\n");
     CHECK(RunAttempt(*session, MakeAttempt(server.address(), 1)).delivered == 3);
-    CHECK(session->WaitPart(kLimit)->data == kWholeStream);
+    CHECK(WaitPart(*session)->data == kWholeStream);
   }
 }
 
@@ -142,7 +156,7 @@
   while (pushed < 4) {
     std::this_thread::yield();
   }
-  CHECK(session->WaitPart(kLimit)->data.size() >= 4 * event.size());
+  CHECK(WaitPart(*session)->data.size() >= 4 * event.size());
   session->StopAttempt(AttemptNumber{ 1 });
   attempt.join();
   CHECK(session->delivered() <= 9);
