--- a/tests/fleet/fleet_world.cpp
+++ b/tests/fleet/fleet_world.cpp
@@ -344,8 +344,10 @@
     }
     for (const std::uint64_t number : ended) {
       runner.runs.erase(number);
-      dispatcher.OnReleased(
-        now, { .id = { .daemon = DaemonId{ "d0" }, .number = number }, .end = PlaceEnd::kDone });
+      dispatcher.OnReleased(now,
+                            { .id = { .daemon = DaemonId{ "d0" }, .number = number },
+                              .end = PlaceEnd::kDone,
+                              .firstEvent = firstEvent });
     }
     if (runner.order && runner.order->doneAt <= now) {
       const SimRunner::Order order = *runner.order;
