--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -44,14 +44,6 @@
 
 using DispatchAction = std::variant<PlacementReply, RunnerOrder, ReportWanted, DispatchNote>;
 
-/* Why a model gets a further replica. */
-enum class SwapReason : std::uint8_t
-{
-  kAskedFor,  ///< Requests wait for it, and no runner holds it.
-  kCrowded,   ///< Its replicas have too much work.
-  kFillsRoom, ///< A runner has room for it.
-};
-
 /* Whether orders may leave now, and under which name and number. */
 struct OrderRight
 {
@@ -245,7 +237,7 @@
                 const ServiceId& aService,
                 const ModelId& aModel,
                 double aBenefit,
-                SwapReason aReason);
+                std::string_view aWhy);
   /* Returns whether a runner has neither a swap ahead nor a model on its way. */
   bool IsFree(const ManagedRunner& aRunner) const;
   std::optional<Swap> FindSwap(TimePoint aNow,
@@ -259,8 +251,7 @@
                           const ManagedRunner& aRunner,
                           const ModelId& aModel,
                           const HeldModel& aHeld) const;
-  void AddSwap(Swap aSwap, SwapReason aReason);
-  double WorkOf(TimePoint aNow, const ModelId& aModel) const;
+  void AddSwap(Swap aSwap, std::string_view aWhy);
   std::uint32_t Replicas(const ServiceId& aService, const ModelId& aModel) const;
   /* Returns the runners that hold a model, of all services. */
   const std::vector<ManagedRunner*>& Holders(const ModelId& aModel) const;
@@ -313,8 +304,6 @@
   mutable std::unordered_map<ModelId, std::vector<ManagedRunner*>> mHolders;
   mutable bool mIsIndexStale = true;
   std::deque<Waiting> mWaiting; ///< The most urgent first; among equals, the oldest.
-  /* Requests that wait, by model; counted when crowded models are looked for. */
-  std::unordered_map<ModelId, std::uint32_t> mQueued;
   TimePoint mNextPlan{};
   TimePoint mNextCrowdedCheck{};
   /* How many replicas of a model are planned for or on their way. */
--- a/src/decision/fleet/dispatcher_plan.cpp
+++ b/src/decision/fleet/dispatcher_plan.cpp
@@ -10,9 +10,6 @@
 
 /* Work, in runners, that one replica of a model should have at most; more makes prompts wait. */
 constexpr double kReplicaWork = 0.5;
-/* Part of its batch from which a replica counts as having all the work that it should have: a
- * larger batch still serves more, so that only full ones are a reason for another replica. */
-constexpr double kFullBatch = 0.9;
 /* Time ahead for which it is weighed whether a model will be asked for. */
 constexpr double kHorizonS = 8.0;
 /* Delay of callers for each request a second that loses a replica, in seconds. */
@@ -43,19 +40,6 @@
 /* Time after which a planned swap is given up when its runner takes no orders. */
 constexpr Duration kSwapLimit = 15s;
 
-std::string_view ToString(SwapReason aReason)
-{
-  switch (aReason) {
-    case SwapReason::kAskedFor:
-      return "asked_for";
-    case SwapReason::kCrowded:
-      return "crowded";
-    case SwapReason::kFillsRoom:
-      return "fills_room";
-  }
-  return "unknown";
-}
-
 double SecondsOf(Duration aDuration)
 {
   return std::chrono::duration<double>(aDuration).count();
@@ -116,23 +100,6 @@
   return count;
 }
 
-/* Returns the work that a model gives, in runners: by what is asked for, or by how many batches its
- * requests fill, those that wait included, whichever is more. Load pattern: a model whose answers
- * begin fast and take long fills its batches before its prompts crowd. */
-double Dispatcher::WorkOf(TimePoint aNow, const ModelId& aModel) const
-{
-  double filled = 0.0;
-  const auto queued = mQueued.find(aModel);
-  for (const ManagedRunner* runner : Holders(aModel)) {
-    const double slots = std::max(runner->entry.slots, 1U);
-    filled += runner->models.at(aModel).inFlight / slots;
-    if (queued != mQueued.end() && runner == Holders(aModel).front()) {
-      filled += queued->second / slots;
-    }
-  }
-  return std::max(mDemand.Work(aNow, aModel), filled * kReplicaWork / kFullBatch);
-}
-
 /* Notes which models are planned for or on their way. */
 void Dispatcher::NoteComing()
 {
@@ -190,7 +157,7 @@
     return 0.0; // Nobody may ask for it any more.
   }
   const double rate = mDemand.Rate(aNow, aModel);
-  const double needed = std::max(1.0, std::ceil(WorkOf(aNow, aModel) / kReplicaWork));
+  const double needed = std::max(1.0, std::ceil(mDemand.Work(aNow, aModel) / kReplicaWork));
   const double replicas = std::max<double>(Replicas(aRunner.entry.service, aModel), 1.0);
   const double isAsked = 1.0 - std::exp(-rate * kHorizonS);
   const double value =
@@ -244,7 +211,7 @@
 }
 
 /* Takes a swap into the plans. */
-void Dispatcher::AddSwap(Swap aSwap, SwapReason aReason)
+void Dispatcher::AddSwap(Swap aSwap, std::string_view aWhy)
 {
   ManagedRunner& runner = mRunners[aSwap.runner];
   for (const ModelId& victim : aSwap.victims) {
@@ -257,7 +224,7 @@
          .request = {},
          .runner = aSwap.runner,
          .model = { .model = aSwap.model, .adapter = {} },
-         .why = ToString(aReason),
+         .why = aWhy,
          .time = aSwap.loadTime,
          .count = aSwap.victims.size() });
   ++mComing[{ aSwap.service, aSwap.model }];
@@ -327,7 +294,7 @@
       Wake(mNextPlan);
       break;
     }
-    PlanSwap(aNow, key.first, key.second, kWantedBenefitS, SwapReason::kAskedFor);
+    PlanSwap(aNow, key.first, key.second, kWantedBenefitS, "asked_for");
   }
 }
 
@@ -337,12 +304,8 @@
   if (!mConfiguration) {
     return;
   }
-  mQueued.clear();
-  for (const Waiting& waiting : mWaiting) {
-    ++mQueued[waiting.ask.work.target.model];
-  }
   for (const ModelId& model : mDemand.Models()) {
-    const double work = WorkOf(aNow, model);
+    const double work = mDemand.Work(aNow, model);
     if (work <= kReplicaWork) {
       continue;
     }
@@ -355,7 +318,7 @@
       replicas += Coming(serviceId, model);
       while (work > kReplicaWork * replicas) {
         const double benefit = (work / replicas - kReplicaWork) * kHorizonS + kLeastBenefitS;
-        if (!PlanSwap(aNow, serviceId, model, benefit, SwapReason::kCrowded)) {
+        if (!PlanSwap(aNow, serviceId, model, benefit, "crowded")) {
           break;
         }
         replicas += 1.0;
@@ -392,7 +355,7 @@
       (!MayLoadFromStore(aNow, *runner.engine) || static_cast<double>(StoreLoadsUnderWay()) + 1.0 >
                                                     std::max(kRoomPart * mStoreLoadsAtOnce, 1.0));
     if (swap && swap->victims.empty() && !isStoreBusy) {
-      AddSwap(std::move(*swap), SwapReason::kFillsRoom);
+      AddSwap(std::move(*swap), "fills_room");
     }
   }
 }
@@ -428,7 +391,7 @@
                           const ServiceId& aService,
                           const ModelId& aModel,
                           double aBenefit,
-                          SwapReason aReason)
+                          std::string_view aWhy)
 {
   const Engine* engine = EngineOf(aService);
   const auto model =
@@ -442,10 +405,6 @@
         runner.health.IsDoubted(aNow)) {
       continue;
     }
-    // While rare models keep most runners swapping, the cheapest one is hardly ever free.
-    if (aReason == SwapReason::kCrowded && !IsFree(runner)) {
-      continue;
-    }
     auto swap = FindSwap(aNow, runner, model->second);
     if (swap && (!best || swap->cost < best->cost)) {
       best = std::move(swap);
@@ -461,7 +420,7 @@
   if (best->isFromStore && !MayLoadFromStore(aNow, *engine)) {
     return false;
   }
-  AddSwap(std::move(*best), aReason);
+  AddSwap(std::move(*best), aWhy);
   return true;
 }
 
