Fix: [Router] A holder that was silent for long gets a short time again, not none and not all

The unit test "without a holder a request is refused before its deadline" then failed: a second request, some seconds after one that was refused for silence, waited the whole limit again. Change: after a pause, a holder that was proven silent has two demand intervals to answer. Before: one unit case red.

--- a/src/decision/router/router_base.h
+++ b/src/decision/router/router_base.h
@@ -85,6 +85,7 @@
   std::optional<TimePoint> askedAt; ///< The first question it has not answered.
   std::optional<TimePoint> silentSince; ///< The first demand that nobody has answered.
   std::optional<TimePoint> wantedAt;    ///< The last demand for waiting requests.
+  bool isProvenSilent = false;          ///< Requests were refused because nobody answered.
 };
 
 /* A pause after refused attempts; it grows with each refusal in a row. */
--- a/src/decision/router/router_demand.cpp
+++ b/src/decision/router/router_demand.cpp
@@ -69,16 +69,17 @@
   // Time enough for a lease to lapse and for another daemon to take it.
   const Duration limit = aContext.settings().leaseLength + aContext.settings().memberTimeout;
   if (contact.silentSince && aContext.now() - *contact.silentSince >= limit && aTarget.hasAsked) {
+    contact.isProvenSilent = true;
     RefuseWaiting(
       aContext, aTarget, ResultCode::kReplicaUnavailable, kDefaultRetryAfter, TimePoint::max());
   }
   aTarget.hasAsked = !aTarget.queue.empty();
   if (aTarget.hasAsked) {
-    // While nobody asked, nobody was silent.
+    // While nobody asked, nobody was silent. Who was silent for long before gets less time now.
     const Duration pause = kIntervalsBeforeNextHolder * aContext.settings().demandInterval;
     const bool hasPaused = !contact.wantedAt || aContext.now() - *contact.wantedAt > pause;
     if (!contact.silentSince || hasPaused) {
-      contact.silentSince = aContext.now();
+      contact.silentSince = aContext.now() - (contact.isProvenSilent ? limit - pause : Duration{});
     }
     contact.wantedAt = aContext.now();
   }
