Change: [HTTP] One way to read a socket; fields that nothing uses are gone

Cause: reading as a newcomer. Client and server each had a buffer, a size and a read of their own; the client set its socket non-blocking at every read. Refusing and failing a request opened with the same five lines. Route::usesModels, Service::healthPath and maxConnections, RunnerReport::cacheUsed, ServerOptions::name and TableFeed::answeredAt were written and never read. Change: ReadAvailable() in socket_options; RequestFlow::MayAnswer(); the fields are removed.

--- a/src/caller/caller_server.cpp
+++ b/src/caller/caller_server.cpp
@@ -49,7 +49,6 @@
     , server(loop,
              { .address = options.address + ":" + std::to_string(options.port),
                .connectionLimit = options.connections,
-               .name = "callers",
                .rejection = [this](unsigned aStatus) { return Rejection(aStatus); } },
              [this](http::Request aRequest, std::shared_ptr<http::Responder> aResponder) {
                Serve(aRequest, std::move(aResponder));
--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -136,21 +136,19 @@
         { .table = std::string{ platform::table::kRunners }, .interval = RunnerInterval() },
         RunnerHandlers())
     , mFront(mLoop,
-             { .address = mSettings.edge.frontAddress,
-               .connectionLimit = ConnectionLimit(),
-               .name = "front" },
+             { .address = mSettings.edge.frontAddress, .connectionLimit = ConnectionLimit() },
              [this](http::Request aRequest, std::shared_ptr<http::Responder> aResponder) {
                ServeRequest(mGateway, std::move(aRequest), std::move(aResponder));
              })
     , mReady(
         mLoop,
-        { .address = mSettings.edge.readyAddress, .name = "ready" },
+        { .address = mSettings.edge.readyAddress },
         [this](const http::Request& aRequest, const std::shared_ptr<http::Responder>& aResponder) {
           AnswerReadiness(aRequest, *aResponder);
         })
     , mInspection(
         mLoop,
-        { .address = mSettings.edge.metricsAddress, .name = "metrics" },
+        { .address = mSettings.edge.metricsAddress },
         [this](const http::Request& aRequest, const std::shared_ptr<http::Responder>& aResponder) {
           AnswerInspection(aRequest, *aResponder);
         })
--- a/src/decision/fleet/fleet_configuration_type.h
+++ b/src/decision/fleet/fleet_configuration_type.h
@@ -36,7 +36,6 @@
   std::string prefix;
   RouteKind kind = RouteKind::kNonIdempotent;
   bool isResumable = false;      ///< A stream may go on at another endpoint.
-  bool usesModels = false;       ///< Its requests name a model.
   Duration timeout{};            ///< Longest time from arrival to the end of the answer; 0: none.
   Duration objective{};          ///< Time to the answer, or to the first event, for full credit.
   Duration pauseObjective{};     ///< Longest pause between events for full credit.
@@ -75,9 +74,7 @@
 struct Service
 {
   ServiceId id;
-  std::string healthPath;
-  std::uint32_t maxConnections = 0; ///< Of one endpoint, from all callers.
-  std::optional<Engine> engine;     ///< Absent for plain services.
+  std::optional<Engine> engine; ///< Absent for plain services.
 };
 
 /* What clients may send, and how long they may take. */
--- a/src/decision/fleet/runner_type.h
+++ b/src/decision/fleet/runner_type.h
@@ -64,7 +64,6 @@
   std::int64_t startedAtMs = 0;
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
-  std::uint64_t cacheUsed = 0; ///< Tokens that cannot yield.
   RunnerState state = RunnerState::kReady;
   RunnerHoldings holdings;
 };
--- a/src/fleet/table_feed.cpp
+++ b/src/fleet/table_feed.cpp
@@ -152,7 +152,6 @@
 
 void TableFeed::OnAnswer()
 {
-  mAnsweredAt = BootTime();
   mFailures = 0;
   if (mIsLost) {
     mIsLost = false;
--- a/src/fleet/table_feed.h
+++ b/src/fleet/table_feed.h
@@ -46,7 +46,6 @@
   bool isSynced() const { return mIsSynced; }
   bool isLost() const { return mIsLost; }
   /* Returns when the store last answered. */
-  TimePoint answeredAt() const { return mAnsweredAt; }
   RowVersion version() const { return mVersion; }
 
 private:
@@ -68,7 +67,6 @@
   std::map<std::string, RowVersion> mRead;     ///< Of the rows read so far, while reading anew.
   RowVersion mVersion;                         ///< Changes up to here are known.
   RowVersion mReadVersion;
-  TimePoint mAnsweredAt{};
   TimePoint mCalledAt{};
   std::uint32_t mFailures = 0;
   bool mIsSynced = false;
--- a/src/gateway/request_answer.cpp
+++ b/src/gateway/request_answer.cpp
@@ -78,14 +78,19 @@
                                info.message));
 }
 
+/* Returns whether an answer of our own can still be sent; an answer that has begun is cut. */
+bool RequestFlow::MayAnswer(std::string_view aReason)
+{
+  if (!mIsEnded && mIsHeadSent) {
+    Cut(aReason);
+  }
+  return !mIsEnded && !mIsHeadSent;
+}
+
 /* Tells the client that its request has not run and never will. */
 void RequestFlow::Refuse(ResultCode aCode, Duration aRetryAfter, std::string_view aReason)
 {
-  if (mIsEnded) {
-    return;
-  }
-  if (mIsHeadSent) {
-    Cut(aReason);
+  if (!MayAnswer(aReason)) {
     return;
   }
   const ResultCodeInfo& info = Describe(aCode);
@@ -103,11 +108,7 @@
 /* Ends a request that may have run, or that is wrong in itself. */
 void RequestFlow::Fail(ResultCode aCode, std::string_view aReason)
 {
-  if (mIsEnded) {
-    return;
-  }
-  if (mIsHeadSent) {
-    Cut(aReason);
+  if (!MayAnswer(aReason)) {
     return;
   }
   const ResultCodeInfo& info = Describe(aCode);
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -70,6 +70,7 @@
   void PassEvents();
   void SendHeadOnce();
   void PassAnswer();
+  bool MayAnswer(std::string_view aReason);
   void Refuse(ResultCode aCode, Duration aRetryAfter, std::string_view aReason);
   void Fail(ResultCode aCode, std::string_view aReason);
   void Cut(std::string_view aReason);
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -5,7 +5,6 @@
 #include "http/socket_options.h"
 
 #include <algorithm>
-#include <array>
 #include <deque>
 #include <map>
 #include <optional>
@@ -26,7 +25,6 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr std::size_t kReadSize = 16U << 10U;
 constexpr std::uint32_t kHeaderLimit = 64U << 10U;
 /* Answers to other requests that one call reads past. */
 constexpr int kSkipLimit = 3;
@@ -35,12 +33,6 @@
 
 using Parser = beast_http::response_parser<beast_http::string_body>;
 
-std::array<char, kReadSize>& ReadBuffer()
-{
-  thread_local std::array<char, kReadSize> sBuffer;
-  return sBuffer;
-}
-
 AnswerHead ToHead(const Parser& aParser)
 {
   const auto& message = aParser.get();
@@ -276,20 +268,13 @@
     if (mState == State::kClosed) {
       return;
     }
-    auto& buffer = ReadBuffer();
-    std::size_t size = 0;
-    if (!aError) {
-      mSocket.non_blocking(true, aError);
-    }
-    if (!aError) {
-      size = mSocket.read_some(asio::buffer(buffer), aError);
-    }
+    const std::string_view bytes = aError ? std::string_view{} : ReadAvailable(mSocket, aError);
     if (aError == asio::error::would_block) {
       WaitForBytes();
       return;
     }
     if (mState == State::kIdle) {
-      if (!aError && size > 0) {
+      if (!aError && !bytes.empty()) {
         ++mClient->counts.spoiled;
       }
       Close();
@@ -299,7 +284,7 @@
       OnEndOfInput(aError == asio::error::eof);
       return;
     }
-    mIn.append(buffer.data(), size);
+    mIn.append(bytes);
     if (mHasHead && mSilenceTime > Duration::zero()) {
       SetTimer(asio::steady_timer::clock_type::now() + mSilenceTime);
     }
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -4,7 +4,6 @@
 #include "http/socket_options.h"
 
 #include <algorithm>
-#include <array>
 #include <list>
 #include <optional>
 #include <unordered_set>
@@ -25,8 +24,6 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-/* Bytes read from a socket at a time. */
-constexpr std::size_t kReadSize = 16U << 10U;
 /* Bytes of following requests that are stored while one is being answered. */
 constexpr std::size_t kPipelineLimit = 64U << 10U;
 /* Time before accepting again after the host ran out of descriptors. */
@@ -37,14 +34,6 @@
 
 using Parser = beast_http::request_parser<beast_http::string_body>;
 
-/* The buffer into which all connections of the thread read; what is left over of a request is
- * stored by its connection. */
-std::array<char, kReadSize>& ReadBuffer()
-{
-  thread_local std::array<char, kReadSize> sBuffer;
-  return sBuffer;
-}
-
 /* Returns what is wrong with a request's framing beyond what the parser checks: a coding that is
  * not understood would leave the body to be read as the next request. */
 bool IsFramingSound(const Parser::value_type& aMessage, bool aIsChunked)
@@ -130,9 +119,7 @@
 
   void Start()
   {
-    error_code ignored; // A connection that cannot be set up fails at its first read.
-    mSocket.non_blocking(true, ignored);
-    SetSocketOptions(mSocket);
+    SetSocketOptions(mSocket); // One that cannot be set up fails at its first read.
     SetTimer(mServer->limits.idleTime);
     WaitForBytes();
   }
@@ -267,13 +254,12 @@
       Close();
       return;
     }
-    auto& buffer = ReadBuffer();
-    const std::size_t size = mSocket.read_some(asio::buffer(buffer), aError);
+    const std::string_view bytes = ReadAvailable(mSocket, aError);
     if (aError == asio::error::would_block) {
       WaitForBytes();
       return;
     }
-    if (aError || size == 0) {
+    if (aError || bytes.empty()) {
       Close();
       return;
     }
@@ -281,7 +267,7 @@
       WaitForBytes(); // Bytes after the last answer are dropped.
       return;
     }
-    mIn.append(buffer.data(), size);
+    mIn.append(bytes);
     Parse();
     if (mState == State::kAnswering && mIn.size() > kPipelineLimit) {
       Close();
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -68,7 +68,6 @@
 {
   std::string address;                 ///< host:port
   std::size_t connectionLimit = 2'000; ///< Idle connections are closed beyond it.
-  std::string name;                    ///< For logs.
   /* Makes the answer to an unreadable request from its status; null: a plain one. */
   std::function<Rejection(unsigned)> rejection;
 };
--- a/src/platform/configuration_decoder.cpp
+++ b/src/platform/configuration_decoder.cpp
@@ -29,7 +29,6 @@
   route.prefix = Text(aRoute, "prefix");
   route.kind = DecodeKind(Text(aRoute, "kind"));
   route.isResumable = route.kind == fleet::RouteKind::kStream && FlagOr(aRoute, "resumable", false);
-  route.usesModels = FlagOr(aRoute, "sticky", false); // Set on routes that carry prompts.
   route.timeout = MillisecondsOf(NumberOr(aRoute, "timeoutMs", 0.0));
   route.objective = MillisecondsOf(NumberOr(aRoute, "targetLatencyMs", 0.0));
   route.pauseObjective = MillisecondsOf(NumberOr(aRoute, "gapAimMs", 0.0));
@@ -84,8 +83,6 @@
 {
   fleet::Service service;
   service.id = ServiceId{ Text(aService, "name") };
-  service.healthPath = aService.contains("healthPath") ? Text(aService, "healthPath") : "";
-  service.maxConnections = static_cast<std::uint32_t>(WholeOr(aService, "maxConns", 0));
   if (const auto engine = aService.find("engine");
       engine != aService.end() && engine->is_object() && engine->contains("models")) {
     service.engine = DecodeEngine(*engine);
--- a/src/platform/runner_decoder.cpp
+++ b/src/platform/runner_decoder.cpp
@@ -142,7 +142,6 @@
     report.startedAtMs = DecodeStart(document);
     report.running = static_cast<std::uint32_t>(WholeOr(document, "running", 0));
     report.waiting = static_cast<std::uint32_t>(WholeOr(document, "waiting", 0));
-    report.cacheUsed = WholeOr(document, "kvUsed", 0);
     if (document.contains("state")) {
       report.state = DecodeState(Text(document, "state"));
     }
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -44,7 +44,7 @@
 {
   Site()
     : server(loop,
-             { .address = "127.0.0.1:0", .name = "test" },
+             { .address = "127.0.0.1:0" },
              [this](Request aRequest, std::shared_ptr<Responder> aResponder) {
                aResponder->OnGone([this] { ++gone; });
                requests.push_back(std::move(aRequest));
