--- a/src/caller/caller_server.cpp
+++ b/src/caller/caller_server.cpp
@@ -50,7 +50,7 @@
              { .address = options.address + ":" + std::to_string(options.port),
                .connectionLimit = options.connections,
                .rejection = [this](unsigned aStatus) { return Rejection(aStatus); } },
-             [this](http::Request aRequest, std::shared_ptr<http::Responder> aResponder) {
+             [this](const http::Request& aRequest, std::shared_ptr<http::Responder> aResponder) {
                Serve(aRequest, std::move(aResponder));
              })
     , farewellTimer(loop)
