Change: [HTTP] [Scheduler] [Caller] One piece where two stood

Cause: reading the whole change as a newcomer. Server and FleetLink each had an acceptor, a timer and a loop that accepts again after a failure; server and client each waited for bytes, read them and kept a flag for that. The front took the escapes out of a request's path up to three times. The dispatcher looked a model up with the same five lines in three places, freed places with the same two loops in two, and its two rules for orders shared four conditions. A refusal's header fields were written in two places.

Change: http::Listener (its pause stays 20 ms for callers and 50 ms between daemons) and http::SocketReader; the path is worked out once and handed on; Engine::Find(), FreePlacesOf(), IsOrderable(), RefusalFields(); a count that was only compared with 0 is a question. FleetLink counted messages that nobody read; gone. Five loops of the dispatcher's tests are one function; all assertions stand as they were. Behaviour is meant to be the same, but for the order of a refusal's header fields.

--- a/src/caller/caller_exchange.cpp
+++ b/src/caller/caller_exchange.cpp
@@ -32,16 +32,20 @@
   }
 }
 
+http::Fields RefusalFields(ResultCode aCode)
+{
+  return { { "X-Result-Code", std::to_string(static_cast<int>(aCode)) },
+           { "Content-Type", "application/json" } };
+}
+
 void SendRefusal(http::Responder& aResponder,
                  const FinishRequest& aFinish,
                  const std::string& aDetail)
 {
   http::AnswerHead head{ .status = static_cast<unsigned>(Describe(aFinish.code).httpStatus),
                          .reason = "Refused",
-                         .fields = {
-                           { "X-Request-Id", aFinish.request.str() },
-                           { "X-Result-Code", std::to_string(static_cast<int>(aFinish.code)) },
-                           { "Content-Type", "application/json" } } };
+                         .fields = RefusalFields(aFinish.code) };
+  head.fields.push_back({ "X-Request-Id", aFinish.request.str() });
   if (aFinish.retryAfter.count() > 0) {
     head.fields.push_back({ "Retry-After", RetryAfterSeconds(aFinish.retryAfter) });
   }
--- a/src/caller/caller_exchange.h
+++ b/src/caller/caller_exchange.h
@@ -35,6 +35,9 @@
 /* Logs and measures a request that has ended. */
 void NoteRequestEnd(const ExchangeContext& aContext, const ExchangeWatch& aWatch, ResultCode aCode);
 
+/* Returns the header fields that every refusal bears. */
+http::Fields RefusalFields(ResultCode aCode);
+
 /* Answers with a refusal. */
 void SendRefusal(http::Responder& aResponder,
                  const FinishRequest& aFinish,
--- a/src/caller/caller_server.cpp
+++ b/src/caller/caller_server.cpp
@@ -92,8 +92,7 @@
   const bool isTooLarge = aStatus == kContentTooLarge || aStatus == kHeadersTooLarge;
   const auto code = isTooLarge ? ResultCode::kBodyTooLarge : ResultCode::kRequestMalformed;
   return { .status = static_cast<unsigned>(Describe(code).httpStatus),
-           .fields = { { "X-Result-Code", std::to_string(static_cast<int>(code)) },
-                       { "Content-Type", "application/json" } },
+           .fields = RefusalFields(code),
            .body = MakeErrorBody(code, NextRequestId()) };
 }
 
@@ -126,13 +125,14 @@
 void CallerServer::Impl::Serve(const http::Request& aRequest,
                                std::shared_ptr<http::Responder> aResponder)
 {
-  if (aRequest.method == "GET" && PathOf(aRequest) == "/v1/models") {
+  const std::string path = PathOf(aRequest);
+  if (aRequest.method == "GET" && path == "/v1/models") {
     ListModels(aRequest, *aResponder);
     return;
   }
   ExchangeWatch watch{ .id = NextRequestId(), .requestClass = {} };
-  CheckResult checked =
-    snapshot.Read([&](const Snapshot& aSnapshot) { return CheckRequest(aSnapshot, aRequest); });
+  CheckResult checked = snapshot.Read(
+    [&](const Snapshot& aSnapshot) { return CheckRequest(aSnapshot, aRequest, path); });
   if (!checked) {
     SendRefusal(
       *aResponder, { .request = watch.id, .code = checked.error().code }, checked.error().detail);
--- a/src/caller/request_check.cpp
+++ b/src/caller/request_check.cpp
@@ -81,10 +81,12 @@
   return {};
 }
 
-void ReadFingerprint(const http::Request& aRequest, CheckedRequest& aChecked)
+void ReadFingerprint(const http::Request& aRequest,
+                     const std::string& aPath,
+                     CheckedRequest& aChecked)
 {
   aChecked.arrived.fingerprint =
-    FingerprintId{ Sha256Hex(aRequest.method + " " + PathOf(aRequest) + "\n" + aRequest.body) };
+    FingerprintId{ Sha256Hex(aRequest.method + " " + aPath + "\n" + aRequest.body) };
   aChecked.arrived.prefixHash =
     std::hash<std::string_view>{}(std::string_view{ aRequest.body }.substr(0, kPrefixLength));
   aChecked.arrived.bytes = aRequest.body.size();
@@ -130,7 +132,9 @@
   return body;
 }
 
-CheckResult CheckCompletion(const Snapshot& aSnapshot, const http::Request& aRequest)
+CheckResult CheckCompletion(const Snapshot& aSnapshot,
+                            const http::Request& aRequest,
+                            const std::string& aPath)
 {
   const auto customerId = Authenticate(aSnapshot, aRequest);
   if (!customerId) {
@@ -157,9 +161,9 @@
   checked.arrived.customer = *customerId;
   checked.arrived.artifact = *artifact;
   checked.arrived.service = configuration.models.at(artifact->model).service;
-  ReadFingerprint(aRequest, checked);
+  ReadFingerprint(aRequest, aPath, checked);
   checked.call = { .method = "POST",
-                   .path = PathOf(aRequest),
+                   .path = aPath,
                    .contentType = "application/json",
                    .body = aRequest.body,
                    .headers = {},
@@ -173,7 +177,8 @@
 
 CheckResult CheckServiceCall(const Snapshot& aSnapshot,
                              const http::Request& aRequest,
-                             const ServicePath& aPath)
+                             const std::string& aPath,
+                             const ServicePath& aParts)
 {
   const auto customerId = Authenticate(aSnapshot, aRequest);
   if (!customerId) {
@@ -181,7 +186,7 @@
   }
   const Configuration& configuration = *aSnapshot.configuration;
   const CustomerSpec& customer = configuration.customers.at(*customerId);
-  const ServiceId& serviceId = aPath.service;
+  const ServiceId& serviceId = aParts.service;
   const auto service = configuration.services.find(serviceId);
   const bool isKnown = service != configuration.services.end() &&
                        service->second.kind == ServiceKind::kPlain &&
@@ -193,7 +198,7 @@
   if (const auto headers = ReadHeaders(aRequest, checked); !headers) {
     return tl::make_unexpected(headers.error());
   }
-  const std::string& path = aPath.rest;
+  const std::string& path = aParts.rest;
   const auto& routes = service->second.routes;
   const auto route = std::find_if(routes.begin(), routes.end(), [&](const RouteSpec& aRoute) {
     return (aRoute.method.empty() || aRoute.method == aRequest.method) &&
@@ -205,7 +210,7 @@
   checked.arrived.requestClass = route->requestClass;
   checked.arrived.customer = *customerId;
   checked.arrived.service = serviceId;
-  ReadFingerprint(aRequest, checked);
+  ReadFingerprint(aRequest, aPath, checked);
   const auto query = aRequest.target.find('?');
   checked.call = { .method = aRequest.method,
                    .path = path + (query == std::string::npos ? "" : aRequest.target.substr(query)),
@@ -245,19 +250,20 @@
   return httplib::detail::decode_url(aRequest.target.substr(0, aRequest.target.find('?')), false);
 }
 
-CheckResult CheckRequest(const Snapshot& aSnapshot, const http::Request& aRequest)
+CheckResult CheckRequest(const Snapshot& aSnapshot,
+                         const http::Request& aRequest,
+                         const std::string& aPath)
 {
-  const std::string path = PathOf(aRequest);
-  const bool isCompletion = path == "/v1/chat/completions" || path == "/v1/completions";
+  const bool isCompletion = aPath == "/v1/chat/completions" || aPath == "/v1/completions";
   if (isCompletion && aRequest.method == "POST") {
-    return CheckCompletion(aSnapshot, aRequest);
+    return CheckCompletion(aSnapshot, aRequest, aPath);
   }
-  const auto service = SplitServicePath(path);
+  const auto service = SplitServicePath(aPath);
   const bool isAllowed =
     std::find(kServiceMethods.begin(), kServiceMethods.end(), aRequest.method) !=
     kServiceMethods.end();
   if (service && isAllowed) {
-    return CheckServiceCall(aSnapshot, aRequest, *service);
+    return CheckServiceCall(aSnapshot, aRequest, aPath, *service);
   }
   return Refuse(ResultCode::kServiceUnknown);
 }
--- a/src/caller/request_check.h
+++ b/src/caller/request_check.h
@@ -32,12 +32,15 @@
 tl::expected<CustomerId, Refusal> Authenticate(const Snapshot& aSnapshot,
                                                const http::Request& aRequest);
 
-/* Checks any request that is passed on: a completion, or a call to a plain service. */
-CheckResult CheckRequest(const Snapshot& aSnapshot, const http::Request& aRequest);
-
 /* Returns the path that a request names, without its query and escapes. */
 std::string PathOf(const http::Request& aRequest);
 
+/* Checks any request that is passed on, whose path is given: a completion, or a call to a plain
+ * service. */
+CheckResult CheckRequest(const Snapshot& aSnapshot,
+                         const http::Request& aRequest,
+                         const std::string& aPath);
+
 } // namespace rhubarbtrail
 
 #endif
--- a/src/decision/fleet/dispatcher.cpp
+++ b/src/decision/fleet/dispatcher.cpp
@@ -253,9 +253,14 @@
 void Dispatcher::OnDaemonLost(const DaemonId& aDaemon)
 {
   std::erase_if(mWaiting, [&](const Waiting& aItem) { return aItem.ask.id.daemon == aDaemon; });
+  FreePlacesOf(aDaemon);
+}
+
+void Dispatcher::FreePlacesOf(const std::optional<DaemonId>& aDaemon)
+{
   std::vector<AskId> places;
   for (const auto& [id, place] : mPlaces) {
-    if (id.daemon == aDaemon) {
+    if (!aDaemon || id.daemon == *aDaemon) {
       places.push_back(id);
     }
   }
@@ -268,13 +273,7 @@
 {
   mWaiting.clear();
   ForgetSwaps();
-  std::vector<AskId> places;
-  for (const auto& [id, place] : mPlaces) {
-    places.push_back(id);
-  }
-  for (const AskId& id : places) {
-    Free({}, id);
-  }
+  FreePlacesOf(std::nullopt);
   for (auto& [id, runner] : mRunners) {
     runner.order.reset();
     runner.isVerified = false;
--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -214,6 +214,8 @@
   void AdoptHoldings(TimePoint aNow, ManagedRunner& aRunner, const RunnerHoldings& aHoldings);
   void Occupy(TimePoint aNow, const PlacementAsk& aAsk, ManagedRunner& aRunner, Duration aExpected);
   void Free(TimePoint aNow, const AskId& aAsk);
+  /* Frees the places of a daemon, or of all when none is named. */
+  void FreePlacesOf(const std::optional<DaemonId>& aDaemon);
   void ForgetSwaps();
   const Engine* EngineOf(const ServiceId& aService) const;
   static EngineRoom RoomOf(const Engine& aEngine);
@@ -269,6 +271,7 @@
 
   // dispatcher_order.cpp
   void PlanAdapter(TimePoint aNow, const ModelRef& aAdapter, ManagedRunner& aRunner);
+  bool IsOrderable(TimePoint aNow, const ManagedRunner& aRunner) const;
   bool MayOrderTo(TimePoint aNow, const ManagedRunner& aRunner) const;
   std::size_t ArrivingAdapters(TimePoint aNow) const;
   static bool HasArrivingAdapter(TimePoint aNow, const HeldModel& aModel);
--- a/src/decision/fleet/dispatcher_order.cpp
+++ b/src/decision/fleet/dispatcher_order.cpp
@@ -44,18 +44,23 @@
 
 } // namespace
 
+/* Returns whether a runner takes orders, but for the one that it may have. */
+bool Dispatcher::IsOrderable(TimePoint aNow, const ManagedRunner& aRunner) const
+{
+  return mRight.mayOrder && aRunner.isVerified && aNow >= aRunner.nextOrder && IsUsable(aRunner);
+}
+
 bool Dispatcher::MayOrderTo(TimePoint aNow, const ManagedRunner& aRunner) const
 {
-  return mRight.mayOrder && aRunner.isVerified && !aRunner.order && aNow >= aRunner.nextOrder &&
-         IsUsable(aRunner);
+  return !aRunner.order && IsOrderable(aNow, aRunner);
 }
 
 /* Returns whether a load may be tried while an unload was accepted and not seen to be done: reports
  * are old, and the runner refuses the load if it is too early. */
 bool Dispatcher::MayLoadAfterUnload(TimePoint aNow, const ManagedRunner& aRunner) const
 {
-  return mRight.mayOrder && aRunner.isVerified && aNow >= aRunner.nextOrder && IsUsable(aRunner) &&
-         aRunner.order && aRunner.order->phase == PendingOrder::Phase::kAccepted &&
+  return IsOrderable(aNow, aRunner) && aRunner.order &&
+         aRunner.order->phase == PendingOrder::Phase::kAccepted &&
          aRunner.order->order.kind == OrderKind::kUnload && !aRunner.order->IsAboutAdapter();
 }
 
--- a/src/decision/fleet/dispatcher_plan.cpp
+++ b/src/decision/fleet/dispatcher_plan.cpp
@@ -49,8 +49,8 @@
  */
 MemoryMb WeightsOf(const ManagedRunner& aRunner, const ModelId& aModel)
 {
-  const auto found = aRunner.engine->models.find(aModel);
-  return found == aRunner.engine->models.end() ? aRunner.room.largest : found->second.weights;
+  const Model* model = aRunner.engine->Find(aModel);
+  return model == nullptr ? aRunner.room.largest : model->weights;
 }
 
 /* Returns the room that a runner has left for models. */
@@ -152,8 +152,8 @@
                                     const ModelId& aModel,
                                     const HeldModel& aHeld) const
 {
-  const auto model = aRunner.engine->models.find(aModel);
-  if (model == aRunner.engine->models.end()) {
+  const Model* model = aRunner.engine->Find(aModel);
+  if (model == nullptr) {
     return 0.0; // Nobody may ask for it any more.
   }
   const double rate = mDemand.Rate(aNow, aModel);
@@ -161,7 +161,7 @@
   const double replicas = std::max<double>(Replicas(aRunner.entry.service, aModel), 1.0);
   const double isAsked = 1.0 - std::exp(-rate * kHorizonS);
   const double value =
-    isAsked * SecondsOf(LoadTime(aRunner, model->second)) + kCrowdingCost * rate / replicas;
+    isAsked * SecondsOf(LoadTime(aRunner, *model)) + kCrowdingCost * rate / replicas;
   // Among models that nobody asks for, the one used last stays.
   const double age = SecondsOf(aNow - aHeld.lastUsed);
   const double recency = 1e-3 / (1.0 + std::max(age, 0.0));
@@ -262,19 +262,18 @@
  * wherever that delays other callers least. */
 void Dispatcher::PlanMissing(TimePoint aNow)
 {
-  auto free = std::count_if(
+  const bool isAnyFree = std::any_of(
     mRunners.begin(), mRunners.end(), [&](const auto& aItem) { return IsFree(aItem.second); });
-  if (free == 0 || mWaiting.empty()) {
+  if (!isAnyFree || mWaiting.empty()) {
     return;
   }
   std::map<std::pair<ServiceId, ModelId>, double> missing;
   for (const Waiting& waiting : mWaiting) {
     const ModelId& id = waiting.ask.work.target.model;
     const Engine* engine = EngineOf(waiting.ask.service);
-    const auto model =
-      engine == nullptr ? std::map<ModelId, Model>::const_iterator{} : engine->models.find(id);
-    if (engine != nullptr && model != engine->models.end()) {
-      missing[{ waiting.ask.service, id }] += ValueOf(aNow, waiting, model->second.diskLoad);
+    const Model* model = engine == nullptr ? nullptr : engine->Find(id);
+    if (model != nullptr) {
+      missing[{ waiting.ask.service, id }] += ValueOf(aNow, waiting, model->diskLoad);
     }
   }
   std::vector<std::pair<double, std::pair<ServiceId, ModelId>>> ordered;
@@ -370,14 +369,14 @@
   std::optional<ModelId> best;
   double bestValue = kLeastRoomValueS;
   for (const ModelId& id : mDemand.Models()) {
-    const auto model = engine.models.find(id);
-    if (model == engine.models.end() || model->second.weights > room ||
-        aRunner.models.contains(id) || Coming(aRunner.entry.service, id) > 0) {
+    const Model* model = engine.Find(id);
+    if (model == nullptr || model->weights > room || aRunner.models.contains(id) ||
+        Coming(aRunner.entry.service, id) > 0) {
       continue;
     }
     const double replicas = Replicas(aRunner.entry.service, id);
-    const double miss = SecondsOf(HasCopy(aRunner.entry.service, id) ? model->second.diskLoad
-                                                                     : model->second.storeLoad);
+    const double miss =
+      SecondsOf(HasCopy(aRunner.entry.service, id) ? model->diskLoad : model->storeLoad);
     const double value = mDemand.Rate(aNow, id) * miss / ((1.0 + replicas) * (1.0 + replicas));
     if (value > bestValue) {
       best = id;
@@ -394,9 +393,8 @@
                           std::string_view aWhy)
 {
   const Engine* engine = EngineOf(aService);
-  const auto model =
-    engine == nullptr ? std::map<ModelId, Model>::const_iterator{} : engine->models.find(aModel);
-  if (engine == nullptr || model == engine->models.end() || aBenefit < kLeastBenefitS) {
+  const Model* model = engine == nullptr ? nullptr : engine->Find(aModel);
+  if (model == nullptr || aBenefit < kLeastBenefitS) {
     return false;
   }
   std::optional<Swap> best;
@@ -405,7 +403,7 @@
         runner.health.IsDoubted(aNow)) {
       continue;
     }
-    auto swap = FindSwap(aNow, runner, model->second);
+    auto swap = FindSwap(aNow, runner, *model);
     if (swap && (!best || swap->cost < best->cost)) {
       best = std::move(swap);
     }
@@ -476,14 +474,13 @@
     return false;
   }
   // Checked again: what the runner holds may have changed since the swap was planned.
-  const auto model = runner.engine == nullptr ? std::map<ModelId, Model>::const_iterator{}
-                                              : runner.engine->models.find(aSwap.model);
-  if (runner.engine == nullptr || model == runner.engine->models.end()) {
+  const Model* model = runner.engine == nullptr ? nullptr : runner.engine->Find(aSwap.model);
+  if (model == nullptr) {
     return true;
   }
   const bool isGoing = runner.models.contains(going);
   const MemoryMb room = isGoing ? FreeRoom(runner) + WeightsOf(runner, going) : FreeRoom(runner);
-  if (model->second.weights > room) {
+  if (model->weights > room) {
     return true;
   }
   SendOrder(aNow,
@@ -491,7 +488,7 @@
             OrderKind::kLoad,
             { .model = aSwap.model, .adapter = {} },
             { .expected = aSwap.loadTime,
-              .longest = std::max(aSwap.loadTime, model->second.diskLoad),
+              .longest = std::max(aSwap.loadTime, model->diskLoad),
               .isFromStore = aSwap.isFromStore,
               .why = "asked_for" });
   return false;
--- a/src/decision/fleet/fleet_configuration.cpp
+++ b/src/decision/fleet/fleet_configuration.cpp
@@ -17,6 +17,12 @@
   return nullptr;
 }
 
+const Model* Engine::Find(const ModelId& aModel) const
+{
+  const auto found = models.find(aModel);
+  return found == models.end() ? nullptr : &found->second;
+}
+
 const Service* FleetConfiguration::Find(const ServiceId& aService) const
 {
   const auto found = services.find(aService);
--- a/src/decision/fleet/fleet_configuration_type.h
+++ b/src/decision/fleet/fleet_configuration_type.h
@@ -69,6 +69,9 @@
   std::uint32_t adapterSlots = 0;
   double loadsPerSecond = 0.0; ///< Loads from the weight store, over all runners.
   std::map<ModelId, Model> models;
+
+  /* Returns a model, or null when the configuration does not name it. */
+  const Model* Find(const ModelId& aModel) const;
 };
 
 struct Service
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -3,6 +3,7 @@
 
 #include "core/number_func.h"
 #include "http/socket_options.h"
+#include "http/socket_reader.h"
 
 #include <algorithm>
 #include <deque>
@@ -253,28 +254,23 @@
 
   void WaitForBytes()
   {
-    if (mIsWaiting || mIsPaused || mState == State::kClosed) {
-      return;
+    if (!mIsPaused && mState != State::kClosed) {
+      mReader.Read(shared_from_this(),
+                   [this](error_code aError, std::string_view aBytes) { OnBytes(aError, aBytes); });
     }
-    mIsWaiting = true;
-    mSocket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code aError) {
-      self->mIsWaiting = false;
-      self->OnReadable(aError);
-    });
   }
 
-  void OnReadable(error_code aError)
+  void OnBytes(error_code aError, std::string_view aBytes)
   {
     if (mState == State::kClosed) {
       return;
     }
-    const std::string_view bytes = aError ? std::string_view{} : ReadAvailable(mSocket, aError);
     if (aError == asio::error::would_block) {
       WaitForBytes();
       return;
     }
     if (mState == State::kIdle) {
-      if (!aError && !bytes.empty()) {
+      if (!aError && !aBytes.empty()) {
         ++mClient->counts.spoiled;
       }
       Close();
@@ -284,7 +280,7 @@
       OnEndOfInput(aError == asio::error::eof);
       return;
     }
-    mIn.append(bytes);
+    mIn.append(aBytes);
     if (mHasHead && mSilenceTime > Duration::zero()) {
       SetTimer(asio::steady_timer::clock_type::now() + mSilenceTime);
     }
@@ -429,6 +425,7 @@
   std::shared_ptr<Client::Impl> mClient;
   std::string mAddress;
   tcp::socket mSocket;
+  SocketReader mReader{ mSocket };
   asio::steady_timer mTimer;
   State mState = State::kConnecting;
   std::uint64_t mCallNumber = 0;
@@ -444,7 +441,6 @@
   bool mIsSkipping = false;
   int mSkipped = 0;
   bool mIsPaused = false;
-  bool mIsWaiting = false;
   bool mIsWriting = false;
 };
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -1,7 +1,9 @@
 /* An event-driven HTTP/1.1 server on Boost.Beast's parser. */
 #include "http/http_server.h"
 
+#include "http/listener.h"
 #include "http/socket_options.h"
+#include "http/socket_reader.h"
 
 #include <algorithm>
 #include <list>
@@ -26,8 +28,6 @@
 
 /* Bytes of following requests that are stored while one is being answered. */
 constexpr std::size_t kPipelineLimit = 64U << 10U;
-/* Time before accepting again after the host ran out of descriptors. */
-constexpr auto kAcceptPause = std::chrono::milliseconds{ 20 };
 /* Time for which a closing connection waits for the client's own close, so that the answer is not
  * lost to a reset. */
 constexpr auto kLingerTime = std::chrono::milliseconds{ 500 };
@@ -76,23 +76,22 @@
     : context(aContext)
     , options(std::move(aOptions))
     , handler(std::move(aHandler))
-    , acceptor(aContext)
-    , acceptTimer(aContext)
+    , listener(aContext,
+               { .address = options.address },
+               { .onSocket = [this](tcp::socket aSocket) { OnSocket(std::move(aSocket)); },
+                 .onFailure = [this] { CloseIdle(); } })
   {
   }
 
-  void Accept();
-  void AcceptLater();
+  void OnSocket(tcp::socket aSocket);
   void CloseIdle();
 
   asio::io_context& context;
   ServerOptions options;
   Handler handler;
-  tcp::acceptor acceptor;
-  asio::steady_timer acceptTimer;
+  Listener listener;
   ServerLimits limits;
   bool isDraining = false;
-  bool isClosed = false;
   ServerCounts counts;
   std::unordered_set<ServerConnection*> connections;
 };
@@ -235,31 +234,22 @@
 
   void WaitForBytes()
   {
-    if (mIsWaiting || mState == State::kClosed) {
-      return;
+    if (mState != State::kClosed) {
+      mReader.Read(shared_from_this(),
+                   [this](error_code aError, std::string_view aBytes) { OnBytes(aError, aBytes); });
     }
-    mIsWaiting = true;
-    mSocket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code aError) {
-      self->mIsWaiting = false;
-      self->OnReadable(aError);
-    });
   }
 
-  void OnReadable(error_code aError)
+  void OnBytes(error_code aError, std::string_view aBytes)
   {
     if (mState == State::kClosed) {
       return;
     }
-    if (aError) {
-      Close();
-      return;
-    }
-    const std::string_view bytes = ReadAvailable(mSocket, aError);
     if (aError == asio::error::would_block) {
       WaitForBytes();
       return;
     }
-    if (aError || bytes.empty()) {
+    if (aError || aBytes.empty()) {
       Close();
       return;
     }
@@ -267,7 +257,7 @@
       WaitForBytes(); // Bytes after the last answer are dropped.
       return;
     }
-    mIn.append(bytes);
+    mIn.append(aBytes);
     Parse();
     if (mState == State::kAnswering && mIn.size() > kPipelineLimit) {
       Close();
@@ -443,12 +433,12 @@
 
   std::shared_ptr<Server::Impl> mServer;
   tcp::socket mSocket;
+  SocketReader mReader{ mSocket };
   asio::steady_timer mTimer;
   State mState = State::kReading;
   std::optional<Parser> mParser;
   bool mHasHead = false;
   bool mKeepsConnection = true;
-  bool mIsWaiting = false;
   bool mIsWriting = false;
   bool mIsAborted = false;
   Framing mFraming = Framing::kNone;
@@ -459,34 +449,13 @@
   std::function<void()> mOnDrained;
 };
 
-void Server::Impl::Accept()
-{
-  acceptor.async_accept([self = shared_from_this()](error_code aError, tcp::socket aSocket) {
-    if (self->isClosed) {
-      return;
-    }
-    if (aError) {
-      self->CloseIdle();
-      self->AcceptLater();
-      return;
-    }
-    ++self->counts.accepted;
-    if (self->counts.connections >= self->options.connectionLimit) {
-      self->CloseIdle();
-    }
-    std::make_shared<ServerConnection>(self, std::move(aSocket))->Start();
-    self->Accept();
-  });
-}
-
-void Server::Impl::AcceptLater()
+void Server::Impl::OnSocket(tcp::socket aSocket)
 {
-  acceptTimer.expires_after(kAcceptPause);
-  acceptTimer.async_wait([self = shared_from_this()](error_code aError) {
-    if (!aError && !self->isClosed) {
-      self->Accept();
-    }
-  });
+  ++counts.accepted;
+  if (counts.connections >= options.connectionLimit) {
+    CloseIdle();
+  }
+  std::make_shared<ServerConnection>(shared_from_this(), std::move(aSocket))->Start();
 }
 
 /* Closes one connection without a request, to make room. */
@@ -512,11 +481,7 @@
 
 std::string Server::Listen()
 {
-  std::string error = rhubarbtrail::http::Listen(mImpl->acceptor, mImpl->options.address);
-  if (error.empty()) {
-    mImpl->Accept();
-  }
-  return error;
+  return mImpl->listener.Listen();
 }
 
 void Server::SetLimits(const ServerLimits& aLimits)
@@ -549,10 +514,7 @@
 
 void Server::Close()
 {
-  mImpl->isClosed = true;
-  error_code ignored; // Closing twice is no fault.
-  mImpl->acceptor.close(ignored);
-  mImpl->acceptTimer.cancel(ignored);
+  mImpl->listener.Close();
   const auto open = mImpl->connections;
   for (ServerConnection* connection : open) {
     if (mImpl->connections.contains(connection)) {
@@ -568,8 +530,7 @@
 
 std::uint16_t Server::port() const
 {
-  error_code ignored; // 0 before Listen().
-  return mImpl->acceptor.local_endpoint(ignored).port();
+  return mImpl->listener.port();
 }
 
 Responder::Responder(const std::shared_ptr<ServerConnection>& aConnection)
--- a/src/http/socket_options.cpp
+++ b/src/http/socket_options.cpp
@@ -3,7 +3,6 @@
 
 #include "core/number_func.h"
 
-#include <array>
 #include <cstdint>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -23,41 +22,6 @@
   setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnacknowledgedLimitMs, sizeof(int));
 }
 
-std::string_view ReadAvailable(boost::asio::ip::tcp::socket& aSocket,
-                               boost::system::error_code& aError)
-{
-  constexpr std::size_t kReadSize = 16U << 10U;
-  thread_local std::array<char, kReadSize> sBuffer;
-  if (!aSocket.non_blocking()) {
-    aSocket.non_blocking(true, aError);
-    if (aError) {
-      return {};
-    }
-  }
-  const std::size_t size = aSocket.read_some(boost::asio::buffer(sBuffer), aError);
-  return { sBuffer.data(), size };
-}
-
-std::string Listen(boost::asio::ip::tcp::acceptor& aAcceptor, const std::string& aAddress)
-{
-  const auto endpoint = ParseEndpoint(aAddress);
-  if (!endpoint) {
-    return "'" + aAddress + "' is not an address";
-  }
-  boost::system::error_code error;
-  aAcceptor.open(endpoint->protocol(), error);
-  if (!error) {
-    aAcceptor.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true), error);
-  }
-  if (!error) {
-    aAcceptor.bind(*endpoint, error);
-  }
-  if (!error) {
-    aAcceptor.listen(boost::asio::socket_base::max_listen_connections, error);
-  }
-  return error ? aAddress + ": " + error.message() : std::string{};
-}
-
 std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(const std::string& aAddress)
 {
   const auto colon = aAddress.rfind(':');
--- a/src/http/socket_options.h
+++ b/src/http/socket_options.h
@@ -7,7 +7,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <optional>
 #include <string>
-#include <string_view>
 
 namespace rhubarbtrail::http {
 
@@ -23,14 +22,6 @@
  * two ends has forgotten are noticed by the kernel's probes. */
 void SetSocketOptions(boost::asio::ip::tcp::socket& aSocket);
 
-/* Reads what has come in on a socket without waiting. The bytes stand in a buffer of the thread
- * until the next call. */
-std::string_view ReadAvailable(boost::asio::ip::tcp::socket& aSocket,
-                               boost::system::error_code& aError);
-
-/* Binds an acceptor to "host:port" and listens; returns why not, or an empty text. */
-std::string Listen(boost::asio::ip::tcp::acceptor& aAcceptor, const std::string& aAddress);
-
 /* Reads "host:port" with an IP number. */
 std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(const std::string& aAddress);
 
--- /dev/null
+++ b/src/http/socket_reader.cpp
@@ -0,0 +1,47 @@
+/* Reading what comes in on a socket. */
+#include "http/socket_reader.h"
+
+#include <array>
+#include <utility>
+
+namespace rhubarbtrail::http {
+
+namespace {
+
+using boost::system::error_code;
+
+/* Bytes read from a socket at a time. */
+constexpr std::size_t kReadSize = 16U << 10U;
+
+/* Reads what has come in without waiting. The bytes stand in a buffer of the thread until the next
+ * call; connections store what they keep. */
+std::string_view ReadAvailable(boost::asio::ip::tcp::socket& aSocket, error_code& aError)
+{
+  thread_local std::array<char, kReadSize> sBuffer;
+  if (!aSocket.non_blocking()) {
+    aSocket.non_blocking(true, aError);
+    if (aError) {
+      return {};
+    }
+  }
+  const std::size_t size = aSocket.read_some(boost::asio::buffer(sBuffer), aError);
+  return { sBuffer.data(), size };
+}
+
+} // namespace
+
+void SocketReader::Read(std::shared_ptr<void> aOwner, Handler aHandler)
+{
+  if (std::exchange(mIsWaiting, true)) {
+    return;
+  }
+  mSocket.async_wait(
+    boost::asio::ip::tcp::socket::wait_read,
+    [this, owner = std::move(aOwner), handler = std::move(aHandler)](error_code aError) {
+      mIsWaiting = false;
+      const std::string_view bytes = aError ? std::string_view{} : ReadAvailable(mSocket, aError);
+      handler(aError, bytes);
+    });
+}
+
+} // namespace rhubarbtrail::http
--- a/src/peer/fleet_link.cpp
+++ b/src/peer/fleet_link.cpp
@@ -2,6 +2,7 @@
 #include "peer/fleet_link.h"
 
 #include "core/boot_clock.h"
+#include "http/listener.h"
 #include "http/socket_options.h"
 #include "peer/peer_connection.h"
 
@@ -157,12 +158,14 @@
     : context(aContext)
     , options(std::move(aOptions))
     , handlers(std::move(aHandlers))
-    , acceptor(aContext)
-    , acceptTimer(aContext)
+    , listener(aContext,
+               { .address = options.address, .pause = kAcceptPause },
+               { .onSocket = [this](tcp::socket aSocket) { OnSocket(std::move(aSocket)); },
+                 .onFailure = nullptr })
   {
   }
 
-  void Accept();
+  void OnSocket(tcp::socket aSocket);
   void Connect(const std::string& aAddress);
   void OnConnected(const std::string& aAddress, const std::shared_ptr<Outgoing>& aOutgoing);
   void Break(const std::string& aAddress);
@@ -170,53 +173,36 @@
   asio::io_context& context;
   FleetLinkOptions options;
   FleetLinkHandlers handlers;
-  tcp::acceptor acceptor;
-  asio::steady_timer acceptTimer;
+  http::Listener listener;
   std::map<std::string, std::shared_ptr<Outgoing>> outgoing;
   std::set<std::shared_ptr<Link>> incoming;
-  std::uint64_t sent = 0;
   bool isClosed = false;
 };
 
-void FleetLink::Impl::Accept()
+void FleetLink::Impl::OnSocket(tcp::socket aSocket)
 {
-  acceptor.async_accept([self = shared_from_this()](error_code aError, tcp::socket aSocket) {
-    if (self->isClosed) {
-      return;
-    }
-    if (aError) {
-      self->acceptTimer.expires_after(kAcceptPause);
-      self->acceptTimer.async_wait([self](error_code aTimerError) {
-        if (!aTimerError && !self->isClosed) {
-          self->Accept();
-        }
-      });
-      return;
-    }
-    error_code ignored; // A socket that fails here fails at its first read, too.
-    aSocket.native_non_blocking(true, ignored);
-    http::SetSocketOptions(aSocket);
-    const std::weak_ptr<Impl> weak = self;
-    auto place = std::make_shared<std::weak_ptr<Link>>();
-    auto link = std::make_shared<Link>(
-      self->context,
-      aSocket.release(),
-      PeerRole::kServer,
-      [weak](const std::string& aBody) {
-        if (const auto owner = weak.lock()) {
-          owner->handlers.onMessage(aBody);
-        }
-      },
-      [weak, place] {
-        if (const auto owner = weak.lock()) {
-          owner->incoming.erase(place->lock());
-        }
-      });
-    *place = link;
-    self->incoming.insert(link);
-    link->Start();
-    self->Accept();
-  });
+  error_code ignored; // A socket that fails here fails at its first read, too.
+  aSocket.native_non_blocking(true, ignored);
+  http::SetSocketOptions(aSocket);
+  const std::weak_ptr<Impl> weak = weak_from_this();
+  auto place = std::make_shared<std::weak_ptr<Link>>();
+  auto link = std::make_shared<Link>(
+    context,
+    aSocket.release(),
+    PeerRole::kServer,
+    [weak](const std::string& aBody) {
+      if (const auto owner = weak.lock()) {
+        owner->handlers.onMessage(aBody);
+      }
+    },
+    [weak, place] {
+      if (const auto owner = weak.lock()) {
+        owner->incoming.erase(place->lock());
+      }
+    });
+  *place = link;
+  incoming.insert(link);
+  link->Start();
 }
 
 void FleetLink::Impl::Connect(const std::string& aAddress)
@@ -302,16 +288,11 @@
 
 std::string FleetLink::Listen()
 {
-  std::string error = http::Listen(mImpl->acceptor, mImpl->options.address);
-  if (error.empty()) {
-    mImpl->Accept();
-  }
-  return error;
+  return mImpl->listener.Listen();
 }
 
 void FleetLink::Send(const std::string& aAddress, std::vector<std::uint8_t> aBytes)
 {
-  ++mImpl->sent;
   if (!mImpl->outgoing.contains(aAddress)) {
     mImpl->Connect(aAddress);
   }
@@ -355,9 +336,7 @@
 void FleetLink::Close()
 {
   mImpl->isClosed = true;
-  error_code ignored; // Closing twice is no fault.
-  mImpl->acceptor.close(ignored);
-  mImpl->acceptTimer.cancel(ignored);
+  mImpl->listener.Close();
   for (const auto& [address, item] : std::exchange(mImpl->outgoing, {})) {
     if (item->link) {
       item->link->Detach();
@@ -370,9 +349,4 @@
   }
 }
 
-std::uint64_t FleetLink::sentMessages() const
-{
-  return mImpl->sent;
-}
-
 } // namespace rhubarbtrail
--- a/src/peer/fleet_link.h
+++ b/src/peer/fleet_link.h
@@ -47,7 +47,6 @@
   /* Ends connections that have been silent for too long; to be called now and then. */
   void CheckSilence(TimePoint aNow);
   void Close();
-  std::uint64_t sentMessages() const;
 
 private:
   struct Impl;
--- a/tests/fleet/dispatcher_test.cpp
+++ b/tests/fleet/dispatcher_test.cpp
@@ -17,6 +17,15 @@
   }
 }
 
+/* Asks for adapters of one model, by number, with a pause after each. */
+void AskAdapters(FleetWorld& aWorld, int aFirst, int aLast, Duration aPause)
+{
+  for (int adapter = aFirst; adapter <= aLast; ++adapter) {
+    aWorld.Ask("m0", "a" + std::to_string(adapter));
+    aWorld.Run(aPause);
+  }
+}
+
 } // namespace
 
 TEST_CASE("a request for a held model starts at once")
@@ -84,10 +93,7 @@
 {
   FleetWorld world({ .runners = 1, .models = 3, .adapters = 12 });
   const SimRunner before = world.runners[0];
-  for (int adapter = 1; adapter <= 8; ++adapter) {
-    world.Ask("m0", "a" + std::to_string(adapter));
-    world.Run(100ms);
-  }
+  AskAdapters(world, 1, 8, 100ms);
   // An entry written before the adapters came arrives late.
   const SimRunner after = world.runners[0];
   world.runners[0].models = before.models;
@@ -220,10 +226,7 @@
 {
   FleetWorld world({ .runners = 1, .models = 3, .adapters = 20, .adapterSlots = 4 });
   world.runTime = 200ms;
-  for (int adapter = 1; adapter <= 20; ++adapter) {
-    world.Ask("m0", "a" + std::to_string(adapter));
-    world.Run(150ms);
-  }
+  AskAdapters(world, 1, 20, 150ms);
   world.Run(3s);
   CHECK(world.Served() == 20);
   CheckSound(world);
@@ -233,10 +236,7 @@
 {
   FleetWorld world({ .runners = 1, .models = 3, .adapters = 8, .adapterSlots = 4 });
   world.runTime = 6s;
-  for (int adapter = 1; adapter <= 4; ++adapter) {
-    world.Ask("m0", "a" + std::to_string(adapter));
-    world.Run(100ms);
-  }
+  AskAdapters(world, 1, 4, 100ms);
   world.TakeOver();
   world.Run(3'500ms); // Orders may be given again; the first four requests still run.
   for (int adapter = 5; adapter <= 8; ++adapter) {
@@ -416,10 +416,7 @@
 {
   FleetWorld world({ .runners = 1, .models = 3, .adapters = 8, .adapterSlots = 4 });
   world.runTime = 100ms;
-  for (int adapter = 1; adapter <= 4; ++adapter) {
-    world.Ask("m0", "a" + std::to_string(adapter));
-    world.Run(1s);
-  }
+  AskAdapters(world, 1, 4, 1s);
   std::uint64_t conflicts = 0;
   world.interfere = [&](const RunnerOrder& aOrder) -> std::optional<OrderOutcome> {
     // An entry makes the dispatcher ask for a report, which is older than this order.
@@ -427,10 +424,7 @@
     conflicts += aOrder.expectedOrderCount != world.runners[0].orderCount ? 1 : 0;
     return std::nullopt;
   };
-  for (int adapter = 5; adapter <= 8; ++adapter) {
-    world.Ask("m0", "a" + std::to_string(adapter));
-    world.Run(1s);
-  }
+  AskAdapters(world, 5, 8, 1s);
   CHECK(conflicts == 0);
   CHECK(world.Served() == 8);
   CheckSound(world);
