--- a/src/gateway/request_answer.cpp
+++ b/src/gateway/request_answer.cpp
@@ -161,7 +161,9 @@
       { "endpoint", mAttempt.endpoint },
       { "took_ms", ToMilliseconds(now - mArrivedAt) },
       { "first_event_ms", mIsHeadSent ? ToMilliseconds(mFirstByteAt - mArrivedAt) : -1 },
-      { "events", mEventsForwarded } });
+      { "events", mEventsForwarded },
+      { "framing", FramingName() },
+      { "unfinished_bytes", mEventSplitter.rest().size() } });
 }
 
 } // namespace rhubarbtrail
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -615,6 +615,8 @@
                          { "result", aResult },
                          { "status", mAttempt.head ? mAttempt.head->status : 0U },
                          { "signed", mAttempt.decodedHead.hasSignature },
+                         { "framing", FramingName() },
+                         { "unfinished_bytes", mEventSplitter.rest().size() },
                          { "took_ms", ToMilliseconds(BootClockNow() - mAttempt.startedAt) },
                          { "runs", mAttemptState.runs },
                          { "refusals", mAttemptState.refusals },
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -92,6 +92,11 @@
   Duration AnswerTimeout() const;
   Duration ClientTimeout() const;
   bool UsesModels() const { return mClient.work.has_value(); }
+  /* Returns how the endpoint marks the end of the last answer, for log events. */
+  std::string_view FramingName() const
+  {
+    return mAttempt.head ? http::ToString(mAttempt.head->framing) : "no_answer";
+  }
 
   GatewayContext& mContext;
   http::Request mRequest;
--- a/src/http/http_type.cpp
+++ b/src/http/http_type.cpp
@@ -47,6 +47,21 @@
 
 } // namespace
 
+std::string_view ToString(Framing aFraming)
+{
+  switch (aFraming) {
+    case Framing::kNone:
+      return "none";
+    case Framing::kLength:
+      return "length";
+    case Framing::kChunked:
+      return "chunked";
+    case Framing::kUntilClose:
+      return "until_close";
+  }
+  return "unknown";
+}
+
 bool EqualsIgnoringCase(std::string_view aLeft, std::string_view aRight)
 {
   return std::equal(
--- a/src/http/http_type.h
+++ b/src/http/http_type.h
@@ -47,6 +47,9 @@
   kUntilClose, ///< By the end of the connection.
 };
 
+/* Returns the name of a framing in log events. */
+std::string_view ToString(Framing aFraming);
+
 /* Status line and header fields of an answer. */
 struct AnswerHead
 {
