--- a/tests/edge/soak.py
+++ b/tests/edge/soak.py
@@ -133,7 +133,7 @@
 
         return [endpoint_fault("delays_answers", True, False),
                 endpoint_fault("lost_answers", 5, 0),
-                endpoint_fault("cut_after_events", 2, 0),
+                endpoint_fault("cut_after_events", 2, None),
                 endpoint_fault("extra_answer", True, False),
                 endpoint_fault("refuses_all", True, False),
                 endpoint_fault("answers_500", True, False),
--- a/tests/edge/standin.py
+++ b/tests/edge/standin.py
@@ -13,6 +13,7 @@
 import time
 from collections import defaultdict
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import Any, Awaitable, Callable, Optional
 from urllib.parse import parse_qs, urlsplit
 
@@ -231,13 +232,24 @@
     is_cut: bool = False
 
 
+class StreamFraming(Enum):
+    """How an endpoint marks the end of a stream, also of one that is cut."""
+
+    CHUNKED = "chunked"                 # A cut stream has no last chunk.
+    UNTIL_CLOSE = "until close"         # A cut stream ends with its connection, as a whole one.
+    ALWAYS_TERMINATED = "terminated"    # A cut stream has its last chunk.
+
+
 @dataclass
 class Faults:
     """The faults of an endpoint that are switched on."""
 
     delays_answers: bool = False    # Requests are run, but answered only 30 s later.
     lost_answers: int = 0           # Number of next answers that are lost after the run.
-    cut_after_events: int = 0       # Events after which each stream is cut, 0 for none.
+    cut_after_events: Optional[int] = None  # Events after which each stream is cut.
+    cut_bytes: bytes = b"id: 99\nda"        # Sent before the cut: an event that is not finished.
+    bytes_after_events: bytes = b""          # Sent after the last event of a whole stream.
+    stream_framing: StreamFraming = StreamFraming.CHUNKED
     extra_answer: bool = False      # Each answer of a plain endpoint is followed by another.
     refuses_all: bool = False       # All requests are refused without being run.
     answers_500: bool = False       # Requests are run and answered with status 500.
@@ -368,20 +380,34 @@
 
     async def _stream(self, call: HttpCall, run: Run, signed_headers: dict[str, str]) -> None:
         first = int(call.fields.get("last-event-id", "0") or "0") + 1
+        framing = self.faults.stream_framing
+        is_chunked = framing is not StreamFraming.UNTIL_CLOSE
+        framing_header = {"Transfer-Encoding": "chunked"} if is_chunked else {}
+
+        def write(data: bytes) -> None:
+            if data and is_chunked:
+                data = f"{len(data):x}\r\n".encode() + data + b"\r\n"
+            call.writer.write(data)
+
         call.writer.write(response_head(200, {**signed_headers, "Content-Type": "text/event-stream",
-                                              "Transfer-Encoding": "chunked"}))
+                                              **framing_header}))
         for sent, number in enumerate(range(first, EVENT_COUNT + 1)):
-            if self.faults.cut_after_events and sent >= self.faults.cut_after_events:
+            if self.faults.cut_after_events is not None and sent >= self.faults.cut_after_events:
                 run.is_cut = True
-                call.writer.write(b"9\r\nid: 99\nda")  # In the middle of an event.
-                await call.writer.drain()
-                call.writer.transport.abort()
-                return
-            event = f"id: {number}\ndata: {run.request} {number}\n\n".encode()
-            call.writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+                write(self.faults.cut_bytes)
+                break
+            write(f"id: {number}\ndata: {run.request} {number}\n\n".encode())
             await call.writer.drain()
             await asyncio.sleep(self.platform.work_s)
-        call.writer.write(b"0\r\n\r\n")
+        if not run.is_cut:
+            write(self.faults.bytes_after_events)
+        if framing is StreamFraming.CHUNKED and run.is_cut:
+            await call.writer.drain()
+            call.writer.transport.abort()
+        elif is_chunked:
+            call.writer.write(b"0\r\n\r\n")
+        else:
+            call.writer.close()
 
 
 class Platform:
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -10,6 +10,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from edge_cluster import Daemon, EdgeCluster, ReservedPorts
+from standin import StreamFraming
 
 # Exit code when requests were still open at the end of the grace period.
 EXIT_REQUESTS_LEFT = 5
@@ -100,6 +101,63 @@
         assert cluster.run_count(cut) == 1
 
 
+def test_edge_does_not_complete_streams_that_end_inside_an_event() -> None:
+    """Ends streams inside an event although their framing says that they are complete.
+
+    A stream without a length ends with its connection, also when its runner breaks it off. The
+    daemon must not take the end of the connection, or the last chunk, for the end of the events: it
+    resumes a chat and cuts a draft.
+    """
+    with EdgeCluster(models=2) as cluster:
+        for framing in (StreamFraming.UNTIL_CLOSE, StreamFraming.ALWAYS_TERMINATED):
+            for cut_after, cut_bytes in ((3, b"id: 99\nda"), (3, b"id: 99\ndata: x\n"),
+                                         (0, b"id: 99\nda"), (3, b"\r\n: comm")):
+                for runner in ("r0", "r1"):
+                    faults = cluster.platform.endpoints[runner].faults
+                    faults.stream_framing = framing
+                    faults.cut_after_events, faults.cut_bytes = cut_after, cut_bytes
+                chat = cluster.daemons[0].send("chat")
+                assert chat.status != 200 or chat.is_complete, (framing, cut_after, chat)
+                assert chat.is_complete or cut_after == 0, (framing, cut_bytes, chat)
+                assert cluster.run_count(chat) == 2, (framing, cut_bytes, chat)
+                draft = cluster.daemons[0].send("draft")
+                assert draft.status == (0 if cut_after else 502), (framing, cut_bytes, draft)
+                check_no_violations(cluster, chat, draft)
+
+
+def test_edge_does_not_complete_streams_without_length_or_events() -> None:
+    """Closes the connection of a stream without a length before its first event.
+
+    Nothing then shows that the stream is complete.
+    """
+    with EdgeCluster(models=2) as cluster:
+        for runner in ("r0", "r1"):
+            faults = cluster.platform.endpoints[runner].faults
+            faults.stream_framing = StreamFraming.UNTIL_CLOSE
+            faults.cut_after_events, faults.cut_bytes = 0, b""
+        for kind in ("chat", "draft"):
+            result = cluster.daemons[0].send(kind)
+            assert result.status == 502, result
+            check_no_violations(cluster, result)
+
+
+def test_edge_completes_streams_that_end_with_their_connection() -> None:
+    """Guards against cutting whole streams that have neither a length nor chunks.
+
+    Comments and blank lines after the last event are no part of an event.
+    """
+    with EdgeCluster(models=2) as cluster:
+        for tail in (b"", b"\n", b": end\n", b"\r\n: end\r\n"):
+            for runner in ("r0", "r1"):
+                faults = cluster.platform.endpoints[runner].faults
+                faults.stream_framing = StreamFraming.UNTIL_CLOSE
+                faults.bytes_after_events = tail
+            for kind in ("chat", "draft"):
+                result = cluster.daemons[0].send(kind)
+                assert result.is_complete and result.body.endswith(b"6\n\n" + tail), (tail, result)
+                assert cluster.run_count(result) == 1, (tail, result)
+
+
 def test_edge_keeps_extra_answers_from_other_requests() -> None:
     """Lets plain endpoints send a second answer after each answer.
 
