Fix: [Gateway] Split events whatever their line ends

A stream whose lines end in CR, or in LF and CR LF by turns, was not split: its events reached the client only at the end, and it could not be resumed, as no event id was read. The format allows all three line ends.

The new test fails on the former splitter: lines that end in CR give no event.

--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -10,6 +10,7 @@
 
 namespace rhubarbtrail {
 
+/* Lines may end in LF, CR LF or CR. An event ends with a blank line. */
 class EventSplitter
 {
 public:
@@ -19,7 +20,7 @@
    * if there is none. */
   std::optional<std::string> Next()
   {
-    const auto end = FindEnd();
+    const std::size_t end = FindEnd();
     if (end == std::string::npos) {
       return std::nullopt;
     }
@@ -33,15 +34,40 @@
   void Clear() { mBuffer.clear(); }
 
 private:
-  /* Returns the position after the first blank line, or npos. Lines end in LF or in CR LF. */
+  static constexpr std::string_view kLineEnds = "\r\n";
+
+  bool IsBlank(std::size_t aLineStart) const
+  {
+    return kLineEnds.find(mBuffer[aLineStart]) != std::string_view::npos;
+  }
+
+  /* Returns the position after the line that starts at aStart, or npos if its end is missing. */
+  std::size_t FindLineEnd(std::size_t aStart) const
+  {
+    const std::size_t end = mBuffer.find_first_of(kLineEnds, aStart);
+    if (end == std::string::npos) {
+      return end;
+    }
+    return mBuffer.compare(end, 2, "\r\n") == 0 ? end + 2 : end + 1;
+  }
+
+  /* Returns the position after the first blank line that follows another line, or npos. */
   std::size_t FindEnd() const
   {
-    const auto plain = mBuffer.find("\n\n");
-    const auto withReturn = mBuffer.find("\r\n\r\n");
-    if (withReturn < plain) {
-      return withReturn + 4;
+    std::size_t start = 0;
+    bool hasLine = false;
+    while (start < mBuffer.size()) {
+      const std::size_t end = FindLineEnd(start);
+      if (end == std::string::npos) {
+        return end;
+      }
+      if (hasLine && IsBlank(start)) {
+        return end;
+      }
+      hasLine = hasLine || !IsBlank(start);
+      start = end;
     }
-    return plain == std::string::npos ? plain : plain + 2;
+    return std::string::npos;
   }
 
   std::string mBuffer;
--- a/src/platform/request_headers.cpp
+++ b/src/platform/request_headers.cpp
@@ -194,18 +194,16 @@
 
 std::string DecodeEventId(std::string_view aEvent)
 {
+  constexpr std::string_view kName = "id:";
   while (!aEvent.empty()) {
-    std::string_view line = RemoveFirstItem(aEvent, '\n');
-    if (!line.starts_with("id:")) {
+    const auto end = aEvent.find_first_of("\r\n");
+    std::string_view line = aEvent.substr(0, end);
+    aEvent = end == std::string_view::npos ? std::string_view{} : aEvent.substr(end + 1);
+    if (!line.starts_with(kName)) {
       continue;
     }
-    line.remove_prefix(3);
-    while (!line.empty() && (line.front() == ' ')) {
-      line.remove_prefix(1);
-    }
-    while (!line.empty() && line.back() == '\r') {
-      line.remove_suffix(1);
-    }
+    line.remove_prefix(kName.size());
+    line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
     return std::string{ line };
   }
   return {};
--- /dev/null
+++ b/tests/unit/event_splitter_test.cpp
@@ -0,0 +1,52 @@
+/* Splitting of server-sent event streams, for each line end and each way the bytes can arrive. */
+#include "gateway/event_splitter.h"
+#include "platform/request_headers.h"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+using namespace rhubarbtrail;
+
+namespace {
+
+struct SplitStream
+{
+  std::vector<std::string> events;
+  std::string rest;
+};
+
+/* Splits a stream that arrives in two parts. */
+SplitStream Split(const std::string& aStream, std::size_t aFirstSize)
+{
+  EventSplitter splitter;
+  SplitStream result;
+  for (const std::string& part : { aStream.substr(0, aFirstSize), aStream.substr(aFirstSize) }) {
+    splitter.Feed(part);
+    while (auto event = splitter.Next()) {
+      result.events.push_back(*event);
+    }
+  }
+  result.rest = splitter.rest();
+  return result;
+}
+
+} // namespace
+
+/* A line end that is not recognised joins events, so that a stream is resumed after the wrong one.
+ */
+TEST_CASE("events are split at blank lines whatever the line end")
+{
+  for (const std::string end : { "\n", "\r\n", "\r" }) {
+    const std::string stream =
+      "id: 1" + end + "data: a" + end + end + "id: 2" + end + "data: b" + end + end;
+    for (std::size_t size = 0; size <= stream.size(); ++size) {
+      CAPTURE(size);
+      const SplitStream split = Split(stream, size);
+      REQUIRE(split.events.size() == 2);
+      CHECK(platform::DecodeEventId(split.events[0]) == "1");
+      CHECK(platform::DecodeEventId(split.events[1]) == "2");
+      CHECK(split.events[0] + split.events[1] + split.rest == stream);
+    }
+  }
+}
