Fix: [Gateway] Do not complete a stream that ends inside an event

Cause: the daemon took the end of the message as the end of the stream. A runner that sends neither a length nor chunks ends its answer with its connection, also when it breaks off, so http::Client reports such an answer as complete; the daemon then forwarded the unfinished bytes and sent its own last chunk.

Now a stream counts as complete only if its events do too: an unfinished event, or an answer without a length and without any event, is treated as a broken connection, whatever the framing says. A resumable stream is resumed after its last event, another one is broken off. Comments and blank lines after the last event are no part of an event.

The soak now also has streams without a length among its faults. Streams whose connection closes exactly between two events stay undetected: nothing in the answer tells them from whole ones.

--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -31,6 +31,23 @@
 
   /* Returns the bytes after the events returned so far. */
   const std::string& rest() const { return mBuffer; }
+
+  /* Returns whether the rest is more than blank lines and comments: a stream that ends here ends
+   * inside an event or in the middle of a line. */
+  bool IsInsideEvent() const
+  {
+    std::size_t start = 0;
+    while (start < mBuffer.size()) {
+      const std::size_t end = FindLineEnd(start);
+      const bool isPartialLine = end == std::string::npos;
+      if (isPartialLine || (!IsBlank(start) && mBuffer[start] != ':')) {
+        return true;
+      }
+      start = end;
+    }
+    return false;
+  }
+
   void Clear() { mBuffer.clear(); }
 
 private:
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -526,12 +526,28 @@
   return isServerError ? AttemptEnd::kErrorAnswer : AttemptEnd::kAnswered;
 }
 
+/* Returns whether the events of a stream show that it broke off, although its framing or the end of
+ * its connection marks the answer as complete. */
+bool RequestFlow::IsStreamUnfinished() const
+{
+  if (!mAttempt.isStream) {
+    return false;
+  }
+  const bool hasNoEvent = mAttempt.timeToFirstEvent == Duration::zero();
+  return mEventSplitter.IsInsideEvent() ||
+         (hasNoEvent && mAttempt.head->framing == http::Framing::kUntilClose);
+}
+
 void RequestFlow::OnEnd(http::CallResult aResult)
 {
   mAttempt.call.reset();
   if (mIsEnded) {
     return;
   }
+  const bool isUnfinished = aResult == http::CallResult::kComplete && IsStreamUnfinished();
+  if (isUnfinished) {
+    aResult = http::CallResult::kBroken;
+  }
   const AttemptEnd end = ClassifyAttempt(aResult);
   const TimePoint now = BootClockNow();
   switch (end) {
@@ -561,7 +577,7 @@
       break;
   }
   ReleaseAssignment(AssignmentEndOf(end));
-  OnAttemptEnded(end, http::ToString(aResult));
+  OnAttemptEnded(end, isUnfinished ? "unfinished_stream" : http::ToString(aResult));
 }
 
 void RequestFlow::ProbeEndpoint()
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -66,6 +66,7 @@
   bool OnHead(const http::AnswerHead& aHead);
   void OnBody(std::string_view aBytes);
   void OnEnd(http::CallResult aResult);
+  bool IsStreamUnfinished() const;
   /* Classifies the attempt that has just ended. */
   fleet::AttemptEnd ClassifyAttempt(http::CallResult aResult) const;
   /* Decides what follows an attempt: another one, the answer, or a failure. */
--- a/tests/edge/soak.py
+++ b/tests/edge/soak.py
@@ -25,6 +25,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent))
 
 from edge_cluster import Daemon, EdgeCluster, Result  # noqa: E402
+from standin import StreamFraming  # noqa: E402
 
 KINDS = ("chat", "draft", "pay", "check")
 RECOVERY_S = 12.0  # Time after the last fault until each daemon must answer every kind of request.
@@ -134,6 +135,7 @@
         return [endpoint_fault("delays_answers", True, False),
                 endpoint_fault("lost_answers", 5, 0),
                 endpoint_fault("cut_after_events", 2, None),
+                endpoint_fault("stream_framing", StreamFraming.UNTIL_CLOSE, StreamFraming.CHUNKED),
                 endpoint_fault("extra_answer", True, False),
                 endpoint_fault("refuses_all", True, False),
                 endpoint_fault("answers_500", True, False),
--- a/tests/unit/event_splitter_test.cpp
+++ b/tests/unit/event_splitter_test.cpp
@@ -14,6 +14,7 @@
 {
   std::vector<std::string> events;
   std::string rest;
+  bool isInsideEvent = false;
 };
 
 /* Splits a stream that arrives in two parts. */
@@ -28,6 +29,7 @@
     }
   }
   result.rest = splitter.rest();
+  result.isInsideEvent = splitter.IsInsideEvent();
   return result;
 }
 
@@ -47,6 +49,26 @@
       CHECK(platform::DecodeEventId(split.events[0]) == "1");
       CHECK(platform::DecodeEventId(split.events[1]) == "2");
       CHECK(split.events[0] + split.events[1] + split.rest == stream);
+      CHECK_FALSE(split.isInsideEvent);
+    }
+  }
+}
+
+/* Guards against answering a stream that broke off as complete (incident inc1), and against
+ * breaking off a whole one. */
+TEST_CASE("a stream ends inside an event unless only comments and blank lines follow the last one")
+{
+  const std::vector<std::pair<std::string, bool>> cases{
+    { "", false },           { "\n", false },           { "\r\n\r\n", false },
+    { ": end\n", false },    { ": a\n\n: b\n", false }, { ": end", true },
+    { "id: 2\ndata", true }, { "data: x\n", true },     { "data: x\r\n", true },
+    { "retry: 1", true },    { "\ndata: x", true },     { "d", true },
+  };
+  for (const auto& [rest, isInsideEvent] : cases) {
+    CAPTURE(rest);
+    const std::string stream = "id: 1\ndata: a\n\n" + rest;
+    for (std::size_t size = 0; size <= stream.size(); ++size) {
+      CHECK(Split(stream, size).isInsideEvent == isInsideEvent);
     }
   }
 }
