Feature: [Gateway] Read and log software versions and the request that a client resumes

An entry without a version is rejected like one without a state. request_sent and runner_joined have "software", request_accepted has "client_last_event" and "resumes".

--- a/src/core/id_type.h
+++ b/src/core/id_type.h
@@ -46,6 +46,7 @@
 using RequestId = Id<struct RequestTag>;
 using RowKey = Id<struct RowKeyTag>;
 using ServiceId = Id<struct ServiceTag>;
+using SoftwareVersion = Id<struct SoftwareVersionTag>;
 using ZoneId = Id<struct ZoneTag>;
 
 } // namespace rhubarbtrail
--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -504,6 +504,7 @@
                { { "endpoint", entry->id },
                  { "service", entry->service },
                  { "address", entry->address },
+                 { "software", entry->softwareVersion },
                  { "models", DescribeLoadedModels(entry->holdings.models) },
                  { "on_disk", entry->holdings.onDisk.size() },
                  { "row_version", aRow.version.value } });
@@ -584,6 +585,7 @@
         { "endpoint", id.str() },
         { "service", runner.entry.service.str() },
         { "address", runner.entry.address },
+        { "software", runner.entry.softwareVersion.str() },
         { "usable", mRunners.Check(now, runner) == fleet::Exclusion::kNone },
         { "in_flight_here", runner.inFlight },
         { "failure_share", runner.health.failureShare() },
--- a/src/decision/fleet/runner_type.h
+++ b/src/decision/fleet/runner_type.h
@@ -47,6 +47,7 @@
   ServiceId service;
   ZoneId zone;
   std::string address;
+  SoftwareVersion softwareVersion; ///< Not of the weights. Versions have no order.
   std::uint32_t slots = 1;
   RunnerState state = RunnerState::kReady;
   /* Time until the runner stops, even if it still runs requests. */
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -198,6 +198,8 @@
                        { "service", mService },
                        { "model", UsesModels() ? mClient.work->target.model.str() : "" },
                        { "adapter", UsesModels() ? mClient.work->target.adapter.str() : "" },
+                       { "client_last_event", mClient.lastEventId },
+                       { "resumes", mClient.resumedRequestId },
                        { "time_left_ms", ToMilliseconds(timeLeft) },
                        { "config_version", mConfiguration->version.value } });
   SelectEndpoint();
@@ -386,6 +388,7 @@
   mContext.log.Write("request_sent",
                      { { "id", mClient.requestId },
                        { "endpoint", aEndpoint },
+                       { "software", runner->entry.softwareVersion },
                        { "why", aSelectionReason },
                        { "attempt", mAttemptState.runs + mAttemptState.refusals + 1 },
                        { "waited_ms", ToMilliseconds(now - mArrivedAt) },
--- a/src/platform/request_headers.cpp
+++ b/src/platform/request_headers.cpp
@@ -103,6 +103,8 @@
   decoded.work = DecodeModelWork(aRequest.fields);
   decoded.lastEventId =
     std::string{ http::Find(aRequest.fields, field::kLastEventId).value_or("") };
+  decoded.resumedRequestId =
+    std::string{ http::Find(aRequest.fields, field::kResumes).value_or("") };
   return decoded;
 }
 
--- a/src/platform/request_headers.h
+++ b/src/platform/request_headers.h
@@ -18,6 +18,8 @@
   std::optional<Duration> timeLeft;     ///< Until the client's deadline. At most 24 h.
   std::optional<fleet::ModelWork> work; ///< Set if the request names a model.
   std::string lastEventId; ///< Last event that the client has of a stream that it resumes.
+  /* Id of the request that brought the first event of the stream that the client resumes. */
+  std::string resumedRequestId;
 };
 
 /* Decodes a client's header fields. Invalid values are ignored, as if they were missing. */
--- a/src/platform/runner_decoder.cpp
+++ b/src/platform/runner_decoder.cpp
@@ -122,6 +122,7 @@
     if (!IsHostAndPort(entry.address)) {
       throw DecodeError("address is not HOST:PORT");
     }
+    entry.softwareVersion = SoftwareVersion{ StringMember(document, "version") };
     entry.slots =
       std::max<std::uint32_t>(1, static_cast<std::uint32_t>(UnsignedMember(document, "slots")));
     entry.state = DecodeState(StringMember(document, "state"));
--- a/src/platform/wire_names.h
+++ b/src/platform/wire_names.h
@@ -14,6 +14,7 @@
 constexpr std::string_view kPromptParts = "X-Prompt-Prefix"; ///< All parts, not only a prefix.
 constexpr std::string_view kLengthHint = "X-Length-Hint";
 constexpr std::string_view kLastEventId = "Last-Event-Id";
+constexpr std::string_view kResumes = "Resumes"; ///< Id of the request that began the stream.
 constexpr std::string_view kTargetEndpoint = "X-Target-Instance";
 constexpr std::string_view kPriority = "X-Request-Priority";
 constexpr std::string_view kSignature = "X-Response-Signature";
--- a/tests/platform/decoder_test.cpp
+++ b/tests/platform/decoder_test.cpp
@@ -54,6 +54,7 @@
   CHECK(entry->service == ServiceId{ "s1" });
   CHECK(entry->slots == 64);
   CHECK(entry->startedAtMs == 17);
+  CHECK(entry->softwareVersion == SoftwareVersion{ "v1" });
   CHECK(entry->holdings.models.at(ModelId{ "m1" }) ==
         std::set{ AdapterId{ "a1" }, AdapterId{ "a3" } });
   CHECK(entry->holdings.onDisk.size() == 2);
@@ -74,6 +75,9 @@
     { "state is null", ReplacePart(kRunnerEntry, R"("ready")", "null") },
     { "negative slots", ReplacePart(kRunnerEntry, R"("slots":64)", R"("slots":-1)") },
     { "slots is a text", ReplacePart(kRunnerEntry, R"("slots":64)", R"("slots":"64")") },
+    { "no software version", ReplacePart(kRunnerEntry, R"("version":"v1",)", "") },
+    { "software version is a number",
+      ReplacePart(kRunnerEntry, R"("version":"v1")", R"("version":1)") },
     { "models is a text", ReplacePart(kRunnerEntry, R"([{"name":"m1")", R"(["m1",{"name":"m1")") },
     { "adapters is a number", ReplacePart(kRunnerEntry, R"(["a1@2","a3"])", "3") },
     { "born is a text", ReplacePart(kRunnerEntry, R"("born":17)", R"("born":"x")") },
