--- a/tests/edge/edge_cluster.py
+++ b/tests/edge/edge_cluster.py
@@ -68,14 +68,22 @@
     fields: dict[str, str] = field(default_factory=dict)
     duration_s: float = 0.0
 
+    @property
+    def event_ids(self) -> list[int]:
+        return [int(number) for number in re.findall(rb"id: (\d+)\n", self.body)]
+
+    @property
+    def versions(self) -> set[bytes]:
+        """Software versions of the runners whose events the client holds, also of a cut stream."""
+        return set(re.findall(rb"data: \S+ \d+ (\S+)\n\n", self.body))
+
     @property
     def is_complete(self) -> bool:
         """Whether the answer is a success with all events in order, or with the expected body."""
         if self.status != 200:
             return False
         if self.kind in ("chat", "draft"):
-            ids = [int(n) for n in re.findall(rb"id: (\d+)\n", self.body)]
-            return ids == list(range(1, EVENT_COUNT + 1))
+            return self.event_ids == list(range(1, EVENT_COUNT + 1))
         return self.body == f"done {self.id}".encode()
 
 
@@ -148,7 +156,10 @@
             connection.request(method, f"/{kind}/x?y=1", body, headers)
             answer = connection.getresponse()
             result.fields = {name.lower(): value for name, value in answer.getheaders()}
-            result.body = answer.read()
+            while part := answer.read1(65536):
+                result.body += part
+            if answer.length:  # read1() reports no error when the body is shorter than announced.
+                raise http.client.IncompleteRead(result.body, answer.length)
             result.status = answer.status
         except (OSError, http.client.HTTPException):
             result.status = 0
@@ -156,6 +167,19 @@
         return result
 
 
+def resume(daemon: Daemon, broken: Result, begun_by: Optional[str] = None,
+           model: str = "m0") -> Result:
+    """Takes up a broken stream, as clients do, and returns the stream with all events so far.
+
+    begun_by is the id of the request that brought the first event; that of the broken one if None.
+    """
+    result = daemon.send(broken.kind, model, Last_Event_Id=str(broken.event_ids[-1]),
+                         Resumes=begun_by or broken.id)
+    if result.status in (0, 200):
+        result.body = broken.body + result.body
+    return result
+
+
 class EdgeCluster:
     """A platform stand-in and edge daemons.
 
@@ -210,8 +234,8 @@
     def find_violation(self, result: Result) -> Optional[str]:
         """Returns how an answer violates the guarantees of the daemon, or None.
 
-        A payment or a draft runs at most once, a refused request does not run, and a success is
-        complete and signed. The requests of the tests are valid, so none is denied.
+        A payment or a draft runs at most once, a refused request does not run, a success is complete
+        and signed, and a stream holds events of one software version. The requests of the tests are valid, so none is denied.
         """
         runs = self.platform.runs.get(result.id, [])
         if result.kind in ("pay", "draft") and len(runs) > 1:
@@ -224,4 +248,6 @@
             return f"{result.kind} {result.id} got a success without X-Response-Signature"
         if result.status in (400, 401, 403, 404):
             return f"{result.kind} {result.id} was denied with {result.status}"
+        if len(result.versions) > 1:
+            return f"{result.kind} {result.id} has events of versions {sorted(result.versions)}"
         return None
--- a/tests/edge/standin.py
+++ b/tests/edge/standin.py
@@ -270,7 +270,7 @@
         self.on_disk = set(platform.models) if models else set()
         self.faults = Faults()
         self.born, self.order_count, self.busy_until = 1, 0, 0.0
-        self.state, self.is_down = "ready", False
+        self.state, self.is_down, self.version = "ready", False, "v1"
         self.max_loaded_models = 0
         self.order_log: list[dict[str, Any]] = []
 
@@ -278,7 +278,7 @@
         """Writes the endpoint's row to the store."""
         entry = {"backend": self.service, "address": f"127.0.0.1:{self.http_server.port}",
                  "zone": "a",
-                 "version": "v1", "slots": 8, "state": self.state, "coldLeftMs": 0,
+                 "version": self.version, "slots": 8, "state": self.state, "coldLeftMs": 0,
                  "born": self.born, "seq": int(time.time()), **self._loaded_state()}
         self.platform.store.put("servers", self.id, json.dumps(entry).encode())
 
@@ -380,6 +380,7 @@
 
     async def _stream(self, call: HttpCall, run: Run, signed_headers: dict[str, str]) -> None:
         first = int(call.fields.get("last-event-id", "0") or "0") + 1
+        version = self.version
         framing = self.faults.stream_framing
         is_chunked = framing is not StreamFraming.UNTIL_CLOSE
         framing_header = {"Transfer-Encoding": "chunked"} if is_chunked else {}
@@ -396,7 +397,7 @@
                 run.is_cut = True
                 write(self.faults.cut_bytes)
                 break
-            write(f"id: {number}\ndata: {run.request} {number}\n\n".encode())
+            write(f"id: {number}\ndata: {run.request} {number} {version}\n\n".encode())
             await call.writer.drain()
             await asyncio.sleep(self.platform.work_s)
         if not run.is_cut:
--- /dev/null
+++ b/tests/edge/test_versions.py
@@ -0,0 +1,175 @@
+"""Streams of runners whose software has several versions, on edge daemons as processes.
+
+What two versions write does not fit together, so a stream may only go on at the version that began
+it. Runners do not check this.
+"""
+
+from __future__ import annotations
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from edge_cluster import EdgeCluster, Result, resume
+
+
+def start(versions: str, daemons: int = 2, models: int = 2) -> EdgeCluster:
+    """Returns a cluster with one runner for each version; all runners hold the first two models."""
+    cluster = EdgeCluster(daemons=daemons, runners=len(versions.split()), models=models)
+    for number, version in enumerate(versions.split()):
+        set_version(cluster, f"r{number}", version)
+    return cluster
+
+
+def set_version(cluster: EdgeCluster, runner: str, version: str) -> None:
+    endpoint = cluster.platform.endpoints[runner]
+    endpoint.version = version
+    cluster.platform.run_on_loop(endpoint.announce)
+
+
+def versions_of(cluster: EdgeCluster, result: Result) -> list[str]:
+    return [cluster.platform.endpoints[run.endpoint].version
+            for run in cluster.platform.runs.get(result.id, [])]
+
+
+def break_streams(cluster: EdgeCluster, after_events: int) -> None:
+    for endpoint in cluster.platform.endpoints.values():
+        endpoint.faults.cut_after_events = after_events
+
+
+def test_edge_resumes_streams_within_an_answer_at_the_same_version() -> None:
+    """Breaks streams off and lets the daemon resume them, with two versions in service."""
+    with start("v1 v1 v2 v2") as cluster:
+        break_streams(cluster, 3)
+        results = [cluster.daemons[number % 2].send("chat") for number in range(24)]
+        assert all(result.is_complete for result in results), results
+        assert {len(result.versions) for result in results} == {1}, results
+        assert {version for r in results for version in r.versions} == {b"v1", b"v2"}, results
+
+
+def test_edge_cuts_a_stream_when_no_other_runner_has_its_version() -> None:
+    """Breaks a stream off whose runner is the only one of its version and leaves at once."""
+    with start("v1 v2") as cluster:
+        runners = cluster.platform.endpoints
+        runners["r1"].faults.refuses_all = True
+        cluster.platform.work_s = 0.3
+        with ThreadPoolExecutor(1) as pool:
+            pending = pool.submit(cluster.daemons[0].send, "chat")
+            time.sleep(0.8)
+            runners["r1"].faults.refuses_all = False
+            cluster.platform.run_coroutine(runners["r0"].crash(None))
+            result = pending.result()
+        assert result.status == 0 and result.event_ids, result
+        assert set(versions_of(cluster, result)) == {"v1"}, versions_of(cluster, result)
+
+
+def test_edge_resumes_streams_of_a_killed_daemon_at_their_version() -> None:
+    """Kills the daemon that serves streams of two versions, once the dispatcher and once another.
+
+    The daemons that the clients turn to must know which version began each stream.
+    """
+    for kills_dispatcher in (False, True):
+        with start("v1 v1 v2 v2", daemons=4) as cluster:
+            cluster.platform.work_s = 0.2
+            holder = cluster.holder()
+            victim = holder if kills_dispatcher else next(
+                daemon for daemon in cluster.daemons if daemon is not holder)
+            others = [daemon for daemon in cluster.daemons if daemon is not victim]
+            with ThreadPoolExecutor(16) as pool:
+                pending = [pool.submit(victim.send, "chat") for _ in range(16)]
+                time.sleep(0.6)
+                victim.kill()
+                broken = [future.result() for future in pending]
+            assert all(result.status == 0 and result.event_ids for result in broken), broken
+            cluster.platform.work_s = 0.01
+            with ThreadPoolExecutor(16) as pool:
+                resumed = list(pool.map(
+                    lambda item: resume(others[item[0] % len(others)], item[1]),
+                    enumerate(broken)))
+            assert {len(result.versions) for result in resumed if result.event_ids} == {1}, resumed
+            assert {v for r in resumed for v in r.versions} == {b"v1", b"v2"}, resumed
+            assert all(result.is_complete for result in resumed), resumed
+
+
+def test_edge_resumes_a_stream_twice_at_its_version() -> None:
+    """Breaks streams off after each two events; clients take them up at one daemon after the other.
+
+    Each try names the request that brought the first event, not the one before.
+    """
+    with start("v1 v1 v2 v2", daemons=3) as cluster:
+        break_streams(cluster, 1)
+        for number in range(8):
+            first = cluster.daemons[number % 3].send("chat")
+            assert first.status == 0 and len(first.event_ids) == 2, first
+            second = resume(cluster.daemons[(number + 1) % 3], first)
+            assert second.status == 0 and len(second.event_ids) == 4, second
+            third = resume(cluster.daemons[(number + 2) % 3], second, begun_by=first.id)
+            assert third.is_complete and len(third.versions) == 1, third
+
+
+def test_edge_refuses_at_once_to_resume_a_stream_whose_version_is_gone() -> None:
+    """Lets all runners of a version leave, and takes up a stream that they began."""
+    with start("v1 v2") as cluster:
+        runners = cluster.platform.endpoints
+        break_streams(cluster, 1)
+        runners["r1"].faults.refuses_all = True
+        broken = cluster.daemons[0].send("chat")
+        assert broken.status == 0 and broken.versions == {b"v1"}, broken
+        runners["r1"].faults.refuses_all = False
+        cluster.platform.run_coroutine(runners["r0"].crash(None))
+        for daemon in cluster.daemons:
+            time.sleep(0.3)
+            result = resume(daemon, broken)
+            assert result.status == 503 and result.duration_s < 1.0, result
+            assert not versions_of(cluster, result), result
+
+
+def test_edge_resumes_unknown_streams_only_while_one_version_is_known() -> None:
+    """Takes up streams that no daemon knows, or without the id of the request that began them.
+
+    While all runners have had one version, a stream can only have begun there. A version that left a
+    short time ago counts too.
+    """
+    with start("v1 v1") as cluster:
+        unknown = Result("0123456789abcdef", "chat", body=b"id: 2\n")
+        for fields in ({"Resumes": "0123456789abcdef"}, {}):
+            result = cluster.daemons[0].send("chat", Last_Event_Id="2", **fields)
+            assert result.status == 200 and result.event_ids == [3, 4, 5, 6], result
+        for change in ("another version joins", "the first version leaves"):
+            if change == "another version joins":
+                set_version(cluster, "r1", "v2")
+            else:
+                cluster.platform.run_coroutine(cluster.platform.endpoints["r0"].crash(None))
+            time.sleep(0.5)
+            for daemon in cluster.daemons:
+                result = resume(daemon, unknown)
+                assert result.status == 503 and result.duration_s < 1.5, (change, result)
+                result = daemon.send("chat", Last_Event_Id="2")
+                assert result.status == 503 and result.duration_s < 1.5, (change, result)
+
+
+def test_edge_loads_a_model_at_the_version_of_a_stream() -> None:
+    """Breaks off a stream whose model no other runner of its version holds.
+
+    The other runner of the version must load the model, although a runner of another version holds
+    it.
+    """
+    with EdgeCluster(daemons=2, runners=3, models=6) as cluster:
+        runners = cluster.platform.endpoints
+
+        def prepare() -> None:
+            runners["r2"].version, runners["r2"].models = "v2", {"m0": [], "m4": []}
+            runners["r2"].announce()
+
+        runners["r2"].faults.refuses_all = True
+        cluster.platform.run_on_loop(prepare)
+        break_streams(cluster, 1)
+        time.sleep(0.5)
+        broken = cluster.daemons[0].send("chat", "m0")
+        assert broken.status == 0 and broken.versions == {b"v1"}, broken
+        for runner in runners.values():
+            runner.faults.refuses_all, runner.faults.cut_after_events = False, None
+        cluster.platform.run_coroutine(runners["r0"].crash(None))
+        time.sleep(0.3)
+        result = resume(cluster.daemons[1], broken, model="m0")
+        assert result.is_complete and result.versions == {b"v1"}, result
+        assert "m0" in runners["r1"].models, runners["r1"].models
