--- a/src/core/result_code_type.h
+++ b/src/core/result_code_type.h
@@ -29,6 +29,8 @@
   kShuttingDown = 2106,
   kEndpointUnavailable = 2107,
   kDeadlinePassed = 2108,
+  kStreamVersionGone = 2109,
+  kStreamOriginUnknown = 2110,
   kOutcomeUnknown = 3101,
   kEarlierOutcomeUnknown = 3102,
   kAttemptsExhausted = 3103,
--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -43,6 +43,9 @@
 constexpr Duration kWaitingRequestMargin = 2'500ms;
 /* Time between two checks whether a stopping daemon can exit. */
 constexpr Duration kShutdownCheckInterval = 50ms;
+/* Greatest age of the store's last answer about the runners with which this daemon's view of them
+ * counts as current. A watch without changes is answered after less than that. */
+constexpr Duration kMaxRunnersAge = 3s;
 /* Time between two "status" log lines. */
 constexpr Duration kStatusLogInterval = 10s;
 /* Time between two checks for runners whose missing entries now count as removed. While the store
@@ -104,23 +107,26 @@
     , mPlacement([this](const fleet::DispatchMessage& aMessage) {
       return mMember.SendToDispatcher(aMessage);
     })
-    , mGateway{ .loop = mLoop,
-                .client = mClient,
-                .log = mLog,
-                .metrics = mMetrics,
-                .runners = mRunners,
-                .placement = mPlacement,
-                .self = DaemonId{ mSettings.daemonId },
-                .zone = ZoneId{ mSettings.zone },
-                .onSuspect =
-                  [this](const FingerprintId& aRequest) {
-                    mMember.ReportSuspect({ .request = aRequest });
-                  },
-                .onCleared =
-                  [this](const FingerprintId& aRequest) {
-                    mMember.ReportSuspect({ .request = aRequest, .isCleared = true });
-                  },
-                .configuration = nullptr }
+    , mGateway{
+      .loop = mLoop,
+      .client = mClient,
+      .log = mLog,
+      .metrics = mMetrics,
+      .runners = mRunners,
+      .streamOrigins = mStreamOrigins,
+      .placement = mPlacement,
+      .self = DaemonId{ mSettings.daemonId },
+      .zone = ZoneId{ mSettings.zone },
+      .onSuspect =
+        [this](const FingerprintId& aRequest) { mMember.ReportSuspect({ .request = aRequest }); },
+      .onCleared =
+        [this](const FingerprintId& aRequest) {
+          mMember.ReportSuspect({ .request = aRequest, .isCleared = true });
+        },
+      .onStreamBegun = [this](const fleet::BegunStream& aStream) { mMember.ReportStream(aStream); },
+      .areRunnersCurrent = [this] { return AreRunnersCurrent(); },
+      .configuration = nullptr
+    }
     , mMember({ .loop = mLoop,
                 .client = mClient,
                 .store = mStore,
@@ -128,6 +134,7 @@
                 .metrics = mMetrics,
                 .placement = mPlacement,
                 .dispatcher = mDispatcher,
+                .streamOrigins = mStreamOrigins,
                 .onSuspect =
                   [this](const SuspectMessage& aSuspect) {
                     if (aSuspect.isCleared) {
@@ -528,6 +535,14 @@
                { { "endpoint", runnerId }, { "store_lost", mRunnerFeed.isStoreLost() } });
   }
 
+  /* Returns whether the store or the dispatcher has confirmed a short time ago that no change of
+   * the runners is missing here. */
+  bool AreRunnersCurrent() const
+  {
+    return mRunnerFeed.isSynced() && !mRunnerFeed.isStoreLost() &&
+           mRunnerFeed.IsCurrent(BootClockNow(), kMaxRunnersAge);
+  }
+
   bool IsReady() const { return !mIsStopping && mGateway.configuration && mRunnerFeed.isSynced(); }
 
   void AnswerReadiness(const http::Request& aRequest, http::Responder& aResponder)
@@ -743,7 +758,8 @@
   http::Client mClient;
   StoreClient mStore;
   fleet::RunnerRegistry mRunners;
-  fleet::Dispatcher mDispatcher;
+  fleet::StreamOrigins mStreamOrigins;
+  fleet::Dispatcher mDispatcher{ mStreamOrigins };
   PlacementClient mPlacement;
   GatewayContext mGateway;
   FleetMember mMember;
--- a/src/decision/fleet/dispatch_estimate.h
+++ b/src/decision/fleet/dispatch_estimate.h
@@ -29,6 +29,10 @@
 constexpr double kSurplusReplicaFactor = 0.05;
 /* Least time until a request's deadline with which an answer can still be complete. */
 constexpr Duration kMinServiceTime = 250ms;
+/* Least time that a request waits for its model before it is refused because no load is planned. */
+constexpr Duration kMinWaitForModel = 1s;
+/* Retry-after time of refusals for lack of a replica while none is planned. */
+constexpr Duration kRetryAfterRefusal = 1'500ms;
 
 inline double ToSeconds(Duration aDuration)
 {
--- a/src/decision/fleet/dispatch_type.h
+++ b/src/decision/fleet/dispatch_type.h
@@ -4,6 +4,7 @@
 #define RHUBARBTRAIL_DECISION_FLEET_DISPATCH_TYPE_H
 
 #include "core/result_code_type.h"
+#include "decision/fleet/stream_origins.h"
 #include "decision/fleet/work_type.h"
 
 #include <cstdint>
@@ -40,12 +41,20 @@
   Duration timeLeft{};
   bool isResumable = false;
   std::vector<EndpointId> failedRunners; ///< Runners where an attempt failed or was refused.
+  /* Set for a stream that is resumed: only runners of this service and version can go on with it.
+   */
+  std::optional<StreamOrigin> origin;
+  /* Set for a stream that is resumed and whose origin the daemon does not know. */
+  std::optional<StreamKey> resumedStream;
 };
 
 /* The request is assigned to this runner, and the daemon may send it there now. */
 struct RunnerAssigned
 {
   EndpointId runner;
+  /* The runner's software version, or empty if it is not known since the runner restarted. Nothing
+   * if the dispatcher is of a release that does not state it. */
+  std::optional<SoftwareVersion> version;
 };
 
 /* The request cannot be assigned to a runner in time. */
--- a/src/decision/fleet/dispatcher.cpp
+++ b/src/decision/fleet/dispatcher.cpp
@@ -200,10 +200,16 @@
                                     const PlacementRequest& aRequest,
                                     const ZoneId& aZone)
 {
+  mActiveSince = mActiveSince.value_or(aNow);
   if (const auto known = mAssignments.find(aRequest.id); known != mAssignments.end()) {
     // A repeated request is already assigned: the first reply was lost with a connection.
-    mActions.emplace_back(
-      PlacementReply{ .id = aRequest.id, .answer = RunnerAssigned{ known->second.runner } });
+    const auto runner = mRunners.find(known->second.runner);
+    mActions.emplace_back(PlacementReply{
+      .id = aRequest.id,
+      .answer = RunnerAssigned{ .runner = known->second.runner,
+                                .version = runner == mRunners.end()
+                                             ? SoftwareVersion{}
+                                             : runner->second.entry.softwareVersion } });
     return;
   }
   const bool isAlreadyWaiting =
@@ -294,6 +300,7 @@
 
 void Dispatcher::Clear()
 {
+  mActiveSince.reset();
   mWaitingRequests.clear();
   CancelSwaps();
   ReleaseAssignmentsOf(std::nullopt);
--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -11,6 +11,7 @@
 #include "decision/fleet/order_type.h"
 #include "decision/fleet/prompt_cache.h"
 #include "decision/fleet/service_time_tracker.h"
+#include "decision/fleet/stream_origins.h"
 
 #include <deque>
 #include <map>
@@ -159,6 +160,12 @@
 class Dispatcher
 {
 public:
+  /* aStreamOrigins has the origins of streams that clients may resume, and must outlive this. */
+  explicit Dispatcher(const StreamOrigins& aStreamOrigins)
+    : mStreamOrigins(&aStreamOrigins)
+  {
+  }
+
   void SetConfiguration(std::shared_ptr<const FleetConfiguration> aConfiguration);
   void SetOrderPermission(const OrderPermission& aPermission);
 
@@ -238,6 +245,17 @@
     TimePoint firstReadyAt = TimePoint::max(); ///< When the first of them should be loaded.
   };
 
+  /* A model that waiting or refused requests need and that no runner holds. */
+  struct MissingModel
+  {
+    ServiceId service;
+    ModelId model;
+    SoftwareVersion version; ///< Only runners of this version count. Empty for any.
+
+    auto operator<=>(const MissingModel&) const = default;
+    bool operator==(const MissingModel&) const = default;
+  };
+
   struct LocalCopyCheck
   {
     bool hasCopy = false;
@@ -273,7 +291,7 @@
   // dispatcher_assign.cpp
   void AssignWaitingRequests(TimePoint aNow);
   /* Tries to assign a request. Returns whether it was answered and need not wait any longer. */
-  bool TryToAssign(TimePoint aNow, const WaitingRequest& aWaiting);
+  bool TryToAssign(TimePoint aNow, WaitingRequest& aWaiting);
   bool IsUsable(const ManagedRunner& aRunner) const;
   /* Returns the expected time to the first event, or nothing if the runner cannot serve now. */
   std::optional<Duration> EstimateTimeToFirstEvent(TimePoint aNow,
@@ -282,6 +300,22 @@
   /* Refuses a request for which no usable runner has the model, if a replica cannot be there in
    * time. Returns whether it did. */
   bool RefuseWithoutReplica(TimePoint aNow, const WaitingRequest& aWaiting, const Model& aModel);
+  // dispatcher_resume.cpp
+  /* Sets the origin of a resumed stream if it is known. Returns whether the request has one or
+   * needs none. */
+  bool ResolveOrigin(TimePoint aNow, WaitingRequest& aWaiting) const;
+  /* Refuses a request whose stream's origin has not become known in time. Returns whether it did.
+   */
+  bool RefuseUnknownOrigin(TimePoint aNow, const WaitingRequest& aWaiting);
+  /* Refuses a request that no runner of its stream's version can serve in time. Returns whether it
+   * did. */
+  bool RefuseResumed(TimePoint aNow, const WaitingRequest& aWaiting);
+  static bool HasVersion(const ManagedRunner& aRunner, const SoftwareVersion& aVersion);
+  /* Returns when the first planned or ordered replica at a runner of this version is loaded, or
+   * nothing if there is none. */
+  std::optional<TimePoint> ReplicaReadyAt(TimePoint aNow, const MissingModel& aModel) const;
+
+  // dispatcher_assign.cpp
   void Refuse(TimePoint aNow,
               const WaitingRequest& aWaiting,
               ResultCode aCode,
@@ -304,12 +338,12 @@
   /* Returns the swap that costs least, or nothing if the model fits no runner. */
   std::optional<Swap> FindCheapestSwap(TimePoint aNow,
                                        const ServiceId& aService,
-                                       const Model& aModel) const;
+                                       const Model& aModel,
+                                       const SoftwareVersion& aVersion = {}) const;
   /* Plans the first replica of a model that requests wait for or were refused for, unless it serves
    * fewer requests than it makes others lose. */
   void PlanMissingModel(TimePoint aNow,
-                        const ServiceId& aService,
-                        const Model& aModel,
+                        const MissingModel& aMissing,
                         const std::vector<const WaitingRequest*>& aWaiting);
   /* Returns whether a swap can be planned at the runner: it is ready, its holdings are confirmed,
    * no other swap is planned and no model order is pending. */
@@ -346,8 +380,11 @@
   std::optional<Duration> TimeUntilReplica(TimePoint aNow,
                                            const ServiceId& aService,
                                            const ModelId& aModel) const;
-  /* Returns how many ready runners of the service hold the model and will not unload it. */
-  std::uint32_t CountReplicas(const ServiceId& aService, const ModelId& aModel) const;
+  /* Returns how many ready runners of the service, of this version or of any if it is empty, hold
+   * the model and will not unload it. */
+  std::uint32_t CountReplicas(const ServiceId& aService,
+                              const ModelId& aModel,
+                              const SoftwareVersion& aVersion = {}) const;
   /* Returns the runners of all services that hold a model. */
   const std::vector<ManagedRunner*>& RunnersWithModel(const ModelId& aModel) const;
   void PlanMissingModels(TimePoint aNow);
@@ -420,6 +457,9 @@
   std::size_t CountStoreLoads() const;
   void AdjustStoreConcurrency(const PendingOrder& aLoad, Duration aTook);
 
+  const StreamOrigins* mStreamOrigins;
+  /* When the first message arrived since this daemon became the dispatcher. */
+  std::optional<TimePoint> mActiveSince;
   std::shared_ptr<const FleetConfiguration> mConfiguration;
   OrderPermission mOrderPermission;
   std::map<ServiceId, WeightMemory> mWeightMemories;
@@ -439,7 +479,7 @@
   DecayingRate mSwapRate{ kSwapRateTimeConstantS }; ///< Planned swaps per second.
   std::map<std::pair<ServiceId, ModelId>, LocalCopyCheck> mLocalCopyChecks;
   /* Missing models for which no swap was worth its cost, and when to weigh them again. */
-  std::map<std::pair<ServiceId, ModelId>, TimePoint> mNextPlanAtByModel;
+  std::map<MissingModel, TimePoint> mNextPlanAtByModel;
   /* When a request was last refused because its model had no replica, by service and model. */
   std::map<std::pair<ServiceId, ModelId>, TimePoint> mRefusedModels;
   DemandTracker mDemand;
--- a/src/decision/fleet/dispatcher_assign.cpp
+++ b/src/decision/fleet/dispatcher_assign.cpp
@@ -18,14 +18,10 @@
 /* How long a request waits for a runner while this daemon may not send orders. The order lease
  * passes to another holder within some seconds. */
 constexpr Duration kMaxWaitWithoutOrders = 6s;
-/* Least time that a request waits for its model before it is refused because no load is planned. */
-constexpr Duration kMinWaitForModel = 1s;
 /* Waiting requests up to which all are tried in each tick, and the interval in which all are tried
  * when there are more. */
 constexpr std::size_t kShortQueue = 48;
 constexpr Duration kAssignmentInterval = 20ms;
-/* Retry-after time of refusals for lack of a replica while none is planned. */
-constexpr Duration kRetryAfterRefusal = 1'500ms;
 
 } // namespace
 
@@ -97,7 +93,7 @@
   return time;
 }
 
-bool Dispatcher::TryToAssign(TimePoint aNow, const WaitingRequest& aWaiting)
+bool Dispatcher::TryToAssign(TimePoint aNow, WaitingRequest& aWaiting)
 {
   const PlacementRequest& request = aWaiting.request;
   const Engine* engine = EngineOf(request.service);
@@ -116,10 +112,18 @@
            "no_place_before_deadline");
     return true;
   }
+  if (!ResolveOrigin(aNow, aWaiting)) {
+    return RefuseUnknownOrigin(aNow, aWaiting);
+  }
+  if (request.origin && request.origin->service != request.service) {
+    return RefuseResumed(aNow, aWaiting);
+  }
+  const SoftwareVersion version = request.origin ? request.origin->version : SoftwareVersion{};
   ManagedRunner* best = nullptr;
   std::tuple<bool, bool, Duration> bestRank;
   for (ManagedRunner* runner : RunnersWithModel(request.work.target.model)) {
-    if (runner->entry.service != request.service || !IsUsable(*runner)) {
+    if (runner->entry.service != request.service || !IsUsable(*runner) ||
+        !HasVersion(*runner, version)) {
       continue;
     }
     const auto time = EstimateTimeToFirstEvent(aNow, *runner, aWaiting);
@@ -135,6 +139,9 @@
       bestRank = rank;
     }
   }
+  if (best == nullptr && request.origin) {
+    return RefuseResumed(aNow, aWaiting);
+  }
   if (best == nullptr) {
     if (!mOrderPermission.mayOrder && !mOrderPermission.allowedFrom &&
         aNow - aWaiting.receivedAt > kMaxWaitWithoutOrders) {
@@ -214,7 +221,9 @@
                 .count = aRunner.inFlight });
   AddAssignment(aNow, aWaiting.request, aRunner, aTimeToFirstEvent);
   mActions.emplace_back(
-    PlacementReply{ .id = aWaiting.request.id, .answer = RunnerAssigned{ aRunner.entry.id } });
+    PlacementReply{ .id = aWaiting.request.id,
+                    .answer = RunnerAssigned{ .runner = aRunner.entry.id,
+                                              .version = aRunner.entry.softwareVersion } });
 }
 
 void Dispatcher::Refuse(TimePoint aNow,
--- a/src/decision/fleet/dispatcher_order.cpp
+++ b/src/decision/fleet/dispatcher_order.cpp
@@ -460,6 +460,7 @@
   if (aReport->startedAtMs > runner.entry.startedAtMs) {
     RunnerEntry entry = runner.entry; // The runner restarted and its entry is still the old one.
     entry.startedAtMs = aReport->startedAtMs;
+    entry.softwareVersion = {}; // The new process may have another version.
     entry.holdings = aReport->holdings;
     ResetRunner(aNow, runner, entry);
   }
--- a/src/decision/fleet/dispatcher_plan.cpp
+++ b/src/decision/fleet/dispatcher_plan.cpp
@@ -91,11 +91,14 @@
   return found == mRunnersByModel.end() ? kNone : found->second;
 }
 
-std::uint32_t Dispatcher::CountReplicas(const ServiceId& aService, const ModelId& aModel) const
+std::uint32_t Dispatcher::CountReplicas(const ServiceId& aService,
+                                        const ModelId& aModel,
+                                        const SoftwareVersion& aVersion) const
 {
   std::uint32_t count = 0;
   for (const ManagedRunner* runner : RunnersWithModel(aModel)) {
-    const bool isExcluded = runner->entry.service != aService || !IsUsable(*runner);
+    const bool isExcluded =
+      runner->entry.service != aService || !IsUsable(*runner) || !HasVersion(*runner, aVersion);
     count += isExcluded || runner->models.at(aModel).isLeaving ? 0 : 1;
   }
   return count;
@@ -283,23 +286,32 @@
   if (!canPlanAnySwap || (mWaitingRequests.empty() && mRefusedModels.empty())) {
     return;
   }
-  std::map<std::pair<ServiceId, ModelId>, std::vector<const WaitingRequest*>> missing;
+  std::map<MissingModel, std::vector<const WaitingRequest*>> missing;
   for (const WaitingRequest& waiting : mWaitingRequests) {
-    missing[{ waiting.request.service, waiting.request.work.target.model }].push_back(&waiting);
+    const PlacementRequest& request = waiting.request;
+    missing[{ .service = request.service,
+              .model = request.work.target.model,
+              .version = request.origin ? request.origin->version : SoftwareVersion{} }]
+      .push_back(&waiting);
   }
   for (const auto& [key, refusedAt] : mRefusedModels) {
-    missing.try_emplace(key);
+    missing.try_emplace({ .service = key.first, .model = key.second, .version = {} });
   }
-  std::vector<std::pair<std::size_t, std::pair<ServiceId, ModelId>>> ordered;
+  std::vector<std::pair<std::size_t, MissingModel>> ordered;
   ordered.reserve(missing.size());
   for (const auto& [key, waiting] : missing) {
     const auto next = mNextPlanAtByModel.find(key);
     if (next != mNextPlanAtByModel.end() && aNow < next->second) {
       continue;
     }
-    const Engine* engine = EngineOf(key.first);
-    if (engine != nullptr && engine->Find(key.second) != nullptr &&
-        CountReplicas(key.first, key.second) == 0 && IncomingReplicas(key.first, key.second) == 0) {
+    const Engine* engine = EngineOf(key.service);
+    if (engine == nullptr || engine->Find(key.model) == nullptr ||
+        CountReplicas(key.service, key.model, key.version) > 0) {
+      continue;
+    }
+    const bool isIncoming = key.version.empty() ? IncomingReplicas(key.service, key.model) > 0
+                                                : ReplicaReadyAt(aNow, key).has_value();
+    if (!isIncoming) {
       ordered.emplace_back(waiting.size(), key);
     }
   }
@@ -313,26 +325,27 @@
       ScheduleTick(mNextPlanAt);
       break;
     }
-    PlanMissingModel(aNow, key.first, *EngineOf(key.first)->Find(key.second), missing.at(key));
+    PlanMissingModel(aNow, key, missing.at(key));
   }
 }
 
 void Dispatcher::PlanMissingModel(TimePoint aNow,
-                                  const ServiceId& aService,
-                                  const Model& aModel,
+                                  const MissingModel& aMissing,
                                   const std::vector<const WaitingRequest*>& aWaiting)
 {
-  mNextPlanAtByModel[{ aService, aModel.id }] = aNow + kReplanInterval;
-  auto swap = FindCheapestSwap(aNow, aService, aModel);
+  const Engine& engine = *EngineOf(aMissing.service);
+  const Model& model = *engine.Find(aMissing.model);
+  mNextPlanAtByModel[aMissing] = aNow + kReplanInterval;
+  auto swap = FindCheapestSwap(aNow, aMissing.service, model, aMissing.version);
   // If the best runner is still busy, no swap is planned: waiting for it costs less than a swap at
   // another runner.
   if (!swap || !CanPlanSwap(mRunners[swap->runner])) {
     return;
   }
-  if (swap->isFromStore && !MayLoadFromStore(aNow, *EngineOf(aService))) {
+  if (swap->isFromStore && !MayLoadFromStore(aNow, engine)) {
     return;
   }
-  if (ExpectedGain(aNow, *swap, aModel, aWaiting) > ExpectedLoss(aNow, *swap)) {
+  if (ExpectedGain(aNow, *swap, model, aWaiting) > ExpectedLoss(aNow, *swap)) {
     AddSwap(aNow, std::move(*swap), "asked_for");
   }
 }
@@ -480,7 +493,8 @@
  * if no runner has one. */
 std::optional<Dispatcher::Swap> Dispatcher::FindCheapestSwap(TimePoint aNow,
                                                              const ServiceId& aService,
-                                                             const Model& aModel) const
+                                                             const Model& aModel,
+                                                             const SoftwareVersion& aVersion) const
 {
   std::optional<Swap> best;
   for (const bool needsCopy : { true, false }) {
@@ -488,7 +502,8 @@
       const bool hasCopy =
         runner.onDisk.contains(aModel.id) || runner.inHostMemory.contains(aModel.id);
       if (hasCopy != needsCopy || runner.entry.service != aService || !IsUsable(runner) ||
-          runner.models.contains(aModel.id) || runner.health.IsAvoided(aNow)) {
+          !HasVersion(runner, aVersion) || runner.models.contains(aModel.id) ||
+          runner.health.IsAvoided(aNow)) {
         continue;
       }
       auto swap = FindSwap(aNow, runner, aModel);
--- a/src/decision/fleet/dispatcher_value.cpp
+++ b/src/decision/fleet/dispatcher_value.cpp
@@ -62,7 +62,9 @@
     if (readyAt + kMinServiceTime > waiting->deadline) {
       continue;
     }
-    const bool isInTime = readyAt <= waiting->receivedAt + waiting->request.latencyObjective;
+    // The client of a resumed stream has its first events, and loses them if it cannot go on.
+    const bool isInTime =
+      waiting->request.origin || readyAt <= waiting->receivedAt + waiting->request.latencyObjective;
     gain += isInTime ? 1.0 : kLateAnswerValue;
   }
   const double rate = mDemand.SustainedRequestRate(aNow, aModel.id);
--- a/src/decision/fleet/runner_registry.cpp
+++ b/src/decision/fleet/runner_registry.cpp
@@ -45,6 +45,7 @@
   runner.changedAt = aNow;
   runner.missingSince.reset();
   if (isRestarted) {
+    mFormerVersions[former.service][former.softwareVersion] = aNow;
     runner.load = {};
     runner.loadReportedAt = {};
     runner.health.Reset();
@@ -74,6 +75,8 @@
   const auto found = mRunners.find(aRunner);
   if (found != mRunners.end() && !found->second.missingSince) {
     found->second.missingSince = aNow;
+    const RunnerEntry& entry = found->second.entry;
+    mFormerVersions[entry.service][entry.softwareVersion] = aNow;
   }
   std::erase_if(mRunners, [&](const auto& aItem) {
     const KnownRunner& runner = aItem.second;
@@ -144,7 +147,9 @@
   for (const auto& [id, runner] : mRunners) {
     if (runner.entry.service != aQuery.service ||
         (aQuery.excluded != nullptr && aQuery.excluded->contains(id)) ||
-        (aQuery.model != nullptr && !HasLoaded(runner.entry, *aQuery.model))) {
+        (aQuery.model != nullptr && !HasLoaded(runner.entry, *aQuery.model)) ||
+        (aQuery.softwareVersion != nullptr &&
+         runner.entry.softwareVersion != *aQuery.softwareVersion)) {
       continue;
     }
     const Exclusion exclusion = Check(aNow, runner);
@@ -166,6 +171,36 @@
   return chosen;
 }
 
+bool RunnerRegistry::HasUsable(TimePoint aNow, const StreamOrigin& aOrigin) const
+{
+  return std::any_of(mRunners.begin(), mRunners.end(), [&](const auto& aItem) {
+    const KnownRunner& runner = aItem.second;
+    const Exclusion exclusion = Check(aNow, runner);
+    return runner.entry.service == aOrigin.service &&
+           runner.entry.softwareVersion == aOrigin.version && exclusion != Exclusion::kGone &&
+           exclusion != Exclusion::kLeaving;
+  });
+}
+
+std::optional<SoftwareVersion> RunnerRegistry::OnlyVersion(TimePoint aNow,
+                                                           const ServiceId& aService) const
+{
+  std::set<SoftwareVersion> versions;
+  for (const auto& [id, runner] : mRunners) {
+    if (runner.entry.service == aService && !runner.missingSince) {
+      versions.insert(runner.entry.softwareVersion);
+    }
+  }
+  if (const auto former = mFormerVersions.find(aService); former != mFormerVersions.end()) {
+    for (const auto& [version, lastSeenAt] : former->second) {
+      if (aNow - lastSeenAt <= kStreamRetention) {
+        versions.insert(version);
+      }
+    }
+  }
+  return versions.size() == 1 ? std::optional{ *versions.begin() } : std::nullopt;
+}
+
 const KnownRunner* RunnerRegistry::Find(const EndpointId& aRunner) const
 {
   const auto found = mRunners.find(aRunner);
--- a/src/decision/fleet/runner_registry.h
+++ b/src/decision/fleet/runner_registry.h
@@ -4,6 +4,7 @@
 
 #include "decision/fleet/endpoint_health.h"
 #include "decision/fleet/runner_type.h"
+#include "decision/fleet/stream_origins.h"
 
 #include <map>
 #include <optional>
@@ -89,6 +90,8 @@
     ServiceId service;
     ZoneId zone;
     const ModelRef* model = nullptr; ///< Null for services that load no models.
+    /* Only endpoints of this version. Null for any. */
+    const SoftwareVersion* softwareVersion = nullptr;
     std::uint64_t affinity = 0; ///< Equal values choose the same one of equally good endpoints.
     const std::set<EndpointId>* excluded = nullptr;
   };
@@ -97,6 +100,12 @@
    * endpoint that is avoided is chosen only when there is no other. */
   std::optional<EndpointId> Choose(TimePoint aNow, const EndpointQuery& aQuery) const;
 
+  /* Returns whether any endpoint that may get new requests has this service and version. */
+  bool HasUsable(TimePoint aNow, const StreamOrigin& aOrigin) const;
+  /* Returns the software version of a service's endpoints if all that were known within
+   * kStreamRetention have the same one, else nothing. */
+  std::optional<SoftwareVersion> OnlyVersion(TimePoint aNow, const ServiceId& aService) const;
+
   const KnownRunner* Find(const EndpointId& aRunner) const;
   const std::map<EndpointId, KnownRunner>& runners() const { return mRunners; }
 
@@ -104,6 +113,8 @@
   bool IsGone(TimePoint aNow, const KnownRunner& aRunner) const;
 
   std::map<EndpointId, KnownRunner> mRunners;
+  /* Versions of endpoints that were removed or restarted, with the time of that. */
+  std::map<ServiceId, std::map<SoftwareVersion, TimePoint>> mFormerVersions;
   /* Since when the store is reachable. Empty while it is unreachable. */
   std::optional<TimePoint> mStoreReachableSince{ TimePoint{} };
   std::optional<TimePoint> mStoreRestoredAt; ///< When the store last came back from an older copy.
--- a/src/fleet/fleet_member.cpp
+++ b/src/fleet/fleet_member.cpp
@@ -27,6 +27,12 @@
 constexpr Duration kOrderAnswerTimeout = 400ms;
 constexpr Duration kReportAnswerTimeout = 400ms;
 constexpr Duration kRunnerConnectTimeout = 250ms;
+/* Members to which the dispatcher sends copies of the streams that have begun: all of a small fleet,
+ * so that streams can be resumed while a lost dispatcher is being replaced. More copies would fill
+ * the dispatcher's link in a large fleet. */
+constexpr std::size_t kMaxStreamCopies = 16;
+/* Largest number of streams in one message. */
+constexpr std::size_t kMaxStreamsPerMessage = 500;
 /* Table and key of the lease row in the store. */
 constexpr const char* kFleetTable = "rhubarbtrail";
 constexpr const char* kLeaseKey = "lease";
@@ -95,6 +101,7 @@
       SendHeartbeats();
     }
     RemoveTimedOutMembers(now);
+    CopyStreamsToMembers();
   } else if (now >= mNextHelloAt) {
     mNextHelloAt = now + kHelloInterval;
     SendHello();
@@ -218,6 +225,7 @@
     mLoggedHolder = holder;
     if (wasHolder && !isHolder) {
       mMembers.clear();
+      mUncopiedStreams.clear();
       mServices.dispatcher.Clear();
       mServices.placement.OnDispatcherLost();
     }
@@ -352,6 +360,7 @@
       [&](const HelloMessage& aHello) { OnHello(*message, aHello); },
       [&](const HolderHeartbeatMessage& aHeartbeat) { OnHolderHeartbeat(*message, aHeartbeat); },
       [&](const SuspectMessage& aSuspect) { OnSuspect(*message, aSuspect); },
+      [&](const StreamsBegunMessage& aBegun) { OnStreamsBegun(aBegun); },
       [&](const TableChangesMessage& aChanges) {
         if (mHasRemoteDispatcher && message->from == mDispatcherLease.holder &&
             message->incarnation == mDispatcherLease.incarnation) {
@@ -436,6 +445,8 @@
       "dispatcher_found",
       { { "dispatcher", aHeartbeat.lease.holder }, { "row_version", aHeartbeat.version.value } });
     SendHello();
+    // Sent first, so that the dispatcher knows the streams when requests to resume them arrive.
+    SendStreamsToDispatcher();
     mServices.placement.OnNewDispatcher();
   }
 }
@@ -453,6 +464,61 @@
   }
 }
 
+void FleetMember::ReportStream(const fleet::BegunStream& aStream)
+{
+  mServices.streamOrigins.Record(BootClockNow(), aStream);
+  if (isDispatcher()) {
+    mUncopiedStreams.push_back(aStream);
+  } else if (mHasRemoteDispatcher) {
+    Send(mDispatcherLease.address, StreamsBegunMessage{ .streams = { aStream } });
+  }
+}
+
+void FleetMember::OnStreamsBegun(const StreamsBegunMessage& aBegun)
+{
+  const TimePoint now = BootClockNow();
+  for (const fleet::BegunStream& stream : aBegun.streams) {
+    mServices.streamOrigins.Record(now, stream);
+  }
+  if (isDispatcher()) {
+    mUncopiedStreams.insert(mUncopiedStreams.end(), aBegun.streams.begin(), aBegun.streams.end());
+    ScheduleDispatcherTick(); // Requests may wait for the origins.
+  }
+}
+
+void FleetMember::SendStreamsToDispatcher()
+{
+  StreamsBegunMessage message;
+  for (const fleet::BegunStream& stream : mServices.streamOrigins.streams(BootClockNow())) {
+    message.streams.push_back(stream);
+    if (message.streams.size() == kMaxStreamsPerMessage) {
+      Send(mDispatcherLease.address, std::exchange(message, {}));
+    }
+  }
+  if (!message.streams.empty()) {
+    Send(mDispatcherLease.address, std::move(message));
+  }
+}
+
+void FleetMember::CopyStreamsToMembers()
+{
+  if (mUncopiedStreams.empty()) {
+    return;
+  }
+  const auto bytes =
+    EncodeFleetMessage({ .from = mOptions.self,
+                         .incarnation = mOptions.incarnation,
+                         .body = StreamsBegunMessage{ .streams = std::move(mUncopiedStreams) } });
+  mUncopiedStreams.clear();
+  std::size_t copies = 0;
+  for (const auto& [id, member] : mMembers) {
+    if (copies++ == kMaxStreamCopies) {
+      break;
+    }
+    mLink.Send(member.address, bytes);
+  }
+}
+
 void FleetMember::ReportSuspect(const SuspectMessage& aMessage)
 {
   if (isDispatcher()) {
--- a/src/fleet/fleet_member.h
+++ b/src/fleet/fleet_member.h
@@ -42,6 +42,7 @@
   Metrics& metrics;
   PlacementClient& placement;
   fleet::Dispatcher& dispatcher;
+  fleet::StreamOrigins& streamOrigins;
   /* Takes another daemon's report that a request is suspected of crashing runners or is cleared. */
   std::function<void(const SuspectMessage&)> onSuspect;
   /* Takes the number of daemons known to the dispatcher, itself included. */
@@ -76,6 +77,9 @@
   /* Notifies the other daemons, through the dispatcher, of a request that is suspected of crashing
    * runners or has been cleared. Does nothing if no dispatcher is known to be alive. */
   void ReportSuspect(const SuspectMessage& aMessage);
+  /* Records a stream that this daemon is about to send the first event of, and sends it to the
+   * dispatcher, so that another daemon can resume it if this one fails. */
+  void ReportStream(const fleet::BegunStream& aStream);
   /* Sends the current notices about the tables to the members, after these changes if there are
    * any. Does nothing on a daemon that is not the dispatcher. */
   void RelayTableChanges(const TableChangesMessage& aChanges);
@@ -116,6 +120,11 @@
   void OnHello(const FleetMessage& aMessage, const HelloMessage& aHello);
   void OnHolderHeartbeat(const FleetMessage& aMessage, const HolderHeartbeatMessage& aHeartbeat);
   void OnSuspect(const FleetMessage& aMessage, const SuspectMessage& aSuspect);
+  void OnStreamsBegun(const StreamsBegunMessage& aBegun);
+  /* Sends all known streams to a new dispatcher. */
+  void SendStreamsToDispatcher();
+  /* Sends the streams that were reported since the last call to the members that keep copies. */
+  void CopyStreamsToMembers();
   void HandleDispatchMessage(const DaemonId& aFrom, const fleet::DispatchMessage& aMessage);
   void RejectPlacementRequest(const DaemonId& aFrom, const fleet::DispatchMessage& aMessage);
   void SendHeartbeats();
@@ -146,6 +155,8 @@
   /* Lease row from the last heartbeat of that dispatcher. Messages go to the address in it. */
   fleet::OrderLeaseRow mDispatcherLease;
   TimePoint mLastHeartbeatAt{}; ///< When that dispatcher's last heartbeat arrived.
+  /* Streams reported to this daemon as the dispatcher of which no member has a copy yet. */
+  std::vector<fleet::BegunStream> mUncopiedStreams;
   TimePoint mNextHeartbeatAt{};
   TimePoint mNextHelloAt{};
   std::string mLoggedHolder; ///< Holder and incarnation in the last holder_changed log line.
--- a/src/fleet/fleet_message.cpp
+++ b/src/fleet/fleet_message.cpp
@@ -51,6 +51,18 @@
            .number = aJson.at("number").get<std::uint64_t>() };
 }
 
+Json ToJson(const BegunStream& aStream)
+{
+  return { aStream.key.value, aStream.origin.service.str(), aStream.origin.version.str() };
+}
+
+BegunStream BegunStreamFrom(const Json& aJson)
+{
+  return { .key = { aJson.at(0).get<std::uint64_t>() },
+           .origin = { .service = ServiceId{ aJson.at(1).get<std::string>() },
+                       .version = SoftwareVersion{ aJson.at(2).get<std::string>() } } };
+}
+
 Json ToJson(const PlacementRequest& aRequest)
 {
   Json parts = Json::array();
@@ -61,20 +73,27 @@
   for (const EndpointId& endpoint : aRequest.failedRunners) {
     excluded.push_back(endpoint.str());
   }
-  return { { "id", ToJson(aRequest.id) },
-           { "request", aRequest.requestId },
-           { "route", aRequest.route },
-           { "service", aRequest.service.str() },
-           { "model", aRequest.work.target.model.str() },
-           { "adapter", aRequest.work.target.adapter.str() },
-           { "prompt", aRequest.work.promptTokens },
-           { "output", aRequest.work.outputTokens },
-           { "parts", std::move(parts) },
-           { "priority", aRequest.priority },
-           { "objective", aRequest.latencyObjective.count() },
-           { "left", aRequest.timeLeft.count() },
-           { "resumable", aRequest.isResumable },
-           { "excluded", std::move(excluded) } };
+  Json json{ { "id", ToJson(aRequest.id) },
+             { "request", aRequest.requestId },
+             { "route", aRequest.route },
+             { "service", aRequest.service.str() },
+             { "model", aRequest.work.target.model.str() },
+             { "adapter", aRequest.work.target.adapter.str() },
+             { "prompt", aRequest.work.promptTokens },
+             { "output", aRequest.work.outputTokens },
+             { "parts", std::move(parts) },
+             { "priority", aRequest.priority },
+             { "objective", aRequest.latencyObjective.count() },
+             { "left", aRequest.timeLeft.count() },
+             { "resumable", aRequest.isResumable },
+             { "excluded", std::move(excluded) } };
+  if (aRequest.origin) {
+    json["origin"] = { aRequest.origin->service.str(), aRequest.origin->version.str() };
+  }
+  if (aRequest.resumedStream) {
+    json["resumes"] = aRequest.resumedStream->value;
+  }
+  return json;
 }
 
 PlacementRequest PlacementRequestFrom(const Json& aJson)
@@ -102,20 +121,31 @@
   for (const Json& endpoint : aJson.at("excluded")) {
     request.failedRunners.emplace_back(endpoint.get<std::string>());
   }
+  if (const auto origin = aJson.find("origin"); origin != aJson.end()) {
+    request.origin = { .service = ServiceId{ origin->at(0).get<std::string>() },
+                       .version = SoftwareVersion{ origin->at(1).get<std::string>() } };
+  }
+  if (const auto resumes = aJson.find("resumes"); resumes != aJson.end()) {
+    request.resumedStream = StreamKey{ resumes->get<std::uint64_t>() };
+  }
   return request;
 }
 
 Json ToJson(const PlacementReply& aReply)
 {
   Json json{ { "id", ToJson(aReply.id) } };
-  std::visit(
-    Overloaded{ [&](const RunnerAssigned& aAssigned) { json["runner"] = aAssigned.runner.str(); },
-                [&](const PlacementRefused& aRefused) {
-                  json["code"] = static_cast<int>(aRefused.code);
-                  json["retry"] = aRefused.retryAfter.count();
-                },
-                [](const PlacementUndecided&) {} },
-    aReply.answer);
+  std::visit(Overloaded{ [&](const RunnerAssigned& aAssigned) {
+                          json["runner"] = aAssigned.runner.str();
+                          if (aAssigned.version) {
+                            json["software"] = aAssigned.version->str();
+                          }
+                        },
+                         [&](const PlacementRefused& aRefused) {
+                           json["code"] = static_cast<int>(aRefused.code);
+                           json["retry"] = aRefused.retryAfter.count();
+                         },
+                         [](const PlacementUndecided&) {} },
+             aReply.answer);
   return json;
 }
 
@@ -124,7 +154,12 @@
   PlacementReply reply{ .id = PlacementRequestIdFrom(aJson.at("id")),
                         .answer = PlacementUndecided{} };
   if (aJson.contains("runner")) {
-    reply.answer = RunnerAssigned{ EndpointId{ aJson.at("runner").get<std::string>() } };
+    RunnerAssigned assigned{ .runner = EndpointId{ aJson.at("runner").get<std::string>() },
+                             .version = std::nullopt };
+    if (const auto version = aJson.find("software"); version != aJson.end()) {
+      assigned.version = SoftwareVersion{ version->get<std::string>() };
+    }
+    reply.answer = std::move(assigned);
   } else if (aJson.contains("code")) {
     reply.answer =
       PlacementRefused{ .code = static_cast<ResultCode>(aJson.at("code").get<int>()),
@@ -209,6 +244,13 @@
                                { "cleared", aSuspect.isCleared } };
                 },
                 [](const TableChangesMessage& aChanges) { return ToJson(aChanges); },
+                [](const StreamsBegunMessage& aBegun) {
+                  Json streams = Json::array();
+                  for (const BegunStream& stream : aBegun.streams) {
+                    streams.push_back(ToJson(stream));
+                  }
+                  return Json{ { "kind", "streams" }, { "streams", std::move(streams) } };
+                },
                 [](const PlacementRequest& aRequest) {
                   return Json{ { "kind", "ask" }, { "ask", ToJson(aRequest) } };
                 },
@@ -251,6 +293,13 @@
   if (kind == "table_changes") {
     return TableChangesFrom(aJson);
   }
+  if (kind == "streams") {
+    StreamsBegunMessage begun;
+    for (const Json& stream : aJson.at("streams")) {
+      begun.streams.push_back(BegunStreamFrom(stream));
+    }
+    return begun;
+  }
   if (kind == "suspect") {
     return SuspectMessage{ .request = FingerprintId{ aJson.at("request").get<std::string>() },
                            .isCleared = aJson.value("cleared", false) };
--- a/src/fleet/fleet_message.h
+++ b/src/fleet/fleet_message.h
@@ -56,10 +56,18 @@
   bool isCleared = false;
 };
 
+/* Streams that have begun, with their origins. The daemon that serves a stream sends it to the
+ * dispatcher, which sends copies to some members. */
+struct StreamsBegunMessage
+{
+  std::vector<fleet::BegunStream> streams;
+};
+
 using FleetBody = std::variant<HelloMessage,
                                HolderHeartbeatMessage,
                                SuspectMessage,
                                TableChangesMessage,
+                               StreamsBegunMessage,
                                fleet::PlacementRequest,
                                fleet::AssignmentReleased,
                                fleet::AssignmentInUse,
--- a/src/fleet/table_feed.h
+++ b/src/fleet/table_feed.h
@@ -69,6 +69,11 @@
   bool isStoreLost() const { return mIsStoreLost; }
   /* Returns the version up to which all changes that the daemon must know have been delivered. */
   RowVersion version() const { return mCoverage.knownVersion(); }
+  /* Returns whether notices cover the table now, or the store has answered within aMaxAge. */
+  bool IsCurrent(TimePoint aNow, Duration aMaxAge) const
+  {
+    return mCoverage.IsCovered(aNow) || aNow - mAnsweredAt <= aMaxAge;
+  }
   /* Returns when the store last answered, or the clock's epoch if it never has. */
   TimePoint answeredAt() const { return mAnsweredAt; }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -29,6 +29,7 @@
   EventLog& log;
   Metrics& metrics;
   fleet::RunnerRegistry& runners;
+  const fleet::StreamOrigins& streamOrigins;
   PlacementClient& placement;
   DaemonId self;
   ZoneId zone;
@@ -36,6 +37,10 @@
   std::function<void(const FingerprintId&)> onSuspect;
   /* Notifies the other daemons that a request suspected of crashing runners was answered. */
   std::function<void(const FingerprintId&)> onCleared;
+  /* Records a stream before its first event is sent to the client. */
+  std::function<void(const fleet::BegunStream&)> onStreamBegun;
+  /* Returns whether no change of the runners is missing here, as far as can be known. */
+  std::function<bool()> areRunnersCurrent;
 
   std::shared_ptr<const fleet::FleetConfiguration> configuration; ///< Null until the first is read.
   fleet::RetryShare retries;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -176,6 +176,7 @@
 void RequestFlow::OnRouted()
 {
   ChooseService();
+  FindOrigin();
   Duration timeLeft = mClient.timeLeft.value_or(kDefaultTimeLeft);
   if (mRoute->timeout > Duration::zero()) {
     timeLeft = std::min(timeLeft, mRoute->timeout);
@@ -202,19 +203,22 @@
                        { "resumes", mClient.resumedRequestId },
                        { "time_left_ms", ToMilliseconds(timeLeft) },
                        { "config_version", mConfiguration->version.value } });
-  SelectEndpoint();
+  if (!RefuseImpossibleResume()) {
+    SelectEndpoint();
+  }
 }
 
 /* Selects a service of the route by weight and a hash of the request id, so that a repeated request
- * goes to the same service. */
+ * and a stream that is resumed go to the same service. */
 void RequestFlow::ChooseService()
 {
+  const std::string& id =
+    mClient.resumedRequestId.empty() ? mClient.requestId : mClient.resumedRequestId;
   std::uint64_t total = 0;
   for (const auto& share : mRoute->services) {
     total += share.weight;
   }
-  std::uint64_t point =
-    total == 0 ? 0 : XXH3_64bits(mClient.requestId.data(), mClient.requestId.size()) % total;
+  std::uint64_t point = total == 0 ? 0 : XXH3_64bits(id.data(), id.size()) % total;
   for (const auto& share : mRoute->services) {
     if (point < share.weight || total == 0) {
       mService = share.service;
@@ -224,6 +228,57 @@
   }
 }
 
+void RequestFlow::FindOrigin()
+{
+  if (!IsResumedByClient()) {
+    return;
+  }
+  if (mClient.resumedRequestId.empty()) {
+    mOrigin = OnlyOrigin();
+  } else {
+    mOrigin = mContext.streamOrigins.Find(mArrivedAt, fleet::StreamKeyOf(mClient.resumedRequestId));
+  }
+  if (mOrigin) {
+    mService = mOrigin->service;
+  }
+}
+
+bool RequestFlow::RefuseImpossibleResume()
+{
+  if (!IsResumedByClient()) {
+    return false;
+  }
+  const bool mayAskDispatcher = UsesModels() && !mClient.resumedRequestId.empty();
+  if (!mOrigin && !mayAskDispatcher) {
+    RefuseUnknownOrigin(Duration::zero());
+    return true;
+  }
+  const bool isRouted = std::any_of(mRoute->services.begin(),
+                                    mRoute->services.end(),
+                                    [&](const auto& aShare) { return aShare.service == mService; });
+  if (!isRouted) {
+    Refuse(ResultCode::kStreamVersionGone, Duration::zero(), "service_of_stream_not_routed");
+  }
+  return !isRouted;
+}
+
+std::optional<fleet::StreamOrigin> RequestFlow::OnlyOrigin() const
+{
+  const auto version = mContext.runners.OnlyVersion(BootClockNow(), mService);
+  // Clients that name no request cannot be checked otherwise. The others may have begun the stream
+  // at a version that this daemon has not heard of.
+  const bool mayRely = mClient.resumedRequestId.empty() || mContext.areRunnersCurrent();
+  if (!version || !mayRely) {
+    return std::nullopt;
+  }
+  return fleet::StreamOrigin{ .service = mService, .version = *version };
+}
+
+void RequestFlow::RefuseUnknownOrigin(Duration aRetryAfter)
+{
+  Refuse(ResultCode::kStreamOriginUnknown, aRetryAfter, "origin_unknown");
+}
+
 Duration RequestFlow::TimeLeft() const
 {
   return std::max(mDeadline - BootClockNow(), Duration::zero());
@@ -262,7 +317,12 @@
     .timeLeft = std::min(TimeLeft(), ClientTimeout() - (BootClockNow() - mArrivedAt)),
     .isResumable = mAttemptState.isResumable,
     .failedRunners = { mFailedEndpoints.begin(), mFailedEndpoints.end() },
+    .origin = mOrigin,
   };
+  if (IsResumedByClient() && !mOrigin) {
+    placementRequest.resumedStream = fleet::StreamKeyOf(mClient.resumedRequestId);
+  }
+  mAssignedVersion.reset();
   mPlacementId = id;
   const bool isRequested = mContext.placement.RequestAssignment(
     placementRequest, [weak = weak_from_this()](const fleet::PlacementReply& aReply) {
@@ -281,32 +341,66 @@
   if (mIsEnded) {
     return;
   }
-  std::visit(Overloaded{ [&](const fleet::RunnerAssigned& aAssigned) {
-                          SendToEndpoint(aAssigned.runner, "dispatched");
-                        },
-                         [&](const fleet::PlacementRefused& aRefused) {
-                           mPlacementId.reset();
-                           if (mAttemptState.runs == 0) {
-                             Refuse(aRefused.code, aRefused.retryAfter, "refused_by_dispatcher");
-                           } else {
-                             Fail(ResultCode::kAttemptsExhausted, "no_place_for_next_attempt");
-                           }
-                         },
-                         [&](const fleet::PlacementUndecided&) {
-                           mPlacementId.reset();
-                           SelectLocally("dispatcher_lost");
-                         } },
-             aReply.answer);
+  std::visit(
+    Overloaded{ [&](const fleet::RunnerAssigned& aAssigned) { OnRunnerAssigned(aAssigned); },
+                [&](const fleet::PlacementRefused& aRefused) {
+                  mPlacementId.reset();
+                  if (aRefused.code == ResultCode::kStreamOriginUnknown) {
+                    SelectLocally("origin_unknown");
+                  } else if (mAttemptState.runs == 0) {
+                    Refuse(aRefused.code, aRefused.retryAfter, "refused_by_dispatcher");
+                  } else {
+                    Fail(ResultCode::kAttemptsExhausted, "no_place_for_next_attempt");
+                  }
+                },
+                [&](const fleet::PlacementUndecided&) {
+                  mPlacementId.reset();
+                  SelectLocally("dispatcher_lost");
+                } },
+    aReply.answer);
+}
+
+void RequestFlow::OnRunnerAssigned(const fleet::RunnerAssigned& aAssigned)
+{
+  mAssignedVersion = aAssigned.version;
+  if (IsResumedByClient() && !mOrigin) {
+    if (!aAssigned.version || aAssigned.version->empty()) {
+      // The dispatcher is of a release that does not look at versions.
+      ReleaseAssignment(fleet::AssignmentEnd::kWithdrawn);
+      SelectLocally("origin_unknown");
+      return;
+    }
+    mOrigin = { .service = mService, .version = *aAssigned.version };
+  }
+  SendToEndpoint(aAssigned.runner, "dispatched");
 }
 
 void RequestFlow::SelectLocally(std::string_view aSelectionReason)
 {
   const TimePoint now = BootClockNow();
+  mAssignedVersion.reset();
+  if (IsResumedByClient() && !mOrigin) {
+    mOrigin = OnlyOrigin();
+    if (!mOrigin) {
+      // Another daemon, or this one after it has found the dispatcher again, may know the origin.
+      RefuseUnknownOrigin(mContext.areRunnersCurrent() ? Duration::zero() : kDefaultRetryAfter);
+      return;
+    }
+  }
+  if (mOrigin && !mContext.runners.HasUsable(now, *mOrigin)) {
+    if (mAttemptState.runs == 0) {
+      Refuse(ResultCode::kStreamVersionGone, Duration::zero(), "version_gone");
+    } else {
+      Fail(ResultCode::kAttemptsExhausted, "version_gone");
+    }
+    return;
+  }
   const auto chosen =
     mContext.runners.Choose(now,
                             { .service = mService,
                               .zone = mContext.zone,
                               .model = UsesModels() ? &mClient.work->target : nullptr,
+                              .softwareVersion = mOrigin ? &mOrigin->version : nullptr,
                               .affinity = AffinityOf(mClient),
                               .excluded = &mFailedEndpoints });
   if (chosen) {
@@ -369,6 +463,14 @@
     WaitForEndpoint();
     return;
   }
+  const SoftwareVersion& version = runner->entry.softwareVersion;
+  const bool isVersionCertain = !mAssignedVersion || *mAssignedVersion == version;
+  if (mOrigin && (runner->entry.service != mOrigin->service || version != mOrigin->version ||
+                  !isVersionCertain)) {
+    ReleaseAssignment(fleet::AssignmentEnd::kWithdrawn);
+    WaitForEndpoint();
+    return;
+  }
   if (isRepeat && !mContext.retries.TakeRetry(now, mService)) {
     ReleaseAssignment(fleet::AssignmentEnd::kWithdrawn);
     if (mAttemptState.runs == 0) {
@@ -382,13 +484,14 @@
   }
   mAttempt = {};
   mAttempt.endpoint = aEndpoint;
+  mAttempt.version = isVersionCertain ? version : SoftwareVersion{};
   mAttempt.startedAt = now;
   mContext.runners.RecordRequestStart(aEndpoint);
   mContext.metrics.Count(isRepeat ? Counter::kRetries : Counter::kAttempts);
   mContext.log.Write("request_sent",
                      { { "id", mClient.requestId },
                        { "endpoint", aEndpoint },
-                       { "software", runner->entry.softwareVersion },
+                       { "software", mAttempt.version },
                        { "why", aSelectionReason },
                        { "attempt", mAttemptState.runs + mAttemptState.refusals + 1 },
                        { "waited_ms", ToMilliseconds(now - mArrivedAt) },
@@ -406,7 +509,8 @@
     .reuse = mayRepeat ? http::Reuse::kAllowed : http::Reuse::kFresh,
     .connectTimeout = kConnectTimeout,
     .answerTimeout = AnswerTimeout(),
-    .bodyIdleTimeout = mAttemptState.isResumable && mRoute->eventGapObjective > Duration::zero()
+    .bodyIdleTimeout = mAttemptState.isResumable && !mAttempt.version.empty() &&
+                           mRoute->eventGapObjective > Duration::zero()
                          ? mRoute->eventGapObjective * kStreamTimeoutGaps
                          : Duration::zero(),
   };
@@ -493,10 +597,29 @@
   if (forwarded.empty()) {
     return;
   }
+  if (!mIsHeadSent) {
+    RecordOrigin();
+  }
   SendHeadOnce();
   mResponder->SendBody(forwarded);
 }
 
+void RequestFlow::RecordOrigin()
+{
+  if (!mOrigin && mAttempt.version.empty()) {
+    mAttemptState.isResumable = false; // No version is known to fit this stream.
+    return;
+  }
+  if (!mOrigin) {
+    mOrigin = { .service = mService, .version = mAttempt.version };
+  }
+  if (mRoute->isResumable) {
+    const std::string& id =
+      mClient.resumedRequestId.empty() ? mClient.requestId : mClient.resumedRequestId;
+    mContext.onStreamBegun({ .key = fleet::StreamKeyOf(id), .origin = *mOrigin });
+  }
+}
+
 void RequestFlow::SendHeadOnce()
 {
   if (mIsHeadSent) {
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -36,6 +36,7 @@
   struct Attempt
   {
     EndpointId endpoint;
+    SoftwareVersion version; ///< Of the endpoint; empty if not known.
     TimePoint startedAt{};
     Duration timeToFirstEvent{}; ///< From the start to the first event; 0: none has arrived.
     std::unique_ptr<http::Call> call;
@@ -51,11 +52,23 @@
    * reason and the result code. */
   bool AdmitRequest(std::string& aReason, ResultCode& aCode);
   void ChooseService();
+  /* Sets the origin of a stream that the client resumes, as far as this daemon knows it. */
+  void FindOrigin();
+  /* Refuses a request to resume a stream that cannot go on whatever the dispatcher knows. Returns
+   * whether it did. */
+  bool RefuseImpossibleResume();
+  /* Returns the only origin that any stream of the service can have, or nothing if several software
+   * versions are or were a short time ago in service. */
+  std::optional<fleet::StreamOrigin> OnlyOrigin() const;
+  void RefuseUnknownOrigin(Duration aRetryAfter);
+  /* Sets the origin of a stream that begins with the event that has just arrived. */
+  void RecordOrigin();
 
   /* Selects an endpoint for the next attempt, through the dispatcher for requests for models. */
   void SelectEndpoint();
   void SelectByDispatcher();
   void OnPlacementReply(const fleet::PlacementReply& aReply);
+  void OnRunnerAssigned(const fleet::RunnerAssigned& aAssigned);
   void SelectLocally(std::string_view aSelectionReason);
   /* Selects an endpoint again after a pause, or ends the request if it has waited too long. */
   void WaitForEndpoint();
@@ -93,6 +106,10 @@
   Duration AnswerTimeout() const;
   Duration ClientTimeout() const;
   bool UsesModels() const { return mClient.work.has_value(); }
+  bool IsResumedByClient() const
+  {
+    return mRoute->kind == fleet::RouteKind::kStream && !mClient.lastEventId.empty();
+  }
   /* Returns how the endpoint marks the end of the last answer, for log events. */
   std::string_view FramingName() const
   {
@@ -114,6 +131,10 @@
   fleet::AttemptState mAttemptState;
   Attempt mAttempt;
   std::set<EndpointId> mFailedEndpoints;
+  /* Where the stream began. Only endpoints of this service and version can go on with it. */
+  std::optional<fleet::StreamOrigin> mOrigin;
+  /* The dispatcher's statement about the endpoint of the next attempt (RunnerAssigned::version). */
+  std::optional<SoftwareVersion> mAssignedVersion;
   /* Id of the pending placement request or of the assignment in use. */
   std::optional<fleet::PlacementRequestId> mPlacementId;
   EventSplitter mEventSplitter;
--- /dev/null
+++ b/tests/fleet/dispatcher_resume_test.cpp
@@ -0,0 +1,186 @@
+/* Streams that are resumed, in simulated time: only a runner of the software version that began a
+ * stream may go on with it, since runners do not check that two versions' events fit together. */
+#include "tests/fleet/fleet_world.h"
+
+#include <doctest/doctest.h>
+
+using namespace rhubarbtrail;
+using namespace rhubarbtrail::fleet;
+using namespace rhubarbtrail::fleet::test;
+
+namespace {
+
+const ServiceId kService{ "llm" };
+
+StreamOrigin OriginAt(const std::string& aVersion)
+{
+  return { .service = kService, .version = SoftwareVersion{ aVersion } };
+}
+
+/* Gives a runner another software version, by a restart after which it holds these models again. */
+void ChangeVersion(FleetWorld& aWorld,
+                   std::size_t aRunner,
+                   const std::string& aVersion,
+                   const std::vector<std::string>& aModels)
+{
+  aWorld.Restart(aRunner);
+  aWorld.runners[aRunner].version = aVersion;
+  for (const std::string& model : aModels) {
+    aWorld.runners[aRunner].models[ModelId{ model }];
+  }
+  aWorld.SendEntry(aRunner);
+}
+
+} // namespace
+
+TEST_CASE("a stream is remembered for two minutes, and the oldest ones make place for others")
+{
+  StreamOrigins origins{ 3 };
+  const TimePoint start{ 1'000s };
+  origins.Record(start, { .key = { 1 }, .origin = OriginAt("v1") });
+  CHECK(origins.Find(start + 120s, { 1 }) == OriginAt("v1"));
+  CHECK_FALSE(origins.Find(start + 121s, { 1 }));
+  CHECK_FALSE(origins.Find(start, { 2 }));
+  origins.Record(start + 100s, { .key = { 1 }, .origin = OriginAt("v1") });
+  CHECK(origins.Find(start + 200s, { 1 }) == OriginAt("v1"));
+  for (std::uint64_t key = 2; key < 5; ++key) {
+    origins.Record(start + 101s, { .key = { key }, .origin = OriginAt("v2") });
+  }
+  CHECK_FALSE(origins.Find(start + 102s, { 1 }));
+  CHECK(origins.streams(start + 102s).size() == 3);
+}
+
+TEST_CASE("a resumed stream goes to a runner of its version, though another is less loaded")
+{
+  FleetWorld world({ .runners = 3, .models = 2, .modelsPerRunner = 2 });
+  ChangeVersion(world, 2, "v2", { "m0", "m1" });
+  world.Run(500ms);
+  for (int number = 0; number < 20; ++number) {
+    world.SendResumed("m0", "v2");
+    world.SendResumed("m0", "v1");
+  }
+  world.Run(1s);
+  CHECK(world.violations.empty());
+  CHECK(world.CountServed() == 40);
+}
+
+TEST_CASE("a stream whose version has no usable runner is refused at once")
+{
+  FleetWorld world({ .runners = 2, .models = 2, .modelsPerRunner = 2 });
+  const auto unknown = world.SendResumed("m0", "v0");
+  world.Run(30ms);
+  CHECK(world.outcomes[unknown].refusalCode == ResultCode::kStreamVersionGone);
+  ChangeVersion(world, 1, "v2", { "m0", "m1" });
+  world.Drain(1);
+  const auto draining = world.SendResumed("m0", "v2");
+  world.Run(30ms);
+  CHECK(world.outcomes[draining].refusalCode == ResultCode::kStreamVersionGone);
+}
+
+/* The daemon that serves a stream tells the dispatcher of it when the first event arrives. The
+ * client may be faster than that, but not by much. */
+TEST_CASE("a resumed stream waits a moment for its origin, and is refused if it does not arrive")
+{
+  FleetWorld world({ .runners = 2, .models = 2, .modelsPerRunner = 2 });
+  ChangeVersion(world, 1, "v2", { "m0", "m1" });
+  world.SendRequest("m0");
+  world.Run(2s); // A new dispatcher waits longer for the origins that other daemons know.
+  const auto late = world.SendResumed("m0", "v2", StreamKey{ 1 });
+  const auto lost = world.SendResumed("m0", "v2", StreamKey{ 2 });
+  world.Run(100ms);
+  CHECK_FALSE(world.outcomes[late].startedAt);
+  world.streamOrigins.Record(world.now, { .key = { 1 }, .origin = OriginAt("v2") });
+  world.Run(400ms);
+  CHECK(world.outcomes[late].startedAt);
+  CHECK(world.outcomes[lost].refusalCode == ResultCode::kStreamOriginUnknown);
+  CHECK(world.violations.empty());
+}
+
+/* A report shows the restart before the entry does, and does not say which version runs now. */
+TEST_CASE("a runner that restarted counts for no version until its entry arrives")
+{
+  FleetWorld world({ .runners = 2, .models = 2, .modelsPerRunner = 2 });
+  world.Restart(1);
+  world.runners[1].version = "v2";
+  world.SendEntry(0);
+  const RunnerReport restarted{ .startedAtMs = world.runners[1].startedAtMs,
+                                .holdings = { .models = { { ModelId{ "m0" }, {} } } } };
+  world.runners[1].models[ModelId{ "m0" }];
+  world.dispatcher.OnReport(world.now, EndpointId{ "r1" }, &restarted);
+  world.Drain(0);
+  const auto stream = world.SendResumed("m0", "v1");
+  world.Run(30ms);
+  CHECK(world.outcomes[stream].refusalCode == ResultCode::kStreamVersionGone);
+  CHECK(world.violations.empty());
+}
+
+TEST_CASE("load: a model is loaded at the version of its stream, though another version holds it")
+{
+  FleetWorld world({ .runners = 3, .models = 4, .modelsPerRunner = 2 });
+  ChangeVersion(world, 0, "v2", { "m0", "m1" }); // Only r0 holds m0 now.
+  ChangeVersion(world, 2, "v1", { "m3" });
+  world.Run(500ms);
+  const auto stream = world.SendResumed("m0", "v1");
+  world.Run(4s);
+  CHECK(world.outcomes[stream].startedAt);
+  CHECK(world.violations.empty());
+}
+
+TEST_CASE("random restarts with other versions and new dispatchers never mix versions in a stream")
+{
+  constexpr int kSeeds = 300;
+  std::size_t started = 0;
+  for (int seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    FleetWorld world({ .runners = 5,
+                       .models = 6,
+                       .modelsPerRunner = 2,
+                       .seed = static_cast<std::uint32_t>(seed) });
+    const auto draw = [&](std::uint64_t aCount) {
+      return std::uniform_int_distribution<std::uint64_t>{ 0, aCount - 1 }(world.random);
+    };
+    const auto drawVersion = [&] { return "v" + std::to_string(1 + draw(3)); };
+    for (int step = 0; step < 120; ++step) {
+      const std::string model = "m" + std::to_string(draw(6));
+      const std::size_t runner = draw(world.runners.size());
+      switch (draw(10)) {
+        case 0:
+          world.Restart(runner);
+          world.runners[runner].version = drawVersion();
+          break;
+        case 1:
+          world.SendEntry(runner);
+          break;
+        case 2:
+          world.Drain(runner);
+          break;
+        case 3:
+          if (draw(8) == 0) {
+            world.ReplaceDispatcher();
+          }
+          break;
+        case 4:
+        case 5:
+          world.SendRequest(model);
+          break;
+        case 6: {
+          const StreamKey key{ 1 + draw(1'000'000) };
+          const std::string version = drawVersion();
+          world.SendResumed(model, version, key, 5s);
+          if (draw(2) == 0) {
+            world.Run(std::chrono::milliseconds{ draw(300) });
+            world.streamOrigins.Record(world.now, { .key = key, .origin = OriginAt(version) });
+          }
+          break;
+        }
+        default:
+          world.SendResumed(model, drawVersion(), std::nullopt, 5s);
+          break;
+      }
+      world.Run(50ms);
+    }
+    REQUIRE(world.violations.empty());
+    started += world.CountServed();
+  }
+  CHECK(started > 1'000);
+}
--- a/tests/fleet/fleet_parts_test.cpp
+++ b/tests/fleet/fleet_parts_test.cpp
@@ -315,3 +315,50 @@
   registry.Remove(kStart, EndpointId{ "r1" });
   CHECK(registry.Apply(kStart, entry) == RunnerRegistry::Change::kUpdated);
 }
+
+// A stream whose origin no daemon knows may be resumed only if a single version can have begun it.
+TEST_CASE("the only version of a service is known unless another one was there a short time ago")
+{
+  const auto entryAt = [](const char* aId, const char* aVersion, std::int64_t aStartedAtMs = 1) {
+    RunnerEntry entry = EntryOf(aId);
+    entry.softwareVersion = SoftwareVersion{ aVersion };
+    entry.startedAtMs = aStartedAtMs;
+    return entry;
+  };
+  RunnerRegistry registry;
+  CHECK_FALSE(registry.OnlyVersion(kStart, kService));
+  registry.Apply(kStart, entryAt("r1", "v1"));
+  registry.Apply(kStart, entryAt("r2", "v1"));
+  CHECK(registry.OnlyVersion(kStart, kService) == SoftwareVersion{ "v1" });
+  CHECK_FALSE(registry.OnlyVersion(kStart, ServiceId{ "other" }));
+
+  registry.Apply(kStart, entryAt("r3", "v2"));
+  CHECK_FALSE(registry.OnlyVersion(kStart, kService));
+  CHECK(registry.HasUsable(kStart, { .service = kService, .version = SoftwareVersion{ "v2" } }));
+  registry.Remove(kStart + 1s, EndpointId{ "r3" });
+  CHECK_FALSE(
+    registry.HasUsable(kStart + 1s, { .service = kService, .version = SoftwareVersion{ "v2" } }));
+  CHECK_FALSE(registry.OnlyVersion(kStart + 121s, kService));
+  CHECK(registry.OnlyVersion(kStart + 122s, kService) == SoftwareVersion{ "v1" });
+
+  registry.Apply(kStart + 200s, entryAt("r1", "v3", 2));
+  registry.Apply(kStart + 200s, entryAt("r2", "v3", 2));
+  CHECK_FALSE(registry.OnlyVersion(kStart + 200s, kService));
+  CHECK(registry.OnlyVersion(kStart + 321s, kService) == SoftwareVersion{ "v3" });
+}
+
+TEST_CASE("an endpoint of another version is not chosen for a stream that is resumed")
+{
+  RunnerRegistry registry;
+  RunnerEntry entry = EntryOf("r1");
+  entry.softwareVersion = SoftwareVersion{ "v1" };
+  registry.Apply(kStart, entry);
+  const SoftwareVersion other{ "v2" };
+  const SoftwareVersion same{ "v1" };
+  const auto choose = [&](const SoftwareVersion& aVersion) {
+    return registry.Choose(
+      kStart, { .service = kService, .zone = ZoneId{ "a" }, .softwareVersion = &aVersion });
+  };
+  CHECK_FALSE(choose(other));
+  CHECK(choose(same) == EndpointId{ "r1" });
+}
