Change: [Tests] Let the soak's clients take up broken streams beside several versions

Clients of the soak take a broken chat up at another daemon with Resumes, and endpoints that crash come back with one of two software versions. The check for streams with events of two versions was there already. Clients of tests count only whole events, as clients of event streams do.

--- a/tests/edge/edge_cluster.py
+++ b/tests/edge/edge_cluster.py
@@ -70,7 +70,8 @@
 
     @property
     def event_ids(self) -> list[int]:
-        return [int(number) for number in re.findall(rb"id: (\d+)\n", self.body)]
+        """Ids of the whole events."""
+        return [int(number) for number in re.findall(rb"id: (\d+)\ndata: [^\n]*\n\n", self.body)]
 
     @property
     def versions(self) -> set[bytes]:
@@ -176,7 +177,7 @@
     result = daemon.send(broken.kind, model, Last_Event_Id=str(broken.event_ids[-1]),
                          Resumes=begun_by or broken.id)
     if result.status in (0, 200):
-        result.body = broken.body + result.body
+        result.body = broken.body[:broken.body.rfind(b"\n\n") + 2] + result.body
     return result
 
 
--- a/tests/edge/soak.py
+++ b/tests/edge/soak.py
@@ -24,10 +24,11 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent))
 
-from edge_cluster import Daemon, EdgeCluster, Result  # noqa: E402
+from edge_cluster import Daemon, EdgeCluster, Result, resume  # noqa: E402
 from standin import StreamFraming  # noqa: E402
 
 KINDS = ("chat", "draft", "pay", "check")
+VERSIONS = ("v1", "v2")  # Software versions of the endpoints.
 RECOVERY_S = 12.0  # Time after the last fault until each daemon must answer every kind of request.
 # Minimum time between orders of two holders, as lease_spacing in edge_cluster.
 MIN_HOLDER_SPACING_S = 1.0
@@ -38,6 +39,7 @@
         self.cluster, self.random = cluster, random.Random(seed)
         self.results: list[Result] = []
         self.is_over = threading.Event()
+        self.resumed: Counter[str] = Counter()
         self.timeline: list[str] = []
 
     def send_until_over(self, number: int) -> None:
@@ -47,10 +49,19 @@
             daemon = client_random.choice(self.cluster.daemons)
             kind = client_random.choice(KINDS)
             model = f"m{min(client_random.randrange(6), client_random.randrange(6))}"
-            self.results.append(
-                daemon.send(kind, model, timeout_s=client_random.choice((1.0, 3.0, 8.0))))
+            result = daemon.send(kind, model, timeout_s=client_random.choice((1.0, 3.0, 8.0)))
+            self.results.append(result)
+            if kind == "chat" and result.status == 0 and result.event_ids:
+                self.resume(client_random.choice(self.cluster.daemons), result, model)
             time.sleep(client_random.random() * 0.05)
 
+    def resume(self, daemon: Daemon, broken: Result, model: str) -> None:
+        """Takes a broken stream up at another daemon, and counts whether it goes on."""
+        result = resume(daemon, broken, model=model)
+        self.results.append(result)
+        self.resumed["goes on" if result.status in (0, 200) and
+                     len(result.event_ids) > len(broken.event_ids) else "does not"] += 1
+
     def faults(self) -> list[Callable[[], None]]:
         cluster, choose = self.cluster, self.random.choice
         platform, store = cluster.platform, cluster.platform.store
@@ -105,7 +116,10 @@
             choose(cluster.daemons).signal(signal.SIGHUP)
 
         def crash_endpoint() -> None:
-            platform.run_coroutine(endpoint().crash(fault_duration_s()))
+            """Crashes an endpoint, which may come back with another software version."""
+            crashing = endpoint()
+            platform.run_on_loop(lambda: setattr(crashing, "next_version", choose(VERSIONS)))
+            platform.run_coroutine(crashing.crash(fault_duration_s()))
 
         def drain_endpoint() -> None:
             leaving = endpoint()
@@ -191,6 +205,7 @@
             self.print_log_lines(violation)
         counts = Counter((r.kind, r.status) for r in self.results)
         print(f"requests: {dict(sorted(counts.items()))}")
+        print(f"streams taken up by their clients: {dict(self.resumed)}")
         return violations
 
 
--- a/tests/edge/standin.py
+++ b/tests/edge/standin.py
@@ -270,7 +270,8 @@
         self.on_disk = set(platform.models) if models else set()
         self.faults = Faults()
         self.born, self.order_count, self.busy_until = 1, 0, 0.0
-        self.state, self.is_down, self.version = "ready", False, "v1"
+        self.state, self.is_down = "ready", False
+        self.version = self.next_version = "v1"  # Of its software, now and after a crash.
         self.max_loaded_models = 0
         self.order_log: list[dict[str, Any]] = []
 
@@ -301,7 +302,7 @@
             return
         await asyncio.sleep(back_after_s)
         self.born, self.order_count, self.busy_until = self.born + 1000, 0, 0.0
-        self.models = {}
+        self.models, self.version = {}, self.next_version
         await self.http_server.start()
         self.is_down = False
         self.announce()
--- a/tests/edge/test_versions.py
+++ b/tests/edge/test_versions.py
@@ -139,7 +139,7 @@
             else:
                 cluster.platform.run_coroutine(cluster.platform.endpoints["r0"].crash(None))
             time.sleep(0.5)
-            unknown = Result("fedcba9876543210", "chat", body=b"id: 2\n")
+            unknown = Result("fedcba9876543210", "chat", body=b"id: 2\ndata: x 2\n\n")
             for daemon in cluster.daemons:
                 result = resume(daemon, unknown)
                 assert result.status == 503 and result.duration_s < 1.5, (change, result)
