Fix: [Fleet] Keep the recent software versions in the lease row

A daemon that starts knows only the versions of the endpoints that are there now.

The holder now writes the versions that it knew within 120 s into the lease row, which it writes anyway. A daemon takes them from the row when it first reads it, and does not rely on its view before. Rows of the former release have none.

test_edge_refuses_unknown_streams_of_a_former_version_after_all_daemons_restart: without the versions of the row, the stream goes on at v2 with status 200; with them it is refused.

--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -160,6 +160,11 @@
                     mConfigurationFeed.OnNoticesLost();
                     mRunnerFeed.OnNoticesLost();
                   },
+                .recentVersions = [this] { return mRunners.RecentVersions(BootClockNow()); },
+                .onRecentVersions =
+                  [this](const fleet::VersionsByService& aVersions) {
+                    mRunners.RecordVersions(BootClockNow(), aVersions);
+                  },
                 .onStoreEra = [this](StoreEra aEra) { mStore.ObserveEra(aEra); } },
               { .self = DaemonId{ mSettings.daemonId },
                 .incarnation = IncarnationId{ mIncarnation },
@@ -539,7 +544,7 @@
    * the runners is missing here. */
   bool AreRunnersCurrent() const
   {
-    return mRunnerFeed.isSynced() && !mRunnerFeed.isStoreLost() &&
+    return mMember.hasReadLease() && mRunnerFeed.isSynced() && !mRunnerFeed.isStoreLost() &&
            mRunnerFeed.IsCurrent(BootClockNow(), kMaxRunnersAge);
   }
 
--- a/src/decision/fleet/runner_registry.cpp
+++ b/src/decision/fleet/runner_registry.cpp
@@ -182,23 +182,41 @@
   });
 }
 
-std::optional<SoftwareVersion> RunnerRegistry::OnlyVersion(TimePoint aNow,
-                                                           const ServiceId& aService) const
+VersionsByService RunnerRegistry::RecentVersions(TimePoint aNow) const
 {
-  std::set<SoftwareVersion> versions;
+  VersionsByService versions;
   for (const auto& [id, runner] : mRunners) {
-    if (runner.entry.service == aService && !runner.missingSince) {
-      versions.insert(runner.entry.softwareVersion);
+    if (!runner.missingSince) {
+      versions[runner.entry.service].insert(runner.entry.softwareVersion);
     }
   }
-  if (const auto former = mFormerVersions.find(aService); former != mFormerVersions.end()) {
-    for (const auto& [version, lastSeenAt] : former->second) {
+  for (const auto& [service, formerVersions] : mFormerVersions) {
+    for (const auto& [version, lastSeenAt] : formerVersions) {
       if (aNow - lastSeenAt <= kStreamRetention) {
-        versions.insert(version);
+        versions[service].insert(version);
       }
     }
   }
-  return versions.size() == 1 ? std::optional{ *versions.begin() } : std::nullopt;
+  return versions;
+}
+
+void RunnerRegistry::RecordVersions(TimePoint aNow, const VersionsByService& aVersions)
+{
+  for (const auto& [service, versions] : aVersions) {
+    for (const SoftwareVersion& version : versions) {
+      mFormerVersions[service][version] = aNow;
+    }
+  }
+}
+
+std::optional<SoftwareVersion> RunnerRegistry::OnlyVersion(TimePoint aNow,
+                                                           const ServiceId& aService) const
+{
+  const VersionsByService versions = RecentVersions(aNow);
+  const auto found = versions.find(aService);
+  return found != versions.end() && found->second.size() == 1
+           ? std::optional{ *found->second.begin() }
+           : std::nullopt;
 }
 
 const KnownRunner* RunnerRegistry::Find(const EndpointId& aRunner) const
--- a/src/decision/fleet/runner_registry.h
+++ b/src/decision/fleet/runner_registry.h
@@ -102,8 +102,11 @@
 
   /* Returns whether any endpoint that may get new requests has this service and version. */
   bool HasUsable(TimePoint aNow, const StreamOrigin& aOrigin) const;
-  /* Returns the software version of a service's endpoints if all that were known within
-   * kStreamRetention have the same one, else nothing. */
+  /* Returns the software versions of all endpoints that were known within kStreamRetention. */
+  VersionsByService RecentVersions(TimePoint aNow) const;
+  /* Records versions that another daemon, or a former process of this one, knew. */
+  void RecordVersions(TimePoint aNow, const VersionsByService& aVersions);
+  /* Returns the version of a service if RecentVersions() has only one, else nothing. */
   std::optional<SoftwareVersion> OnlyVersion(TimePoint aNow, const ServiceId& aService) const;
 
   const KnownRunner* Find(const EndpointId& aRunner) const;
@@ -113,7 +116,8 @@
   bool IsGone(TimePoint aNow, const KnownRunner& aRunner) const;
 
   std::map<EndpointId, KnownRunner> mRunners;
-  /* Versions of endpoints that were removed or restarted, with the time of that. */
+  /* Versions of endpoints that were removed or restarted, and those that others knew, with the time
+   * of that. */
   std::map<ServiceId, std::map<SoftwareVersion, TimePoint>> mFormerVersions;
   /* Since when the store is reachable. Empty while it is unreachable. */
   std::optional<TimePoint> mStoreReachableSince{ TimePoint{} };
--- a/src/decision/fleet/stream_origins.h
+++ b/src/decision/fleet/stream_origins.h
@@ -9,7 +9,9 @@
 #include <compare>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
@@ -30,6 +32,9 @@
   bool operator==(const StreamOrigin&) const = default;
 };
 
+/* Software versions by service. */
+using VersionsByService = std::map<ServiceId, std::set<SoftwareVersion>>;
+
 /* Identifies a stream: a hash of the id of the client's request that brought its first event. */
 struct StreamKey
 {
--- a/src/fleet/fleet_member.cpp
+++ b/src/fleet/fleet_member.cpp
@@ -27,9 +27,9 @@
 constexpr Duration kOrderAnswerTimeout = 400ms;
 constexpr Duration kReportAnswerTimeout = 400ms;
 constexpr Duration kRunnerConnectTimeout = 250ms;
-/* Members to which the dispatcher sends copies of the streams that have begun: all of a small fleet,
- * so that streams can be resumed while a lost dispatcher is being replaced. More copies would fill
- * the dispatcher's link in a large fleet. */
+/* Members to which the dispatcher sends copies of the streams that have begun: all of a small
+ * fleet, so that streams can be resumed while a lost dispatcher is being replaced. More copies
+ * would fill the dispatcher's link in a large fleet. */
 constexpr std::size_t kMaxStreamCopies = 16;
 /* Largest number of streams in one message. */
 constexpr std::size_t kMaxStreamsPerMessage = 500;
@@ -137,16 +137,17 @@
 
 void FleetMember::WriteLease(const fleet::WriteLease& aWrite)
 {
-  mServices.store.Write({ .table = kFleetTable,
-                          .key = kLeaseKey,
-                          .value = EncodeLeaseRow(aWrite.row),
-                          .expectedVersion = aWrite.expectedVersion },
-                        [this](const StoreResult& aResult) {
-                          if (!mIsClosed) {
-                            OnLeaseWritten(aResult);
-                            ApplyLeaseState();
-                          }
-                        });
+  mServices.store.Write(
+    { .table = kFleetTable,
+      .key = kLeaseKey,
+      .value = EncodeLeaseRow({ .lease = aWrite.row, .versions = mServices.recentVersions() }),
+      .expectedVersion = aWrite.expectedVersion },
+    [this](const StoreResult& aResult) {
+      if (!mIsClosed) {
+        OnLeaseWritten(aResult);
+        ApplyLeaseState();
+      }
+    });
 }
 
 void FleetMember::OnLeaseRead(const StoreResult& aResult)
@@ -156,19 +157,29 @@
     mLease.OnReadFailed(now);
     return;
   }
-  for (const auto& row : aResult.answer.rows) {
-    if (row.key != kLeaseKey) {
-      continue;
-    }
-    const auto lease = DecodeLeaseRow(row.value);
-    if (!lease) {
-      mServices.log.Write("lease_unreadable",
-                          { { "row_version", row.version.value }, { "reason", lease.error() } });
-    }
-    mLease.OnRead(now, lease.value_or(fleet::OrderLeaseRow{}), row.version);
-    return;
+  const auto& rows = aResult.answer.rows;
+  const auto row =
+    std::find_if(rows.begin(), rows.end(), [](const auto& aRow) { return aRow.key == kLeaseKey; });
+  if (row == rows.end()) {
+    mLease.OnRead(now, {}, {});
+  } else {
+    mLease.OnRead(now, ReadLeaseRow(*row), row->version);
+  }
+  mHasReadLease = true;
+}
+
+fleet::OrderLeaseRow FleetMember::ReadLeaseRow(const platform::StoreRow& aRow)
+{
+  auto row = DecodeLeaseRow(aRow.value);
+  if (!row) {
+    mServices.log.Write("lease_unreadable",
+                        { { "row_version", aRow.version.value }, { "reason", row.error() } });
+    return {};
+  }
+  if (!mHasReadLease) {
+    mServices.onRecentVersions(row->versions);
   }
-  mLease.OnRead(now, {}, {});
+  return std::move(row->lease);
 }
 
 void FleetMember::OnLeaseWritten(const StoreResult& aResult)
@@ -181,8 +192,7 @@
     case StoreOutcome::kConflict:
       for (const auto& row : aResult.answer.rows) {
         if (row.key == kLeaseKey) {
-          mLease.OnConflict(
-            now, DecodeLeaseRow(row.value).value_or(fleet::OrderLeaseRow{}), row.version);
+          mLease.OnConflict(now, ReadLeaseRow(row), row.version);
           return;
         }
       }
--- a/src/fleet/fleet_member.h
+++ b/src/fleet/fleet_member.h
@@ -54,6 +54,10 @@
   std::function<void(const std::map<std::string, fleet::TableNotice>&)> onTableNotices;
   std::function<void(const TableChangesMessage&)> onTableChanges;
   std::function<void()> onTableNoticesLost;
+  /* Returns the software versions that this daemon knows, and takes those that the store's lease
+   * row has when this daemon first reads it. */
+  std::function<fleet::VersionsByService()> recentVersions;
+  std::function<void(const fleet::VersionsByService&)> onRecentVersions;
   /* Takes the era of the store that another daemon knows. */
   std::function<void(StoreEra)> onStoreEra;
 };
@@ -89,6 +93,8 @@
    * runner's entry. Does nothing on a daemon that is not the dispatcher. */
   void OnDispatcherInputChanged() { ScheduleDispatcherTick(); }
 
+  /* Whether the lease row, or its absence, has been read since the start. */
+  bool hasReadLease() const { return mHasReadLease; }
   bool isDispatcher() const { return mLease.isHolder(); }
   bool HasDispatcher() const { return isDispatcher() || mHasRemoteDispatcher; }
   const fleet::OrderLeaseRow& lease() const { return mLease.row(); }
@@ -111,6 +117,8 @@
   void WriteLease(const fleet::WriteLease& aWrite);
   void OnLeaseRead(const StoreResult& aResult);
   void OnLeaseWritten(const StoreResult& aResult);
+  /* Returns the lease in a row of the store, or an empty one if the row is unreadable. */
+  fleet::OrderLeaseRow ReadLeaseRow(const platform::StoreRow& aRow);
   void ApplyLeaseState();
 
   // Messages.
@@ -161,6 +169,7 @@
   TimePoint mNextHelloAt{};
   std::string mLoggedHolder; ///< Holder and incarnation in the last holder_changed log line.
   bool mWasOrderingAllowed = false;
+  bool mHasReadLease = false;
   bool mIsTickPosted = false;
   bool mIsClosed = false;
 };
--- a/src/fleet/fleet_message.cpp
+++ b/src/fleet/fleet_message.cpp
@@ -345,15 +345,29 @@
   }
 }
 
-std::string EncodeLeaseRow(const OrderLeaseRow& aRow)
+std::string EncodeLeaseRow(const StoredLease& aRow)
 {
-  return ToJson(aRow).dump();
+  Json json = ToJson(aRow.lease);
+  for (const auto& [service, versions] : aRow.versions) {
+    for (const SoftwareVersion& version : versions) {
+      json["software"][service.str()].push_back(version.str());
+    }
+  }
+  return json.dump();
 }
 
-tl::expected<OrderLeaseRow, std::string> DecodeLeaseRow(const std::string& aText)
+tl::expected<StoredLease, std::string> DecodeLeaseRow(const std::string& aText)
 {
   try {
-    return LeaseFrom(Json::parse(aText));
+    const Json json = Json::parse(aText);
+    StoredLease row{ .lease = LeaseFrom(json), .versions = {} };
+    const Json software = json.value("software", Json::object());
+    for (const auto& [service, versions] : software.items()) {
+      for (const Json& version : versions) {
+        row.versions[ServiceId{ service }].insert(SoftwareVersion{ version.get<std::string>() });
+      }
+    }
+    return row;
   } catch (const Json::exception& error) {
     return tl::make_unexpected(std::string{ error.what() });
   }
--- a/src/fleet/fleet_message.h
+++ b/src/fleet/fleet_message.h
@@ -86,9 +86,18 @@
 /* Returns the message, or a description of the error. */
 tl::expected<FleetMessage, std::string> DecodeFleetMessage(const std::string& aBytes);
 
+/* What the store keeps in the lease row. */
+struct StoredLease
+{
+  fleet::OrderLeaseRow lease;
+  /* Software versions that the holder knew. A daemon that starts learns from them of versions that
+   * may have begun streams and have no endpoint any more. */
+  fleet::VersionsByService versions;
+};
+
 /* Encodes the lease row as JSON, the form in which the store keeps it. */
-std::string EncodeLeaseRow(const fleet::OrderLeaseRow& aRow);
-tl::expected<fleet::OrderLeaseRow, std::string> DecodeLeaseRow(const std::string& aText);
+std::string EncodeLeaseRow(const StoredLease& aRow);
+tl::expected<StoredLease, std::string> DecodeLeaseRow(const std::string& aText);
 
 } // namespace rhubarbtrail
 
--- a/tests/edge/test_versions.py
+++ b/tests/edge/test_versions.py
@@ -147,6 +147,26 @@
                 assert result.status == 503 and result.duration_s < 1.5, (change, result)
 
 
+def test_edge_refuses_unknown_streams_of_a_former_version_after_all_daemons_restart() -> None:
+    """Kills all daemons after a version has left, and takes up a stream that it may have begun.
+
+    Restarted daemons see only the version that is there now. The lease row names the former one.
+    """
+    with start("v1 v2") as cluster:
+        time.sleep(1.0)
+        cluster.platform.run_coroutine(cluster.platform.endpoints["r0"].crash(None))
+        time.sleep(1.5)
+        for daemon in cluster.daemons:
+            daemon.kill()
+        for daemon in cluster.daemons:
+            daemon.start()
+        for daemon in cluster.daemons:
+            cluster.wait_until(daemon.is_ready, "readiness")
+            result = resume(daemon, Result("fedcba9876543210", "chat", body=b"id: 2\ndata: x 2\n\n"))
+            assert result.status == 503, result
+        cluster.wait_until(lambda: cluster.daemons[0].send("chat").is_complete, "a new stream")
+
+
 def test_edge_loads_a_model_at_the_version_of_a_stream() -> None:
     """Breaks off a stream whose model no other runner of its version holds.
 
--- a/tests/fleet/fleet_message_test.cpp
+++ b/tests/fleet/fleet_message_test.cpp
@@ -137,5 +137,16 @@
 TEST_CASE("the lease row is unchanged after encoding and decoding")
 {
   const OrderLeaseRow lease{ .holder = DaemonId{ "d0" }, .address = "10.0.0.1:1", .renewals = 3 };
-  CHECK(DecodeLeaseRow(EncodeLeaseRow(lease)) == lease);
+  const VersionsByService versions{ { ServiceId{ "s1" },
+                                      { SoftwareVersion{ "v1" }, SoftwareVersion{ "v2" } } } };
+  const auto row = DecodeLeaseRow(EncodeLeaseRow({ .lease = lease, .versions = versions }));
+  REQUIRE(row.has_value());
+  CHECK(row->lease == lease);
+  CHECK(row->versions == versions);
+  // A former release writes no versions.
+  const std::string former = R"({"holder":"d0","incarnation":"","address":"10.0.0.1:1",)"
+                             R"("waited":false,"era":0,"renewals":3})";
+  REQUIRE(DecodeLeaseRow(former).has_value());
+  CHECK(DecodeLeaseRow(former)->lease == lease);
+  CHECK(DecodeLeaseRow(former)->versions.empty());
 }
--- a/tests/fleet/fleet_parts_test.cpp
+++ b/tests/fleet/fleet_parts_test.cpp
@@ -345,6 +345,14 @@
   registry.Apply(kStart + 200s, entryAt("r2", "v3", 2));
   CHECK_FALSE(registry.OnlyVersion(kStart + 200s, kService));
   CHECK(registry.OnlyVersion(kStart + 321s, kService) == SoftwareVersion{ "v3" });
+
+  // A daemon that starts knows no former version by itself.
+  RunnerRegistry started;
+  started.Apply(kStart, entryAt("r1", "v1"));
+  started.RecordVersions(kStart, { { kService, { SoftwareVersion{ "v1" } } } });
+  CHECK(started.OnlyVersion(kStart, kService) == SoftwareVersion{ "v1" });
+  started.RecordVersions(kStart, { { kService, { SoftwareVersion{ "v2" } } } });
+  CHECK_FALSE(started.OnlyVersion(kStart, kService));
 }
 
 TEST_CASE("an endpoint of another version is not chosen for a stream that is resumed")
