Feature: [Gateway] [Dispatcher] Send nothing new to endpoints that say they are leaving

Every answer is looked at: client requests, interim heads, answers to other requests, refusals, reports, orders and probes. The daemon stops sending there at once, bound to the process by its start time, and tells the others through the dispatcher, which gives the runner neither requests nor orders. Undefined values are ignored and logged once for each endpoint.

--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -22,6 +22,7 @@
 #include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 
 namespace rhubarbtrail {
 
@@ -123,6 +124,12 @@
         [this](const FingerprintId& aRequest) {
           mMember.ReportSuspect({ .request = aRequest, .isCleared = true });
         },
+      .onEndpointAnswer =
+        [this](const EndpointId& aEndpoint,
+               std::int64_t aStartedAtMs,
+               const platform::EndpointAnswer& aAnswer) {
+          OnEndpointAnswer(aEndpoint, aStartedAtMs, aAnswer);
+        },
       .onStreamBegun = [this](const fleet::BegunStream& aStream) { mMember.ReportStream(aStream); },
       .areRunnersCurrent = [this] { return AreRunnersCurrent(); },
       .configuration = nullptr
@@ -143,6 +150,15 @@
                       mGateway.crashes.RecordCrash(BootClockNow(), aSuspect.request);
                     }
                   },
+                .onRunnerLeaving =
+                  [this](const RunnerLeavingMessage& aLeaving) { RecordLeaving(aLeaving, "told"); },
+                .onRunnerAnswer =
+                  [this](const EndpointId& aEndpoint,
+                         std::int64_t aStartedAtMs,
+                         const http::AnswerHead& aHead) {
+                    OnEndpointAnswer(
+                      aEndpoint, aStartedAtMs, platform::DecodeEndpointAnswer(aHead));
+                  },
                 .onDaemonCount = [this](std::uint32_t aCount) { OnDaemonCount(aCount); },
                 .tableNotices = [this] { return TableNotices(); },
                 .onTableNotices =
@@ -525,6 +541,35 @@
     }
   }
 
+  /* Takes what an endpoint's process states about itself in the head of any answer. */
+  void OnEndpointAnswer(const EndpointId& aEndpoint,
+                        std::int64_t aStartedAtMs,
+                        const platform::EndpointAnswer& aAnswer)
+  {
+    for (const std::string_view name : aAnswer.ignoredFields) {
+      if (mLoggedFields.emplace(aEndpoint, name).second) {
+        mLog.Write("answer_field_ignored", { { "endpoint", aEndpoint }, { "field", name } });
+      }
+    }
+    const RunnerLeavingMessage leaving{ .runner = aEndpoint, .startedAtMs = aStartedAtMs };
+    if (aAnswer.isLeaving && RecordLeaving(leaving, "answer")) {
+      mMember.ReportRunnerLeaving(leaving);
+    }
+  }
+
+  /* Sends no new requests to a runner that has stated that it is leaving. Returns whether that is
+   * news. */
+  bool RecordLeaving(const RunnerLeavingMessage& aLeaving, std::string_view aSource)
+  {
+    mDispatcher.OnRunnerLeaving(aLeaving.runner, aLeaving.startedAtMs);
+    if (!mRunners.RecordLeaving(aLeaving.runner, aLeaving.startedAtMs)) {
+      return false;
+    }
+    mLog.Write("runner_says_leaving", { { "endpoint", aLeaving.runner }, { "source", aSource } });
+    mMember.OnDispatcherInputChanged();
+    return true;
+  }
+
   void OnRunnerRemoved(const platform::StoreRow& aRow)
   {
     const EndpointId runnerId{ aRow.key };
@@ -764,6 +809,8 @@
   StoreClient mStore;
   fleet::RunnerRegistry mRunners;
   fleet::StreamOrigins mStreamOrigins;
+  /* Fields of answers whose values were ignored, by endpoint, so that each is logged once. */
+  std::set<std::pair<EndpointId, std::string_view>> mLoggedFields;
   fleet::Dispatcher mDispatcher{ mStreamOrigins };
   PlacementClient mPlacement;
   GatewayContext mGateway;
--- a/src/decision/fleet/dispatcher.cpp
+++ b/src/decision/fleet/dispatcher.cpp
@@ -158,6 +158,14 @@
   }
 }
 
+void Dispatcher::OnRunnerLeaving(const EndpointId& aRunner, std::int64_t aStartedAtMs)
+{
+  const auto found = mRunners.find(aRunner);
+  if (found != mRunners.end() && found->second.entry.startedAtMs == aStartedAtMs) {
+    found->second.saysLeaving = true;
+  }
+}
+
 /* Replaces the assumed holdings by those of an entry or report. Times of use and counts of requests
  * in flight are kept for what is still held. */
 void Dispatcher::AdoptHoldings(TimePoint aNow,
--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -127,7 +127,8 @@
   RunnerEntry entry;
   const Engine* engine = nullptr; ///< Engine of the runner's service. Null for plain services.
   WeightMemory weightMemory;
-  bool isGone = false; ///< The entry was removed, but requests are still in flight.
+  bool isGone = false;      ///< The entry was removed, but requests are still in flight.
+  bool saysLeaving = false; ///< The present process has stated in an answer that it is leaving.
   /* A report has confirmed the holdings. Orders are sent only while this is set. It is cleared by
    * Clear(), a new fencing token, a restart of the runner, a refused request, and a report that the
    * runner carries out an order that is not pending here. */
@@ -171,6 +172,8 @@
 
   void OnRunnerEntry(TimePoint aNow, const RunnerEntry& aEntry);
   void OnRunnerGone(const EndpointId& aRunner);
+  /* A runner's process, which started at this time, has stated that it is leaving. */
+  void OnRunnerLeaving(const EndpointId& aRunner, std::int64_t aStartedAtMs);
   void OnPlacementRequest(TimePoint aNow, const PlacementRequest& aRequest, const ZoneId& aZone);
   void OnAssignmentReleased(TimePoint aNow, const AssignmentReleased& aReleased);
   void OnAssignmentInUse(TimePoint aNow, const AssignmentInUse& aAssignment);
--- a/src/decision/fleet/dispatcher_assign.cpp
+++ b/src/decision/fleet/dispatcher_assign.cpp
@@ -46,7 +46,7 @@
 
 bool Dispatcher::IsUsable(const ManagedRunner& aRunner) const
 {
-  return !aRunner.isGone && aRunner.entry.state == RunnerState::kReady;
+  return !aRunner.isGone && !aRunner.saysLeaving && aRunner.entry.state == RunnerState::kReady;
 }
 
 std::optional<Duration> Dispatcher::EstimateTimeToFirstEvent(TimePoint aNow,
--- a/src/decision/fleet/runner_registry.cpp
+++ b/src/decision/fleet/runner_registry.cpp
@@ -49,6 +49,7 @@
     runner.load = {};
     runner.loadReportedAt = {};
     runner.health.Reset();
+    runner.saysLeaving = false;
     return Change::kRestarted;
   }
   if (isLeaving) {
@@ -105,6 +106,13 @@
   runner.health.Record(aNow, aOutcome);
 }
 
+bool RunnerRegistry::RecordLeaving(const EndpointId& aRunner, std::int64_t aStartedAtMs)
+{
+  const auto found = mRunners.find(aRunner);
+  return found != mRunners.end() && found->second.entry.startedAtMs == aStartedAtMs &&
+         !std::exchange(found->second.saysLeaving, true);
+}
+
 void RunnerRegistry::RecordLoad(TimePoint aNow,
                                 const EndpointId& aRunner,
                                 const EndpointLoad& aLoad)
@@ -130,7 +138,7 @@
   if (IsGone(aNow, aRunner)) {
     return Exclusion::kGone;
   }
-  if (aRunner.entry.state == RunnerState::kDraining) {
+  if (aRunner.entry.state == RunnerState::kDraining || aRunner.saysLeaving) {
     return Exclusion::kLeaving;
   }
   return aRunner.health.IsAvoided(aNow) ? Exclusion::kAvoided : Exclusion::kNone;
--- a/src/decision/fleet/runner_registry.h
+++ b/src/decision/fleet/runner_registry.h
@@ -25,7 +25,9 @@
   RunnerEntry entry;
   TimePoint changedAt{};                 ///< When the last entry arrived.
   std::optional<TimePoint> missingSince; ///< Since when the endpoint has no entry.
-  std::uint32_t inFlight = 0;            ///< Requests of this daemon in flight at the endpoint.
+  /* The endpoint's present process has stated in an answer that it is leaving. */
+  bool saysLeaving = false;
+  std::uint32_t inFlight = 0; ///< Requests of this daemon in flight at the endpoint.
   EndpointLoad load;
   TimePoint loadReportedAt{}; ///< When the endpoint reported the load.
   EndpointHealth health;
@@ -35,7 +37,7 @@
 enum class Exclusion : std::uint8_t
 {
   kNone,
-  kLeaving, ///< It is draining.
+  kLeaving, ///< It is draining, or has stated in an answer that it is leaving.
   kGone,    ///< It has no entry any more.
   kAvoided, ///< It is avoided because requests failed there or were refused.
 };
@@ -78,6 +80,9 @@
   /* Record the start and the end of a request at an endpoint. */
   void RecordRequestStart(const EndpointId& aRunner);
   void RecordRequestEnd(TimePoint aNow, const EndpointId& aRunner, EndpointOutcome aOutcome);
+  /* Records that an endpoint's process, which started at this time, has stated that it is leaving.
+   * Only a new process takes that back. Returns whether it was not known. */
+  bool RecordLeaving(const EndpointId& aRunner, std::int64_t aStartedAtMs);
   /* Records the load that an endpoint reported. */
   void RecordLoad(TimePoint aNow, const EndpointId& aRunner, const EndpointLoad& aLoad);
 
--- a/src/fleet/fleet_member.cpp
+++ b/src/fleet/fleet_member.cpp
@@ -370,6 +370,7 @@
       [&](const HelloMessage& aHello) { OnHello(*message, aHello); },
       [&](const HolderHeartbeatMessage& aHeartbeat) { OnHolderHeartbeat(*message, aHeartbeat); },
       [&](const SuspectMessage& aSuspect) { OnSuspect(*message, aSuspect); },
+      [&](const RunnerLeavingMessage& aLeaving) { OnRunnerLeaving(*message, aLeaving); },
       [&](const StreamsBegunMessage& aBegun) { OnStreamsBegun(aBegun); },
       [&](const TableChangesMessage& aChanges) {
         if (mHasRemoteDispatcher && message->from == mDispatcherLease.holder &&
@@ -464,16 +465,42 @@
 void FleetMember::OnSuspect(const FleetMessage& aMessage, const SuspectMessage& aSuspect)
 {
   mServices.onSuspect(aSuspect);
+  PassOn(aMessage.from, aSuspect);
+}
+
+void FleetMember::OnRunnerLeaving(const FleetMessage& aMessage,
+                                  const RunnerLeavingMessage& aLeaving)
+{
+  mServices.onRunnerLeaving(aLeaving);
+  PassOn(aMessage.from, aLeaving);
+}
+
+void FleetMember::PassOn(const DaemonId& aFrom, const FleetBody& aReport)
+{
   if (!isDispatcher()) {
     return;
   }
   for (const auto& [id, member] : mMembers) {
-    if (id != aMessage.from) {
-      Send(member.address, aSuspect);
+    if (id != aFrom) {
+      Send(member.address, aReport);
     }
   }
 }
 
+void FleetMember::Announce(FleetBody aReport)
+{
+  if (isDispatcher()) {
+    SendToMembers(std::move(aReport));
+  } else if (mHasRemoteDispatcher) {
+    Send(mDispatcherLease.address, std::move(aReport));
+  }
+}
+
+void FleetMember::ReportRunnerLeaving(const RunnerLeavingMessage& aMessage)
+{
+  Announce(aMessage);
+}
+
 void FleetMember::ReportStream(const fleet::BegunStream& aStream)
 {
   mServices.streamOrigins.Record(BootClockNow(), aStream);
@@ -531,13 +558,7 @@
 
 void FleetMember::ReportSuspect(const SuspectMessage& aMessage)
 {
-  if (isDispatcher()) {
-    for (const auto& [id, member] : mMembers) {
-      Send(member.address, aMessage);
-    }
-  } else if (mHasRemoteDispatcher) {
-    Send(mDispatcherLease.address, aMessage);
-  }
+  Announce(aMessage);
 }
 
 bool FleetMember::SendToDispatcher(const fleet::DispatchMessage& aMessage)
@@ -640,6 +661,15 @@
   }
 }
 
+/* Returns the Unix time of the start of a runner's process in milliseconds, or 0 if it is unknown.
+ */
+std::int64_t FleetMember::StartTimeOf(const EndpointId& aRunner) const
+{
+  const auto& runners = mServices.dispatcher.runners();
+  const auto found = runners.find(aRunner);
+  return found == runners.end() ? 0 : found->second.entry.startedAtMs;
+}
+
 void FleetMember::SendOrder(const fleet::RunnerOrder& aOrder)
 {
   // Checked again, because the host may have been suspended since the dispatcher decided, and the
@@ -656,6 +686,7 @@
     mServices.metrics.Count(Counter::kAdapterLoads);
   }
   auto status = std::make_shared<unsigned>(0);
+  const std::int64_t startedAtMs = StartTimeOf(aOrder.runner);
   mServices.client.Start(
     { .address = aOrder.address,
       .request = platform::EncodeOrder(aOrder),
@@ -664,8 +695,9 @@
       .answerTimeout = kOrderAnswerTimeout,
       .bodyIdleTimeout = kOrderAnswerTimeout },
     { .onHead =
-        [status](const http::AnswerHead& aHead) {
+        [this, status, runner = aOrder.runner, startedAtMs](const http::AnswerHead& aHead) {
           *status = aHead.status;
+          mServices.onRunnerAnswer(runner, startedAtMs, aHead);
           return true;
         },
       .onBody = [](std::string_view) {},
@@ -698,6 +730,7 @@
     std::string body;
   };
   auto progress = std::make_shared<Progress>();
+  const std::int64_t startedAtMs = StartTimeOf(aReportRequest.runner);
   mServices.client.Start(
     { .address = aReportRequest.address,
       .request = platform::EncodeReportRequest(aReportRequest.runner),
@@ -705,8 +738,10 @@
       .answerTimeout = kReportAnswerTimeout,
       .bodyIdleTimeout = kReportAnswerTimeout },
     { .onHead =
-        [progress](const http::AnswerHead& aHead) {
+        [this, progress, runner = aReportRequest.runner, startedAtMs](
+          const http::AnswerHead& aHead) {
           progress->status = aHead.status;
+          mServices.onRunnerAnswer(runner, startedAtMs, aHead);
           return true;
         },
       .onBody = [progress](std::string_view aBytes) { progress->body += aBytes; },
--- a/src/fleet/fleet_member.h
+++ b/src/fleet/fleet_member.h
@@ -45,6 +45,10 @@
   fleet::StreamOrigins& streamOrigins;
   /* Takes another daemon's report that a request is suspected of crashing runners or is cleared. */
   std::function<void(const SuspectMessage&)> onSuspect;
+  /* Takes another daemon's report that a runner is leaving. */
+  std::function<void(const RunnerLeavingMessage&)> onRunnerLeaving;
+  /* Takes what a runner's process, which started at this time, states in the head of an answer. */
+  std::function<void(const EndpointId&, std::int64_t, const http::AnswerHead&)> onRunnerAnswer;
   /* Takes the number of daemons known to the dispatcher, itself included. */
   std::function<void(std::uint32_t)> onDaemonCount;
   /* Returns what this daemon states about the store's tables while it is the dispatcher. */
@@ -81,6 +85,8 @@
   /* Notifies the other daemons, through the dispatcher, of a request that is suspected of crashing
    * runners or has been cleared. Does nothing if no dispatcher is known to be alive. */
   void ReportSuspect(const SuspectMessage& aMessage);
+  /* Notifies them in the same way of a runner that is leaving. */
+  void ReportRunnerLeaving(const RunnerLeavingMessage& aMessage);
   /* Records a stream that this daemon is about to send the first event of, and sends it to the
    * dispatcher, so that another daemon can resume it if this one fails. */
   void ReportStream(const fleet::BegunStream& aStream);
@@ -128,6 +134,11 @@
   void OnHello(const FleetMessage& aMessage, const HelloMessage& aHello);
   void OnHolderHeartbeat(const FleetMessage& aMessage, const HolderHeartbeatMessage& aHeartbeat);
   void OnSuspect(const FleetMessage& aMessage, const SuspectMessage& aSuspect);
+  void OnRunnerLeaving(const FleetMessage& aMessage, const RunnerLeavingMessage& aLeaving);
+  /* Sends a report to the dispatcher, or to all members if this daemon is the dispatcher. */
+  void Announce(FleetBody aReport);
+  /* Passes another member's report on to the others if this daemon is the dispatcher. */
+  void PassOn(const DaemonId& aFrom, const FleetBody& aReport);
   void OnStreamsBegun(const StreamsBegunMessage& aBegun);
   /* Sends all known streams to a new dispatcher. */
   void SendStreamsToDispatcher();
@@ -149,6 +160,7 @@
   void SendOrder(const fleet::RunnerOrder& aOrder);
   void FetchReport(const fleet::ReportRequest& aReportRequest);
   ZoneId ZoneOf(const DaemonId& aDaemon) const;
+  std::int64_t StartTimeOf(const EndpointId& aRunner) const;
 
   FleetMemberServices mServices;
   FleetMemberOptions mOptions;
--- a/src/fleet/fleet_message.cpp
+++ b/src/fleet/fleet_message.cpp
@@ -244,6 +244,11 @@
                                { "cleared", aSuspect.isCleared } };
                 },
                 [](const TableChangesMessage& aChanges) { return ToJson(aChanges); },
+                [](const RunnerLeavingMessage& aLeaving) {
+                  return Json{ { "kind", "runner_leaving" },
+                               { "runner", aLeaving.runner.str() },
+                               { "born", aLeaving.startedAtMs } };
+                },
                 [](const StreamsBegunMessage& aBegun) {
                   Json streams = Json::array();
                   for (const BegunStream& stream : aBegun.streams) {
@@ -293,6 +298,10 @@
   if (kind == "table_changes") {
     return TableChangesFrom(aJson);
   }
+  if (kind == "runner_leaving") {
+    return RunnerLeavingMessage{ .runner = EndpointId{ aJson.at("runner").get<std::string>() },
+                                 .startedAtMs = aJson.at("born").get<std::int64_t>() };
+  }
   if (kind == "streams") {
     StreamsBegunMessage begun;
     for (const Json& stream : aJson.at("streams")) {
--- a/src/fleet/fleet_message.h
+++ b/src/fleet/fleet_message.h
@@ -63,11 +63,19 @@
   std::vector<fleet::BegunStream> streams;
 };
 
+/* Reports that a runner's process has stated in an answer that it is leaving. */
+struct RunnerLeavingMessage
+{
+  EndpointId runner;
+  std::int64_t startedAtMs = 0; ///< Unix time of the process's start.
+};
+
 using FleetBody = std::variant<HelloMessage,
                                HolderHeartbeatMessage,
                                SuspectMessage,
                                TableChangesMessage,
                                StreamsBegunMessage,
+                               RunnerLeavingMessage,
                                fleet::PlacementRequest,
                                fleet::AssignmentReleased,
                                fleet::AssignmentInUse,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "gateway/placement_client.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
+#include "platform/request_headers.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -37,6 +38,10 @@
   std::function<void(const FingerprintId&)> onSuspect;
   /* Notifies the other daemons that a request suspected of crashing runners was answered. */
   std::function<void(const FingerprintId&)> onCleared;
+  /* Takes what an endpoint's process, which started at this time, states in the head of an answer.
+   */
+  std::function<void(const EndpointId&, std::int64_t, const platform::EndpointAnswer&)>
+    onEndpointAnswer;
   /* Records a stream before its first event is sent to the client. */
   std::function<void(const fleet::BegunStream&)> onStreamBegun;
   /* Returns whether no change of the runners is missing here, as far as can be known. */
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -484,6 +484,7 @@
   }
   mAttempt = {};
   mAttempt.endpoint = aEndpoint;
+  mAttempt.endpointStartedAtMs = runner->entry.startedAtMs;
   mAttempt.version = isVersionCertain ? version : SoftwareVersion{};
   mAttempt.startedAt = now;
   mContext.runners.RecordRequestStart(aEndpoint);
@@ -522,6 +523,12 @@
           const auto self = weak.lock();
           return self && self->OnHead(aHead);
         },
+      .onInterimHead =
+        [weak](const http::AnswerHead& aHead) {
+          if (const auto self = weak.lock()) {
+            self->ReportAnswer(platform::DecodeEndpointAnswer(aHead));
+          }
+        },
       .onBody =
         [weak](std::string_view aBytes) {
           if (const auto self = weak.lock()) {
@@ -531,9 +538,15 @@
       .onEnd = [self = shared_from_this()](http::CallResult aResult) { self->OnEnd(aResult); } });
 }
 
+void RequestFlow::ReportAnswer(const platform::EndpointAnswer& aAnswer)
+{
+  mContext.onEndpointAnswer(mAttempt.endpoint, mAttempt.endpointStartedAtMs, aAnswer);
+}
+
 bool RequestFlow::OnHead(const http::AnswerHead& aHead)
 {
   auto decodedHead = platform::DecodeEndpointAnswer(aHead);
+  ReportAnswer(decodedHead); // Also if the answer belongs to another request.
   if (!decodedHead.requestId.empty() && decodedHead.requestId != mClient.requestId) {
     mContext.log.Write("foreign_answer_skipped",
                        { { "id", mClient.requestId },
@@ -714,27 +727,33 @@
   }
   // Connections break for many reasons, but a new one fails only if the process is gone. Anything
   // else does not make the request a suspect.
-  mContext.client.Start({ .address = runner->entry.address,
-                          .request = platform::EncodeReportRequest(mAttempt.endpoint),
-                          .reuse = http::Reuse::kFresh,
-                          .connectTimeout = kConnectTimeout,
-                          .answerTimeout = kConnectTimeout },
-                        { .onHead = [](const http::AnswerHead&) { return true; },
-                          .onBody = [](std::string_view) {},
-                          .onEnd =
-                            [&context = mContext,
-                             request = mFingerprint,
-                             id = mClient.requestId,
-                             endpoint = mAttempt.endpoint](http::CallResult aResult) {
-                              if (aResult != http::CallResult::kNotConnected) {
-                                return;
-                              }
-                              context.log.Write(
-                                "request_suspected",
-                                { { "id", id }, { "endpoint", endpoint }, { "bytes", request } });
-                              context.crashes.RecordCrash(BootClockNow(), request);
-                              context.onSuspect(request);
-                            } });
+  mContext.client.Start(
+    { .address = runner->entry.address,
+      .request = platform::EncodeReportRequest(mAttempt.endpoint),
+      .reuse = http::Reuse::kFresh,
+      .connectTimeout = kConnectTimeout,
+      .answerTimeout = kConnectTimeout },
+    { .onHead =
+        [&context = mContext,
+         endpoint = mAttempt.endpoint,
+         startedAtMs = mAttempt.endpointStartedAtMs](const http::AnswerHead& aHead) {
+          context.onEndpointAnswer(endpoint, startedAtMs, platform::DecodeEndpointAnswer(aHead));
+          return true;
+        },
+      .onBody = [](std::string_view) {},
+      .onEnd =
+        [&context = mContext,
+         request = mFingerprint,
+         id = mClient.requestId,
+         endpoint = mAttempt.endpoint](http::CallResult aResult) {
+          if (aResult != http::CallResult::kNotConnected) {
+            return;
+          }
+          context.log.Write("request_suspected",
+                            { { "id", id }, { "endpoint", endpoint }, { "bytes", request } });
+          context.crashes.RecordCrash(BootClockNow(), request);
+          context.onSuspect(request);
+        } });
 }
 
 void RequestFlow::OnAttemptEnded(AttemptEnd aEnd, std::string_view aResult)
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -36,7 +36,8 @@
   struct Attempt
   {
     EndpointId endpoint;
-    SoftwareVersion version; ///< Of the endpoint; empty if not known.
+    SoftwareVersion version;              ///< Of the endpoint; empty if not known.
+    std::int64_t endpointStartedAtMs = 0; ///< Unix time of the start of the endpoint's process.
     TimePoint startedAt{};
     Duration timeToFirstEvent{}; ///< From the start to the first event; 0: none has arrived.
     std::unique_ptr<http::Call> call;
@@ -74,6 +75,8 @@
   void WaitForEndpoint();
 
   void SendToEndpoint(const EndpointId& aEndpoint, std::string_view aSelectionReason);
+  /* Passes on what an answer states about the endpoint itself. */
+  void ReportAnswer(const platform::EndpointAnswer& aAnswer);
   /* Takes the head of the endpoint's answer. Returns false, which skips the answer, if it belongs
    * to another request. */
   bool OnHead(const http::AnswerHead& aHead);
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -345,7 +345,11 @@
   {
     constexpr unsigned kFirstFinalStatus = 200;
     if (mParser->get().result_int() < kFirstFinalStatus) {
-      ResetParser(); // An interim answer (1xx). The final answer follows.
+      const AnswerHead interimHead = ToAnswerHead(*mParser);
+      ResetParser();
+      if (mHandlers.onInterimHead) {
+        mHandlers.onInterimHead(interimHead);
+      }
       return false;
     }
     mHasAnswerHead = true;
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -50,6 +50,8 @@
   /* Receives the head of an answer. Returns false if the answer belongs to another request: the
    * client then skips it and waits for the next answer on the connection. */
   std::function<bool(const AnswerHead&)> onHead;
+  /* Receives the head of an interim answer (1xx), which the final one follows. May be empty. */
+  std::function<void(const AnswerHead&)> onInterimHead;
   /* Receives a part of the body, without the chunk framing. The bytes are valid during the call. */
   std::function<void(std::string_view)> onBody;
   /* Called once, after all other handlers; not called after Cancel(). */
--- a/src/platform/request_headers.cpp
+++ b/src/platform/request_headers.cpp
@@ -89,6 +89,21 @@
          http::EqualsIgnoringCase(aName, "Transfer-Encoding");
 }
 
+/* One field with the defined value is enough. Other values are ignored. */
+void DecodeLeaving(const http::Fields& aFields, EndpointAnswer& aAnswer)
+{
+  for (const http::Field& item : aFields) {
+    if (!http::EqualsIgnoringCase(item.name, field::kLeaving)) {
+      continue;
+    }
+    if (item.value == "1") {
+      aAnswer.isLeaving = true;
+    } else {
+      aAnswer.ignoredFields.push_back(field::kLeaving);
+    }
+  }
+}
+
 } // namespace
 
 ClientRequest DecodeClientRequest(const http::Request& aRequest)
@@ -147,6 +162,7 @@
   answer.hasSignature = http::Find(aHead.fields, field::kSignature).has_value();
   answer.isNotRun =
     http::Find(aHead.fields, field::kNotExecuted).has_value() || aHead.status == kMisdirected;
+  DecodeLeaving(aHead.fields, answer);
   const auto encoding = http::Find(aHead.fields, field::kContentEncoding);
   answer.isEncoded = encoding && !http::EqualsIgnoringCase(*encoding, "identity");
   if (auto load = http::Find(aHead.fields, field::kLoad)) {
--- a/src/platform/request_headers.h
+++ b/src/platform/request_headers.h
@@ -8,6 +8,8 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace rhubarbtrail::platform {
 
@@ -48,7 +50,10 @@
   bool isNotRun = false;  ///< The endpoint has not run the request, by its own statement or because
                           ///< the request was addressed to another endpoint (status 421).
   bool isEncoded = false; ///< The body has a content encoding, for example compression.
+  bool isLeaving = false; ///< The endpoint states that its process is about to end.
   std::optional<fleet::EndpointLoad> load;
+  /* Names of fields whose values are not defined. They are ignored. */
+  std::vector<std::string_view> ignoredFields;
 };
 
 /* Decodes the header fields of an endpoint's answer. A load that is invalid is left out. */
--- a/src/platform/wire_names.h
+++ b/src/platform/wire_names.h
@@ -19,6 +19,7 @@
 constexpr std::string_view kPriority = "X-Request-Priority";
 constexpr std::string_view kSignature = "X-Response-Signature";
 constexpr std::string_view kNotExecuted = "X-Not-Executed";
+constexpr std::string_view kLeaving = "Server-Leaving"; ///< "1" while the endpoint is leaving.
 constexpr std::string_view kLoad = "X-Server-Load";
 constexpr std::string_view kHold = "X-Hold";
 constexpr std::string_view kPin = "X-Pin-Ms";
--- a/tests/edge/standin.py
+++ b/tests/edge/standin.py
@@ -30,6 +30,7 @@
     body: bytes
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
+    answer_fields: dict[str, str] = field(default_factory=dict)  # Added to each answer.
 
     @property
     def path(self) -> str:
@@ -46,7 +47,8 @@
 
 def write_response(call: HttpCall, status: int, body: bytes = b"", **fields: str) -> None:
     names = {name.replace("_", "-"): value for name, value in fields.items()}
-    call.writer.write(response_head(status, {**names, "Content-Length": str(len(body))}) + body)
+    call.writer.write(response_head(
+        status, {**call.answer_fields, **names, "Content-Length": str(len(body))}) + body)
 
 
 class HttpServer:
@@ -254,6 +256,8 @@
     refuses_all: bool = False       # All requests are refused without being run.
     answers_500: bool = False       # Requests are run and answered with status 500.
     crashing_body: bytes = b""      # A request whose body contains these bytes crashes it.
+    leaving_value: str = ""         # Value of Server-Leaving in all answers; not sent if empty.
+    leaving_interim: bool = False   # The value is sent in an interim answer instead.
 
 
 class Endpoint:
@@ -308,6 +312,10 @@
         self.announce()
 
     async def _handle(self, call: HttpCall) -> None:
+        if self.faults.leaving_value and self.faults.leaving_interim:
+            call.writer.write(response_head(103, {"Server-Leaving": self.faults.leaving_value}))
+        elif self.faults.leaving_value:
+            call.answer_fields["Server-Leaving"] = self.faults.leaving_value
         if call.fields.get("x-target-instance", self.id) != self.id:
             write_response(call, 421)
         elif call.path.endswith("/report"):
@@ -366,7 +374,7 @@
             call.writer.transport.abort()
             return
         signed_headers = {"X-Request-Id": request, "X-Response-Signature": f"{self.id}.{request}",
-                          "X-Server-Load": "1,0,8"}
+                          "X-Server-Load": "1,0,8", **call.answer_fields}
         if self.faults.answers_500:
             call.writer.write(response_head(500, {**signed_headers, "Content-Length": "0"}))
         elif model:
--- a/tests/fleet/dispatcher_test.cpp
+++ b/tests/fleet/dispatcher_test.cpp
@@ -489,3 +489,26 @@
   CheckNoViolations(world);
   CHECK(world.CountWaiting() == 0);
 }
+
+TEST_CASE("a runner that says it is leaving gets neither requests nor orders, a new process does")
+{
+  FleetWorld world({ .runners = 2, .models = 4, .modelsPerRunner = 2 });
+  world.dispatcher.OnRunnerLeaving(EndpointId{ "r0" }, world.runners[0].startedAtMs);
+  const auto orders = world.runners[0].orderCount;
+  for (int number = 0; number < 10; ++number) {
+    world.SendRequest("m0");
+  }
+  world.SendEntry(0);
+  world.Run(200ms);
+  CHECK(world.runners[0].runningRequests.empty());
+  world.Run(4s);
+  CHECK(world.CountServed() == 10);
+  CHECK(world.runners[0].orderCount == orders);
+  world.Restart(0);
+  world.dispatcher.OnRunnerLeaving(EndpointId{ "r0" }, 1); // Of the former process.
+  world.SendEntry(0);
+  world.Drain(1);
+  world.SendRequest("m1");
+  world.Run(4s);
+  CHECK(world.CountServed() == 11);
+}
--- a/tests/fleet/fleet_message_test.cpp
+++ b/tests/fleet/fleet_message_test.cpp
@@ -79,6 +79,10 @@
     .id = kRequest.id,
     .answer = RunnerAssigned{ .runner = EndpointId{ "e2" }, .version = SoftwareVersion{} } });
   CHECK(std::get<RunnerAssigned>(versioned.answer).version == SoftwareVersion{});
+  const auto leaving = EncodeAndDecode<RunnerLeavingMessage>(
+    RunnerLeavingMessage{ .runner = EndpointId{ "e1" }, .startedAtMs = 1'786'748'091'415 });
+  CHECK(leaving.runner == EndpointId{ "e1" });
+  CHECK(leaving.startedAtMs == 1'786'748'091'415);
   const auto begun = EncodeAndDecode<StreamsBegunMessage>(
     StreamsBegunMessage{ .streams = { { .key = { 7 }, .origin = *kRequest.origin } } });
   REQUIRE(begun.streams.size() == 1);
--- a/tests/fleet/fleet_parts_test.cpp
+++ b/tests/fleet/fleet_parts_test.cpp
@@ -370,3 +370,24 @@
   CHECK_FALSE(choose(other));
   CHECK(choose(same) == EndpointId{ "r1" });
 }
+
+// Such an endpoint may serve on for seconds and never write that it drains, and a late entry may
+// still call it ready. Requests that are sent there after the drain time are lost.
+TEST_CASE("an endpoint that says it is leaving gets no requests until another process is there")
+{
+  RunnerRegistry registry;
+  RunnerEntry entry = EntryOf("r1");
+  entry.startedAtMs = 7;
+  registry.Apply(kStart, entry);
+  CHECK_FALSE(registry.RecordLeaving(EndpointId{ "r1" }, 6)); // An answer of a former process.
+  CHECK_FALSE(registry.RecordLeaving(EndpointId{ "r2" }, 7));
+  CHECK(Choose(registry, kStart) == EndpointId{ "r1" });
+  CHECK(registry.RecordLeaving(EndpointId{ "r1" }, 7));
+  CHECK_FALSE(registry.RecordLeaving(EndpointId{ "r1" }, 7));
+  CHECK_FALSE(Choose(registry, kStart));
+  registry.Apply(kStart + 1s, entry);
+  CHECK_FALSE(Choose(registry, kStart + 1s));
+  entry.startedAtMs = 8;
+  registry.Apply(kStart + 2s, entry);
+  CHECK(Choose(registry, kStart + 2s) == EndpointId{ "r1" });
+}
--- a/tests/platform/decoder_test.cpp
+++ b/tests/platform/decoder_test.cpp
@@ -267,3 +267,26 @@
     }
   }
 }
+
+TEST_CASE("only the defined value of the leaving field counts, and others are named")
+{
+  struct Case
+  {
+    std::vector<std::string> values;
+    bool isLeaving = false;
+    std::size_t ignored = 0;
+  };
+  const std::vector<Case> cases{ { {}, false, 0 },          { { "1" }, true, 0 },
+                                 { { "0" }, false, 1 },     { { "true" }, false, 1 },
+                                 { { "1, 1" }, false, 1 },  { { "" }, false, 1 },
+                                 { { "1", "1" }, true, 0 }, { { "0", "1" }, true, 1 } };
+  for (const Case& item : cases) {
+    http::AnswerHead head{ .status = 503 };
+    for (const std::string& value : item.values) {
+      head.fields.push_back({ "server-leaving", value });
+    }
+    const EndpointAnswer answer = DecodeEndpointAnswer(head);
+    CHECK(answer.isLeaving == item.isLeaving);
+    CHECK(answer.ignoredFields.size() == item.ignored);
+  }
+}
