Feature: [Gateway] [Dispatcher] Heed the pauses that endpoints ask for

The pair of daemon and process is paused: first tries, retries, resumed streams, orders and calls for reports skip it; placement requests state the pauses of their daemon. What only paused endpoints could serve waits for the first pause to end, spread over 300 ms, or is refused at once with that time. Values that state no time are ignored and logged once; a pause lasts one hour at most.

--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -159,6 +159,11 @@
                     OnEndpointAnswer(
                       aEndpoint, aStartedAtMs, platform::DecodeEndpointAnswer(aHead));
                   },
+                .isPaused =
+                  [this](const EndpointId& aEndpoint) {
+                    const fleet::KnownRunner* runner = mRunners.Find(aEndpoint);
+                    return runner != nullptr && BootClockNow() < runner->pausedUntil;
+                  },
                 .onDaemonCount = [this](std::uint32_t aCount) { OnDaemonCount(aCount); },
                 .tableNotices = [this] { return TableNotices(); },
                 .onTableNotices =
@@ -551,6 +556,11 @@
         mLog.Write("answer_field_ignored", { { "endpoint", aEndpoint }, { "field", name } });
       }
     }
+    if (aAnswer.pause &&
+        mRunners.RecordPause(BootClockNow(), aEndpoint, aStartedAtMs, *aAnswer.pause)) {
+      mLog.Write("endpoint_pauses",
+                 { { "endpoint", aEndpoint }, { "pause_ms", ToMilliseconds(*aAnswer.pause) } });
+    }
     const RunnerLeavingMessage leaving{ .runner = aEndpoint, .startedAtMs = aStartedAtMs };
     if (aAnswer.isLeaving && RecordLeaving(leaving, "answer")) {
       mMember.ReportRunnerLeaving(leaving);
--- a/src/decision/fleet/dispatch_type.h
+++ b/src/decision/fleet/dispatch_type.h
@@ -25,6 +25,15 @@
   bool operator==(const PlacementRequestId&) const = default;
 };
 
+/* A runner that wants nothing from the requesting daemon for some time. */
+struct PausedRunner
+{
+  EndpointId runner;
+  Duration timeLeft{};
+
+  bool operator==(const PausedRunner&) const = default;
+};
+
 /* A placement request: a daemon asks the dispatcher to assign a client's request to a runner. */
 struct PlacementRequest
 {
@@ -40,7 +49,8 @@
   /* Time until the request's deadline or until the client gives up, whichever is earlier. */
   Duration timeLeft{};
   bool isResumable = false;
-  std::vector<EndpointId> failedRunners; ///< Runners where an attempt failed or was refused.
+  std::vector<EndpointId> failedRunners;   ///< Runners where an attempt failed or was refused.
+  std::vector<PausedRunner> pausedRunners; ///< When the message was first sent.
   /* Set for a stream that is resumed: only runners of this service and version can go on with it.
    */
   std::optional<StreamOrigin> origin;
--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -324,6 +324,14 @@
               ResultCode aCode,
               Duration aRetryAfter,
               std::string_view aWhy);
+  /* Returns when the runner's pause for the requesting daemon ends, or nothing if it has ended or
+   * there is none. */
+  static std::optional<TimePoint> PauseEnd(TimePoint aNow,
+                                           const WaitingRequest& aWaiting,
+                                           const EndpointId& aRunner);
+  /* Refuses a request that only paused runners could serve if the first pause ends too late.
+   * Returns whether it did. */
+  bool RefuseWhilePaused(TimePoint aNow, const WaitingRequest& aWaiting, TimePoint aPauseEnd);
   void Assign(TimePoint aNow,
               const WaitingRequest& aWaiting,
               ManagedRunner& aRunner,
--- a/src/decision/fleet/dispatcher_assign.cpp
+++ b/src/decision/fleet/dispatcher_assign.cpp
@@ -119,6 +119,8 @@
     return RefuseResumed(aNow, aWaiting);
   }
   const SoftwareVersion version = request.origin ? request.origin->version : SoftwareVersion{};
+  std::optional<TimePoint> firstPauseEnd;
+  bool areAllPaused = true;
   ManagedRunner* best = nullptr;
   std::tuple<bool, bool, Duration> bestRank;
   for (ManagedRunner* runner : RunnersWithModel(request.work.target.model)) {
@@ -126,6 +128,11 @@
         !HasVersion(*runner, version)) {
       continue;
     }
+    if (const auto pauseEnd = PauseEnd(aNow, aWaiting, runner->entry.id)) {
+      firstPauseEnd = std::min(firstPauseEnd.value_or(*pauseEnd), *pauseEnd);
+      continue;
+    }
+    areAllPaused = false;
     const auto time = EstimateTimeToFirstEvent(aNow, *runner, aWaiting);
     if (!time) {
       continue;
@@ -139,6 +146,9 @@
       bestRank = rank;
     }
   }
+  if (best == nullptr && firstPauseEnd && areAllPaused) {
+    return RefuseWhilePaused(aNow, aWaiting, *firstPauseEnd);
+  }
   if (best == nullptr && request.origin) {
     return RefuseResumed(aNow, aWaiting);
   }
@@ -207,6 +217,32 @@
   return aNow - aWaiting.receivedAt > maxWait && refuse(kRetryAfterRefusal, "no_replica_in_time");
 }
 
+std::optional<TimePoint> Dispatcher::PauseEnd(TimePoint aNow,
+                                              const WaitingRequest& aWaiting,
+                                              const EndpointId& aRunner)
+{
+  for (const PausedRunner& paused : aWaiting.request.pausedRunners) {
+    const TimePoint end = aWaiting.receivedAt + paused.timeLeft;
+    if (paused.runner == aRunner && aNow < end) {
+      return end;
+    }
+  }
+  return std::nullopt;
+}
+
+/* Load pattern: all runners that hold a model are overloaded and ask a daemon to pause. */
+bool Dispatcher::RefuseWhilePaused(TimePoint aNow,
+                                   const WaitingRequest& aWaiting,
+                                   TimePoint aPauseEnd)
+{
+  if (aPauseEnd + kMinServiceTime <= aWaiting.deadline) {
+    ScheduleTick(aPauseEnd);
+    return false;
+  }
+  Refuse(aNow, aWaiting, ResultCode::kEndpointUnavailable, aPauseEnd - aNow, "all_runners_paused");
+  return true;
+}
+
 void Dispatcher::Assign(TimePoint aNow,
                         const WaitingRequest& aWaiting,
                         ManagedRunner& aRunner,
--- a/src/decision/fleet/runner_registry.cpp
+++ b/src/decision/fleet/runner_registry.cpp
@@ -50,6 +50,7 @@
     runner.loadReportedAt = {};
     runner.health.Reset();
     runner.saysLeaving = false;
+    runner.pausedUntil = {};
     return Change::kRestarted;
   }
   if (isLeaving) {
@@ -113,6 +114,20 @@
          !std::exchange(found->second.saysLeaving, true);
 }
 
+bool RunnerRegistry::RecordPause(TimePoint aNow,
+                                 const EndpointId& aRunner,
+                                 std::int64_t aStartedAtMs,
+                                 Duration aPause)
+{
+  const auto found = mRunners.find(aRunner);
+  if (found == mRunners.end() || found->second.entry.startedAtMs != aStartedAtMs ||
+      found->second.pausedUntil >= aNow + aPause) {
+    return false;
+  }
+  found->second.pausedUntil = aNow + aPause;
+  return true;
+}
+
 void RunnerRegistry::RecordLoad(TimePoint aNow,
                                 const EndpointId& aRunner,
                                 const EndpointLoad& aLoad)
@@ -141,9 +156,38 @@
   if (aRunner.entry.state == RunnerState::kDraining || aRunner.saysLeaving) {
     return Exclusion::kLeaving;
   }
+  if (aNow < aRunner.pausedUntil) {
+    return Exclusion::kPaused;
+  }
   return aRunner.health.IsAvoided(aNow) ? Exclusion::kAvoided : Exclusion::kNone;
 }
 
+bool RunnerRegistry::Matches(const KnownRunner& aRunner, const EndpointQuery& aQuery)
+{
+  return aRunner.entry.service == aQuery.service &&
+         (aQuery.model == nullptr || HasLoaded(aRunner.entry, *aQuery.model)) &&
+         (aQuery.softwareVersion == nullptr ||
+          aRunner.entry.softwareVersion == *aQuery.softwareVersion);
+}
+
+std::optional<TimePoint> RunnerRegistry::EarliestPauseEnd(TimePoint aNow,
+                                                          const EndpointQuery& aQuery) const
+{
+  std::optional<TimePoint> earliest;
+  for (const auto& [id, runner] : mRunners) {
+    const Exclusion exclusion = Check(aNow, runner);
+    if (!Matches(runner, aQuery) || exclusion == Exclusion::kGone ||
+        exclusion == Exclusion::kLeaving) {
+      continue;
+    }
+    if (exclusion != Exclusion::kPaused) {
+      return std::nullopt;
+    }
+    earliest = std::min(earliest.value_or(runner.pausedUntil), runner.pausedUntil);
+  }
+  return earliest;
+}
+
 std::optional<EndpointId> RunnerRegistry::Choose(TimePoint aNow, const EndpointQuery& aQuery) const
 {
   // Endpoints rank by: not avoided, least load, same zone. The last member breaks ties by a hash of
@@ -153,15 +197,12 @@
   std::optional<Rank> best;
   std::optional<EndpointId> chosen;
   for (const auto& [id, runner] : mRunners) {
-    if (runner.entry.service != aQuery.service ||
-        (aQuery.excluded != nullptr && aQuery.excluded->contains(id)) ||
-        (aQuery.model != nullptr && !HasLoaded(runner.entry, *aQuery.model)) ||
-        (aQuery.softwareVersion != nullptr &&
-         runner.entry.softwareVersion != *aQuery.softwareVersion)) {
+    if (!Matches(runner, aQuery) || (aQuery.excluded != nullptr && aQuery.excluded->contains(id))) {
       continue;
     }
     const Exclusion exclusion = Check(aNow, runner);
-    if (exclusion == Exclusion::kLeaving || exclusion == Exclusion::kGone) {
+    if (exclusion == Exclusion::kLeaving || exclusion == Exclusion::kGone ||
+        exclusion == Exclusion::kPaused) {
       continue;
     }
     const bool isLoadFresh = aNow - runner.loadReportedAt < kMaxReportedLoadAge;
--- a/src/decision/fleet/runner_registry.h
+++ b/src/decision/fleet/runner_registry.h
@@ -27,6 +27,7 @@
   std::optional<TimePoint> missingSince; ///< Since when the endpoint has no entry.
   /* The endpoint's present process has stated in an answer that it is leaving. */
   bool saysLeaving = false;
+  TimePoint pausedUntil{};    ///< The endpoint wants nothing from this daemon before.
   std::uint32_t inFlight = 0; ///< Requests of this daemon in flight at the endpoint.
   EndpointLoad load;
   TimePoint loadReportedAt{}; ///< When the endpoint reported the load.
@@ -39,6 +40,7 @@
   kNone,
   kLeaving, ///< It is draining, or has stated in an answer that it is leaving.
   kGone,    ///< It has no entry any more.
+  kPaused,  ///< It has asked this daemon to send nothing for some time.
   kAvoided, ///< It is avoided because requests failed there or were refused.
 };
 
@@ -83,6 +85,12 @@
   /* Records that an endpoint's process, which started at this time, has stated that it is leaving.
    * Only a new process takes that back. Returns whether it was not known. */
   bool RecordLeaving(const EndpointId& aRunner, std::int64_t aStartedAtMs);
+  /* Records that an endpoint's process wants nothing from this daemon for some time. Returns
+   * whether that extends its pause. */
+  bool RecordPause(TimePoint aNow,
+                   const EndpointId& aRunner,
+                   std::int64_t aStartedAtMs,
+                   Duration aPause);
   /* Records the load that an endpoint reported. */
   void RecordLoad(TimePoint aNow, const EndpointId& aRunner, const EndpointLoad& aLoad);
 
@@ -105,6 +113,9 @@
    * endpoint that is avoided is chosen only when there is no other. */
   std::optional<EndpointId> Choose(TimePoint aNow, const EndpointQuery& aQuery) const;
 
+  /* Returns when the first pause ends if all endpoints that could otherwise serve the query are
+   * paused. Returns nothing if one is not paused or if there is none. Excluded ones count too. */
+  std::optional<TimePoint> EarliestPauseEnd(TimePoint aNow, const EndpointQuery& aQuery) const;
   /* Returns whether any endpoint that may get new requests has this service and version. */
   bool HasUsable(TimePoint aNow, const StreamOrigin& aOrigin) const;
   /* Returns the software versions of all endpoints that were known within kStreamRetention. */
@@ -119,6 +130,7 @@
 
 private:
   bool IsGone(TimePoint aNow, const KnownRunner& aRunner) const;
+  static bool Matches(const KnownRunner& aRunner, const EndpointQuery& aQuery);
 
   std::map<EndpointId, KnownRunner> mRunners;
   /* Versions of endpoints that were removed or restarted, and those that others knew, with the time
--- a/src/fleet/fleet_member.cpp
+++ b/src/fleet/fleet_member.cpp
@@ -674,7 +674,7 @@
 {
   // Checked again, because the host may have been suspended since the dispatcher decided, and the
   // permission to send orders may have expired meanwhile. BootClockNow() counts suspensions.
-  if (!mLease.MayOrder(BootClockNow())) {
+  if (!mLease.MayOrder(BootClockNow()) || mServices.isPaused(aOrder.runner)) {
     mServices.dispatcher.OnOrderResult(
       BootClockNow(), aOrder.runner, aOrder.subject, fleet::OrderOutcome::kNotSent);
     return;
@@ -724,6 +724,10 @@
 
 void FleetMember::FetchReport(const fleet::ReportRequest& aReportRequest)
 {
+  if (mServices.isPaused(aReportRequest.runner)) {
+    mServices.dispatcher.OnReport(BootClockNow(), aReportRequest.runner, nullptr);
+    return;
+  }
   struct Progress
   {
     unsigned status = 0;
--- a/src/fleet/fleet_member.h
+++ b/src/fleet/fleet_member.h
@@ -49,6 +49,8 @@
   std::function<void(const RunnerLeavingMessage&)> onRunnerLeaving;
   /* Takes what a runner's process, which started at this time, states in the head of an answer. */
   std::function<void(const EndpointId&, std::int64_t, const http::AnswerHead&)> onRunnerAnswer;
+  /* Returns whether a runner wants nothing from this daemon now. */
+  std::function<bool(const EndpointId&)> isPaused;
   /* Takes the number of daemons known to the dispatcher, itself included. */
   std::function<void(std::uint32_t)> onDaemonCount;
   /* Returns what this daemon states about the store's tables while it is the dispatcher. */
--- a/src/fleet/fleet_message.cpp
+++ b/src/fleet/fleet_message.cpp
@@ -87,6 +87,9 @@
              { "left", aRequest.timeLeft.count() },
              { "resumable", aRequest.isResumable },
              { "excluded", std::move(excluded) } };
+  for (const PausedRunner& paused : aRequest.pausedRunners) {
+    json["paused"].push_back({ paused.runner.str(), paused.timeLeft.count() });
+  }
   if (aRequest.origin) {
     json["origin"] = { aRequest.origin->service.str(), aRequest.origin->version.str() };
   }
@@ -121,6 +124,13 @@
   for (const Json& endpoint : aJson.at("excluded")) {
     request.failedRunners.emplace_back(endpoint.get<std::string>());
   }
+  if (const auto pausedRunners = aJson.find("paused"); pausedRunners != aJson.end()) {
+    for (const Json& paused : *pausedRunners) {
+      request.pausedRunners.push_back(
+        { .runner = EndpointId{ paused.at(0).get<std::string>() },
+          .timeLeft = Duration{ paused.at(1).get<Duration::rep>() } });
+    }
+  }
   if (const auto origin = aJson.find("origin"); origin != aJson.end()) {
     request.origin = { .service = ServiceId{ origin->at(0).get<std::string>() },
                        .version = SoftwareVersion{ origin->at(1).get<std::string>() } };
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -48,6 +48,8 @@
 /* When more bytes than this are not yet sent to the client, reading from the endpoint is paused
  * until all are sent. */
 constexpr std::size_t kUnsentBytesLimit = 256U << 10U;
+/* Time over which requests that waited for the end of an endpoint's pause are spread. */
+constexpr Duration kPauseSpread = 300ms;
 /* Maximum body size, in bytes, of an answer that is buffered before it is forwarded. */
 constexpr std::size_t kBufferedAnswerLimit = 8U << 20U;
 
@@ -319,6 +321,12 @@
     .failedRunners = { mFailedEndpoints.begin(), mFailedEndpoints.end() },
     .origin = mOrigin,
   };
+  for (const auto& [endpoint, runner] : mContext.runners.runners()) {
+    if (runner.entry.service == mService && BootClockNow() < runner.pausedUntil) {
+      placementRequest.pausedRunners.push_back(
+        { .runner = endpoint, .timeLeft = runner.pausedUntil - BootClockNow() + PauseSpread() });
+    }
+  }
   if (IsResumedByClient() && !mOrigin) {
     placementRequest.resumedStream = fleet::StreamKeyOf(mClient.resumedRequestId);
   }
@@ -395,19 +403,57 @@
     }
     return;
   }
-  const auto chosen =
-    mContext.runners.Choose(now,
-                            { .service = mService,
-                              .zone = mContext.zone,
-                              .model = UsesModels() ? &mClient.work->target : nullptr,
-                              .softwareVersion = mOrigin ? &mOrigin->version : nullptr,
-                              .affinity = AffinityOf(mClient),
-                              .excluded = &mFailedEndpoints });
-  if (chosen) {
+  const auto query = OwnQuery();
+  if (const auto chosen = mContext.runners.Choose(now, query)) {
     SendToEndpoint(*chosen, aSelectionReason);
+  } else if (const auto pauseEnd = mContext.runners.EarliestPauseEnd(now, query)) {
+    WaitForPauseEnd(*pauseEnd);
+  } else {
+    WaitForEndpoint();
+  }
+}
+
+fleet::RunnerRegistry::EndpointQuery RequestFlow::OwnQuery() const
+{
+  return { .service = mService,
+           .zone = mContext.zone,
+           .model = UsesModels() ? &mClient.work->target : nullptr,
+           .softwareVersion = mOrigin ? &mOrigin->version : nullptr,
+           .affinity = AffinityOf(mClient),
+           .excluded = &mFailedEndpoints };
+}
+
+Duration RequestFlow::PauseSpread() const
+{
+  const std::uint64_t hash = XXH3_64bits(mClient.requestId.data(), mClient.requestId.size());
+  return Duration{ static_cast<Duration::rep>(hash % kPauseSpread.count()) };
+}
+
+TimePoint RequestFlow::PatienceEnd() const
+{
+  return mRoute->kind == RouteKind::kStream ? std::min(mDeadline, mArrivedAt + ClientTimeout())
+                                            : mDeadline;
+}
+
+void RequestFlow::WaitForPauseEnd(TimePoint aEnd)
+{
+  const TimePoint now = BootClockNow();
+  const TimePoint patienceEnd = PatienceEnd();
+  if (aEnd >= patienceEnd) {
+    if (mAttemptState.runs == 0) {
+      Refuse(ResultCode::kEndpointUnavailable, aEnd - now, "all_endpoints_paused");
+    } else {
+      Fail(ResultCode::kAttemptsExhausted, "all_endpoints_paused");
+    }
     return;
   }
-  WaitForEndpoint();
+  mFailedEndpoints.clear();
+  mWaitTimer.expires_after(aEnd + std::min(PauseSpread(), (patienceEnd - aEnd) / 2) - now);
+  mWaitTimer.async_wait([self = shared_from_this()](boost::system::error_code aError) {
+    if (!aError && !self->mIsEnded) {
+      self->SelectEndpoint();
+    }
+  });
 }
 
 void RequestFlow::WaitForEndpoint()
@@ -463,6 +509,11 @@
     WaitForEndpoint();
     return;
   }
+  if (exclusion == fleet::Exclusion::kPaused) {
+    ReleaseAssignment(fleet::AssignmentEnd::kWithdrawn);
+    WaitForEndpoint();
+    return;
+  }
   const SoftwareVersion& version = runner->entry.softwareVersion;
   const bool isVersionCertain = !mAssignedVersion || *mAssignedVersion == version;
   if (mOrigin && (runner->entry.service != mOrigin->service || version != mOrigin->version ||
@@ -722,7 +773,8 @@
 void RequestFlow::ProbeEndpoint()
 {
   const fleet::KnownRunner* runner = mContext.runners.Find(mAttempt.endpoint);
-  if (runner == nullptr) {
+  if (runner == nullptr ||
+      mContext.runners.Check(BootClockNow(), *runner) == fleet::Exclusion::kPaused) {
     return;
   }
   // Connections break for many reasons, but a new one fails only if the process is gone. Anything
@@ -797,9 +849,14 @@
     case NextStep::kForwardAnswer:
       ForwardAnswer();
       break;
-    case NextStep::kRefuse:
-      Refuse(ResultCode::kEndpointUnavailable, kDefaultRetryAfter, "endpoints_refused");
+    case NextStep::kRefuse: {
+      const TimePoint now = BootClockNow();
+      const auto pauseEnd = mContext.runners.EarliestPauseEnd(now, OwnQuery());
+      Refuse(ResultCode::kEndpointUnavailable,
+             pauseEnd ? *pauseEnd - now : kDefaultRetryAfter,
+             "endpoints_refused");
       break;
+    }
     case NextStep::kFail:
       Fail(ResultCode::kAttemptsExhausted, fleet::ToString(aEnd));
       break;
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -71,6 +71,16 @@
   void OnPlacementReply(const fleet::PlacementReply& aReply);
   void OnRunnerAssigned(const fleet::RunnerAssigned& aAssigned);
   void SelectLocally(std::string_view aSelectionReason);
+  /* The query for endpoints of this daemon's own data that could serve the request. */
+  fleet::RunnerRegistry::EndpointQuery OwnQuery() const;
+  /* Returns how long this request waits beyond the end of an endpoint's pause, so that the requests
+   * that wait for it do not arrive together. */
+  Duration PauseSpread() const;
+  /* Waits until the first of the paused endpoints takes requests again, or ends the request if that
+   * is too late for it. */
+  void WaitForPauseEnd(TimePoint aEnd);
+  /* Returns the latest time at which the client still waits for a first event or answer. */
+  TimePoint PatienceEnd() const;
   /* Selects an endpoint again after a pause, or ends the request if it has waited too long. */
   void WaitForEndpoint();
 
--- a/src/platform/request_headers.cpp
+++ b/src/platform/request_headers.cpp
@@ -89,6 +89,41 @@
          http::EqualsIgnoringCase(aName, "Transfer-Encoding");
 }
 
+/* Longest pause that an endpoint can ask for. Longer ones are shortened to it. */
+constexpr Duration kMaxPause = std::chrono::hours{ 1 };
+
+/* Decodes a time in seconds, with or without a fraction. Returns nothing for anything else, such as
+ * a date, a sign or an exponent. */
+std::optional<Duration> DecodeSeconds(std::string_view aText)
+{
+  double seconds = 0.0;
+  const auto [end, error] =
+    std::from_chars(aText.data(), aText.data() + aText.size(), seconds, std::chars_format::fixed);
+  const bool isOverflow = error == std::errc::result_out_of_range;
+  if (aText.empty() || aText.front() < '0' || aText.front() > '9' ||
+      end != aText.data() + aText.size() || (error != std::errc{} && !isOverflow)) {
+    return std::nullopt;
+  }
+  const double limit = std::chrono::duration<double>(kMaxPause).count();
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(isOverflow ? limit : std::min(seconds, limit)));
+}
+
+/* Of several fields, the one with the longest time counts. */
+void DecodePause(const http::Fields& aFields, EndpointAnswer& aAnswer)
+{
+  for (const http::Field& item : aFields) {
+    if (!http::EqualsIgnoringCase(item.name, field::kRetryAfter)) {
+      continue;
+    }
+    if (const auto pause = DecodeSeconds(item.value)) {
+      aAnswer.pause = std::max(aAnswer.pause.value_or(Duration::zero()), *pause);
+    } else {
+      aAnswer.ignoredFields.push_back(field::kRetryAfter);
+    }
+  }
+}
+
 /* One field with the defined value is enough. Other values are ignored. */
 void DecodeLeaving(const http::Fields& aFields, EndpointAnswer& aAnswer)
 {
@@ -157,12 +192,16 @@
 EndpointAnswer DecodeEndpointAnswer(const http::AnswerHead& aHead)
 {
   constexpr unsigned kMisdirected = 421;
+  constexpr unsigned kUnavailable = 503;
   EndpointAnswer answer;
   answer.requestId = std::string{ http::Find(aHead.fields, field::kRequestId).value_or("") };
   answer.hasSignature = http::Find(aHead.fields, field::kSignature).has_value();
   answer.isNotRun =
     http::Find(aHead.fields, field::kNotExecuted).has_value() || aHead.status == kMisdirected;
   DecodeLeaving(aHead.fields, answer);
+  if (aHead.status == kUnavailable) {
+    DecodePause(aHead.fields, answer);
+  }
   const auto encoding = http::Find(aHead.fields, field::kContentEncoding);
   answer.isEncoded = encoding && !http::EqualsIgnoringCase(*encoding, "identity");
   if (auto load = http::Find(aHead.fields, field::kLoad)) {
--- a/src/platform/request_headers.h
+++ b/src/platform/request_headers.h
@@ -51,6 +51,8 @@
                           ///< the request was addressed to another endpoint (status 421).
   bool isEncoded = false; ///< The body has a content encoding, for example compression.
   bool isLeaving = false; ///< The endpoint states that its process is about to end.
+  /* Set if the endpoint refuses the request and asks the daemon to send nothing for this time. */
+  std::optional<Duration> pause;
   std::optional<fleet::EndpointLoad> load;
   /* Names of fields whose values are not defined. They are ignored. */
   std::vector<std::string_view> ignoredFields;
--- a/tests/edge/soak.py
+++ b/tests/edge/soak.py
@@ -121,6 +121,14 @@
             platform.run_on_loop(lambda: setattr(crashing, "next_version", choose(VERSIONS)))
             platform.run_coroutine(crashing.crash(fault_duration_s()))
 
+        def announce_leaving() -> None:
+            """Lets an endpoint say in its answers that it leaves; then a new process takes over."""
+            leaving = endpoint()
+            leaving.faults.leaving_value = "1"
+            time.sleep(fault_duration_s())
+            leaving.faults.leaving_value = ""
+            platform.run_coroutine(leaving.crash(fault_duration_s()))
+
         def drain_endpoint() -> None:
             leaving = endpoint()
             hold_fault(lambda: (setattr(leaving, "state", "draining"), leaving.announce()),
@@ -151,10 +159,11 @@
                 endpoint_fault("cut_after_events", 2, None),
                 endpoint_fault("stream_framing", StreamFraming.UNTIL_CLOSE, StreamFraming.CHUNKED),
                 endpoint_fault("extra_answer", True, False),
+                endpoint_fault("pause_value", "1.5", ""),
                 endpoint_fault("refuses_all", True, False),
                 endpoint_fault("answers_500", True, False),
                 exclusively(kill_daemon), exclusively(restart_daemon), exclusively(freeze_daemon),
-                reload_daemon, crash_endpoint, drain_endpoint, store_down, store_slow,
+                announce_leaving, reload_daemon, crash_endpoint, drain_endpoint, store_down, store_slow,
                 store_loses_answers, store_forgets, store_comes_back_from_older_copy, configure]
 
     def run(self, seconds: float, clients: int) -> list[str]:
--- a/tests/edge/standin.py
+++ b/tests/edge/standin.py
@@ -256,6 +256,7 @@
     refuses_all: bool = False       # All requests are refused without being run.
     answers_500: bool = False       # Requests are run and answered with status 500.
     crashing_body: bytes = b""      # A request whose body contains these bytes crashes it.
+    pause_value: str = ""           # Refuses requests with 503 and this Retry-After.
     leaving_value: str = ""         # Value of Server-Leaving in all answers; not sent if empty.
     leaving_interim: bool = False   # The value is sent in an interim answer instead.
 
@@ -278,6 +279,7 @@
         self.version = self.next_version = "v1"  # Of its software, now and after a crash.
         self.max_loaded_models = 0
         self.order_log: list[dict[str, Any]] = []
+        self.arrivals: list[float] = []  # Of requests, orders and calls for reports.
 
     def announce(self) -> None:
         """Writes the endpoint's row to the store."""
@@ -312,6 +314,7 @@
         self.announce()
 
     async def _handle(self, call: HttpCall) -> None:
+        self.arrivals.append(time.monotonic())
         if self.faults.leaving_value and self.faults.leaving_interim:
             call.writer.write(response_head(103, {"Server-Leaving": self.faults.leaving_value}))
         elif self.faults.leaving_value:
@@ -356,6 +359,10 @@
         model, _, adapter = call.fields.get("x-model", "").partition("/")
         is_missing = model and (model not in self.models
                                 or (adapter and adapter not in self.models[model]))
+        if self.faults.pause_value:
+            write_response(call, 503, X_Not_Executed="1", X_Request_Id=request,
+                           Retry_After=self.faults.pause_value)
+            return
         if self.faults.refuses_all or is_missing:
             write_response(call, 421 if is_missing else 503, X_Not_Executed="1",
                            X_Request_Id=request)
--- a/tests/fleet/dispatcher_test.cpp
+++ b/tests/fleet/dispatcher_test.cpp
@@ -512,3 +512,30 @@
   world.Run(4s);
   CHECK(world.CountServed() == 11);
 }
+
+TEST_CASE("a runner that is paused for the requesting daemon gets none of its requests meanwhile")
+{
+  FleetWorld world({ .runners = 2, .models = 2, .modelsPerRunner = 2 });
+  const auto pausedAt = [](std::vector<PausedRunner> aRunners) {
+    return [aRunners](PlacementRequest& aRequest) { aRequest.pausedRunners = aRunners; };
+  };
+  const PausedRunner first{ .runner = EndpointId{ "r0" }, .timeLeft = 1s };
+  const PausedRunner second{ .runner = EndpointId{ "r1" }, .timeLeft = 3s };
+  for (int number = 0; number < 10; ++number) {
+    world.SendRequest("m0", {}, 1, 20s, pausedAt({ first }));
+  }
+  world.Run(100ms);
+  CHECK(world.runners[0].runningRequests.empty());
+  CHECK(world.runners[1].runningRequests.size() == 10);
+
+  const auto waits = world.SendRequest("m0", {}, 1, 20s, pausedAt({ first, second }));
+  const auto tooLate = world.SendRequest("m0", {}, 1, 900ms, pausedAt({ first, second }));
+  world.Run(100ms);
+  CHECK(world.outcomes[tooLate].refusalCode == ResultCode::kEndpointUnavailable);
+  CHECK_FALSE(world.outcomes[waits].startedAt);
+  world.Run(800ms);
+  CHECK_FALSE(world.outcomes[waits].startedAt);
+  world.Run(200ms);
+  CHECK(world.outcomes[waits].startedAt);
+  CHECK(world.runners[0].runningRequests.size() == 1);
+}
--- a/tests/fleet/fleet_message_test.cpp
+++ b/tests/fleet/fleet_message_test.cpp
@@ -27,6 +27,7 @@
   .timeLeft = 15s,
   .isResumable = true,
   .failedRunners = { EndpointId{ "e1" } },
+  .pausedRunners = { { .runner = EndpointId{ "e3" }, .timeLeft = 700ms } },
   .origin = StreamOrigin{ .service = ServiceId{ "s1" }, .version = SoftwareVersion{ "v1" } },
   .resumedStream = StreamKey{ 0xffff'ffff'ffff'fffeULL }
 };
@@ -60,6 +61,7 @@
   CHECK(request.work.parts[0].id == kRequest.work.parts[0].id);
   CHECK(request.timeLeft == kRequest.timeLeft);
   CHECK(request.failedRunners == kRequest.failedRunners);
+  CHECK(request.pausedRunners == kRequest.pausedRunners);
   CHECK(request.origin == kRequest.origin);
   CHECK(request.resumedStream == kRequest.resumedStream);
 
--- a/tests/fleet/fleet_parts_test.cpp
+++ b/tests/fleet/fleet_parts_test.cpp
@@ -391,3 +391,30 @@
   registry.Apply(kStart + 2s, entry);
   CHECK(Choose(registry, kStart + 2s) == EndpointId{ "r1" });
 }
+
+// A request that reaches such an endpoint before the end of its pause adds to its overload.
+TEST_CASE("an endpoint is not chosen during the pause that it asked for, and a restart ends it")
+{
+  const RunnerRegistry::EndpointQuery query{ .service = kService, .zone = ZoneId{ "a" } };
+  RunnerRegistry registry;
+  RunnerEntry entry = EntryOf("r1");
+  entry.startedAtMs = 7;
+  registry.Apply(kStart, entry);
+  CHECK_FALSE(registry.EarliestPauseEnd(kStart, query));
+  CHECK_FALSE(registry.RecordPause(kStart, EndpointId{ "r1" }, 6, 2s));
+  CHECK(registry.RecordPause(kStart, EndpointId{ "r1" }, 7, 2s));
+  CHECK_FALSE(registry.RecordPause(kStart, EndpointId{ "r1" }, 7, 1s)); // Ends no pause early.
+  CHECK_FALSE(Choose(registry, kStart + 1'999ms));
+  CHECK(Choose(registry, kStart + 2s) == EndpointId{ "r1" });
+  CHECK(registry.EarliestPauseEnd(kStart, query) == kStart + 2s);
+  CHECK_FALSE(registry.EarliestPauseEnd(kStart + 2s, query));
+
+  registry.Apply(kStart, EntryOf("r2"));
+  CHECK_FALSE(registry.EarliestPauseEnd(kStart, query)); // r2 is not paused.
+  CHECK(registry.RecordPause(kStart, EndpointId{ "r2" }, 0, 5s));
+  CHECK(registry.EarliestPauseEnd(kStart, query) == kStart + 2s);
+
+  entry.startedAtMs = 8;
+  registry.Apply(kStart + 1s, entry);
+  CHECK(Choose(registry, kStart + 1s) == EndpointId{ "r1" });
+}
--- a/tests/platform/decoder_test.cpp
+++ b/tests/platform/decoder_test.cpp
@@ -290,3 +290,45 @@
     CHECK(answer.ignoredFields.size() == item.ignored);
   }
 }
+
+TEST_CASE(
+  "a pause is decoded from refusals only, in seconds with fractions, and never without an end")
+{
+  struct Case
+  {
+    unsigned status = 503;
+    std::vector<std::string> values;
+    std::optional<Duration> pause;
+    std::size_t ignored = 0;
+  };
+  const std::vector<Case> cases{
+    { 503, {}, std::nullopt, 0 },
+    { 503, { "2" }, 2s, 0 },
+    { 503, { "0.25" }, 250ms, 0 },
+    { 503, { "0" }, Duration::zero(), 0 },
+    { 200, { "2" }, std::nullopt, 0 },
+    { 429, { "2" }, std::nullopt, 0 },
+    { 503, { "1", "3.5" }, 3'500ms, 0 },
+    { 503, { "1", "x" }, 1s, 1 },
+    { 503, { "" }, std::nullopt, 1 },
+    { 503, { "-1" }, std::nullopt, 1 },
+    { 503, { "+1" }, std::nullopt, 1 },
+    { 503, { "1e9" }, std::nullopt, 1 },
+    { 503, { "nan" }, std::nullopt, 1 },
+    { 503, { "inf" }, std::nullopt, 1 },
+    { 503, { "1 s" }, std::nullopt, 1 },
+    { 503, { "Fri, 04 Dec 2026 08:00:00 GMT" }, std::nullopt, 1 },
+    { 503, { "7200" }, std::chrono::hours{ 1 }, 0 },
+    { 503, { std::string(400, '9') }, std::chrono::hours{ 1 }, 0 },
+  };
+  for (const Case& item : cases) {
+    http::AnswerHead head{ .status = item.status };
+    for (const std::string& value : item.values) {
+      CAPTURE(value);
+      head.fields.push_back({ "Retry-After", value });
+    }
+    const EndpointAnswer answer = DecodeEndpointAnswer(head);
+    CHECK(answer.pause == item.pause);
+    CHECK(answer.ignoredFields.size() == item.ignored);
+  }
+}
