Fix: [Gateway] Count one crash of an endpoint once, however many copies of a request it ran

Cause: each request that was in flight reported a crash of its own, and three reports quarantine a request. Now the guard counts the processes that ended, by endpoint and start time, also in the reports between daemons.

test_edge_counts_one_crash_once_for_identical_requests failed before (503 for both later requests) and passes now, as do the other tests of crashing requests.

--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -108,91 +108,92 @@
     , mPlacement([this](const fleet::DispatchMessage& aMessage) {
       return mMember.SendToDispatcher(aMessage);
     })
-    , mGateway{
-      .loop = mLoop,
-      .client = mClient,
-      .log = mLog,
-      .metrics = mMetrics,
-      .runners = mRunners,
-      .streamOrigins = mStreamOrigins,
-      .placement = mPlacement,
-      .self = DaemonId{ mSettings.daemonId },
-      .zone = ZoneId{ mSettings.zone },
-      .onSuspect =
-        [this](const FingerprintId& aRequest) { mMember.ReportSuspect({ .request = aRequest }); },
-      .onCleared =
-        [this](const FingerprintId& aRequest) {
-          mMember.ReportSuspect({ .request = aRequest, .isCleared = true });
-        },
-      .onEndpointAnswer =
-        [this](const EndpointId& aEndpoint,
-               std::int64_t aStartedAtMs,
-               const platform::EndpointAnswer& aAnswer) {
-          OnEndpointAnswer(aEndpoint, aStartedAtMs, aAnswer);
-        },
-      .onStreamBegun = [this](const fleet::BegunStream& aStream) { mMember.ReportStream(aStream); },
-      .areRunnersCurrent = [this] { return AreRunnersCurrent(); },
-      .configuration = nullptr
-    }
-    , mMember({ .loop = mLoop,
+    , mGateway{ .loop = mLoop,
                 .client = mClient,
-                .store = mStore,
                 .log = mLog,
                 .metrics = mMetrics,
-                .placement = mPlacement,
-                .dispatcher = mDispatcher,
+                .runners = mRunners,
                 .streamOrigins = mStreamOrigins,
+                .placement = mPlacement,
+                .self = DaemonId{ mSettings.daemonId },
+                .zone = ZoneId{ mSettings.zone },
                 .onSuspect =
-                  [this](const SuspectMessage& aSuspect) {
-                    if (aSuspect.isCleared) {
-                      mGateway.crashes.RecordAnswer(aSuspect.request);
-                    } else {
-                      mGateway.crashes.RecordCrash(BootClockNow(), aSuspect.request);
-                    }
+                  [this](const FingerprintId& aRequest, const fleet::EndpointProcess& aProcess) {
+                    mMember.ReportSuspect({ .request = aRequest, .process = aProcess });
                   },
-                .onRunnerLeaving =
-                  [this](const RunnerLeavingMessage& aLeaving) { RecordLeaving(aLeaving, "told"); },
-                .onRunnerAnswer =
+                .onCleared =
+                  [this](const FingerprintId& aRequest) {
+                    mMember.ReportSuspect({ .request = aRequest, .isCleared = true });
+                  },
+                .onEndpointAnswer =
                   [this](const EndpointId& aEndpoint,
                          std::int64_t aStartedAtMs,
-                         const http::AnswerHead& aHead) {
-                    OnEndpointAnswer(
-                      aEndpoint, aStartedAtMs, platform::DecodeEndpointAnswer(aHead));
-                  },
-                .isPaused =
-                  [this](const EndpointId& aEndpoint) {
-                    const fleet::KnownRunner* runner = mRunners.Find(aEndpoint);
-                    return runner != nullptr && BootClockNow() < runner->pausedUntil;
+                         const platform::EndpointAnswer& aAnswer) {
+                    OnEndpointAnswer(aEndpoint, aStartedAtMs, aAnswer);
                   },
-                .onDaemonCount = [this](std::uint32_t aCount) { OnDaemonCount(aCount); },
-                .tableNotices = [this] { return TableNotices(); },
-                .onTableNotices =
-                  [this](const std::map<std::string, fleet::TableNotice>& aNotices) {
-                    OnTableNotices(aNotices);
-                  },
-                .onTableChanges =
-                  [this](const TableChangesMessage& aChanges) {
-                    if (aChanges.table == platform::table::kRunners) {
-                      mRunnerFeed.OnRelayedRows(aChanges.from, aChanges.to, aChanges.rows);
-                    }
-                  },
-                .onTableNoticesLost =
-                  [this] {
-                    mConfigurationFeed.OnNoticesLost();
-                    mRunnerFeed.OnNoticesLost();
-                  },
-                .recentVersions = [this] { return mRunners.RecentVersions(BootClockNow()); },
-                .onRecentVersions =
-                  [this](const fleet::VersionsByService& aVersions) {
-                    mRunners.RecordVersions(BootClockNow(), aVersions);
-                  },
-                .onStoreEra = [this](StoreEra aEra) { mStore.ObserveEra(aEra); } },
-              { .self = DaemonId{ mSettings.daemonId },
-                .incarnation = IncarnationId{ mIncarnation },
-                .zone = ZoneId{ mSettings.zone },
-                .address = mSettings.edge.linkAddress,
-                .leaseSpacing = mSettings.edge.leaseSpacing,
-                .additionalTakeoverDelay = AdditionalTakeoverDelay(mSettings.edge.cpuShare) })
+                .onStreamBegun =
+                  [this](const fleet::BegunStream& aStream) { mMember.ReportStream(aStream); },
+                .areRunnersCurrent = [this] { return AreRunnersCurrent(); },
+                .configuration = nullptr }
+    , mMember(
+        { .loop = mLoop,
+          .client = mClient,
+          .store = mStore,
+          .log = mLog,
+          .metrics = mMetrics,
+          .placement = mPlacement,
+          .dispatcher = mDispatcher,
+          .streamOrigins = mStreamOrigins,
+          .onSuspect =
+            [this](const SuspectMessage& aSuspect) {
+              if (aSuspect.isCleared) {
+                mGateway.crashes.RecordAnswer(aSuspect.request);
+              } else {
+                mGateway.crashes.RecordCrash(BootClockNow(), aSuspect.request, aSuspect.process);
+              }
+            },
+          .onRunnerLeaving =
+            [this](const RunnerLeavingMessage& aLeaving) { RecordLeaving(aLeaving, "told"); },
+          .onRunnerAnswer =
+            [this](const EndpointId& aEndpoint,
+                   std::int64_t aStartedAtMs,
+                   const http::AnswerHead& aHead) {
+              OnEndpointAnswer(aEndpoint, aStartedAtMs, platform::DecodeEndpointAnswer(aHead));
+            },
+          .isPaused =
+            [this](const EndpointId& aEndpoint) {
+              const fleet::KnownRunner* runner = mRunners.Find(aEndpoint);
+              return runner != nullptr && BootClockNow() < runner->pausedUntil;
+            },
+          .onDaemonCount = [this](std::uint32_t aCount) { OnDaemonCount(aCount); },
+          .tableNotices = [this] { return TableNotices(); },
+          .onTableNotices =
+            [this](const std::map<std::string, fleet::TableNotice>& aNotices) {
+              OnTableNotices(aNotices);
+            },
+          .onTableChanges =
+            [this](const TableChangesMessage& aChanges) {
+              if (aChanges.table == platform::table::kRunners) {
+                mRunnerFeed.OnRelayedRows(aChanges.from, aChanges.to, aChanges.rows);
+              }
+            },
+          .onTableNoticesLost =
+            [this] {
+              mConfigurationFeed.OnNoticesLost();
+              mRunnerFeed.OnNoticesLost();
+            },
+          .recentVersions = [this] { return mRunners.RecentVersions(BootClockNow()); },
+          .onRecentVersions =
+            [this](const fleet::VersionsByService& aVersions) {
+              mRunners.RecordVersions(BootClockNow(), aVersions);
+            },
+          .onStoreEra = [this](StoreEra aEra) { mStore.ObserveEra(aEra); } },
+        { .self = DaemonId{ mSettings.daemonId },
+          .incarnation = IncarnationId{ mIncarnation },
+          .zone = ZoneId{ mSettings.zone },
+          .address = mSettings.edge.linkAddress,
+          .leaseSpacing = mSettings.edge.leaseSpacing,
+          .additionalTakeoverDelay = AdditionalTakeoverDelay(mSettings.edge.cpuShare) })
     , mConfigurationFeed(
         mLoop,
         mStore,
--- a/src/decision/fleet/crash_guard.cpp
+++ b/src/decision/fleet/crash_guard.cpp
@@ -3,7 +3,9 @@
 
 namespace rhubarbtrail::fleet {
 
-void CrashGuard::RecordCrash(TimePoint aNow, const FingerprintId& aRequest)
+void CrashGuard::RecordCrash(TimePoint aNow,
+                             const FingerprintId& aRequest,
+                             const EndpointProcess& aProcess)
 {
   if (mSuspects.size() >= kMaxSuspects) {
     std::erase_if(mSuspects, [&](const auto& aItem) { return aItem.second.expiresAt < aNow; });
@@ -12,7 +14,10 @@
     return; // Crashes of so many different requests must have another cause than the requests.
   }
   Suspect& suspect = mSuspects[aRequest];
-  suspect.crashes = suspect.expiresAt < aNow ? 1 : suspect.crashes + 1;
+  if (suspect.expiresAt < aNow) {
+    suspect.crashedProcesses.clear();
+  }
+  suspect.crashedProcesses.insert(aProcess);
   suspect.expiresAt = aNow + kCrashCountLifetime;
 }
 
@@ -20,7 +25,7 @@
 {
   const auto found = mSuspects.find(aRequest);
   return found != mSuspects.end() && found->second.expiresAt >= aNow &&
-         found->second.crashes >= kQuarantineThreshold;
+         found->second.crashedProcesses.size() >= kQuarantineThreshold;
 }
 
 } // namespace rhubarbtrail::fleet
--- a/src/decision/fleet/crash_guard.h
+++ b/src/decision/fleet/crash_guard.h
@@ -5,7 +5,9 @@
 #include "core/id_type.h"
 #include "core/unit_type.h"
 
+#include <compare>
 #include <cstdint>
+#include <set>
 #include <unordered_map>
 
 namespace rhubarbtrail::fleet {
@@ -19,14 +21,25 @@
 /* Maximum number of requests whose crashes are counted. */
 constexpr std::size_t kMaxSuspects = 4'096;
 
+/* A process of an endpoint. */
+struct EndpointProcess
+{
+  EndpointId endpoint;
+  std::int64_t startedAtMs = 0; ///< Unix time of its start.
+
+  auto operator<=>(const EndpointProcess&) const = default;
+  bool operator==(const EndpointProcess&) const = default;
+};
+
 /* Counts, by the fingerprint of a request, the runners that crashed while they ran it. Daemons send
  * each other the crashes and answers that they see, because a client may repeat such a request at
  * any daemon. */
 class CrashGuard
 {
 public:
-  /* Records that a runner's process ended while it ran the request. */
-  void RecordCrash(TimePoint aNow, const FingerprintId& aRequest);
+  /* Records that a runner's process ended while it ran the request. Each process counts once: many
+   * requests with the same bytes may be in flight when it ends for another reason. */
+  void RecordCrash(TimePoint aNow, const FingerprintId& aRequest, const EndpointProcess& aProcess);
   /* Records that the request was answered. Returns whether it had crashes, and forgets them. */
   bool RecordAnswer(const FingerprintId& aRequest) { return mSuspects.erase(aRequest) > 0; }
   /* Returns whether the request is quarantined, that is, must not be sent to a runner. */
@@ -35,7 +48,7 @@
 private:
   struct Suspect
   {
-    std::uint32_t crashes = 0;
+    std::set<EndpointProcess> crashedProcesses;
     TimePoint expiresAt{};
   };
 
--- a/src/fleet/fleet_message.cpp
+++ b/src/fleet/fleet_message.cpp
@@ -251,6 +251,8 @@
                 [](const SuspectMessage& aSuspect) {
                   return Json{ { "kind", "suspect" },
                                { "request", aSuspect.request.str() },
+                               { "runner", aSuspect.process.endpoint.str() },
+                               { "born", aSuspect.process.startedAtMs },
                                { "cleared", aSuspect.isCleared } };
                 },
                 [](const TableChangesMessage& aChanges) { return ToJson(aChanges); },
@@ -321,6 +323,9 @@
   }
   if (kind == "suspect") {
     return SuspectMessage{ .request = FingerprintId{ aJson.at("request").get<std::string>() },
+                           .process = { .endpoint =
+                                          EndpointId{ aJson.value("runner", std::string{}) },
+                                        .startedAtMs = aJson.value("born", std::int64_t{ 0 }) },
                            .isCleared = aJson.value("cleared", false) };
   }
   if (kind == "ask") {
--- a/src/fleet/fleet_message.h
+++ b/src/fleet/fleet_message.h
@@ -2,6 +2,7 @@
 #ifndef RHUBARBTRAIL_FLEET_FLEET_MESSAGE_H
 #define RHUBARBTRAIL_FLEET_FLEET_MESSAGE_H
 
+#include "decision/fleet/crash_guard.h"
 #include "decision/fleet/dispatch_type.h"
 #include "decision/fleet/feed_coverage.h"
 #include "decision/fleet/order_lease.h"
@@ -53,6 +54,7 @@
 struct SuspectMessage
 {
   FingerprintId request;
+  fleet::EndpointProcess process; ///< That ended; not set if the request is cleared.
   bool isCleared = false;
 };
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -35,7 +35,7 @@
   DaemonId self;
   ZoneId zone;
   /* Notifies the other daemons that a runner's process ended while it ran a request. */
-  std::function<void(const FingerprintId&)> onSuspect;
+  std::function<void(const FingerprintId&, const fleet::EndpointProcess&)> onSuspect;
   /* Notifies the other daemons that a request suspected of crashing runners was answered. */
   std::function<void(const FingerprintId&)> onCleared;
   /* Takes what an endpoint's process, which started at this time, states in the head of an answer.
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -797,14 +797,17 @@
         [&context = mContext,
          request = mFingerprint,
          id = mClient.requestId,
-         endpoint = mAttempt.endpoint](http::CallResult aResult) {
+         process = fleet::EndpointProcess{ .endpoint = mAttempt.endpoint,
+                                           .startedAtMs = mAttempt.endpointStartedAtMs }](
+          http::CallResult aResult) {
           if (aResult != http::CallResult::kNotConnected) {
             return;
           }
-          context.log.Write("request_suspected",
-                            { { "id", id }, { "endpoint", endpoint }, { "bytes", request } });
-          context.crashes.RecordCrash(BootClockNow(), request);
-          context.onSuspect(request);
+          context.log.Write(
+            "request_suspected",
+            { { "id", id }, { "endpoint", process.endpoint }, { "bytes", request } });
+          context.crashes.RecordCrash(BootClockNow(), request, process);
+          context.onSuspect(request, process);
         } });
 }
 
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -205,6 +205,30 @@
         check_no_violations(cluster, *results)
 
 
+def test_edge_counts_one_crash_once_for_identical_requests() -> None:
+    """Crashes a runner while it runs ten requests with the same bytes, from two daemons.
+
+    One crash is no proof against the request, however many copies were in flight, so a later one
+    must be served.
+    """
+    with EdgeCluster(runners=2, models=2) as cluster:
+        runners = cluster.platform.endpoints
+        runners["r1"].faults.refuses_all = True
+        cluster.platform.work_s = 0.3
+        with ThreadPoolExecutor(10) as pool:
+            pending = [pool.submit(cluster.daemons[number % 2].send, "draft", "m0", b"same")
+                       for number in range(10)]
+            time.sleep(0.8)
+            cluster.platform.run_coroutine(runners["r0"].crash(None))
+            results = [future.result() for future in pending]
+        assert all(result.status != 200 for result in results), results
+        time.sleep(0.5)
+        cluster.platform.work_s = 0.01
+        runners["r1"].faults.refuses_all = False
+        results = [daemon.send("draft", "m0", b"same") for daemon in cluster.daemons]
+        assert all(result.is_complete for result in results), results
+
+
 def test_edge_does_not_blame_requests_for_broken_connections() -> None:
     """Breaks connections of endpoints that keep running.
 
--- a/tests/fleet/fleet_message_test.cpp
+++ b/tests/fleet/fleet_message_test.cpp
@@ -128,6 +128,10 @@
   CHECK(EncodeAndDecode<SuspectMessage>(
           SuspectMessage{ .request = FingerprintId{ "f" }, .isCleared = true })
           .isCleared);
+  const EndpointProcess process{ .endpoint = EndpointId{ "e1" }, .startedAtMs = 5 };
+  CHECK(EncodeAndDecode<SuspectMessage>(
+          SuspectMessage{ .request = FingerprintId{ "f" }, .process = process })
+          .process == process);
 }
 
 TEST_CASE("a message that is truncated at any length is rejected without an exception")
--- a/tests/fleet/fleet_parts_test.cpp
+++ b/tests/fleet/fleet_parts_test.cpp
@@ -169,10 +169,16 @@
 {
   CrashGuard guard;
   const FingerprintId suspect{ "k" };
-  guard.RecordCrash(kStart, suspect);
-  guard.RecordCrash(kStart + 1s, suspect);
+  const EndpointProcess first{ .endpoint = EndpointId{ "r1" }, .startedAtMs = 1 };
+  const EndpointProcess restarted{ .endpoint = EndpointId{ "r1" }, .startedAtMs = 2 };
+  const EndpointProcess other{ .endpoint = EndpointId{ "r2" }, .startedAtMs = 1 };
+  guard.RecordCrash(kStart, suspect, first);
+  guard.RecordCrash(kStart + 1s, suspect, restarted);
+  for (int copy = 0; copy < 5; ++copy) {
+    guard.RecordCrash(kStart + 1s, suspect, restarted); // Other requests with the same bytes.
+  }
   CHECK_FALSE(guard.IsQuarantined(kStart + 1s, suspect));
-  guard.RecordCrash(kStart + 2s, suspect);
+  guard.RecordCrash(kStart + 2s, suspect, other);
   CHECK(guard.IsQuarantined(kStart + 2s, suspect));
   CHECK_FALSE(guard.IsQuarantined(kStart + 2s, FingerprintId{ "other" }));
   CHECK_FALSE(guard.IsQuarantined(kStart + 2s + 2 * kCrashCountLifetime, suspect));
