Fix: [Dispatcher] Plan one replica for a resumed stream and new requests of its version

A stream that is resumed and a new request that waited for the same model were two missing models in one planning round, so two runners loaded it (found by reading the diff). A model is now looked at again before it is planned.

The new case in dispatcher_resume_test fails before (two replicas of m7) and passes now; 187 unit cases pass.

--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -317,6 +317,8 @@
   /* Returns when the first planned or ordered replica at a runner of this version is loaded, or
    * nothing if there is none. */
   std::optional<TimePoint> ReplicaReadyAt(TimePoint aNow, const MissingModel& aModel) const;
+  /* Returns whether a replica that counts for the missing model is planned or ordered. */
+  bool HasIncomingReplica(TimePoint aNow, const MissingModel& aModel) const;
 
   // dispatcher_assign.cpp
   void Refuse(TimePoint aNow,
--- a/src/decision/fleet/dispatcher_plan.cpp
+++ b/src/decision/fleet/dispatcher_plan.cpp
@@ -309,9 +309,7 @@
         CountReplicas(key.service, key.model, key.version) > 0) {
       continue;
     }
-    const bool isIncoming = key.version.empty() ? IncomingReplicas(key.service, key.model) > 0
-                                                : ReplicaReadyAt(aNow, key).has_value();
-    if (!isIncoming) {
+    if (!HasIncomingReplica(aNow, key)) {
       ordered.emplace_back(waiting.size(), key);
     }
   }
@@ -325,7 +323,10 @@
       ScheduleTick(mNextPlanAt);
       break;
     }
-    PlanMissingModel(aNow, key, missing.at(key));
+    // A replica that was planned in this round for any version may serve this one, too.
+    if (!HasIncomingReplica(aNow, key)) {
+      PlanMissingModel(aNow, key, missing.at(key));
+    }
   }
 }
 
--- a/src/decision/fleet/dispatcher_resume.cpp
+++ b/src/decision/fleet/dispatcher_resume.cpp
@@ -68,6 +68,12 @@
   return first;
 }
 
+bool Dispatcher::HasIncomingReplica(TimePoint aNow, const MissingModel& aModel) const
+{
+  return aModel.version.empty() ? IncomingReplicas(aModel.service, aModel.model) > 0
+                                : ReplicaReadyAt(aNow, aModel).has_value();
+}
+
 /* Load pattern: a release replaces runners one after the other while streams run, and runners or
  * daemons fail beside it. A stream whose version has no runner left is refused at once; otherwise
  * its model is loaded at a runner of the version if there is time. */
--- a/tests/fleet/dispatcher_resume_test.cpp
+++ b/tests/fleet/dispatcher_resume_test.cpp
@@ -126,6 +126,18 @@
   CHECK(world.violations.empty());
 }
 
+/* Otherwise a broken stream and a new request for its model would unload two models for one. */
+TEST_CASE("load: one replica is loaded for a resumed stream and new requests of its version")
+{
+  FleetWorld world({ .runners = 3, .models = 8, .modelsPerRunner = 2 });
+  const auto stream = world.SendResumed("m7", "v1");
+  const auto request = world.SendRequest("m7");
+  world.Run(4s);
+  CHECK(world.outcomes[stream].startedAt);
+  CHECK(world.outcomes[request].startedAt);
+  CHECK(world.CountReplicas("m7") == 1);
+}
+
 TEST_CASE("random restarts with other versions and new dispatchers never mix versions in a stream")
 {
   constexpr int kSeeds = 300;
