Fix: [Fleet] Bound what daemons send of the origins of streams

Found by reading the diff: after a change of the dispatcher each member sent all streams of 120 s that it knew, most of them copies, and the new dispatcher copied all of them to the members again. In a deployment with hundreds of streams a second this is worked out to be hundreds of thousands of entries at the moment of a takeover (not measured).

A daemon now sends a new dispatcher only the streams that it served within 30 s, and these are not copied again. Copies go to up to 8 members every 200 ms instead of to 16 every 50 ms.

--- a/src/fleet/fleet_member.cpp
+++ b/src/fleet/fleet_member.cpp
@@ -29,8 +29,14 @@
 constexpr Duration kRunnerConnectTimeout = 250ms;
 /* Members to which the dispatcher sends copies of the streams that have begun: all of a small
  * fleet, so that streams can be resumed while a lost dispatcher is being replaced. More copies
- * would fill the dispatcher's link in a large fleet. */
-constexpr std::size_t kMaxStreamCopies = 16;
+ * would take much of the dispatcher's time in a large fleet. */
+constexpr std::size_t kMaxStreamCopies = 8;
+/* Time between two copies. A dispatcher that fails loses the streams of its own clients since the
+ * last one. */
+constexpr Duration kStreamCopyInterval = 200ms;
+/* Age up to which a daemon sends the streams that it began to a new dispatcher. It is the time
+ * limit of requests that state no deadline. */
+constexpr Duration kOwnStreamRetention = 30s;
 /* Largest number of streams in one message. */
 constexpr std::size_t kMaxStreamsPerMessage = 500;
 /* Table and key of the lease row in the store. */
@@ -101,7 +107,7 @@
       SendHeartbeats();
     }
     RemoveTimedOutMembers(now);
-    CopyStreamsToMembers();
+    CopyStreamsToMembers(now);
   } else if (now >= mNextHelloAt) {
     mNextHelloAt = now + kHelloInterval;
     SendHello();
@@ -457,7 +463,7 @@
       { { "dispatcher", aHeartbeat.lease.holder }, { "row_version", aHeartbeat.version.value } });
     SendHello();
     // Sent first, so that the dispatcher knows the streams when requests to resume them arrive.
-    SendStreamsToDispatcher();
+    SendOwnStreams();
     mServices.placement.OnNewDispatcher();
   }
 }
@@ -503,7 +509,12 @@
 
 void FleetMember::ReportStream(const fleet::BegunStream& aStream)
 {
-  mServices.streamOrigins.Record(BootClockNow(), aStream);
+  const TimePoint now = BootClockNow();
+  mServices.streamOrigins.Record(now, aStream);
+  mOwnStreams.emplace_back(now, aStream);
+  while (now - mOwnStreams.front().first > kOwnStreamRetention) {
+    mOwnStreams.pop_front();
+  }
   if (isDispatcher()) {
     mUncopiedStreams.push_back(aStream);
   } else if (mHasRemoteDispatcher) {
@@ -517,19 +528,27 @@
   for (const fleet::BegunStream& stream : aBegun.streams) {
     mServices.streamOrigins.Record(now, stream);
   }
-  if (isDispatcher()) {
+  if (!isDispatcher()) {
+    return;
+  }
+  if (!aBegun.isResent) {
     mUncopiedStreams.insert(mUncopiedStreams.end(), aBegun.streams.begin(), aBegun.streams.end());
-    ScheduleDispatcherTick(); // Requests may wait for the origins.
   }
+  ScheduleDispatcherTick(); // Requests may wait for the origins.
 }
 
-void FleetMember::SendStreamsToDispatcher()
+void FleetMember::SendOwnStreams()
 {
-  StreamsBegunMessage message;
-  for (const fleet::BegunStream& stream : mServices.streamOrigins.streams(BootClockNow())) {
+  const TimePoint oldest = BootClockNow() - kOwnStreamRetention;
+  StreamsBegunMessage message{ .streams = {}, .isResent = true };
+  for (const auto& [begunAt, stream] : mOwnStreams) {
+    if (begunAt < oldest) {
+      continue;
+    }
     message.streams.push_back(stream);
     if (message.streams.size() == kMaxStreamsPerMessage) {
-      Send(mDispatcherLease.address, std::exchange(message, {}));
+      Send(mDispatcherLease.address, message);
+      message.streams.clear();
     }
   }
   if (!message.streams.empty()) {
@@ -537,16 +556,16 @@
   }
 }
 
-void FleetMember::CopyStreamsToMembers()
+void FleetMember::CopyStreamsToMembers(TimePoint aNow)
 {
-  if (mUncopiedStreams.empty()) {
+  if (mUncopiedStreams.empty() || aNow < mNextStreamCopyAt) {
     return;
   }
-  const auto bytes =
-    EncodeFleetMessage({ .from = mOptions.self,
-                         .incarnation = mOptions.incarnation,
-                         .body = StreamsBegunMessage{ .streams = std::move(mUncopiedStreams) } });
-  mUncopiedStreams.clear();
+  mNextStreamCopyAt = aNow + kStreamCopyInterval;
+  const auto bytes = EncodeFleetMessage(
+    { .from = mOptions.self,
+      .incarnation = mOptions.incarnation,
+      .body = StreamsBegunMessage{ .streams = std::exchange(mUncopiedStreams, {}) } });
   std::size_t copies = 0;
   for (const auto& [id, member] : mMembers) {
     if (copies++ == kMaxStreamCopies) {
--- a/src/fleet/fleet_member.h
+++ b/src/fleet/fleet_member.h
@@ -13,6 +13,7 @@
 #include "peer/fleet_link.h"
 
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -142,10 +143,11 @@
   /* Passes another member's report on to the others if this daemon is the dispatcher. */
   void PassOn(const DaemonId& aFrom, const FleetBody& aReport);
   void OnStreamsBegun(const StreamsBegunMessage& aBegun);
-  /* Sends all known streams to a new dispatcher. */
-  void SendStreamsToDispatcher();
-  /* Sends the streams that were reported since the last call to the members that keep copies. */
-  void CopyStreamsToMembers();
+  /* Sends the streams that this daemon began a short time ago to a new dispatcher. */
+  void SendOwnStreams();
+  /* Sends the streams that were reported since the last copy to the members that keep copies, when
+   * the next copy is due. */
+  void CopyStreamsToMembers(TimePoint aNow);
   void HandleDispatchMessage(const DaemonId& aFrom, const fleet::DispatchMessage& aMessage);
   void RejectPlacementRequest(const DaemonId& aFrom, const fleet::DispatchMessage& aMessage);
   void SendHeartbeats();
@@ -179,6 +181,9 @@
   TimePoint mLastHeartbeatAt{}; ///< When that dispatcher's last heartbeat arrived.
   /* Streams reported to this daemon as the dispatcher of which no member has a copy yet. */
   std::vector<fleet::BegunStream> mUncopiedStreams;
+  TimePoint mNextStreamCopyAt{};
+  /* Streams that this daemon began within kOwnStreamRetention, with the time, oldest first. */
+  std::deque<std::pair<TimePoint, fleet::BegunStream>> mOwnStreams;
   TimePoint mNextHeartbeatAt{};
   TimePoint mNextHelloAt{};
   std::string mLoggedHolder; ///< Holder and incarnation in the last holder_changed log line.
--- a/src/fleet/fleet_message.cpp
+++ b/src/fleet/fleet_message.cpp
@@ -266,7 +266,9 @@
                   for (const BegunStream& stream : aBegun.streams) {
                     streams.push_back(ToJson(stream));
                   }
-                  return Json{ { "kind", "streams" }, { "streams", std::move(streams) } };
+                  return Json{ { "kind", "streams" },
+                               { "streams", std::move(streams) },
+                               { "resent", aBegun.isResent } };
                 },
                 [](const PlacementRequest& aRequest) {
                   return Json{ { "kind", "ask" }, { "ask", ToJson(aRequest) } };
@@ -315,7 +317,7 @@
                                  .startedAtMs = aJson.at("born").get<std::int64_t>() };
   }
   if (kind == "streams") {
-    StreamsBegunMessage begun;
+    StreamsBegunMessage begun{ .streams = {}, .isResent = aJson.value("resent", false) };
     for (const Json& stream : aJson.at("streams")) {
       begun.streams.push_back(BegunStreamFrom(stream));
     }
--- a/src/fleet/fleet_message.h
+++ b/src/fleet/fleet_message.h
@@ -63,6 +63,7 @@
 struct StreamsBegunMessage
 {
   std::vector<fleet::BegunStream> streams;
+  bool isResent = false; ///< Sent to a new dispatcher; the former one has made copies.
 };
 
 /* Reports that a runner's process has stated in an answer that it is leaving. */
--- a/tests/fleet/fleet_message_test.cpp
+++ b/tests/fleet/fleet_message_test.cpp
@@ -85,8 +85,9 @@
     RunnerLeavingMessage{ .runner = EndpointId{ "e1" }, .startedAtMs = 1'786'748'091'415 });
   CHECK(leaving.runner == EndpointId{ "e1" });
   CHECK(leaving.startedAtMs == 1'786'748'091'415);
-  const auto begun = EncodeAndDecode<StreamsBegunMessage>(
-    StreamsBegunMessage{ .streams = { { .key = { 7 }, .origin = *kRequest.origin } } });
+  const auto begun = EncodeAndDecode<StreamsBegunMessage>(StreamsBegunMessage{
+    .streams = { { .key = { 7 }, .origin = *kRequest.origin } }, .isResent = true });
+  CHECK(begun.isResent);
   REQUIRE(begun.streams.size() == 1);
   CHECK(begun.streams[0].key == StreamKey{ 7 });
   CHECK(begun.streams[0].origin == *kRequest.origin);
