Fix: [Gateway] Look at all runners for pauses only while one is paused

Each placement request looked at all known runners for their pauses (found by reading; at 3,000 runners on each request). The registry now knows when the last pause ends.

--- a/src/decision/fleet/runner_registry.cpp
+++ b/src/decision/fleet/runner_registry.cpp
@@ -125,9 +125,25 @@
     return false;
   }
   found->second.pausedUntil = aNow + aPause;
+  mLastPauseEnd = std::max(mLastPauseEnd, aNow + aPause);
   return true;
 }
 
+std::vector<PausedRunner> RunnerRegistry::PausedRunners(TimePoint aNow,
+                                                        const ServiceId& aService) const
+{
+  std::vector<PausedRunner> paused;
+  if (aNow >= mLastPauseEnd) {
+    return paused; // Spares each request a look at all runners of a large deployment.
+  }
+  for (const auto& [id, runner] : mRunners) {
+    if (runner.entry.service == aService && aNow < runner.pausedUntil) {
+      paused.push_back({ .runner = id, .timeLeft = runner.pausedUntil - aNow });
+    }
+  }
+  return paused;
+}
+
 void RunnerRegistry::RecordLoad(TimePoint aNow,
                                 const EndpointId& aRunner,
                                 const EndpointLoad& aLoad)
--- a/src/decision/fleet/runner_registry.h
+++ b/src/decision/fleet/runner_registry.h
@@ -2,6 +2,7 @@
 #ifndef RHUBARBTRAIL_DECISION_FLEET_RUNNER_REGISTRY_H
 #define RHUBARBTRAIL_DECISION_FLEET_RUNNER_REGISTRY_H
 
+#include "decision/fleet/dispatch_type.h"
 #include "decision/fleet/endpoint_health.h"
 #include "decision/fleet/runner_type.h"
 #include "decision/fleet/stream_origins.h"
@@ -113,6 +114,8 @@
    * endpoint that is avoided is chosen only when there is no other. */
   std::optional<EndpointId> Choose(TimePoint aNow, const EndpointQuery& aQuery) const;
 
+  /* Returns the paused endpoints of a service, with the time until their pauses end. */
+  std::vector<PausedRunner> PausedRunners(TimePoint aNow, const ServiceId& aService) const;
   /* Returns when the first pause ends if all endpoints that could otherwise serve the query are
    * paused. Returns nothing if one is not paused or if there is none. Excluded ones count too. */
   std::optional<TimePoint> EarliestPauseEnd(TimePoint aNow, const EndpointQuery& aQuery) const;
@@ -133,6 +136,7 @@
   static bool Matches(const KnownRunner& aRunner, const EndpointQuery& aQuery);
 
   std::map<EndpointId, KnownRunner> mRunners;
+  TimePoint mLastPauseEnd{}; ///< No endpoint is paused from then on.
   /* Versions of endpoints that were removed or restarted, and those that others knew, with the time
    * of that. */
   std::map<ServiceId, std::map<SoftwareVersion, TimePoint>> mFormerVersions;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -319,13 +319,11 @@
     .timeLeft = std::min(TimeLeft(), ClientTimeout() - (BootClockNow() - mArrivedAt)),
     .isResumable = mAttemptState.isResumable,
     .failedRunners = { mFailedEndpoints.begin(), mFailedEndpoints.end() },
+    .pausedRunners = mContext.runners.PausedRunners(BootClockNow(), mService),
     .origin = mOrigin,
   };
-  for (const auto& [endpoint, runner] : mContext.runners.runners()) {
-    if (runner.entry.service == mService && BootClockNow() < runner.pausedUntil) {
-      placementRequest.pausedRunners.push_back(
-        { .runner = endpoint, .timeLeft = runner.pausedUntil - BootClockNow() + PauseSpread() });
-    }
+  for (fleet::PausedRunner& paused : placementRequest.pausedRunners) {
+    paused.timeLeft += PauseSpread();
   }
   if (IsResumedByClient() && !mOrigin) {
     placementRequest.resumedStream = fleet::StreamKeyOf(mClient.resumedRequestId);
--- a/tests/fleet/fleet_parts_test.cpp
+++ b/tests/fleet/fleet_parts_test.cpp
@@ -420,6 +420,10 @@
   CHECK(registry.RecordPause(kStart, EndpointId{ "r2" }, 0, 5s));
   CHECK(registry.EarliestPauseEnd(kStart, query) == kStart + 2s);
 
+  CHECK(registry.PausedRunners(kStart + 3s, kService) ==
+        std::vector<PausedRunner>{ { .runner = EndpointId{ "r2" }, .timeLeft = 2s } });
+  CHECK(registry.PausedRunners(kStart + 5s, kService).empty());
+
   entry.startedAtMs = 8;
   registry.Apply(kStart + 1s, entry);
   CHECK(Choose(registry, kStart + 1s) == EndpointId{ "r1" });
