Fix: [Dispatcher] Count resumed streams as demand for their model while there is one version

Cause: since streams are bound to a version, those that clients take up were a missing model of their own, also in a deployment with one version. Neither these nor the new requests beside them weighed enough, so a replica was planned late or not at all. Now a stream is bound to a version only while a usable runner of another one, or of one that is not known, is there; otherwise it counts like any request for its model.

The new case of dispatcher_resume_test fails on the code before (no load) and passes now; all 189 unit cases and the eight tests of test_versions.py pass.

--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -314,6 +314,10 @@
    * did. */
   bool RefuseResumed(TimePoint aNow, const WaitingRequest& aWaiting);
   static bool HasVersion(const ManagedRunner& aRunner, const SoftwareVersion& aVersion);
+  /* Returns the version that a runner must have to serve the request, or an empty one if each
+   * usable runner of the service will do: the request is not bound to a version, or all have that
+   * one. Then it counts as demand for its model like any other request. */
+  SoftwareVersion RequiredVersion(const PlacementRequest& aRequest) const;
   /* Returns when the first planned or ordered replica at a runner of this version is loaded, or
    * nothing if there is none. */
   std::optional<TimePoint> ReplicaReadyAt(TimePoint aNow, const MissingModel& aModel) const;
--- a/src/decision/fleet/dispatcher_assign.cpp
+++ b/src/decision/fleet/dispatcher_assign.cpp
@@ -118,7 +118,7 @@
   if (request.origin && request.origin->service != request.service) {
     return RefuseResumed(aNow, aWaiting);
   }
-  const SoftwareVersion version = request.origin ? request.origin->version : SoftwareVersion{};
+  const SoftwareVersion version = RequiredVersion(request);
   std::optional<TimePoint> firstPauseEnd;
   bool areAllPaused = true;
   ManagedRunner* best = nullptr;
@@ -149,7 +149,7 @@
   if (best == nullptr && firstPauseEnd && areAllPaused) {
     return RefuseWhilePaused(aNow, aWaiting, *firstPauseEnd);
   }
-  if (best == nullptr && request.origin) {
+  if (best == nullptr && !version.empty()) {
     return RefuseResumed(aNow, aWaiting);
   }
   if (best == nullptr) {
--- a/src/decision/fleet/dispatcher_plan.cpp
+++ b/src/decision/fleet/dispatcher_plan.cpp
@@ -291,7 +291,7 @@
     const PlacementRequest& request = waiting.request;
     missing[{ .service = request.service,
               .model = request.work.target.model,
-              .version = request.origin ? request.origin->version : SoftwareVersion{} }]
+              .version = RequiredVersion(request) }]
       .push_back(&waiting);
   }
   for (const auto& [key, refusedAt] : mRefusedModels) {
--- a/src/decision/fleet/dispatcher_resume.cpp
+++ b/src/decision/fleet/dispatcher_resume.cpp
@@ -42,6 +42,24 @@
   return aVersion.empty() || aRunner.entry.softwareVersion == aVersion;
 }
 
+SoftwareVersion Dispatcher::RequiredVersion(const PlacementRequest& aRequest) const
+{
+  if (!aRequest.origin) {
+    return {};
+  }
+  bool hasUsable = false;
+  for (const auto& [id, runner] : mRunners) {
+    if (runner.entry.service != aRequest.service || !IsUsable(runner)) {
+      continue;
+    }
+    hasUsable = true;
+    if (runner.entry.softwareVersion != aRequest.origin->version) {
+      return aRequest.origin->version;
+    }
+  }
+  return hasUsable ? SoftwareVersion{} : aRequest.origin->version;
+}
+
 std::optional<TimePoint> Dispatcher::ReplicaReadyAt(TimePoint aNow,
                                                     const MissingModel& aModel) const
 {
--- a/tests/fleet/dispatcher_resume_test.cpp
+++ b/tests/fleet/dispatcher_resume_test.cpp
@@ -138,6 +138,29 @@
   CHECK(world.CountReplicas("m7") == 1);
 }
 
+/* Otherwise a broken stream would weigh as little as a single request when a replica is planned,
+ * and the requests that wait beside it too. The store takes long, so few waiting requests are not
+ * enough.
+ */
+TEST_CASE("load: while there is one version, resumed streams and new requests add up as demand")
+{
+  FleetWorld world({ .runners = 1,
+                     .models = 12,
+                     .modelsPerRunner = 2,
+                     .storeLoadTime = 4s,
+                     .areAllModelsOnDisk = false });
+  for (int step = 0; step < 40; ++step) {
+    world.SendRequest(step % 2 == 0 ? "m0" : "m1");
+    world.Run(50ms);
+  }
+  for (int number = 0; number < 4; ++number) {
+    world.SendResumed("m9", "v1");
+    world.SendRequest("m9");
+  }
+  world.Run(3s);
+  CHECK(world.startedStoreLoads == 1);
+}
+
 TEST_CASE("random restarts with other versions and new dispatchers never mix versions in a stream")
 {
   constexpr int kSeeds = 300;
