--- a/tests/edge/edge_cluster.py
+++ b/tests/edge/edge_cluster.py
@@ -93,7 +93,8 @@
 class Daemon:
     """An edge daemon with its settings, its log and its process."""
 
-    def __init__(self, name: str, store_port: int, folder: Path, grace_s: float = 4.0) -> None:
+    def __init__(self, name: str, store_port: int, folder: Path, grace_s: float = 4.0,
+                 retry_slack: int = 1000) -> None:
         self.name = name
         self.reserved = ReservedPorts(4)
         self.front_port, self.ready_port, self.link_port, self.metrics_port = self.reserved.ports
@@ -108,7 +109,7 @@
 store_address: 127.0.0.1:{store_port}
 shutdown_grace: {grace_s}
 lease_spacing: 1000
-retry_slack: 1000
+retry_slack: {retry_slack}
 """)
         self.popen: Optional[subprocess.Popen] = None
         self.lock = threading.Lock()  # Held while a thread ends or stops the process.
@@ -143,8 +144,11 @@
         return connection.getresponse().read().decode()
 
     def send(self, kind: str, model: str = "m0", body: bytes = b"", timeout_s: float = 10.0,
-             **fields: str) -> Result:
-        """Sends one request on a new connection and reads its answer to the end."""
+             pause_before_body_s: float = 0.0, **fields: str) -> Result:
+        """Sends one request on a new connection and reads its answer to the end.
+
+        The body is not read before some time has passed since the head.
+        """
         result = Result(uuid.uuid4().hex[:16], kind)
         headers = {"Host": "h.example", "X-Request-Id": result.id,
                    "X-Deadline-Ms": str(int(timeout_s * 1000)),
@@ -159,6 +163,7 @@
             connection.request(method, f"/{kind}/x?y=1", body, headers)
             answer = connection.getresponse()
             result.fields = {name.lower(): value for name, value in answer.getheaders()}
+            time.sleep(pause_before_body_s)
             while part := answer.read1(65536):
                 result.body += part
             if answer.length:  # read1() reports no error when the body is shorter than announced.
@@ -190,11 +195,13 @@
     the block stops the daemons and the platform.
     """
 
-    def __init__(self, daemons: int = 2, grace_s: float = 4.0, **platform_options: int) -> None:
+    def __init__(self, daemons: int = 2, grace_s: float = 4.0, retry_slack: int = 1000,
+                 **platform_options: int) -> None:
         self.folder = tempfile.TemporaryDirectory()
         self.platform = Platform(**platform_options)
         self.daemons = [Daemon(f"d{number}", self.platform.store.http_server.port,
-                               Path(self.folder.name), grace_s) for number in range(daemons)]
+                               Path(self.folder.name), grace_s, retry_slack)
+                        for number in range(daemons)]
 
     def __enter__(self) -> "EdgeCluster":
         try:
--- a/tests/edge/standin.py
+++ b/tests/edge/standin.py
@@ -14,7 +14,7 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import Any, Awaitable, Callable, Optional
+from typing import Any, Awaitable, Callable, Optional, Sequence
 from urllib.parse import parse_qs, urlsplit
 
 EVENT_COUNT = 6
@@ -242,6 +242,28 @@
     ALWAYS_TERMINATED = "terminated"    # A cut stream has its last chunk.
 
 
+class SilentAt(Enum):
+    """Where in an answer an endpoint falls silent. It goes on afterwards as if nothing had been."""
+
+    BEFORE_HEAD = "before the head"
+    AFTER_HEAD = "between the head and the first byte of the body"
+    BETWEEN_EVENTS = "between two events, or two parts of a plain body"
+    INSIDE_EVENT = "inside an event, or between two parts of a plain body"
+
+
+@dataclass
+class Silence:
+    """A pause of a sound endpoint in each answer, or only in those that are under way meanwhile.
+
+    after_events is the number of events that precede a silence in the events of a stream.
+    """
+
+    at: SilentAt
+    seconds: float
+    after_events: int = 2
+    remaining: int = 1 << 30  # Number of answers that still have the silence.
+
+
 @dataclass
 class Faults:
     """The faults of an endpoint that are switched on."""
@@ -259,6 +281,7 @@
     pause_value: str = ""           # Refuses requests with 503 and this Retry-After.
     leaving_value: str = ""         # Value of Server-Leaving in all answers; not sent if empty.
     leaving_interim: bool = False   # The value is sent in an interim answer instead.
+    silence: Optional[Silence] = None
 
 
 class Endpoint:
@@ -376,6 +399,9 @@
         if self.faults.delays_answers:
             await asyncio.sleep(30)
         await asyncio.sleep(self.platform.work_s)
+        silence = self._take_silence()
+        if silence is not None and silence.at is SilentAt.BEFORE_HEAD:
+            await asyncio.sleep(silence.seconds)
         if self.faults.lost_answers > 0:
             self.faults.lost_answers -= 1
             call.writer.transport.abort()
@@ -385,16 +411,31 @@
         if self.faults.answers_500:
             call.writer.write(response_head(500, {**signed_headers, "Content-Length": "0"}))
         elif model:
-            await self._stream(call, run, signed_headers)
+            await self._stream(call, run, signed_headers, silence)
         else:
             body = f"done {request}".encode()
             call.writer.write(
-                response_head(200, {**signed_headers, "Content-Length": str(len(body))}) + body)
+                response_head(200, {**signed_headers, "Content-Length": str(len(body))}))
+            if silence is not None and silence.at is not SilentAt.BEFORE_HEAD:
+                first = 0 if silence.at is SilentAt.AFTER_HEAD else 4
+                call.writer.write(body[:first])
+                await asyncio.sleep(silence.seconds)
+                body = body[first:]
+            call.writer.write(body)
             if self.faults.extra_answer:
                 call.writer.write(response_head(200, {**signed_headers, "X-Request-Id": "nobody",
                                                       "Content-Length": "5"}) + b"extra")
 
-    async def _stream(self, call: HttpCall, run: Run, signed_headers: dict[str, str]) -> None:
+    def _take_silence(self) -> Optional[Silence]:
+        """Returns the silence of the answer that begins, if it has one."""
+        silence = self.faults.silence
+        if silence is None or silence.remaining <= 0:
+            return None
+        silence.remaining -= 1
+        return silence
+
+    async def _stream(self, call: HttpCall, run: Run, signed_headers: dict[str, str],
+                      silence: Optional[Silence]) -> None:
         first = int(call.fields.get("last-event-id", "0") or "0") + 1
         version = self.version
         framing = self.faults.stream_framing
@@ -408,12 +449,23 @@
 
         call.writer.write(response_head(200, {**signed_headers, "Content-Type": "text/event-stream",
                                               **framing_header}))
+        silent_at = silence.at if silence is not None else None
+        if silence is not None and silent_at is SilentAt.AFTER_HEAD:
+            await asyncio.sleep(silence.seconds)
         for sent, number in enumerate(range(first, EVENT_COUNT + 1)):
             if self.faults.cut_after_events is not None and sent >= self.faults.cut_after_events:
                 run.is_cut = True
                 write(self.faults.cut_bytes)
                 break
-            write(f"id: {number}\ndata: {run.request} {number} {version}\n\n".encode())
+            padding = "x" * self.platform.event_padding
+            event = f"id: {number}\ndata: {run.request}{padding} {number} {version}\n\n".encode()
+            if silence is not None and sent == silence.after_events and silent_at in (
+                    SilentAt.BETWEEN_EVENTS, SilentAt.INSIDE_EVENT):
+                begun = len(event) // 2 if silent_at is SilentAt.INSIDE_EVENT else 0
+                write(event[:begun])
+                await asyncio.sleep(silence.seconds)
+                event = event[begun:]
+            write(event)
             await call.writer.drain()
             await asyncio.sleep(self.platform.work_s)
         if not run.is_cut:
@@ -438,6 +490,7 @@
         self.models = [f"m{number}" for number in range(models)]
         self.models_per_runner = models_per_runner
         self.load_s, self.work_s = 0.3, 0.01
+        self.event_padding = 0  # Additional bytes in each event of a stream.
         self.runs: dict[str, list[Run]] = defaultdict(list)
         self.endpoints: dict[str, Endpoint] = {}
         self.loop = asyncio.new_event_loop()
@@ -474,7 +527,9 @@
         self.endpoints[name] = endpoint
         endpoint.announce()
 
-    def _configure(self, **changes: Any) -> None:
+    def _configure(self, routes: Sequence[dict[str, Any]] = (), without: Sequence[str] = (),
+                   every_route: Optional[dict[str, Any]] = None,
+                   limits: Optional[dict[str, Any]] = None) -> None:
         self.version += 3
         route = {"host": "h.example", "priority": 1, "maxAttempts": 2, "timeoutMs": 8000}
         engine = {"slots": 8, "kvTokens": 100000,
@@ -483,7 +538,7 @@
                   "models": [{"name": name, "weightsMb": 1000.0, "loadTimeS": self.load_s,
                               "adapters": 3, "adapterMb": 10.0, "diskS": self.load_s}
                              for name in self.models]}
-        routes = [
+        own_routes = [
             {**route, "name": "chat", "prefix": "/chat/", "kind": "streaming", "backend": "llm",
              "targetLatencyMs": 1000, "sticky": True, "resumable": True, "gapAimMs": 300},
             {**route, "name": "draft", "prefix": "/draft/", "kind": "streaming", "backend": "llm",
@@ -493,16 +548,23 @@
             {**route, "name": "check", "prefix": "/check/", "kind": "idempotent",
              "backend": "plain", "targetLatencyMs": 200, "timeoutMs": 2000},
         ]
-        document = {"version": self.version, "routes": routes + changes.get("routes", []),
+        own_routes = [{**item, **(every_route or {})} for item in own_routes
+                      if item["name"] not in without]
+        document = {"version": self.version, "routes": own_routes + list(routes),
                     "services": [{"name": "llm", "healthPath": "/healthz", "maxConns": 99,
                                   "engine": engine},
                                  {"name": "plain", "healthPath": "/healthz", "maxConns": 99}],
                     "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20,
-                               "headerTimeoutMs": 2000, "idleTimeoutMs": 15000}}
+                               "headerTimeoutMs": 2000, "idleTimeoutMs": 15000,
+                               **(limits or {})}}
         self.store.put("op", "config", json.dumps(document).encode())
 
     def configure(self, **changes: Any) -> None:
-        """Stores a new version of the configuration, with the routes in changes added."""
+        """Stores a new version of the configuration.
+
+        routes are added, those named in without are left out, and every_route and limits replace
+        fields of each route and of the limits on clients.
+        """
         self.run_on_loop(lambda: self._configure(**changes))
 
     def restore_store(self, age_s: float, rewrite_after_s: float = 1.0) -> None:
