Fix: [Http] Accept an answer whose head arrives before its body

Clients got 502 for requests that an endpoint had run and answered, if the head of the answer arrived alone and stated a length, as it does when the endpoint is silent between head and body. Beast 1.74 compares the length with the absent body limit once the head is complete and no body follows in the same buffer, and reports "body limit exceeded"; the client took that for a malformed answer. An explicit limit is not affected.

The new case fails before (result malformed, no body) and passes now.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <limits>
 #include <map>
 #include <optional>
 #include <utility>
@@ -212,7 +213,8 @@
     mParser.emplace();
     mParser->eager(true);
     mParser->header_limit(kMaxHeadBytes);
-    mParser->body_limit(boost::none);
+    // Not boost::none: Beast 1.74 then rejects a head with a Content-Length that arrives alone.
+    mParser->body_limit(std::numeric_limits<std::uint64_t>::max());
     mParser->skip(mIsHeadRequest);
   }
 
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -120,8 +120,15 @@
         if (aError || nextAnswer >= answers.size()) {
           return;
         }
-        const std::string answer = answers[nextAnswer++];
+        std::string answer = answers[nextAnswer++];
         boost::system::error_code ignored;
+        if (sendsHeadAlone) {
+          const std::size_t headSize = answer.find("\r\n\r\n") + 4;
+          asio::write(aSocket, asio::buffer(answer, headSize), ignored);
+          answer.erase(0, headSize);
+          std::this_thread::sleep_for(std::chrono::milliseconds{ 20 });
+          loop.poll(); // Lets the client read the head before the body is sent.
+        }
         asio::write(aSocket, asio::buffer(answer), ignored);
         if (closesAfterAnswer) {
           aSocket.close(ignored);
@@ -162,6 +169,7 @@
   std::vector<std::string> answers;
   std::size_t nextAnswer = 0;
   bool closesAfterAnswer = false;
+  bool sendsHeadAlone = false;
   int connectionCount = 0;
   unsigned status = 0;
   std::string body;
@@ -369,6 +377,18 @@
   CHECK(open.body == "whole");
 }
 
+/* Guards against discarding the answer of an endpoint that pauses between the head and the body. */
+TEST_CASE("an answer whose body follows its head later is complete")
+{
+  for (const char* framing : { "Content-Length: 4\r\n\r\nbody",
+                               "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n" }) {
+    ScriptedEndpoint endpoint({ std::string{ "HTTP/1.1 200 OK\r\n" } + framing });
+    endpoint.sendsHeadAlone = true;
+    CHECK(endpoint.Call() == CallResult::kComplete);
+    CHECK(endpoint.body == "body");
+  }
+}
+
 TEST_CASE("a malformed answer ends a call, and an interim answer does not")
 {
   ScriptedEndpoint nonsense({ "nonsense\r\n\r\n" });
