Fix: [Gateway] Count how long a client still waits from the last event of its stream

The patience, which is the time that the client waits for the next event, was counted from the request's arrival, so the dispatcher got a negative time and refused the new place ("no_place_before_deadline"), and the wait for an endpoint was over before it began. Now it counts from the last event that was forwarded.

test_edge_resumes_a_stream_that_is_older_than_the_patience_of_its_client failed before (the stream broke off after event 5) and passes now.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -23,8 +23,8 @@
 /* Time between two tries to select an endpoint while none is available. */
 constexpr Duration kSelectionInterval = 40ms;
 /* A request waits for an available endpoint for this fraction (1 / kEndpointWaitDivisor) of the
- * time between its arrival and its deadline, and of twice the time after which the client of a
- * stream without events gives up. */
+ * time between its arrival, or its last event, and its deadline, and of twice the time after which
+ * the client of a stream without events gives up. */
 constexpr int kEndpointWaitDivisor = 3;
 /* Retry time sent to clients when no better estimate is available. */
 constexpr Duration kDefaultRetryAfter = 500ms;
@@ -113,6 +113,7 @@
   , mRequest(std::move(aRequest))
   , mResponder(std::move(aResponder))
   , mArrivedAt(BootClockNow())
+  , mLastProgressAt(mArrivedAt)
   , mDeadlineTimer(aContext.loop)
   , mWaitTimer(aContext.loop)
 {
@@ -286,7 +287,7 @@
   return std::max(mDeadline - BootClockNow(), Duration::zero());
 }
 
-/* Returns the time after arrival at which a client gives up a stream that has no event yet. */
+/* Returns the time after its arrival or its last event at which a client gives up a stream. */
 Duration RequestFlow::ClientTimeout() const
 {
   return std::max({ kMinClientTimeout,
@@ -316,7 +317,7 @@
     .priority = mRoute->priority,
     .latencyObjective =
       std::max(mRoute->latencyObjective - (BootClockNow() - mArrivedAt), Duration::zero()),
-    .timeLeft = std::min(TimeLeft(), ClientTimeout() - (BootClockNow() - mArrivedAt)),
+    .timeLeft = std::min(TimeLeft(), ClientTimeout() - (BootClockNow() - mLastProgressAt)),
     .isResumable = mAttemptState.isResumable,
     .failedRunners = { mFailedEndpoints.begin(), mFailedEndpoints.end() },
     .pausedRunners = mContext.runners.PausedRunners(BootClockNow(), mService),
@@ -429,7 +430,7 @@
 
 TimePoint RequestFlow::PatienceEnd() const
 {
-  return mRoute->kind == RouteKind::kStream ? std::min(mDeadline, mArrivedAt + ClientTimeout())
+  return mRoute->kind == RouteKind::kStream ? std::min(mDeadline, mLastProgressAt + ClientTimeout())
                                             : mDeadline;
 }
 
@@ -459,10 +460,10 @@
   const TimePoint now = BootClockNow();
   // A stream's client gives up before its deadline when no event arrives.
   const Duration patience = mRoute->kind == RouteKind::kStream
-                              ? std::min(mDeadline - mArrivedAt, ClientTimeout() * 2)
-                              : mDeadline - mArrivedAt;
+                              ? std::min(mDeadline - mLastProgressAt, ClientTimeout() * 2)
+                              : mDeadline - mLastProgressAt;
   const Duration maxWait = patience / kEndpointWaitDivisor;
-  if (now - mArrivedAt >= maxWait) {
+  if (now - mLastProgressAt >= maxWait) {
     if (mAttemptState.runs == 0) {
       Refuse(ResultCode::kEndpointUnavailable, kDefaultRetryAfter, "no_endpoint");
     } else {
@@ -664,6 +665,7 @@
   }
   SendHeadOnce();
   mResponder->SendBody(forwarded);
+  mLastProgressAt = BootClockNow();
 }
 
 void RequestFlow::RecordOrigin()
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -79,7 +79,7 @@
   /* Waits until the first of the paused endpoints takes requests again, or ends the request if that
    * is too late for it. */
   void WaitForPauseEnd(TimePoint aEnd);
-  /* Returns the latest time at which the client still waits for a first event or answer. */
+  /* Returns the latest time at which the client still waits for the next event or the answer. */
   TimePoint PatienceEnd() const;
   /* Selects an endpoint again after a pause, or ends the request if it has waited too long. */
   void WaitForEndpoint();
@@ -138,6 +138,8 @@
   ServiceId mService;
   FingerprintId mFingerprint;
   TimePoint mArrivedAt{};
+  TimePoint
+    mLastProgressAt{}; ///< When the last event was forwarded; before the first, the arrival.
   TimePoint mDeadline{};
   boost::asio::steady_timer mDeadlineTimer;
   boost::asio::steady_timer mWaitTimer;
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -101,6 +101,20 @@
         assert cluster.run_count(cut) == 1
 
 
+def test_edge_resumes_a_stream_that_is_older_than_the_patience_of_its_client() -> None:
+    """Breaks a stream off 4.5 s after its request; its client waits 4 s for each event.
+
+    How long the client still waits counts from the last event, not from the request.
+    """
+    with EdgeCluster(models=2) as cluster:
+        cluster.platform.work_s = 0.75
+        for endpoint in cluster.platform.endpoints.values():
+            endpoint.faults.cut_after_events = 5
+        result = cluster.daemons[0].send("chat")
+        assert result.is_complete, (result, has_event(cluster.holder(), "place_refused"))
+        assert cluster.run_count(result) == 2, cluster.platform.runs[result.id]
+
+
 def test_edge_does_not_complete_streams_that_end_inside_an_event() -> None:
     """Ends streams inside an event although their framing says that they are complete.
 
