Fix: [Http] Keep a call alive while its reading is paused

A stream stopped without an end when its client read more slowly than the endpoint sent: the client waited until its deadline, and the endpoint's connection was closed at once. While reading is paused neither a read nor a time limit refers to the connection to the endpoint, so it was destroyed, and the call ended without a result. Streams that may not be resumed were always affected; the others were saved by their idle timer, which broke them off instead. A paused connection now refers to itself.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -136,7 +136,7 @@
     mAnswerDeadline = asio::steady_timer::clock_type::now() + aOptions.answerTimeout;
     mHasAnswerHead = false;
     mSkippedAnswers = 0;
-    mIsPaused = false;
+    mPausedSelf.reset();
     ResetParser();
     if (mState == State::kIdle) {
       mState = State::kCalling;
@@ -165,11 +165,11 @@
     Close();
   }
 
-  void Pause() { mIsPaused = true; }
+  void Pause() { mPausedSelf = shared_from_this(); }
 
   void Resume()
   {
-    if (std::exchange(mIsPaused, false)) {
+    if (const auto self = std::exchange(mPausedSelf, nullptr)) {
       WaitForBytes();
     }
   }
@@ -186,6 +186,10 @@
     error_code ignored; // Errors are harmless here: the endpoint may have closed first.
     mTimer.cancel(ignored);
     mSocket.close(ignored);
+    if (mPausedSelf) {
+      // Released by the event loop, since the caller may still use this object.
+      asio::post(mClient->context, [self = std::exchange(mPausedSelf, nullptr)] {});
+    }
   }
 
   /* Keeps the connection open without a call for at most aTime. The read notices when the endpoint
@@ -268,7 +272,7 @@
 
   void WaitForBytes()
   {
-    if (!mIsPaused && mState != State::kClosed) {
+    if (!mPausedSelf && mState != State::kClosed) {
       mReader.Read(shared_from_this(),
                    [this](error_code aError, std::string_view aBytes) { OnBytes(aError, aBytes); });
     }
@@ -463,7 +467,8 @@
   bool mHasAnswerHead = false;    ///< The head of a final answer was received.
   bool mIsSkippingAnswer = false; ///< The current answer belongs to another request.
   int mSkippedAnswers = 0;        ///< Answers to other requests that the call has skipped.
-  bool mIsPaused = false;
+  /* Set while reading is paused: no pending read or timer keeps the connection alive then. */
+  std::shared_ptr<ClientConnection> mPausedSelf;
   bool mIsWriting = false;
 };
 
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -377,6 +377,37 @@
   CHECK(open.body == "whole");
 }
 
+/* Guards against losing a call without a word: a connection that is not read has no pending read
+ * that keeps it alive. */
+TEST_CASE("a call that was paused goes on when it is resumed")
+{
+  const std::string large(1U << 20U, 'x');
+  ScriptedEndpoint endpoint({ Answer(large) });
+  std::optional<CallResult> result;
+  std::size_t received = 0;
+  std::unique_ptr<rhubarbtrail::http::Call> call;
+  call = endpoint.client.Start(
+    { .address = "127.0.0.1:" + std::to_string(endpoint.acceptor.local_endpoint().port()),
+      .request = { .method = "GET", .target = "/" },
+      .answerTimeout = 3s },
+    { .onHead = [](const AnswerHead&) { return true; },
+      .onBody =
+        [&](std::string_view aBytes) {
+          received += aBytes.size();
+          call->Pause();
+        },
+      .onEnd = [&](CallResult aResult) { result = aResult; } });
+  while (!result) {
+    const std::size_t before = received;
+    REQUIRE(RunUntil(endpoint.loop, [&] { return result || received > before; }));
+    endpoint.loop.restart();
+    endpoint.loop.run_for(std::chrono::milliseconds{ 2 });
+    call->Resume();
+  }
+  CHECK(*result == CallResult::kComplete);
+  CHECK(received == large.size());
+}
+
 /* Guards against discarding the answer of an endpoint that pauses between the head and the body. */
 TEST_CASE("an answer whose body follows its head later is complete")
 {
