Fix: [Gateway] Keep the answer of a silent endpoint until another one takes the request

Callers lost answers of sound endpoints that were silent for a second and then went on: streams broke off midway, and checks got 502. It is not when the attempts of the route are used up, no retry may be spent, or no other runner has a place, and then the answer that the endpoint was about to finish was gone. A silence cannot be told from a failure while it lasts, so it must not destroy anything: the timer now starts the search for another endpoint, the attempt goes on meanwhile, and it ends only when the request can be sent elsewhere at once (attempts, retry share and the endpoint's state are checked before). If bytes arrive first, the search is withdrawn. What ends an answer is the deadline.

A client that reads slowly is no silence of the endpoint: while reading is paused no time counts.

--- a/src/decision/fleet/attempt_policy.cpp
+++ b/src/decision/fleet/attempt_policy.cpp
@@ -60,4 +60,10 @@
   return NextStep::kFail;
 }
 
+bool MayMoveAttempt(AttemptState aState)
+{
+  ++aState.runs; // The attempt that the silent endpoint has begun counts.
+  return MayRunAgain(aState);
+}
+
 } // namespace rhubarbtrail::fleet
--- a/src/decision/fleet/attempt_policy.h
+++ b/src/decision/fleet/attempt_policy.h
@@ -52,6 +52,10 @@
  * told that its request has not run only if that is certain. */
 NextStep DecideNextStep(const AttemptState& aState, AttemptEnd aEnd);
 
+/* Returns whether a request that is in flight at a silent endpoint may be sent to another one
+ * instead. aState is that after the former attempts. */
+bool MayMoveAttempt(AttemptState aState);
+
 } // namespace rhubarbtrail::fleet
 
 #endif
--- a/src/gateway/request_answer.cpp
+++ b/src/gateway/request_answer.cpp
@@ -149,6 +149,7 @@
   const TimePoint now = BootClockNow();
   mDeadlineTimer.cancel();
   mWaitTimer.cancel();
+  mSilenceTimer.cancel();
   mResponder->OnClosed(nullptr);
   mResponder->OnSendBufferEmpty(nullptr);
   mContext.metrics.Record(
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -32,14 +32,6 @@
 constexpr Duration kShutdownRetryAfter = 50ms;
 /* Time limit for connecting to an endpoint. Connecting normally takes a few milliseconds. */
 constexpr Duration kConnectTimeout = 250ms;
-/* Time limit for the response head of an attempt that may be repeated, as a multiple of the route's
- * latency objective, and the minimum of this limit. */
-constexpr int kAnswerTimeoutObjectives = 3;
-constexpr Duration kMinAnswerTimeout = 250ms;
-/* Longest gap between events of a resumable stream before it is resumed at another endpoint, as a
- * multiple of the route's event gap objective. It is less than kClientTimeoutGaps, so that the
- * stream can be resumed before clients give up. */
-constexpr int kStreamTimeoutGaps = 4;
 /* Clients give up a stream when nothing arrives for two seconds, four times the latency objective
  * or eight times the event gap objective, whichever is longest. */
 constexpr Duration kMinClientTimeout = 2s;
@@ -116,6 +108,7 @@
   , mLastProgressAt(mArrivedAt)
   , mDeadlineTimer(aContext.loop)
   , mWaitTimer(aContext.loop)
+  , mSilenceTimer(aContext.loop)
 {
   mContext.openRequests.insert(this);
 }
@@ -304,23 +297,21 @@
   }
 }
 
-void RequestFlow::SelectByDispatcher()
+fleet::PlacementRequest RequestFlow::MakePlacementRequest()
 {
-  const fleet::PlacementRequestId id{ .daemon = mContext.self,
-                                      .number = mContext.nextPlacementNumber++ };
+  const TimePoint now = BootClockNow();
   fleet::PlacementRequest placementRequest{
-    .id = id,
+    .id = { .daemon = mContext.self, .number = mContext.nextPlacementNumber++ },
     .requestId = mClient.requestId,
     .route = mRoute->name,
     .service = mService,
     .work = *mClient.work,
     .priority = mRoute->priority,
-    .latencyObjective =
-      std::max(mRoute->latencyObjective - (BootClockNow() - mArrivedAt), Duration::zero()),
-    .timeLeft = std::min(TimeLeft(), ClientTimeout() - (BootClockNow() - mLastProgressAt)),
+    .latencyObjective = std::max(mRoute->latencyObjective - (now - mArrivedAt), Duration::zero()),
+    .timeLeft = std::min(TimeLeft(), ClientTimeout() - (now - mLastProgressAt)),
     .isResumable = mAttemptState.isResumable,
     .failedRunners = { mFailedEndpoints.begin(), mFailedEndpoints.end() },
-    .pausedRunners = mContext.runners.PausedRunners(BootClockNow(), mService),
+    .pausedRunners = mContext.runners.PausedRunners(now, mService),
     .origin = mOrigin,
   };
   for (fleet::PausedRunner& paused : placementRequest.pausedRunners) {
@@ -329,8 +320,14 @@
   if (IsResumedByClient() && !mOrigin) {
     placementRequest.resumedStream = fleet::StreamKeyOf(mClient.resumedRequestId);
   }
+  return placementRequest;
+}
+
+void RequestFlow::SelectByDispatcher()
+{
+  const fleet::PlacementRequest placementRequest = MakePlacementRequest();
   mAssignedVersion.reset();
-  mPlacementId = id;
+  mPlacementId = placementRequest.id;
   const bool isRequested = mContext.placement.RequestAssignment(
     placementRequest, [weak = weak_from_this()](const fleet::PlacementReply& aReply) {
       if (const auto self = weak.lock()) {
@@ -483,44 +480,35 @@
   });
 }
 
-Duration RequestFlow::AnswerTimeout() const
+std::optional<fleet::AssignmentEnd> RequestFlow::ObstacleAt(
+  const EndpointId& aEndpoint,
+  const std::optional<SoftwareVersion>& aAssignedVersion) const
 {
-  const Duration left = TimeLeft();
-  if (!mAttemptState.isResumable && !mRoute->MayRepeat()) {
-    return left; // The request cannot be repeated, so an earlier time-out would gain nothing.
+  const fleet::KnownRunner* runner = mContext.runners.Find(aEndpoint);
+  const fleet::Exclusion exclusion =
+    runner == nullptr ? fleet::Exclusion::kGone : mContext.runners.Check(BootClockNow(), *runner);
+  if (exclusion == fleet::Exclusion::kGone || exclusion == fleet::Exclusion::kLeaving) {
+    return fleet::AssignmentEnd::kLost;
+  }
+  const SoftwareVersion& version = runner->entry.softwareVersion;
+  const bool isOtherOrigin =
+    mOrigin && (runner->entry.service != mOrigin->service || version != mOrigin->version ||
+                (aAssignedVersion && *aAssignedVersion != version));
+  if (exclusion == fleet::Exclusion::kPaused || isOtherOrigin) {
+    return fleet::AssignmentEnd::kWithdrawn;
   }
-  const bool isLastAttempt = mAttemptState.runs + 1 >= mAttemptState.maxAttempts;
-  return isLastAttempt ? left
-                       : std::min(left,
-                                  std::max(mRoute->latencyObjective * kAnswerTimeoutObjectives,
-                                           kMinAnswerTimeout));
+  return std::nullopt;
 }
 
 void RequestFlow::SendToEndpoint(const EndpointId& aEndpoint, std::string_view aSelectionReason)
 {
   const TimePoint now = BootClockNow();
-  const fleet::KnownRunner* runner = mContext.runners.Find(aEndpoint);
-  const fleet::Exclusion exclusion =
-    runner == nullptr ? fleet::Exclusion::kGone : mContext.runners.Check(now, *runner);
-  const bool isRepeat = mAttemptState.runs + mAttemptState.refusals > 0;
-  if (exclusion == fleet::Exclusion::kGone || exclusion == fleet::Exclusion::kLeaving) {
-    ReleaseAssignment(fleet::AssignmentEnd::kLost);
-    WaitForEndpoint();
-    return;
-  }
-  if (exclusion == fleet::Exclusion::kPaused) {
-    ReleaseAssignment(fleet::AssignmentEnd::kWithdrawn);
-    WaitForEndpoint();
-    return;
-  }
-  const SoftwareVersion& version = runner->entry.softwareVersion;
-  const bool isVersionCertain = !mAssignedVersion || *mAssignedVersion == version;
-  if (mOrigin && (runner->entry.service != mOrigin->service || version != mOrigin->version ||
-                  !isVersionCertain)) {
-    ReleaseAssignment(fleet::AssignmentEnd::kWithdrawn);
+  if (const auto obstacle = ObstacleAt(aEndpoint, mAssignedVersion)) {
+    ReleaseAssignment(*obstacle);
     WaitForEndpoint();
     return;
   }
+  const bool isRepeat = mAttemptState.runs + mAttemptState.refusals > 0;
   if (isRepeat && !mContext.retries.TakeRetry(now, mService)) {
     ReleaseAssignment(fleet::AssignmentEnd::kWithdrawn);
     if (mAttemptState.runs == 0) {
@@ -532,11 +520,15 @@
     }
     return;
   }
+  const fleet::KnownRunner& runner = *mContext.runners.Find(aEndpoint);
+  const SoftwareVersion& version = runner.entry.softwareVersion;
+  const bool isVersionCertain = !mAssignedVersion || *mAssignedVersion == version;
   mAttempt = {};
   mAttempt.endpoint = aEndpoint;
-  mAttempt.endpointStartedAtMs = runner->entry.startedAtMs;
+  mAttempt.endpointStartedAtMs = runner.entry.startedAtMs;
   mAttempt.version = isVersionCertain ? version : SoftwareVersion{};
   mAttempt.startedAt = now;
+  mAttempt.lastBytesAt = now;
   mContext.runners.RecordRequestStart(aEndpoint);
   mContext.metrics.Count(isRepeat ? Counter::kRetries : Counter::kAttempts);
   mContext.log.Write("request_sent",
@@ -546,24 +538,28 @@
                        { "why", aSelectionReason },
                        { "attempt", mAttemptState.runs + mAttemptState.refusals + 1 },
                        { "waited_ms", ToMilliseconds(now - mArrivedAt) },
-                       { "entry_age_ms", ToMilliseconds(now - runner->changedAt) },
+                       { "entry_age_ms", ToMilliseconds(now - runner.changedAt) },
                        { "last_event", mLastEventId } });
-  const bool mayRepeat = mRoute->MayRepeatOrResume();
-  http::CallOptions options{
-    .address = runner->entry.address,
+  StartCall(runner);
+  if (const Duration limit = SilenceLimit(); limit > Duration::zero()) {
+    WatchForSilence(limit);
+  }
+}
+
+void RequestFlow::StartCall(const fleet::KnownRunner& aRunner)
+{
+  const Duration timeLeft = TimeLeft();
+  const http::CallOptions options{
+    .address = aRunner.entry.address,
     .request = platform::EncodeForwardedRequest(mRequest,
-                                                { .endpoint = aEndpoint,
-                                                  .timeLeft = TimeLeft(),
+                                                { .endpoint = mAttempt.endpoint,
+                                                  .timeLeft = timeLeft,
                                                   .priority = mRoute->priority,
                                                   .hasPriority = UsesModels(),
                                                   .lastEventId = mLastEventId }),
-    .reuse = mayRepeat ? http::Reuse::kAllowed : http::Reuse::kFresh,
+    .reuse = mRoute->MayRepeatOrResume() ? http::Reuse::kAllowed : http::Reuse::kFresh,
     .connectTimeout = kConnectTimeout,
-    .answerTimeout = AnswerTimeout(),
-    .bodyIdleTimeout = mAttemptState.isResumable && !mAttempt.version.empty() &&
-                           mRoute->eventGapObjective > Duration::zero()
-                         ? mRoute->eventGapObjective * kStreamTimeoutGaps
-                         : Duration::zero(),
+    .answerTimeout = timeLeft,
   };
   const auto weak = weak_from_this();
   mAttempt.call = mContext.client.Start(
@@ -607,12 +603,16 @@
   if (decodedHead.load) {
     mContext.runners.RecordLoad(BootClockNow(), mAttempt.endpoint, *decodedHead.load);
   }
+  RecordBytes();
   const bool isSuccess = aHead.status >= 200 && aHead.status < 300;
   mAttempt.isInvalid =
     !decodedHead.isNotRun && (!decodedHead.hasSignature || decodedHead.isEncoded);
   mAttempt.isStream = isSuccess && !mAttempt.isInvalid && mRoute->kind == RouteKind::kStream;
   mAttempt.head = aHead;
   mAttempt.decodedHead = std::move(decodedHead);
+  if (const Duration limit = SilenceLimit(); limit > Duration::zero()) {
+    WatchForSilence(limit); // It may be shorter than the one before the head.
+  }
   return true;
 }
 
@@ -621,6 +621,7 @@
   if (mIsEnded || mAttempt.isInvalid || mAttempt.decodedHead.isNotRun) {
     return;
   }
+  RecordBytes();
   if (!mAttempt.isStream) {
     if (mAttempt.body.size() + aBytes.size() > kBufferedAnswerLimit) {
       mAttempt.isInvalid = true;
@@ -634,8 +635,11 @@
   ForwardEvents();
   if (mResponder->unsentBytes() > kUnsentBytesLimit && mAttempt.call) {
     mAttempt.call->Pause();
+    mAttempt.isReadingPaused = true;
     mResponder->OnSendBufferEmpty([weak = weak_from_this()] {
       if (const auto self = weak.lock(); self && self->mAttempt.call) {
+        self->mAttempt.isReadingPaused = false;
+        self->mAttempt.lastBytesAt = BootClockNow();
         self->mAttempt.call->Resume();
       }
     });
@@ -734,6 +738,7 @@
   if (mIsEnded) {
     return;
   }
+  WithdrawReplacement();
   const bool isUnfinished = aResult == http::CallResult::kComplete && IsStreamUnfinished();
   if (isUnfinished) {
     aResult = http::CallResult::kBroken;
@@ -811,34 +816,40 @@
         } });
 }
 
-void RequestFlow::OnAttemptEnded(AttemptEnd aEnd, std::string_view aResult)
+void RequestFlow::RecordAttempt(AttemptEnd aEnd, std::string_view aResult)
 {
   const bool hasRun = aEnd != AttemptEnd::kNotSent && aEnd != AttemptEnd::kNotRun;
   mAttemptState.runs += hasRun ? 1 : 0;
   mAttemptState.refusals += hasRun ? 0 : 1;
   mAttemptState.timeLeft = TimeLeft();
   mAttemptState.isQuarantined = mContext.crashes.IsQuarantined(BootClockNow(), mFingerprint);
+  if (aEnd == AttemptEnd::kAnswered) {
+    return;
+  }
+  mFailedEndpoints.insert(mAttempt.endpoint);
+  mContext.log.Write("attempt_failed",
+                     { { "id", mClient.requestId },
+                       { "endpoint", mAttempt.endpoint },
+                       { "end", fleet::ToString(aEnd) },
+                       { "result", aResult },
+                       { "status", mAttempt.head ? mAttempt.head->status : 0U },
+                       { "signed", mAttempt.decodedHead.hasSignature },
+                       { "framing", FramingName() },
+                       { "unfinished_bytes", mEventSplitter.rest().size() },
+                       { "took_ms", ToMilliseconds(BootClockNow() - mAttempt.startedAt) },
+                       { "runs", mAttemptState.runs },
+                       { "refusals", mAttemptState.refusals },
+                       { "events_passed", mEventsForwarded },
+                       { "time_left_ms", ToMilliseconds(mAttemptState.timeLeft) } });
+}
+
+void RequestFlow::OnAttemptEnded(AttemptEnd aEnd, std::string_view aResult)
+{
+  RecordAttempt(aEnd, aResult);
   if (mRequest.method == "HEAD" && aEnd == AttemptEnd::kAnswered) {
     mAttempt.body.clear();
   }
   NextStep step = DecideNextStep(mAttemptState, aEnd);
-  if (aEnd != AttemptEnd::kAnswered) {
-    mFailedEndpoints.insert(mAttempt.endpoint);
-    mContext.log.Write("attempt_failed",
-                       { { "id", mClient.requestId },
-                         { "endpoint", mAttempt.endpoint },
-                         { "end", fleet::ToString(aEnd) },
-                         { "result", aResult },
-                         { "status", mAttempt.head ? mAttempt.head->status : 0U },
-                         { "signed", mAttempt.decodedHead.hasSignature },
-                         { "framing", FramingName() },
-                         { "unfinished_bytes", mEventSplitter.rest().size() },
-                         { "took_ms", ToMilliseconds(BootClockNow() - mAttempt.startedAt) },
-                         { "runs", mAttemptState.runs },
-                         { "refusals", mAttemptState.refusals },
-                         { "events_passed", mEventsForwarded },
-                         { "time_left_ms", ToMilliseconds(mAttemptState.timeLeft) } });
-  }
   // If the retry budget allows no other attempt, the client gets the endpoint's own 5xx answer.
   if (step == NextStep::kRetry && aEnd == AttemptEnd::kErrorAnswer &&
       mContext.retries.RemainingRetries(BootClockNow(), mService) < 1.0) {
@@ -880,14 +891,17 @@
 
 void RequestFlow::StopAttempt()
 {
+  WithdrawReplacement();
   if (!mAttempt.call) {
     ReleaseAssignment(fleet::AssignmentEnd::kWithdrawn);
     return;
   }
   mAttempt.call->Cancel();
   mAttempt.call.reset();
-  mContext.runners.RecordRequestEnd(
-    BootClockNow(), mAttempt.endpoint, fleet::EndpointOutcome::kCancelled);
+  mContext.runners.RecordRequestEnd(BootClockNow(),
+                                    mAttempt.endpoint,
+                                    IsSilent() ? fleet::EndpointOutcome::kFailed
+                                               : fleet::EndpointOutcome::kCancelled);
   ReleaseAssignment(fleet::AssignmentEnd::kDone);
 }
 
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -43,9 +43,12 @@
     std::unique_ptr<http::Call> call;
     std::optional<http::AnswerHead> head;
     platform::EndpointAnswer decodedHead;
-    std::string body;       ///< Of an answer that is buffered before it is forwarded.
-    bool isStream = false;  ///< The body is forwarded event by event as it arrives.
-    bool isInvalid = false; ///< The answer is unsigned, encoded or too large to be forwarded.
+    std::string body;             ///< Of an answer that is buffered before it is forwarded.
+    bool isStream = false;        ///< The body is forwarded event by event as it arrives.
+    bool isInvalid = false;       ///< The answer is unsigned, encoded or too large to be forwarded.
+    TimePoint lastBytesAt{};      ///< When the last bytes of the answer arrived, or the start.
+    bool isReadingPaused = false; ///< The client reads more slowly than the endpoint sends.
+    bool isReportedSilent = false;
   };
 
   void OnRouted();
@@ -68,6 +71,7 @@
   /* Selects an endpoint for the next attempt, through the dispatcher for requests for models. */
   void SelectEndpoint();
   void SelectByDispatcher();
+  fleet::PlacementRequest MakePlacementRequest();
   void OnPlacementReply(const fleet::PlacementReply& aReply);
   void OnRunnerAssigned(const fleet::RunnerAssigned& aAssigned);
   void SelectLocally(std::string_view aSelectionReason);
@@ -84,7 +88,35 @@
   /* Selects an endpoint again after a pause, or ends the request if it has waited too long. */
   void WaitForEndpoint();
 
+  /* Returns how an assignment of an endpoint ends to which the request cannot be sent now, or
+   * nothing if it can. The version is the dispatcher's statement (RunnerAssigned::version). */
+  std::optional<fleet::AssignmentEnd> ObstacleAt(
+    const EndpointId& aEndpoint,
+    const std::optional<SoftwareVersion>& aAssignedVersion) const;
   void SendToEndpoint(const EndpointId& aEndpoint, std::string_view aSelectionReason);
+  void StartCall(const fleet::KnownRunner& aRunner);
+
+  // request_silence.cpp
+  /* Returns the time without bytes after which the request looks for another endpoint, or 0 if it
+   * never does. */
+  Duration SilenceLimit() const;
+  Duration TimeWithoutBytes() const;
+  bool IsSilent() const;
+  /* Calls OnSilenceTimer() after a time, in place of an earlier call. */
+  void WatchForSilence(Duration aTime);
+  void OnSilenceTimer();
+  /* Looks for another endpoint while the attempt at the silent one goes on. */
+  void RequestReplacement();
+  void OnReplacementReply(const fleet::PlacementReply& aReply);
+  void ReplaceLocally();
+  /* Ends the attempt at the silent endpoint and sends the request to another one, by the
+   * dispatcher's assignment if there is one. */
+  void MoveAttempt(const EndpointId& aEndpoint,
+                   const std::optional<fleet::PlacementRequestId>& aPlacementId,
+                   const std::optional<SoftwareVersion>& aAssignedVersion);
+  void WithdrawReplacement();
+  /* Records that bytes of the answer have arrived. */
+  void RecordBytes();
   /* Passes on what an answer states about the endpoint itself. */
   void ReportAnswer(const platform::EndpointAnswer& aAnswer);
   /* Takes the head of the endpoint's answer. Returns false, which skips the answer, if it belongs
@@ -95,6 +127,8 @@
   bool IsStreamUnfinished() const;
   /* Classifies the attempt that has just ended. */
   fleet::AttemptEnd ClassifyAttempt(http::CallResult aResult) const;
+  /* Counts and logs an attempt that has ended. */
+  void RecordAttempt(fleet::AttemptEnd aEnd, std::string_view aResult);
   /* Decides what follows an attempt: another one, the answer, or a failure. */
   void OnAttemptEnded(fleet::AttemptEnd aEnd, std::string_view aResult);
   void ReleaseAssignment(fleet::AssignmentEnd aEnd);
@@ -116,7 +150,6 @@
   void OnDeadline();
   void StopAttempt();
   Duration TimeLeft() const;
-  Duration AnswerTimeout() const;
   Duration ClientTimeout() const;
   bool UsesModels() const { return mClient.work.has_value(); }
   bool IsResumedByClient() const
@@ -143,6 +176,7 @@
   TimePoint mDeadline{};
   boost::asio::steady_timer mDeadlineTimer;
   boost::asio::steady_timer mWaitTimer;
+  boost::asio::steady_timer mSilenceTimer;
   fleet::AttemptState mAttemptState;
   Attempt mAttempt;
   std::set<EndpointId> mFailedEndpoints;
@@ -152,6 +186,8 @@
   std::optional<SoftwareVersion> mAssignedVersion;
   /* Id of the pending placement request or of the assignment in use. */
   std::optional<fleet::PlacementRequestId> mPlacementId;
+  /* Id of the pending placement request for an endpoint in place of a silent one. */
+  std::optional<fleet::PlacementRequestId> mReplacementId;
   EventSplitter mEventSplitter;
   std::string mLastEventId; ///< Last event id that was forwarded to the client.
   std::uint32_t mEventsForwarded = 0;
--- a/tests/fleet/fleet_parts_test.cpp
+++ b/tests/fleet/fleet_parts_test.cpp
@@ -10,6 +10,7 @@
 
 #include <doctest/doctest.h>
 
+#include <functional>
 #include <vector>
 
 using namespace rhubarbtrail;
@@ -113,6 +114,29 @@
   }
 }
 
+// Guards against giving up an answer that a silent endpoint would still finish, for an attempt that
+// must not be made.
+TEST_CASE("a request leaves a silent endpoint only for an attempt that may be made")
+{
+  const AttemptState resumable{
+    .maxAttempts = 2, .kind = RouteKind::kStream, .isResumable = true, .timeLeft = 1s
+  };
+  CHECK(MayMoveAttempt(resumable));
+  for (const auto& change : std::vector<std::function<void(AttemptState&)>>{
+         [](auto& s) { s.runs = 1; }, // The attempt at the silent endpoint is the last one.
+         [](auto& s) { s.isResumable = false; },
+         [](auto& s) { s.isQuarantined = true; },
+         [](auto& s) { s.timeLeft = 10ms; },
+         [](auto& s) {
+           s.kind = RouteKind::kNonIdempotent;
+           s.isResumable = false;
+         } }) {
+    AttemptState state = resumable;
+    change(state);
+    CHECK_FALSE(MayMoveAttempt(state));
+  }
+}
+
 // A refusal tells the client that its request has not run, so the client may send it again. After a
 // false refusal, the request could run twice.
 TEST_CASE("a request is refused only if no attempt may have run")
