Fix: [Http] Let a client read nothing for ten seconds

A client that read nothing for two seconds while an answer filled the socket's buffers lost its connection: the user timeout that finds dead connections to endpoints, the store and daemons also ran for clients, and the kernel applies it to a receive window that stays full as well. Connections of clients now have a limit of their own; dead idle ones are still found by keep-alive probes.

test_edge_does_not_take_a_slow_client_for_a_silent_endpoint (a pause of 3 s before 12 MB of events) failed with "client_gone" before and passes now.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -121,7 +121,8 @@
 
   void Start()
   {
-    SetSocketOptions(mSocket); // If the socket is broken already, the first read fails.
+    SetSocketOptions(
+      mSocket, kClientUserTimeoutMs); // If the socket is broken already, the first read fails.
     SetTimer(mServer->limits.idleTimeout);
     WaitForBytes();
   }
--- a/src/http/socket_options.cpp
+++ b/src/http/socket_options.cpp
@@ -9,7 +9,7 @@
 
 namespace rhubarbtrail::http {
 
-void SetSocketOptions(boost::asio::ip::tcp::socket& aSocket)
+void SetSocketOptions(boost::asio::ip::tcp::socket& aSocket, int aUserTimeoutMs)
 {
   // Errors are ignored: a connection without one of the options still works.
   const int handle = aSocket.native_handle();
@@ -19,7 +19,7 @@
   setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepAliveIdleS, sizeof(int));
   setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &kKeepAliveIntervalS, sizeof(int));
   setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveProbeCount, sizeof(int));
-  setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs, sizeof(int));
+  setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &aUserTimeoutMs, sizeof(aUserTimeoutMs));
 }
 
 std::optional<boost::asio::ip::tcp::endpoint> ParseSocketAddress(const std::string& aAddress)
--- a/src/http/socket_options.h
+++ b/src/http/socket_options.h
@@ -14,6 +14,9 @@
  * unanswered, for this time (TCP_USER_TIMEOUT). It is shorter than the 3 s for which a daemon may
  * be out of contact. */
 constexpr int kUserTimeoutMs = 2'000;
+/* The same for connections of clients, which also counts the time for which a client reads nothing
+ * although its receive window is full. */
+constexpr int kClientUserTimeoutMs = 10'000;
 /* TCP keep-alive: idle time before the first probe and interval between probes, in seconds, and
  * number of probes. */
 constexpr int kKeepAliveIdleS = 1;
@@ -23,7 +26,7 @@
 /* Sets the options of an open socket, connected or not: no delay, keep-alive and user timeout. The
  * keep-alive probes find connections that a firewall or another device on the path has dropped
  * without telling either end. */
-void SetSocketOptions(boost::asio::ip::tcp::socket& aSocket);
+void SetSocketOptions(boost::asio::ip::tcp::socket& aSocket, int aUserTimeoutMs = kUserTimeoutMs);
 
 /* Parses "IP:port". Returns nothing if the text is not valid; host names are not resolved. */
 std::optional<boost::asio::ip::tcp::endpoint> ParseSocketAddress(const std::string& aAddress);
