--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <limits>
 #include <map>
 #include <optional>
 #include <utility>
@@ -135,7 +136,7 @@
     mAnswerDeadline = asio::steady_timer::clock_type::now() + aOptions.answerTimeout;
     mHasAnswerHead = false;
     mSkippedAnswers = 0;
-    mIsPaused = false;
+    mPausedSelf.reset();
     ResetParser();
     if (mState == State::kIdle) {
       mState = State::kCalling;
@@ -164,11 +165,11 @@
     Close();
   }
 
-  void Pause() { mIsPaused = true; }
+  void Pause() { mPausedSelf = shared_from_this(); }
 
   void Resume()
   {
-    if (std::exchange(mIsPaused, false)) {
+    if (const auto self = std::exchange(mPausedSelf, nullptr)) {
       WaitForBytes();
     }
   }
@@ -185,6 +186,10 @@
     error_code ignored; // Errors are harmless here: the endpoint may have closed first.
     mTimer.cancel(ignored);
     mSocket.close(ignored);
+    if (mPausedSelf) {
+      // Released by the event loop, since the caller may still use this object.
+      asio::post(mClient->context, [self = std::exchange(mPausedSelf, nullptr)] {});
+    }
   }
 
   /* Keeps the connection open without a call for at most aTime. The read notices when the endpoint
@@ -212,7 +217,8 @@
     mParser.emplace();
     mParser->eager(true);
     mParser->header_limit(kMaxHeadBytes);
-    mParser->body_limit(boost::none);
+    // Not boost::none: Beast 1.74 then rejects a head with a Content-Length that arrives alone.
+    mParser->body_limit(std::numeric_limits<std::uint64_t>::max());
     mParser->skip(mIsHeadRequest);
   }
 
@@ -266,7 +272,7 @@
 
   void WaitForBytes()
   {
-    if (!mIsPaused && mState != State::kClosed) {
+    if (!mPausedSelf && mState != State::kClosed) {
       mReader.Read(shared_from_this(),
                    [this](error_code aError, std::string_view aBytes) { OnBytes(aError, aBytes); });
     }
@@ -461,7 +467,8 @@
   bool mHasAnswerHead = false;    ///< The head of a final answer was received.
   bool mIsSkippingAnswer = false; ///< The current answer belongs to another request.
   int mSkippedAnswers = 0;        ///< Answers to other requests that the call has skipped.
-  bool mIsPaused = false;
+  /* Set while reading is paused: no pending read or timer keeps the connection alive then. */
+  std::shared_ptr<ClientConnection> mPausedSelf;
   bool mIsWriting = false;
 };
 
