Fix: [Http] Pause reading instead of closing when a client sends ahead

A client that sent the next request, with a body of over 64 KiB, while its former one was being answered lost that answer: the connection was closed at the limit on bytes sent ahead. Now the server reads no more until the answer is complete. Meanwhile it notices the client's close only when it writes.

The new case fails before (the answer in progress ends) and passes now.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -26,8 +26,8 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-/* Largest number of bytes of following requests that a connection may send while a request is being
- * answered. A connection that sends more is closed. */
+/* When this many bytes of following requests have arrived while a request is being answered,
+ * reading is paused until it is answered. */
 constexpr std::size_t kMaxPipelinedBytes = 64U << 10U;
 /* Time for which a closing connection waits for the client to close its side. Closing at once while
  * bytes of the client are unread would send a reset, which can destroy an answer that the client
@@ -214,6 +214,10 @@
     error_code ignored; // Errors are harmless: the socket may be closed or reset already.
     mTimer.cancel(ignored);
     mSocket.close(ignored);
+    if (mPausedSelf) {
+      // Released by the event loop, since the caller may still use this object.
+      asio::post(mServer->context, [self = std::exchange(mPausedSelf, nullptr)] {});
+    }
     if (wasAnswering) {
       --mServer->counts.openRequests;
       auto onClosed = std::move(mOnClosed);
@@ -246,6 +250,7 @@
     if (mState != State::kClosed) {
       mReader.Read(shared_from_this(),
                    [this](error_code aError, std::string_view aBytes) { OnBytes(aError, aBytes); });
+      mPausedSelf.reset();
     }
   }
 
@@ -269,7 +274,7 @@
     mReceiveBuffer.append(aBytes);
     ParseRequest();
     if (mState == State::kAnswering && mReceiveBuffer.size() > kMaxPipelinedBytes) {
-      Close();
+      mPausedSelf = shared_from_this();
       return;
     }
     WaitForBytes();
@@ -451,6 +456,8 @@
   bool mKeepsConnection = true;
   bool mIsWriting = false;
   bool mIsAborted = false;
+  /* Set while reading is paused: no pending read or timer keeps the connection alive then. */
+  std::shared_ptr<ServerConnection> mPausedSelf;
   Framing mFraming = Framing::kNone;
   std::string mReceiveBuffer; ///< Received and not parsed yet.
   std::string mSendQueue;     ///< To be written after mSendBuffer.
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -271,6 +271,34 @@
   CHECK(fixture.requests[1].target == "/2");
 }
 
+/* Guards against losing an answer in progress because its client has sent the next request, with a
+ * large body, in advance. */
+TEST_CASE("a large pipelined request does not end the answer before it")
+{
+  ServerFixture fixture;
+  auto socket = fixture.Connect();
+  const std::string body(500'000, 'x');
+  std::string requests = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+  for (const char* target : { "/2", "/3" }) {
+    requests += std::string{ "POST " } + target +
+                " HTTP/1.1\r\nHost: h\r\nContent-Length: 500000\r\n\r\n" + body;
+  }
+  bool isSent = false;
+  asio::async_write(*socket,
+                    asio::buffer(requests),
+                    [&](boost::system::error_code aError, std::size_t) { isSent = !aError; });
+  REQUIRE(RunUntil(fixture.loop, [&] { return fixture.requests.size() == 1; }));
+  fixture.loop.run_for(std::chrono::milliseconds{ 100 }); // More arrives than the server takes.
+  CHECK(fixture.disconnectCount == 0);
+  for (std::size_t number = 0; number < 3; ++number) {
+    REQUIRE(RunUntil(fixture.loop, [&] { return fixture.requests.size() == number + 1; }));
+    fixture.responders[number]->Send({ .status = 200, .reason = "OK" }, "answer");
+  }
+  CHECK(isSent);
+  CHECK(fixture.requests[2].target == "/3");
+  CHECK(fixture.requests[2].body == body);
+}
+
 /* Guards against a server in which each idle connection occupies a thread or another resource that
  * a new connection needs. */
 TEST_CASE("a new connection is served while many connections are idle")
