Fix: [Http] Answer a request that arrived before its connection was told to close

A request that a client had sent ahead was dropped when the daemon began to stop: the answer before it said "Connection: close", although the next request was already in the receive buffer. Such a connection now closes after the answer to the last request that has arrived.

The new case fails before (the second request is never delivered) and passes now.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -139,8 +139,10 @@
   void SendHead(const AnswerHead& aHead)
   {
     mFraming = aHead.framing;
+    // A request that has arrived already is answered too, whatever the client does after a close.
+    const bool isDraining = mServer->isDraining && mReceiveBuffer.empty();
     const bool keepsConnection =
-      mKeepsConnection && !mServer->isDraining && aHead.framing != Framing::kUntilClose;
+      mKeepsConnection && !isDraining && aHead.framing != Framing::kUntilClose;
     mKeepsConnection = keepsConnection;
     Write(Serialize(aHead, keepsConnection));
   }
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -106,8 +106,8 @@
    * string on success. */
   std::string Listen();
   void SetLimits(const ServerLimits& aLimits);
-  /* Makes every connection close after the next answer whose head is sent. New connections are
-   * still accepted. */
+  /* Makes every connection close after the next answer whose head is sent while no following
+   * request has arrived. New connections are still accepted. */
   void Drain();
   /* Closes the connections on which no request has started to arrive. */
   void CloseIdle();
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -299,6 +299,30 @@
   CHECK(fixture.requests[2].body == body);
 }
 
+/* Guards against losing a request that has arrived before its connection is told to close. */
+TEST_CASE("a draining server answers a request that it has already received")
+{
+  ServerFixture fixture;
+  auto socket = fixture.Connect();
+  const std::string firstRequest = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+  asio::write(*socket, asio::buffer(firstRequest + "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n"));
+  REQUIRE(RunUntil(fixture.loop, [&] { return fixture.requests.size() == 1; }));
+  fixture.server.Drain();
+  fixture.responders[0]->Send({ .status = 200, .reason = "OK" }, "first");
+  REQUIRE(RunUntil(fixture.loop, [&] { return fixture.requests.size() == 2; }));
+  fixture.responders[1]->Send({ .status = 200, .reason = "OK" }, "second");
+  std::string answers;
+  bool isClosed = false;
+  asio::async_read(*socket,
+                   asio::dynamic_buffer(answers),
+                   [&](boost::system::error_code, std::size_t) { isClosed = true; });
+  REQUIRE(RunUntil(fixture.loop, [&] { return isClosed; }));
+  const auto second = answers.rfind("HTTP/1.1");
+  CHECK(answers.substr(0, second).find("Connection: close") == std::string::npos);
+  CHECK(answers.find("Connection: close", second) != std::string::npos);
+  CHECK(answers.ends_with("second"));
+}
+
 /* Guards against a server in which each idle connection occupies a thread or another resource that
  * a new connection needs. */
 TEST_CASE("a new connection is served while many connections are idle")
