Fix: [Http] Apply a longer idle limit to connections that are idle already

After a change of the configuration that raised the idle limit, connections were still closed by the former one. A client that knows the new limit sends its next request on such a connection, and it crosses the close. When its timer fires, an idle connection now stays open until the limit in force.

The new case fails before (closed after 200 ms instead of 1,000) and passes now.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -123,7 +123,7 @@
   {
     SetSocketOptions(
       mSocket, kClientUserTimeoutMs); // If the socket is broken already, the first read fails.
-    SetTimer(mServer->limits.idleTimeout);
+    BecomeIdle();
     WaitForBytes();
   }
 
@@ -176,7 +176,7 @@
       return;
     }
     mState = State::kReading;
-    SetTimer(mServer->limits.idleTimeout);
+    BecomeIdle();
     // Posted to the event loop, so that the caller of Finish() returns before the next request
     // starts.
     asio::post(mServer->context, [self = shared_from_this()] {
@@ -247,6 +247,12 @@
     mOnSendBufferEmpty = nullptr;
   }
 
+  void BecomeIdle()
+  {
+    mIdleSince = asio::steady_timer::clock_type::now();
+    SetTimer(mServer->limits.idleTimeout);
+  }
+
   void WaitForBytes()
   {
     if (mState != State::kClosed) {
@@ -445,6 +451,12 @@
       Reject(408);
       return;
     }
+    const auto idleTime = asio::steady_timer::clock_type::now() - mIdleSince;
+    if (mState == State::kReading && idleTime < mServer->limits.idleTimeout) {
+      // The limit was raised after the timer had been set.
+      SetTimer(std::chrono::duration_cast<Duration>(mServer->limits.idleTimeout - idleTime) + 1ms);
+      return;
+    }
     Close();
   }
 
@@ -452,6 +464,7 @@
   tcp::socket mSocket;
   SocketReader mReader{ mSocket };
   asio::steady_timer mTimer;
+  asio::steady_timer::time_point mIdleSince; ///< Since when no request is in progress.
   State mState = State::kReading;
   std::optional<Parser> mParser;
   bool mHasRequestHead = false;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -52,7 +52,8 @@
 };
 
 /* Limits on what clients may send. They may be changed while connections are open and then apply
- * from the next request on each connection, and from the next time limit that starts. */
+ * from the next request on each connection, and from the next time limit that starts. A longer idle
+ * timeout also applies to connections that are idle already. */
 struct ServerLimits
 {
   std::size_t headerBytes = 16U << 10U; ///< Size of the head of a request.
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -323,6 +323,20 @@
   CHECK(answers.ends_with("second"));
 }
 
+/* Guards against closing a connection by a limit that no longer holds, while a client that knows
+ * the new one sends its next request. */
+TEST_CASE("a longer idle limit holds for connections that are idle already")
+{
+  ServerFixture fixture;
+  fixture.server.SetLimits({ .idleTimeout = 200ms });
+  auto socket = fixture.Connect();
+  REQUIRE(RunUntil(fixture.loop, [&] { return fixture.server.counts().connections == 1; }));
+  fixture.server.SetLimits({ .idleTimeout = 1'000ms });
+  fixture.loop.run_for(std::chrono::milliseconds{ 600 });
+  CHECK(fixture.server.counts().connections == 1);
+  CHECK(RunUntil(fixture.loop, [&] { return fixture.server.counts().connections == 0; }));
+}
+
 /* Guards against a server in which each idle connection occupies a thread or another resource that
  * a new connection needs. */
 TEST_CASE("a new connection is served while many connections are idle")
