--- a/tests/edge/soak.py
+++ b/tests/edge/soak.py
@@ -1,12 +1,16 @@
 """Randomized soak test of edge daemons: clients send requests while faults are injected.
 
     python3 tests/edge/soak.py --seed 1 --seconds 30
+    python3 tests/edge/soak.py --seed 1 --seconds 30 --sound
 
 Two threads inject one fault after the other, so that up to two faults overlap. At the end the
 answers, the orders that endpoints got and the number of models that each runner held are checked
 against the guarantees of the daemon, and each daemon must answer every kind of request. Both
 threads draw from one generator that starts from the seed, so which of them injects a fault depends
 on the timing, and two runs with one seed may differ.
+
+With --sound, endpoints only fall silent for a while, and daemons are only reconfigured, reloaded and
+stopped gracefully: then no request that has reached an endpoint may end without its answer.
 """
 
 from __future__ import annotations
@@ -25,18 +29,21 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent))
 
 from edge_cluster import Daemon, EdgeCluster, Result, resume  # noqa: E402
-from standin import StreamFraming  # noqa: E402
+from standin import EVENT_COUNT, Silence, SilentAt, StreamFraming  # noqa: E402
 
 KINDS = ("chat", "draft", "pay", "check")
 VERSIONS = ("v1", "v2")  # Software versions of the endpoints.
 RECOVERY_S = 12.0  # Time after the last fault until each daemon must answer every kind of request.
 # Minimum time between orders of two holders, as lease_spacing in edge_cluster.
 MIN_HOLDER_SPACING_S = 1.0
+SOUND_TIMEOUT_S = 8.0  # Time limit of each request with --sound.
+# Grace period of the daemons with --sound, longer than any request.
+SOUND_GRACE_S = 12.0
 
 
 class Soak:
-    def __init__(self, cluster: EdgeCluster, seed: int) -> None:
-        self.cluster, self.random = cluster, random.Random(seed)
+    def __init__(self, cluster: EdgeCluster, seed: int, is_sound: bool = False) -> None:
+        self.cluster, self.random, self.is_sound = cluster, random.Random(seed), is_sound
         self.results: list[Result] = []
         self.is_over = threading.Event()
         self.resumed: Counter[str] = Counter()
@@ -49,7 +56,9 @@
             daemon = client_random.choice(self.cluster.daemons)
             kind = client_random.choice(KINDS)
             model = f"m{min(client_random.randrange(6), client_random.randrange(6))}"
-            result = daemon.send(kind, model, timeout_s=client_random.choice((1.0, 3.0, 8.0)))
+            timeout_s = client_random.choice((1.0, 3.0, 8.0))
+            result = daemon.send(kind, model,
+                                 timeout_s=SOUND_TIMEOUT_S if self.is_sound else timeout_s)
             self.results.append(result)
             if kind == "chat" and result.status == 0 and result.event_ids:
                 self.resume(client_random.choice(self.cluster.daemons), result, model)
@@ -107,6 +116,11 @@
             daemon.popen.wait(20)
             daemon.start()
 
+        def reload_and_stop_daemon(daemon: Daemon) -> None:
+            daemon.signal(signal.SIGHUP)
+            platform.configure()
+            restart_daemon(daemon)
+
         def freeze_daemon(daemon: Daemon) -> None:
             daemon.signal(signal.SIGSTOP)
             time.sleep(fault_duration_s())
@@ -129,6 +143,16 @@
             leaving.faults.leaving_value = ""
             platform.run_coroutine(leaving.crash(fault_duration_s()))
 
+        def all_endpoints_silent() -> None:
+            """Lets all endpoints fall silent for a while at a random point of each answer."""
+            silence = Silence(choose(list(SilentAt)), self.random.uniform(0.2, 1.9),
+                              after_events=self.random.randrange(EVENT_COUNT))
+            for each in platform.endpoints.values():
+                each.faults.silence = silence
+            time.sleep(fault_duration_s())
+            for each in platform.endpoints.values():
+                each.faults.silence = None
+
         def drain_endpoint() -> None:
             leaving = endpoint()
             hold_fault(lambda: (setattr(leaving, "state", "draining"), leaving.announce()),
@@ -154,6 +178,15 @@
         def configure() -> None:
             platform.configure()
 
+        def change_configuration() -> None:
+            for _ in range(self.random.randrange(1, 4)):
+                platform.configure(every_route={"timeoutMs": choose((8000, 9000))},
+                                   limits={"idleTimeoutMs": choose((2000, 15000))})
+                time.sleep(self.random.uniform(0.0, 0.3))
+
+        if self.is_sound:
+            return [all_endpoints_silent, all_endpoints_silent, change_configuration, reload_daemon,
+                    exclusively(reload_and_stop_daemon)]
         return [endpoint_fault("delays_answers", True, False),
                 endpoint_fault("lost_answers", 5, 0),
                 endpoint_fault("cut_after_events", 2, None),
@@ -163,7 +196,8 @@
                 endpoint_fault("refuses_all", True, False),
                 endpoint_fault("answers_500", True, False),
                 exclusively(kill_daemon), exclusively(restart_daemon), exclusively(freeze_daemon),
-                announce_leaving, reload_daemon, crash_endpoint, drain_endpoint, store_down, store_slow,
+                announce_leaving, reload_daemon, crash_endpoint, all_endpoints_silent,
+                drain_endpoint, store_down, store_slow,
                 store_loses_answers, store_forgets, store_comes_back_from_older_copy, configure]
 
     def run(self, seconds: float, clients: int) -> list[str]:
@@ -195,6 +229,11 @@
         cluster = self.cluster
         violations = [violation for violation in map(cluster.find_violation, self.results)
                       if violation]
+        if self.is_sound:
+            violations += [f"{r.kind} {r.id} ran and ended with {r.status} after {r.duration_s:.1f} s"
+                           for r in self.results
+                           if r.status in (0, 502, 504) and r.duration_s < 0.9 * SOUND_TIMEOUT_S
+                           and cluster.run_count(r) > 0]
         for endpoint in cluster.platform.endpoints.values():
             if endpoint.max_loaded_models > cluster.platform.models_per_runner:
                 violations.append(f"{endpoint.id} held {endpoint.max_loaded_models} models")
@@ -232,10 +271,12 @@
     arguments.add_argument("--seconds", type=float, default=20.0)
     arguments.add_argument("--daemons", type=int, default=3)
     arguments.add_argument("--clients", type=int, default=8)
+    arguments.add_argument("--sound", action="store_true")
     options = arguments.parse_args()
     print(f"seed {options.seed}, {options.daemons} daemons, {options.seconds} s", flush=True)
-    with EdgeCluster(daemons=options.daemons, runners=3, plain=2) as cluster:
-        soak = Soak(cluster, options.seed)
+    grace_s = SOUND_GRACE_S if options.sound else 4.0
+    with EdgeCluster(daemons=options.daemons, grace_s=grace_s, runners=3, plain=2) as cluster:
+        soak = Soak(cluster, options.seed, options.sound)
         violations = soak.run(options.seconds, options.clients)
     for line in violations:
         print(f"BROKEN: {line}")
--- a/tests/edge/test_silence.py
+++ b/tests/edge/test_silence.py
@@ -61,11 +61,13 @@
 
 def test_edge_waits_for_a_silent_endpoint_when_it_may_not_repeat() -> None:
     """Lets endpoints fall silent while the daemon has no retry left to spend."""
-    with EdgeCluster(daemons=1, models=2, retry_slack=0) as cluster:
+    with EdgeCluster(daemons=1, models=2, retry_slack=0, retry_ratio=0.0) as cluster:
         for at in SilentAt:
             fall_silent(cluster, Silence(at, SILENCE_S), "llm")
             fall_silent(cluster, Silence(at, 0.8), "plain")
-            check_all_complete(cluster, send_at_once(cluster, STREAMS + PLAIN), at)
+            results = send_at_once(cluster, STREAMS + PLAIN)
+            check_all_complete(cluster, results, at)
+            assert all(cluster.run_count(result) == 1 for result in results), (at, results)
 
 
 def test_edge_waits_for_a_silent_endpoint_when_there_is_no_other() -> None:
@@ -82,15 +84,19 @@
 
     A stream that may be resumed goes on at the other runner, without a gap and without a copy.
     """
-    with EdgeCluster(models=2) as cluster:
-        for at in (SilentAt.AFTER_HEAD, SilentAt.BETWEEN_EVENTS, SilentAt.INSIDE_EVENT):
+    for at in (SilentAt.AFTER_HEAD, SilentAt.BETWEEN_EVENTS, SilentAt.INSIDE_EVENT):
+        with EdgeCluster(models=2) as cluster:
             cluster.platform.endpoints["r0"].faults.silence = Silence(at, 20.0)
             results = send_at_once(cluster, ("chat",))
             check_all_complete(cluster, results, at)
+            moved = [result for result in results if cluster.run_count(result) > 1]
+            assert moved, (at, "no stream began at the silent runner")
             assert all(result.duration_s < 6.0 for result in results), (at, results)
+    with EdgeCluster(models=2) as cluster:
         cluster.platform.endpoints["p0"].faults.silence = Silence(SilentAt.BEFORE_HEAD, 20.0)
         results = send_at_once(cluster, ("check",), timeout_s=4.0)
         check_all_complete(cluster, results, "check")
+        assert any(cluster.run_count(result) > 1 for result in results), results
         assert all(result.duration_s < 2.0 for result in results), results
 
 
