Fix: [Gateway] Count a request from its first byte, not from when its connection is free

A request that a client sent ahead on its connection waited behind an answer whose endpoint was silent, and was then handled as if it had just come: it was sent to an endpoint after its deadline, with a time limit that its client no longer had, and it got 404 if its route had been removed meanwhile, although the route was there when it was sent.

--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -498,7 +498,10 @@
                               .bodyBytes = decoded->limits.bodyBytes,
                               .headerTimeout = decoded->limits.headerTimeout,
                               .idleTimeout = decoded->limits.idleTimeout });
-    mGateway.configuration = std::make_shared<const fleet::FleetConfiguration>(std::move(*decoded));
+    mGateway.formerConfiguration =
+      std::exchange(mGateway.configuration,
+                    std::make_shared<const fleet::FleetConfiguration>(std::move(*decoded)));
+    mGateway.configurationAppliedAt = BootClockNow();
     mDispatcher.SetConfiguration(mGateway.configuration);
     mMember.OnDispatcherInputChanged();
     mMember.RelayTableChanges({ .table = aRow.table });
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -48,6 +48,9 @@
   std::function<bool()> areRunnersCurrent;
 
   std::shared_ptr<const fleet::FleetConfiguration> configuration; ///< Null until the first is read.
+  /* The one before it, for requests that arrived before the present one was applied. */
+  std::shared_ptr<const fleet::FleetConfiguration> formerConfiguration;
+  TimePoint configurationAppliedAt{};
   fleet::RetryShare retries;
   fleet::CrashGuard crashes;
   std::uint64_t nextPlacementNumber = 1;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -106,7 +106,7 @@
   : mContext(aContext)
   , mRequest(std::move(aRequest))
   , mResponder(std::move(aResponder))
-  , mArrivedAt(BootClockNow())
+  , mArrivedAt(BootClockNow() - mRequest.age)
   , mLastProgressAt(mArrivedAt)
   , mDeadlineTimer(aContext.loop)
   , mWaitTimer(aContext.loop)
@@ -152,6 +152,11 @@
   }
   const auto host = HostWithoutPort(http::Find(mRequest.fields, "Host").value_or(""));
   mRoute = mConfiguration->Match(host, PathOf(mRequest.target));
+  if (mRoute == nullptr && mContext.formerConfiguration &&
+      mArrivedAt < mContext.configurationAppliedAt) {
+    mConfiguration = mContext.formerConfiguration;
+    mRoute = mConfiguration->Match(host, PathOf(mRequest.target));
+  }
   if (mRoute == nullptr) {
     aReason = "no route matches";
     aCode = ResultCode::kServiceUnknown;
@@ -183,9 +188,9 @@
   mAttemptState = { .maxAttempts = mRoute->maxAttempts,
                     .kind = mRoute->kind,
                     .isResumable = mRoute->kind == RouteKind::kStream && mRoute->isResumable };
-  mContext.retries.RecordRequest(mArrivedAt, mService);
+  mContext.retries.RecordRequest(BootClockNow(), mService);
   mResponder->OnClosed([self = shared_from_this()] { self->OnClientGone(); });
-  mDeadlineTimer.expires_after(timeLeft);
+  mDeadlineTimer.expires_after(TimeLeft());
   mDeadlineTimer.async_wait([self = shared_from_this()](boost::system::error_code aError) {
     if (!aError) {
       self->OnDeadline();
@@ -201,7 +206,9 @@
                        { "resumes", mClient.resumedRequestId },
                        { "time_left_ms", ToMilliseconds(timeLeft) },
                        { "config_version", mConfiguration->version.value } });
-  if (!RefuseImpossibleResume()) {
+  if (TimeLeft() <= Duration::zero()) {
+    OnDeadline(); // It was sent ahead, and the answer before it took too long.
+  } else if (!RefuseImpossibleResume()) {
     SelectEndpoint();
   }
 }
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -64,7 +64,8 @@
   Request request{ .method = text(aMessage.method_string()),
                    .target = text(aMessage.target()),
                    .fields = {},
-                   .body = std::move(aMessage.body()) };
+                   .body = std::move(aMessage.body()),
+                   .age = {} };
   for (const auto& item : aMessage) {
     request.fields.push_back({ text(item.name_string()), text(item.value()) });
   }
@@ -279,6 +280,10 @@
       WaitForBytes(); // Bytes received after the last answer are discarded.
       return;
     }
+    mLastBytesAt = asio::steady_timer::clock_type::now();
+    if (mReceiveBuffer.empty() && !mParser) {
+      mFirstByteAt = mLastBytesAt;
+    }
     mReceiveBuffer.append(aBytes);
     ParseRequest();
     if (mState == State::kAnswering && mReceiveBuffer.size() > kMaxPipelinedBytes) {
@@ -319,6 +324,9 @@
     }
     mKeepsConnection = mParser->keep_alive();
     Request request = ToRequest(mParser->get());
+    request.age =
+      std::chrono::duration_cast<Duration>(asio::steady_timer::clock_type::now() - mFirstByteAt);
+    mFirstByteAt = mLastBytesAt; // The earliest time known of the bytes that are left.
     mParser.reset();
     if (mReceiveBuffer.empty()) {
       mReceiveBuffer.shrink_to_fit();
@@ -464,6 +472,8 @@
   tcp::socket mSocket;
   SocketReader mReader{ mSocket };
   asio::steady_timer mTimer;
+  asio::steady_timer::time_point mFirstByteAt; ///< Of the request that is being received or waits.
+  asio::steady_timer::time_point mLastBytesAt;
   asio::steady_timer::time_point mIdleSince; ///< Since when no request is in progress.
   State mState = State::kReading;
   std::optional<Parser> mParser;
--- a/src/http/http_type.h
+++ b/src/http/http_type.h
@@ -2,6 +2,8 @@
 #ifndef RHUBARBTRAIL_HTTP_HTTP_TYPE_H
 #define RHUBARBTRAIL_HTTP_HTTP_TYPE_H
 
+#include "core/unit_type.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -36,6 +38,9 @@
   std::string target; ///< Path and query.
   Fields fields;
   std::string body;
+  /* For a received request: time from the arrival of its first byte until it is handled. It
+   * includes the time for which it waited behind other requests on its connection. */
+  Duration age{};
 };
 
 /* How the end of a body is marked. */
