Fix: [Gateway] Count the wait for an endpoint from when it begins

A request whose first attempt took long got 502 although an endpoint was free again a moment later: the time for which it may wait for an endpoint was counted from its arrival, so after any long attempt the wait was over before it began.

test_edge_waits_for_an_endpoint_after_a_long_attempt failed before (502 after 0.7 s) and passes now.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -24,7 +24,7 @@
 constexpr Duration kSelectionInterval = 40ms;
 /* A request waits for an available endpoint for this fraction (1 / kEndpointWaitDivisor) of the
  * time between its arrival, or its last event, and its deadline, and of twice the time after which
- * the client of a stream without events gives up. */
+ * the client of a stream without events gives up. Each attempt may be followed by such a wait. */
 constexpr int kEndpointWaitDivisor = 3;
 /* Retry time sent to clients when no better estimate is available. */
 constexpr Duration kDefaultRetryAfter = 500ms;
@@ -468,8 +468,9 @@
   const Duration patience = mRoute->kind == RouteKind::kStream
                               ? std::min(mDeadline - mLastProgressAt, ClientTimeout() * 2)
                               : mDeadline - mLastProgressAt;
-  const Duration maxWait = patience / kEndpointWaitDivisor;
-  if (now - mLastProgressAt >= maxWait) {
+  const TimePoint waitStart = mWaitStartedAt.value_or(now);
+  mWaitStartedAt = waitStart;
+  if (now - waitStart >= patience / kEndpointWaitDivisor) {
     if (mAttemptState.runs == 0) {
       Refuse(ResultCode::kEndpointUnavailable, kDefaultRetryAfter, "no_endpoint");
     } else {
@@ -530,6 +531,7 @@
     return;
   }
   const fleet::KnownRunner& runner = *mContext.runners.Find(aEndpoint);
+  mWaitStartedAt.reset();
   mAttempt = BeginAttempt(runner, mAssignedVersion, aSelectionReason);
   StartCall(
     mAttempt, runner, mRoute->MayRepeatOrResume() ? http::Reuse::kAllowed : http::Reuse::kFresh);
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -198,6 +198,7 @@
   TimePoint
     mLastProgressAt{}; ///< When the last event was forwarded; before the first, the arrival.
   TimePoint mDeadline{};
+  std::optional<TimePoint> mWaitStartedAt; ///< Set while the request waits for an endpoint.
   boost::asio::steady_timer mDeadlineTimer;
   boost::asio::steady_timer mWaitTimer;
   boost::asio::steady_timer mSilenceTimer;
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -84,6 +84,21 @@
         assert sorted(cluster.run_count(result) for result in results)[-2:] == [1, 2]
 
 
+def test_edge_waits_for_an_endpoint_after_a_long_attempt() -> None:
+    """Loses the answer to a check 0.7 s after its request, while the other endpoint refuses.
+
+    The wait for an endpoint counts from when it begins, not from the request.
+    """
+    with EdgeCluster(models=2) as cluster:
+        cluster.platform.work_s = 0.7
+        for first, other in (("p0", "p1"), ("p1", "p0")):
+            cluster.platform.endpoints[first].faults.lost_answers = 1
+            cluster.platform.endpoints[other].faults.refuses_all = True
+            results = [cluster.daemons[0].send("check", timeout_s=4.0) for _ in range(2)]
+            assert all(result.is_complete for result in results), results
+            cluster.platform.endpoints[other].faults.refuses_all = False
+
+
 def test_edge_resumes_a_stream_behind_the_last_event() -> None:
     """Cuts streams after three events and a part of another.
 
