Add: [Tests] Answers and messages that never end

The stand-in's endpoints and store can send answers without end in a head, in interim heads, in a body, in an event, in comments, in a chunk extension or in a trailer, fast or slowly, to requests, orders, calls for reports and store calls.

--- a/tests/edge/standin.py
+++ b/tests/edge/standin.py
@@ -51,6 +51,84 @@
         status, {**call.answer_fields, **names, "Content-Length": str(len(body))}) + body)
 
 
+class EndlessPart(Enum):
+    """The part of an answer that goes on without end."""
+
+    HEAD = "head"                        # The value of a field.
+    INTERIM_HEADS = "interim heads"      # Interim answers (103), and never a final one.
+    BODY = "body"                        # A signed answer without a length.
+    ANNOUNCED_BODY = "announced body"    # The same with a length beyond any memory.
+    UNSIGNED_BODY = "unsigned body"      # An answer that the daemon must not forward.
+    REFUSAL_BODY = "refusal body"        # An answer that states that the request has not run.
+    FOREIGN_BODY = "foreign body"        # An answer to another request.
+    EVENT = "event"                      # The only event of a stream.
+    COMMENTS = "comments"                # Comment lines, and never an event.
+    CHUNK_EXTENSION = "chunk extension"  # The extension of the first chunk.
+    TRAILER = "trailer"                  # The value of a field after the last chunk.
+
+
+class CallKind(Enum):
+    """The kinds of calls that daemons make."""
+
+    REQUEST = "request"
+    ORDER = "order"
+    REPORT = "report"
+    STORE = "store"
+
+
+@dataclass
+class Endless:
+    """An answer that goes on until its caller closes the connection."""
+
+    part: EndlessPart
+    calls: frozenset[CallKind] = frozenset({CallKind.REQUEST})
+    is_slow: bool = False  # A few bytes every 20 ms. Otherwise as fast as the caller reads.
+    answer_times_s: list[float] = field(default_factory=list)  # Until the caller closed, for each.
+    open_answers: int = 0
+
+    async def answer(self, call: HttpCall, signed_headers: dict[str, str]) -> None:
+        """Sends the answer until the caller closes its connection."""
+        started = time.monotonic()
+        self.open_answers += 1
+        try:
+            unit = self._unit(8 if self.is_slow else 32 << 10)
+            call.writer.write(self._start(signed_headers) + unit)
+            while not (call.reader.at_eof() or call.writer.is_closing()):
+                call.writer.write(unit)
+                await call.writer.drain()
+                await asyncio.sleep(0.02 if self.is_slow else 0)
+        finally:
+            self.open_answers -= 1
+            self.answer_times_s.append(time.monotonic() - started)
+            call.writer.transport.abort()
+
+    def _start(self, signed_headers: dict[str, str]) -> bytes:
+        chunked = {**signed_headers, "Transfer-Encoding": "chunked"}
+        return {
+            EndlessPart.HEAD: b"HTTP/1.1 200 X\r\nX-Long: ",
+            EndlessPart.INTERIM_HEADS: b"",
+            EndlessPart.BODY: response_head(
+                202 if CallKind.ORDER in self.calls else 200, signed_headers),
+            EndlessPart.ANNOUNCED_BODY: response_head(
+                200, {**signed_headers, "Content-Length": str(1 << 50)}),
+            EndlessPart.UNSIGNED_BODY: response_head(200, {}),
+            EndlessPart.REFUSAL_BODY: response_head(503, {**signed_headers, "X-Not-Executed": "1"}),
+            EndlessPart.FOREIGN_BODY: response_head(200, {
+                **signed_headers, "X-Request-Id": "nobody"}),
+            EndlessPart.EVENT: response_head(200, signed_headers) + b"id: 1\ndata: ",
+            EndlessPart.COMMENTS: response_head(200, signed_headers),
+            EndlessPart.CHUNK_EXTENSION: response_head(200, chunked) + b"5;x=",
+            EndlessPart.TRAILER: response_head(200, chunked) + b"0\r\nX-Long: ",
+        }[self.part]
+
+    def _unit(self, size: int) -> bytes:
+        if self.part is EndlessPart.INTERIM_HEADS:
+            return response_head(103, {"X-Long": "x" * size})
+        if self.part is EndlessPart.COMMENTS:
+            return b": xxxxx\n" * (size // 8)
+        return b"x" * size
+
+
 class HttpServer:
     """An HTTP/1.1 server on loopback that passes all requests to one handler.
 
@@ -113,6 +191,7 @@
         self.delay_s = 0.0
         self.lose_writes = 0  # Transactions that are applied but whose answer is lost.
         self.era = 1
+        self.endless: Optional[Endless] = None
         # The rows and the version after each change, with the time, for restore().
         self.copies: list[tuple[float, dict[tuple[str, str], tuple[str, int]], int]] = []
 
@@ -153,6 +232,9 @@
         if self.is_down:
             self._refuse(call, 503)
             return
+        if self.endless and CallKind.STORE in self.endless.calls:
+            await self.endless.answer(call, {"Store-Era": str(self.era)})
+            return
         if call.path.endswith("/rows-tx"):
             await self._handle_transaction(call)
         elif call.path.endswith("/rows-get"):
@@ -259,6 +341,7 @@
     pause_value: str = ""           # Refuses requests with 503 and this Retry-After.
     leaving_value: str = ""         # Value of Server-Leaving in all answers; not sent if empty.
     leaving_interim: bool = False   # The value is sent in an interim answer instead.
+    endless: Optional[Endless] = None  # Some answers have no end.
 
 
 class Endpoint:
@@ -319,8 +402,13 @@
             call.writer.write(response_head(103, {"Server-Leaving": self.faults.leaving_value}))
         elif self.faults.leaving_value:
             call.answer_fields["Server-Leaving"] = self.faults.leaving_value
+        endless = self.faults.endless
+        kind = (CallKind.REPORT if call.path.endswith("/report") else
+                CallKind.ORDER if call.path.endswith("/order") else CallKind.REQUEST)
         if call.fields.get("x-target-instance", self.id) != self.id:
             write_response(call, 421)
+        elif endless and kind is CallKind.REPORT and kind in endless.calls:
+            await endless.answer(call, {})
         elif call.path.endswith("/report"):
             report = {**self._loaded_state(), "busy": self.busy_until > time.monotonic(),
                       "seq": self.order_count, "born": self.born, "waiting": 0, "running": 0}
@@ -347,6 +435,9 @@
             self.models[model].remove(adapter)
         else:
             self.models.pop(model, None)
+        if self.faults.endless and CallKind.ORDER in self.faults.endless.calls:
+            await self.faults.endless.answer(call, {})
+            return
         write_response(call, 202)
 
     def _loaded(self, model: str) -> None:
@@ -367,6 +458,9 @@
             write_response(call, 421 if is_missing else 503, X_Not_Executed="1",
                            X_Request_Id=request)
             return
+        if self.faults.endless and self.faults.endless.part is EndlessPart.REFUSAL_BODY:
+            await self.faults.endless.answer(call, {"X-Request-Id": request})
+            return
         run = Run(request, self.id, time.monotonic(), call.fields, call.target, call.body)
         self.platform.runs[request].append(run)
         if self.faults.crashing_body and self.faults.crashing_body in call.body:
@@ -382,7 +476,9 @@
             return
         signed_headers = {"X-Request-Id": request, "X-Response-Signature": f"{self.id}.{request}",
                           "X-Server-Load": "1,0,8", **call.answer_fields}
-        if self.faults.answers_500:
+        if self.faults.endless and CallKind.REQUEST in self.faults.endless.calls:
+            await self.faults.endless.answer(call, signed_headers)
+        elif self.faults.answers_500:
             call.writer.write(response_head(500, {**signed_headers, "Content-Length": "0"}))
         elif model:
             await self._stream(call, run, signed_headers)
