Fix: [Http] Limit the size and the time of whole answers in the client

Cause: after the head, a call was limited only by the time without bytes, so that a body that went on was read for ever, and a chunk's first line or a trailer without end was kept and searched again with each read. The number of interim answers and the size of skipped answers had no limit.

Change: CallOptions has maxBodyBytes and totalTimeout; the client limits interim answers, answers to other requests and chunk framing, and ends a call beyond a limit as too_large or timed_out. The connection is closed, and answer_limit_exceeded says the part, the value and the limit. Orders, reports, the probe and store calls have limits of their own; forwarded requests have their deadline.

--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -103,7 +103,17 @@
     , mLoop(1)
     , mIncarnation(RandomHex())
     , mLog({ .daemon = mSettings.daemonId })
-    , mClient(mLoop, {})
+    , mClient(mLoop,
+              { .onLimitExceeded =
+                  [this](const http::ExceededLimit& aExceeded) {
+                    mLog.Write("answer_limit_exceeded",
+                               { { "address", aExceeded.address },
+                                 { "target", aExceeded.target },
+                                 { "part", http::ToString(aExceeded.part) },
+                                 { "value", aExceeded.value },
+                                 { "limit", aExceeded.limit },
+                                 { "action", "connection_closed" } });
+                  } })
     , mStore(mClient, mSettings.edge.storeAddress, [this](StoreEra aEra) { OnStoreEra(aEra); })
     , mPlacement([this](const fleet::DispatchMessage& aMessage) {
       return mMember.SendToDispatcher(aMessage);
--- a/src/fleet/fleet_member.cpp
+++ b/src/fleet/fleet_member.cpp
@@ -26,6 +26,12 @@
 /* Time limits for a runner's answer to an order, for its report, and for connecting to it. */
 constexpr Duration kOrderAnswerTimeout = 400ms;
 constexpr Duration kReportAnswerTimeout = 400ms;
+/* The same from the start of the call to the end of the body. A report may pause for two seconds;
+ * only the status of the answer to an order is needed. */
+constexpr Duration kOrderTimeout = 1s;
+constexpr Duration kReportTimeout = 2'500ms;
+/* Largest size of a report, in bytes. */
+constexpr std::uint64_t kMaxReportBytes = 1U << 20U;
 constexpr Duration kRunnerConnectTimeout = 250ms;
 /* Members to which the dispatcher sends copies of the streams that have begun: all of a small
  * fleet, so that streams can be resumed while a lost dispatcher is being replaced. More copies
@@ -712,7 +718,8 @@
       .reuse = http::Reuse::kAllowed,
       .connectTimeout = kRunnerConnectTimeout,
       .answerTimeout = kOrderAnswerTimeout,
-      .bodyIdleTimeout = kOrderAnswerTimeout },
+      .bodyIdleTimeout = kOrderAnswerTimeout,
+      .totalTimeout = kOrderTimeout },
     { .onHead =
         [this, status, runner = aOrder.runner, startedAtMs](const http::AnswerHead& aHead) {
           *status = aHead.status;
@@ -759,7 +766,9 @@
       .request = platform::EncodeReportRequest(aReportRequest.runner),
       .connectTimeout = kRunnerConnectTimeout,
       .answerTimeout = kReportAnswerTimeout,
-      .bodyIdleTimeout = kReportAnswerTimeout },
+      .bodyIdleTimeout = kReportAnswerTimeout,
+      .maxBodyBytes = kMaxReportBytes,
+      .totalTimeout = kReportTimeout },
     { .onHead =
         [this, progress, runner = aReportRequest.runner, startedAtMs](
           const http::AnswerHead& aHead) {
--- a/src/fleet/store_client.cpp
+++ b/src/fleet/store_client.cpp
@@ -10,6 +10,10 @@
 constexpr Duration kConnectTimeout = 600ms;
 /* Time allowed for the answer to a watch beyond the requested waiting time. */
 constexpr Duration kWatchMargin = 500ms;
+/* Time limit of the body of an answer, beyond that of its head. */
+constexpr Duration kBodyTimeout = 900ms;
+/* Largest size of the body of an answer, in bytes: the rows of some ten thousand endpoints. */
+constexpr std::uint64_t kMaxBodyBytes = 16U << 20U;
 
 StoreOutcome OutcomeOf(unsigned aStatus)
 {
@@ -132,7 +136,9 @@
                   .request = std::move(aRequest),
                   .connectTimeout = kConnectTimeout,
                   .answerTimeout = aTimeout,
-                  .bodyIdleTimeout = kCallTimeout },
+                  .bodyIdleTimeout = kCallTimeout,
+                  .maxBodyBytes = kMaxBodyBytes,
+                  .totalTimeout = aTimeout + kBodyTimeout },
                 { .onHead =
                     [progress](const http::AnswerHead& aHead) {
                       progress->status = aHead.status;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -32,6 +32,8 @@
 constexpr Duration kShutdownRetryAfter = 50ms;
 /* Time limit for connecting to an endpoint. Connecting normally takes a few milliseconds. */
 constexpr Duration kConnectTimeout = 250ms;
+/* Time limit of a probe after a broken connection, of which only the head is needed. */
+constexpr Duration kProbeTimeout = 500ms;
 /* Time limit for the response head of an attempt that may be repeated, as a multiple of the route's
  * latency objective, and the minimum of this limit. */
 constexpr int kAnswerTimeoutObjectives = 3;
@@ -563,6 +565,8 @@
                            mRoute->eventGapObjective > Duration::zero()
                          ? mRoute->eventGapObjective * kStreamTimeoutGaps
                          : Duration::zero(),
+    .maxBodyBytes = 0,
+    .totalTimeout = Duration::zero(), // The deadline of the request ends the call.
   };
   const auto weak = weak_from_this();
   mAttempt.call = mContext.client.Start(
@@ -782,7 +786,8 @@
       .request = platform::EncodeReportRequest(mAttempt.endpoint),
       .reuse = http::Reuse::kFresh,
       .connectTimeout = kConnectTimeout,
-      .answerTimeout = kConnectTimeout },
+      .answerTimeout = kConnectTimeout,
+      .totalTimeout = kProbeTimeout },
     { .onHead =
         [&context = mContext,
          endpoint = mAttempt.endpoint,
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -26,8 +26,15 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-/* Largest size of the head of an answer, in bytes. */
+/* Largest size of the head of an answer, in bytes. It is checked after each read, before the limit
+ * of the parser, which does not count the fields that it has consumed. */
 constexpr std::uint32_t kMaxHeadBytes = 64U << 10U;
+/* Largest size of the first line of a chunk, and of a trailer, in bytes. */
+constexpr std::size_t kMaxFramingBytes = 64U << 10U;
+/* Largest number of interim answers before a final one. */
+constexpr std::uint64_t kMaxInterimHeads = 100;
+/* Largest size of the bodies of the answers to other requests that one call skips, in bytes. */
+constexpr std::uint64_t kMaxOtherAnswerBytes = 8U << 20U;
 /* Largest number of answers to other requests that one call skips before it fails. */
 constexpr int kMaxSkippedAnswers = 3;
 /* Subtracted from the keep-alive timeout that an endpoint announces, so that the next request
@@ -84,12 +91,33 @@
       return "broken";
     case CallResult::kMalformed:
       return "malformed";
+    case CallResult::kTooLarge:
+      return "too_large";
     case CallResult::kTimedOut:
       return "timed_out";
   }
   return "unknown";
 }
 
+std::string_view ToString(AnswerPart aPart)
+{
+  switch (aPart) {
+    case AnswerPart::kHead:
+      return "head";
+    case AnswerPart::kInterimHeads:
+      return "interim_heads";
+    case AnswerPart::kOtherAnswer:
+      return "other_answer";
+    case AnswerPart::kBody:
+      return "body";
+    case AnswerPart::kFraming:
+      return "framing";
+    case AnswerPart::kTime:
+      return "time";
+  }
+  return "unknown";
+}
+
 struct Client::Impl
 {
   Impl(asio::io_context& aContext, const ClientOptions& aOptions)
@@ -131,8 +159,17 @@
     mHandlers = std::move(aHandlers);
     mRequestBytes = Serialize(aOptions.request, mAddress);
     mIsHeadRequest = aOptions.request.method == "HEAD";
+    mTarget = aOptions.request.target;
     mBodyIdleTimeout = aOptions.bodyIdleTimeout;
-    mAnswerDeadline = asio::steady_timer::clock_type::now() + aOptions.answerTimeout;
+    mMaxBodyBytes = aOptions.maxBodyBytes;
+    mBodyBytes = 0;
+    mOtherAnswerBytes = 0;
+    mInterimHeads = 0;
+    const auto now = asio::steady_timer::clock_type::now();
+    mLimitedTimeStart = now;
+    mEndDeadline =
+      aOptions.totalTimeout > Duration::zero() ? now + aOptions.totalTimeout : kNoDeadline;
+    mAnswerDeadline = std::min(now + aOptions.answerTimeout, mEndDeadline);
     mHasAnswerHead = false;
     mSkippedAnswers = 0;
     mIsPaused = false;
@@ -173,6 +210,25 @@
     }
   }
 
+  void LimitBody(std::uint64_t aMaxBytes, Duration aMaxTime)
+  {
+    mMaxBodyBytes = aMaxBytes;
+    if (aMaxTime > Duration::zero()) {
+      mLimitedTimeStart = asio::steady_timer::clock_type::now();
+      mEndDeadline = mLimitedTimeStart + aMaxTime;
+      SetBodyTimer();
+    }
+  }
+
+  void End(CallResult aResult)
+  {
+    asio::post(mClient->context, [self = shared_from_this(), number = mCallNumber, aResult] {
+      if (self->IsCurrentCall(number)) {
+        self->EndCall(aResult);
+      }
+    });
+  }
+
   void Close()
   {
     if (mState == State::kClosed) {
@@ -211,7 +267,8 @@
   {
     mParser.emplace();
     mParser->eager(true);
-    mParser->header_limit(kMaxHeadBytes);
+    mParser->header_limit(2 * kMaxHeadBytes);
+    mHeadBytes = 0;
     mParser->body_limit(boost::none);
     mParser->skip(mIsHeadRequest);
   }
@@ -293,8 +350,8 @@
       return;
     }
     mReceiveBuffer.append(aBytes);
-    if (mHasAnswerHead && mBodyIdleTimeout > Duration::zero()) {
-      SetTimer(asio::steady_timer::clock_type::now() + mBodyIdleTimeout);
+    if (mHasAnswerHead && !mIsSkippingAnswer && mBodyIdleTimeout > Duration::zero()) {
+      SetBodyTimer();
     }
     ParseAnswers();
     WaitForBytes();
@@ -318,6 +375,13 @@
       error_code error;
       const std::size_t used = mParser->put(asio::buffer(mReceiveBuffer), error);
       mReceiveBuffer.erase(0, used);
+      if (!mParser->is_header_done()) {
+        mHeadBytes += used;
+        if (mHeadBytes + mReceiveBuffer.size() > kMaxHeadBytes) {
+          EndBeyondLimit(AnswerPart::kHead, mHeadBytes + mReceiveBuffer.size(), kMaxHeadBytes);
+          return;
+        }
+      }
       if (mParser->is_header_done() && !mHasAnswerHead && !OnHead()) {
         continue;
       }
@@ -334,6 +398,9 @@
         continue;
       }
       if (error == beast_http::error::need_more || used == 0) {
+        if (mHasAnswerHead && mReceiveBuffer.size() > kMaxFramingBytes) {
+          EndBeyondLimit(AnswerPart::kFraming, mReceiveBuffer.size(), kMaxFramingBytes);
+        }
         return;
       }
     }
@@ -347,6 +414,10 @@
     if (mParser->get().result_int() < kFirstFinalStatus) {
       const AnswerHead interimHead = ToAnswerHead(*mParser);
       ResetParser();
+      if (++mInterimHeads > kMaxInterimHeads) {
+        EndBeyondLimit(AnswerPart::kInterimHeads, mInterimHeads, kMaxInterimHeads);
+        return false;
+      }
       if (mHandlers.onInterimHead) {
         mHandlers.onInterimHead(interimHead);
       }
@@ -357,22 +428,43 @@
     mKeepAliveTimeout = KeepAliveTimeout(head);
     mIsSkippingAnswer = !mHandlers.onHead(head);
     if (!mIsSkippingAnswer && mState == State::kCalling) {
-      if (mBodyIdleTimeout > Duration::zero()) {
-        SetTimer(asio::steady_timer::clock_type::now() + mBodyIdleTimeout);
-      } else {
-        error_code ignored; // Cancelling a timer does not fail.
-        mTimer.cancel(ignored);
-      }
+      SetBodyTimer();
     }
     return mState == State::kCalling;
   }
 
   void DeliverBody()
   {
-    std::string body = std::exchange(mParser->get().body(), {});
-    if (!body.empty() && mHasAnswerHead && !mIsSkippingAnswer) {
-      mHandlers.onBody(body);
+    const std::string body = std::exchange(mParser->get().body(), {});
+    if (body.empty()) {
+      return;
+    }
+    if (mIsSkippingAnswer) {
+      mOtherAnswerBytes += body.size();
+      if (mOtherAnswerBytes > kMaxOtherAnswerBytes) {
+        EndBeyondLimit(AnswerPart::kOtherAnswer, mOtherAnswerBytes, kMaxOtherAnswerBytes);
+      }
+      return;
+    }
+    mBodyBytes += body.size();
+    if (mMaxBodyBytes > 0 && mBodyBytes > mMaxBodyBytes) {
+      EndBeyondLimit(AnswerPart::kBody, mBodyBytes, mMaxBodyBytes);
+      return;
     }
+    mHandlers.onBody(body);
+  }
+
+  /* Ends a call whose answer exceeds a limit. */
+  void EndBeyondLimit(AnswerPart aPart, std::uint64_t aValue, std::uint64_t aLimit)
+  {
+    if (mClient->options.onLimitExceeded) {
+      mClient->options.onLimitExceeded({ .address = mAddress,
+                                         .target = mTarget,
+                                         .part = aPart,
+                                         .value = aValue,
+                                         .limit = aLimit });
+    }
+    EndCall(aPart == AnswerPart::kTime ? CallResult::kTimedOut : CallResult::kTooLarge);
   }
 
   void OnAnswerDone()
@@ -426,6 +518,37 @@
     });
   }
 
+  /* Sets the timer for the rest of an answer whose head has arrived. */
+  void SetBodyTimer()
+  {
+    auto deadline = mEndDeadline;
+    if (mBodyIdleTimeout > Duration::zero()) {
+      deadline = std::min(deadline, asio::steady_timer::clock_type::now() + mBodyIdleTimeout);
+    }
+    if (deadline == kNoDeadline) {
+      error_code ignored; // Cancelling a timer does not fail.
+      mTimer.cancel(ignored);
+      return;
+    }
+    SetTimer(deadline);
+  }
+
+  void OnCallTimeout()
+  {
+    const auto now = asio::steady_timer::clock_type::now();
+    if (!mHasAnswerHead || mIsSkippingAnswer || now < mEndDeadline) {
+      EndCall(CallResult::kTimedOut);
+      return;
+    }
+    const auto milliseconds = [](auto aTime) {
+      return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count());
+    };
+    EndBeyondLimit(AnswerPart::kTime,
+                   milliseconds(now - mLimitedTimeStart),
+                   milliseconds(mEndDeadline - mLimitedTimeStart));
+  }
+
   void OnTimeout()
   {
     switch (mState) {
@@ -433,7 +556,7 @@
         EndCall(CallResult::kNotConnected);
         break;
       case State::kCalling:
-        EndCall(CallResult::kTimedOut);
+        OnCallTimeout();
         break;
       case State::kIdle:
         Close();
@@ -454,7 +577,17 @@
   std::optional<Parser> mParser;
   std::string mReceiveBuffer; ///< Received and not parsed yet.
   std::string mRequestBytes;  ///< The request, until it is written.
+  static constexpr auto kNoDeadline = asio::steady_timer::time_point::max();
+
+  std::string mTarget; ///< Of the request, for log lines.
   asio::steady_timer::time_point mAnswerDeadline;
+  asio::steady_timer::time_point mEndDeadline;      ///< For the end of the answer, or kNoDeadline.
+  asio::steady_timer::time_point mLimitedTimeStart; ///< Start of the time that ends there.
+  std::uint64_t mMaxBodyBytes = 0;                  ///< 0: no limit.
+  std::uint64_t mBodyBytes = 0;
+  std::uint64_t mHeadBytes = 0; ///< Of the current head, consumed by the parser.
+  std::uint64_t mInterimHeads = 0;
+  std::uint64_t mOtherAnswerBytes = 0;
   Duration mBodyIdleTimeout{};
   std::optional<Duration> mKeepAliveTimeout;
   bool mIsHeadRequest = false;
@@ -590,4 +723,18 @@
   }
 }
 
+void Call::LimitBody(std::uint64_t aMaxBytes, Duration aMaxTime)
+{
+  if (const auto current = connection()) {
+    current->LimitBody(aMaxBytes, aMaxTime);
+  }
+}
+
+void Call::End(CallResult aResult)
+{
+  if (const auto current = connection()) {
+    current->End(aResult);
+  }
+}
+
 } // namespace rhubarbtrail::http
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -29,6 +29,10 @@
   Duration connectTimeout = 1s; ///< Time limit for opening a connection.
   Duration answerTimeout = 2s;  ///< From the start of the call to the head of the final answer.
   Duration bodyIdleTimeout{};   ///< Longest time without bytes after the head; 0 for no limit.
+  /* Largest size of the body in bytes, without the chunk framing; 0 for no limit. */
+  std::uint64_t maxBodyBytes = 1U << 20U;
+  /* From the start of the call to the end of the answer; 0 for no limit. */
+  Duration totalTimeout = 5s;
 };
 
 enum class CallResult : std::uint8_t
@@ -39,7 +43,8 @@
   /* Not a valid HTTP answer, or too many answers to other requests, or one such answer after which
    * the endpoint closes the connection. */
   kMalformed,
-  kTimedOut, ///< answerTimeout passed without a head, or bodyIdleTimeout without bytes of the body.
+  kTooLarge, ///< A part of the answer exceeded its limit, for example maxBodyBytes.
+  kTimedOut, ///< answerTimeout passed without a head, or a time limit without the end of the body.
 };
 
 /* Returns the name of a result in log events. */
@@ -58,6 +63,30 @@
   std::function<void(CallResult)> onEnd;
 };
 
+/* The part of an answer that exceeded its limit. */
+enum class AnswerPart : std::uint8_t
+{
+  kHead,         ///< Size of a head, in bytes.
+  kInterimHeads, ///< Number of interim answers.
+  kOtherAnswer,  ///< Size of the bodies of answers to other requests, in bytes.
+  kBody,         ///< Size of the body, in bytes.
+  kFraming,      ///< Size of a chunk's first line or of the trailer, in bytes.
+  kTime,         ///< Time from the start of the call, or the limited time for the rest, in ms.
+};
+
+/* Returns the name of a part in log events. */
+std::string_view ToString(AnswerPart aPart);
+
+/* An answer that exceeded a limit. Its call ends and its connection is closed. */
+struct ExceededLimit
+{
+  std::string address;
+  std::string target; ///< Of the request.
+  AnswerPart part = AnswerPart::kHead;
+  std::uint64_t value = 0; ///< What was received when the limit was noticed.
+  std::uint64_t limit = 0;
+};
+
 class ClientConnection;
 
 /* Handle of a call in progress. Its destruction does not cancel the call. */
@@ -76,6 +105,13 @@
    * time limits of the call keep running. */
   void Pause();
   void Resume();
+  /* Replaces the limits of the body: its size in bytes, and the time from now to its end. 0 means
+   * no new time limit. The call ends as kTooLarge or kTimedOut beyond them. To be called by
+   * CallHandlers::onHead. */
+  void LimitBody(std::uint64_t aMaxBytes, Duration aMaxTime);
+  /* Ends the call with this result, unless it ends by itself before, and closes its connection. May
+   * be called by any handler; onEnd is called later. */
+  void End(CallResult aResult);
 
 private:
   /* Returns the connection while it carries this call, else null. */
@@ -89,6 +125,8 @@
 {
   std::size_t maxIdlePerAddress = 16; ///< Idle connections kept for each address.
   Duration idleTimeout = 4s;          ///< Time after which an idle connection is closed.
+  /* Called when an answer exceeds a limit, before the call ends. May be empty. */
+  std::function<void(const ExceededLimit&)> onLimitExceeded;
 };
 
 struct ClientCounts
