Fix: [Gateway] Do not wait for the rest of an answer that is of no use

Cause: the body of an answer that is unsigned, too large or a refusal was read to its end or to the deadline, so that a request that may be repeated was not.

Change: an attempt ends at the head of an unsigned or encoded answer, beyond 8 MiB of an answer that is not a stream, and beyond 64 KiB or 250 ms of a refusal. What the head of a refusal states still counts.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -53,7 +53,10 @@
 /* Time over which requests that waited for the end of an endpoint's pause are spread. */
 constexpr Duration kPauseSpread = 300ms;
 /* Maximum body size, in bytes, of an answer that is buffered before it is forwarded. */
-constexpr std::size_t kBufferedAnswerLimit = 8U << 20U;
+constexpr std::uint64_t kBufferedAnswerLimit = 8U << 20U;
+/* Limits of the body of a refusal. It is read only so that the connection can be used again. */
+constexpr std::uint64_t kMaxRefusalBytes = 64U << 10U;
+constexpr Duration kRefusalBodyTimeout = 250ms;
 
 constexpr unsigned kFirstServerError = 500;
 
@@ -616,20 +619,31 @@
   mAttempt.isStream = isSuccess && !mAttempt.isInvalid && mRoute->kind == RouteKind::kStream;
   mAttempt.head = aHead;
   mAttempt.decodedHead = std::move(decodedHead);
+  LimitAnswer();
   return true;
 }
 
+/* Limits the rest of an answer whose head has arrived. The body of a stream has no limit. */
+void RequestFlow::LimitAnswer()
+{
+  if (!mAttempt.call) {
+    return;
+  }
+  if (mAttempt.isInvalid) {
+    mAttempt.call->End(http::CallResult::kMalformed);
+  } else if (mAttempt.decodedHead.isNotRun) {
+    mAttempt.call->LimitBody(kMaxRefusalBytes, kRefusalBodyTimeout);
+  } else if (!mAttempt.isStream) {
+    mAttempt.call->LimitBody(kBufferedAnswerLimit, Duration::zero());
+  }
+}
+
 void RequestFlow::OnBody(std::string_view aBytes)
 {
   if (mIsEnded || mAttempt.isInvalid || mAttempt.decodedHead.isNotRun) {
     return;
   }
   if (!mAttempt.isStream) {
-    if (mAttempt.body.size() + aBytes.size() > kBufferedAnswerLimit) {
-      mAttempt.isInvalid = true;
-      mAttempt.body.clear();
-      return;
-    }
     mAttempt.body += aBytes;
     return;
   }
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -45,7 +45,7 @@
     platform::EndpointAnswer decodedHead;
     std::string body;       ///< Of an answer that is buffered before it is forwarded.
     bool isStream = false;  ///< The body is forwarded event by event as it arrives.
-    bool isInvalid = false; ///< The answer is unsigned, encoded or too large to be forwarded.
+    bool isInvalid = false; ///< The answer is unsigned or encoded, or one of its events too large.
   };
 
   void OnRouted();
@@ -90,6 +90,7 @@
   /* Takes the head of the endpoint's answer. Returns false, which skips the answer, if it belongs
    * to another request. */
   bool OnHead(const http::AnswerHead& aHead);
+  void LimitAnswer();
   void OnBody(std::string_view aBytes);
   void OnEnd(http::CallResult aResult);
   bool IsStreamUnfinished() const;
