Fix: [Gateway] Limit the size of an event and search each of its bytes once

Cause: an event, or comments and blank lines before it, grew without limit. The search for its end started at its front with each read, so that a large event stopped the event loop.

The splitter keeps its place.

--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -4,6 +4,7 @@
 #ifndef RHUBARBTRAIL_GATEWAY_EVENT_SPLITTER_H
 #define RHUBARBTRAIL_GATEWAY_EVENT_SPLITTER_H
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -26,6 +27,7 @@
     }
     std::string event = mBuffer.substr(0, end);
     mBuffer.erase(0, end);
+    ResetSearch();
     return event;
   }
 
@@ -48,7 +50,11 @@
     return false;
   }
 
-  void Clear() { mBuffer.clear(); }
+  void Clear()
+  {
+    mBuffer.clear();
+    ResetSearch();
+  }
 
 private:
   static constexpr std::string_view kLineEnds = "\r\n";
@@ -58,7 +64,14 @@
     return kLineEnds.find(mBuffer[aLineStart]) != std::string_view::npos;
   }
 
-  /* Returns the position after the line that starts at aStart, or npos if its end is missing. */
+  void ResetSearch()
+  {
+    mLineStart = 0;
+    mSearchStart = 0;
+    mHasLine = false;
+  }
+
+  /* Returns the position after the line that includes aStart, or npos if its end is missing. */
   std::size_t FindLineEnd(std::size_t aStart) const
   {
     const std::size_t end = mBuffer.find_first_of(kLineEnds, aStart);
@@ -68,26 +81,32 @@
     return mBuffer.compare(end, 2, "\r\n") == 0 ? end + 2 : end + 1;
   }
 
-  /* Returns the position after the first blank line that follows another line, or npos. */
-  std::size_t FindEnd() const
+  /* Returns the position after the first blank line that follows another line, or npos. Searches
+   * only the bytes that it has not searched before, since an event can be large. */
+  std::size_t FindEnd()
   {
-    std::size_t start = 0;
-    bool hasLine = false;
-    while (start < mBuffer.size()) {
-      const std::size_t end = FindLineEnd(start);
+    while (mLineStart < mBuffer.size()) {
+      const std::size_t end = FindLineEnd(std::max(mLineStart, mSearchStart));
       if (end == std::string::npos) {
+        mSearchStart = mBuffer.size();
         return end;
       }
-      if (hasLine && IsBlank(start)) {
+      if (mHasLine && IsBlank(mLineStart)) {
         return end;
       }
-      hasLine = hasLine || !IsBlank(start);
-      start = end;
+      if (end == mBuffer.size() && mBuffer.back() == '\r') {
+        return std::string::npos; // The next byte may be the LF of this line end.
+      }
+      mHasLine = mHasLine || !IsBlank(mLineStart);
+      mLineStart = end;
     }
     return std::string::npos;
   }
 
   std::string mBuffer;
+  std::size_t mLineStart = 0;   ///< Start of the first line that was not searched to its end.
+  std::size_t mSearchStart = 0; ///< No line end of that line is before this position.
+  bool mHasLine = false;        ///< A line that is not blank precedes mLineStart.
 };
 
 } // namespace rhubarbtrail
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -57,6 +57,8 @@
 /* Limits of the body of a refusal. It is read only so that the connection can be used again. */
 constexpr std::uint64_t kMaxRefusalBytes = 64U << 10U;
 constexpr Duration kRefusalBodyTimeout = 250ms;
+/* Largest size of an event, in bytes, and of comments and blank lines before it. */
+constexpr std::size_t kMaxEventBytes = 8U << 20U;
 
 constexpr unsigned kFirstServerError = 500;
 
@@ -649,6 +651,10 @@
   }
   mEventSplitter.Feed(aBytes);
   ForwardEvents();
+  if (mEventSplitter.rest().size() > kMaxEventBytes) {
+    EndTooLargeEvent();
+    return;
+  }
   if (mResponder->unsentBytes() > kUnsentBytesLimit && mAttempt.call) {
     mAttempt.call->Pause();
     mResponder->OnSendBufferEmpty([weak = weak_from_this()] {
@@ -659,6 +665,23 @@
   }
 }
 
+/* Ends an attempt with an event that exceeds kMaxEventBytes. */
+void RequestFlow::EndTooLargeEvent()
+{
+  mContext.log.Write("answer_limit_exceeded",
+                     { { "id", mClient.requestId },
+                       { "address", mAttempt.endpoint },
+                       { "target", mRequest.target },
+                       { "part", "event" },
+                       { "value", mEventSplitter.rest().size() },
+                       { "limit", kMaxEventBytes },
+                       { "action", "connection_closed" } });
+  mAttempt.isInvalid = true;
+  if (mAttempt.call) {
+    mAttempt.call->End(http::CallResult::kTooLarge);
+  }
+}
+
 /* Forwards all events that have arrived completely. */
 void RequestFlow::ForwardEvents()
 {
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -103,6 +103,7 @@
    * ended, and the request is reported as suspected of crashing runners. */
   void ProbeEndpoint();
 
+  void EndTooLargeEvent();
   void ForwardEvents();
   void SendHeadOnce();
   void ForwardAnswer();
--- a/tests/unit/event_splitter_test.cpp
+++ b/tests/unit/event_splitter_test.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <vector>
 
 using namespace rhubarbtrail;
@@ -72,3 +73,25 @@
     }
   }
 }
+
+/* Guards against a search that starts again at the front of an event with each part that arrives.
+ * An event of some megabytes then occupies the event loop for seconds. */
+TEST_CASE("a large event is split in a time that grows with its size only")
+{
+  constexpr std::size_t kEventBytes = 8U << 20U;
+  std::string lines;
+  while (lines.size() < 4'096) {
+    lines += "data: x\n";
+  }
+  for (const std::string& part : { std::string(4'096, 'x'), std::string(4'096, '\n'), lines }) {
+    EventSplitter splitter;
+    const auto started = std::chrono::steady_clock::now();
+    std::size_t fed = 0;
+    for (; fed < kEventBytes; fed += part.size()) {
+      splitter.Feed(part);
+      while (splitter.Next()) {
+      }
+    }
+    CHECK(std::chrono::steady_clock::now() - started < std::chrono::seconds{ 3 });
+  }
+}
