Fix: [Http] Limit the chunk framing of requests and log what is rejected

Cause: a chunk extension or a trailer without end of a client was kept and searched again with each read, for up to the 30 s of a body. No log line told of requests that were rejected.

Change: beyond 16 KiB the request is rejected with 400, and request_rejected says the part, the size received and the limit.

--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -217,12 +217,21 @@
                     .minInterval = RunnerWatchInterval(),
                     .maxNoticeAge = MaxNoticeAge() },
                   RunnerHandlers())
-    , mClientServer(
-        mLoop,
-        { .address = mSettings.edge.frontAddress, .connectionLimit = ConnectionLimit() },
-        [this](http::Request aRequest, std::shared_ptr<http::Responder> aResponder) {
-          ServeRequest(mGateway, std::move(aRequest), std::move(aResponder));
-        })
+    , mClientServer(mLoop,
+                    { .address = mSettings.edge.frontAddress,
+                      .connectionLimit = ConnectionLimit(),
+                      .onRejected =
+                        [this](const http::RejectedRequest& aRejected) {
+                          mLog.Write("request_rejected",
+                                     { { "status", aRejected.status },
+                                       { "part", aRejected.part },
+                                       { "received_bytes", aRejected.receivedBytes },
+                                       { "limit", aRejected.limit },
+                                       { "action", "connection_closed" } });
+                        } },
+                    [this](http::Request aRequest, std::shared_ptr<http::Responder> aResponder) {
+                      ServeRequest(mGateway, std::move(aRequest), std::move(aResponder));
+                    })
     , mReadinessServer(
         mLoop,
         { .address = mSettings.edge.readyAddress },
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -26,8 +26,8 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-/* Largest size of the head of an answer, in bytes. It is checked after each read, before the limit
- * of the parser, which does not count the fields that it has consumed. */
+/* Largest size of the head of an answer, in bytes. It is checked after each read. The limit of the
+ * parser is higher, so that a head without end is told from malformed bytes. */
 constexpr std::uint32_t kMaxHeadBytes = 64U << 10U;
 /* Largest size of the first line of a chunk, and of a trailer, in bytes. */
 constexpr std::size_t kMaxFramingBytes = 64U << 10U;
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -29,6 +29,8 @@
 /* Largest number of bytes of following requests that a connection may send while a request is being
  * answered. A connection that sends more is closed. */
 constexpr std::size_t kMaxPipelinedBytes = 64U << 10U;
+/* Largest size of the first line of a chunk, and of a trailer, in bytes. */
+constexpr std::size_t kMaxFramingBytes = 16U << 10U;
 /* Time for which a closing connection waits for the client to close its side. Closing at once while
  * bytes of the client are unread would send a reset, which can destroy an answer that the client
  * has not read. */
@@ -286,21 +288,30 @@
       mParser->header_limit(static_cast<std::uint32_t>(mServer->limits.headerBytes));
       mParser->body_limit(mServer->limits.bodyBytes);
       mHasRequestHead = false;
+      mRequestBytes = 0;
       SetTimer(mServer->limits.headerTimeout);
     }
     error_code error;
     const std::size_t used = mParser->put(asio::buffer(mReceiveBuffer), error);
     mReceiveBuffer.erase(0, used);
+    mRequestBytes += used;
     if (mParser->is_header_done() && !mHasRequestHead && !OnHead()) {
       return;
     }
     if (error && error != beast_http::error::need_more) {
-      Reject(error == beast_http::error::header_limit ? 431
-             : error == beast_http::error::body_limit ? 413
-                                                      : 400);
+      if (error == beast_http::error::header_limit) {
+        Reject(431, "head", mServer->limits.headerBytes);
+      } else if (error == beast_http::error::body_limit) {
+        Reject(413, "body", mServer->limits.bodyBytes);
+      } else {
+        Reject(400, "malformed", 0);
+      }
       return;
     }
     if (!mParser->is_done()) {
+      if (mHasRequestHead && mReceiveBuffer.size() > kMaxFramingBytes) {
+        Reject(400, "framing", kMaxFramingBytes);
+      }
       return;
     }
     mKeepsConnection = mParser->keep_alive();
@@ -319,7 +330,7 @@
     mHasRequestHead = true;
     const auto& message = mParser->get();
     if (!HasValidFraming(message, mParser->chunked())) {
-      Reject(400);
+      Reject(400, "malformed", 0);
       return false;
     }
     SetTimer(mServer->limits.bodyTimeout);
@@ -340,9 +351,15 @@
   }
 
   /* Answers a request that is malformed, too large or too slow, and closes the connection. */
-  void Reject(unsigned aStatus)
+  void Reject(unsigned aStatus, std::string_view aPart, std::uint64_t aLimit)
   {
     ++mServer->counts.rejected;
+    if (mServer->options.onRejected) {
+      mServer->options.onRejected({ .status = aStatus,
+                                    .part = aPart,
+                                    .receivedBytes = mRequestBytes + mReceiveBuffer.size(),
+                                    .limit = aLimit });
+    }
     mParser.reset();
     mReceiveBuffer.clear();
     mKeepsConnection = false;
@@ -434,7 +451,12 @@
       return; // The timer was set again after this handler had been queued.
     }
     if (mState == State::kReading && mParser) {
-      Reject(408);
+      const auto& limits = mServer->limits;
+      const Duration limit = mHasRequestHead ? limits.bodyTimeout : limits.headerTimeout;
+      Reject(408,
+             "time",
+             static_cast<std::uint64_t>(
+               std::chrono::duration_cast<std::chrono::milliseconds>(limit).count()));
       return;
     }
     Close();
@@ -447,6 +469,7 @@
   State mState = State::kReading;
   std::optional<Parser> mParser;
   bool mHasRequestHead = false;
+  std::size_t mRequestBytes = 0; ///< Of the current request, consumed by the parser.
   bool mKeepsConnection = true;
   bool mIsWriting = false;
   bool mIsAborted = false;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace rhubarbtrail::http {
 
@@ -70,6 +71,15 @@
   std::string body;
 };
 
+/* Why a request was rejected, for log events. */
+struct RejectedRequest
+{
+  unsigned status = 0;           ///< Of the answer.
+  std::string_view part;         ///< "head", "body", "framing", "time" or "malformed".
+  std::size_t receivedBytes = 0; ///< Of the request, so far.
+  std::uint64_t limit = 0;       ///< Of that part, in bytes; of the time in milliseconds.
+};
+
 struct ServerOptions
 {
   std::string address; ///< IP:port
@@ -79,6 +89,8 @@
   /* Returns the answer to a request that is rejected with a status. If null, a default answer is
    * sent. */
   std::function<Rejection(unsigned)> rejection;
+  /* Called when a request is rejected; its connection is then closed. May be empty. */
+  std::function<void(const RejectedRequest&)> onRejected;
 };
 
 struct ServerCounts
