Fix: [Peer] Close connections with a message that does not end

Cause: a message of another daemon could stay incomplete for ever, within its limit of size, and no log line told of messages beyond that limit.

Change: FleetLink closes an accepted connection with a message that has not ended after 5 s, and reports both limits as message_limit_exceeded.

--- a/src/fleet/fleet_member.cpp
+++ b/src/fleet/fleet_member.cpp
@@ -67,6 +67,14 @@
                 if (mHasRemoteDispatcher && aAddress == mDispatcherLease.address) {
                   LoseDispatcher("connection_ended");
                 }
+              },
+            .onLimitExceeded =
+              [this](const ExceededMessageLimit& aExceeded) {
+                mServices.log.Write("message_limit_exceeded",
+                                    { { "part", aExceeded.part },
+                                      { "value", aExceeded.value },
+                                      { "limit", aExceeded.limit },
+                                      { "action", "connection_closed" } });
               } })
   , mTimer(mServices.loop)
   , mDispatcherTimer(mServices.loop)
--- a/src/peer/fleet_link.cpp
+++ b/src/peer/fleet_link.cpp
@@ -69,6 +69,15 @@
     return !mIsEnded && mConnection->HasOverdueMessage(aNow, aLimit);
   }
 
+  Duration LongestIncompleteTime(TimePoint aNow)
+  {
+    return mIsEnded ? Duration::zero() : mConnection->LongestIncompleteTime(aNow);
+  }
+
+  /* Sets the handler that is called, with the size in bytes, when the connection is closed because
+   * its incomplete messages are too large. */
+  void OnTooLarge(std::function<void(std::size_t)> aHandler) { mOnTooLarge = std::move(aHandler); }
+
   /* Closes the connection and calls the end handler, unless Detach() was called. */
   void End()
   {
@@ -93,6 +102,7 @@
                                return;
                              }
                              if (aError || !self->mConnection->OnReadable()) {
+                               self->ReportSize();
                                self->End();
                                return;
                              }
@@ -101,6 +111,13 @@
                            });
   }
 
+  void ReportSize()
+  {
+    if (!mIsEnded && mOnTooLarge && mConnection->excessBytes() > 0) {
+      mOnTooLarge(mConnection->excessBytes());
+    }
+  }
+
   void Write()
   {
     if (!mConnection->OnWritable()) {
@@ -133,6 +150,7 @@
   asio::posix::stream_descriptor mDescriptor;
   std::unique_ptr<PeerConnection> mConnection;
   std::function<void()> mOnEnd;
+  std::function<void(std::size_t)> mOnTooLarge;
   bool mIsWaitingForWrite = false;
   bool mIsEnded = false;
 };
@@ -173,6 +191,13 @@
   void OnConnected(const std::string& aAddress,
                    const std::shared_ptr<OutgoingConnection>& aOutgoingConnection);
   void OnConnectionEnded(const std::string& aAddress);
+  void CloseEndlessConnections(TimePoint aNow);
+  void ReportLimit(const ExceededMessageLimit& aExceeded) const
+  {
+    if (handlers.onLimitExceeded) {
+      handlers.onLimitExceeded(aExceeded);
+    }
+  }
 
   asio::io_context& context;
   FleetLinkOptions options;
@@ -205,6 +230,12 @@
       }
     });
   *ownConnection = connection;
+  connection->OnTooLarge([weak](std::size_t aSize) {
+    if (const auto owner = weak.lock()) {
+      owner->ReportLimit(
+        { .part = "size", .value = aSize, .limit = PeerConnection::kIncompleteMessageBytesLimit });
+    }
+  });
   incomingConnections.insert(connection);
   connection->Start();
 }
@@ -279,6 +310,22 @@
   }
 }
 
+/* Closes accepted connections with a message that has not ended in time. */
+void FleetLink::Impl::CloseEndlessConnections(TimePoint aNow)
+{
+  const auto connections = incomingConnections;
+  for (const auto& connection : connections) {
+    const Duration time = connection->LongestIncompleteTime(aNow);
+    if (time <= options.messageTimeout) {
+      continue;
+    }
+    ReportLimit({ .part = "time",
+                  .value = static_cast<std::uint64_t>(ToMilliseconds(time)),
+                  .limit = static_cast<std::uint64_t>(ToMilliseconds(options.messageTimeout)) });
+    connection->End();
+  }
+}
+
 FleetLink::FleetLink(asio::io_context& aContext,
                      FleetLinkOptions aOptions,
                      FleetLinkHandlers aHandlers)
@@ -337,6 +384,7 @@
       outgoing->connection->End();
     }
   }
+  mImpl->CloseEndlessConnections(aNow);
 }
 
 void FleetLink::Close()
--- a/src/peer/fleet_link.h
+++ b/src/peer/fleet_link.h
@@ -10,10 +10,19 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace rhubarbtrail {
 
+/* Messages of another daemon that exceeded a limit. Their connection is closed. */
+struct ExceededMessageLimit
+{
+  std::string_view part;   ///< "size", in bytes, or "time", in milliseconds.
+  std::uint64_t value = 0; ///< What was received when the limit was noticed.
+  std::uint64_t limit = 0;
+};
+
 struct FleetLinkHandlers
 {
   /* Called with each message that another daemon has sent. */
@@ -21,6 +30,8 @@
   /* Called when a connection that this daemon opened, or tried to open, has ended. Messages that
    * the other daemon has not acknowledged may be lost. */
   std::function<void(const std::string& aAddress)> onConnectionEnded;
+  /* Called when incomplete messages of another daemon exceed a limit. May be empty. */
+  std::function<void(const ExceededMessageLimit&)> onLimitExceeded;
 };
 
 struct FleetLinkOptions
@@ -28,6 +39,8 @@
   std::string address; ///< IP:port to listen on.
   /* An outgoing connection is closed when one of its messages has had no response for this time. */
   Duration responseTimeout = 1'200ms;
+  /* An accepted connection is closed when one of its messages has not ended after this time. */
+  Duration messageTimeout = 5s;
 };
 
 /* Keeps one outgoing HTTP/2 connection for each address that messages are sent to, and accepts the
@@ -52,7 +65,8 @@
    * are queued for it are dropped. */
   void Disconnect(const std::string& aAddress);
   /* Closes outgoing connections with a message that has had no response for longer than
-   * responseTimeout. Must be called periodically. */
+   * responseTimeout, and accepted ones with a message that has not ended within messageTimeout.
+   * Must be called periodically. */
   void CloseOverdueConnections(TimePoint aNow);
   /* Stops listening and closes all connections. No handler is called afterwards. */
   void Close();
--- a/src/peer/peer_connection.cpp
+++ b/src/peer/peer_connection.cpp
@@ -12,9 +12,6 @@
 
 namespace {
 
-/* Total size of the incomplete messages of one connection, in bytes. The connection is closed
- * beyond it, which bounds the memory that a peer can make this daemon use. */
-constexpr std::size_t kIncompleteMessageBytesLimit = 8U << 20U;
 /* Open streams of one connection at a time. Each message without a response occupies one. */
 constexpr std::uint32_t kStreamLimit = 1'024;
 /* Flow-control window of a stream and of a connection, in bytes. */
@@ -40,6 +37,7 @@
 {
   nghttp2_session_callbacks* callbacks = nullptr;
   nghttp2_session_callbacks_new(&callbacks);
+  nghttp2_session_callbacks_set_on_begin_headers_callback(callbacks, OnHeadersBegun);
   nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, OnDataChunkReceived);
   nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, OnFrameReceived);
   nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, OnStreamClose);
@@ -106,6 +104,17 @@
   return static_cast<ssize_t>(count);
 }
 
+int PeerConnection::OnHeadersBegun(nghttp2_session* /*aSession*/,
+                                   const nghttp2_frame* aFrame,
+                                   void* aSelf)
+{
+  auto* self = static_cast<PeerConnection*>(aSelf);
+  if (self->mRole == PeerRole::kServer) {
+    self->mIncompleteMessages.try_emplace(aFrame->hd.stream_id);
+  }
+  return 0;
+}
+
 int PeerConnection::OnDataChunkReceived(nghttp2_session* /*aSession*/,
                                         std::uint8_t /*aFlags*/,
                                         std::int32_t aStream,
@@ -118,10 +127,11 @@
     return 0;
   }
   if (self->mIncompleteMessageBytes + aLength > kIncompleteMessageBytesLimit) {
+    self->mExcessBytes = self->mIncompleteMessageBytes + aLength;
     return NGHTTP2_ERR_CALLBACK_FAILURE;
   }
   self->mIncompleteMessageBytes += aLength;
-  self->mIncompleteMessages[aStream].append(reinterpret_cast<const char*>(aData), aLength);
+  self->mIncompleteMessages[aStream].body.append(reinterpret_cast<const char*>(aData), aLength);
   return 0;
 }
 
@@ -136,7 +146,7 @@
   if (!isRequestEnd) {
     return 0;
   }
-  self->mReceiver(self->mIncompleteMessages[aFrame->hd.stream_id]);
+  self->mReceiver(self->mIncompleteMessages[aFrame->hd.stream_id].body);
   self->RemoveIncompleteMessage(aFrame->hd.stream_id);
   const std::array headers{ MakeHeaderField(":status", "204") };
   nghttp2_submit_response(aSession, aFrame->hd.stream_id, headers.data(), headers.size(), nullptr);
@@ -158,7 +168,7 @@
 {
   const auto found = mIncompleteMessages.find(aStream);
   if (found != mIncompleteMessages.end()) {
-    mIncompleteMessageBytes -= found->second.size();
+    mIncompleteMessageBytes -= found->second.body.size();
     mIncompleteMessages.erase(found);
   }
 }
@@ -228,4 +238,16 @@
                      [&](const auto& aItem) { return aNow - aItem.second.queuedAt > aLimit; });
 }
 
+Duration PeerConnection::LongestIncompleteTime(TimePoint aNow)
+{
+  Duration longest{};
+  for (auto& [stream, message] : mIncompleteMessages) {
+    if (!message.seenAt) {
+      message.seenAt = aNow;
+    }
+    longest = std::max(longest, aNow - *message.seenAt);
+  }
+  return longest;
+}
+
 } // namespace rhubarbtrail
--- a/src/peer/peer_connection.h
+++ b/src/peer/peer_connection.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <nghttp2/nghttp2.h>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -51,6 +52,15 @@
   /* Returns whether a message was queued more than aLimit ago and has no response yet. */
   bool HasOverdueMessage(TimePoint aNow, Duration aLimit) const;
 
+  /* Returns the longest time for which a message has been arriving without its end, counted from
+   * the first call of this function that finds it. */
+  Duration LongestIncompleteTime(TimePoint aNow);
+  /* Returns the size of the incomplete messages after which the connection failed, in bytes.
+   * Returns 0 if it did not fail because of their size. */
+  std::size_t excessBytes() const { return mExcessBytes; }
+  /* The largest size of the incomplete messages of a connection, in bytes. */
+  static constexpr std::size_t kIncompleteMessageBytesLimit = 8U << 20U;
+
   /* Bytes written to and read from the socket, including the framing of HTTP/2. */
   std::uint64_t sentBytes() const { return mSentBytes; }
   std::uint64_t receivedBytes() const { return mReceivedBytes; }
@@ -72,6 +82,12 @@
     TimePoint queuedAt{};
   };
 
+  struct IncomingMessage
+  {
+    std::string body;
+    std::optional<TimePoint> seenAt; ///< First call of LongestIncompleteTime() that found it.
+  };
+
   static ssize_t ReadMessageBody(nghttp2_session* aSession,
                                  std::int32_t aStream,
                                  std::uint8_t* aBuffer,
@@ -79,6 +95,7 @@
                                  std::uint32_t* aFlags,
                                  nghttp2_data_source* aSource,
                                  void* aSelf);
+  static int OnHeadersBegun(nghttp2_session* aSession, const nghttp2_frame* aFrame, void* aSelf);
   static int OnDataChunkReceived(nghttp2_session* aSession,
                                  std::uint8_t aFlags,
                                  std::int32_t aStream,
@@ -100,8 +117,9 @@
   Receiver mReceiver;
   nghttp2_session* mSession = nullptr;
   std::map<std::int32_t, OutgoingMessage> mUnansweredMessages;
-  std::map<std::int32_t, std::string> mIncompleteMessages;
+  std::map<std::int32_t, IncomingMessage> mIncompleteMessages;
   std::size_t mIncompleteMessageBytes = 0;
+  std::size_t mExcessBytes = 0;
   std::vector<std::uint8_t> mUnsent; ///< Frame data taken from nghttp2; sent up to mUnsentOffset.
   std::size_t mUnsentOffset = 0;
   std::uint64_t mSentBytes = 0;
