Fix: [Http] Watch a pooled connection whose last call was paused at its end

When the last bytes of an answer made the daemon pause its reading, the connection went back to the pool unread: the endpoint's close went unnoticed, and the next call on it failed. The pause now ends with the call.

The new case fails before (the second call is broken) and passes now.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -538,6 +538,7 @@
       ++mClient->counts.unsolicitedData;
     }
     auto handlers = std::exchange(mHandlers, {});
+    const auto self = std::exchange(mPausedSelf, nullptr); // An idle connection is read again.
     const Duration idleTimeout =
       std::min(mClient->options.idleTimeout,
                mKeepAliveTimeout.value_or(mClient->options.idleTimeout) -
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -474,6 +474,29 @@
   CHECK(received == large.size());
 }
 
+/* Guards against reusing a connection that the endpoint has closed, unnoticed, since the last bytes
+ * of a call came while its reading was paused. */
+TEST_CASE("a connection whose last call was paused at its end is watched while it is idle")
+{
+  ScriptedEndpoint endpoint({ Answer("a"), Answer("b") });
+  std::optional<CallResult> result;
+  std::unique_ptr<rhubarbtrail::http::Call> call;
+  call = endpoint.client.Start(
+    { .address = "127.0.0.1:" + std::to_string(endpoint.acceptor.local_endpoint().port()),
+      .request = { .method = "GET", .target = "/" } },
+    { .onHead = [](const AnswerHead&) { return true; },
+      .onBody = [&](std::string_view) { call->Pause(); },
+      .onEnd = [&](CallResult aResult) { result = aResult; } });
+  REQUIRE(RunUntil(endpoint.loop, [&] { return result.has_value(); }));
+  CHECK(*result == CallResult::kComplete);
+  boost::system::error_code ignored;
+  endpoint.sockets.front()->close(ignored);
+  endpoint.loop.restart();
+  endpoint.loop.run_for(std::chrono::milliseconds{ 50 });
+  CHECK(endpoint.Call() == CallResult::kComplete);
+  CHECK(endpoint.body == "b");
+}
+
 /* Guards against discarding the answer of an endpoint that pauses between the head and the body. */
 TEST_CASE("an answer whose body follows its head later is complete")
 {
