Fix: [Gateway] Count a slow client's patience from when it has taken what was sent

A stream whose client reads slowly had no time left to be resumed right after a long pause: the time for which its client waits for the next event was counted from when the former ones were handed to the socket. It now counts from when they have been written, and reading goes on.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -708,6 +708,7 @@
       if (const auto self = weak.lock(); self && self->mAttempt.call) {
         self->mAttempt.isReadingPaused = false;
         self->mAttempt.lastBytesAt = BootClockNow();
+        self->mLastProgressAt = self->mAttempt.lastBytesAt;
         self->mAttempt.call->Resume();
       }
     });
