Change: [Tests] Requests with a prompt part that crashes runners

A prompt part can crash each runner that begins to answer a request with it, and no two requests with it are alike. The daemons know only whole identical requests, so such requests reach runners without end.

The stand-in crashes on parts, and the clients of the tests can choose their own list of parts.

--- a/tests/edge/edge_cluster.py
+++ b/tests/edge/edge_cluster.py
@@ -147,11 +147,11 @@
         """Sends one request on a new connection and reads its answer to the end."""
         result = Result(uuid.uuid4().hex[:16], kind)
         headers = {"Host": "h.example", "X-Request-Id": result.id,
-                   "X-Deadline-Ms": str(int(timeout_s * 1000)),
-                   **{name.replace("_", "-"): value for name, value in fields.items()}}
+                   "X-Deadline-Ms": str(int(timeout_s * 1000))}
         if kind in ("chat", "draft"):
             headers |= {"X-Model": model, "X-Token-Usage": "100,20",
                         "X-Prompt-Prefix": "5c:60,9:40"}
+        headers |= {name.replace("_", "-"): value for name, value in fields.items()}
         method = "GET" if kind == "check" else "POST"
         started = time.monotonic()
         try:
--- a/tests/edge/standin.py
+++ b/tests/edge/standin.py
@@ -256,6 +256,8 @@
     refuses_all: bool = False       # All requests are refused without being run.
     answers_500: bool = False       # Requests are run and answered with status 500.
     crashing_body: bytes = b""      # A request whose body contains these bytes crashes it.
+    # A request with one of these prompt parts, not as the last one, crashes it after the answer's head.
+    crashing_parts: frozenset[str] = frozenset()
     pause_value: str = ""           # Refuses requests with 503 and this Retry-After.
     leaving_value: str = ""         # Value of Server-Leaving in all answers; not sent if empty.
     leaving_interim: bool = False   # The value is sent in an interim answer instead.
@@ -373,6 +375,10 @@
             run.is_cut = True
             asyncio.ensure_future(self.crash(0.4))
             return
+        parts = [part.split(":")[0] for part in call.fields.get("x-prompt-prefix", "").split(",")]
+        if self.faults.crashing_parts.intersection(parts[:-1]):
+            await self._crash_after_head(call, run)
+            return
         if self.faults.delays_answers:
             await asyncio.sleep(30)
         await asyncio.sleep(self.platform.work_s)
@@ -394,6 +400,20 @@
                 call.writer.write(response_head(200, {**signed_headers, "X-Request-Id": "nobody",
                                                       "Content-Length": "5"}) + b"extra")
 
+    async def _crash_after_head(self, call: HttpCall, run: Run) -> None:
+        run.is_cut = True
+        await asyncio.sleep(self.platform.work_s)
+        if self.is_down or call.writer.is_closing():
+            return
+        call.writer.write(response_head(200, {
+            "X-Request-Id": run.request, "X-Response-Signature": f"{self.id}.{run.request}",
+            "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}))
+        await call.writer.drain()
+        await asyncio.sleep(0.01)
+        if not self.is_down:
+            self.platform.part_crashes.append(time.monotonic())
+            asyncio.ensure_future(self.crash(0.5))
+
     async def _stream(self, call: HttpCall, run: Run, signed_headers: dict[str, str]) -> None:
         first = int(call.fields.get("last-event-id", "0") or "0") + 1
         version = self.version
@@ -440,6 +460,7 @@
         self.load_s, self.work_s = 0.3, 0.01
         self.runs: dict[str, list[Run]] = defaultdict(list)
         self.endpoints: dict[str, Endpoint] = {}
+        self.part_crashes: list[float] = []  # Times of crashes by crashing parts.
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
         self.thread.start()
