Feature: [Fleet] Decide which prompt parts crash runners

A prompt part can crash each runner that begins to answer a request with it, whatever else the request holds. PromptPartGuard finds such parts by the suspects of crashed processes: requests without an event, those whose answer had begun first. The parts that explain most crashes are quarantined from three processes and two requests on. Parts of answered requests are sound and never suspects. The state is bounded, and an account cannot push out the parts of others.

--- a/src/core/id_type.h
+++ b/src/core/id_type.h
@@ -35,6 +35,7 @@
 using CellId = Id<struct CellTag>;
 using ChangeId = Id<struct ChangeTag>;
 using ClassId = Id<struct ClassTag>;
+using ClientAccountId = Id<struct ClientAccountTag>;
 using CustomerId = Id<struct CustomerTag>;
 using DaemonId = Id<struct DaemonTag>;
 using EndpointId = Id<struct EndpointTag>;
--- /dev/null
+++ b/src/decision/fleet/prompt_part_guard.h
@@ -0,0 +1,170 @@
+/* Detects prompt parts that crash runners, whatever else the requests with them hold. */
+#ifndef RHUBARBTRAIL_DECISION_FLEET_PROMPT_PART_GUARD_H
+#define RHUBARBTRAIL_DECISION_FLEET_PROMPT_PART_GUARD_H
+
+#include "core/id_type.h"
+#include "core/unit_type.h"
+#include "decision/fleet/crash_guard.h"
+#include "decision/fleet/work_type.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <set>
+#include <span>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace rhubarbtrail::fleet {
+
+/* Number of crashed processes of runners after which a part is quarantined. One or two may be
+ * chance. */
+constexpr std::size_t kPartCrashThreshold = 3;
+/* The same, if processes count that had begun to answer another suspect but not one with the part.
+ * It is the largest number that operators accept. */
+constexpr std::size_t kWeakPartCrashThreshold = 5;
+/* Greatest number of parts of one request that are suspected or recorded as sound. Prompts of the
+ * platform's callers have fewer than ten. */
+constexpr std::size_t kMaxRecordedParts = 256;
+/* Number of crashed processes whose suspects are kept. Sets of them are stored as bits. */
+constexpr std::size_t kMaxCrashRecords = 64;
+/* Greatest number of entries of one crashed process, one for each part of each request, and of one
+ * client account among them. */
+constexpr std::size_t kMaxRecordEntries = 512;
+constexpr std::size_t kMaxAccountEntries = 256;
+/* Greatest number of sound parts that are remembered. */
+constexpr std::size_t kMaxSoundParts = 32'768;
+/* Time after its last sound answer until a part may be suspected again, since other software of the
+ * runners may crash on it. */
+constexpr Duration kSoundPartLifetime = 600s;
+/* Greatest number of quarantined groups of parts, and of parts in one group. */
+constexpr std::size_t kMaxQuarantinedGroups = 64;
+constexpr std::size_t kMaxGroupParts = 16;
+
+/* Parts of which at least one crashes runners. They have come only together so far, so that it is
+ * not known which, and only requests with all of them are quarantined. Normally it is one part. In
+ * ascending order. */
+using PartGroup = std::vector<PromptPartId>;
+
+/* A request that was in flight without an event at a runner's process that has ended. */
+struct CrashSuspect
+{
+  FingerprintId request;
+  ClientAccountId account;
+  std::vector<PromptPartId> parts; ///< All but the last part of the prompt.
+  /* The head of a success had arrived, so that the runner had begun to answer. */
+  bool hasHead = false;
+
+  bool operator==(const CrashSuspect&) const = default;
+};
+
+/* Finds the parts that explain the crashes of runners with as few parts as possible. A crash is
+ * attributed to the requests that the runner had begun to answer, if there are any. A part of a
+ * request that was answered is sound: a crashing part crashes each runner that begins to answer it.
+ * The state is bounded, also for each client account, so that the parts of one account cannot push
+ * out those of others. */
+class PromptPartGuard
+{
+public:
+  /* What has changed, for the log and for the other daemons. */
+  struct Change
+  {
+    std::vector<PartGroup> quarantined;
+    std::vector<PartGroup> released;
+    /* Parts that were suspects or quarantined and turn out to be sound. */
+    std::vector<PromptPartId> cleared;
+    /* Number of crashed processes that the suspect's parts may explain at most. */
+    std::size_t crashes = 0;
+  };
+
+  /* Records that a runner's process ended while the request was in flight there without an event.
+   * Reports about one process are merged. */
+  Change RecordCrash(TimePoint aNow, const EndpointProcess& aProcess, const CrashSuspect& aSuspect);
+  /* Records that these parts are sound, because a request with them was answered. */
+  Change RecordSound(TimePoint aNow,
+                     const ClientAccountId& aAccount,
+                     std::span<const PromptPartId> aParts);
+  /* Takes over a group that another daemon or the store knows to be quarantined. */
+  Change RecordQuarantined(TimePoint aNow, const PartGroup& aGroup);
+
+  /* Returns whether a request with these parts, in any order, must not be sent to a runner. */
+  bool IsQuarantined(TimePoint aNow, std::span<const PromptPartId> aParts);
+  /* Returns those of the parts that are known to be sound. */
+  std::vector<PromptPartId> SoundAmong(TimePoint aNow, std::span<const PromptPartId> aParts) const;
+  std::vector<PartGroup> quarantined() const;
+  std::size_t quarantinedCount() const { return mQuarantined.size(); }
+  std::size_t recordCount() const { return mRecords.size(); }
+  std::size_t soundCount() const { return mSound.size(); }
+
+private:
+  /* The suspects of one crashed process that have a certain part. */
+  struct PartSuspects
+  {
+    std::set<std::size_t> requests; ///< Hashes.
+    bool hasHead = false;           ///< One of them had the head of its answer.
+  };
+  /* The suspects of one crashed process. */
+  struct CrashRecord
+  {
+    EndpointProcess process;
+    std::map<PromptPartId, PartSuspects> parts;
+    std::map<ClientAccountId, std::size_t> accountEntries;
+    std::size_t entries = 0;
+  };
+  struct SoundPart
+  {
+    ClientAccountId account;
+    TimePoint provenAt{};
+    std::list<PromptPartId>::iterator place; ///< In the list of its account.
+  };
+  /* A part's crashes, as bits of the records with it. */
+  struct Evidence
+  {
+    std::uint64_t records = 0;
+    std::size_t request = 0; ///< Hash of one of the requests.
+    bool hasSeveralRequests = false;
+  };
+  struct QuarantinedGroup
+  {
+    PartGroup parts;
+    TimePoint lastAskedAt{};
+  };
+
+  bool IsSound(TimePoint aNow, PromptPartId aPart) const;
+  CrashRecord& RecordOf(const EndpointProcess& aProcess);
+  void RememberSound(TimePoint aNow, const ClientAccountId& aAccount, PromptPartId aPart);
+  void ForgetOneSoundPart();
+  /* Removes a sound part from the records and the quarantined groups. Returns whether it was there.
+   */
+  bool Acquit(PromptPartId aPart, Change& aChange);
+  /* Quarantines the groups of parts that explain the records, beyond what is quarantined. */
+  void Recompute(TimePoint aNow, Change& aChange);
+  using EvidenceByPart = std::unordered_map<PromptPartId, Evidence>;
+  /* Quarantines groups by this evidence and adds the records that they explain. */
+  void QuarantineByEvidence(TimePoint aNow,
+                            const EvidenceByPart& aEvidence,
+                            std::size_t aThreshold,
+                            std::uint64_t& aExplained,
+                            Change& aChange);
+  /* Returns the evidence of all suspects, or only of those to which the crashes are attributed. */
+  EvidenceByPart CollectEvidence(bool aOnlyAttributed) const;
+  std::uint64_t ExplainedRecords(const EvidenceByPart& aEvidence) const;
+  bool IsCertain(PromptPartId aPart) const;
+  void Quarantine(TimePoint aNow, const PartGroup& aGroup, Change& aChange);
+  void EraseGroups(const std::function<bool(const QuarantinedGroup&)>& aIsErased, Change& aChange);
+  void UpdateQuarantinedParts();
+
+  std::deque<CrashRecord> mRecords; ///< Oldest first.
+  std::unordered_map<PromptPartId, SoundPart> mSound;
+  /* Sound parts by the account that proved them last, least recent first. */
+  std::map<ClientAccountId, std::list<PromptPartId>> mSoundByAccount;
+  std::vector<QuarantinedGroup> mQuarantined;
+  std::unordered_set<PromptPartId> mQuarantinedParts; ///< The parts of all groups.
+};
+
+} // namespace rhubarbtrail::fleet
+
+#endif
--- a/src/decision/fleet/work_type.h
+++ b/src/decision/fleet/work_type.h
@@ -4,11 +4,22 @@
 
 #include "decision/fleet/runner_type.h"
 
+#include <compare>
 #include <cstdint>
+#include <functional>
 #include <vector>
 
 namespace rhubarbtrail::fleet {
 
+/* Identifies the contents of a section of a prompt. */
+struct PromptPartId
+{
+  std::uint64_t value = 0;
+
+  auto operator<=>(const PromptPartId&) const = default;
+  bool operator==(const PromptPartId&) const = default;
+};
+
 /* A section of a prompt. Runners can reuse it for other requests whose prompts begin with the same
  * sections. */
 struct PromptPart
@@ -27,4 +38,13 @@
 
 } // namespace rhubarbtrail::fleet
 
+template<>
+struct std::hash<rhubarbtrail::fleet::PromptPartId>
+{
+  std::size_t operator()(const rhubarbtrail::fleet::PromptPartId& aPart) const noexcept
+  {
+    return std::hash<std::uint64_t>{}(aPart.value);
+  }
+};
+
 #endif
