--- a/src/gateway/request_silence.cpp
+++ b/src/gateway/request_silence.cpp
@@ -72,7 +72,8 @@
   }
   WatchForSilence(limit); // An endpoint or a retry may become available later.
   mAttemptState.timeLeft = TimeLeft();
-  mAttemptState.isQuarantined = mContext.crashes.IsQuarantined(BootClockNow(), mFingerprint);
+  mAttemptState.isQuarantined =
+    mContext.crashes.IsQuarantined(BootClockNow(), mFingerprint) || IsPartQuarantined();
   const bool mayMove = fleet::MayMoveAttempt(mAttemptState) &&
                        mContext.retries.RemainingRetries(BootClockNow(), mService) >= 1.0;
   if (!std::exchange(mAttempt.isReportedSilent, true)) {
@@ -168,7 +169,7 @@
                                   const std::optional<fleet::PlacementRequestId>& aPlacementId,
                                   const std::optional<SoftwareVersion>& aAssignedVersion)
 {
-  if (!mContext.retries.TakeRetry(BootClockNow(), mService)) {
+  if (IsPartQuarantined() || !mContext.retries.TakeRetry(BootClockNow(), mService)) {
     if (aPlacementId) {
       mContext.placement.Release({ .id = *aPlacementId, .end = fleet::AssignmentEnd::kWithdrawn });
     }
--- a/tests/edge/standin.py
+++ b/tests/edge/standin.py
@@ -360,6 +360,8 @@
     refuses_all: bool = False       # All requests are refused without being run.
     answers_500: bool = False       # Requests are run and answered with status 500.
     crashing_body: bytes = b""      # A request whose body contains these bytes crashes it.
+    # A request with one of these prompt parts, not as the last one, crashes it after the answer's head.
+    crashing_parts: frozenset[str] = frozenset()
     pause_value: str = ""           # Refuses requests with 503 and this Retry-After.
     leaving_value: str = ""         # Value of Server-Leaving in all answers; not sent if empty.
     leaving_interim: bool = False   # The value is sent in an interim answer instead.
@@ -490,6 +492,10 @@
             run.is_cut = True
             asyncio.ensure_future(self.crash(0.4))
             return
+        parts = [part.split(":")[0] for part in call.fields.get("x-prompt-prefix", "").split(",")]
+        if self.faults.crashing_parts.intersection(parts[:-1]):
+            await self._crash_after_head(call, run)
+            return
         if self.faults.delays_answers:
             await asyncio.sleep(30)
         await asyncio.sleep(self.platform.work_s)
@@ -522,6 +528,20 @@
                 call.writer.write(response_head(200, {**signed_headers, "X-Request-Id": "nobody",
                                                       "Content-Length": "5"}) + b"extra")
 
+    async def _crash_after_head(self, call: HttpCall, run: Run) -> None:
+        run.is_cut = True
+        await asyncio.sleep(self.platform.work_s)
+        if self.is_down or call.writer.is_closing():
+            return
+        call.writer.write(response_head(200, {
+            "X-Request-Id": run.request, "X-Response-Signature": f"{self.id}.{run.request}",
+            "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}))
+        await call.writer.drain()
+        await asyncio.sleep(0.01)
+        if not self.is_down:
+            self.platform.part_crashes.append(time.monotonic())
+            asyncio.ensure_future(self.crash(0.5))
+
     def _take_silence(self) -> Optional[Silence]:
         """Returns the silence of the answer that begins, if it has one."""
         silence = self.faults.silence
@@ -589,6 +609,7 @@
         self.event_padding = 0  # Additional bytes in each event of a stream.
         self.runs: dict[str, list[Run]] = defaultdict(list)
         self.endpoints: dict[str, Endpoint] = {}
+        self.part_crashes: list[float] = []  # Times of crashes by crashing parts.
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
         self.thread.start()
