--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -32,7 +32,7 @@
 constexpr Duration kShutdownRetryAfter = 50ms;
 /* Time limit for connecting to an endpoint. Connecting normally takes a few milliseconds. */
 constexpr Duration kConnectTimeout = 250ms;
-/* Time limit of a probe after a broken connection, of which only the head is needed. */
+/* Time limit of a probe after a broken connection. */
 constexpr Duration kProbeTimeout = 500ms;
 /* Clients give up a stream when nothing arrives for two seconds, four times the latency objective
  * or eight times the event gap objective, whichever is longest. */
@@ -55,6 +55,15 @@
 constexpr std::size_t kMaxEventBytes = 8U << 20U;
 
 constexpr unsigned kFirstServerError = 500;
+constexpr unsigned kFirstSuccess = 200;
+constexpr unsigned kFirstRedirection = 300;
+/* Reason of a refusal or failure, in log lines. */
+constexpr std::string_view kPartQuarantinedReason = "prompt_part_quarantined";
+
+bool IsSuccess(unsigned aStatus)
+{
+  return aStatus >= kFirstSuccess && aStatus < kFirstRedirection;
+}
 
 std::string_view HostWithoutPort(std::string_view aHost)
 {
@@ -88,6 +97,22 @@
   return XXH3_64bits(aClient.requestId.data(), aClient.requestId.size());
 }
 
+/* Returns whether a report is of another process of the endpoint than this one. */
+bool IsOfOtherProcess(const std::string& aReport, const fleet::EndpointProcess& aProcess)
+{
+  const auto report = platform::DecodeRunnerReport(aReport);
+  return report && aProcess.startedAtMs > 0 && report->startedAtMs > aProcess.startedAtMs;
+}
+
+/* Returns the retry time of a request that is refused when it arrives. */
+Duration RetryAfterOf(ResultCode aCode)
+{
+  if (aCode == ResultCode::kPromptPartQuarantined) {
+    return Duration::zero(); // It would be refused again.
+  }
+  return aCode == ResultCode::kShuttingDown ? kShutdownRetryAfter : kDefaultRetryAfter;
+}
+
 fleet::AssignmentEnd AssignmentEndOf(AttemptEnd aEnd)
 {
   switch (aEnd) {
@@ -135,8 +160,7 @@
   ResultCode code = ResultCode::kOk;
   if (!AdmitRequest(reason, code)) {
     if (Describe(code).execution == Execution::kNotRun && Describe(code).httpStatus == 503) {
-      Refuse(
-        code, code == ResultCode::kShuttingDown ? kShutdownRetryAfter : kDefaultRetryAfter, reason);
+      Refuse(code, RetryAfterOf(code), reason);
     } else {
       Fail(code, reason);
     }
@@ -180,6 +204,12 @@
     aCode = ResultCode::kEndpointUnavailable;
     return false;
   }
+  mAccount = ClientAccountId{ std::string{ host } };
+  if (IsPartQuarantined()) {
+    aReason = kPartQuarantinedReason;
+    aCode = ResultCode::kPromptPartQuarantined;
+    return false;
+  }
   return true;
 }
 
@@ -306,6 +336,9 @@
 
 void RequestFlow::SelectEndpoint()
 {
+  if (EndIfPartQuarantined()) {
+    return;
+  }
   if (UsesModels()) {
     SelectByDispatcher();
   } else {
@@ -519,6 +552,9 @@
 
 void RequestFlow::SendToEndpoint(const EndpointId& aEndpoint, std::string_view aSelectionReason)
 {
+  if (EndIfPartQuarantined()) {
+    return;
+  }
   const TimePoint now = BootClockNow();
   if (const auto obstacle = ObstacleAt(aEndpoint, mAssignedVersion)) {
     ReleaseAssignment(*obstacle);
@@ -708,6 +744,7 @@
       if (const auto self = weak.lock(); self && self->mAttempt.call) {
         self->mAttempt.isReadingPaused = false;
         self->mAttempt.lastBytesAt = BootClockNow();
+        self->mLastProgressAt = self->mAttempt.lastBytesAt;
         self->mAttempt.call->Resume();
       }
     });
@@ -839,6 +876,9 @@
       if (mContext.crashes.RecordAnswer(mFingerprint)) {
         mContext.onCleared(mFingerprint);
       }
+      if (HasAnswerBegun(mAttempt) && IsSuccess(mAttempt.head->status)) {
+        mContext.onSoundAnswer(mAccount, mClient.leadingParts);
+      }
       break;
     case AttemptEnd::kErrorAnswer:
     case AttemptEnd::kLost:
@@ -878,7 +918,15 @@
     return;
   }
   // Connections break for many reasons, but a new one fails only if the process is gone. Anything
-  // else does not make the request a suspect.
+  // else does not make the request a suspect. A request that has an event of this attempt did not
+  // crash the runner when it began to answer.
+  const fleet::CrashSuspect suspect{ .request = mFingerprint,
+                                     .account = mAccount,
+                                     .parts = HasAnswerBegun(aAttempt)
+                                                ? std::vector<fleet::PromptPartId>{}
+                                                : mClient.leadingParts,
+                                     .hasHead = aAttempt.head && IsSuccess(aAttempt.head->status) };
+  auto report = std::make_shared<std::string>();
   mContext.client.Start(
     { .address = runner->entry.address,
       .request = platform::EncodeReportRequest(aAttempt.endpoint),
@@ -893,22 +941,22 @@
           context.onEndpointAnswer(endpoint, startedAtMs, platform::DecodeEndpointAnswer(aHead));
           return true;
         },
-      .onBody = [](std::string_view) {},
+      .onBody = [report](std::string_view aBytes) { *report += aBytes; },
       .onEnd =
         [&context = mContext,
-         request = mFingerprint,
+         suspect,
+         report,
          id = mClient.requestId,
          process = fleet::EndpointProcess{ .endpoint = aAttempt.endpoint,
                                            .startedAtMs = aAttempt.endpointStartedAtMs }](
           http::CallResult aResult) {
-          if (aResult != http::CallResult::kNotConnected) {
+          if (aResult != http::CallResult::kNotConnected && !IsOfOtherProcess(*report, process)) {
             return;
           }
           context.log.Write(
             "request_suspected",
-            { { "id", id }, { "endpoint", process.endpoint }, { "bytes", request } });
-          context.crashes.RecordCrash(BootClockNow(), request, process);
-          context.onSuspect(request, process);
+            { { "id", id }, { "endpoint", process.endpoint }, { "bytes", suspect.request } });
+          context.onCrash(process, suspect);
         } });
 }
 
@@ -918,7 +966,8 @@
   mAttemptState.runs += hasRun ? 1 : 0;
   mAttemptState.refusals += hasRun ? 0 : 1;
   mAttemptState.timeLeft = TimeLeft();
-  mAttemptState.isQuarantined = mContext.crashes.IsQuarantined(BootClockNow(), mFingerprint);
+  mAttemptState.isQuarantined =
+    mContext.crashes.IsQuarantined(BootClockNow(), mFingerprint) || IsPartQuarantined();
   if (aEnd == AttemptEnd::kAnswered) {
     return;
   }
@@ -1014,6 +1063,26 @@
   }
 }
 
+bool RequestFlow::EndIfPartQuarantined()
+{
+  if (mIsEnded || mRoute == nullptr || !IsPartQuarantined()) {
+    return false;
+  }
+  const bool isInFlight = mAttempt.call != nullptr;
+  if (isInFlight && HasAnswerBegun(mAttempt)) {
+    WithdrawReplacement();
+    return false;
+  }
+  mAttemptState.runs += isInFlight ? 1 : 0;
+  StopAttempt();
+  if (mAttemptState.runs == 0) {
+    Refuse(ResultCode::kPromptPartQuarantined, Duration::zero(), kPartQuarantinedReason);
+  } else {
+    Fail(ResultCode::kAttemptsExhausted, kPartQuarantinedReason);
+  }
+  return true;
+}
+
 void RequestFlow::OnClientGone()
 {
   if (mIsEnded) {
@@ -1038,17 +1107,34 @@
   }
 }
 
-void EndWaitingRequests(GatewayContext& aContext)
+namespace {
+
+/* Returns the open requests. A request that ends is no longer in the context's set. */
+std::vector<std::shared_ptr<RequestFlow>> OpenRequests(const GatewayContext& aContext)
 {
   std::vector<std::shared_ptr<RequestFlow>> flows;
   for (RequestFlow* flow : aContext.openRequests) {
     flows.push_back(flow->shared_from_this());
   }
-  for (const auto& flow : flows) {
+  return flows;
+}
+
+} // namespace
+
+void EndWaitingRequests(GatewayContext& aContext)
+{
+  for (const auto& flow : OpenRequests(aContext)) {
     flow->EndIfWaiting();
   }
 }
 
+void EndQuarantinedRequests(GatewayContext& aContext)
+{
+  for (const auto& flow : OpenRequests(aContext)) {
+    flow->EndIfPartQuarantined();
+  }
+}
+
 void ServeRequest(GatewayContext& aContext,
                   http::Request aRequest,
                   std::shared_ptr<http::Responder> aResponder)
--- a/tests/edge/edge_cluster.py
+++ b/tests/edge/edge_cluster.py
@@ -152,11 +152,11 @@
         """
         result = Result(uuid.uuid4().hex[:16], kind)
         headers = {"Host": "h.example", "X-Request-Id": result.id,
-                   "X-Deadline-Ms": str(int(timeout_s * 1000)),
-                   **{name.replace("_", "-"): value for name, value in fields.items()}}
+                   "X-Deadline-Ms": str(int(timeout_s * 1000))}
         if kind in ("chat", "draft"):
             headers |= {"X-Model": model, "X-Token-Usage": "100,20",
                         "X-Prompt-Prefix": "5c:60,9:40"}
+        headers |= {name.replace("_", "-"): value for name, value in fields.items()}
         method = "GET" if kind == "check" else "POST"
         started = time.monotonic()
         try:
--- a/tests/edge/soak.py
+++ b/tests/edge/soak.py
@@ -37,6 +37,8 @@
 # Minimum time between orders of two holders, as lease_spacing in edge_cluster.
 MIN_HOLDER_SPACING_S = 1.0
 SOUND_TIMEOUT_S = 8.0  # Time limit of each request with --sound.
+# Timeouts of the routes of plain endpoints, as in standin.py.
+PLAIN_TIMEOUT_S = 2.0
 # Grace period of the daemons with --sound, longer than any request.
 SOUND_GRACE_S = 12.0
 
@@ -232,8 +234,9 @@
         if self.is_sound:
             violations += [f"{r.kind} {r.id} ran and ended with {r.status} after {r.duration_s:.1f} s"
                            for r in self.results
-                           if r.status in (0, 502, 504) and r.duration_s < 0.9 * SOUND_TIMEOUT_S
-                           and cluster.run_count(r) > 0]
+                           if r.status in (0, 502, 504) and cluster.run_count(r) > 0
+                           and r.duration_s < 0.95 * (PLAIN_TIMEOUT_S if r.kind in ("pay", "check")
+                                                      else SOUND_TIMEOUT_S)]
         for endpoint in cluster.platform.endpoints.values():
             if endpoint.max_loaded_models > cluster.platform.models_per_runner:
                 violations.append(f"{endpoint.id} held {endpoint.max_loaded_models} models")
