Fix: [Gateway] Take a stream that goes on as proof that its prompt parts are sound

Sound requests of one route were refused if three runners ended under their common first part before any request with it had been answered completely, which takes seconds and may never happen while runners keep ending. A crashing part ends its runner when it begins to answer, so events that still come 500 ms after the first one prove the parts sound.

test_edge_does_not_quarantine_a_shared_part_whose_streams_go_on failed before (the first part was quarantined) and passes now, and so do the seven other tests of crashing parts.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -42,6 +42,9 @@
 /* When more bytes than this are not yet sent to the client, reading from the endpoint is paused
  * until all are sent. */
 constexpr std::size_t kUnsentBytesLimit = 256U << 10U;
+/* Time from a stream's first event after which further events show that no part of its prompt
+ * crashes the runner, which happens when it begins to answer. */
+constexpr Duration kSoundStreamTime = 500ms;
 /* Added to the time limit of a call, so that the request's own deadline ends it. */
 constexpr Duration kDeadlineMargin = 1s;
 /* Time over which requests that waited for the end of an endpoint's pause are spread. */
@@ -780,12 +783,15 @@
     ++mEventsForwarded;
     forwarded += *event;
   }
-  if (!forwarded.empty() && mAttempt.timeToFirstEvent == Duration::zero()) {
-    mAttempt.timeToFirstEvent = BootClockNow() - mAttempt.startedAt;
-  }
   if (forwarded.empty()) {
     return;
   }
+  const Duration runTime = BootClockNow() - mAttempt.startedAt;
+  if (mAttempt.timeToFirstEvent == Duration::zero()) {
+    mAttempt.timeToFirstEvent = runTime;
+  } else if (runTime - mAttempt.timeToFirstEvent >= kSoundStreamTime) {
+    RecordSoundParts();
+  }
   if (!mIsHeadSent) {
     RecordOrigin();
   }
@@ -794,6 +800,13 @@
   mLastProgressAt = BootClockNow();
 }
 
+void RequestFlow::RecordSoundParts()
+{
+  if (!std::exchange(mAttempt.isProvenSound, true)) {
+    mContext.onSoundAnswer(mAccount, mClient.leadingParts);
+  }
+}
+
 void RequestFlow::RecordOrigin()
 {
   if (!mOrigin && mAttempt.version.empty()) {
@@ -877,7 +890,7 @@
         mContext.onCleared(mFingerprint);
       }
       if (HasAnswerBegun(mAttempt) && IsSuccess(mAttempt.head->status)) {
-        mContext.onSoundAnswer(mAccount, mClient.leadingParts);
+        RecordSoundParts();
       }
       break;
     case AttemptEnd::kErrorAnswer:
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -45,6 +45,7 @@
     std::int64_t endpointStartedAtMs = 0; ///< Unix time of the start of the endpoint's process.
     TimePoint startedAt{};
     Duration timeToFirstEvent{}; ///< From the start to the first event; 0: none has arrived.
+    bool isProvenSound = false;  ///< The parts of the prompt have not crashed the endpoint.
     std::unique_ptr<http::Call> call;
     std::optional<http::AnswerHead> head;
     platform::EndpointAnswer decodedHead;
@@ -158,6 +159,8 @@
   {
     return mContext.promptParts.IsQuarantined(BootClockNow(), mClient.leadingParts);
   }
+  /* Records once for each attempt that the parts of the prompt crash no runner. */
+  void RecordSoundParts();
   /* Returns whether an event or a part of the body has arrived. */
   static bool HasAnswerBegun(const Attempt& aAttempt)
   {
--- a/tests/edge/test_crashing_part.py
+++ b/tests/edge/test_crashing_part.py
@@ -240,3 +240,32 @@
             for daemon in cluster.daemons:
                 result = send(daemon, parts)
                 assert result.status == 503 and cluster.run_count(result) == 0, (parts, result)
+
+
+def test_edge_does_not_quarantine_a_shared_part_whose_streams_go_on() -> None:
+    """Ends three runners by chance under requests that share their first part.
+
+    No request with that part has been answered yet, but one stream with it has gone on for a while.
+    """
+    with EdgeCluster(daemons=1, runners=4, models=2) as cluster:
+        platform, daemon = cluster.platform, cluster.daemons[0]
+        platform.work_s = 0.8
+        with ThreadPoolExecutor(16) as pool:
+            first = pool.submit(send, daemon, sound_list())
+            time.sleep(2.6)
+            running_at = next(iter(platform.runs.values()))[0].endpoint
+            platform.work_s = 20.0
+            others = [pool.submit(send, daemon, sound_list()) for _ in range(12)]
+            victims = [endpoint for endpoint in platform.endpoints.values()
+                       if endpoint.service == "llm" and endpoint.id != running_at]
+            cluster.wait_until(lambda: all(any(run.endpoint == victim.id for runs in
+                                               platform.runs.values() for run in runs)
+                                           for victim in victims), "a request at each runner")
+            for victim in victims:
+                platform.run_coroutine(victim.crash(1.0))
+            time.sleep(0.5)
+            platform.work_s = 0.01
+            cluster.wait_until(lambda: send(daemon, sound_list()).is_complete, "a sound request", 4.0)
+            assert '"event":"part_suspected"' in daemon.log.read_text(), "no crash was seen"
+            assert '"event":"part_quarantined"' not in daemon.log.read_text()
+            del first, others
