Fix: [Gateway] Give back places that were assigned or released while the dispatcher was away

A daemon that had no contact with the dispatcher for more than 1.3 s, but less than the 2.5 s after which the dispatcher forgets it, left places at runners taken for good: releases were dropped, pending requests were answered without being withdrawn, and an assignment that arrived for a request that had gone on was ignored. Requests of others waited for these places or were refused. Releases that cannot be sent are now kept until a dispatcher is found, pending requests are withdrawn, and an assignment that nobody waits for is released.

Found by the review, by reading.

--- a/src/gateway/placement_client.cpp
+++ b/src/gateway/placement_client.cpp
@@ -5,6 +5,13 @@
 
 namespace rhubarbtrail {
 
+namespace {
+
+/* Greatest number of releases that wait for a dispatcher. */
+constexpr std::size_t kMaxUnsentReleases = 4'096;
+
+} // namespace
+
 PlacementClient::PlacementClient(Sender aSender)
   : mSender(std::move(aSender))
 {
@@ -24,9 +31,18 @@
 void PlacementClient::Release(const fleet::AssignmentReleased& aReleased)
 {
   if (mPendingRequests.erase(aReleased.id) + mAssignments.erase(aReleased.id) > 0) {
-    // The result does not matter: a dispatcher that receives no more messages from this daemon
-    // releases its assignments by itself.
-    mSender(fleet::DispatchMessage{ aReleased });
+    SendRelease(aReleased);
+  }
+}
+
+void PlacementClient::SendRelease(const fleet::AssignmentReleased& aReleased)
+{
+  if (mSender(fleet::DispatchMessage{ aReleased })) {
+    return;
+  }
+  // If more are lost, the dispatcher has long forgotten this daemon and its assignments.
+  if (mUnsentReleases.size() < kMaxUnsentReleases) {
+    mUnsentReleases.push_back(aReleased);
   }
 }
 
@@ -34,8 +50,12 @@
 {
   const auto found = mPendingRequests.find(aReply.id);
   if (found == mPendingRequests.end()) {
-    // The request was answered before, here or by OnDispatcherLost(), or Release() has withdrawn it
-    // and notified the dispatcher.
+    // The request was answered before, here or by OnDispatcherLost(), or Release() has withdrawn
+    // it. An assignment that is not in use would stay taken.
+    if (std::holds_alternative<fleet::RunnerAssigned>(aReply.answer) &&
+        !mAssignments.contains(aReply.id)) {
+      SendRelease({ .id = aReply.id, .end = fleet::AssignmentEnd::kWithdrawn });
+    }
     return;
   }
   const PendingRequest pending = std::move(found->second);
@@ -49,6 +69,10 @@
 
 void PlacementClient::OnNewDispatcher()
 {
+  const auto unsent = std::exchange(mUnsentReleases, {});
+  for (const fleet::AssignmentReleased& released : unsent) {
+    SendRelease(released);
+  }
   for (const auto& [id, assignment] : mAssignments) {
     mSender(fleet::DispatchMessage{ assignment });
   }
@@ -64,6 +88,8 @@
 {
   const auto pending = std::exchange(mPendingRequests, {});
   for (const auto& [id, pendingRequest] : pending) {
+    // The dispatcher may still assign it, and may be found again.
+    SendRelease({ .id = id, .end = fleet::AssignmentEnd::kWithdrawn });
     pendingRequest.handler({ .id = id, .answer = fleet::PlacementUndecided{} });
   }
 }
--- a/src/gateway/placement_client.h
+++ b/src/gateway/placement_client.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace rhubarbtrail {
 
@@ -26,8 +27,8 @@
    * first. Returns false if no dispatcher can be reached. The request is not kept then, and the
    * handler is not called. */
   bool RequestAssignment(const fleet::PlacementRequest& aRequest, Handler aHandler);
-  /* Withdraws a pending placement request, or releases an assignment. Notifies the dispatcher. Does
-   * nothing if neither exists. */
+  /* Withdraws a pending placement request, or releases an assignment. Notifies the dispatcher, now
+   * or when one is found. Does nothing if neither exists. */
   void Release(const fleet::AssignmentReleased& aReleased);
 
   /* Handles a reply of the dispatcher. */
@@ -42,6 +43,9 @@
   std::size_t pendingRequestCount() const { return mPendingRequests.size(); }
 
 private:
+  /* Sends a release, or keeps it until a dispatcher is found. */
+  void SendRelease(const fleet::AssignmentReleased& aReleased);
+
   struct PendingRequest
   {
     fleet::PlacementRequest request;
@@ -51,6 +55,7 @@
   Sender mSender;
   std::map<fleet::PlacementRequestId, PendingRequest> mPendingRequests;
   std::map<fleet::PlacementRequestId, fleet::AssignmentInUse> mAssignments;
+  std::vector<fleet::AssignmentReleased> mUnsentReleases; ///< Oldest first.
 };
 
 } // namespace rhubarbtrail
