Fix: [Gateway] Build the replacement attempt in a way that clang accepts

The linter's clang 14 does not know the initialisation of an aggregate by parentheses. No behaviour changes.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -973,14 +973,19 @@
         } });
 }
 
+void RequestFlow::UpdateAttemptState()
+{
+  mAttemptState.timeLeft = TimeLeft();
+  mAttemptState.isQuarantined =
+    mContext.crashes.IsQuarantined(BootClockNow(), mFingerprint) || IsPartQuarantined();
+}
+
 void RequestFlow::RecordAttempt(AttemptEnd aEnd, std::string_view aResult)
 {
   const bool hasRun = aEnd != AttemptEnd::kNotSent && aEnd != AttemptEnd::kNotRun;
   mAttemptState.runs += hasRun ? 1 : 0;
   mAttemptState.refusals += hasRun ? 0 : 1;
-  mAttemptState.timeLeft = TimeLeft();
-  mAttemptState.isQuarantined =
-    mContext.crashes.IsQuarantined(BootClockNow(), mFingerprint) || IsPartQuarantined();
+  UpdateAttemptState();
   if (aEnd == AttemptEnd::kAnswered) {
     return;
   }
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -168,6 +168,8 @@
   }
   /* Classifies the attempt that has just ended. */
   fleet::AttemptEnd ClassifyAttempt(http::CallResult aResult) const;
+  /* Sets what changes in the attempt state while an attempt runs. */
+  void UpdateAttemptState();
   /* Counts and logs an attempt that has ended. */
   void RecordAttempt(fleet::AttemptEnd aEnd, std::string_view aResult);
   /* Decides what follows an attempt: another one, the answer, or a failure. */
--- a/src/gateway/request_silence.cpp
+++ b/src/gateway/request_silence.cpp
@@ -1,5 +1,5 @@
 /* Endpoints of RequestFlow that fall silent: the request looks for another one, and keeps the
- * answer that is in progress until it has found one. */
+ * answer that is in progress until that one has begun to answer. */
 #include "gateway/request_flow.h"
 
 #include "core/boot_clock.h"
@@ -71,9 +71,7 @@
     return;
   }
   WatchForSilence(limit); // An endpoint or a retry may become available later.
-  mAttemptState.timeLeft = TimeLeft();
-  mAttemptState.isQuarantined =
-    mContext.crashes.IsQuarantined(BootClockNow(), mFingerprint) || IsPartQuarantined();
+  UpdateAttemptState();
   const bool mayMove = fleet::MayMoveAttempt(mAttemptState) &&
                        mContext.retries.RemainingRetries(BootClockNow(), mService) >= 1.0;
   if (!std::exchange(mAttempt.isReportedSilent, true)) {
@@ -176,7 +174,8 @@
     return;
   }
   const fleet::KnownRunner& runner = *mContext.runners.Find(aEndpoint);
-  mReplacement.emplace(BeginAttempt(runner, aAssignedVersion, "other_is_silent"), aPlacementId);
+  mReplacement = Replacement{ .attempt = BeginAttempt(runner, aAssignedVersion, "other_is_silent"),
+                              .placementId = aPlacementId };
   StartCall(mReplacement->attempt, runner, http::Reuse::kFresh);
   if (mRoute->kind != RouteKind::kStream) {
     return;
