Add: [Gateway] Read and log the limit on requests that an endpoint states

The limit is decoded, kept with the endpoint's present process and logged when it changes or ends. Nothing is decided by it yet.

--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -50,6 +50,7 @@
   CounterInfo{ "model_loads_total", "Orders to load a model." },
   CounterInfo{ "model_unloads_total", "Orders to unload a model." },
   CounterInfo{ "adapter_loads_total", "Orders to load an adapter." },
+  CounterInfo{ "reports_total", "Calls to runners for reports." },
   CounterInfo{ "table_reads_total", "Reads of the table service." },
   CounterInfo{ "table_transactions_total", "Transactions at the table service." },
 };
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -26,6 +26,7 @@
   kModelLoads,
   kModelUnloads,
   kAdapterLoads,
+  kReports,
   kTableReads,
   kTableTransactions,
   kCount, ///< Number of the counters above.
--- a/src/core/unit_type.h
+++ b/src/core/unit_type.h
@@ -39,6 +39,14 @@
   }
 };
 
+/* A rate of requests. */
+struct RequestRate
+{
+  double perSecond = 0.0;
+
+  auto operator<=>(const RequestRate&) const = default;
+};
+
 /* A fencing token. Runners that check it reject an order whose token is lower than one that they
  * have seen, so that a former lease holder can no longer give orders. */
 struct FencingToken
--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -15,6 +15,7 @@
 #include "platform/runner_decoder.h"
 #include "platform/wire_names.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -142,10 +143,8 @@
           mMember.ReportSuspect({ .request = aRequest, .isCleared = true });
         },
       .onEndpointAnswer =
-        [this](const EndpointId& aEndpoint,
-               std::int64_t aStartedAtMs,
-               const platform::EndpointAnswer& aAnswer) {
-          OnEndpointAnswer(aEndpoint, aStartedAtMs, aAnswer);
+        [this](const AnswerSource& aSource, const platform::EndpointAnswer& aAnswer) {
+          OnEndpointAnswer(aSource, aAnswer);
         },
       .onStreamBegun = [this](const fleet::BegunStream& aStream) { mMember.ReportStream(aStream); },
       .areRunnersCurrent = [this] { return AreRunnersCurrent(); },
@@ -168,7 +167,8 @@
             [this](const EndpointId& aEndpoint,
                    std::int64_t aStartedAtMs,
                    const http::AnswerHead& aHead) {
-              OnEndpointAnswer(aEndpoint, aStartedAtMs, platform::DecodeEndpointAnswer(aHead));
+              OnEndpointAnswer({ .endpoint = aEndpoint, .startedAtMs = aStartedAtMs },
+                               platform::DecodeEndpointAnswer(aHead));
             },
           .isPaused =
             [this](const EndpointId& aEndpoint) {
@@ -575,26 +575,48 @@
   }
 
   /* Takes what an endpoint's process states about itself in the head of any answer. */
-  void OnEndpointAnswer(const EndpointId& aEndpoint,
-                        std::int64_t aStartedAtMs,
-                        const platform::EndpointAnswer& aAnswer)
+  void OnEndpointAnswer(const AnswerSource& aSource, const platform::EndpointAnswer& aAnswer)
   {
+    const EndpointId& endpoint = aSource.endpoint;
     for (const std::string_view name : aAnswer.ignoredFields) {
-      if (mLoggedFields.emplace(aEndpoint, name).second) {
-        mLog.Write("answer_field_ignored", { { "endpoint", aEndpoint }, { "field", name } });
+      if (mLoggedFields.emplace(endpoint, name).second) {
+        mLog.Write("answer_field_ignored", { { "endpoint", endpoint }, { "field", name } });
       }
     }
     if (aAnswer.pause &&
-        mRunners.RecordPause(BootClockNow(), aEndpoint, aStartedAtMs, *aAnswer.pause)) {
+        mRunners.RecordPause(BootClockNow(), endpoint, aSource.startedAtMs, *aAnswer.pause)) {
       mLog.Write("endpoint_pauses",
-                 { { "endpoint", aEndpoint }, { "pause_ms", ToMilliseconds(*aAnswer.pause) } });
+                 { { "endpoint", endpoint }, { "pause_ms", ToMilliseconds(*aAnswer.pause) } });
     }
-    const RunnerLeavingMessage leaving{ .runner = aEndpoint, .startedAtMs = aStartedAtMs };
+    RecordStatedLimit(aSource, aAnswer);
+    const RunnerLeavingMessage leaving{ .runner = endpoint, .startedAtMs = aSource.startedAtMs };
     if (aAnswer.isLeaving && RecordLeaving(leaving, "answer")) {
       mMember.ReportRunnerLeaving(leaving);
     }
   }
 
+  void RecordStatedLimit(const AnswerSource& aSource, const platform::EndpointAnswer& aAnswer)
+  {
+    if (aAnswer.requestLimit) {
+      if (mRunners.RecordLimit(
+            BootClockNow(), aSource.endpoint, aSource.startedAtMs, *aAnswer.requestLimit)) {
+        mLog.Write("endpoint_limited",
+                   { { "endpoint", aSource.endpoint },
+                     { "per_second", aAnswer.requestLimit->perSecond },
+                     { "source", "answer" } });
+      }
+      return;
+    }
+    const bool isIgnored = std::find(aAnswer.ignoredFields.begin(),
+                                     aAnswer.ignoredFields.end(),
+                                     platform::field::kRequestLimit) != aAnswer.ignoredFields.end();
+    if (!isIgnored && aSource.requestSentAt &&
+        mRunners.RecordNoLimit(aSource.endpoint, aSource.startedAtMs, *aSource.requestSentAt)) {
+      mLog.Write("endpoint_limit_ended",
+                 { { "endpoint", aSource.endpoint }, { "source", "answer" } });
+    }
+  }
+
   /* Sends no new requests to a runner that has stated that it is leaving. Returns whether that is
    * news. */
   bool RecordLeaving(const RunnerLeavingMessage& aLeaving, std::string_view aSource)
--- a/src/decision/fleet/runner_registry.cpp
+++ b/src/decision/fleet/runner_registry.cpp
@@ -50,6 +50,7 @@
     runner.loadReportedAt = {};
     runner.health.Reset();
     runner.saysLeaving = false;
+    runner.limit = {};
     runner.pausedUntil = {};
     return Change::kRestarted;
   }
@@ -129,6 +130,30 @@
   return true;
 }
 
+KnownRunner* RunnerRegistry::FindProcess(const EndpointId& aRunner, std::int64_t aStartedAtMs)
+{
+  const auto found = mRunners.find(aRunner);
+  return found != mRunners.end() && found->second.entry.startedAtMs == aStartedAtMs ? &found->second
+                                                                                    : nullptr;
+}
+
+bool RunnerRegistry::RecordLimit(TimePoint aNow,
+                                 const EndpointId& aRunner,
+                                 std::int64_t aStartedAtMs,
+                                 RequestRate aLimit)
+{
+  KnownRunner* runner = FindProcess(aRunner, aStartedAtMs);
+  return runner != nullptr && runner->limit.Record(aNow, aLimit);
+}
+
+bool RunnerRegistry::RecordNoLimit(const EndpointId& aRunner,
+                                   std::int64_t aStartedAtMs,
+                                   TimePoint aRequestSentAt)
+{
+  KnownRunner* runner = FindProcess(aRunner, aStartedAtMs);
+  return runner != nullptr && runner->limit.RecordNone(aRequestSentAt);
+}
+
 std::vector<PausedRunner> RunnerRegistry::PausedRunners(TimePoint aNow,
                                                         const ServiceId& aService) const
 {
--- a/src/decision/fleet/runner_registry.h
+++ b/src/decision/fleet/runner_registry.h
@@ -5,6 +5,7 @@
 #include "decision/fleet/dispatch_type.h"
 #include "decision/fleet/endpoint_health.h"
 #include "decision/fleet/runner_type.h"
+#include "decision/fleet/stated_limit.h"
 #include "decision/fleet/stream_origins.h"
 
 #include <map>
@@ -28,6 +29,7 @@
   std::optional<TimePoint> missingSince; ///< Since when the endpoint has no entry.
   /* The endpoint's present process has stated in an answer that it is leaving. */
   bool saysLeaving = false;
+  StatedLimit limit;          ///< Of the endpoint's present process.
   TimePoint pausedUntil{};    ///< The endpoint wants nothing from this daemon before.
   std::uint32_t inFlight = 0; ///< Requests of this daemon in flight at the endpoint.
   EndpointLoad load;
@@ -92,6 +94,15 @@
                    const EndpointId& aRunner,
                    std::int64_t aStartedAtMs,
                    Duration aPause);
+  /* Record that an endpoint's process has stated a limit, or none in the answer to a request that
+   * was sent then. Return whether that changes the limit. */
+  bool RecordLimit(TimePoint aNow,
+                   const EndpointId& aRunner,
+                   std::int64_t aStartedAtMs,
+                   RequestRate aLimit);
+  bool RecordNoLimit(const EndpointId& aRunner,
+                     std::int64_t aStartedAtMs,
+                     TimePoint aRequestSentAt);
   /* Records the load that an endpoint reported. */
   void RecordLoad(TimePoint aNow, const EndpointId& aRunner, const EndpointLoad& aLoad);
 
@@ -133,6 +144,8 @@
 
 private:
   bool IsGone(TimePoint aNow, const KnownRunner& aRunner) const;
+  /* Returns the endpoint if this process of it is the present one, else null. */
+  KnownRunner* FindProcess(const EndpointId& aRunner, std::int64_t aStartedAtMs);
   static bool Matches(const KnownRunner& aRunner, const EndpointQuery& aQuery);
 
   std::map<EndpointId, KnownRunner> mRunners;
--- a/src/fleet/fleet_member.cpp
+++ b/src/fleet/fleet_member.cpp
@@ -793,6 +793,8 @@
     mServices.dispatcher.OnReport(BootClockNow(), aReportRequest.runner, nullptr);
     return;
   }
+  mServices.metrics.Count(Counter::kReports);
+  mServices.log.Write("report_requested", { { "endpoint", aReportRequest.runner } });
   struct Progress
   {
     unsigned status = 0;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -24,6 +24,16 @@
 
 class RequestFlow;
 
+/* Where an answer came from. */
+struct AnswerSource
+{
+  EndpointId endpoint;
+  std::int64_t startedAtMs = 0; ///< Unix time of the start of the endpoint's process.
+  /* When the client's request was sent that this answers in full. Not set for interim answers,
+   * answers to other requests, and the endpoint's answers to orders and calls for reports. */
+  std::optional<TimePoint> requestSentAt;
+};
+
 /* State that all requests of a daemon share. Only one thread uses it. */
 struct GatewayContext
 {
@@ -43,10 +53,8 @@
   std::function<void(const ClientAccountId&, std::span<const fleet::PromptPartId>)> onSoundAnswer;
   /* Notifies the other daemons that a request suspected of crashing runners was answered. */
   std::function<void(const FingerprintId&)> onCleared;
-  /* Takes what an endpoint's process, which started at this time, states in the head of an answer.
-   */
-  std::function<void(const EndpointId&, std::int64_t, const platform::EndpointAnswer&)>
-    onEndpointAnswer;
+  /* Takes what an endpoint states in the head of an answer. */
+  std::function<void(const AnswerSource&, const platform::EndpointAnswer&)> onEndpointAnswer;
   /* Records a stream before its first event is sent to the client. */
   std::function<void(const fleet::BegunStream&)> onStreamBegun;
   /* Returns whether no change of the runners is missing here, as far as can be known. */
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -663,7 +663,12 @@
                                const platform::EndpointAnswer& aAnswer)
 {
   const Attempt& attempt = IsReplacement(aAttemptNumber) ? mReplacement->attempt : mAttempt;
-  mContext.onEndpointAnswer(attempt.endpoint, attempt.endpointStartedAtMs, aAnswer);
+  const bool isOwnAnswer = aAnswer.hasSignature && aAnswer.requestId == mClient.requestId;
+  mContext.onEndpointAnswer(
+    { .endpoint = attempt.endpoint,
+      .startedAtMs = attempt.endpointStartedAtMs,
+      .requestSentAt = isOwnAnswer ? std::optional{ attempt.startedAt } : std::nullopt },
+    aAnswer);
 }
 
 bool RequestFlow::OnHead(std::uint64_t aAttemptNumber, const http::AnswerHead& aHead)
@@ -951,7 +956,8 @@
         [&context = mContext,
          endpoint = aAttempt.endpoint,
          startedAtMs = aAttempt.endpointStartedAtMs](const http::AnswerHead& aHead) {
-          context.onEndpointAnswer(endpoint, startedAtMs, platform::DecodeEndpointAnswer(aHead));
+          context.onEndpointAnswer({ .endpoint = endpoint, .startedAtMs = startedAtMs },
+                                   platform::DecodeEndpointAnswer(aHead));
           return true;
         },
       .onBody = [report](std::string_view aBytes) { *report += aBytes; },
--- a/src/platform/request_headers.cpp
+++ b/src/platform/request_headers.cpp
@@ -114,21 +114,31 @@
 /* Longest pause that an endpoint can ask for. Longer ones are shortened to it. */
 constexpr Duration kMaxPause = std::chrono::hours{ 1 };
 
-/* Decodes a time in seconds, with or without a fraction. Returns nothing for anything else, such as
- * a date, a sign or an exponent. */
-std::optional<Duration> DecodeSeconds(std::string_view aText)
+/* Highest limit on requests that an endpoint can state. Higher ones are lowered to it. */
+constexpr double kMaxRequestsPerSecond = 1e6;
+
+/* Decodes a decimal number, with or without a fraction, and lowers it to a maximum. Returns nothing
+ * for anything else, such as a date, a sign, an exponent or a list. */
+std::optional<double> DecodeDecimal(std::string_view aText, double aMaximum)
 {
-  double seconds = 0.0;
+  double value = 0.0;
   const auto [end, error] =
-    std::from_chars(aText.data(), aText.data() + aText.size(), seconds, std::chars_format::fixed);
+    std::from_chars(aText.data(), aText.data() + aText.size(), value, std::chars_format::fixed);
   const bool isOverflow = error == std::errc::result_out_of_range;
   if (aText.empty() || aText.front() < '0' || aText.front() > '9' ||
       end != aText.data() + aText.size() || (error != std::errc{} && !isOverflow)) {
     return std::nullopt;
   }
-  const double limit = std::chrono::duration<double>(kMaxPause).count();
-  return std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double>(isOverflow ? limit : std::min(seconds, limit)));
+  return isOverflow ? aMaximum : std::min(value, aMaximum);
+}
+
+/* Decodes a time in seconds. */
+std::optional<Duration> DecodeSeconds(std::string_view aText)
+{
+  const auto seconds = DecodeDecimal(aText, std::chrono::duration<double>(kMaxPause).count());
+  return seconds ? std::optional{ std::chrono::duration_cast<Duration>(
+                     std::chrono::duration<double>(*seconds)) }
+                 : std::nullopt;
 }
 
 /* Of several fields, the one with the longest time counts. */
@@ -146,6 +156,22 @@
   }
 }
 
+/* Of several fields, the one with the lowest limit counts. */
+void DecodeRequestLimit(const http::Fields& aFields, EndpointAnswer& aAnswer)
+{
+  for (const http::Field& item : aFields) {
+    if (!http::EqualsIgnoringCase(item.name, field::kRequestLimit)) {
+      continue;
+    }
+    if (const auto rate = DecodeDecimal(item.value, kMaxRequestsPerSecond)) {
+      aAnswer.requestLimit = RequestRate{ std::min(
+        aAnswer.requestLimit.value_or(RequestRate{ *rate }).perSecond, *rate) };
+    } else {
+      aAnswer.ignoredFields.push_back(field::kRequestLimit);
+    }
+  }
+}
+
 /* One field with the defined value is enough. Other values are ignored. */
 void DecodeLeaving(const http::Fields& aFields, EndpointAnswer& aAnswer)
 {
@@ -225,6 +251,7 @@
   answer.isNotRun =
     http::Find(aHead.fields, field::kNotExecuted).has_value() || aHead.status == kMisdirected;
   DecodeLeaving(aHead.fields, answer);
+  DecodeRequestLimit(aHead.fields, answer);
   if (aHead.status == kUnavailable) {
     DecodePause(aHead.fields, answer);
   }
--- a/src/platform/request_headers.h
+++ b/src/platform/request_headers.h
@@ -56,6 +56,8 @@
   bool isLeaving = false; ///< The endpoint states that its process is about to end.
   /* Set if the endpoint refuses the request and asks the daemon to send nothing for this time. */
   std::optional<Duration> pause;
+  /* Set if the endpoint states how many requests it takes from all daemons together. */
+  std::optional<RequestRate> requestLimit;
   std::optional<fleet::EndpointLoad> load;
   /* Names of fields whose values are not defined. They are ignored. */
   std::vector<std::string_view> ignoredFields;
--- a/src/platform/wire_names.h
+++ b/src/platform/wire_names.h
@@ -20,6 +20,8 @@
 constexpr std::string_view kSignature = "X-Response-Signature";
 constexpr std::string_view kNotExecuted = "X-Not-Executed";
 constexpr std::string_view kLeaving = "Server-Leaving"; ///< "1" while the endpoint is leaving.
+/* Requests per second that the endpoint takes from all daemons together. */
+constexpr std::string_view kRequestLimit = "Server-Limit";
 constexpr std::string_view kLoad = "X-Server-Load";
 constexpr std::string_view kHold = "X-Hold";
 constexpr std::string_view kPin = "X-Pin-Ms";
--- a/tests/platform/decoder_test.cpp
+++ b/tests/platform/decoder_test.cpp
@@ -291,6 +291,51 @@
   }
 }
 
+// A value that is taken for a number although it is none could stop an endpoint's requests for good
+// or lift its limit.
+TEST_CASE("a limit on requests is a plain decimal number, and the lowest of several counts")
+{
+  struct Case
+  {
+    std::vector<std::string> values;
+    std::optional<RequestRate> limit;
+    std::size_t ignored = 0;
+  };
+  const std::vector<Case> cases{
+    { {}, std::nullopt, 0 },
+    { { "1" }, RequestRate{ 1.0 }, 0 },
+    { { "0" }, RequestRate{ 0.0 }, 0 },
+    { { "0.2" }, RequestRate{ 0.2 }, 0 },
+    { { "3.7" }, RequestRate{ 3.7 }, 0 },
+    { { "50" }, RequestRate{ 50.0 }, 0 },
+    { { "3", "2" }, RequestRate{ 2.0 }, 0 },
+    { { "2", "x" }, RequestRate{ 2.0 }, 1 },
+    { { "1, 2" }, std::nullopt, 1 },
+    { { "-1" }, std::nullopt, 1 },
+    { { "+1" }, std::nullopt, 1 },
+    { { "nan" }, std::nullopt, 1 },
+    { { "inf" }, std::nullopt, 1 },
+    { { "1e3" }, std::nullopt, 1 },
+    { { ".5" }, std::nullopt, 1 },
+    { { "1 2" }, std::nullopt, 1 },
+    { { "" }, std::nullopt, 1 },
+    { { "1" + std::string(30, '0') }, RequestRate{ 1e6 }, 0 },
+    { { std::string(400, '9') }, RequestRate{ 1e6 }, 0 },
+  };
+  for (const unsigned status : { 200U, 202U, 400U, 421U, 500U, 503U }) {
+    for (const Case& item : cases) {
+      http::AnswerHead head{ .status = status };
+      for (const std::string& value : item.values) {
+        CAPTURE(value);
+        head.fields.push_back({ "server-limit", value });
+      }
+      const EndpointAnswer answer = DecodeEndpointAnswer(head);
+      CHECK(answer.requestLimit == item.limit);
+      CHECK(answer.ignoredFields.size() == item.ignored);
+    }
+  }
+}
+
 TEST_CASE(
   "a pause is decoded from refusals only, in seconds with fractions, and never without an end")
 {
