Add: [Tests] Endpoints that name a limit on requests

Endpoints with a limit of 1 a second got 21 to 49 calls in 4 s, allowed 11, by requests alone and by orders and reports.

--- a/tests/edge/standin.py
+++ b/tests/edge/standin.py
@@ -363,6 +363,7 @@
     # A request with one of these prompt parts, not as the last one, crashes it after the answer's head.
     crashing_parts: frozenset[str] = frozenset()
     pause_value: str = ""           # Refuses requests with 503 and this Retry-After.
+    limit_value: str = ""           # Value of Server-Limit in all answers; not sent if empty.
     leaving_value: str = ""         # Value of Server-Leaving in all answers; not sent if empty.
     leaving_interim: bool = False   # The value is sent in an interim answer instead.
     silence: Optional[Silence] = None
@@ -388,6 +389,7 @@
         self.max_loaded_models = 0
         self.order_log: list[dict[str, Any]] = []
         self.arrivals: list[float] = []  # Of requests, orders and calls for reports.
+        self.arrival_kinds: list[CallKind] = []  # The kinds of these, in the same order.
 
     def announce(self) -> None:
         """Writes the endpoint's row to the store."""
@@ -427,9 +429,12 @@
             call.writer.write(response_head(103, {"Server-Leaving": self.faults.leaving_value}))
         elif self.faults.leaving_value:
             call.answer_fields["Server-Leaving"] = self.faults.leaving_value
+        if self.faults.limit_value:
+            call.answer_fields["Server-Limit"] = self.faults.limit_value
         endless = self.faults.endless
         kind = (CallKind.REPORT if call.path.endswith("/report") else
                 CallKind.ORDER if call.path.endswith("/order") else CallKind.REQUEST)
+        self.arrival_kinds.append(kind)
         if call.fields.get("x-target-instance", self.id) != self.id:
             write_response(call, 421)
         elif endless and kind is CallKind.REPORT and kind in endless.calls:
