Fix: [Dispatcher] Refuse what a limit does not allow when it arrives, not after it has waited

Now only a missing adapter is refused by the time until its order, the place in the queue is counted for new requests in every round, admission has a margin of 100 ms over the least service time, and the burst is one request larger than the part that is kept, so that rounding to ticks loses nothing.

--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -128,7 +128,7 @@
 {
   RequestAllowance requests; ///< Clients' requests.
   RequestAllowance control;  ///< Orders and calls for reports.
-  /* Requests that wait for the runner's allowance, as far as they were tried in this round. */
+  /* Requests that wait for the runner's allowance, as far as they were tried in this full round. */
   std::size_t waiting = 0;
 };
 
@@ -234,6 +234,8 @@
     TimePoint receivedAt{};
     TimePoint deadline{};
     bool wasTried = false; ///< It could not be assigned when it arrived.
+    /* The limited runner whose allowance it waits for. Empty if it waits for something else. */
+    EndpointId awaitedRunner;
   };
 
   /* A request that runs at a runner. */
@@ -321,16 +323,26 @@
   void UseRequestAllowance(TimePoint aNow, const ClientAccountId& aAccount, ManagedRunner& aRunner);
   void GiveBackRequestAllowance(TimePoint aNow, const Assignment& aAssignment);
   static void UseControlAllowance(TimePoint aNow, ManagedRunner& aRunner);
-  /* Returns when the runner's allowance is expected to reach a further waiting request. */
-  static TimePoint AllowedAt(TimePoint aNow, const ManagedRunner& aRunner);
+  /* Returns the part of the order among requests of equal priority: how much of the limits the
+   * account has used. */
+  double LimitedUse(TimePoint aNow, const ClientAccountId& aAccount) const;
+  /* Returns when the runner's allowance is expected to reach a waiting request. */
+  TimePoint AllowedAt(TimePoint aNow,
+                      const WaitingRequest& aWaiting,
+                      const ManagedRunner& aRunner) const;
   /* Decides about a request that only paused and limited runners can serve, the first of them at
    * aAllowedAt. Returns whether it was refused. */
   bool RefuseOrWaitForAllowance(TimePoint aNow,
-                                const WaitingRequest& aWaiting,
+                                WaitingRequest& aWaiting,
                                 ManagedRunner& aRunner,
                                 TimePoint aAllowedAt);
+  /* Refuses a request for an adapter that cannot be ordered in time because of the runner's limit.
+   * Returns whether it did. */
+  bool RefuseWithoutOrder(TimePoint aNow,
+                          const WaitingRequest& aWaiting,
+                          const ManagedRunner& aRunner);
   /* Assigns a request to an endpoint without models. */
-  bool TryToAssignPlain(TimePoint aNow, const WaitingRequest& aWaiting);
+  bool TryToAssignPlain(TimePoint aNow, WaitingRequest& aWaiting);
   /* Returns how many replicas of a model there are, a limited runner counted by the part of the
    * requests for the model that its limit allows. */
   double EffectiveReplicas(TimePoint aNow,
--- a/src/decision/fleet/dispatcher_assign.cpp
+++ b/src/decision/fleet/dispatcher_assign.cpp
@@ -154,7 +154,7 @@
       continue;
     }
     if (!HasRequestAllowance(aNow, *runner)) {
-      wait(AllowedAt(aNow, *runner), *runner);
+      wait(AllowedAt(aNow, aWaiting, *runner), *runner);
       continue;
     }
     mustAllWait = false;
@@ -171,6 +171,9 @@
       bestRank = rank;
     }
   }
+  if (best != nullptr || !mustAllWait) {
+    aWaiting.awaitedRunner = {};
+  }
   if (best == nullptr && firstAllowed && mustAllWait) {
     return RefuseOrWaitForAllowance(aNow, aWaiting, *firstAllowed->second, firstAllowed->first);
   }
@@ -186,18 +189,14 @@
     }
     return RefuseWithoutReplica(aNow, aWaiting, engine->models.at(request.work.target.model));
   }
-  const Duration expectedTime = std::get<Duration>(bestRank);
-  if (best->limitedTraffic && aNow + expectedTime >= aWaiting.deadline) {
-    // The adapter cannot be ordered in time.
-    Refuse(
-      aNow, aWaiting, ResultCode::kEndpointUnavailable, expectedTime, "request_limit_of_runner");
-    return true;
-  }
   const ModelRef& target = request.work.target;
   if (!target.adapter.empty()) {
     HeldModel& held = best->models[target.model];
     const auto adapter = held.adapters.find(target.adapter);
     if (adapter == held.adapters.end()) {
+      if (RefuseWithoutOrder(aNow, aWaiting, *best)) {
+        return true;
+      }
       OrderAdapter(aNow, target, *best);
       return false;
     }
@@ -209,7 +208,7 @@
       return false;
     }
   }
-  Assign(aNow, aWaiting, *best, expectedTime);
+  Assign(aNow, aWaiting, *best, std::get<Duration>(bestRank));
   return true;
 }
 
--- a/src/decision/fleet/dispatcher_limit.cpp
+++ b/src/decision/fleet/dispatcher_limit.cpp
@@ -16,6 +16,9 @@
 /* Number of accounts above which those with little use are forgotten, and that use per second. */
 constexpr std::size_t kMaxTrackedAccounts = 1'000;
 constexpr double kForgottenUse = 1e-3;
+/* Added to the expected wait of a new request, so that an error of the estimate does not refuse it
+ * after it has waited. */
+constexpr Duration kAdmissionMargin = 100ms;
 /* Orders and reports that a swap takes: an unload, a load and a report after each. */
 constexpr double kCallsPerSwap = 4.0;
 
@@ -83,20 +86,22 @@
     }
     return !isLimited;
   });
-  const auto useOf = [&](const ClientAccountId& aAccount) {
-    const auto found = mLimitedUse.find(aAccount);
-    return found == mLimitedUse.end() ? 0.0 : found->second.ValueAt(aNow);
-  };
   std::stable_sort(mWaitingRequests.begin(),
                    mWaitingRequests.end(),
                    [&](const WaitingRequest& aLeft, const WaitingRequest& aRight) {
                      const auto rank = [&](const PlacementRequest& aRequest) {
-                       return std::pair{ aRequest.priority, useOf(aRequest.account) };
+                       return std::pair{ aRequest.priority, LimitedUse(aNow, aRequest.account) };
                      };
                      return rank(aLeft.request) < rank(aRight.request);
                    });
 }
 
+double Dispatcher::LimitedUse(TimePoint aNow, const ClientAccountId& aAccount) const
+{
+  const auto found = mLimitedUse.find(aAccount);
+  return found == mLimitedUse.end() ? 0.0 : found->second.ValueAt(aNow);
+}
+
 bool Dispatcher::HasRequestAllowance(TimePoint aNow, const ManagedRunner& aRunner)
 {
   return !aRunner.limitedTraffic || aRunner.limitedTraffic->requests.Has(aNow);
@@ -137,16 +142,29 @@
   }
 }
 
-TimePoint Dispatcher::AllowedAt(TimePoint aNow, const ManagedRunner& aRunner)
+/* In a full round, the requests that come first have been counted. In other rounds only new
+ * requests are tried, so those that wait are looked through for each. */
+TimePoint Dispatcher::AllowedAt(TimePoint aNow,
+                                const WaitingRequest& aWaiting,
+                                const ManagedRunner& aRunner) const
 {
   const LimitedTraffic& traffic = *aRunner.limitedTraffic;
-  return aNow + traffic.requests.TimeUntil(aNow, traffic.waiting + 1);
+  std::size_t before = traffic.waiting;
+  if (!mIsFullRound) {
+    const std::pair rank{ aWaiting.request.priority, LimitedUse(aNow, aWaiting.request.account) };
+    before = static_cast<std::size_t>(std::count_if(
+      mWaitingRequests.begin(), mWaitingRequests.end(), [&](const WaitingRequest& aItem) {
+        return aItem.awaitedRunner == aRunner.entry.id &&
+               std::pair{ aItem.request.priority, LimitedUse(aNow, aItem.request.account) } <= rank;
+      }));
+  }
+  return aNow + traffic.requests.TimeUntil(aNow, before + 1);
 }
 
 /* Load pattern: all runners that hold a model are overloaded, and ask a daemon to pause or all
  * daemons to send less. */
 bool Dispatcher::RefuseOrWaitForAllowance(TimePoint aNow,
-                                          const WaitingRequest& aWaiting,
+                                          WaitingRequest& aWaiting,
                                           ManagedRunner& aRunner,
                                           TimePoint aAllowedAt)
 {
@@ -156,28 +174,46 @@
                          : std::nullopt;
   const TimePoint servedAt = replica ? std::min(aAllowedAt, aNow + *replica) : aAllowedAt;
   const bool isPaused = PauseEnd(aNow, aWaiting, aRunner.entry.id).has_value();
-  // Only a full round counts all that comes before the request.
-  const bool isCertain = isPaused || mIsFullRound;
-  if (servedAt + kMinServiceTime <= aWaiting.deadline || !isCertain) {
-    if (!isPaused) {
-      ++aRunner.limitedTraffic->waiting;
+  const bool wasAdmitted = !aWaiting.awaitedRunner.empty();
+  const TimePoint latest =
+    wasAdmitted ? aWaiting.deadline : aWaiting.deadline - kMinServiceTime - kAdmissionMargin;
+  if (servedAt > latest) {
+    if (request.UsesModel() && !isPaused) {
+      mRefusedModels[{ request.service, request.work.target.model }] = aNow;
     }
-    ScheduleTick(isPaused ? aAllowedAt
-                          : aNow + aRunner.limitedTraffic->requests.TimeUntil(aNow, 1));
+    Refuse(aNow,
+           aWaiting,
+           ResultCode::kEndpointUnavailable,
+           servedAt - aNow,
+           isPaused ? "all_runners_paused" : "request_limit_of_runner");
+    return true;
+  }
+  if (isPaused) {
+    ScheduleTick(aAllowedAt);
+  } else {
+    aWaiting.awaitedRunner = aRunner.entry.id;
+    ++aRunner.limitedTraffic->waiting;
+    ScheduleTick(aNow + aRunner.limitedTraffic->requests.TimeUntil(aNow, 1));
+  }
+  return false;
+}
+
+bool Dispatcher::RefuseWithoutOrder(TimePoint aNow,
+                                    const WaitingRequest& aWaiting,
+                                    const ManagedRunner& aRunner)
+{
+  if (HasControlAllowance(aNow, aRunner)) {
     return false;
   }
-  if (request.UsesModel() && !isPaused) {
-    mRefusedModels[{ request.service, request.work.target.model }] = aNow;
+  const Duration time = aRunner.limitedTraffic->control.TimeUntil(aNow, 1) + kAdapterLoadTime;
+  if (aNow + time < aWaiting.deadline) {
+    return false;
   }
-  Refuse(aNow,
-         aWaiting,
-         ResultCode::kEndpointUnavailable,
-         servedAt - aNow,
-         isPaused ? "all_runners_paused" : "request_limit_of_runner");
+  Refuse(aNow, aWaiting, ResultCode::kEndpointUnavailable, time, "request_limit_of_runner");
   return true;
 }
 
-bool Dispatcher::TryToAssignPlain(TimePoint aNow, const WaitingRequest& aWaiting)
+bool Dispatcher::TryToAssignPlain(TimePoint aNow, WaitingRequest& aWaiting)
 {
   const PlacementRequest& request = aWaiting.request;
   if (aWaiting.deadline <= aNow) {
@@ -198,7 +234,7 @@
     }
     const auto pauseEnd = PauseEnd(aNow, aWaiting, id);
     if (pauseEnd || !HasRequestAllowance(aNow, runner)) {
-      const TimePoint allowedAt = pauseEnd.value_or(AllowedAt(aNow, runner));
+      const TimePoint allowedAt = pauseEnd ? *pauseEnd : AllowedAt(aNow, aWaiting, runner);
       if (!firstAllowed || allowedAt < firstAllowed->first) {
         firstAllowed = { allowedAt, &runner };
       }
--- a/src/decision/fleet/request_allowance.cpp
+++ b/src/decision/fleet/request_allowance.cpp
@@ -73,7 +73,7 @@
 RequestAllowance::Options RequestAllowanceOf(RequestRate aLimit)
 {
   return { .perSecond = std::max(aLimit.perSecond, kMinRequestsPerSecond),
-           .burst = std::max(aLimit.perSecond * kBurstTimeS, 1.0) };
+           .burst = 1.0 + kBurstTimeS * aLimit.perSecond };
 }
 
 RequestAllowance::Options ControlAllowanceOf(RequestRate aLimit)
