Fix: [Fleet] Keep the messages about crashed runners linear in the fleet

Cause: each daemon to which a crash was passed on told all others which of its parts it knew to be sound, and the dispatcher passed each such message on again, so messages for a crash grew with the square of the fleet and held up heartbeats. Announcements of leaving runners were passed on also when they were known.

The dispatcher counts. Reports go to it and as copies to eight members, which count on if it fails. All members learn only of quarantined requests and parts, and are asked once what they know to be sound when a part is one crash short of its quarantine. Known crashes and known clearances are not passed on. Messages and bytes sent are counted by kind in the metrics.

--- a/src/daemon/crash_reports.cpp
+++ b/src/daemon/crash_reports.cpp
@@ -1,16 +1,43 @@
 /* Reports of crashed runners between the daemons. */
 #include "daemon/crash_reports.h"
 
-#include "core/boot_clock.h"
-
 #include <algorithm>
-#include <boost/asio/post.hpp>
 #include <spdlog/fmt/fmt.h>
 
 namespace rhubarbtrail {
 
 namespace {
 
+/* Number of crashed processes under requests with a part from which all members are asked whether
+ * they know it to be sound: one less than quarantines it. */
+constexpr std::size_t kAskThreshold = fleet::kPartCrashThreshold - 1;
+/* Time after which members are asked again about a part, and after which a part is announced again
+ * as sound. */
+constexpr Duration kAskInterval = 60s;
+constexpr Duration kAnnounceInterval = 1s;
+/* Greatest number of crashes and of parts that are remembered. */
+constexpr std::size_t kMaxKnownCrashes = 4'096;
+constexpr std::size_t kMaxKnownParts = 4'096;
+
+/* Removes the parts that were recorded less than an interval ago, and records the others. */
+void KeepDue(TimePoint aNow,
+             Duration aInterval,
+             std::unordered_map<fleet::PromptPartId, TimePoint>& aTimes,
+             std::vector<fleet::PromptPartId>& aParts)
+{
+  if (aTimes.size() > kMaxKnownParts) {
+    std::erase_if(aTimes, [&](const auto& aItem) { return aNow - aItem.second >= aInterval; });
+  }
+  std::erase_if(aParts, [&](fleet::PromptPartId aPart) {
+    const auto [item, isNew] = aTimes.try_emplace(aPart, aNow);
+    const bool isDue = isNew || aNow - item->second >= aInterval;
+    if (isDue) {
+      item->second = aNow;
+    }
+    return !isDue;
+  });
+}
+
 /* Returns the ids of parts as clients write them, separated by "+". */
 std::string Describe(const fleet::PartGroup& aParts)
 {
@@ -31,109 +58,206 @@
 
 } // namespace
 
-void CrashReports::OnOwnCrash(const fleet::EndpointProcess& aProcess,
+CrashReports::CrashReports(CrashReportServices aServices)
+  : mServices(std::move(aServices))
+{
+}
+
+void CrashReports::OnOwnCrash(TimePoint aNow,
+                              const fleet::EndpointProcess& aProcess,
                               const fleet::CrashSuspect& aSuspect)
 {
   fleet::CrashSuspect suspect = aSuspect;
   suspect.parts.resize(std::min(suspect.parts.size(), fleet::kMaxRecordedParts));
-  RemoveParts(suspect.parts, mGateway.promptParts.SoundAmong(BootClockNow(), suspect.parts));
-  RecordCrash(aProcess, suspect);
-  mMember.ReportSuspect({ .request = suspect.request,
-                          .process = aProcess,
-                          .account = suspect.account,
-                          .parts = suspect.parts,
-                          .hasHead = suspect.hasHead });
+  RemoveParts(suspect.parts, mServices.promptParts.SoundAmong(aNow, suspect.parts));
+  const auto change = RecordCrash(aNow, aProcess, suspect);
+  const SuspectMessage report{ .request = suspect.request,
+                               .process = aProcess,
+                               .account = suspect.account,
+                               .parts = suspect.parts,
+                               .hasHead = suspect.hasHead };
+  IsNews(aNow, report);
+  Report(ReportAudience::kCopies, report);
+  PublishCrash(aNow, report, change.crashes);
 }
 
-void CrashReports::OnOwnAnswer(const ClientAccountId& aAccount,
+void CrashReports::OnOwnAnswer(TimePoint aNow,
+                               const ClientAccountId& aAccount,
                                std::span<const fleet::PromptPartId> aParts)
 {
-  const auto change = mGateway.promptParts.RecordSound(BootClockNow(), aAccount, aParts);
+  const auto change = mServices.promptParts.RecordSound(aNow, aAccount, aParts);
   Apply(change, "answer");
-  AnnounceSound(aAccount, change.cleared);
+  AnnounceSound(aNow, aAccount, change.cleared);
 }
 
-std::optional<SuspectMessage> CrashReports::OnReport(const SuspectMessage& aReport)
+void CrashReports::OnOwnCleared(const FingerprintId& aRequest, bool aWasQuarantined)
 {
-  const TimePoint now = BootClockNow();
-  const auto sound = mGateway.promptParts.SoundAmong(now, aReport.parts);
+  Report(aWasQuarantined ? ReportAudience::kAllMembers : ReportAudience::kCopies,
+         { .request = aRequest, .isCleared = true });
+}
+
+void CrashReports::OnReport(TimePoint aNow,
+                            const std::string& aSender,
+                            const SuspectMessage& aReport)
+{
+  if (aReport.isQuestion) {
+    AnnounceSound(aNow, aReport.account, mServices.promptParts.SoundAmong(aNow, aReport.parts));
+  } else if (aReport.isCleared) {
+    OnClearance(aNow, aReport);
+  } else {
+    OnCrashReport(aNow, aSender, aReport);
+  }
+}
+
+void CrashReports::OnCrashReport(TimePoint aNow,
+                                 const std::string& aSender,
+                                 const SuspectMessage& aReport)
+{
+  const auto sound = mServices.promptParts.SoundAmong(aNow, aReport.parts);
   SuspectMessage news = aReport;
   RemoveParts(news.parts, sound);
-  if (!aReport.isCleared) {
-    RecordCrash(aReport.process,
-                { .request = news.request,
-                  .account = news.account,
-                  .parts = news.parts,
-                  .hasHead = news.hasHead });
-    AnnounceSound(news.account, sound);
-    return news;
+  const auto change = RecordCrash(aNow,
+                                  aReport.process,
+                                  { .request = news.request,
+                                    .account = news.account,
+                                    .parts = news.parts,
+                                    .hasHead = news.hasHead });
+  if (!mServices.isDispatcher()) {
+    AnnounceSound(aNow, news.account, sound);
+    return;
+  }
+  if (!sound.empty()) {
+    mServices.send(ReportAudience::kSender,
+                   aSender,
+                   { .isCleared = true, .account = news.account, .parts = sound });
+  }
+  if (IsNews(aNow, news)) {
+    mServices.send(ReportAudience::kCopies, {}, news);
   }
-  if (!news.request.empty()) {
-    mGateway.crashes.RecordAnswer(news.request);
+  PublishCrash(aNow, news, change.crashes);
+}
+
+void CrashReports::PublishCrash(TimePoint aNow, const SuspectMessage& aReport, std::size_t aCrashes)
+{
+  if (!mServices.isDispatcher()) {
+    return;
+  }
+  if (mServices.crashes.IsQuarantined(aNow, aReport.request)) {
+    for (const fleet::EndpointProcess& process :
+         mServices.crashes.CrashedProcesses(aReport.request)) {
+      mServices.send(
+        ReportAudience::kAllMembers, {}, { .request = aReport.request, .process = process });
+    }
+  }
+  std::vector<fleet::PromptPartId> parts = aReport.parts;
+  if (aCrashes < kAskThreshold) {
+    return;
+  }
+  KeepDue(aNow, kAskInterval, mAskedAt, parts);
+  if (!parts.empty()) {
+    mServices.send(ReportAudience::kAllMembers,
+                   {},
+                   { .account = aReport.account, .parts = std::move(parts), .isQuestion = true });
   }
-  Apply(mGateway.promptParts.RecordSound(now, news.account, news.parts), "told");
-  return news.request.empty() && news.parts.empty() ? std::nullopt : std::optional{ news };
 }
 
-void CrashReports::OnQuarantined(const std::vector<fleet::PartGroup>& aGroups)
+void CrashReports::OnClearance(TimePoint aNow, const SuspectMessage& aReport)
+{
+  if (!aReport.request.empty()) {
+    const bool wasQuarantined = mServices.crashes.IsQuarantined(aNow, aReport.request);
+    if (mServices.crashes.RecordAnswer(aReport.request) && mServices.isDispatcher()) {
+      OnOwnCleared(aReport.request, wasQuarantined);
+    }
+  }
+  const auto change = mServices.promptParts.RecordSound(aNow, aReport.account, aReport.parts);
+  Apply(change, "told");
+  if (mServices.isDispatcher()) {
+    AnnounceSound(aNow, aReport.account, change.cleared);
+  }
+}
+
+void CrashReports::OnQuarantined(TimePoint aNow, const std::vector<fleet::PartGroup>& aGroups)
 {
   for (const fleet::PartGroup& group : aGroups) {
-    const auto change = mGateway.promptParts.RecordQuarantined(BootClockNow(), group);
+    const auto change = mServices.promptParts.RecordQuarantined(aNow, group);
     Apply(change, "told");
-    AnnounceSound({}, change.cleared);
+    AnnounceSound(aNow, {}, change.cleared);
   }
 }
 
-void CrashReports::RecordCrash(const fleet::EndpointProcess& aProcess,
-                               const fleet::CrashSuspect& aSuspect)
+fleet::PromptPartGuard::Change CrashReports::RecordCrash(TimePoint aNow,
+                                                         const fleet::EndpointProcess& aProcess,
+                                                         const fleet::CrashSuspect& aSuspect)
 {
-  const TimePoint now = BootClockNow();
-  mGateway.crashes.RecordCrash(now, aSuspect.request, aProcess);
+  mServices.crashes.RecordCrash(aNow, aSuspect.request, aProcess);
   if (aSuspect.parts.empty()) {
-    return;
+    return {};
   }
-  const auto change = mGateway.promptParts.RecordCrash(now, aProcess, aSuspect);
-  mLog.Write("part_suspected",
-             { { "endpoint", aProcess.endpoint },
-               { "bytes", aSuspect.request },
-               { "account", aSuspect.account },
-               { "parts", aSuspect.parts.size() },
-               { "begun", aSuspect.hasHead },
-               { "crashes", change.crashes },
-               { "limit", fleet::kPartCrashThreshold } });
+  auto change = mServices.promptParts.RecordCrash(aNow, aProcess, aSuspect);
+  mServices.log.Write("part_suspected",
+                      { { "endpoint", aProcess.endpoint },
+                        { "bytes", aSuspect.request },
+                        { "account", aSuspect.account },
+                        { "parts", aSuspect.parts.size() },
+                        { "begun", aSuspect.hasHead },
+                        { "crashes", change.crashes },
+                        { "limit", fleet::kPartCrashThreshold } });
   Apply(change, "crash");
+  return change;
+}
+
+void CrashReports::Report(ReportAudience aMembers, const SuspectMessage& aReport)
+{
+  mServices.send(mServices.isDispatcher() ? aMembers : ReportAudience::kDispatcher, {}, aReport);
 }
 
-void CrashReports::AnnounceSound(const ClientAccountId& aAccount,
+void CrashReports::AnnounceSound(TimePoint aNow,
+                                 const ClientAccountId& aAccount,
                                  std::vector<fleet::PromptPartId> aParts)
 {
+  KeepDue(aNow, kAnnounceInterval, mAnnouncedAt, aParts);
   if (!aParts.empty()) {
-    mMember.ReportSuspect({ .isCleared = true, .account = aAccount, .parts = std::move(aParts) });
+    Report(ReportAudience::kAllMembers,
+           { .isCleared = true, .account = aAccount, .parts = std::move(aParts) });
+  }
+}
+
+bool CrashReports::IsNews(TimePoint aNow, const SuspectMessage& aReport)
+{
+  if (mKnownCrashes.size() >= kMaxKnownCrashes) {
+    std::erase_if(mKnownCrashes, [&](const auto& aItem) {
+      return aNow - aItem.second >= fleet::kCrashCountLifetime;
+    });
   }
+  const auto [item, isNew] =
+    mKnownCrashes.try_emplace({ .process = aReport.process, .request = aReport.request }, aNow);
+  const bool isNews = isNew || aNow - item->second >= fleet::kCrashCountLifetime;
+  item->second = aNow;
+  return isNews;
 }
 
 void CrashReports::Apply(const fleet::PromptPartGuard::Change& aChange, std::string_view aSource)
 {
   for (const fleet::PartGroup& group : aChange.quarantined) {
-    mLog.Write("part_quarantined",
-               { { "parts", Describe(group) },
-                 { "source", aSource },
-                 { "crashes", aChange.crashes },
-                 { "limit", fleet::kPartCrashThreshold },
-                 { "quarantined", mGateway.promptParts.quarantinedCount() } });
+    mServices.log.Write("part_quarantined",
+                        { { "parts", Describe(group) },
+                          { "source", aSource },
+                          { "crashes", aChange.crashes },
+                          { "limit", fleet::kPartCrashThreshold },
+                          { "quarantined", mServices.promptParts.quarantinedCount() } });
   }
   for (const fleet::PartGroup& group : aChange.released) {
-    mLog.Write("part_released",
-               { { "parts", Describe(group) },
-                 { "source", aSource },
-                 { "quarantined", mGateway.promptParts.quarantinedCount() } });
+    mServices.log.Write("part_released",
+                        { { "parts", Describe(group) },
+                          { "source", aSource },
+                          { "quarantined", mServices.promptParts.quarantinedCount() } });
   }
   if (!aChange.cleared.empty()) {
-    mLog.Write("part_cleared", { { "parts", Describe(aChange.cleared) }, { "source", aSource } });
+    mServices.log.Write("part_cleared",
+                        { { "parts", Describe(aChange.cleared) }, { "source", aSource } });
   }
   if (!aChange.quarantined.empty() || !aChange.cleared.empty()) {
-    // Later, because the change may come from a request that is just about to end.
-    boost::asio::post(mGateway.loop, [&gateway = mGateway] { EndQuarantinedRequests(gateway); });
+    mServices.onPartsChanged();
   }
 }
 
--- a/src/daemon/crash_reports.h
+++ b/src/daemon/crash_reports.h
@@ -3,46 +3,92 @@
 #define RHUBARBTRAIL_DAEMON_CRASH_REPORTS_H
 
 #include "core/event_log.h"
-#include "fleet/fleet_member.h"
-#include "gateway/gateway.h"
+#include "decision/fleet/crash_guard.h"
+#include "decision/fleet/prompt_part_guard.h"
+#include "fleet/report_queue.h"
 
-#include <optional>
+#include <compare>
+#include <functional>
+#include <map>
 #include <span>
+#include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace rhubarbtrail {
 
+/* Parts of the daemon that CrashReports uses. The references must outlive it. */
+struct CrashReportServices
+{
+  fleet::CrashGuard& crashes;
+  fleet::PromptPartGuard& promptParts;
+  EventLog& log;
+  std::function<bool()> isDispatcher;
+  /* Sends a report to an audience. The address is that of kSender. */
+  std::function<void(ReportAudience, const std::string&, const SuspectMessage&)> send;
+  /* Called after parts were quarantined or cleared. */
+  std::function<void()> onPartsChanged;
+};
+
+/* The dispatcher counts the crashes of the fleet. Reports go to it, and it sends copies to some
+ * members. All members learn only what they must act on: which requests and parts are quarantined,
+ * and which suspected parts some daemon may know to be sound. So the messages for a crash are
+ * linear in the number of daemons. */
 class CrashReports
 {
 public:
-  /* The references must outlive the object. */
-  CrashReports(GatewayContext& aGateway, FleetMember& aMember, EventLog& aLog)
-    : mGateway(aGateway)
-    , mMember(aMember)
-    , mLog(aLog)
-  {
-  }
+  explicit CrashReports(CrashReportServices aServices);
 
   /* A runner's process ended while it ran a request of this daemon. The suspect has no parts if the
    * request had events of that process. */
-  void OnOwnCrash(const fleet::EndpointProcess& aProcess, const fleet::CrashSuspect& aSuspect);
+  void OnOwnCrash(TimePoint aNow,
+                  const fleet::EndpointProcess& aProcess,
+                  const fleet::CrashSuspect& aSuspect);
   /* A request of this daemon with these parts was answered. */
-  void OnOwnAnswer(const ClientAccountId& aAccount, std::span<const fleet::PromptPartId> aParts);
-  /* Takes another daemon's report and returns what of it is news to the others, or nothing. */
-  std::optional<SuspectMessage> OnReport(const SuspectMessage& aReport);
+  void OnOwnAnswer(TimePoint aNow,
+                   const ClientAccountId& aAccount,
+                   std::span<const fleet::PromptPartId> aParts);
+  /* A request of this daemon that was suspected of crashing runners was answered. */
+  void OnOwnCleared(const FingerprintId& aRequest, bool aWasQuarantined);
+  /* Takes a report of another daemon, which has this address. */
+  void OnReport(TimePoint aNow, const std::string& aSender, const SuspectMessage& aReport);
   /* Takes over what another daemon or the store knows to be quarantined. */
-  void OnQuarantined(const std::vector<fleet::PartGroup>& aGroups);
+  void OnQuarantined(TimePoint aNow, const std::vector<fleet::PartGroup>& aGroups);
 
 private:
-  void RecordCrash(const fleet::EndpointProcess& aProcess, const fleet::CrashSuspect& aSuspect);
-  void AnnounceSound(const ClientAccountId& aAccount, std::vector<fleet::PromptPartId> aParts);
+  struct CrashId
+  {
+    fleet::EndpointProcess process;
+    FingerprintId request;
+
+    auto operator<=>(const CrashId&) const = default;
+  };
+
+  /* Records a crash. Returns what has changed for its parts. */
+  fleet::PromptPartGuard::Change RecordCrash(TimePoint aNow,
+                                             const fleet::EndpointProcess& aProcess,
+                                             const fleet::CrashSuspect& aSuspect);
+  /* Tells the other members what they need to know of a crash. Only on the dispatcher. */
+  void PublishCrash(TimePoint aNow, const SuspectMessage& aReport, std::size_t aCrashes);
+  void OnCrashReport(TimePoint aNow, const std::string& aSender, const SuspectMessage& aReport);
+  void OnClearance(TimePoint aNow, const SuspectMessage& aReport);
+  /* Sends a report to the dispatcher, or on the dispatcher to members. */
+  void Report(ReportAudience aMembers, const SuspectMessage& aReport);
+  /* Notifies the other daemons that parts are sound, each part at most once in a while. */
+  void AnnounceSound(TimePoint aNow,
+                     const ClientAccountId& aAccount,
+                     std::vector<fleet::PromptPartId> aParts);
+  /* Returns whether a crash was not known, and remembers it. */
+  bool IsNews(TimePoint aNow, const SuspectMessage& aReport);
   /* Logs a change and ends the requests that must not run any more. */
   void Apply(const fleet::PromptPartGuard::Change& aChange, std::string_view aSource);
 
-  GatewayContext& mGateway;
-  FleetMember& mMember;
-  EventLog& mLog;
+  CrashReportServices mServices;
+  std::map<CrashId, TimePoint> mKnownCrashes; ///< With the time of the report.
+  /* When a question about a part was sent to all members, and when it was announced as sound. */
+  std::unordered_map<fleet::PromptPartId, TimePoint> mAskedAt;
+  std::unordered_map<fleet::PromptPartId, TimePoint> mAnnouncedAt;
 };
 
 } // namespace rhubarbtrail
--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -17,6 +17,7 @@
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
@@ -132,15 +133,15 @@
       .zone = ZoneId{ mSettings.zone },
       .onCrash =
         [this](const fleet::EndpointProcess& aProcess, const fleet::CrashSuspect& aSuspect) {
-          mCrashReports.OnOwnCrash(aProcess, aSuspect);
+          mCrashReports.OnOwnCrash(BootClockNow(), aProcess, aSuspect);
         },
       .onSoundAnswer =
         [this](const ClientAccountId& aAccount, std::span<const fleet::PromptPartId> aParts) {
-          mCrashReports.OnOwnAnswer(aAccount, aParts);
+          mCrashReports.OnOwnAnswer(BootClockNow(), aAccount, aParts);
         },
       .onCleared =
-        [this](const FingerprintId& aRequest) {
-          mMember.ReportSuspect({ .request = aRequest, .isCleared = true });
+        [this](const FingerprintId& aRequest, bool aWasQuarantined) {
+          mCrashReports.OnOwnCleared(aRequest, aWasQuarantined);
         },
       .onEndpointAnswer =
         [this](const AnswerSource& aSource, const platform::EndpointAnswer& aAnswer) {
@@ -161,9 +162,13 @@
           .dispatcher = mDispatcher,
           .streamOrigins = mStreamOrigins,
           .onSuspect =
-            [this](const SuspectMessage& aSuspect) { return mCrashReports.OnReport(aSuspect); },
+            [this](const std::string& aSender, const SuspectMessage& aSuspect) {
+              mCrashReports.OnReport(BootClockNow(), aSender, aSuspect);
+            },
           .onRunnerLeaving =
-            [this](const RunnerLeavingMessage& aLeaving) { RecordLeaving(aLeaving, "told"); },
+            [this](const RunnerLeavingMessage& aLeaving) {
+              return RecordLeaving(aLeaving, "told");
+            },
           .onLimitStatement =
             [this](const fleet::LimitStatement& aStatement) { RecordLimit(aStatement, "told"); },
           .limits = [this] { return mRunners.Limits(); },
@@ -204,7 +209,7 @@
           .quarantinedParts = [this] { return mGateway.promptParts.quarantined(); },
           .onQuarantinedParts =
             [this](const std::vector<fleet::PartGroup>& aGroups) {
-              mCrashReports.OnQuarantined(aGroups);
+              mCrashReports.OnQuarantined(BootClockNow(), aGroups);
             },
           .onStoreEra = [this](StoreEra aEra) { mStore.ObserveEra(aEra); } },
         { .self = DaemonId{ mSettings.daemonId },
@@ -760,7 +765,7 @@
     const auto front = mClientServer.counts();
     const auto client = mClient.counts();
     const auto& store = mStore.counts();
-    return {
+    std::vector<Gauge> gauges{
       { "front_connections", "Open connections of clients.", front.connections },
       { "front_accepted", "Connections of clients taken so far.", front.accepted },
       { "front_rejected", "Malformed or oversized requests so far.", front.rejected },
@@ -789,6 +794,12 @@
         mGateway.configuration ? mGateway.configuration->version.value : 0 },
       { "log_lines_left_out", "Log lines beyond the budget so far.", mLog.leftOut() },
     };
+    for (const auto& sent : mMember.sentMessages()) {
+      const std::string kind{ sent.kind };
+      gauges.push_back({ "messages_" + kind, "Messages sent to daemons so far.", sent.count });
+      gauges.push_back({ "message_bytes_" + kind, "Their size in bytes.", sent.bytes });
+    }
+    return gauges;
   }
 
   void ScheduleFlush()
@@ -901,7 +912,21 @@
   PlacementClient mPlacement;
   GatewayContext mGateway;
   FleetMember mMember;
-  CrashReports mCrashReports{ mGateway, mMember, mLog };
+  CrashReports mCrashReports{
+    { .crashes = mGateway.crashes,
+      .promptParts = mGateway.promptParts,
+      .log = mLog,
+      .isDispatcher = [this] { return mMember.isDispatcher(); },
+      .send =
+        [this](ReportAudience aAudience,
+               const std::string& aAddress,
+               const SuspectMessage& aReport) {
+          mMember.ReportSuspect(aAudience, aAddress, aReport);
+        },
+      // Later, because the change may come from a request that is just about to end.
+      .onPartsChanged =
+        [this] { asio::post(mLoop, [this] { EndQuarantinedRequests(mGateway); }); } }
+  };
   TableFeed mConfigurationFeed;
   TableFeed mRunnerFeed;
   http::Server mClientServer;
--- a/src/decision/fleet/crash_guard.h
+++ b/src/decision/fleet/crash_guard.h
@@ -45,6 +45,13 @@
   /* Returns whether the request is quarantined, that is, must not be sent to a runner. */
   bool IsQuarantined(TimePoint aNow, const FingerprintId& aRequest) const;
 
+  /* Returns the processes that crashed while they ran the request, as far as they are counted. */
+  std::set<EndpointProcess> CrashedProcesses(const FingerprintId& aRequest) const
+  {
+    const auto found = mSuspects.find(aRequest);
+    return found == mSuspects.end() ? std::set<EndpointProcess>{} : found->second.crashedProcesses;
+  }
+
 private:
   struct Suspect
   {
--- a/src/fleet/fleet_member.cpp
+++ b/src/fleet/fleet_member.cpp
@@ -37,6 +37,8 @@
  * fleet, so that streams can be resumed while a lost dispatcher is being replaced. More copies
  * would take much of the dispatcher's time in a large fleet. */
 constexpr std::size_t kMaxStreamCopies = 8;
+/* Members to which the dispatcher sends copies of crash reports, for the same reasons. */
+constexpr std::size_t kMaxReportCopies = 8;
 /* Time between two copies. A dispatcher that fails loses the streams of its own clients since the
  * last one. */
 constexpr Duration kStreamCopyInterval = 200ms;
@@ -90,6 +92,9 @@
   , mTimer(mServices.loop)
   , mDispatcherTimer(mServices.loop)
 {
+  for (std::size_t kind = 0; kind < mSentMessages.size(); ++kind) {
+    mSentMessages.at(kind).kind = NameOfMessage(kind);
+  }
 }
 
 std::string FleetMember::Start()
@@ -142,6 +147,7 @@
     LoseDispatcher("silent");
   }
   SendChangedLimits(now);
+  SendReports(now);
   mLink.CloseOverdueConnections(now);
   mTimer.expires_after(kTickInterval);
   mTimer.async_wait([this](boost::system::error_code aError) {
@@ -298,18 +304,30 @@
 
 void FleetMember::Send(const std::string& aAddress, FleetBody aBody)
 {
-  mLink.Send(
+  const std::size_t kind = aBody.index();
+  SendBytes(
     aAddress,
+    kind,
     EncodeFleetMessage(
       { .from = mOptions.self, .incarnation = mOptions.incarnation, .body = std::move(aBody) }));
 }
 
+void FleetMember::SendBytes(const std::string& aAddress,
+                            std::size_t aKind,
+                            std::vector<std::uint8_t> aBytes)
+{
+  ++mSentMessages.at(aKind).count;
+  mSentMessages.at(aKind).bytes += aBytes.size();
+  mLink.Send(aAddress, std::move(aBytes));
+}
+
 void FleetMember::SendToMembers(FleetBody aBody)
 {
+  const std::size_t kind = aBody.index();
   const auto bytes = EncodeFleetMessage(
     { .from = mOptions.self, .incarnation = mOptions.incarnation, .body = std::move(aBody) });
   for (const auto& [id, member] : mMembers) {
-    mLink.Send(member.address, bytes);
+    SendBytes(member.address, kind, bytes);
   }
 }
 
@@ -408,7 +426,8 @@
     Overloaded{
       [&](const HelloMessage& aHello) { OnHello(*message, aHello); },
       [&](const HolderHeartbeatMessage& aHeartbeat) { OnHolderHeartbeat(*message, aHeartbeat); },
-      [&](const SuspectMessage& aSuspect) { OnSuspect(*message, aSuspect); },
+      [&](const SuspectMessage& aSuspect) { OnSuspects(*message, { aSuspect }); },
+      [&](const SuspectsMessage& aSuspects) { OnSuspects(*message, aSuspects.suspects); },
       [&](const RunnerLeavingMessage& aLeaving) { OnRunnerLeaving(*message, aLeaving); },
       [&](const StreamsBegunMessage& aBegun) { OnStreamsBegun(aBegun); },
       [&](const EndpointLimitsMessage& aLimits) { OnEndpointLimits(*message, aLimits); },
@@ -508,18 +527,22 @@
   }
 }
 
-void FleetMember::OnSuspect(const FleetMessage& aMessage, const SuspectMessage& aSuspect)
+void FleetMember::OnSuspects(const FleetMessage& aMessage,
+                             const std::vector<SuspectMessage>& aSuspects)
 {
-  if (const auto report = mServices.onSuspect(aSuspect)) {
-    PassOn(aMessage.from, *report);
+  const auto member = mMembers.find(aMessage.from);
+  const std::string address = member == mMembers.end() ? std::string{} : member->second.address;
+  for (const SuspectMessage& suspect : aSuspects) {
+    mServices.onSuspect(address, suspect);
   }
 }
 
 void FleetMember::OnRunnerLeaving(const FleetMessage& aMessage,
                                   const RunnerLeavingMessage& aLeaving)
 {
-  mServices.onRunnerLeaving(aLeaving);
-  PassOn(aMessage.from, aLeaving);
+  if (mServices.onRunnerLeaving(aLeaving)) {
+    PassOn(aMessage.from, aLeaving);
+  }
 }
 
 void FleetMember::PassOn(const DaemonId& aFrom, const FleetBody& aReport)
@@ -678,38 +701,76 @@
     return;
   }
   mNextStreamCopyAt = aNow + kStreamCopyInterval;
+  SendToSomeMembers(StreamsBegunMessage{ .streams = std::exchange(mUncopiedStreams, {}) },
+                    kMaxStreamCopies);
+}
+
+void FleetMember::SendToSomeMembers(FleetBody aBody, std::size_t aCount)
+{
+  const std::size_t kind = aBody.index();
   const auto bytes = EncodeFleetMessage(
-    { .from = mOptions.self,
-      .incarnation = mOptions.incarnation,
-      .body = StreamsBegunMessage{ .streams = std::exchange(mUncopiedStreams, {}) } });
+    { .from = mOptions.self, .incarnation = mOptions.incarnation, .body = std::move(aBody) });
   std::size_t copies = 0;
   for (const auto& [id, member] : mMembers) {
-    if (copies++ == kMaxStreamCopies) {
+    if (copies++ == aCount) {
       break;
     }
-    mLink.Send(member.address, bytes);
+    SendBytes(member.address, kind, bytes);
   }
 }
 
-void FleetMember::ReportSuspect(const SuspectMessage& aMessage)
+void FleetMember::ReportSuspect(ReportAudience aAudience,
+                                const std::string& aAddress,
+                                const SuspectMessage& aMessage)
 {
-  if (!aMessage.isCleared) {
-    mOwnSuspects.emplace_back(BootClockNow(), aMessage);
+  const TimePoint now = BootClockNow();
+  const bool isCrash = !aMessage.isCleared && !aMessage.isQuestion;
+  if (isCrash && aAudience != ReportAudience::kAllMembers) {
+    mOwnSuspects.emplace_back(now, aMessage);
     if (mOwnSuspects.size() > kMaxOwnSuspects) {
       mOwnSuspects.pop_front();
     }
   }
-  Announce(aMessage);
+  if (!mReports.Add(aAudience, aAddress, aMessage)) {
+    mServices.log.Write("report_left_out",
+                        { { "request", aMessage.request }, { "limit", kMaxQueuedReports } });
+  }
+  SendReports(now);
+}
+
+void FleetMember::SendReports(TimePoint aNow)
+{
+  if (!HasDispatcher()) {
+    return;
+  }
+  for (ReportBatch& batch : mReports.TakeDue(aNow)) {
+    const FleetBody body = batch.reports.size() == 1
+                             ? FleetBody{ std::move(batch.reports.front()) }
+                             : FleetBody{ SuspectsMessage{ std::move(batch.reports) } };
+    if (batch.audience == ReportAudience::kSender) {
+      Send(batch.address, body);
+    } else if (!isDispatcher()) {
+      Send(mDispatcherLease.address, body);
+    } else if (batch.audience == ReportAudience::kAllMembers) {
+      SendToMembers(body);
+    } else {
+      SendToSomeMembers(body, kMaxReportCopies);
+    }
+  }
 }
 
 void FleetMember::SendOwnSuspects(const std::string& aAddress)
 {
   const TimePoint oldest = BootClockNow() - kOwnSuspectRetention;
+  SuspectsMessage message;
   for (const auto& [reportedAt, suspect] : mOwnSuspects) {
     if (reportedAt >= oldest) {
-      Send(aAddress, suspect);
+      message.suspects.push_back(suspect);
     }
   }
+  if (!message.suspects.empty()) {
+    Send(aAddress, std::move(message));
+  }
 }
 
 bool FleetMember::SendToDispatcher(const fleet::DispatchMessage& aMessage)
--- a/src/fleet/fleet_member.h
+++ b/src/fleet/fleet_member.h
@@ -8,10 +8,12 @@
 #include "decision/fleet/dispatcher.h"
 #include "decision/fleet/order_lease.h"
 #include "fleet/fleet_message.h"
+#include "fleet/report_queue.h"
 #include "fleet/store_client.h"
 #include "gateway/placement_client.h"
 #include "peer/fleet_link.h"
 
+#include <array>
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <functional>
@@ -44,11 +46,10 @@
   PlacementClient& placement;
   fleet::Dispatcher& dispatcher;
   fleet::StreamOrigins& streamOrigins;
-  /* Takes another daemon's report that a request is suspected of crashing runners or is cleared.
-   * Returns what the other daemons must know of it, or nothing. */
-  std::function<std::optional<SuspectMessage>(const SuspectMessage&)> onSuspect;
-  /* Takes another daemon's report that a runner is leaving. */
-  std::function<void(const RunnerLeavingMessage&)> onRunnerLeaving;
+  /* Takes a report of another daemon, which has this address, about crashed runners. */
+  std::function<void(const std::string&, const SuspectMessage&)> onSuspect;
+  /* Takes another daemon's report that a runner is leaving. Returns whether that is news. */
+  std::function<bool(const RunnerLeavingMessage&)> onRunnerLeaving;
   /* Takes what another daemon states about an endpoint's limit on requests. */
   std::function<void(const fleet::LimitStatement&)> onLimitStatement;
   /* Returns the limits in force, as far as this daemon knows them. */
@@ -94,11 +95,13 @@
   /* Sends a message to the dispatcher, or handles it here if this daemon is the dispatcher. Returns
    * false if no dispatcher is known to be alive. */
   bool SendToDispatcher(const fleet::DispatchMessage& aMessage);
-  /* Notifies the other daemons, through the dispatcher, of a request that is suspected of crashing
-   * runners or has been cleared. Suspects of the last minute are also sent to a dispatcher that is
-   * found later. */
-  void ReportSuspect(const SuspectMessage& aMessage);
-  /* Notifies them in the same way of a runner that is leaving. */
+  /* Sends a report about crashed runners to an audience, joined with others. The address is that of
+   * kSender. Suspects that this daemon reported in the last minute are also sent to a dispatcher
+   * that is found later. */
+  void ReportSuspect(ReportAudience aAudience,
+                     const std::string& aAddress,
+                     const SuspectMessage& aMessage);
+  /* Notifies the other daemons, through the dispatcher, of a runner that is leaving. */
   void ReportRunnerLeaving(const RunnerLeavingMessage& aMessage);
   /* Notifies them in the same way of an endpoint's limit on requests, or that it has ended. */
   void ReportLimit(const fleet::LimitStatement& aStatement);
@@ -124,6 +127,18 @@
   const fleet::OrderLeaseRow& lease() const { return mLease.row(); }
   std::size_t memberCount() const { return mMembers.size(); }
 
+  /* Messages to other daemons since the start. */
+  struct SentMessages
+  {
+    std::string_view kind;
+    std::uint64_t count = 0;
+    std::uint64_t bytes = 0;
+  };
+  const std::array<SentMessages, std::variant_size_v<FleetBody>>& sentMessages() const
+  {
+    return mSentMessages;
+  }
+
 private:
   /* Another daemon. Only the dispatcher keeps these. */
   struct Member
@@ -148,10 +163,15 @@
   // Messages.
   void Send(const std::string& aAddress, FleetBody aBody);
   void SendToMembers(FleetBody aBody);
+  /* Sends a message to the first members, at most so many. */
+  void SendToSomeMembers(FleetBody aBody, std::size_t aCount);
+  void SendBytes(const std::string& aAddress, std::size_t aKind, std::vector<std::uint8_t> aBytes);
   void OnMessage(const std::string& aBytes);
   void OnHello(const FleetMessage& aMessage, const HelloMessage& aHello);
   void OnHolderHeartbeat(const FleetMessage& aMessage, const HolderHeartbeatMessage& aHeartbeat);
-  void OnSuspect(const FleetMessage& aMessage, const SuspectMessage& aSuspect);
+  void OnSuspects(const FleetMessage& aMessage, const std::vector<SuspectMessage>& aSuspects);
+  /* Sends the reports about crashed runners that are due. */
+  void SendReports(TimePoint aNow);
   void OnRunnerLeaving(const FleetMessage& aMessage, const RunnerLeavingMessage& aLeaving);
   void OnEndpointLimits(const FleetMessage& aMessage, const EndpointLimitsMessage& aLimits);
   /* Sends the limits that have changed: to the dispatcher, or to all members if this daemon is the
@@ -207,7 +227,8 @@
   TimePoint mNextStreamCopyAt{};
   /* Streams that this daemon began within kOwnStreamRetention, with the time, oldest first. */
   std::deque<std::pair<TimePoint, fleet::BegunStream>> mOwnStreams;
-  /* Suspects that this daemon reported, with the time, oldest first. */
+  ReportQueue mReports;
+  /* Suspects that this daemon reported or passed on, with the time, oldest first. */
   std::deque<std::pair<TimePoint, SuspectMessage>> mOwnSuspects;
   /* The last statement about each endpoint whose limit has changed since the last message. */
   std::map<EndpointId, fleet::LimitStatement> mChangedLimits;
@@ -216,6 +237,7 @@
   TimePoint mNextHeartbeatAt{};
   TimePoint mNextHelloAt{};
   std::string mLoggedHolder; ///< Holder and incarnation in the last holder_changed log line.
+  std::array<SentMessages, std::variant_size_v<FleetBody>> mSentMessages;
   bool mWasOrderingAllowed = false;
   bool mHasReadLease = false;
   bool mIsTickPosted = false;
--- a/src/fleet/fleet_message.cpp
+++ b/src/fleet/fleet_message.cpp
@@ -4,6 +4,7 @@
 
 #include "core/overloaded.h"
 
+#include <array>
 #include <cmath>
 #include <nlohmann/json.hpp>
 
@@ -100,6 +101,31 @@
                        .version = SoftwareVersion{ aJson.at(2).get<std::string>() } } };
 }
 
+Json ToJson(const SuspectMessage& aSuspect)
+{
+  return { { "kind", "suspect" },
+           { "request", aSuspect.request.str() },
+           { "runner", aSuspect.process.endpoint.str() },
+           { "born", aSuspect.process.startedAtMs },
+           { "cleared", aSuspect.isCleared },
+           { "account", aSuspect.account.str() },
+           { "parts", ToJson(aSuspect.parts) },
+           { "begun", aSuspect.hasHead },
+           { "question", aSuspect.isQuestion } };
+}
+
+SuspectMessage SuspectFrom(const Json& aJson)
+{
+  return { .request = FingerprintId{ aJson.at("request").get<std::string>() },
+           .process = { .endpoint = EndpointId{ aJson.value("runner", std::string{}) },
+                        .startedAtMs = aJson.value("born", std::int64_t{ 0 }) },
+           .isCleared = aJson.value("cleared", false),
+           .account = ClientAccountId{ aJson.value("account", std::string{}) },
+           .parts = PromptPartsFrom(aJson.value("parts", Json::array())),
+           .hasHead = aJson.value("begun", false),
+           .isQuestion = aJson.value("question", false) };
+}
+
 Json ToJson(const EndpointLimitsMessage& aLimits)
 {
   Json statements = Json::array();
@@ -325,15 +351,13 @@
                                { "tables", ToJson(aHeartbeat.notices) },
                                { "quarantined", ToJson(aHeartbeat.quarantinedParts) } };
                 },
-                [](const SuspectMessage& aSuspect) {
-                  return Json{ { "kind", "suspect" },
-                               { "request", aSuspect.request.str() },
-                               { "runner", aSuspect.process.endpoint.str() },
-                               { "born", aSuspect.process.startedAtMs },
-                               { "cleared", aSuspect.isCleared },
-                               { "account", aSuspect.account.str() },
-                               { "parts", ToJson(aSuspect.parts) },
-                               { "begun", aSuspect.hasHead } };
+                [](const SuspectMessage& aSuspect) { return ToJson(aSuspect); },
+                [](const SuspectsMessage& aSuspects) {
+                  Json suspects = Json::array();
+                  for (const SuspectMessage& suspect : aSuspects.suspects) {
+                    suspects.push_back(ToJson(suspect));
+                  }
+                  return Json{ { "kind", "suspects" }, { "suspects", std::move(suspects) } };
                 },
                 [](const TableChangesMessage& aChanges) { return ToJson(aChanges); },
                 [](const RunnerLeavingMessage& aLeaving) {
@@ -411,14 +435,14 @@
     return begun;
   }
   if (kind == "suspect") {
-    return SuspectMessage{ .request = FingerprintId{ aJson.at("request").get<std::string>() },
-                           .process = { .endpoint =
-                                          EndpointId{ aJson.value("runner", std::string{}) },
-                                        .startedAtMs = aJson.value("born", std::int64_t{ 0 }) },
-                           .isCleared = aJson.value("cleared", false),
-                           .account = ClientAccountId{ aJson.value("account", std::string{}) },
-                           .parts = PromptPartsFrom(aJson.value("parts", Json::array())),
-                           .hasHead = aJson.value("begun", false) };
+    return SuspectFrom(aJson);
+  }
+  if (kind == "suspects") {
+    SuspectsMessage suspects;
+    for (const Json& suspect : aJson.at("suspects")) {
+      suspects.suspects.push_back(SuspectFrom(suspect));
+    }
+    return suspects;
   }
   if (kind == "ask") {
     return PlacementRequestFrom(aJson.at("ask"));
@@ -441,6 +465,15 @@
 
 } // namespace
 
+std::string_view NameOfMessage(std::size_t aKind)
+{
+  constexpr std::array<std::string_view, std::variant_size_v<FleetBody>> kNames{
+    "hello",          "heartbeat",       "suspect", "suspects", "table_changes", "streams_begun",
+    "runner_leaving", "endpoint_limits", "request", "released", "in_use",        "reply"
+  };
+  return kNames.at(aKind);
+}
+
 std::vector<std::uint8_t> EncodeFleetMessage(const FleetMessage& aMessage)
 {
   Json json = ToJson(aMessage.body);
--- a/src/fleet/fleet_message.h
+++ b/src/fleet/fleet_message.h
@@ -63,6 +63,14 @@
   /* Parts that the runner may have crashed on, or parts that are sound. */
   std::vector<fleet::PromptPartId> parts;
   bool hasHead = false; ///< The runner had begun to answer the request.
+  /* No crash is reported, but it is asked whether these parts are known to be sound. */
+  bool isQuestion = false;
+};
+
+/* Several of these reports. */
+struct SuspectsMessage
+{
+  std::vector<SuspectMessage> suspects;
 };
 
 /* Streams that have begun, with their origins. The daemon that serves a stream sends it to the
@@ -90,6 +98,7 @@
 using FleetBody = std::variant<HelloMessage,
                                HolderHeartbeatMessage,
                                SuspectMessage,
+                               SuspectsMessage,
                                TableChangesMessage,
                                StreamsBegunMessage,
                                RunnerLeavingMessage,
@@ -99,6 +108,9 @@
                                fleet::AssignmentInUse,
                                fleet::PlacementReply>;
 
+/* Returns the name of a kind of message, by its index in FleetBody, for metrics. */
+std::string_view NameOfMessage(std::size_t aKind);
+
 struct FleetMessage
 {
   DaemonId from;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -51,8 +51,9 @@
   std::function<void(const fleet::EndpointProcess&, const fleet::CrashSuspect&)> onCrash;
   /* Takes that a request with these parts was answered. */
   std::function<void(const ClientAccountId&, std::span<const fleet::PromptPartId>)> onSoundAnswer;
-  /* Notifies the other daemons that a request suspected of crashing runners was answered. */
-  std::function<void(const FingerprintId&)> onCleared;
+  /* Notifies the other daemons that a request suspected of crashing runners was answered, and
+   * whether it was quarantined. */
+  std::function<void(const FingerprintId&, bool)> onCleared;
   /* Takes what an endpoint states in the head of an answer. */
   std::function<void(const AnswerSource&, const platform::EndpointAnswer&)> onEndpointAnswer;
   /* Records a stream before its first event is sent to the client. */
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -914,8 +914,9 @@
   switch (end) {
     case AttemptEnd::kAnswered:
       mContext.runners.RecordRequestEnd(now, mAttempt.endpoint, fleet::EndpointOutcome::kSucceeded);
-      if (mContext.crashes.RecordAnswer(mFingerprint)) {
-        mContext.onCleared(mFingerprint);
+      if (const bool wasQuarantined = mContext.crashes.IsQuarantined(now, mFingerprint);
+          mContext.crashes.RecordAnswer(mFingerprint)) {
+        mContext.onCleared(mFingerprint, wasQuarantined);
       }
       if (HasAnswerBegun(mAttempt) && IsSuccess(mAttempt.head->status)) {
         RecordSoundParts();
