Fix: [Gateway] Do not call a limited endpoint for each connection that breaks

A daemon calls an endpoint for a report after each request whose connection broke, to find out whether it has crashed. At a limited endpoint these calls count: with a limit of 4 a second and all streams cut at once, each of two runners got 10 calls for reports in 10 s, of which the dispatcher's own were 5.

Where the daemon's own share of the limit allows no call, it waits for the endpoint's entry instead: a later start within 15 s confirms the crash. test_edge_calls_no_limited_endpoint_for_each_connection_that_breaks failed before and passes; test_edge_recognises_a_request_that_crashes_limited_endpoints passes before and after. Tests of takeovers under a limit (SIGKILL, SIGTERM, SIGSTOP of the dispatcher) pass.

--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -23,6 +23,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <deque>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
@@ -68,6 +69,10 @@
 /* Greatest age of the store's answer that a notice of the dispatcher may rest on, as a share of the
  * drain limit. A change may be that old when a daemon begins to read the store itself. */
 constexpr double kMaxNoticeAgeRatio = 0.6;
+/* Longest time from the crash of an endpoint until its entry shows the next process, and greatest
+ * number of possible crashes that wait for that. */
+constexpr Duration kMaxRestartTime = 15s;
+constexpr std::size_t kMaxPossibleCrashes = 256;
 /* Lowest limit on client connections. With more than twice as many descriptors, the limit is half
  * of the descriptors. The other half is left for endpoints, the store, other daemons, files and
  * listeners. */
@@ -135,6 +140,13 @@
         [this](const fleet::EndpointProcess& aProcess, const fleet::CrashSuspect& aSuspect) {
           mCrashReports.OnOwnCrash(BootClockNow(), aProcess, aSuspect);
         },
+      .onPossibleCrash =
+        [this](const fleet::EndpointProcess& aProcess, const fleet::CrashSuspect& aSuspect) {
+          mPossibleCrashes.push_back({ aProcess, aSuspect, BootClockNow() });
+          if (mPossibleCrashes.size() > kMaxPossibleCrashes) {
+            mPossibleCrashes.pop_front();
+          }
+        },
       .onSoundAnswer =
         [this](const ClientAccountId& aAccount, std::span<const fleet::PromptPartId> aParts) {
           mCrashReports.OnOwnAnswer(BootClockNow(), aAccount, aParts);
@@ -582,6 +594,27 @@
     if (change != fleet::RunnerRegistry::Change::kJoined) {
       mClient.CloseIdleTo(entry->address);
     }
+    if (change == fleet::RunnerRegistry::Change::kRestarted) {
+      ConfirmPossibleCrashes(*entry);
+    }
+  }
+
+  /* Reports the requests whose connections broke a short time before the endpoint restarted. */
+  void ConfirmPossibleCrashes(const fleet::RunnerEntry& aEntry)
+  {
+    const TimePoint now = BootClockNow();
+    for (const PossibleCrash& crash : std::exchange(mPossibleCrashes, {})) {
+      if (now - crash.at > kMaxRestartTime) {
+        continue;
+      }
+      if (crash.process.endpoint != aEntry.id || crash.process.startedAtMs >= aEntry.startedAtMs) {
+        mPossibleCrashes.push_back(crash);
+        continue;
+      }
+      mLog.Write("request_suspected",
+                 { { "endpoint", aEntry.id }, { "bytes", crash.suspect.request } });
+      mCrashReports.OnOwnCrash(now, crash.process, crash.suspect);
+    }
   }
 
   /* Takes what an endpoint's process states about itself in the head of any answer. */
@@ -896,6 +929,14 @@
     });
   }
 
+  /* A connection that broke under a request at an endpoint that was not called afterwards. */
+  struct PossibleCrash
+  {
+    fleet::EndpointProcess process;
+    fleet::CrashSuspect suspect;
+    TimePoint at{};
+  };
+
   Settings mSettings;
   std::string mSettingsFile;
   asio::io_context mLoop;
@@ -946,6 +987,7 @@
   RowVersion mRunnersChangedAt; ///< Last change of the runner table that all daemons must know.
   /* Rows of the runner table whose changes the other daemons must know, to be relayed. */
   std::vector<platform::StoreRow> mChangedRunnerRows;
+  std::deque<PossibleCrash> mPossibleCrashes; ///< Oldest first.
   bool mIsStopping = false;
   bool mWasIdle = false; ///< At the last check of a stopping daemon.
   TimePoint mShutdownStartedAt{};
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -49,6 +49,9 @@
   /* Takes that a runner's process ended while it ran a request. The suspect has no parts if the
    * request had events of that process. */
   std::function<void(const fleet::EndpointProcess&, const fleet::CrashSuspect&)> onCrash;
+  /* Takes that a connection broke under a request at an endpoint that must not be called to find
+   * out why. It was a crash if another process of the endpoint follows soon. */
+  std::function<void(const fleet::EndpointProcess&, const fleet::CrashSuspect&)> onPossibleCrash;
   /* Takes that a request with these parts was answered. */
   std::function<void(const ClientAccountId&, std::span<const fleet::PromptPartId>)> onSoundAnswer;
   /* Notifies the other daemons that a request suspected of crashing runners was answered, and
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -968,6 +968,12 @@
                                                 ? std::vector<fleet::PromptPartId>{}
                                                 : mClient.leadingParts,
                                      .hasHead = aAttempt.head && IsSuccess(aAttempt.head->status) };
+  const fleet::EndpointProcess process{ .endpoint = aAttempt.endpoint,
+                                        .startedAtMs = aAttempt.endpointStartedAtMs };
+  if (!mContext.runners.TakeOwnShare(BootClockNow(), aAttempt.endpoint)) {
+    mContext.onPossibleCrash(process, suspect); // The endpoint's limit allows no call.
+    return;
+  }
   auto report = std::make_shared<std::string>();
   mContext.client.Start(
     { .address = runner->entry.address,
@@ -986,12 +992,7 @@
         },
       .onBody = [report](std::string_view aBytes) { *report += aBytes; },
       .onEnd =
-        [&context = mContext,
-         suspect,
-         report,
-         id = mClient.requestId,
-         process = fleet::EndpointProcess{ .endpoint = aAttempt.endpoint,
-                                           .startedAtMs = aAttempt.endpointStartedAtMs }](
+        [&context = mContext, suspect, report, id = mClient.requestId, process](
           http::CallResult aResult) {
           if (aResult != http::CallResult::kNotConnected && !IsOfOtherProcess(*report, process)) {
             return;
--- a/tests/edge/test_limit.py
+++ b/tests/edge/test_limit.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import signal
+import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 from typing import Optional
@@ -142,3 +144,66 @@
         log = cluster.daemons[0].log.read_text()
         assert '"event":"endpoint_limited"' not in log
         assert log.count('"event":"answer_field_ignored"') == 2
+
+
+def test_edge_keeps_to_limits_while_its_dispatcher_is_replaced() -> None:
+    """Kills, stops or suspends the daemon that counts for the others, under load."""
+    for number, kind, endpoints in ((signal.SIGKILL, "chat", ("r0", "r1")),
+                                    (signal.SIGTERM, "check", ("p0", "p1")),
+                                    (signal.SIGSTOP, "chat", ("r0", "r1"))):
+        with EdgeCluster(daemons=3, models=2) as cluster:
+            limited_at = name_limit(cluster, kind, endpoints, 1.0)
+            time.sleep(1.0)  # All daemons have been told.
+            holder = cluster.holder()
+            timers = [threading.Timer(2.0, lambda: holder.signal(number)),
+                      threading.Timer(5.0, lambda: holder.signal(signal.SIGCONT))]
+            for timer in timers:
+                timer.start()
+            press(cluster, kind, seconds=9.0, per_second=15.0)
+            for timer in timers:
+                timer.join()
+            for name in endpoints:
+                breach = find_breach(cluster.platform.endpoints[name], limited_at + REACTION_S, 1.0)
+                assert breach is None, (number, kind, breach)
+
+
+def test_edge_calls_no_limited_endpoint_for_each_connection_that_breaks() -> None:
+    """Lets limited runners cut all their streams at once, which daemons look into by calls.
+
+    A call for a report shows whether the runner has crashed. Those calls count against the limit.
+    """
+    with EdgeCluster(daemons=3, models=2) as cluster:
+        cluster.platform.work_s = 0.8  # A stream lasts 5 s.
+        limited_at = name_limit(cluster, "chat", ("r0", "r1"), 4.0)
+        since = limited_at + REACTION_S
+        with ThreadPoolExecutor(1) as pool:
+            pressed = pool.submit(press, cluster, "chat", 8.0, 30.0, 6.0)
+            time.sleep(6.0)
+            for name in ("r0", "r1"):
+                endpoint = cluster.platform.endpoints[name]
+                endpoint.faults.cut_after_events = 0
+            time.sleep(2.0)
+            for name in ("r0", "r1"):
+                endpoint = cluster.platform.endpoints[name]
+                reports = sum(kind is CallKind.REPORT and at >= since for at, kind in
+                              zip(endpoint.arrivals, endpoint.arrival_kinds))
+                assert reports <= 8, (name, reports)
+                breach = find_breach(endpoint, since, 4.0)
+                assert breach is None, breach
+            pressed.result()
+
+
+def test_edge_recognises_a_request_that_crashes_limited_endpoints() -> None:
+    """Repeats a request that crashes each endpoint that runs it, at endpoints with limits."""
+    with EdgeCluster(daemons=3, models=2) as cluster:
+        name_limit(cluster, "pay", ("p0", "p1"), 1.0)
+        for name in ("p0", "p1"):
+            cluster.platform.endpoints[name].faults.crashing_body = b"poison"
+        crashes = 0
+        end = time.monotonic() + 25.0
+        while time.monotonic() < end:
+            daemon = cluster.daemons[crashes % 3]
+            result = daemon.send("pay", body=b"poison", timeout_s=2.0)
+            crashes += cluster.run_count(result)
+            time.sleep(1.0)
+        assert 3 <= crashes <= 5, crashes
