Fix: [Gateway] Try quarantined prompt parts again, twice in all

What would prove it sound is an answer, and no request with it was sent that could be answered.

The dispatcher now permits a request with a quarantined group as a trial: the first 9 s after the quarantine, the second 27 s after that, two in all for the fleet (operators accept three). The counts are in the heartbeats and in the lease's row, so a takeover does not start them anew, and a smaller group keeps those of the larger one. A trial is sent once, without a replacement for a silent endpoint. An answer clears the part everywhere; a crash counts like any other. Daemons ask for a trial only where another daemon has stated the counts, because one of a former release permits each.

--- a/src/daemon/crash_reports.cpp
+++ b/src/daemon/crash_reports.cpp
@@ -176,10 +176,13 @@
   }
 }
 
-void CrashReports::OnQuarantined(TimePoint aNow, const std::vector<fleet::PartGroup>& aGroups)
+void CrashReports::OnQuarantined(TimePoint aNow,
+                                 const std::vector<fleet::PartGroup>& aGroups,
+                                 const std::vector<fleet::PartTrials>& aTrials)
 {
-  for (const fleet::PartGroup& group : aGroups) {
-    const auto change = mServices.promptParts.RecordQuarantined(aNow, group);
+  for (std::size_t index = 0; index < aGroups.size(); ++index) {
+    const auto trials = index < aTrials.size() ? std::optional{ aTrials[index] } : std::nullopt;
+    const auto change = mServices.promptParts.RecordQuarantined(aNow, aGroups[index], trials);
     Apply(change, "told");
     AnnounceSound(aNow, {}, change.cleared);
   }
--- a/src/daemon/crash_reports.h
+++ b/src/daemon/crash_reports.h
@@ -54,7 +54,9 @@
   /* Takes a report of another daemon, which has this address. */
   void OnReport(TimePoint aNow, const std::string& aSender, const SuspectMessage& aReport);
   /* Takes over what another daemon or the store knows to be quarantined. */
-  void OnQuarantined(TimePoint aNow, const std::vector<fleet::PartGroup>& aGroups);
+  void OnQuarantined(TimePoint aNow,
+                     const std::vector<fleet::PartGroup>& aGroups,
+                     const std::vector<fleet::PartTrials>& aTrials);
 
 private:
   struct CrashId
--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -151,6 +151,12 @@
         [this](const ClientAccountId& aAccount, std::span<const fleet::PromptPartId> aParts) {
           mCrashReports.OnOwnAnswer(BootClockNow(), aAccount, aParts);
         },
+      .isTrialOffered =
+        [this](std::span<const fleet::PromptPartId> aParts) {
+          const TimePoint now = BootClockNow();
+          return mMember.isDispatcher() ? mGateway.promptParts.IsTrialDue(now, aParts)
+                                        : mGateway.promptParts.IsTrialOffered(now, aParts);
+        },
       .onCleared =
         [this](const FingerprintId& aRequest, bool aWasQuarantined) {
           mCrashReports.OnOwnCleared(aRequest, aWasQuarantined);
@@ -220,9 +226,13 @@
             },
           .quarantinedParts = [this] { return mGateway.promptParts.quarantined(); },
           .onQuarantinedParts =
-            [this](const std::vector<fleet::PartGroup>& aGroups) {
-              mCrashReports.OnQuarantined(BootClockNow(), aGroups);
+            [this](const std::vector<fleet::PartGroup>& aGroups,
+                   const std::vector<fleet::PartTrials>& aTrials) {
+              mCrashReports.OnQuarantined(BootClockNow(), aGroups, aTrials);
             },
+          .partTrials = [this] { return mGateway.promptParts.trials(BootClockNow()); },
+          .startTrial =
+            [this](const std::vector<fleet::PromptPartId>& aParts) { return StartTrial(aParts); },
           .onStoreEra = [this](StoreEra aEra) { mStore.ObserveEra(aEra); } },
         { .self = DaemonId{ mSettings.daemonId },
           .incarnation = IncarnationId{ mIncarnation },
@@ -599,6 +609,18 @@
     }
   }
 
+  bool StartTrial(const std::vector<fleet::PromptPartId>& aParts)
+  {
+    const bool isStarted = mGateway.promptParts.StartTrial(BootClockNow(), aParts);
+    if (isStarted) {
+      mLog.Write("part_trial",
+                 { { "parts", aParts.size() },
+                   { "quarantined", mGateway.promptParts.quarantinedCount() },
+                   { "limit", fleet::kMaxPartTrials } });
+    }
+    return isStarted;
+  }
+
   /* Reports the requests whose connections broke a short time before the endpoint restarted. */
   void ConfirmPossibleCrashes(const fleet::RunnerEntry& aEntry)
   {
--- a/src/decision/fleet/dispatch_type.h
+++ b/src/decision/fleet/dispatch_type.h
@@ -69,6 +69,8 @@
   std::optional<StreamOrigin> origin;
   /* Set for a stream that is resumed and whose origin the daemon does not know. */
   std::optional<StreamKey> resumedStream;
+  /* Set if the request has quarantined parts and is to be their trial. */
+  std::vector<PromptPartId> trialParts;
 
   bool UsesModel() const { return !work.target.model.empty(); }
 };
--- a/src/decision/fleet/prompt_part_guard.cpp
+++ b/src/decision/fleet/prompt_part_guard.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/* Longest time until a trial that another daemon can state. */
+constexpr Duration kMaxTrialDelay = std::chrono::hours{ 1 };
+
 std::size_t CountBits(std::uint64_t aBits)
 {
   return static_cast<std::size_t>(std::popcount(aBits));
@@ -72,7 +75,9 @@
   return change;
 }
 
-PromptPartGuard::Change PromptPartGuard::RecordQuarantined(TimePoint aNow, const PartGroup& aGroup)
+PromptPartGuard::Change PromptPartGuard::RecordQuarantined(TimePoint aNow,
+                                                           const PartGroup& aGroup,
+                                                           const std::optional<PartTrials>& aTrials)
 {
   Change change;
   PartGroup group;
@@ -86,9 +91,73 @@
   if (!group.empty() && group.size() <= kMaxGroupParts && !isKnown) {
     Quarantine(aNow, group, change);
   }
+  const auto known =
+    std::find_if(mQuarantined.begin(), mQuarantined.end(), [&](const QuarantinedGroup& aItem) {
+      return aItem.parts == group;
+    });
+  if (aTrials && known != mQuarantined.end()) {
+    known->areTrialsTold = true;
+    known->trials = std::max(known->trials, aTrials->count);
+    known->nextTrialAt =
+      aNow + std::clamp(aTrials->timeUntilNext, Duration::zero(), kMaxTrialDelay);
+  }
   return change;
 }
 
+bool PromptPartGuard::HasGroup(std::span<const PromptPartId> aParts, const QuarantinedGroup& aGroup)
+{
+  return std::all_of(aGroup.parts.begin(), aGroup.parts.end(), [&](PromptPartId aPart) {
+    return std::find(aParts.begin(), aParts.end(), aPart) != aParts.end();
+  });
+}
+
+bool PromptPartGuard::IsTrialDue(TimePoint aNow, const QuarantinedGroup& aGroup)
+{
+  return aGroup.trials < kMaxPartTrials && aNow >= aGroup.nextTrialAt;
+}
+
+bool PromptPartGuard::IsTrialDue(TimePoint aNow, std::span<const PromptPartId> aParts) const
+{
+  return std::all_of(mQuarantined.begin(), mQuarantined.end(), [&](const QuarantinedGroup& aGroup) {
+    return !HasGroup(aParts, aGroup) || IsTrialDue(aNow, aGroup);
+  });
+}
+
+bool PromptPartGuard::IsTrialOffered(TimePoint aNow, std::span<const PromptPartId> aParts) const
+{
+  return std::all_of(mQuarantined.begin(), mQuarantined.end(), [&](const QuarantinedGroup& aGroup) {
+    return !HasGroup(aParts, aGroup) || (aGroup.areTrialsTold && IsTrialDue(aNow, aGroup));
+  });
+}
+
+bool PromptPartGuard::StartTrial(TimePoint aNow, std::span<const PromptPartId> aParts)
+{
+  if (!IsTrialDue(aNow, aParts)) {
+    return false;
+  }
+  for (QuarantinedGroup& group : mQuarantined) {
+    if (HasGroup(aParts, group)) {
+      ++group.trials;
+      Duration delay = kFirstTrialDelay;
+      for (std::uint32_t trial = 0; trial < group.trials; ++trial) {
+        delay *= kTrialDelayFactor;
+      }
+      group.nextTrialAt = aNow + delay;
+    }
+  }
+  return true;
+}
+
+std::vector<PartTrials> PromptPartGuard::trials(TimePoint aNow) const
+{
+  std::vector<PartTrials> trials;
+  for (const QuarantinedGroup& group : mQuarantined) {
+    trials.push_back({ .count = group.trials,
+                       .timeUntilNext = std::max(group.nextTrialAt - aNow, Duration::zero()) });
+  }
+  return trials;
+}
+
 bool PromptPartGuard::IsQuarantined(TimePoint aNow, std::span<const PromptPartId> aParts)
 {
   if (mQuarantined.empty()) {
@@ -310,7 +379,17 @@
   if (isKnown) {
     return;
   }
-  // The new group tells which parts of a larger one matter.
+  // The new group tells which parts of a larger one matter. Its trials go on where those of the
+  // larger one ended, since each may crash a runner.
+  QuarantinedGroup added{ .parts = aGroup,
+                          .lastAskedAt = aNow,
+                          .nextTrialAt = aNow + kFirstTrialDelay };
+  for (const QuarantinedGroup& group : mQuarantined) {
+    if (isWithin(aGroup, group.parts)) {
+      added.trials = std::max(added.trials, group.trials);
+      added.nextTrialAt = std::max(added.nextTrialAt, group.nextTrialAt);
+    }
+  }
   EraseGroups([&](const auto& aKnown) { return isWithin(aGroup, aKnown.parts); }, aChange);
   if (mQuarantined.size() >= kMaxQuarantinedGroups) {
     const auto oldest = std::min_element(
@@ -320,7 +399,7 @@
     aChange.released.push_back(oldest->parts);
     mQuarantined.erase(oldest);
   }
-  mQuarantined.push_back({ .parts = aGroup, .lastAskedAt = aNow });
+  mQuarantined.push_back(std::move(added));
   UpdateQuarantinedParts();
   aChange.quarantined.push_back(aGroup);
 }
--- a/src/decision/fleet/prompt_part_guard.h
+++ b/src/decision/fleet/prompt_part_guard.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <unordered_map>
@@ -44,6 +45,20 @@
 constexpr std::size_t kMaxQuarantinedGroups = 64;
 constexpr std::size_t kMaxGroupParts = 16;
 
+/* Requests that are sent with a quarantined group of parts to find out whether it is sound after
+ * all: their number in all, and the time until the first. Each further one comes after three times
+ * as long. Operators accept three. */
+constexpr std::uint32_t kMaxPartTrials = 2;
+constexpr Duration kFirstTrialDelay = 9s;
+constexpr int kTrialDelayFactor = 3;
+
+/* How often a quarantined group was tried, and when it may be tried again. */
+struct PartTrials
+{
+  std::uint32_t count = 0;
+  Duration timeUntilNext{};
+};
+
 /* Parts of which at least one crashes runners. They have come only together so far, so that it is
  * not known which, and only requests with all of them are quarantined. Normally it is one part. In
  * ascending order. */
@@ -87,8 +102,22 @@
   Change RecordSound(TimePoint aNow,
                      const ClientAccountId& aAccount,
                      std::span<const PromptPartId> aParts);
-  /* Takes over a group that another daemon or the store knows to be quarantined. */
-  Change RecordQuarantined(TimePoint aNow, const PartGroup& aGroup);
+  /* Takes over a group that another daemon or the store knows to be quarantined, and its trials if
+   * they are known. */
+  Change RecordQuarantined(TimePoint aNow,
+                           const PartGroup& aGroup,
+                           const std::optional<PartTrials>& aTrials = std::nullopt);
+  /* Returns whether a request with these parts may be sent as a trial now: no group that it has was
+   * tried too often or too recently. */
+  bool IsTrialDue(TimePoint aNow, std::span<const PromptPartId> aParts) const;
+  /* Returns the same for a daemon that must ask another one for the trial. One of a former release
+   * states no trials and would permit each. */
+  bool IsTrialOffered(TimePoint aNow, std::span<const PromptPartId> aParts) const;
+  /* Counts a trial with these parts if one is due. Returns whether it was. An answer clears the
+   * parts, and a crash counts like any other. */
+  bool StartTrial(TimePoint aNow, std::span<const PromptPartId> aParts);
+  /* Returns the trials of the quarantined groups, in the order of quarantined(). */
+  std::vector<PartTrials> trials(TimePoint aNow) const;
 
   /* Returns whether a request with these parts, in any order, must not be sent to a runner. */
   bool IsQuarantined(TimePoint aNow, std::span<const PromptPartId> aParts);
@@ -131,6 +160,9 @@
   {
     PartGroup parts;
     TimePoint lastAskedAt{};
+    std::uint32_t trials = 0;
+    TimePoint nextTrialAt{};
+    bool areTrialsTold = false; ///< Another daemon has stated them.
   };
 
   bool IsSound(TimePoint aNow, PromptPartId aPart) const;
@@ -153,6 +185,8 @@
   EvidenceByPart CollectEvidence(bool aOnlyAttributed) const;
   std::uint64_t ExplainedRecords(const EvidenceByPart& aEvidence) const;
   bool IsCertain(PromptPartId aPart) const;
+  static bool IsTrialDue(TimePoint aNow, const QuarantinedGroup& aGroup);
+  static bool HasGroup(std::span<const PromptPartId> aParts, const QuarantinedGroup& aGroup);
   void Quarantine(TimePoint aNow, const PartGroup& aGroup, Change& aChange);
   void EraseGroups(const std::function<bool(const QuarantinedGroup&)>& aIsErased, Change& aChange);
   void UpdateQuarantinedParts();
--- a/src/fleet/fleet_member.cpp
+++ b/src/fleet/fleet_member.cpp
@@ -181,7 +181,8 @@
       .key = kLeaseKey,
       .value = EncodeLeaseRow({ .lease = aWrite.row,
                                 .versions = mServices.recentVersions(),
-                                .quarantinedParts = mServices.quarantinedParts() }),
+                                .quarantinedParts = mServices.quarantinedParts(),
+                                .partTrials = mServices.partTrials() }),
       .expectedVersion = aWrite.expectedVersion },
     [this](const StoreResult& aResult) {
       if (!mIsClosed) {
@@ -220,7 +221,7 @@
   if (!mHasReadLease) {
     mServices.onRecentVersions(row->versions);
   }
-  mServices.onQuarantinedParts(row->quarantinedParts);
+  mServices.onQuarantinedParts(row->quarantinedParts, row->partTrials);
   return std::move(row->lease);
 }
 
@@ -339,7 +340,8 @@
            .daemons = static_cast<std::uint32_t>(mMembers.size()) + 1,
            .notices = mServices.tableNotices(),
            .era = mServices.store.era(),
-           .quarantinedParts = mServices.quarantinedParts() };
+           .quarantinedParts = mServices.quarantinedParts(),
+           .partTrials = mServices.partTrials() };
 }
 
 void FleetMember::SendHeartbeats()
@@ -482,7 +484,7 @@
                               .address = aHello.address,
                               .zone = aHello.zone,
                               .lastMessageAt = BootClockNow() };
-  mServices.onQuarantinedParts(aHello.quarantinedParts);
+  mServices.onQuarantinedParts(aHello.quarantinedParts, {});
   if (isNew) {
     Send(aHello.address, MakeHeartbeat());
     SendOwnSuspects(aHello.address);
@@ -513,7 +515,7 @@
   mLastHeartbeatAt = now;
   mServices.onDaemonCount(aHeartbeat.daemons);
   mServices.onTableNotices(aHeartbeat.notices);
-  mServices.onQuarantinedParts(aHeartbeat.quarantinedParts);
+  mServices.onQuarantinedParts(aHeartbeat.quarantinedParts, aHeartbeat.partTrials);
   if (isNew) {
     mServices.log.Write(
       "dispatcher_found",
@@ -791,6 +793,13 @@
 {
   const TimePoint now = BootClockNow();
   std::visit(Overloaded{ [&](const fleet::PlacementRequest& aRequest) {
+                          if (!aRequest.trialParts.empty() &&
+                              !mServices.startTrial(aRequest.trialParts)) {
+                            SendReply({ .id = aRequest.id,
+                                        .answer = fleet::PlacementRefused{
+                                          .code = ResultCode::kPromptPartQuarantined } });
+                            return;
+                          }
                           mServices.dispatcher.OnPlacementRequest(now, aRequest, ZoneOf(aFrom));
                         },
                          [&](const fleet::AssignmentReleased& aReleased) {
--- a/src/fleet/fleet_member.h
+++ b/src/fleet/fleet_member.h
@@ -74,7 +74,12 @@
   /* Returns the quarantined parts of prompts that this daemon knows, and takes those that another
    * daemon or the store's lease row states. */
   std::function<std::vector<fleet::PartGroup>()> quarantinedParts;
-  std::function<void(const std::vector<fleet::PartGroup>&)> onQuarantinedParts;
+  std::function<void(const std::vector<fleet::PartGroup>&, const std::vector<fleet::PartTrials>&)>
+    onQuarantinedParts;
+  /* Returns how often they were tried, in the same order. */
+  std::function<std::vector<fleet::PartTrials>()> partTrials;
+  /* Counts a trial of quarantined parts. Returns whether one was due. */
+  std::function<bool(const std::vector<fleet::PromptPartId>&)> startTrial;
   /* Takes the era of the store that another daemon knows. */
   std::function<void(StoreEra)> onStoreEra;
 };
--- a/src/fleet/fleet_message.cpp
+++ b/src/fleet/fleet_message.cpp
@@ -78,6 +78,25 @@
   return groups;
 }
 
+Json ToJson(const std::vector<PartTrials>& aTrials)
+{
+  Json json = Json::array();
+  for (const PartTrials& trials : aTrials) {
+    json.push_back({ trials.count, trials.timeUntilNext.count() });
+  }
+  return json;
+}
+
+std::vector<PartTrials> PartTrialsFrom(const Json& aJson)
+{
+  std::vector<PartTrials> trials;
+  for (const Json& item : aJson) {
+    trials.push_back({ .count = item.at(0).get<std::uint32_t>(),
+                       .timeUntilNext = Duration{ item.at(1).get<Duration::rep>() } });
+  }
+  return trials;
+}
+
 Json ToJson(const PlacementRequestId& aId)
 {
   return { { "daemon", aId.daemon.str() }, { "number", aId.number } };
@@ -190,6 +209,9 @@
   for (const PausedRunner& paused : aRequest.pausedRunners) {
     json["paused"].push_back({ paused.runner.str(), paused.timeLeft.count() });
   }
+  if (!aRequest.trialParts.empty()) {
+    json["trial"] = ToJson(aRequest.trialParts);
+  }
   if (aRequest.origin) {
     json["origin"] = { aRequest.origin->service.str(), aRequest.origin->version.str() };
   }
@@ -232,6 +254,9 @@
           .timeLeft = Duration{ paused.at(1).get<Duration::rep>() } });
     }
   }
+  if (const auto trial = aJson.find("trial"); trial != aJson.end()) {
+    request.trialParts = PromptPartsFrom(*trial);
+  }
   if (const auto origin = aJson.find("origin"); origin != aJson.end()) {
     request.origin = { .service = ServiceId{ origin->at(0).get<std::string>() },
                        .version = SoftwareVersion{ origin->at(1).get<std::string>() } };
@@ -349,7 +374,8 @@
                                { "stalled", aHeartbeat.state == HolderState::kStalled },
                                { "daemons", aHeartbeat.daemons },
                                { "tables", ToJson(aHeartbeat.notices) },
-                               { "quarantined", ToJson(aHeartbeat.quarantinedParts) } };
+                               { "quarantined", ToJson(aHeartbeat.quarantinedParts) },
+                               { "trials", ToJson(aHeartbeat.partTrials) } };
                 },
                 [](const SuspectMessage& aSuspect) { return ToJson(aSuspect); },
                 [](const SuspectsMessage& aSuspects) {
@@ -414,7 +440,8 @@
       .daemons = aJson.at("daemons").get<std::uint32_t>(),
       .notices = NoticesFrom(aJson.value("tables", Json::object())),
       .era = { aJson.value("era", std::uint64_t{ 0 }) },
-      .quarantinedParts = PartGroupsFrom(aJson.value("quarantined", Json::array()))
+      .quarantinedParts = PartGroupsFrom(aJson.value("quarantined", Json::array())),
+      .partTrials = PartTrialsFrom(aJson.value("trials", Json::array()))
     };
   }
   if (kind == "table_changes") {
@@ -504,6 +531,7 @@
   }
   if (!aRow.quarantinedParts.empty()) {
     json["quarantined"] = ToJson(aRow.quarantinedParts);
+    json["trials"] = ToJson(aRow.partTrials);
   }
   return json.dump();
 }
@@ -514,7 +542,8 @@
     const Json json = Json::parse(aText);
     StoredLease row{ .lease = LeaseFrom(json),
                      .versions = {},
-                     .quarantinedParts = PartGroupsFrom(json.value("quarantined", Json::array())) };
+                     .quarantinedParts = PartGroupsFrom(json.value("quarantined", Json::array())),
+                     .partTrials = PartTrialsFrom(json.value("trials", Json::array())) };
     const Json software = json.value("software", Json::object());
     for (const auto& [service, versions] : software.items()) {
       for (const Json& version : versions) {
--- a/src/fleet/fleet_message.h
+++ b/src/fleet/fleet_message.h
@@ -39,6 +39,7 @@
   std::map<std::string, fleet::TableNotice> notices;
   StoreEra era; ///< The highest era of the store that the dispatcher knows.
   std::vector<fleet::PartGroup> quarantinedParts; ///< Those that the dispatcher knows.
+  std::vector<fleet::PartTrials> partTrials;      ///< Of these groups, in the same order.
 };
 
 /* Rows of a table that the dispatcher relays to its members, so that these need not read them. */
@@ -132,6 +133,7 @@
    * may have begun streams and have no endpoint any more. */
   fleet::VersionsByService versions;
   std::vector<fleet::PartGroup> quarantinedParts; ///< Those that the holder knew.
+  std::vector<fleet::PartTrials> partTrials;      ///< Of these groups, in the same order.
 };
 
 /* Encodes the lease row as JSON, the form in which the store keeps it. */
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -54,6 +54,9 @@
   std::function<void(const fleet::EndpointProcess&, const fleet::CrashSuspect&)> onPossibleCrash;
   /* Takes that a request with these parts was answered. */
   std::function<void(const ClientAccountId&, std::span<const fleet::PromptPartId>)> onSoundAnswer;
+  /* Returns whether a request with these quarantined parts may be sent as their trial, if the
+   * dispatcher permits it. */
+  std::function<bool(std::span<const fleet::PromptPartId>)> isTrialOffered;
   /* Notifies the other daemons that a request suspected of crashing runners was answered, and
    * whether it was quarantined. */
   std::function<void(const FingerprintId&, bool)> onCleared;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -210,6 +210,7 @@
     return false;
   }
   mAccount = ClientAccountId{ std::string{ host } };
+  mIsPartTrial = IsPartQuarantined() && mContext.isTrialOffered(mClient.leadingParts);
   if (IsPartQuarantined()) {
     aReason = kPartQuarantinedReason;
     aCode = ResultCode::kPromptPartQuarantined;
@@ -372,6 +373,9 @@
   for (fleet::PausedRunner& paused : placementRequest.pausedRunners) {
     paused.timeLeft += PauseSpread();
   }
+  if (mIsPartTrial) {
+    placementRequest.trialParts = mClient.leadingParts;
+  }
   if (IsResumedByClient() && !mOrigin) {
     placementRequest.resumedStream = fleet::StreamKeyOf(mClient.resumedRequestId);
   }
@@ -446,6 +450,10 @@
 {
   const TimePoint now = BootClockNow();
   mAssignedVersion.reset();
+  mIsPartTrial = false; // Only the dispatcher can permit a trial.
+  if (EndIfPartQuarantined()) {
+    return;
+  }
   if (IsResumedByClient() && !mOrigin) {
     mOrigin = OnlyOrigin();
     if (!mOrigin) {
@@ -1016,6 +1024,7 @@
   const bool hasRun = aEnd != AttemptEnd::kNotSent && aEnd != AttemptEnd::kNotRun;
   mAttemptState.runs += hasRun ? 1 : 0;
   mAttemptState.refusals += hasRun ? 0 : 1;
+  mIsPartTrial = false;
   UpdateAttemptState();
   if (aEnd == AttemptEnd::kAnswered) {
     return;
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -157,7 +157,8 @@
   bool IsStreamUnfinished() const;
   bool IsPartQuarantined() const
   {
-    return mContext.promptParts.IsQuarantined(BootClockNow(), mClient.leadingParts);
+    return !mIsPartTrial &&
+           mContext.promptParts.IsQuarantined(BootClockNow(), mClient.leadingParts);
   }
   /* Records once for each attempt that the parts of the prompt crash no runner. */
   void RecordSoundParts();
@@ -241,6 +242,9 @@
   std::string mLastEventId; ///< Last event id that was forwarded to the client.
   std::uint32_t mEventsForwarded = 0;
   TimePoint mFirstByteAt{};
+  /* The request is to show whether its quarantined parts are sound. It is sent once, with the
+   * dispatcher's permission. */
+  bool mIsPartTrial = false;
   bool mIsHeadSent = false;
   bool mIsEnded = false;
 };
--- a/src/gateway/request_silence.cpp
+++ b/src/gateway/request_silence.cpp
@@ -28,7 +28,7 @@
 
 Duration RequestFlow::SilenceLimit() const
 {
-  if (!mRoute->MayRepeatOrResume()) {
+  if (!mRoute->MayRepeatOrResume() || mIsPartTrial) {
     return Duration::zero();
   }
   if (mAttempt.head && mRoute->kind == RouteKind::kStream) {
--- a/tests/fleet/prompt_part_guard_test.cpp
+++ b/tests/fleet/prompt_part_guard_test.cpp
@@ -466,3 +466,66 @@
   }
   CHECK(crashes > kSeeds);
 }
+
+// Without a trial, nothing ends the quarantine of a sound part. With too many, a crashing part ends
+// more runners than operators accept.
+TEST_CASE("a quarantined part is tried at growing intervals, and a limited number of times in all")
+{
+  PromptPartGuard guard;
+  for (int number = 1; number <= 3; ++number) {
+    guard.RecordCrash(kStart, Process(number), Suspect(number, Parts({ 7 })));
+  }
+  REQUIRE(guard.IsQuarantined(kStart, Parts({ 7 })));
+  std::vector<Duration> trials;
+  PromptPartGuard successor; // Takes over from the first one after its first trial.
+  for (Duration time{}; time < 600s; time += 100ms) {
+    const TimePoint now = kStart + time;
+    PromptPartGuard& holder = trials.empty() ? guard : successor;
+    if (holder.StartTrial(now, Parts({ 1, 7 }))) {
+      trials.push_back(time);
+      CHECK_FALSE(holder.StartTrial(now, Parts({ 1, 7 })));
+    }
+    successor.RecordQuarantined(now, guard.quarantined().front(), guard.trials(now).front());
+  }
+  REQUIRE(trials.size() == kMaxPartTrials);
+  CHECK(trials[0] == kFirstTrialDelay);
+  CHECK(trials[1] == kFirstTrialDelay + kTrialDelayFactor * kFirstTrialDelay);
+}
+
+TEST_CASE("a group that is found to be smaller keeps the trials of the larger one")
+{
+  PromptPartGuard guard;
+  for (int number = 1; number <= 3; ++number) {
+    guard.RecordCrash(kStart, Process(number), Suspect(number, Parts({ 7, 8 })));
+  }
+  const TimePoint later = kStart + kFirstTrialDelay;
+  REQUIRE(guard.StartTrial(later, Parts({ 7, 8 })));
+  guard.RecordSound(later, kAccount, Parts({ 8 }));
+  CHECK(guard.IsQuarantined(later, Parts({ 7 })));
+  CHECK(guard.trials(later).front().count == 1);
+  CHECK_FALSE(guard.StartTrial(later, Parts({ 7 })));
+}
+
+// A dispatcher of a former release counts no trials, so it would permit each request.
+TEST_CASE("a daemon asks for a trial only if another one has stated the trials")
+{
+  PromptPartGuard guard;
+  const TimePoint later = kStart + 600s;
+  guard.RecordQuarantined(kStart, Parts({ 7 }));
+  CHECK(guard.IsTrialDue(later, Parts({ 7 })));
+  CHECK_FALSE(guard.IsTrialOffered(later, Parts({ 7 })));
+  guard.RecordQuarantined(kStart, Parts({ 7 }), PartTrials{ .count = 1, .timeUntilNext = 20s });
+  CHECK_FALSE(guard.IsTrialOffered(kStart + 19s, Parts({ 7 })));
+  CHECK(guard.IsTrialOffered(later, Parts({ 7 })));
+}
+
+TEST_CASE("the answer to a trial ends the quarantine")
+{
+  PromptPartGuard guard;
+  for (int number = 1; number <= 3; ++number) {
+    guard.RecordCrash(kStart, Process(number), Suspect(number, Parts({ 7 })));
+  }
+  REQUIRE(guard.StartTrial(kStart + kFirstTrialDelay, Parts({ 7 })));
+  CHECK(guard.RecordSound(kStart + 10s, kAccount, Parts({ 7 })).cleared == Parts({ 7 }));
+  CHECK_FALSE(guard.IsQuarantined(kStart + 10s, Parts({ 7 })));
+}
