--- a/tests/edge/test_limit.py
+++ b/tests/edge/test_limit.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import itertools
 import signal
 import threading
 import time
@@ -133,6 +134,31 @@
             assert all(result.is_complete for result in results), (kind, results)
 
 
+def test_edge_follows_a_limit_that_changes_every_second() -> None:
+    """Lets runners name limits of 1 and 3 a second in turn, under more load than they take."""
+    with EdgeCluster(daemons=3, models=2) as cluster:
+        endpoints = [cluster.platform.endpoints[name] for name in ("r0", "r1")]
+        limited_at = name_limit(cluster, "chat", ("r0", "r1"), 3.0)
+        is_over = threading.Event()
+
+        def change() -> None:
+            for number in itertools.count():
+                if is_over.wait(1.0):
+                    return
+                for endpoint in endpoints:
+                    endpoint.faults.limit_value = ("1", "3")[number % 2]
+
+        changing = threading.Thread(target=change)
+        changing.start()
+        press(cluster, "chat", seconds=7.0, per_second=20.0)
+        is_over.set()
+        changing.join()
+        for endpoint in endpoints:
+            breach = find_breach(endpoint, limited_at + REACTION_S, 3.0)
+            assert breach is None, breach
+            assert count_requests(endpoint, limited_at) >= LEAST_SHARE * 7.0, endpoint.id
+
+
 def test_edge_ignores_limits_that_cannot_be_read() -> None:
     """Lets all plain endpoints name limits that are no decimal numbers."""
     with EdgeCluster(daemons=1) as cluster:
