Fix: [Fleet] Do not answer a crash report of a daemon that is no member

The dispatcher answers a report with the parts that it knows to be sound, at the address of the sender. A daemon that has not sent a hello yet has none, and a message to an empty address was sent.

--- a/src/daemon/crash_reports.cpp
+++ b/src/daemon/crash_reports.cpp
@@ -126,7 +126,7 @@
     AnnounceSound(aNow, news.account, sound);
     return;
   }
-  if (!sound.empty()) {
+  if (!sound.empty() && !aSender.empty()) {
     mServices.send(ReportAudience::kSender,
                    aSender,
                    { .isCleared = true, .account = news.account, .parts = sound });
--- a/src/daemon/crash_reports.h
+++ b/src/daemon/crash_reports.h
@@ -51,7 +51,8 @@
                    std::span<const fleet::PromptPartId> aParts);
   /* A request of this daemon that was suspected of crashing runners was answered. */
   void OnOwnCleared(const FingerprintId& aRequest, bool aWasQuarantined);
-  /* Takes a report of another daemon, which has this address. */
+  /* Takes a report of another daemon, which has this address. It is empty if the daemon is not
+   * known to be a member, and then it gets no answer. */
   void OnReport(TimePoint aNow, const std::string& aSender, const SuspectMessage& aReport);
   /* Takes over what another daemon or the store knows to be quarantined. */
   void OnQuarantined(TimePoint aNow,
--- a/src/decision/fleet/dispatcher_assign.cpp
+++ b/src/decision/fleet/dispatcher_assign.cpp
@@ -136,7 +136,7 @@
   const SoftwareVersion version = RequiredVersion(request);
   // The first of the runners that are paused or have no allowance left, and when it can be used.
   std::optional<std::pair<TimePoint, ManagedRunner*>> firstAllowed;
-  const auto wait = [&](TimePoint aTime, ManagedRunner& aRunner) {
+  const auto recordWait = [&](TimePoint aTime, ManagedRunner& aRunner) {
     if (!firstAllowed || aTime < firstAllowed->first) {
       firstAllowed = { aTime, &aRunner };
     }
@@ -150,11 +150,11 @@
       continue;
     }
     if (const auto pauseEnd = PauseEnd(aNow, aWaiting, runner->entry.id)) {
-      wait(*pauseEnd, *runner);
+      recordWait(*pauseEnd, *runner);
       continue;
     }
     if (!HasRequestAllowance(aNow, *runner)) {
-      wait(AllowedAt(aNow, aWaiting, *runner), *runner);
+      recordWait(AllowedAt(aNow, aWaiting, *runner), *runner);
       continue;
     }
     mustAllWait = false;
--- a/tests/fleet/crash_report_test.cpp
+++ b/tests/fleet/crash_report_test.cpp
@@ -70,6 +70,19 @@
         .hasHead = true });
   }
 
+  /* The dispatcher gets a report of a daemon whose address it does not know. */
+  void ReceiveFromStranger(int aRunner, std::vector<PromptPartId> aParts)
+  {
+    mDaemons[0]->reports.OnReport(
+      now,
+      {},
+      { .request = FingerprintId{ std::to_string(aRunner) },
+        .process = { .endpoint = EndpointId{ "r" + std::to_string(aRunner) }, .startedAtMs = 7 },
+        .account = kAccount,
+        .parts = std::move(aParts),
+        .hasHead = true });
+  }
+
   bool IsQuarantined(std::size_t aDaemon, PromptPartId aPart)
   {
     return mDaemons[aDaemon]->parts.IsQuarantined(now, std::vector{ aPart });
@@ -193,6 +206,19 @@
   }
 }
 
+// A daemon that is not a member yet has no address, and a message to none must not be sent.
+TEST_CASE("the report of a daemon that is no member is counted and not answered")
+{
+  CrashFleet fleet(2);
+  fleet.Answer(0, { { 1 } });
+  for (int runner = 0; runner < 3; ++runner) {
+    fleet.ReceiveFromStranger(runner, { { 1 }, { 7 } });
+  }
+  fleet.Run(500ms);
+  CHECK_FALSE(fleet.IsQuarantined(0, { 1 }));
+  CHECK(fleet.IsQuarantined(0, { 7 }));
+}
+
 TEST_CASE("what a single daemon knows to be sound still counts")
 {
   for (const std::size_t daemons : { 8U, 295U }) {
