--- a/tests/edge/standin.py
+++ b/tests/edge/standin.py
@@ -9,6 +9,8 @@
 import asyncio
 import base64
 import json
+import socket
+import struct
 import threading
 import time
 from collections import defaultdict
@@ -18,6 +20,8 @@
 from urllib.parse import parse_qs, urlsplit
 
 EVENT_COUNT = 6
+# Value of SO_LINGER (on, 0 s) with which the close of a connection resets it.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 @dataclass
@@ -150,6 +154,10 @@
         if self.server is not None:
             self.server.close()
         for writer in list(self.writers):
+            # Without this, the kernel would end an answer without a length as if it was whole.
+            connection = writer.transport.get_extra_info("socket")
+            if connection is not None and connection.fileno() >= 0:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             writer.transport.abort()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -556,3 +556,21 @@
         time.sleep(2.0)
         calls = [watch_calls(d) - count for d, count in zip(cluster.daemons, before)]
         assert max(calls) <= 12, calls  # No daemon reads the tables without a pause.
+
+
+def test_edge_does_not_complete_a_stream_whose_runner_crashed_between_two_events() -> None:
+    """Crashes a runner under streams without a length: a reset must not look like their end."""
+    with EdgeCluster(daemons=1, models=2) as cluster:
+        platform = cluster.platform
+        platform.work_s = 0.1
+        for endpoint in platform.endpoints.values():
+            endpoint.faults.stream_framing = StreamFraming.UNTIL_CLOSE
+        with ThreadPoolExecutor(16) as pool:
+            results = [pool.submit(cluster.daemons[0].send, "draft") for _ in range(16)]
+            time.sleep(0.35)
+            for name in ("r0", "r1"):
+                runner = platform.endpoints[name]
+                platform.run_on_loop(lambda: platform.loop.create_task(runner.crash(0.3)))
+            violations = [found for result in results
+                          if (found := cluster.find_violation(result.result()))]
+        assert not violations, violations
