--- a/src/decision/fleet/fleet_configuration_type.h
+++ b/src/decision/fleet/fleet_configuration_type.h
@@ -5,9 +5,11 @@
 
 #include "core/id_type.h"
 #include "core/unit_type.h"
+#include "decision/fleet/client_account_type.h"
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -41,6 +43,7 @@
   Duration latencyObjective{}; ///< Latency goal for the answer, or for the first event of a stream.
   Duration eventGapObjective{};  ///< Goal for the longest gap between two events of a stream.
   std::uint32_t priority = 0;    ///< 0 is the most urgent.
+  bool isPublic = false;         ///< Needs no key where there are accounts.
   std::uint32_t maxAttempts = 1; ///< Maximum number of attempts of one request that may run.
   std::vector<ServiceShare> services;
 
@@ -97,6 +100,8 @@
   std::map<std::string, std::vector<Route>, std::less<>> routesByHost; ///< Longest prefix first.
   std::map<ServiceId, Service> services;
   ClientLimits limits;
+  /* Null in deployments whose clients carry no keys. */
+  std::shared_ptr<const ClientAccounts> accounts;
 
   /* Returns the route with the longest prefix that the path begins with, or null. */
   const Route* Match(std::string_view aHost, std::string_view aPath) const;
