Add: [Gateway] Admit requests by the API keys of client accounts

Deployments whose callers send API keys need requests to run under the account of the key, and under no other.

With accounts, a request without a known key gets 401 (1105 key_not_accepted) unless its route is public. Endpoints get X-Tenant from the daemon and never Authorization. The account's priority goes before the route's. A request that arrived before a configuration was applied may be admitted under the former one. Without accounts, fields pass as before.

--- a/src/core/result_code_type.h
+++ b/src/core/result_code_type.h
@@ -16,6 +16,7 @@
   kKeyWrong = 1102,
   kModelUnknown = 1103,
   kServiceUnknown = 1104,
+  kKeyNotAccepted = 1105,
   kRequestMalformed = 1201,
   kBodyTooLarge = 1202,
   kIdempotencyKeyRequired = 1301,
--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -549,6 +549,8 @@
                  { "former", current ? current->version.value : 0 },
                  { "routes", decoded->routeCount() },
                  { "services", decoded->services.size() },
+                 { "accounts", decoded->accounts ? decoded->accounts->byId.size() : 0 },
+                 { "keys", decoded->accounts ? decoded->accounts->byKey.size() : 0 },
                  { "row_version", aRow.version.value } });
     mClientServer.SetLimits({ .headerBytes = decoded->limits.headerBytes,
                               .bodyBytes = decoded->limits.bodyBytes,
@@ -558,6 +560,10 @@
       std::exchange(mGateway.configuration,
                     std::make_shared<const fleet::FleetConfiguration>(std::move(*decoded)));
     mGateway.configurationAppliedAt = BootClockNow();
+    std::erase_if(mGateway.keyChecks.accepted, [this](const auto& aItem) {
+      const auto& accounts = mGateway.configuration->accounts;
+      return !accounts || accounts->Find(aItem.first) == nullptr;
+    });
     mDispatcher.SetConfiguration(mGateway.configuration);
     mMember.OnDispatcherInputChanged();
     mMember.RelayTableChanges({ .table = aRow.table });
@@ -783,6 +789,7 @@
       { "dispatcher", mMember.lease().holder.str() },
       { "is_dispatcher", mMember.isDispatcher() },
       { "members", mMember.memberCount() },
+      { "accounts", DescribeAccounts() },
       { "runners", nlohmann::ordered_json::array() }
     };
     for (const auto& [id, runner] : mRunners.runners()) {
@@ -815,6 +822,26 @@
     return state.dump(1);
   }
 
+  /* Returns the accounts and the results of the checks of keys, or null without accounts. */
+  nlohmann::ordered_json DescribeAccounts() const
+  {
+    if (!mGateway.configuration || !mGateway.configuration->accounts) {
+      return nullptr;
+    }
+    const KeyCheckCounts& checks = mGateway.keyChecks;
+    nlohmann::ordered_json described{ { "keys", mGateway.configuration->accounts->byKey.size() },
+                                      { "key_missing", checks.missing },
+                                      { "key_unreadable", checks.unreadable },
+                                      { "key_unknown", checks.unknown },
+                                      { "without_account", checks.anonymous },
+                                      { "by_former_configuration", checks.former },
+                                      { "accepted", nlohmann::ordered_json::object() } };
+    for (const auto& [account, count] : checks.accepted) {
+      described["accepted"][account.str()] = count;
+    }
+    return described;
+  }
+
   std::vector<Gauge> Gauges() const
   {
     const auto front = mClientServer.counts();
@@ -847,6 +874,19 @@
       { "configuration_version",
         "Version in force.",
         mGateway.configuration ? mGateway.configuration->version.value : 0 },
+      { "keys_missing", "Requests refused without a key so far.", mGateway.keyChecks.missing },
+      { "keys_unreadable",
+        "Requests refused with a key not in the defined form so far.",
+        mGateway.keyChecks.unreadable },
+      { "keys_unknown",
+        "Requests refused with an unknown key so far.",
+        mGateway.keyChecks.unknown },
+      { "requests_without_account",
+        "Requests without a known key on public routes so far.",
+        mGateway.keyChecks.anonymous },
+      { "requests_by_former_configuration",
+        "Requests accepted under the former configuration only so far.",
+        mGateway.keyChecks.former },
       { "log_lines_left_out", "Log lines beyond the budget so far.", mLog.leftOut() },
     };
     for (const auto& sent : mMember.sentMessages()) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,6 +4,7 @@
 
 #include "core/event_log.h"
 #include "core/metrics.h"
+#include "decision/fleet/client_account_index.h"
 #include "decision/fleet/crash_guard.h"
 #include "decision/fleet/fleet_configuration_type.h"
 #include "decision/fleet/prompt_part_guard.h"
@@ -19,6 +20,7 @@
 #include <memory>
 #include <set>
 #include <span>
+#include <unordered_map>
 
 namespace rhubarbtrail {
 
@@ -34,6 +36,20 @@
   std::optional<TimePoint> requestSentAt;
 };
 
+/* Results of the check of requests' keys, since the start. */
+struct KeyCheckCounts
+{
+  /* By account, of those in the configuration. */
+  std::unordered_map<ClientAccountId, std::uint64_t> accepted;
+  std::uint64_t anonymous = 0; ///< Requests without a known key on public routes.
+  std::uint64_t missing = 0;
+  std::uint64_t unreadable = 0;
+  std::uint64_t unknown = 0;
+  std::uint64_t former = 0; ///< Requests accepted under the former configuration only.
+
+  void CountRefusal(fleet::KeyRefusal aRefusal);
+};
+
 /* State that all requests of a daemon share. Only one thread uses it. */
 struct GatewayContext
 {
@@ -74,6 +90,7 @@
   /* The one before it, for requests that arrived before the present one was applied. */
   std::shared_ptr<const fleet::FleetConfiguration> formerConfiguration;
   TimePoint configurationAppliedAt{};
+  KeyCheckCounts keyChecks;
   fleet::RetryShare retries;
   fleet::CrashGuard crashes;
   fleet::PromptPartGuard promptParts;
--- a/src/gateway/request_answer.cpp
+++ b/src/gateway/request_answer.cpp
@@ -98,6 +98,7 @@
   const ResultCodeInfo& info = Describe(aCode);
   mContext.log.Write("request_refused",
                      { { "id", mClient.requestId },
+                       { "account", AccountName() },
                        { "reason", aReason },
                        { "code", static_cast<int>(aCode) },
                        { "retry_after_ms", ToMilliseconds(aRetryAfter) },
@@ -117,6 +118,7 @@
   const ResultCodeInfo& info = Describe(aCode);
   mContext.log.Write("request_failed",
                      { { "id", mClient.requestId },
+                       { "account", AccountName() },
                        { "reason", aReason },
                        { "code", static_cast<int>(aCode) },
                        { "runs", mAttemptState.runs },
@@ -157,6 +159,7 @@
   mContext.log.Write(
     "request_ended",
     { { "id", mClient.requestId },
+      { "account", AccountName() },
       { "outcome", aOutcome },
       { "status", aStatus },
       { "endpoint", mAttempt.endpoint },
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -161,62 +161,100 @@
 {
   mClient = platform::DecodeClientRequest(mRequest);
   mConfiguration = mContext.configuration;
-  std::string reason;
-  ResultCode code = ResultCode::kOk;
-  if (!AdmitRequest(reason, code)) {
-    if (Describe(code).execution == Execution::kNotRun && Describe(code).httpStatus == 503) {
-      Refuse(code, RetryAfterOf(code), reason);
-    } else {
-      Fail(code, reason);
-    }
+  const auto rejection = AdmitRequest();
+  if (!rejection) {
+    OnRouted();
     return;
   }
-  OnRouted();
+  const ResultCodeInfo& info = Describe(rejection->code);
+  if (info.execution == Execution::kNotRun && info.httpStatus == 503) {
+    Refuse(rejection->code, RetryAfterOf(rejection->code), rejection->reason);
+  } else {
+    Fail(rejection->code, rejection->reason);
+  }
 }
 
-bool RequestFlow::AdmitRequest(std::string& aReason, ResultCode& aCode)
+std::optional<RequestFlow::Rejection> RequestFlow::AdmitRequest()
 {
   if (mContext.isLeaving) {
-    aReason = "the daemon stops";
-    aCode = ResultCode::kShuttingDown;
-    return false;
+    return Rejection{ .code = ResultCode::kShuttingDown, .reason = "the daemon stops" };
   }
   if (!mConfiguration) {
-    aReason = "no configuration is known yet";
-    aCode = ResultCode::kConfigurationStale;
-    return false;
+    return Rejection{ .code = ResultCode::kConfigurationStale,
+                      .reason = "no configuration is known yet" };
   }
-  const auto host = HostWithoutPort(http::Find(mRequest.fields, "Host").value_or(""));
-  mRoute = mConfiguration->Match(host, PathOf(mRequest.target));
-  if (mRoute == nullptr && mContext.formerConfiguration &&
-      mArrivedAt < mContext.configurationAppliedAt) {
-    mConfiguration = mContext.formerConfiguration;
-    mRoute = mConfiguration->Match(host, PathOf(mRequest.target));
-  }
-  if (mRoute == nullptr) {
-    aReason = "no route matches";
-    aCode = ResultCode::kServiceUnknown;
-    return false;
+  if (const auto rejection = FindRouteAndAccount()) {
+    return rejection;
   }
   if (mClient.requestId.empty()) {
-    aReason = "the request has no id";
-    aCode = ResultCode::kRequestMalformed;
-    return false;
+    return Rejection{ .code = ResultCode::kRequestMalformed, .reason = "the request has no id" };
   }
   mFingerprint = Fingerprint(mRequest, mClient);
   if (mContext.crashes.IsQuarantined(mArrivedAt, mFingerprint)) {
-    aReason = "it crashed the endpoints that ran it";
-    aCode = ResultCode::kEndpointUnavailable;
-    return false;
+    return Rejection{ .code = ResultCode::kEndpointUnavailable,
+                      .reason = "it crashed the endpoints that ran it" };
   }
-  mAccount = ClientAccountId{ std::string{ host } };
   mIsPartTrial = IsPartQuarantined() && mContext.isTrialOffered(mClient.leadingParts);
   if (IsPartQuarantined()) {
-    aReason = kPartQuarantinedReason;
-    aCode = ResultCode::kPromptPartQuarantined;
-    return false;
+    return Rejection{ .code = ResultCode::kPromptPartQuarantined,
+                      .reason = kPartQuarantinedReason };
+  }
+  return std::nullopt;
+}
+
+std::optional<RequestFlow::Rejection> RequestFlow::FindRouteAndAccount()
+{
+  auto rejection = ApplyConfiguration(mContext.configuration);
+  const bool mayUseFormer =
+    mContext.formerConfiguration != nullptr && mArrivedAt < mContext.configurationAppliedAt;
+  if (rejection && mayUseFormer) {
+    if (!ApplyConfiguration(mContext.formerConfiguration)) {
+      rejection.reset();
+      ++mContext.keyChecks.former;
+    } else {
+      rejection = ApplyConfiguration(mContext.configuration);
+    }
+  }
+  CountKeyCheck(rejection);
+  return rejection;
+}
+
+std::optional<RequestFlow::Rejection> RequestFlow::ApplyConfiguration(
+  std::shared_ptr<const fleet::FleetConfiguration> aConfiguration)
+{
+  const auto host = HostWithoutPort(http::Find(mRequest.fields, "Host").value_or(""));
+  mConfiguration = std::move(aConfiguration);
+  mRoute = mConfiguration->Match(host, PathOf(mRequest.target));
+  mAccount = ClientAccountId{ std::string{ host } };
+  mClientAccount = nullptr;
+  if (mRoute == nullptr) {
+    return Rejection{ .code = ResultCode::kServiceUnknown, .reason = "no route matches" };
+  }
+  if (!mConfiguration->accounts) {
+    return std::nullopt;
+  }
+  const auto account = fleet::DecideAccount(
+    *mConfiguration->accounts, mRoute->isPublic, platform::DecodeCredential(mRequest.fields));
+  if (!account) {
+    return Rejection{ .code = ResultCode::kKeyNotAccepted,
+                      .reason = fleet::ToString(account.error()),
+                      .keyRefusal = account.error() };
+  }
+  mClientAccount = *account;
+  mAccount = mClientAccount != nullptr ? mClientAccount->id : ClientAccountId{};
+  return std::nullopt;
+}
+
+void RequestFlow::CountKeyCheck(const std::optional<Rejection>& aRejection)
+{
+  KeyCheckCounts& counts = mContext.keyChecks;
+  if (aRejection && aRejection->keyRefusal) {
+    counts.CountRefusal(*aRejection->keyRefusal);
+  } else if (!aRejection && mClientAccount != nullptr) {
+    ++counts.accepted[mAccount];
+  } else if (!aRejection && mConfiguration->accounts) {
+    ++counts.anonymous;
   }
-  return true;
 }
 
 void RequestFlow::OnRouted()
@@ -242,6 +280,7 @@
   mContext.log.Write("request_accepted",
                      { { "id", mClient.requestId },
                        { "route", mRoute->name },
+                       { "account", AccountName() },
                        { "service", mService },
                        { "model", UsesModels() ? mClient.work->target.model.str() : "" },
                        { "adapter", UsesModels() ? mClient.work->target.adapter.str() : "" },
@@ -362,7 +401,7 @@
     .service = mService,
     .account = mAccount,
     .work = mClient.work.value_or(fleet::ModelWork{}),
-    .priority = mRoute->priority,
+    .priority = Priority(),
     .latencyObjective = std::max(mRoute->latencyObjective - (now - mArrivedAt), Duration::zero()),
     .timeLeft = std::min(TimeLeft(), ClientTimeout() - (now - mLastProgressAt)),
     .isResumable = mAttemptState.isResumable,
@@ -656,9 +695,10 @@
     .request = platform::EncodeForwardedRequest(mRequest,
                                                 { .endpoint = aAttempt.endpoint,
                                                   .timeLeft = timeLeft,
-                                                  .priority = mRoute->priority,
+                                                  .priority = Priority(),
                                                   .hasPriority = UsesModels(),
-                                                  .lastEventId = mLastEventId }),
+                                                  .lastEventId = mLastEventId,
+                                                  .account = ForwardedAccount() }),
     .reuse = aReuse,
     .connectTimeout = kConnectTimeout,
     .answerTimeout = timeLeft + kDeadlineMargin,
@@ -1179,6 +1219,21 @@
 
 } // namespace
 
+void KeyCheckCounts::CountRefusal(fleet::KeyRefusal aRefusal)
+{
+  switch (aRefusal) {
+    case fleet::KeyRefusal::kMissing:
+      ++missing;
+      break;
+    case fleet::KeyRefusal::kUnreadable:
+      ++unreadable;
+      break;
+    case fleet::KeyRefusal::kUnknown:
+      ++unknown;
+      break;
+  }
+}
+
 void EndWaitingRequests(GatewayContext& aContext)
 {
   for (const auto& flow : OpenRequests(aContext)) {
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -65,9 +65,22 @@
   };
 
   void OnRouted();
-  /* Finds the route and checks that the request may be sent. Otherwise returns false and sets the
-   * reason and the result code. */
-  bool AdmitRequest(std::string& aReason, ResultCode& aCode);
+  /* Why a request may not be sent. */
+  struct Rejection
+  {
+    ResultCode code = ResultCode::kOk;
+    std::string_view reason; ///< A literal.
+    std::optional<fleet::KeyRefusal> keyRefusal;
+  };
+  /* Finds the route and the account and checks that the request may be sent. Returns nothing if it
+   * may. */
+  std::optional<Rejection> AdmitRequest();
+  /* Finds the route and the account in the configuration in force or, for a request that arrived
+   * before that was applied, in the former one. */
+  std::optional<Rejection> FindRouteAndAccount();
+  std::optional<Rejection> ApplyConfiguration(
+    std::shared_ptr<const fleet::FleetConfiguration> aConfiguration);
+  void CountKeyCheck(const std::optional<Rejection>& aRejection);
   void ChooseService();
   /* Sets the origin of a stream that the client resumes, as far as this daemon knows it. */
   void FindOrigin();
@@ -197,6 +210,22 @@
   void StopAttempt();
   Duration TimeLeft() const;
   Duration ClientTimeout() const;
+  /* The account's priority, or the route's if the account has none. */
+  std::uint32_t Priority() const
+  {
+    return mClientAccount != nullptr ? mClientAccount->priority.value_or(mRoute->priority)
+                                     : mRoute->priority;
+  }
+  /* Returns the account for logs; empty in deployments without accounts. */
+  std::string_view AccountName() const
+  {
+    return mClientAccount != nullptr ? std::string_view{ mAccount.str() } : std::string_view{};
+  }
+  /* Returns the account to state to endpoints, or nothing in deployments without accounts. */
+  std::optional<ClientAccountId> ForwardedAccount() const
+  {
+    return mConfiguration->accounts ? std::optional{ mAccount } : std::nullopt;
+  }
   bool UsesModels() const { return mClient.work.has_value(); }
   bool IsResumedByClient() const
   {
@@ -215,7 +244,11 @@
   std::shared_ptr<const fleet::FleetConfiguration> mConfiguration; ///< The one in force at arrival.
   const fleet::Route* mRoute = nullptr;
   ServiceId mService;
-  ClientAccountId mAccount; ///< The host that the client named.
+  /* The account where there are accounts, empty for a request without one on a public route.
+   * Elsewhere the host that the client named. */
+  ClientAccountId mAccount;
+  /* The account in mConfiguration; null if there is none. */
+  const fleet::ClientAccount* mClientAccount = nullptr;
   FingerprintId mFingerprint;
   TimePoint mArrivedAt{};
   /* When the last event was forwarded; before the first, the arrival. */
--- a/src/platform/configuration_decoder.cpp
+++ b/src/platform/configuration_decoder.cpp
@@ -1,9 +1,12 @@
 /* Decodes the operators' configuration document, which is JSON. */
 #include "platform/configuration_decoder.h"
 
+#include "core/digest_func.h"
+#include "decision/fleet/client_account_index.h"
 #include "platform/json_reader.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace rhubarbtrail::platform {
 
@@ -34,6 +37,7 @@
   route.latencyObjective = FromMilliseconds(NumberMemberOr(aRoute, "targetLatencyMs", 0.0));
   route.eventGapObjective = FromMilliseconds(NumberMemberOr(aRoute, "gapAimMs", 0.0));
   route.priority = static_cast<std::uint32_t>(UnsignedMemberOr(aRoute, "priority", 0));
+  route.isPublic = BoolMemberOr(aRoute, "public", false);
   route.maxAttempts = std::max<std::uint32_t>(
     1, static_cast<std::uint32_t>(UnsignedMemberOr(aRoute, "maxAttempts", 1)));
   // A route names either one service or several services with weights.
@@ -95,6 +99,50 @@
   return service;
 }
 
+/* Any other unit, and none, counts requests. */
+fleet::QuotaUnit DecodeUnit(const Json& aAccount)
+{
+  const auto unit = aAccount.find("unit");
+  return unit != aAccount.end() && *unit == "token_count" ? fleet::QuotaUnit::kTokens
+                                                          : fleet::QuotaUnit::kRequests;
+}
+
+fleet::ListedAccount DecodeAccount(const Json& aAccount)
+{
+  constexpr std::uint64_t kMaxPriority = std::numeric_limits<std::uint32_t>::max();
+  fleet::ListedAccount listed;
+  listed.account.id = ClientAccountId{ StringMember(aAccount, "name") };
+  if (aAccount.contains("priority")) {
+    listed.account.priority =
+      static_cast<std::uint32_t>(std::min(UnsignedMember(aAccount, "priority"), kMaxPriority));
+  }
+  listed.account.quota = { .unit = DecodeUnit(aAccount),
+                           .perSecond = NumberMemberOr(aAccount, "ratePerS", 0.0),
+                           .burst = NumberMemberOr(aAccount, "burst", 0.0),
+                           .plainTokens = NumberMemberOr(aAccount, "plainTokens", 0.0) };
+  for (const Json& key : ArrayMember(aAccount, "apiKeys")) {
+    if (!key.is_string() || key.get_ref<const std::string&>().empty()) {
+      throw DecodeError("account " + listed.account.id.str() +
+                        " has a key that is empty or not a string");
+    }
+    listed.keys.push_back(Sha256Hex(key.get_ref<const std::string&>()));
+  }
+  return listed;
+}
+
+std::shared_ptr<const fleet::ClientAccounts> DecodeAccounts(const Json& aDocument)
+{
+  std::vector<fleet::ListedAccount> listed;
+  for (const Json& item : ArrayMember(aDocument, "tenants")) {
+    listed.push_back(DecodeAccount(item));
+  }
+  auto accounts = fleet::IndexAccounts(std::move(listed));
+  if (!accounts) {
+    throw DecodeError(accounts.error());
+  }
+  return std::make_shared<const fleet::ClientAccounts>(std::move(*accounts));
+}
+
 fleet::ClientLimits DecodeLimits(const Json& aLimits)
 {
   const fleet::ClientLimits defaults;
@@ -136,6 +184,9 @@
     if (document.contains("limits")) {
       configuration.limits = DecodeLimits(document["limits"]);
     }
+    if (document.contains("tenants")) {
+      configuration.accounts = DecodeAccounts(document);
+    }
     return configuration;
   } catch (const DecodeError& error) {
     return tl::make_unexpected(std::string{ error.what() });
--- a/src/platform/request_headers.cpp
+++ b/src/platform/request_headers.cpp
@@ -1,6 +1,7 @@
 /* Decodes and encodes the header fields of clients' requests and endpoints' answers. */
 #include "platform/request_headers.h"
 
+#include "core/digest_func.h"
 #include "platform/wire_names.h"
 
 #include <algorithm>
@@ -105,6 +106,13 @@
     });
 }
 
+/* Returns whether a field states who the client is. */
+bool IsAccountField(std::string_view aName)
+{
+  return http::EqualsIgnoringCase(aName, field::kAuthorization) ||
+         http::EqualsIgnoringCase(aName, field::kAccount);
+}
+
 bool IsFramingField(std::string_view aName)
 {
   return http::EqualsIgnoringCase(aName, "Content-Length") ||
@@ -210,6 +218,29 @@
   return decoded;
 }
 
+fleet::ClientCredential DecodeCredential(const http::Fields& aFields)
+{
+  const http::Field* found = nullptr;
+  for (const http::Field& item : aFields) {
+    if (!http::EqualsIgnoringCase(item.name, field::kAuthorization)) {
+      continue;
+    }
+    if (found != nullptr) {
+      return fleet::UnreadableKey{};
+    }
+    found = &item;
+  }
+  if (found == nullptr) {
+    return fleet::NoKey{};
+  }
+  std::string_view key = found->value;
+  const bool hasScheme = RemoveFirstItem(key, ' ') == kKeyScheme;
+  if (!hasScheme || key.empty()) {
+    return fleet::UnreadableKey{};
+  }
+  return Sha256Hex(key);
+}
+
 http::Request EncodeForwardedRequest(const http::Request& aRequest, const ForwardOptions& aOptions)
 {
   http::Request forward{
@@ -220,7 +251,8 @@
     const bool isReplaced =
       !aOptions.lastEventId.empty() && http::EqualsIgnoringCase(item.name, field::kLastEventId);
     if (http::IsHopByHopField(aRequest.fields, item.name) || IsFramingField(item.name) ||
-        IsDaemonOnlyField(item.name) || isReplaced) {
+        IsDaemonOnlyField(item.name) || isReplaced ||
+        (aOptions.account && IsAccountField(item.name))) {
       continue;
     }
     forward.fields.push_back(item);
@@ -238,6 +270,9 @@
   if (!aOptions.lastEventId.empty()) {
     add(field::kLastEventId, aOptions.lastEventId);
   }
+  if (aOptions.account && !aOptions.account->empty()) {
+    add(field::kAccount, aOptions.account->str());
+  }
   return forward;
 }
 
@@ -293,6 +328,9 @@
     const double seconds = std::chrono::duration<double>(aRetryAfter).count();
     head.fields.push_back({ std::string{ field::kRetryAfter }, fmt::format("{:.3f}", seconds) });
   }
+  if (constexpr unsigned kUnauthorized = 401; aStatus == kUnauthorized) {
+    head.fields.push_back({ std::string{ field::kAuthenticate }, std::string{ kKeyScheme } });
+  }
   head.fields.push_back({ "Content-Type", "application/json" });
   return head;
 }
--- a/src/platform/request_headers.h
+++ b/src/platform/request_headers.h
@@ -2,6 +2,7 @@
 #ifndef RHUBARBTRAIL_PLATFORM_REQUEST_HEADERS_H
 #define RHUBARBTRAIL_PLATFORM_REQUEST_HEADERS_H
 
+#include "decision/fleet/client_account_index.h"
 #include "decision/fleet/runner_type.h"
 #include "decision/fleet/work_type.h"
 #include "http/http_type.h"
@@ -30,6 +31,10 @@
 /* Decodes a client's header fields. Invalid values are ignored, as if they were missing. */
 ClientRequest DecodeClientRequest(const http::Request& aRequest);
 
+/* Decodes a client's API key to its digest. A field that is given twice, another scheme and a key
+ * that is not separated from the scheme by one space are unreadable. */
+fleet::ClientCredential DecodeCredential(const http::Fields& aFields);
+
 /* Values of the header fields that the daemon adds to a client's request. */
 struct ForwardOptions
 {
@@ -38,6 +43,9 @@
   std::uint32_t priority = 0; ///< Values above 9 are sent as 9.
   bool hasPriority = false;   ///< The priority is sent.
   std::string lastEventId;    ///< Of a stream that is resumed. If empty, the client's field stays.
+  /* Set in deployments with accounts: the client's key and account fields are dropped, and the
+   * account is sent unless it is empty. Otherwise these fields stay. */
+  std::optional<ClientAccountId> account;
 };
 
 /* Returns the request to send to an endpoint: the client's, with the given values added. Fields
@@ -71,7 +79,8 @@
 http::AnswerHead EncodeForwardedAnswer(const http::AnswerHead& aHead);
 
 /* Returns the header of an answer that the daemon itself gives, with a JSON body. A retry time
- * above zero is sent as well, in seconds with three decimals. */
+ * above zero is sent as well, in seconds with three decimals, and with status 401 the scheme of the
+ * keys. */
 http::AnswerHead EncodeDaemonAnswer(unsigned aStatus,
                                     const std::string& aRequestId,
                                     Duration aRetryAfter);
--- a/src/platform/wire_names.h
+++ b/src/platform/wire_names.h
@@ -32,6 +32,9 @@
 constexpr std::string_view kRetryAfter = "Retry-After";
 constexpr std::string_view kStoreEra = "Store-Era"; ///< Rises when the store loses rows.
 constexpr std::string_view kContentEncoding = "Content-Encoding";
+constexpr std::string_view kAuthorization = "Authorization";
+constexpr std::string_view kAuthenticate = "WWW-Authenticate";
+constexpr std::string_view kAccount = "X-Tenant"; ///< Set by daemons, on requests to endpoints.
 } // namespace field
 
 namespace path {
@@ -51,6 +54,9 @@
 /* Key of the row in the operators' table that holds the newest configuration. */
 constexpr std::string_view kConfigurationKey = "config";
 
+/* Authentication scheme of clients' API keys. */
+constexpr std::string_view kKeyScheme = "Token";
+
 } // namespace rhubarbtrail::platform
 
 #endif
--- a/tests/edge/standin.py
+++ b/tests/edge/standin.py
@@ -659,7 +659,8 @@
 
     def _configure(self, routes: Sequence[dict[str, Any]] = (), without: Sequence[str] = (),
                    every_route: Optional[dict[str, Any]] = None,
-                   limits: Optional[dict[str, Any]] = None) -> None:
+                   limits: Optional[dict[str, Any]] = None,
+                   accounts: Optional[list[dict[str, Any]]] = None) -> None:
         self.version += 3
         route = {"host": "h.example", "priority": 1, "maxAttempts": 2, "timeoutMs": 8000}
         engine = {"slots": 8, "kvTokens": 100000,
@@ -687,13 +688,15 @@
                     "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20,
                                "headerTimeoutMs": 2000, "idleTimeoutMs": 15000,
                                **(limits or {})}}
+        if accounts is not None:
+            document["tenants"] = accounts
         self.store.put("op", "config", json.dumps(document).encode())
 
     def configure(self, **changes: Any) -> None:
         """Stores a new version of the configuration.
 
         routes are added, those named in without are left out, and every_route and limits replace
-        fields of each route and of the limits on clients.
+        fields of each route and of the limits on clients. Without accounts, clients need no keys.
         """
         self.run_on_loop(lambda: self._configure(**changes))
 
--- a/tests/platform/decoder_test.cpp
+++ b/tests/platform/decoder_test.cpp
@@ -252,7 +252,8 @@
 {
   constexpr std::array kNames{ "X-Target-Instance", "X-Not-Executed", "X-Response-Signature",
                                "rows-tx",           "rows-feed",      "fencingToken",
-                               "expectedRev",       "coldLeftMs",     "weightedBackends" };
+                               "expectedRev",       "coldLeftMs",     "weightedBackends",
+                               "X-Tenant",          "apiKeys" };
   for (const auto& item :
        std::filesystem::recursive_directory_iterator(std::string{ SOURCE_DIR } + "/src")) {
     const std::string path = item.path().string();
