--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -66,9 +66,18 @@
  * drain limit. */
 constexpr Duration kWatchTimeout = 2'300ms;
 constexpr double kDispatcherWatchRatio = 0.25;
+/* With fail_closed, watches that end without changes must confirm the configuration in time, also
+ * if one of them is lost. */
+constexpr int kWatchesPerRevokeLimit = 4;
+/* Shortest time that the store may hold a watch open, whatever the limit. */
+constexpr Duration kMinWatchTimeout = 50ms;
 /* Greatest age of the store's answer that a notice of the dispatcher may rest on, as a share of the
  * drain limit. A change may be that old when a daemon begins to read the store itself. */
 constexpr double kMaxNoticeAgeRatio = 0.6;
+/* Time without a confirmation of the configuration after which other daemons are asked for it. It
+ * is longer than a watch, and leaves most of the 9 s within which a daemon that the store does not
+ * answer must know of a change. */
+constexpr Duration kSilenceLimit = 3s;
 /* Longest time from the crash of an endpoint until its entry shows the next process, and greatest
  * number of possible crashes that wait for that. */
 constexpr Duration kMaxRestartTime = 15s;
@@ -123,6 +132,9 @@
                                  { "action", "connection_closed" } });
                   } })
     , mStore(mClient, mSettings.edge.storeAddress, [this](StoreEra aEra) { OnStoreEra(aEra); })
+    , mConfigurationExchange(BootClockNow(),
+                             mSettings.edge.linkAddress,
+                             std::hash<std::string>{}(mSettings.daemonId))
     , mPlacement([this](const fleet::DispatchMessage& aMessage) {
       return mMember.SendToDispatcher(aMessage);
     })
@@ -168,6 +180,7 @@
       .onStreamBegun = [this](const fleet::BegunStream& aStream) { mMember.ReportStream(aStream); },
       .wasDelayed = [this] { return mMember.WasDelayed(); },
       .areRunnersCurrent = [this] { return AreRunnersCurrent(); },
+      .mayUseKeys = [this] { return !mSettings.edge.failClosed || IsConfigurationConfirmed(); },
       .configuration = nullptr
     }
     , mMember(
@@ -179,6 +192,11 @@
           .placement = mPlacement,
           .dispatcher = mDispatcher,
           .streamOrigins = mStreamOrigins,
+          .configuration = mConfigurationExchange,
+          .onConfiguration =
+            [this](ConfigVersion aVersion, const std::string& aDocument) {
+              OnSentConfiguration(aVersion, aDocument);
+            },
           .onSuspect =
             [this](const std::string& aSender, const SuspectMessage& aSuspect) {
               mCrashReports.OnReport(BootClockNow(), aSender, aSuspect);
@@ -350,9 +368,22 @@
    * notices to the other daemons rest on the answers. */
   Duration WatchTimeout() const
   {
-    return mMember.isDispatcher() ? std::chrono::duration_cast<Duration>(mSettings.edge.drainLimit *
-                                                                         kDispatcherWatchRatio)
-                                  : kWatchTimeout;
+    const Duration timeout =
+      mMember.isDispatcher()
+        ? std::chrono::duration_cast<Duration>(mSettings.edge.drainLimit * kDispatcherWatchRatio)
+        : kWatchTimeout;
+    return mSettings.edge.failClosed
+             ? std::clamp(
+                 mSettings.edge.revokeLimit / kWatchesPerRevokeLimit, kMinWatchTimeout, timeout)
+             : timeout;
+  }
+
+  /* Returns whether a daemon that knows the store's state has confirmed a short time ago that there
+   * is no newer configuration. */
+  bool IsConfigurationConfirmed() const
+  {
+    return !mMember.WasDelayed() &&
+           mConfigurationExchange.IsConfirmed(BootClockNow(), mSettings.edge.revokeLimit);
   }
 
   /* Returns what this daemon states about the tables while it is the dispatcher. */
@@ -396,6 +427,13 @@
     for (const auto& [table, notice] : aNotices) {
       if (table == platform::table::kOperator) {
         mConfigurationFeed.OnNotice(notice);
+        if (mConfigurationFeed.version() >= notice.version) {
+          // No row has changed, so the dispatcher's answer of the store confirms the own version.
+          mConfigurationExchange.OnStatement(
+            BootClockNow(),
+            { .version = mConfigurationExchange.Statement(BootClockNow()).version,
+              .age = notice.age });
+        }
       } else if (table == platform::table::kRunners) {
         mRunnerFeed.OnNotice(notice);
       }
@@ -427,6 +465,10 @@
                                   .slack = mSettings.edge.retrySlack,
                                   .window = mSettings.edge.retryWindow,
                                   .daemons = mDaemonCount });
+    mConfigurationExchange.SetOptions(
+      { .silenceLimit = mSettings.edge.failClosed
+                          ? std::min(kSilenceLimit, mSettings.edge.revokeLimit / 2)
+                          : kSilenceLimit });
     mDispatcher.SetStoreLimits(
       { .window = mSettings.edge.loadWindow, .overage = mSettings.edge.loadOverage });
   }
@@ -491,6 +533,7 @@
       }
       mRunnerFeed.SetWatchTimeout(WatchTimeout());
       mConfigurationFeed.SetWatchTimeout(WatchTimeout());
+      LogConfirmation(now);
       for (const auto& [id, runner] : mRunners.runners()) {
         const auto managed = mDispatcher.runners().find(id);
         if (runner.missingSince && managed != mDispatcher.runners().end() &&
@@ -505,6 +548,23 @@
     });
   }
 
+  /* Logs when the configuration of a deployment with accounts becomes unconfirmed, and when it is
+   * confirmed again. */
+  void LogConfirmation(TimePoint aNow)
+  {
+    const bool isConfirmed = IsConfigurationConfirmed();
+    if (!mGateway.configuration || !mGateway.configuration->accounts ||
+        std::exchange(mWasConfirmed, isConfirmed) == isConfirmed) {
+      return;
+    }
+    mLog.Write(isConfirmed ? "configuration_confirmed" : "configuration_unconfirmed",
+               { { "version", mGateway.configuration->version.value },
+                 { "heard_version", mConfigurationExchange.heardVersion().value },
+                 { "age_ms", ConfigurationAge(aNow) },
+                 { "limit_ms", ToMilliseconds(mSettings.edge.revokeLimit) },
+                 { "fail_closed", mSettings.edge.failClosed } });
+  }
+
   TableFeedHandlers ConfigurationHandlers()
   {
     return { .onRow = [this](const platform::StoreRow& aRow) { OnConfigurationRow(aRow); },
@@ -514,7 +574,11 @@
                },
              .onSynced = [] {},
              .onStoreLost = [] {},
-             .onStoreRecovered = [] {} };
+             .onStoreRecovered = [] {},
+             .onConfirmed =
+               [this](TimePoint aCallStartedAt) {
+                 mConfigurationExchange.OnStoreAnswer(aCallStartedAt);
+               } };
   }
 
   TableFeedHandlers RunnerHandlers()
@@ -523,7 +587,8 @@
              .onRemoved = [this](const platform::StoreRow& aRow) { OnRunnerRemoved(aRow); },
              .onSynced = [this] { OnRunnersSynced(); },
              .onStoreLost = [this] { mRunners.OnStoreUnreachable(); },
-             .onStoreRecovered = [this] { mRunners.OnStoreReachable(BootClockNow()); } };
+             .onStoreRecovered = [this] { mRunners.OnStoreReachable(BootClockNow()); },
+             .onConfirmed = nullptr };
   }
 
   void OnConfigurationRow(const platform::StoreRow& aRow)
@@ -531,42 +596,75 @@
     if (aRow.key != platform::kConfigurationKey) {
       return;
     }
-    auto decoded = platform::DecodeConfiguration(aRow.value);
+    if (auto decoded = DecodeConfiguration(aRow.value, "store")) {
+      mConfigurationChangedAt = aRow.version;
+      ApplyConfiguration(std::move(*decoded), aRow.value, "store");
+    }
+  }
+
+  /* Takes a document from a daemon that states this version for it. */
+  void OnSentConfiguration(ConfigVersion aVersion, const std::string& aDocument)
+  {
+    auto decoded = DecodeConfiguration(aDocument, "daemon");
+    if (!decoded || decoded->version != aVersion) {
+      mConfigurationExchange.OnRejected(aVersion);
+      return;
+    }
+    ApplyConfiguration(std::move(*decoded), aDocument, "daemon");
+  }
+
+  /* Returns the configuration, or nothing if the document is invalid. */
+  std::optional<fleet::FleetConfiguration> DecodeConfiguration(const std::string& aDocument,
+                                                               std::string_view aSource)
+  {
+    auto decoded = platform::DecodeConfiguration(aDocument);
     if (!decoded) {
       mLog.Write("configuration_rejected",
-                 { { "row_version", aRow.version.value }, { "reason", decoded.error() } });
-      return;
+                 { { "source", aSource }, { "reason", decoded.error() } });
+      return std::nullopt;
     }
-    mConfigurationChangedAt = aRow.version;
+    return std::move(*decoded);
+  }
+
+  /* Puts a configuration in force unless it is older than the present one. */
+  void ApplyConfiguration(fleet::FleetConfiguration aConfiguration,
+                          const std::string& aDocument,
+                          std::string_view aSource)
+  {
     const auto& current = mGateway.configuration;
-    if (current && decoded->version <= current->version) {
+    if (current && aConfiguration.version <= current->version) {
       mLog.Write("configuration_ignored",
-                 { { "version", decoded->version.value }, { "current", current->version.value } });
+                 { { "version", aConfiguration.version.value },
+                   { "current", current->version.value },
+                   { "source", aSource } });
       return;
     }
+    const auto& accounts = aConfiguration.accounts;
     mLog.Write("configuration_applied",
-               { { "version", decoded->version.value },
+               { { "version", aConfiguration.version.value },
                  { "former", current ? current->version.value : 0 },
-                 { "routes", decoded->routeCount() },
-                 { "services", decoded->services.size() },
-                 { "accounts", decoded->accounts ? decoded->accounts->byId.size() : 0 },
-                 { "keys", decoded->accounts ? decoded->accounts->byKey.size() : 0 },
-                 { "row_version", aRow.version.value } });
-    mClientServer.SetLimits({ .headerBytes = decoded->limits.headerBytes,
-                              .bodyBytes = decoded->limits.bodyBytes,
-                              .headerTimeout = decoded->limits.headerTimeout,
-                              .idleTimeout = decoded->limits.idleTimeout });
+                 { "source", aSource },
+                 { "routes", aConfiguration.routeCount() },
+                 { "services", aConfiguration.services.size() },
+                 { "accounts", accounts ? accounts->byId.size() : 0 },
+                 { "keys", accounts ? accounts->byKey.size() : 0 },
+                 { "row_version", mConfigurationChangedAt.value } });
+    mConfigurationExchange.OnApplied(aConfiguration.version, aDocument, accounts != nullptr);
+    mClientServer.SetLimits({ .headerBytes = aConfiguration.limits.headerBytes,
+                              .bodyBytes = aConfiguration.limits.bodyBytes,
+                              .headerTimeout = aConfiguration.limits.headerTimeout,
+                              .idleTimeout = aConfiguration.limits.idleTimeout });
     mGateway.formerConfiguration =
       std::exchange(mGateway.configuration,
-                    std::make_shared<const fleet::FleetConfiguration>(std::move(*decoded)));
+                    std::make_shared<const fleet::FleetConfiguration>(std::move(aConfiguration)));
     mGateway.configurationAppliedAt = BootClockNow();
     std::erase_if(mGateway.keyChecks.accepted, [this](const auto& aItem) {
-      const auto& accounts = mGateway.configuration->accounts;
-      return !accounts || accounts->Find(aItem.first) == nullptr;
+      const auto& known = mGateway.configuration->accounts;
+      return !known || known->Find(aItem.first) == nullptr;
     });
     mDispatcher.SetConfiguration(mGateway.configuration);
     mMember.OnDispatcherInputChanged();
-    mMember.RelayTableChanges({ .table = aRow.table });
+    mMember.RelayTableChanges({ .table = std::string{ platform::table::kOperator } });
   }
 
   void OnRunnerRow(const platform::StoreRow& aRow)
@@ -789,6 +887,8 @@
       { "dispatcher", mMember.lease().holder.str() },
       { "is_dispatcher", mMember.isDispatcher() },
       { "members", mMember.memberCount() },
+      { "configuration_age_ms", ConfigurationAge(now) },
+      { "configuration_heard", mConfigurationExchange.heardVersion().value },
       { "accounts", DescribeAccounts() },
       { "runners", nlohmann::ordered_json::array() }
     };
@@ -822,6 +922,13 @@
     return state.dump(1);
   }
 
+  /* Returns the time since the configuration was last confirmed in milliseconds, or -1. */
+  double ConfigurationAge(TimePoint aNow) const
+  {
+    const auto confirmedAt = mConfigurationExchange.confirmedAt();
+    return confirmedAt ? ToMilliseconds(aNow - *confirmedAt) : -1.0;
+  }
+
   /* Returns the accounts and the results of the checks of keys, or null without accounts. */
   nlohmann::ordered_json DescribeAccounts() const
   {
@@ -833,6 +940,7 @@
                                       { "key_missing", checks.missing },
                                       { "key_unreadable", checks.unreadable },
                                       { "key_unknown", checks.unknown },
+                                      { "unconfirmed", checks.unconfirmed },
                                       { "without_account", checks.anonymous },
                                       { "by_former_configuration", checks.former },
                                       { "accepted", nlohmann::ordered_json::object() } };
@@ -881,6 +989,15 @@
       { "keys_unknown",
         "Requests refused with an unknown key so far.",
         mGateway.keyChecks.unknown },
+      { "keys_unconfirmed",
+        "Requests refused because the configuration is unconfirmed so far.",
+        mGateway.keyChecks.unconfirmed },
+      { "configuration_queries",
+        "Queries to other daemons about the configuration so far.",
+        mConfigurationExchange.queries() },
+      { "configuration_replies",
+        "Replies to such queries of other daemons so far.",
+        mConfigurationExchange.replies() },
       { "requests_without_account",
         "Requests without a known key on public routes so far.",
         mGateway.keyChecks.anonymous },
@@ -1009,6 +1126,7 @@
   StoreClient mStore;
   fleet::RunnerRegistry mRunners;
   fleet::StreamOrigins mStreamOrigins;
+  fleet::ConfigurationExchange mConfigurationExchange;
   /* Fields of answers whose values were ignored, by endpoint, so that each is logged once. */
   std::set<std::pair<EndpointId, std::string_view>> mLoggedFields;
   fleet::Dispatcher mDispatcher{ mStreamOrigins };
@@ -1050,6 +1168,7 @@
   /* Rows of the runner table whose changes the other daemons must know, to be relayed. */
   std::vector<platform::StoreRow> mChangedRunnerRows;
   std::deque<PossibleCrash> mPossibleCrashes; ///< Oldest first.
+  bool mWasConfirmed = true;                  ///< The configuration, at the last check.
   bool mIsStopping = false;
   bool mWasIdle = false; ///< At the last check of a stopping daemon.
   TimePoint mShutdownStartedAt{};
--- a/src/fleet/fleet_member.cpp
+++ b/src/fleet/fleet_member.cpp
@@ -54,6 +54,8 @@
 constexpr Duration kOwnLimitsInterval = 100ms;
 /* Largest number of limits in one message. */
 constexpr std::size_t kMaxLimitsPerMessage = 500;
+/* Addresses of members in one heartbeat. */
+constexpr std::size_t kPeersPerHeartbeat = 4;
 /* Time without periodic work after which this process counts as delayed. */
 constexpr Duration kMaxTickDelay = 1s;
 /* Largest number of streams in one message. */
@@ -127,6 +129,7 @@
 void FleetMember::Tick()
 {
   const TimePoint now = BootClockNow();
+  CheckForSuspension(now);
   mLastTickAt = now;
   if (const auto action = mLease.Tick(now)) {
     Execute(*action);
@@ -146,6 +149,7 @@
   if (mHasRemoteDispatcher && now - mLastHeartbeatAt > kDispatcherTimeout) {
     LoseDispatcher("silent");
   }
+  QueryConfiguration(now);
   SendChangedLimits(now);
   SendReports(now);
   mLink.CloseOverdueConnections(now);
@@ -341,13 +345,80 @@
            .notices = mServices.tableNotices(),
            .era = mServices.store.era(),
            .quarantinedParts = mServices.quarantinedParts(),
-           .partTrials = mServices.partTrials() };
+           .partTrials = mServices.partTrials(),
+           .configuration = mServices.configuration.Statement(BootClockNow()),
+           .peers = {} };
+}
+
+std::vector<std::string> FleetMember::NextPeers()
+{
+  std::vector<std::string> peers;
+  auto next = mMembers.upper_bound(mLastPeer);
+  const std::size_t count = std::min(kPeersPerHeartbeat, mMembers.size());
+  while (peers.size() < count) {
+    if (next == mMembers.end()) {
+      next = mMembers.begin();
+    }
+    mLastPeer = next->first;
+    peers.push_back(next->second.address);
+    ++next;
+  }
+  return peers;
+}
+
+void FleetMember::CheckForSuspension(TimePoint aNow)
+{
+  if (mLastTickAt != TimePoint{} && aNow - mLastTickAt > kMaxTickDelay) {
+    mServices.configuration.OnResumed(aNow);
+  }
+}
+
+void FleetMember::QueryConfiguration(TimePoint aNow)
+{
+  std::vector<std::string> addresses;
+  if (mHasRemoteDispatcher) {
+    addresses.push_back(mDispatcherLease.address);
+  }
+  for (const auto& [id, member] : mMembers) {
+    addresses.push_back(member.address);
+  }
+  auto query = mServices.configuration.Tick(aNow, std::move(addresses));
+  if (!query) {
+    return;
+  }
+  mServices.log.Write("configuration_queried",
+                      { { "address", query->address },
+                        { "version", query->query.known.value },
+                        { "heard_version", mServices.configuration.heardVersion().value },
+                        { "dispatcher", mDispatcherLease.holder } });
+  Send(query->address, std::move(query->query));
+}
+
+void FleetMember::OnConfigurationQuery(const fleet::ConfigurationQuery& aQuery)
+{
+  if (auto reply = mServices.configuration.Answer(BootClockNow(), aQuery)) {
+    reply->dispatcher = isDispatcher() ? mOptions.address : mDispatcherLease.address;
+    Send(aQuery.address, std::move(*reply));
+  }
+}
+
+void FleetMember::OnConfigurationReply(const fleet::ConfigurationReply& aReply)
+{
+  auto outcome = mServices.configuration.OnReply(BootClockNow(), aReply);
+  if (outcome.document) {
+    mServices.onConfiguration(outcome.version, *outcome.document);
+  }
+  if (outcome.next) {
+    Send(outcome.next->address, std::move(outcome.next->query));
+  }
 }
 
 void FleetMember::SendHeartbeats()
 {
   mServices.onDaemonCount(static_cast<std::uint32_t>(mMembers.size()) + 1);
-  SendToMembers(MakeHeartbeat());
+  HolderHeartbeatMessage heartbeat = MakeHeartbeat();
+  heartbeat.peers = NextPeers();
+  SendToMembers(std::move(heartbeat));
 }
 
 void FleetMember::OnStoreEra(StoreEra aEra)
@@ -376,7 +447,8 @@
          HelloMessage{ .zone = mOptions.zone,
                        .address = mOptions.address,
                        .era = mServices.store.era(),
-                       .quarantinedParts = mServices.quarantinedParts() });
+                       .quarantinedParts = mServices.quarantinedParts(),
+                       .configuration = mServices.configuration.Statement(BootClockNow()) });
   }
 }
 
@@ -420,6 +492,7 @@
   if (mIsClosed) {
     return;
   }
+  CheckForSuspension(BootClockNow());
   if (const auto member = mMembers.find(message->from);
       member != mMembers.end() && member->second.incarnation == message->incarnation) {
     member->second.lastMessageAt = BootClockNow();
@@ -433,6 +506,8 @@
       [&](const RunnerLeavingMessage& aLeaving) { OnRunnerLeaving(*message, aLeaving); },
       [&](const StreamsBegunMessage& aBegun) { OnStreamsBegun(aBegun); },
       [&](const EndpointLimitsMessage& aLimits) { OnEndpointLimits(*message, aLimits); },
+      [&](const fleet::ConfigurationQuery& aQuery) { OnConfigurationQuery(aQuery); },
+      [&](const fleet::ConfigurationReply& aReply) { OnConfigurationReply(aReply); },
       [&](const TableChangesMessage& aChanges) {
         if (mHasRemoteDispatcher && message->from == mDispatcherLease.holder &&
             message->incarnation == mDispatcherLease.incarnation) {
@@ -467,6 +542,8 @@
 {
   mAddresses[aMessage.from] = aHello.address;
   mServices.onStoreEra(aHello.era);
+  mServices.configuration.OnStatement(BootClockNow(), aHello.configuration);
+  mServices.configuration.OnPeers({ aHello.address });
   if (!isDispatcher()) {
     return;
   }
@@ -497,6 +574,8 @@
 {
   const TimePoint now = BootClockNow();
   mServices.onStoreEra(aHeartbeat.era);
+  mServices.configuration.OnStatement(now, aHeartbeat.configuration);
+  mServices.configuration.OnPeers(aHeartbeat.peers);
   if (aMessage.from != aHeartbeat.lease.holder || aHeartbeat.version < mLease.version()) {
     return; // From a former holder that has not yet noticed that it lost the lease.
   }
--- a/src/fleet/fleet_member.h
+++ b/src/fleet/fleet_member.h
@@ -46,6 +46,10 @@
   PlacementClient& placement;
   fleet::Dispatcher& dispatcher;
   fleet::StreamOrigins& streamOrigins;
+  fleet::ConfigurationExchange& configuration;
+  /* Takes a configuration document that another daemon has sent, and its version as that states it.
+   */
+  std::function<void(ConfigVersion, const std::string&)> onConfiguration;
   /* Takes a report of another daemon, which has this address, about crashed runners. */
   std::function<void(const std::string&, const SuspectMessage&)> onSuspect;
   /* Takes another daemon's report that a runner is leaving. Returns whether that is news. */
@@ -203,6 +207,14 @@
   void RemoveTimedOutMembers(TimePoint aNow);
   void LoseDispatcher(std::string_view aReason);
   HolderHeartbeatMessage MakeHeartbeat() const;
+  /* Returns the addresses of some members, others each time. */
+  std::vector<std::string> NextPeers();
+  /* Notices that this process was suspended. */
+  void CheckForSuspension(TimePoint aNow);
+  /* Asks another daemon for the configuration, if that is due. */
+  void QueryConfiguration(TimePoint aNow);
+  void OnConfigurationQuery(const fleet::ConfigurationQuery& aQuery);
+  void OnConfigurationReply(const fleet::ConfigurationReply& aReply);
 
   // The dispatcher.
   void ScheduleDispatcherTick();
@@ -239,6 +251,7 @@
   std::map<EndpointId, fleet::LimitStatement> mChangedLimits;
   TimePoint mNextLimitsAt{}; ///< When the next message about limits may be sent.
   TimePoint mLastTickAt{};
+  DaemonId mLastPeer; ///< The last member whose address was sent to the others.
   TimePoint mNextHeartbeatAt{};
   TimePoint mNextHelloAt{};
   std::string mLoggedHolder; ///< Holder and incarnation in the last holder_changed log line.
--- a/src/fleet/fleet_message.cpp
+++ b/src/fleet/fleet_message.cpp
@@ -355,6 +355,73 @@
   return changes;
 }
 
+Json ToJson(const ConfigurationStatement& aStatement)
+{
+  Json json{ { "version", aStatement.version.value } };
+  if (aStatement.age) {
+    json["age"] = aStatement.age->count();
+  }
+  return json;
+}
+
+ConfigurationStatement ConfigurationStatementFrom(const Json& aJson)
+{
+  ConfigurationStatement statement{ .version = { aJson.value("version", std::uint64_t{ 0 }) },
+                                    .age = std::nullopt };
+  if (const auto age = aJson.find("age"); age != aJson.end()) {
+    statement.age = std::max(Duration{ age->get<Duration::rep>() }, Duration::zero());
+  }
+  return statement;
+}
+
+Json ToJson(const ConfigurationQuery& aQuery)
+{
+  return { { "kind", "config_query" },         { "number", aQuery.number },
+           { "address", aQuery.address },      { "known", aQuery.known.value },
+           { "part_of", aQuery.partOf.value }, { "offset", aQuery.offset } };
+}
+
+ConfigurationQuery ConfigurationQueryFrom(const Json& aJson)
+{
+  return { .number = aJson.at("number").get<std::uint64_t>(),
+           .address = aJson.at("address").get<std::string>(),
+           .known = { aJson.at("known").get<std::uint64_t>() },
+           .partOf = { aJson.value("part_of", std::uint64_t{ 0 }) },
+           .offset = aJson.value("offset", std::size_t{ 0 }) };
+}
+
+Json ToJson(const ConfigurationReply& aReply)
+{
+  Json json{ { "kind", "config_reply" },
+             { "number", aReply.number },
+             { "statement", ToJson(aReply.statement) },
+             { "dispatcher", aReply.dispatcher } };
+  if (aReply.part) {
+    json["part"] = { { "digest", aReply.part->digest },
+                     { "size", aReply.part->size },
+                     { "offset", aReply.part->offset },
+                     { "bytes",
+                       Json::binary({ aReply.part->bytes.begin(), aReply.part->bytes.end() }) } };
+  }
+  return json;
+}
+
+ConfigurationReply ConfigurationReplyFrom(const Json& aJson)
+{
+  ConfigurationReply reply{ .number = aJson.at("number").get<std::uint64_t>(),
+                            .statement = ConfigurationStatementFrom(aJson.at("statement")),
+                            .dispatcher = aJson.value("dispatcher", std::string{}),
+                            .part = std::nullopt };
+  if (const auto part = aJson.find("part"); part != aJson.end()) {
+    const auto& bytes = part->at("bytes").get_binary();
+    reply.part = ConfigurationPart{ .digest = part->at("digest").get<std::uint64_t>(),
+                                    .size = part->at("size").get<std::size_t>(),
+                                    .offset = part->at("offset").get<std::size_t>(),
+                                    .bytes = { bytes.begin(), bytes.end() } };
+  }
+  return reply;
+}
+
 Json ToJson(const FleetBody& aBody)
 {
   return std::visit(
@@ -363,7 +430,8 @@
                               { "zone", aHello.zone.str() },
                               { "address", aHello.address },
                               { "era", aHello.era.value },
-                              { "quarantined", ToJson(aHello.quarantinedParts) } };
+                              { "quarantined", ToJson(aHello.quarantinedParts) },
+                              { "config", ToJson(aHello.configuration) } };
                },
                 [](const HolderHeartbeatMessage& aHeartbeat) {
                   return Json{ { "kind", "beacon" },
@@ -375,7 +443,9 @@
                                { "daemons", aHeartbeat.daemons },
                                { "tables", ToJson(aHeartbeat.notices) },
                                { "quarantined", ToJson(aHeartbeat.quarantinedParts) },
-                               { "trials", ToJson(aHeartbeat.partTrials) } };
+                               { "trials", ToJson(aHeartbeat.partTrials) },
+                               { "config", ToJson(aHeartbeat.configuration) },
+                               { "peers", aHeartbeat.peers } };
                 },
                 [](const SuspectMessage& aSuspect) { return ToJson(aSuspect); },
                 [](const SuspectsMessage& aSuspects) {
@@ -392,6 +462,8 @@
                                { "born", aLeaving.startedAtMs } };
                 },
                 [](const EndpointLimitsMessage& aLimits) { return ToJson(aLimits); },
+                [](const ConfigurationQuery& aQuery) { return ToJson(aQuery); },
+                [](const ConfigurationReply& aReply) { return ToJson(aReply); },
                 [](const StreamsBegunMessage& aBegun) {
                   Json streams = Json::array();
                   for (const BegunStream& stream : aBegun.streams) {
@@ -429,7 +501,9 @@
                          .address = aJson.at("address").get<std::string>(),
                          .era = { aJson.value("era", std::uint64_t{ 0 }) },
                          .quarantinedParts =
-                           PartGroupsFrom(aJson.value("quarantined", Json::array())) };
+                           PartGroupsFrom(aJson.value("quarantined", Json::array())),
+                         .configuration =
+                           ConfigurationStatementFrom(aJson.value("config", Json::object())) };
   }
   if (kind == "beacon") {
     return HolderHeartbeatMessage{
@@ -441,7 +515,9 @@
       .notices = NoticesFrom(aJson.value("tables", Json::object())),
       .era = { aJson.value("era", std::uint64_t{ 0 }) },
       .quarantinedParts = PartGroupsFrom(aJson.value("quarantined", Json::array())),
-      .partTrials = PartTrialsFrom(aJson.value("trials", Json::array()))
+      .partTrials = PartTrialsFrom(aJson.value("trials", Json::array())),
+      .configuration = ConfigurationStatementFrom(aJson.value("config", Json::object())),
+      .peers = aJson.value("peers", std::vector<std::string>{})
     };
   }
   if (kind == "table_changes") {
@@ -451,6 +527,12 @@
     return RunnerLeavingMessage{ .runner = EndpointId{ aJson.at("runner").get<std::string>() },
                                  .startedAtMs = aJson.at("born").get<std::int64_t>() };
   }
+  if (kind == "config_query") {
+    return ConfigurationQueryFrom(aJson);
+  }
+  if (kind == "config_reply") {
+    return ConfigurationReplyFrom(aJson);
+  }
   if (kind == "limits") {
     return EndpointLimitsFrom(aJson);
   }
@@ -495,8 +577,9 @@
 std::string_view NameOfMessage(std::size_t aKind)
 {
   constexpr std::array<std::string_view, std::variant_size_v<FleetBody>> kNames{
-    "hello",          "heartbeat",       "suspect", "suspects", "table_changes", "streams_begun",
-    "runner_leaving", "endpoint_limits", "request", "released", "in_use",        "reply"
+    "hello",         "heartbeat",      "suspect",         "suspects",     "table_changes",
+    "streams_begun", "runner_leaving", "endpoint_limits", "config_query", "config_reply",
+    "request",       "released",       "in_use",          "reply"
   };
   return kNames.at(aKind);
 }
--- a/src/fleet/fleet_message.h
+++ b/src/fleet/fleet_message.h
@@ -2,6 +2,7 @@
 #ifndef RHUBARBTRAIL_FLEET_FLEET_MESSAGE_H
 #define RHUBARBTRAIL_FLEET_FLEET_MESSAGE_H
 
+#include "decision/fleet/configuration_exchange.h"
 #include "decision/fleet/crash_guard.h"
 #include "decision/fleet/dispatch_type.h"
 #include "decision/fleet/feed_coverage.h"
@@ -26,6 +27,7 @@
   std::string address; ///< host:port for messages to the sender.
   StoreEra era;        ///< The highest era of the store that the sender knows.
   std::vector<fleet::PartGroup> quarantinedParts; ///< Those that the sender knows.
+  fleet::ConfigurationStatement configuration;
 };
 
 /* Heartbeat of the dispatcher, which is the holder of the order lease, to its members. */
@@ -40,6 +42,8 @@
   StoreEra era; ///< The highest era of the store that the dispatcher knows.
   std::vector<fleet::PartGroup> quarantinedParts; ///< Those that the dispatcher knows.
   std::vector<fleet::PartTrials> partTrials;      ///< Of these groups, in the same order.
+  fleet::ConfigurationStatement configuration;
+  std::vector<std::string> peers; ///< Addresses of some members, others each time.
 };
 
 /* Rows of a table that the dispatcher relays to its members, so that these need not read them. */
@@ -104,6 +108,8 @@
                                StreamsBegunMessage,
                                RunnerLeavingMessage,
                                EndpointLimitsMessage,
+                               fleet::ConfigurationQuery,
+                               fleet::ConfigurationReply,
                                fleet::PlacementRequest,
                                fleet::AssignmentReleased,
                                fleet::AssignmentInUse,
--- a/src/fleet/table_feed.cpp
+++ b/src/fleet/table_feed.cpp
@@ -59,6 +59,7 @@
   if (aFirstKey.empty()) {
     mScanVersions.clear();
     mMustRead = false;
+    mReadStartedAt = BootClockNow();
   }
   mStore.Read(mOptions.table, aFirstKey, [this](const StoreResult& aResult) {
     if (!mIsStopped) {
@@ -104,6 +105,7 @@
   mScanVersions.clear();
   mIsSynced = true;
   mHandlers.onSynced();
+  ReportConfirmed(mReadStartedAt);
   WatchUnlessCovered();
 }
 
@@ -189,6 +191,7 @@
   mCoverage.OnAnswer(mVersion);
   ForgetOldRemovals();
   mHandlers.onSynced();
+  ReportConfirmed(mWatchStartedAt);
   const Duration passed = BootClockNow() - mWatchStartedAt;
   if (passed < mOptions.minInterval) {
     RunAfter(mOptions.minInterval - passed, [this] { WatchUnlessCovered(); });
@@ -236,6 +239,13 @@
   std::erase_if(mRemovedVersions, [this](const auto& aItem) { return aItem.second <= mVersion; });
 }
 
+void TableFeed::ReportConfirmed(TimePoint aCallStartedAt)
+{
+  if (mHandlers.onConfirmed) {
+    mHandlers.onConfirmed(aCallStartedAt);
+  }
+}
+
 void TableFeed::OnStoreAnswer()
 {
   mFailures = 0;
--- a/src/fleet/table_feed.h
+++ b/src/fleet/table_feed.h
@@ -32,6 +32,8 @@
   std::function<void()> onStoreLost; ///< A call failed. Not repeated until the store has answered.
   /* The store has answered for the first time after onStoreLost. */
   std::function<void()> onStoreRecovered;
+  /* All changes up to the start of a call at this time were delivered. May be empty. */
+  std::function<void(TimePoint)> onConfirmed;
 };
 
 /* Reads the whole table once, then watches it for changes. When the store no longer keeps the
@@ -89,6 +91,7 @@
   void ApplyRow(const platform::StoreRow& aRow);
   void OnFailure(const StoreResult& aResult);
   void OnStoreAnswer();
+  void ReportConfirmed(TimePoint aCallStartedAt);
   void RunAfter(Duration aDelay, std::function<void()> aNext);
 
   boost::asio::steady_timer mTimer;
@@ -105,6 +108,7 @@
   RowVersion mVersion;          ///< The store has told of all changes up to this version.
   RowVersion mScanStartVersion; ///< Store version at the first page of the current full read.
   TimePoint mWatchStartedAt{};  ///< When the last watch was started.
+  TimePoint mReadStartedAt{};   ///< When the last read of the whole table was started.
   TimePoint mAnsweredAt{};      ///< When the store last answered.
   std::uint32_t mFailures = 0;  ///< Failed calls since the last answer.
   bool mIsSynced = false;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -45,7 +45,8 @@
   std::uint64_t missing = 0;
   std::uint64_t unreadable = 0;
   std::uint64_t unknown = 0;
-  std::uint64_t former = 0; ///< Requests accepted under the former configuration only.
+  std::uint64_t unconfirmed = 0; ///< Requests refused because the configuration is unconfirmed.
+  std::uint64_t former = 0;      ///< Requests accepted under the former configuration only.
 
   void CountRefusal(fleet::KeyRefusal aRefusal);
 };
@@ -85,6 +86,8 @@
   std::function<bool()> wasDelayed;
   /* Returns whether no change of the runners is missing here, as far as can be known. */
   std::function<bool()> areRunnersCurrent;
+  /* Returns whether requests may be admitted by the keys of the configuration. */
+  std::function<bool()> mayUseKeys;
 
   std::shared_ptr<const fleet::FleetConfiguration> configuration; ///< Null until the first is read.
   /* The one before it, for requests that arrived before the present one was applied. */
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -233,6 +233,10 @@
   if (!mConfiguration->accounts) {
     return std::nullopt;
   }
+  if (!mRoute->isPublic && !mContext.mayUseKeys()) {
+    return Rejection{ .code = ResultCode::kConfigurationStale,
+                      .reason = "the configuration is unconfirmed" };
+  }
   const auto account = fleet::DecideAccount(
     *mConfiguration->accounts, mRoute->isPublic, platform::DecodeCredential(mRequest.fields));
   if (!account) {
@@ -248,7 +252,9 @@
 void RequestFlow::CountKeyCheck(const std::optional<Rejection>& aRejection)
 {
   KeyCheckCounts& counts = mContext.keyChecks;
-  if (aRejection && aRejection->keyRefusal) {
+  if (aRejection && aRejection->code == ResultCode::kConfigurationStale) {
+    ++counts.unconfirmed;
+  } else if (aRejection && aRejection->keyRefusal) {
     counts.CountRefusal(*aRejection->keyRefusal);
   } else if (!aRejection && mClientAccount != nullptr) {
     ++counts.accepted[mAccount];
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -433,6 +433,23 @@
                    0.1,
                    100.0,
                    "Loads allowed in the window, in times of the stated rate (`edge`)."),
+    ChoiceSetting(
+      "fail_closed",
+      "false|true",
+      { "false", "true" },
+      [](const Settings& aSettings) {
+        return std::string{ aSettings.edge.failClosed ? "true" : "false" };
+      },
+      [](Settings& aSettings, const std::string& aText) {
+        aSettings.edge.failClosed = aText == "true";
+      },
+      "Refuse requests that need a key while the configuration is unconfirmed (`edge`)."),
+    MillisecondsSetting("revoke_limit",
+                        "1..3600000",
+                        FIELD(edge.revokeLimit),
+                        1,
+                        3'600'000,
+                        "Time without a confirmation after which it is unconfirmed (`edge`)."),
   };
 }
 
--- a/src/settings/settings_base.h
+++ b/src/settings/settings_base.h
@@ -45,6 +45,10 @@
   /* Load rate that the weight store allows over the window, as a multiple of the load rate that is
    * configured for the service. */
   double loadOverage = 1.0;
+  /* Without a confirmation of its configuration for longer than revokeLimit, a daemon refuses the
+   * requests that need a key. Otherwise it goes on with the configuration that it has. */
+  bool failClosed = false;
+  Duration revokeLimit = 5s;
 };
 
 /* All settings of a daemon, with their default values. */
--- a/tests/edge/standin.py
+++ b/tests/edge/standin.py
@@ -196,6 +196,8 @@
         self.last_cleared_version = 0  # Last version whose change is no longer in the history.
         self.changed = asyncio.Event()
         self.is_down = False
+        self.other_servers: list[HttpServer] = []
+        self.rejected_ports: set[int] = set()
         self.delay_s = 0.0
         self.lose_writes = 0  # Transactions that are applied but whose answer is lost.
         self.era = 1
@@ -235,6 +237,19 @@
         self.last_cleared_version = self.version
         self.changes.clear()
 
+    async def add_port(self) -> int:
+        """Returns another port of the store, whose calls are refused while it is in rejected_ports."""
+        async def handle(call: HttpCall) -> None:
+            if server.port in self.rejected_ports:
+                self._refuse(call, 503)
+            else:
+                await self._handle(call)
+
+        server = HttpServer(handle)
+        await server.start()
+        self.other_servers.append(server)
+        return server.port
+
     async def _handle(self, call: HttpCall) -> None:
         await asyncio.sleep(0.002 + self.delay_s)
         if self.is_down:
@@ -721,7 +736,8 @@
         async def stop() -> None:
             for endpoint in self.endpoints.values():
                 await endpoint.http_server.stop()
-            await self.store.http_server.stop()
+            for server in [self.store.http_server, *self.store.other_servers]:
+                await server.stop()
             tasks = asyncio.all_tasks() - {asyncio.current_task()}
             for task in tasks:
                 task.cancel()
--- a/tests/edge/test_accounts.py
+++ b/tests/edge/test_accounts.py
@@ -95,3 +95,53 @@
             assert send(daemon, "check", "key-a-1").status == 401
             assert send(daemon, "check", "key-a-3").is_complete
             assert send(daemon, "chat", "key-a-2").is_complete
+
+
+def test_edge_learns_of_keys_from_other_daemons_while_the_store_rejects_it() -> None:
+    """Takes a key away while the store rejects one daemon, once the dispatcher and once another.
+
+    Without the row from another daemon, the rejected one would accept the key for good.
+    """
+    for rejects_dispatcher in (False, True):
+        with EdgeCluster(daemons=4, models=2) as cluster:
+            apply(cluster, accounts=accounts())
+            holder = cluster.holder()
+            victim = holder if rejects_dispatcher else next(
+                daemon for daemon in cluster.daemons if daemon is not holder)
+            cluster.platform.store.rejected_ports.add(victim.store_port)
+            time.sleep(0.2)
+            written = time.monotonic()
+            cluster.platform.configure(accounts=accounts(a=["key-a-2", "key-a-3"]))
+            cluster.wait_until(lambda: send(victim, "check", "key-a-1").status == 401,
+                               "the key to be refused", 9.0)
+            print(f"dispatcher: {rejects_dispatcher}, {time.monotonic() - written:.2f} s", flush=True)
+            assert send(victim, "check", "key-a-3").is_complete
+            # Another change, after another daemon has become the dispatcher.
+            time.sleep(6.0)
+            written = time.monotonic()
+            cluster.platform.configure(accounts=accounts(a=["key-a-2"]))
+            cluster.wait_until(lambda: send(victim, "check", "key-a-3").status == 401,
+                               "the other key to be refused", 9.0)
+            print(f"second change: {time.monotonic() - written:.2f} s", flush=True)
+            assert send(victim, "check", "key-a-2").is_complete
+
+
+def test_edge_refuses_keys_while_its_configuration_is_unconfirmed() -> None:
+    """Stops the store with fail_closed: routes that need a key are refused, public ones are not."""
+    with EdgeCluster(daemons=2, models=2,
+                     settings="fail_closed: true\nrevoke_limit: 1500\n") as cluster:
+        public = {"name": "open", "host": "h.example", "prefix": "/open/", "kind": "idempotent",
+                  "backend": "plain", "priority": 1, "maxAttempts": 2, "public": True}
+        apply(cluster, routes=[public], accounts=accounts())
+        end = time.monotonic() + 4.0
+        while time.monotonic() < end:
+            for daemon in cluster.daemons:
+                assert send(daemon, "check", "key-b").is_complete
+        cluster.platform.store.is_down = True
+        time.sleep(2.5)
+        for daemon in cluster.daemons:
+            assert send(daemon, "check", "key-b").status == 503
+            assert daemon.send("open").is_complete
+        cluster.platform.store.is_down = False
+        time.sleep(2.0)
+        assert all(send(daemon, "check", "key-b").is_complete for daemon in cluster.daemons)
--- a/tests/fleet/fleet_message_test.cpp
+++ b/tests/fleet/fleet_message_test.cpp
@@ -100,6 +100,26 @@
     HolderHeartbeatMessage{ .daemons = 3, .notices = { { "t", { { 9 }, 300ms } } } });
   CHECK(withNotices.notices.at("t").version == RowVersion{ 9 });
   CHECK(withNotices.notices.at("t").age == 300ms);
+  const auto hello = EncodeAndDecode<HelloMessage>(
+    HelloMessage{ .address = "a:1", .configuration = { .version = { 4 }, .age = 7ms } });
+  CHECK(hello.configuration == ConfigurationStatement{ .version = { 4 }, .age = 7ms });
+  const auto withPeers = EncodeAndDecode<HolderHeartbeatMessage>(
+    HolderHeartbeatMessage{ .configuration = { .version = { 5 } }, .peers = { "b:2" } });
+  CHECK(withPeers.configuration == ConfigurationStatement{ .version = { 5 } });
+  CHECK(withPeers.peers == std::vector<std::string>{ "b:2" });
+  const auto query = EncodeAndDecode<ConfigurationQuery>(ConfigurationQuery{
+    .number = 3, .address = "c:3", .known = { 4 }, .partOf = { 5 }, .offset = 9 });
+  CHECK(query.address == "c:3");
+  CHECK(query.partOf == ConfigVersion{ 5 });
+  CHECK(query.offset == 9);
+  const auto reply = EncodeAndDecode<ConfigurationReply>(ConfigurationReply{
+    .number = 3,
+    .statement = { .version = { 5 } },
+    .dispatcher = "d:4",
+    .part = ConfigurationPart{ .digest = 1, .size = 2, .offset = 1, .bytes = "\xff" } });
+  CHECK(reply.dispatcher == "d:4");
+  CHECK(reply.part->bytes == "\xff");
+  CHECK(reply.part->offset == 1);
   const auto changes = EncodeAndDecode<TableChangesMessage>(TableChangesMessage{
     .table = "t",
     .from = { 4 },
