Add: [Dispatcher] Wait for the copies of crashed runners before loads from the store

Cause: after a rack crashed for 2 s, models whose only copies were on its disks were loaded from the weight store (18 s, 40 s beside another load) up to 80 ms before the runners were back. Requests for a model with an overdue load waited until their clients gave up. Change: a load from the store that takes more than twice as long as the return of a runner and a load from its disk waits up to 4 s for a copy that may return. A copy that returns is loaded beside a load from the store that is far from its end. An overdue load from the store is expected at the next multiple of its duration.

--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -498,7 +498,7 @@
           mLog.Write(
             "runner_given_up",
             { { "endpoint", id }, { "missing_ms", ToMilliseconds(now - *runner.missingSince) } });
-          mDispatcher.OnRunnerGone(id);
+          mDispatcher.OnRunnerGone(now, id);
         }
       }
       ScheduleRunnerSweep();
@@ -719,7 +719,7 @@
     mRunners.Remove(BootClockNow(), runnerId);
     const fleet::KnownRunner* runner = mRunners.Find(runnerId);
     if (runner == nullptr || mRunners.Check(BootClockNow(), *runner) == fleet::Exclusion::kGone) {
-      mDispatcher.OnRunnerGone(runnerId);
+      mDispatcher.OnRunnerGone(BootClockNow(), runnerId);
       mMember.OnDispatcherInputChanged();
     }
     mLog.Write("runner_gone",
--- a/src/decision/fleet/dispatcher.cpp
+++ b/src/decision/fleet/dispatcher.cpp
@@ -152,9 +152,12 @@
   }
 }
 
-void Dispatcher::OnRunnerGone(const EndpointId& aRunner)
+void Dispatcher::OnRunnerGone(TimePoint aNow, const EndpointId& aRunner)
 {
   if (const auto found = mRunners.find(aRunner); found != mRunners.end()) {
+    if (!found->second.isGone) {
+      RecordLostCopies(aNow, found->second);
+    }
     found->second.isGone = true;
     mSwaps.erase(aRunner);
     if (found->second.inFlight == 0) {
--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -11,6 +11,7 @@
 #include "decision/fleet/order_type.h"
 #include "decision/fleet/prompt_cache.h"
 #include "decision/fleet/request_allowance.h"
+#include "decision/fleet/returning_copies.h"
 #include "decision/fleet/service_time_tracker.h"
 #include "decision/fleet/stated_limit.h"
 #include "decision/fleet/stream_origins.h"
@@ -184,7 +185,7 @@
   void SetOrderPermission(const OrderPermission& aPermission);
 
   void OnRunnerEntry(TimePoint aNow, const RunnerEntry& aEntry);
-  void OnRunnerGone(const EndpointId& aRunner);
+  void OnRunnerGone(TimePoint aNow, const EndpointId& aRunner);
   /* A runner's process, which started at this time, has stated that it is leaving. */
   void OnRunnerLeaving(const EndpointId& aRunner, std::int64_t aStartedAtMs);
   /* Takes what a runner's process has stated about its limit on requests. Returns whether that
@@ -484,6 +485,14 @@
   bool HasLocalCopy(const ServiceId& aService, const ModelId& aModel) const;
   /* Returns the same, from a result that may be some hundred milliseconds old. */
   bool HadLocalCopy(TimePoint aNow, const ServiceId& aService, const ModelId& aModel);
+  /* Returns whether a load of the model from the weight store should wait, because a runner that
+   * crashed or cannot be reached now should be back soon with a copy. */
+  bool ShouldWaitForCopy(TimePoint aNow, const ServiceId& aService, const Model& aModel);
+  /* Returns whether a runner has a copy of the model that it could load long before the first
+   * replica that is planned or being loaded is ready. */
+  bool HasFasterCopy(TimePoint aNow, const ServiceId& aService, const Model& aModel);
+  /* Records the copies of a runner whose process ended without notice. */
+  void RecordLostCopies(TimePoint aNow, const ManagedRunner& aRunner);
   void CountIncomingReplicas(TimePoint aNow);
   void CountIncomingReplica(const ServiceId& aService, const ModelId& aModel, TimePoint aReadyAt);
   /* Returns how many replicas of the model the service has planned or is loading. */
@@ -561,6 +570,7 @@
   std::map<EndpointId, Swap> mSwaps;                ///< By runner.
   DecayingRate mSwapRate{ kSwapRateTimeConstantS }; ///< Planned swaps per second.
   std::map<std::pair<ServiceId, ModelId>, LocalCopyCheck> mLocalCopyChecks;
+  ReturningCopies mReturningCopies;
   /* Missing models for which no swap was worth its cost, and when to weigh them again. */
   std::map<MissingModel, TimePoint> mNextPlanAtByModel;
   /* When a request was last refused because its model had no replica, by service and model. */
--- a/src/decision/fleet/dispatcher_plan.cpp
+++ b/src/decision/fleet/dispatcher_plan.cpp
@@ -114,9 +114,13 @@
   for (const auto& [id, runner] : mRunners) {
     if (runner.order && runner.order->order.kind == OrderKind::kLoad &&
         !runner.order->isPresumedDone && IsUsable(runner) && !mSwaps.contains(id)) {
-      CountIncomingReplica(runner.entry.service,
-                           runner.order->order.subject.model,
-                           std::max(runner.order->expectedDoneAt, aNow));
+      CountIncomingReplica(
+        runner.entry.service,
+        runner.order->order.subject.model,
+        runner.order->isFromStore
+          ? ExpectedStoreLoadEnd(
+              aNow, runner.order->sentAt, runner.order->expectedDuration, CountStoreLoads() - 1)
+          : std::max(runner.order->expectedDoneAt, aNow));
     }
   }
 }
@@ -267,6 +271,7 @@
   const bool isOverloadCheckDue = aNow >= mNextOverloadCheckAt;
   if (isOverloadCheckDue) {
     mNextOverloadCheckAt = aNow + kOverloadCheckInterval;
+    mReturningCopies.Expire(aNow);
     PlanOverloadedModels(aNow);
   }
   PlanMissingModels(aNow);
@@ -310,7 +315,8 @@
         EffectiveReplicas(aNow, key.service, key.model, key.version) >= 1.0) {
       continue;
     }
-    if (!HasIncomingReplica(aNow, key)) {
+    if (!HasIncomingReplica(aNow, key) ||
+        (key.version.empty() && HasFasterCopy(aNow, key.service, *engine->Find(key.model)))) {
       ordered.emplace_back(waiting.size(), key);
     }
   }
@@ -324,10 +330,7 @@
       ScheduleTick(mNextPlanAt);
       break;
     }
-    // A replica that was planned in this round for any version may serve this one, too.
-    if (!HasIncomingReplica(aNow, key)) {
-      PlanMissingModel(aNow, key, missing.at(key));
-    }
+    PlanMissingModel(aNow, key, missing.at(key));
   }
 }
 
@@ -337,6 +340,11 @@
 {
   const Engine& engine = *EngineOf(aMissing.service);
   const Model& model = *engine.Find(aMissing.model);
+  // A replica that was planned in this round for any version may serve this one, too.
+  const bool hasIncomingReplica = HasIncomingReplica(aNow, aMissing);
+  if (hasIncomingReplica && !HasFasterCopy(aNow, aMissing.service, model)) {
+    return;
+  }
   mNextPlanAtByModel[aMissing] = aNow + kReplanInterval;
   auto swap = FindCheapestSwap(aNow, aMissing.service, model, aMissing.version);
   // If the best runner is still busy, no swap is planned: waiting for it costs less than a swap at
@@ -344,7 +352,8 @@
   if (!swap || !CanPlanSwap(mRunners[swap->runner])) {
     return;
   }
-  if (swap->isFromStore && !MayLoadFromStore(aNow, engine)) {
+  if (swap->isFromStore && (hasIncomingReplica || !MayLoadFromStore(aNow, engine) ||
+                            ShouldWaitForCopy(aNow, aMissing.service, model))) {
     return;
   }
   if (ExpectedGain(aNow, *swap, model, aWaiting) > ExpectedLoss(aNow, *swap)) {
@@ -392,6 +401,47 @@
   return check.hasCopy;
 }
 
+void Dispatcher::RecordLostCopies(TimePoint aNow, const ManagedRunner& aRunner)
+{
+  if (aRunner.engine == nullptr || aRunner.saysLeaving ||
+      aRunner.entry.state != RunnerState::kReady) {
+    return;
+  }
+  RunnerHoldings holdings{ .onDisk = aRunner.onDisk };
+  for (const auto& [model, held] : aRunner.models) {
+    holdings.models.try_emplace(model);
+  }
+  mReturningCopies.RecordLost(aNow, aRunner.entry.service, holdings);
+}
+
+/* Load pattern: runners crash or flap, and for a time none that can take orders has a copy. */
+bool Dispatcher::ShouldWaitForCopy(TimePoint aNow, const ServiceId& aService, const Model& aModel)
+{
+  if (!IsWorthWaitingForCopy(aModel)) {
+    return false;
+  }
+  const bool isExpected = mReturningCopies.IsExpected(aNow, aService, aModel.id) ||
+                          HadLocalCopy(aNow, aService, aModel.id);
+  return mReturningCopies.ShouldWait(aNow, aService, aModel.id, isExpected);
+}
+
+/* Load pattern: a load from the weight store was planned while the only runners with copies were
+ * down. Once one of them is back, its copy serves callers much earlier. */
+bool Dispatcher::HasFasterCopy(TimePoint aNow, const ServiceId& aService, const Model& aModel)
+{
+  const auto ready = TimeUntilReplica(aNow, aService, aModel.id);
+  if (!ready || !IsWorthWaitingForCopy(aModel) ||
+      *ready < (kCopyReturnTime + aModel.diskLoadTime)) {
+    return false;
+  }
+  return std::any_of(mRunners.begin(), mRunners.end(), [&](const auto& aItem) {
+    const ManagedRunner& runner = aItem.second;
+    return runner.entry.service == aService && CanPlanSwap(runner) &&
+           !runner.health.IsAvoided(aNow) &&
+           (runner.onDisk.contains(aModel.id) || runner.inHostMemory.contains(aModel.id));
+  });
+}
+
 bool Dispatcher::HasLocalCopy(const ServiceId& aService, const ModelId& aModel) const
 {
   return std::any_of(mRunners.begin(), mRunners.end(), [&](const auto& aItem) {
@@ -537,7 +587,8 @@
   if (!best || best->cost > aBenefit || !CanPlanSwap(mRunners[best->runner])) {
     return false;
   }
-  if (best->isFromStore && !MayLoadFromStore(aNow, *engine)) {
+  if (best->isFromStore &&
+      (!MayLoadFromStore(aNow, *engine) || ShouldWaitForCopy(aNow, aService, *model))) {
     return false;
   }
   AddSwap(aNow, std::move(*best), aWhy);
