Add: [Dispatcher] Try waiting requests in an order that is fair over client accounts

Cause: requests were tried by priority and arrival, so an account that sends several times its usual traffic took slots from the others in proportion. While more than 48 requests wait, a new request was also tried before those that have waited for the same slot. Change: where the configuration has accounts, AssignmentOrder tries the oldest request of the account that has used least runner time in the last 10 s in relation to its quota, within a priority. An account that is served less than 0.35 of the common share goes first while it has used less than half of the average. Between full rounds, all requests for the models concerned are tried together. Other deployments are served as before. The log lines of assignments and refusals name the account.

--- a/src/decision/fleet/dispatcher.cpp
+++ b/src/decision/fleet/dispatcher.cpp
@@ -38,6 +38,7 @@
 void Dispatcher::SetConfiguration(std::shared_ptr<const FleetConfiguration> aConfiguration)
 {
   mConfiguration = std::move(aConfiguration);
+  mAssignmentOrder.SetAccounts(mConfiguration->accounts);
   mWeightMemories.clear();
   for (const auto& [id, service] : mConfiguration->services) {
     if (service.engine) {
@@ -238,6 +239,7 @@
     const double factor = mServiceTimes.Factor(model);
     mDemand.Record(aNow, model, ScaleDuration(EstimateRunnerTime(aRequest.work), factor));
   }
+  mAssignmentOrder.OnRequest(aNow, aRequest.account);
   // Load pattern: bursts at several hosts at once. The most urgent requests of all hosts go first.
   const auto position = std::upper_bound(mWaitingRequests.begin(),
                                          mWaitingRequests.end(),
@@ -269,6 +271,12 @@
   if (aReleased.end == AssignmentEnd::kWithdrawn) {
     GiveBackRequestAllowance(aNow, assignment->second);
   }
+  if (aReleased.end == AssignmentEnd::kWithdrawn || aReleased.end == AssignmentEnd::kRefused) {
+    mAssignmentOrder.OnNotRun(
+      aNow,
+      assignment->second.account,
+      { .time = assignment->second.runnerTime, .tokens = assignment->second.tokens });
+  }
   const auto runner = mRunners.find(assignment->second.runner);
   if (runner != mRunners.end()) {
     runner->second.health.Record(aNow, EndpointOutcomeOf(aReleased.end));
@@ -321,6 +329,7 @@
 {
   mActiveSince.reset();
   mWaitingRequests.clear();
+  mAssignmentOrder.Clear();
   CancelSwaps();
   ReleaseAssignmentsOf(std::nullopt);
   for (auto& [id, runner] : mRunners) {
@@ -340,8 +349,13 @@
   const Assignment assignment{ .runner = aRunner.entry.id,
                                .model = target,
                                .tokens = aRequest.work.promptTokens + aRequest.work.outputTokens,
+                               .account = aRequest.account,
+                               .runnerTime = ScaleDuration(EstimateRunnerTime(aRequest.work),
+                                                           mServiceTimes.Factor(target.model)),
                                .expectedTimeToFirstEvent = aTimeToFirstEvent };
   mAssignments.insert_or_assign(aRequest.id, assignment);
+  mAssignmentOrder.OnAssigned(
+    aNow, aRequest.account, { .time = assignment.runnerTime, .tokens = assignment.tokens });
   ++aRunner.inFlight;
   aRunner.tokens += assignment.tokens;
   const std::uint32_t cachedTokens = aRunner.cache.CachedTokens(aRequest.work);
@@ -376,6 +390,11 @@
   const auto decrement = [](auto& aCount, auto aBy) { aCount -= std::min(aCount, aBy); };
   decrement(runner->second.inFlight, 1U);
   decrement(runner->second.tokens, assignment.tokens);
+  if (mAssignmentOrder.IsEnabled()) {
+    for (const auto& [model, state] : runner->second.models) {
+      mFreedModels.insert(model);
+    }
+  }
   const auto held = runner->second.models.find(assignment.model.model);
   if (held != runner->second.models.end()) {
     decrement(held->second.inFlight, 1U);
--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -4,6 +4,7 @@
 #ifndef RHUBARBTRAIL_DECISION_FLEET_DISPATCHER_H
 #define RHUBARBTRAIL_DECISION_FLEET_DISPATCHER_H
 
+#include "decision/fleet/assignment_order.h"
 #include "decision/fleet/demand_tracker.h"
 #include "decision/fleet/dispatch_type.h"
 #include "decision/fleet/endpoint_health.h"
@@ -43,6 +44,9 @@
   EndpointId runner;
   ModelRef model;
   std::string_view why;
+  ClientAccountId account; ///< Empty when the decision is not about a single request.
+  /* The account's part of its entitlement to runner time. 0 where there are no accounts. */
+  double accountUse = 0.0;
   /* An expected or elapsed duration, or the age of the last order, depending on the event. */
   Duration time{};
   /* Requests, orders or victims, depending on the event. */
@@ -244,6 +248,8 @@
     EndpointId runner;
     ModelRef model;
     std::uint64_t tokens = 0;
+    ClientAccountId account;
+    Duration runnerTime{};               ///< Estimated.
     Duration expectedTimeToFirstEvent{}; ///< 0 if this dispatcher did not assign the request.
     bool usesAllowance = false;          ///< This dispatcher counted it against the runner's limit.
   };
@@ -354,6 +360,8 @@
 
   // dispatcher_assign.cpp
   void AssignWaitingRequests(TimePoint aNow);
+  /* Tries the requests that are due in the order that is fair over the accounts. */
+  void AssignInFairOrder(TimePoint aNow, bool aAreAllDue);
   /* Tries to assign a request. Returns whether it was answered and need not wait any longer. */
   bool TryToAssign(TimePoint aNow, WaitingRequest& aWaiting);
   bool IsUsable(const ManagedRunner& aRunner) const;
@@ -544,6 +552,9 @@
   mutable bool mIsModelIndexStale = true;
   /* Ordered by priority, the most urgent first, and then by arrival. */
   std::deque<WaitingRequest> mWaitingRequests;
+  AssignmentOrder mAssignmentOrder;
+  /* Models of the runners where requests have ended since the last assignments. */
+  std::unordered_set<ModelId> mFreedModels;
   bool mIsTakingOver = false; ///< Allowances are emptied at the next tick.
   /* Statements of processes whose entries have not arrived yet. */
   std::map<EndpointId, LimitStatement> mEarlyLimits;
--- a/src/decision/fleet/dispatcher_assign.cpp
+++ b/src/decision/fleet/dispatcher_assign.cpp
@@ -42,15 +42,54 @@
   if (areAllDue && !mLimitedRunners.empty()) {
     PrepareLimitedRound(aNow);
   }
-  std::erase_if(mWaitingRequests, [&](WaitingRequest& aWaiting) {
-    const bool wasTried = std::exchange(aWaiting.wasTried, true);
-    return (areAllDue || !wasTried) && TryToAssign(aNow, aWaiting);
-  });
+  if (mAssignmentOrder.IsEnabled()) {
+    AssignInFairOrder(aNow, areAllDue);
+  } else {
+    std::erase_if(mWaitingRequests, [&](WaitingRequest& aWaiting) {
+      const bool wasTried = std::exchange(aWaiting.wasTried, true);
+      return (areAllDue || !wasTried) && TryToAssign(aNow, aWaiting);
+    });
+  }
   if (mWaitingRequests.size() > kShortQueue) {
     ScheduleTick(mNextAssignmentAt);
   }
 }
 
+/* Load pattern: demand above capacity, so that a slot is free only for a moment. Between full
+ * rounds, a new request for a model would take each slot before those that have waited for it, also
+ * a request that a client repeats after a refusal. So all requests for the models concerned are
+ * tried together. */
+void Dispatcher::AssignInFairOrder(TimePoint aNow, bool aAreAllDue)
+{
+  std::unordered_set<ModelId> dueModels = std::exchange(mFreedModels, {});
+  for (const WaitingRequest& waiting : mWaitingRequests) {
+    if (!waiting.wasTried) {
+      dueModels.insert(waiting.request.work.target.model);
+    }
+  }
+  if (!aAreAllDue && dueModels.empty()) {
+    return;
+  }
+  std::vector<WaitingTurn> turns;
+  for (std::size_t position = 0; position < mWaitingRequests.size(); ++position) {
+    WaitingRequest& waiting = mWaitingRequests[position];
+    if (!aAreAllDue && !dueModels.contains(waiting.request.work.target.model)) {
+      continue;
+    }
+    waiting.wasTried = true;
+    turns.push_back({ .position = position,
+                      .priority = waiting.request.priority,
+                      .account = waiting.request.account });
+  }
+  AssignmentRound round{ mAssignmentOrder, aNow, turns };
+  std::vector<bool> isAnswered(mWaitingRequests.size(), false);
+  while (const auto position = round.Next()) {
+    isAnswered[*position] = TryToAssign(aNow, mWaitingRequests[*position]);
+  }
+  std::size_t position = 0;
+  std::erase_if(mWaitingRequests, [&](const WaitingRequest&) { return isAnswered[position++]; });
+}
+
 bool Dispatcher::IsUsable(const ManagedRunner& aRunner) const
 {
   return !aRunner.isGone && !aRunner.saysLeaving && aRunner.entry.state == RunnerState::kReady;
@@ -271,6 +310,8 @@
                 .runner = aRunner.entry.id,
                 .model = aWaiting.request.work.target,
                 .why = aNow - aWaiting.receivedAt > kAdapterLoadTime ? "waited" : "at_once",
+                .account = aWaiting.request.account,
+                .accountUse = mAssignmentOrder.RelativeUse(aNow, aWaiting.request.account),
                 .time = aTimeToFirstEvent,
                 .count = aRunner.inFlight });
   AddAssignment(aNow, aWaiting.request, aRunner, aTimeToFirstEvent);
@@ -293,6 +334,8 @@
                 .runner = {},
                 .model = aWaiting.request.work.target,
                 .why = aWhy,
+                .account = aWaiting.request.account,
+                .accountUse = mAssignmentOrder.RelativeUse(aNow, aWaiting.request.account),
                 .time = aNow - aWaiting.receivedAt,
                 .count = mWaitingRequests.size() });
   mActions.emplace_back(
--- a/src/fleet/fleet_member.cpp
+++ b/src/fleet/fleet_member.cpp
@@ -864,6 +864,8 @@
                                         { "model", aRecord.model.model },
                                         { "adapter", aRecord.model.adapter },
                                         { "why", aRecord.why },
+                                        { "account", aRecord.account },
+                                        { "account_use", aRecord.accountUse },
                                         { "time_ms", ToMilliseconds(aRecord.time) },
                                         { "count", aRecord.count },
                                         { "fence", mLease.fence().value } });
--- a/tests/fleet/fleet_world.cpp
+++ b/tests/fleet/fleet_world.cpp
@@ -46,6 +46,13 @@
                                  .diskLoadTime = options.diskLoadTime });
   }
   mConfiguration->version = { 1 };
+  if (!options.accounts.empty()) {
+    auto accounts = std::make_shared<ClientAccounts>();
+    for (const ClientAccount& account : options.accounts) {
+      accounts->byId.emplace(account.id, account);
+    }
+    mConfiguration->accounts = std::move(accounts);
+  }
   mConfiguration->services.emplace(kService, Service{ .id = kService, .engine = engine });
   std::uint32_t next = 0;
   for (std::uint32_t number = 0; number < options.runners; ++number) {
--- a/tests/fleet/fleet_world.h
+++ b/tests/fleet/fleet_world.h
@@ -31,6 +31,7 @@
   Duration reportLag = 100ms; ///< Age of the state that a runner's report shows.
   bool areAllModelsOnDisk = true;
   std::uint32_t seed = 1;
+  std::vector<ClientAccount> accounts; ///< Empty for a deployment without accounts.
 };
 
 /* The actual state of a runner. The dispatcher only knows it from entries and reports. */
