Add: [Dispatcher] Refuse at once what gets no slot before its deadline

Cause: a request whose model is loaded at full runners waited until its deadline and was refused with no_place_before_deadline, although the queue ahead of it was longer than its time. Change: where the configuration has accounts, the dispatcher forecasts the wait from the time that requests hold slots, the slots of the runners with the model, and the requests ahead, also those for other models of the same runners. A new request is refused if it is too late even one standard deviation before the forecast, one that was let wait if it is too late two before it. No forecast is made while under half of a runner's slots are taken, or while it is not known how long they are held. A replica on its way that is ready in time lets it wait. Retry-After is the forecast wait. Refusals have their own source file.

--- a/src/decision/fleet/dispatcher.cpp
+++ b/src/decision/fleet/dispatcher.cpp
@@ -280,6 +280,11 @@
   const auto runner = mRunners.find(assignment->second.runner);
   if (runner != mRunners.end()) {
     runner->second.health.Record(aNow, EndpointOutcomeOf(aReleased.end));
+    const bool hasRun =
+      aReleased.end == AssignmentEnd::kDone || aReleased.end == AssignmentEnd::kFailed;
+    if (hasRun && assignment->second.expectedTimeToFirstEvent > Duration::zero()) {
+      runner->second.holdTime.Record(aNow - assignment->second.assignedAt);
+    }
     if (aReleased.end == AssignmentEnd::kRefused) {
       // The runner may not hold what is assumed. It gets no orders until a report confirms its
       // state.
@@ -352,6 +357,7 @@
                                .account = aRequest.account,
                                .runnerTime = ScaleDuration(EstimateRunnerTime(aRequest.work),
                                                            mServiceTimes.Factor(target.model)),
+                               .assignedAt = aNow,
                                .expectedTimeToFirstEvent = aTimeToFirstEvent };
   mAssignments.insert_or_assign(aRequest.id, assignment);
   mAssignmentOrder.OnAssigned(
--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -13,6 +13,7 @@
 #include "decision/fleet/prompt_cache.h"
 #include "decision/fleet/request_allowance.h"
 #include "decision/fleet/service_time_tracker.h"
+#include "decision/fleet/slot_forecast.h"
 #include "decision/fleet/stated_limit.h"
 #include "decision/fleet/stream_origins.h"
 
@@ -167,6 +168,7 @@
   TimePoint promptsDoneAt{}; ///< When all prompts sent so far are expected to be processed.
   PromptCache cache;
   EndpointHealth health;
+  SlotHoldTime holdTime;
 };
 
 /* Returns the time to load a model from the fastest source that the runner has: host memory, its
@@ -240,6 +242,8 @@
     bool wasTried = false; ///< It could not be assigned when it arrived.
     /* The limited runner whose allowance it waits for. Empty if it waits for something else. */
     EndpointId awaitedRunner;
+    /* When to forecast again whether it gets a slot in time. Empty until the first forecast. */
+    std::optional<TimePoint> nextForecastAt;
   };
 
   /* A request that runs at a runner. */
@@ -249,7 +253,8 @@
     ModelRef model;
     std::uint64_t tokens = 0;
     ClientAccountId account;
-    Duration runnerTime{};               ///< Estimated.
+    Duration runnerTime{}; ///< Estimated.
+    TimePoint assignedAt{};
     Duration expectedTimeToFirstEvent{}; ///< 0 if this dispatcher did not assign the request.
     bool usesAllowance = false;          ///< This dispatcher counted it against the runner's limit.
   };
@@ -369,6 +374,16 @@
   std::optional<Duration> EstimateTimeToFirstEvent(TimePoint aNow,
                                                    const ManagedRunner& aRunner,
                                                    const WaitingRequest& aWaiting) const;
+  /* Returns whether the runner has no room for the request besides those that it runs. */
+  static bool IsFull(const ManagedRunner& aRunner, const PlacementRequest& aRequest);
+
+  // dispatcher_refuse.cpp
+  /* Returns the forecast for a request that waits for a slot, or nothing if it does not wait for
+   * one or no forecast is possible. */
+  std::optional<SlotForecast> ForecastFor(TimePoint aNow, const WaitingRequest& aWaiting) const;
+  /* Refuses a request that gets no slot in time at the runners that hold its model. Returns whether
+   * it did. */
+  bool RefuseWithoutSlot(TimePoint aNow, WaitingRequest& aWaiting);
   /* Refuses a request for which no usable runner has the model, if a replica cannot be there in
    * time. Returns whether it did. */
   bool RefuseWithoutReplica(TimePoint aNow, const WaitingRequest& aWaiting, const Model& aModel);
@@ -393,12 +408,14 @@
   /* Returns whether a replica that counts for the missing model is planned or ordered. */
   bool HasIncomingReplica(TimePoint aNow, const MissingModel& aModel) const;
 
-  // dispatcher_assign.cpp
+  // dispatcher_refuse.cpp
   void Refuse(TimePoint aNow,
               const WaitingRequest& aWaiting,
               ResultCode aCode,
               Duration aRetryAfter,
               std::string_view aWhy);
+
+  // dispatcher_assign.cpp
   /* Returns when the runner's pause for the requesting daemon ends, or nothing if it has ended or
    * there is none. */
   static std::optional<TimePoint> PauseEnd(TimePoint aNow,
@@ -555,6 +572,7 @@
   AssignmentOrder mAssignmentOrder;
   /* Models of the runners where requests have ended since the last assignments. */
   std::unordered_set<ModelId> mFreedModels;
+  WaitingCounts mWaitingCounts; ///< Of the requests that are tried in this round.
   bool mIsTakingOver = false; ///< Allowances are emptied at the next tick.
   /* Statements of processes whose entries have not arrived yet. */
   std::map<EndpointId, LimitStatement> mEarlyLimits;
--- a/src/decision/fleet/dispatcher_assign.cpp
+++ b/src/decision/fleet/dispatcher_assign.cpp
@@ -70,6 +70,7 @@
   if (!aAreAllDue && dueModels.empty()) {
     return;
   }
+  mWaitingCounts = {};
   std::vector<WaitingTurn> turns;
   for (std::size_t position = 0; position < mWaitingRequests.size(); ++position) {
     WaitingRequest& waiting = mWaitingRequests[position];
@@ -77,6 +78,8 @@
       continue;
     }
     waiting.wasTried = true;
+    mWaitingCounts.AddWaiting(
+      waiting.request.work.target.model, waiting.request.priority, waiting.request.account);
     turns.push_back({ .position = position,
                       .priority = waiting.request.priority,
                       .account = waiting.request.account });
@@ -84,7 +87,14 @@
   AssignmentRound round{ mAssignmentOrder, aNow, turns };
   std::vector<bool> isAnswered(mWaitingRequests.size(), false);
   while (const auto position = round.Next()) {
-    isAnswered[*position] = TryToAssign(aNow, mWaitingRequests[*position]);
+    WaitingRequest& waiting = mWaitingRequests[*position];
+    const PlacementRequest& request = waiting.request;
+    isAnswered[*position] = TryToAssign(aNow, waiting);
+    if (isAnswered[*position]) {
+      mWaitingCounts.RemoveWaiting(request.work.target.model, request.priority, request.account);
+    } else {
+      mWaitingCounts.AddTried(request.work.target.model, request.priority, request.account);
+    }
   }
   std::size_t position = 0;
   std::erase_if(mWaitingRequests, [&](const WaitingRequest&) { return isAnswered[position++]; });
@@ -95,6 +105,15 @@
   return !aRunner.isGone && !aRunner.saysLeaving && aRunner.entry.state == RunnerState::kReady;
 }
 
+bool Dispatcher::IsFull(const ManagedRunner& aRunner, const PlacementRequest& aRequest)
+{
+  const std::uint64_t tokens = aRequest.work.promptTokens + aRequest.work.outputTokens;
+  return aRunner.inFlight >= aRunner.entry.slots ||
+         (aRunner.inFlight > 0 &&
+          static_cast<double>(aRunner.tokens + tokens) >
+            kMaxCacheFill * static_cast<double>(aRunner.engine->cacheTokens));
+}
+
 std::optional<Duration> Dispatcher::EstimateTimeToFirstEvent(TimePoint aNow,
                                                              const ManagedRunner& aRunner,
                                                              const WaitingRequest& aWaiting) const
@@ -104,13 +123,7 @@
   if (held == aRunner.models.end() || held->second.isLeaving) {
     return std::nullopt;
   }
-  const Engine* engine = aRunner.engine;
-  const std::uint64_t tokens = request.work.promptTokens + request.work.outputTokens;
-  const bool isFull =
-    aRunner.inFlight >= aRunner.entry.slots ||
-    (aRunner.inFlight > 0 && static_cast<double>(aRunner.tokens + tokens) >
-                               kMaxCacheFill * static_cast<double>(engine->cacheTokens));
-  if (isFull) {
+  if (IsFull(aRunner, request)) {
     return std::nullopt;
   }
   const std::uint32_t cachedTokens =
@@ -226,6 +239,9 @@
         aNow, aWaiting, ResultCode::kReplicaUnavailable, kRetryAfterRefusal, "no_orders_possible");
       return true;
     }
+    if (RefuseWithoutSlot(aNow, aWaiting)) {
+      return true;
+    }
     return RefuseWithoutReplica(aNow, aWaiting, engine->models.at(request.work.target.model));
   }
   const ModelRef& target = request.work.target;
@@ -251,42 +267,6 @@
   return true;
 }
 
-/* Load pattern: more models requested than can be swapped in, or some without a copy on any
- * runner's disk. A request that cannot be served in time is refused as soon as this is known, so
- * that its caller can act, and with the time at which a replica is expected. */
-bool Dispatcher::RefuseWithoutReplica(TimePoint aNow,
-                                      const WaitingRequest& aWaiting,
-                                      const Model& aModel)
-{
-  const PlacementRequest& request = aWaiting.request;
-  const bool mayOrderLater = mOrderPermission.allowedFrom && *mOrderPermission.allowedFrom > aNow;
-  if ((!mOrderPermission.mayOrder && !mayOrderLater) ||
-      CountReplicas(request.service, aModel.id) > 0) {
-    return false;
-  }
-  const auto refuse = [&](Duration aRetryAfter, std::string_view aWhy) {
-    mRefusedModels[{ request.service, aModel.id }] = aNow;
-    Refuse(aNow, aWaiting, ResultCode::kReplicaUnavailable, aRetryAfter, aWhy);
-    return true;
-  };
-  if (const auto ready = TimeUntilReplica(aNow, request.service, aModel.id)) {
-    return aNow + *ready + kMinServiceTime > aWaiting.deadline &&
-           refuse(*ready, "replica_too_late");
-  }
-  const Duration fastest = HadLocalCopy(aNow, request.service, aModel.id)
-                             ? std::min(aModel.diskLoadTime, aModel.storeLoadTime)
-                             : aModel.storeLoadTime;
-  if (mayOrderLater) {
-    const Duration ready = *mOrderPermission.allowedFrom - aNow + fastest;
-    return aNow + ready + kMinServiceTime > aWaiting.deadline && refuse(ready, "no_orders_in_time");
-  }
-  if (aNow + fastest + kMinServiceTime > aWaiting.deadline) {
-    return refuse(fastest, "no_copy_in_time");
-  }
-  const Duration maxWait = std::max(request.latencyObjective * 3 / 2, kMinWaitForModel);
-  return aNow - aWaiting.receivedAt > maxWait && refuse(kRetryAfterRefusal, "no_replica_in_time");
-}
-
 std::optional<TimePoint> Dispatcher::PauseEnd(TimePoint aNow,
                                               const WaitingRequest& aWaiting,
                                               const EndpointId& aRunner)
@@ -323,24 +303,4 @@
                                               .version = aRunner.entry.softwareVersion } });
 }
 
-void Dispatcher::Refuse(TimePoint aNow,
-                        const WaitingRequest& aWaiting,
-                        ResultCode aCode,
-                        Duration aRetryAfter,
-                        std::string_view aWhy)
-{
-  LogDecision({ .event = "place_refused",
-                .request = aWaiting.request.requestId,
-                .runner = {},
-                .model = aWaiting.request.work.target,
-                .why = aWhy,
-                .account = aWaiting.request.account,
-                .accountUse = mAssignmentOrder.RelativeUse(aNow, aWaiting.request.account),
-                .time = aNow - aWaiting.receivedAt,
-                .count = mWaitingRequests.size() });
-  mActions.emplace_back(
-    PlacementReply{ .id = aWaiting.request.id,
-                    .answer = PlacementRefused{ .code = aCode, .retryAfter = aRetryAfter } });
-}
-
 } // namespace rhubarbtrail::fleet
--- a/tests/fleet/overload_test.cpp
+++ b/tests/fleet/overload_test.cpp
@@ -1,10 +1,12 @@
 /* What the dispatcher does while demand exceeds capacity, in simulated time. Each load is run with
  * the decision and without accounts, where requests are tried by priority and arrival. */
+#include "decision/fleet/dispatch_estimate.h"
 #include "tests/fleet/fleet_world.h"
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <set>
 
 using namespace rhubarbtrail;
 using namespace rhubarbtrail::fleet;
@@ -166,3 +168,101 @@
   }
   CHECK(last == world.CountServed());
 }
+
+namespace {
+
+struct Burst
+{
+  std::size_t served = 0;
+  std::size_t refused = 0;
+  Duration longestRefusedWait{}; ///< From the arrival of a request to its refusal.
+  Duration refusedWaits{};       ///< Of all refused requests together.
+  std::size_t refusedWhileHalfFree = 0;
+  std::set<Duration> retryTimes;
+};
+
+/* Sends requests of random accounts at this rate for 20 s to one runner with 8 slots, which serves
+ * 5.3 a second. */
+Burst RunBurst(double aRate, bool aIsEnabled, std::uint32_t aSeed)
+{
+  std::vector<ClientAccount> accounts;
+  for (const char* name : { "a", "b", "c", "d" }) {
+    accounts.push_back({ .id = ClientAccountId{ name } });
+  }
+  FleetWorld world({ .runners = 1,
+                     .models = 2,
+                     .modelsPerRunner = 2,
+                     .slots = 8,
+                     .seed = aSeed,
+                     .accounts = aIsEnabled ? accounts : std::vector<ClientAccount>{} });
+  std::uniform_real_distribution<double> uniform{ 0.0, 1.0 };
+  Burst result;
+  for (int step = 0; step < 2'600; ++step) {
+    if (step < 2'000 && uniform(world.random) < aRate * 0.01) {
+      const auto index = static_cast<std::size_t>(uniform(world.random) * 4.0);
+      world.SendRequest(step % 2 == 0 ? "m0" : "m1", {}, 1, 5s, [&](PlacementRequest& aRequest) {
+        aRequest.account = accounts[index].id;
+      });
+    }
+    const std::size_t refusedBefore = world.CountRefused();
+    world.Run(10ms);
+    if (world.CountRefused() > refusedBefore && world.runners[0].runningRequests.size() < 4) {
+      ++result.refusedWhileHalfFree;
+    }
+  }
+  result.served = world.CountServed();
+  result.refused = world.CountRefused();
+  for (const auto& [number, outcome] : world.outcomes) {
+    if (outcome.isRefused) {
+      const Duration wait = outcome.endedAt - outcome.requestedAt;
+      result.longestRefusedWait = std::max(result.longestRefusedWait, wait);
+      result.refusedWaits += wait;
+      result.retryTimes.insert(outcome.retryAfter.value_or(Duration::zero()));
+    }
+  }
+  return result;
+}
+
+} // namespace
+
+// Each request that got no slot waited until its deadline, 5 s here, before it was refused.
+TEST_CASE("load: a request that gets no slot before its deadline is refused on arrival")
+{
+  for (const std::uint32_t seed : { 1U, 2U, 3U }) {
+    CAPTURE(seed);
+    const Burst on = RunBurst(20.0, true, seed);
+    const Burst off = RunBurst(20.0, false, seed);
+    MESSAGE("served " << on.served << ", refused " << on.refused << " after "
+                      << ToSeconds(on.refusedWaits) / static_cast<double>(on.refused)
+                      << " s on average, at most " << ToSeconds(on.longestRefusedWait)
+                      << " s; without the decision " << off.served << ", " << off.refused << ", "
+                      << ToSeconds(off.refusedWaits) / static_cast<double>(off.refused) << " s, "
+                      << ToSeconds(off.longestRefusedWait) << " s");
+    CHECK(2.0 * ToSeconds(on.refusedWaits) / static_cast<double>(on.refused) <
+          ToSeconds(off.refusedWaits) / static_cast<double>(off.refused));
+    CHECK(static_cast<double>(on.served) >= 0.97 * static_cast<double>(off.served));
+    CHECK(on.refusedWhileHalfFree == 0);
+  }
+}
+
+// A refused client comes back once only, so a refusal without need is worse than a wait.
+TEST_CASE("load: nothing is refused while the runners can serve all")
+{
+  for (const std::uint32_t seed : { 1U, 2U, 3U }) {
+    CHECK(RunBurst(4.8, true, seed).refused <= RunBurst(4.8, false, seed).refused);
+  }
+}
+
+TEST_CASE("a runner with under half of its slots taken gives no forecast")
+{
+  const FullRunner full{ .slots = 12, .inFlight = 12, .holdTime = 6s };
+  const auto forecast = ForecastSlot({ full, full }, 7.0);
+  REQUIRE(forecast);
+  CHECK(forecast->wait == 2s);
+  CHECK(forecast->interval == 250ms);
+  CHECK_FALSE(ForecastSlot({ full, { .slots = 12, .inFlight = 5, .holdTime = 6s } }, 7.0));
+  CHECK_FALSE(ForecastSlot({ full, { .slots = 12, .inFlight = 12 } }, 7.0));
+  CHECK_FALSE(ForecastSlot({}, 7.0));
+  CHECK(IsTooLongToWait(*forecast, 1'400ms, false));
+  CHECK_FALSE(IsTooLongToWait(*forecast, 1'400ms, true));
+}
