Add: [Dispatcher] Spread the times at which refused clients come back

Cause: all clients that are refused for one model at once got the same Retry-After, came back together and were refused again. Change: where the configuration has accounts, the times given for one model are apart by the interval at which slots become free, or by 50 ms if the model has no replica, over 4 s at the most. None is earlier than the forecast. The test was seen to fail with the spread off.

--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -573,6 +573,7 @@
   /* Models of the runners where requests have ended since the last assignments. */
   std::unordered_set<ModelId> mFreedModels;
   WaitingCounts mWaitingCounts; ///< Of the requests that are tried in this round.
+  RetryPacing mRetryPacing;
   bool mIsTakingOver = false; ///< Allowances are emptied at the next tick.
   /* Statements of processes whose entries have not arrived yet. */
   std::map<EndpointId, LimitStatement> mEarlyLimits;
--- a/src/decision/fleet/dispatcher_refuse.cpp
+++ b/src/decision/fleet/dispatcher_refuse.cpp
@@ -10,6 +10,10 @@
 
 /* Time between two forecasts for one request. A forecast looks at all replicas of its model. */
 constexpr Duration kForecastInterval = 100ms;
+/* Time between the retries of two clients that were refused because their model has no replica. A
+ * runner processes a prompt of average length in about this time. */
+constexpr Duration kRetryInterval = 50ms;
+
 } // namespace
 
 /* Requests for other models of the same runners are ahead, too, as far as these runners serve them.
@@ -73,7 +77,11 @@
   if (replica && *replica + kMinServiceTime <= timeLeft) {
     return false; // Another replica may have room in time.
   }
-  Refuse(aNow, aWaiting, ResultCode::kReplicaUnavailable, forecast->wait, "no_slot_in_time");
+  Refuse(aNow,
+         aWaiting,
+         ResultCode::kReplicaUnavailable,
+         mRetryPacing.Next(aNow, model, forecast->wait, forecast->interval),
+         "no_slot_in_time");
   return true;
 }
 
@@ -92,7 +100,10 @@
   }
   const auto refuse = [&](Duration aRetryAfter, std::string_view aWhy) {
     mRefusedModels[{ request.service, aModel.id }] = aNow;
-    Refuse(aNow, aWaiting, ResultCode::kReplicaUnavailable, aRetryAfter, aWhy);
+    const Duration retryAfter = mAssignmentOrder.IsEnabled()
+                                  ? mRetryPacing.Next(aNow, aModel.id, aRetryAfter, kRetryInterval)
+                                  : aRetryAfter;
+    Refuse(aNow, aWaiting, ResultCode::kReplicaUnavailable, retryAfter, aWhy);
     return true;
   };
   if (const auto ready = TimeUntilReplica(aNow, request.service, aModel.id)) {
--- a/src/decision/fleet/slot_forecast.cpp
+++ b/src/decision/fleet/slot_forecast.cpp
@@ -1,4 +1,4 @@
-/* Forecasts of waiting times. */
+/* Forecasts of waiting times, and the spread of retries. */
 #include "decision/fleet/slot_forecast.h"
 
 #include "decision/fleet/dispatch_estimate.h"
@@ -18,6 +18,11 @@
  * has a standard deviation of the square root of n intervals between two of them. */
 constexpr double kDeviationsOfNew = 1.0;
 constexpr double kDeviationsOfAdmitted = 2.0;
+/* Longest time by which a retry is moved back. A client comes back after a third of its remaining
+ * time at the latest, so a longer one only moves retries together. */
+constexpr Duration kMaxSpread = 4s;
+constexpr std::size_t kMaxPacedModels = 1'000;
+
 } // namespace
 
 void SlotHoldTime::Record(Duration aTime)
@@ -115,4 +120,21 @@
   return earliest + ToSeconds(kMinServiceTime) > ToSeconds(aTimeLeft);
 }
 
+Duration RetryPacing::Next(TimePoint aNow,
+                           const ModelId& aModel,
+                           Duration aWait,
+                           Duration aInterval)
+{
+  if (mNextAt.size() > kMaxPacedModels) {
+    std::erase_if(mNextAt, [aNow](const auto& aItem) { return aItem.second <= aNow; });
+  }
+  TimePoint& next = mNextAt[aModel];
+  if (next < aNow + aWait || next > aNow + aWait + kMaxSpread) {
+    next = aNow + aWait;
+  }
+  const Duration time = next - aNow;
+  next += aInterval;
+  return time;
+}
+
 } // namespace rhubarbtrail::fleet
--- a/src/decision/fleet/slot_forecast.h
+++ b/src/decision/fleet/slot_forecast.h
@@ -1,4 +1,5 @@
-/* Forecasts when a waiting request gets a slot at the runners that hold its model. */
+/* Forecasts when a waiting request gets a slot at the runners that hold its model, and when a
+ * refused client should come back. */
 #ifndef RHUBARBTRAIL_DECISION_FLEET_SLOT_FORECAST_H
 #define RHUBARBTRAIL_DECISION_FLEET_SLOT_FORECAST_H
 
@@ -89,6 +90,19 @@
  * was let wait before. */
 bool IsTooLongToWait(const SlotForecast& aForecast, Duration aTimeLeft, bool aWasAdmitted);
 
+/* Spreads the times at which refused clients are told to come back. Load pattern: many requests are
+ * refused at once. With one time for all, their retries arrive together and are refused again. */
+class RetryPacing
+{
+public:
+  /* Returns the time until the client should come back, which is at least aWait. The times given
+   * for one model are aInterval apart. */
+  Duration Next(TimePoint aNow, const ModelId& aModel, Duration aWait, Duration aInterval);
+
+private:
+  std::map<ModelId, TimePoint> mNextAt;
+};
+
 } // namespace rhubarbtrail::fleet
 
 #endif
--- a/tests/fleet/overload_test.cpp
+++ b/tests/fleet/overload_test.cpp
@@ -245,6 +245,16 @@
   }
 }
 
+// With one retry time for all, those refused together came back together and were refused again.
+TEST_CASE("load: clients refused together are told different times to come back")
+{
+  const Burst on = RunBurst(60.0, true, 1);
+  MESSAGE(on.refused << " refused with " << on.retryTimes.size() << " retry times from "
+                     << ToSeconds(*on.retryTimes.begin()) << " to "
+                     << ToSeconds(*on.retryTimes.rbegin()) << " s");
+  CHECK(2 * on.retryTimes.size() > on.refused);
+}
+
 // A refused client comes back once only, so a refusal without need is worse than a wait.
 TEST_CASE("load: nothing is refused while the runners can serve all")
 {
