Add: [Dispatcher] Order loads of rare models by what they serve

Cause: missing models were planned by the number of their waiting requests, also of those that a load would serve late or not at all, and among equal ones by their names. Change: where the configuration has accounts, the load that serves most goes first, a late answer counted as a part of one in time; among equal ones that with the most urgent request, then that which would first lose a request by waiting.

--- a/src/decision/fleet/dispatch_estimate.h
+++ b/src/decision/fleet/dispatch_estimate.h
@@ -27,6 +27,8 @@
 constexpr double kMaxWorkPerReplica = 0.5;
 /* Value of a replica beyond the number needed, relative to a needed one. */
 constexpr double kSurplusReplicaFactor = 0.05;
+/* Value of a late answer relative to one in time. Operators state a seventh to a half. */
+constexpr double kLateAnswerValue = 0.2;
 /* Least time until a request's deadline with which an answer can still be complete. */
 constexpr Duration kMinServiceTime = 250ms;
 /* Least time that a request waits for its model before it is refused because no load is planned. */
--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -9,6 +9,7 @@
 #include "decision/fleet/dispatch_type.h"
 #include "decision/fleet/endpoint_health.h"
 #include "decision/fleet/fleet_configuration_type.h"
+#include "decision/fleet/model_worth.h"
 #include "decision/fleet/order_type.h"
 #include "decision/fleet/prompt_cache.h"
 #include "decision/fleet/request_allowance.h"
@@ -445,6 +446,10 @@
   void PlanMissingModel(TimePoint aNow,
                         const MissingModel& aMissing,
                         const std::vector<const WaitingRequest*>& aWaiting);
+  /* Returns what a load of the model is worth to these requests if it begins now. */
+  LoadWorth WorthOfLoadNow(TimePoint aNow,
+                           const MissingModel& aMissing,
+                           const std::vector<const WaitingRequest*>& aWaiting);
   /* Returns whether a swap can be planned at the runner: it is ready, its holdings are confirmed,
    * no other swap is planned and no model order is pending. */
   bool CanPlanSwap(const ManagedRunner& aRunner) const;
--- a/src/decision/fleet/dispatcher_plan.cpp
+++ b/src/decision/fleet/dispatcher_plan.cpp
@@ -317,6 +317,15 @@
   std::stable_sort(ordered.begin(), ordered.end(), [](const auto& aLeft, const auto& aRight) {
     return aLeft.first > aRight.first;
   });
+  if (mAssignmentOrder.IsEnabled()) {
+    std::map<MissingModel, LoadWorth> worths;
+    for (const auto& [count, key] : ordered) {
+      worths.emplace(key, WorthOfLoadNow(aNow, key, missing.at(key)));
+    }
+    std::stable_sort(ordered.begin(), ordered.end(), [&](const auto& aLeft, const auto& aRight) {
+      return GoesBefore(worths.at(aLeft.second), worths.at(aRight.second));
+    });
+  }
   // Planning a model scans all runners. Models beyond the limit are planned in the next rounds.
   std::size_t planned = 0;
   for (const auto& [count, key] : ordered) {
@@ -331,6 +340,24 @@
   }
 }
 
+LoadWorth Dispatcher::WorthOfLoadNow(TimePoint aNow,
+                                     const MissingModel& aMissing,
+                                     const std::vector<const WaitingRequest*>& aWaiting)
+{
+  const Model& model = *EngineOf(aMissing.service)->Find(aMissing.model);
+  const Duration loadTime = HadLocalCopy(aNow, aMissing.service, aMissing.model)
+                              ? std::min(model.diskLoadTime, model.storeLoadTime)
+                              : model.storeLoadTime;
+  std::vector<WaitingWork> work;
+  work.reserve(aWaiting.size());
+  for (const WaitingRequest* waiting : aWaiting) {
+    work.push_back({ .priority = waiting->request.priority,
+                     .latestInTime = waiting->receivedAt + waiting->request.latencyObjective,
+                     .deadline = waiting->deadline });
+  }
+  return WorthOfLoad(work, aNow + loadTime);
+}
+
 void Dispatcher::PlanMissingModel(TimePoint aNow,
                                   const MissingModel& aMissing,
                                   const std::vector<const WaitingRequest*>& aWaiting)
--- a/src/decision/fleet/dispatcher_value.cpp
+++ b/src/decision/fleet/dispatcher_value.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-/* Value of a late answer relative to one in time. Operators state a seventh to a half. */
-constexpr double kLateAnswerValue = 0.2;
 /* Time after a load during which later requests for the model count as won by it, in seconds. A
  * copy on a runner's disk lasts longer than a place in its memory. */
 constexpr double kDiskLoadHorizonS = 8.0;
--- a/tests/fleet/overload_test.cpp
+++ b/tests/fleet/overload_test.cpp
@@ -6,6 +6,8 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <functional>
+#include <numeric>
 #include <set>
 
 using namespace rhubarbtrail;
@@ -276,3 +278,143 @@
   CHECK(IsTooLongToWait(*forecast, 1'400ms, false));
   CHECK_FALSE(IsTooLongToWait(*forecast, 1'400ms, true));
 }
+
+namespace {
+
+struct RareLoad
+{
+  double hotRate = 12.0; ///< Requests a second for models in constant use.
+  double rareRate = 2.0; ///< For all other models together.
+  double burstFactor = 4.0;
+  std::uint32_t seed = 1;
+};
+
+struct RareResult
+{
+  double rareValue = 0.0; ///< Of requests for rare models, a late answer counted as 0.22.
+  double hotValue = 0.0;
+  double rare = 0.0;
+  double hot = 0.0;
+  double bound = 0.0; ///< Of the value for rare models, for who knows all requests in advance.
+};
+
+/* Returns what the loads of the day can serve at the most, by the times of the requests for each
+ * rare model. The models in constant use need eight of the sixteen places. In each of the others, a
+ * load and the requests after it take 3.1 s, and one load serves the requests of 5 s in time. */
+double BoundOf(const std::map<std::string, std::vector<TimePoint>>& aArrivals)
+{
+  std::vector<double> counts;
+  for (const auto& [model, times] : aArrivals) {
+    TimePoint end{};
+    for (const TimePoint time : times) {
+      if (time >= end) {
+        end = time + 5s;
+        counts.push_back(0.0);
+      }
+      counts.back() += 1.0;
+    }
+  }
+  std::sort(counts.begin(), counts.end(), std::greater<>{});
+  counts.resize(std::min<std::size_t>(counts.size(), static_cast<std::size_t>(8 * 60.0 / 3.1)));
+  return std::accumulate(counts.begin(), counts.end(), 0.0);
+}
+
+/* Runs 60 s with a burst of requests for rare models in the middle at 8 runners with two models
+ * each, of 60 models. Those in constant use fill half of the places. */
+RareResult RunRare(const RareLoad& aLoad, bool aIsEnabled)
+{
+  FleetWorld world({ .runners = 8,
+                     .models = 60,
+                     .modelsPerRunner = 2,
+                     .slots = 12,
+                     .diskLoadTime = 1'600ms,
+                     .seed = aLoad.seed,
+                     .accounts = aIsEnabled
+                                   ? std::vector<ClientAccount>{ { .id = ClientAccountId{ "a" } } }
+                                   : std::vector<ClientAccount>{} });
+  const TimePoint start = world.now;
+  std::uniform_real_distribution<double> uniform{ 0.0, 1.0 };
+  std::map<std::uint64_t, bool> isRare;
+  const auto send = [&](bool aIsRare) {
+    const double model = aIsRare ? 8.0 + 52.0 * uniform(world.random) : 8.0 * uniform(world.random);
+    isRare[world.SendRequest("m" + std::to_string(static_cast<int>(model)),
+                             {},
+                             aIsRare ? 1 : 0,
+                             aIsRare ? 20s : 12s,
+                             [&](PlacementRequest& aRequest) {
+                               aRequest.account = ClientAccountId{ "a" };
+                               aRequest.latencyObjective = aIsRare ? 5s : 500ms;
+                             })] = aIsRare;
+  };
+  while (world.now < start + 60s) {
+    const bool isBurst = world.now > start + 20s && world.now < start + 40s;
+    if (uniform(world.random) < aLoad.hotRate * 0.01) {
+      send(false);
+    }
+    if (uniform(world.random) < aLoad.rareRate * (isBurst ? aLoad.burstFactor : 1.0) * 0.01) {
+      send(true);
+    }
+    world.Run(10ms);
+  }
+  world.Run(21s);
+  RareResult result;
+  std::map<std::string, std::vector<TimePoint>> rareArrivals;
+  for (const auto& [number, outcome] : world.outcomes) {
+    const bool isRareOne = isRare[number];
+    const Duration objective = isRareOne ? Duration{ 5s } : Duration{ 500ms };
+    double value = 0.0;
+    if (outcome.startedAt) {
+      value = *outcome.startedAt - outcome.requestedAt <= objective ? 1.0 : 0.22;
+    }
+    (isRareOne ? result.rareValue : result.hotValue) += value;
+    (isRareOne ? result.rare : result.hot) += 1.0;
+    if (isRareOne) {
+      rareArrivals[outcome.model].push_back(outcome.requestedAt);
+    }
+  }
+  result.bound = BoundOf(rareArrivals);
+  return result;
+}
+
+} // namespace
+
+// Among models with equally many waiting requests, the first in the order of their names was loaded
+// first. Those with late names, and requests that would soon be late, came last again and again.
+TEST_CASE(
+  "load: loads in the order of their worth serve more than in the order of waiting requests")
+{
+  RareResult on;
+  RareResult off;
+  for (std::uint32_t seed = 1; seed <= 4; ++seed) {
+    for (const bool isOn : { true, false }) {
+      const RareResult result = RunRare({ .burstFactor = 10.0, .seed = seed }, isOn);
+      RareResult& sum = isOn ? on : off;
+      sum.rareValue += result.rareValue;
+      sum.hotValue += result.hotValue;
+      sum.rare += result.rare;
+      sum.hot += result.hot;
+      sum.bound += result.bound;
+    }
+  }
+  MESSAGE("rare " << on.rareValue << ", by count " << off.rareValue << ", at most " << on.bound
+                  << " of " << on.rare << "; in constant use " << on.hotValue << ", by count "
+                  << off.hotValue << " of " << on.hot);
+  CHECK(on.rareValue + on.hotValue > 1.01 * (off.rareValue + off.hotValue));
+}
+
+TEST_CASE("a load that serves as many goes first if it has a more urgent or a sooner lost request")
+{
+  const TimePoint now{ 100s };
+  const WaitingWork soon{ .priority = 1, .latestInTime = now + 3s, .deadline = now + 20s };
+  const WaitingWork later{ .priority = 1, .latestInTime = now + 5s, .deadline = now + 20s };
+  const WaitingWork urgent{ .priority = 0, .latestInTime = now + 5s, .deadline = now + 20s };
+  const auto worth = [&](const std::vector<WaitingWork>& aWaiting) {
+    return WorthOfLoad(aWaiting, now + 2s);
+  };
+  CHECK(GoesBefore(worth({ soon }), worth({ later })));
+  CHECK(GoesBefore(worth({ urgent }), worth({ soon })));
+  CHECK(GoesBefore(worth({ later, later }), worth({ urgent })));
+  // A late answer is worth less, and one after the deadline nothing.
+  CHECK(GoesBefore(WorthOfLoad({ later }, now + 4s), WorthOfLoad({ soon, soon }, now + 4s)));
+  CHECK(WorthOfLoad({ soon, later }, now + 20s).value == 0.0);
+}
