Add: [Dispatcher] Show the use of accounts, and describe the decisions under overload

Cause: operators could not see why a customer's requests wait or are refused. Change: the state dump of the dispatcher lists what each account has used of its entitlement and whether it counts as starved; a metric counts refusals without a slot in time.

--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -785,6 +785,12 @@
       { "members", mMember.memberCount() },
       { "runners", nlohmann::ordered_json::array() }
     };
+    for (const ClientAccountId& account : mDispatcher.assignmentOrder().Accounts()) {
+      state["accounts"].push_back(
+        { { "account", account.str() },
+          { "runner_use", mDispatcher.assignmentOrder().RelativeUse(now, account) },
+          { "starved", mDispatcher.assignmentOrder().IsStarved(now, account) } });
+    }
     for (const auto& [id, runner] : mRunners.runners()) {
       const auto managed = mDispatcher.runners().find(id);
       nlohmann::ordered_json item{
@@ -843,6 +849,9 @@
         "Requests of all daemons that wait here.",
         mDispatcher.waitingRequests() },
       { "places_in_use", "Places given out here.", mDispatcher.activeAssignments() },
+      { "places_refused_without_slot",
+        "Requests refused here because no slot was expected in time.",
+        mDispatcher.refusedWithoutSlot() },
       { "runners_known", "Runners that are known.", mRunners.runners().size() },
       { "configuration_version",
         "Version in force.",
--- a/src/decision/fleet/assignment_order.cpp
+++ b/src/decision/fleet/assignment_order.cpp
@@ -87,6 +87,16 @@
   ++mChangeCount;
 }
 
+std::vector<ClientAccountId> AssignmentOrder::Accounts() const
+{
+  std::vector<ClientAccountId> accounts;
+  accounts.reserve(mTracked.size());
+  for (const auto& [id, account] : mTracked) {
+    accounts.push_back(id);
+  }
+  return accounts;
+}
+
 double AssignmentOrder::Entitlement(TimePoint aNow, const ClientAccountId& aAccount) const
 {
   const double total = mTotal.runnerTime.ValueAt(aNow);
--- a/src/decision/fleet/assignment_order.h
+++ b/src/decision/fleet/assignment_order.h
@@ -54,6 +54,8 @@
    * requests, although it has used less than the accounts on average. Its requests go first then,
    * because strict priority would keep a less urgent account from any slot. */
   bool IsStarved(TimePoint aNow, const ClientAccountId& aAccount) const;
+  /* Returns the accounts with recent requests. */
+  std::vector<ClientAccountId> Accounts() const;
   /* Counts all changes of what the functions above return, other than by the passing of time. */
   std::uint64_t changeCount() const { return mChangeCount; }
 
--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -221,6 +221,9 @@
 
   std::size_t waitingRequests() const { return mWaitingRequests.size(); }
   std::size_t activeAssignments() const { return mAssignments.size(); }
+  /* Number of requests refused because no slot was expected in time. */
+  std::uint64_t refusedWithoutSlot() const { return mRefusedWithoutSlot; }
+  const AssignmentOrder& assignmentOrder() const { return mAssignmentOrder; }
   const std::map<EndpointId, ManagedRunner>& runners() const { return mRunners; }
 
   /* Limits on loads from the weight store. */
@@ -579,6 +582,7 @@
   std::unordered_set<ModelId> mFreedModels;
   WaitingCounts mWaitingCounts; ///< Of the requests that are tried in this round.
   RetryPacing mRetryPacing;
+  std::uint64_t mRefusedWithoutSlot = 0;
   bool mIsTakingOver = false; ///< Allowances are emptied at the next tick.
   /* Statements of processes whose entries have not arrived yet. */
   std::map<EndpointId, LimitStatement> mEarlyLimits;
--- a/src/decision/fleet/dispatcher_refuse.cpp
+++ b/src/decision/fleet/dispatcher_refuse.cpp
@@ -77,6 +77,7 @@
   if (replica && *replica + kMinServiceTime <= timeLeft) {
     return false; // Another replica may have room in time.
   }
+  ++mRefusedWithoutSlot;
   Refuse(aNow,
          aWaiting,
          ResultCode::kReplicaUnavailable,
