--- a/src/decision/fleet/dispatcher.cpp
+++ b/src/decision/fleet/dispatcher.cpp
@@ -38,6 +38,7 @@
 void Dispatcher::SetConfiguration(std::shared_ptr<const FleetConfiguration> aConfiguration)
 {
   mConfiguration = std::move(aConfiguration);
+  mAssignmentOrder.SetAccounts(mConfiguration->accounts);
   mWeightMemories.clear();
   for (const auto& [id, service] : mConfiguration->services) {
     if (service.engine) {
@@ -241,6 +242,7 @@
     const double factor = mServiceTimes.Factor(model);
     mDemand.Record(aNow, model, ScaleDuration(EstimateRunnerTime(aRequest.work), factor));
   }
+  mAssignmentOrder.OnRequest(aNow, aRequest.account);
   // Load pattern: bursts at several hosts at once. The most urgent requests of all hosts go first.
   const auto position = std::upper_bound(mWaitingRequests.begin(),
                                          mWaitingRequests.end(),
@@ -272,9 +274,20 @@
   if (aReleased.end == AssignmentEnd::kWithdrawn) {
     GiveBackRequestAllowance(aNow, assignment->second);
   }
+  if (aReleased.end == AssignmentEnd::kWithdrawn || aReleased.end == AssignmentEnd::kRefused) {
+    mAssignmentOrder.OnNotRun(
+      aNow,
+      assignment->second.account,
+      { .time = assignment->second.runnerTime, .tokens = assignment->second.tokens });
+  }
   const auto runner = mRunners.find(assignment->second.runner);
   if (runner != mRunners.end()) {
     runner->second.health.Record(aNow, EndpointOutcomeOf(aReleased.end));
+    const bool hasRun =
+      aReleased.end == AssignmentEnd::kDone || aReleased.end == AssignmentEnd::kFailed;
+    if (hasRun && assignment->second.expectedTimeToFirstEvent > Duration::zero()) {
+      runner->second.holdTime.Record(aNow - assignment->second.assignedAt);
+    }
     if (aReleased.end == AssignmentEnd::kRefused) {
       // The runner may not hold what is assumed. It gets no orders until a report confirms its
       // state.
@@ -324,6 +337,7 @@
 {
   mActiveSince.reset();
   mWaitingRequests.clear();
+  mAssignmentOrder.Clear();
   CancelSwaps();
   ReleaseAssignmentsOf(std::nullopt);
   for (auto& [id, runner] : mRunners) {
@@ -343,8 +357,14 @@
   const Assignment assignment{ .runner = aRunner.entry.id,
                                .model = target,
                                .tokens = aRequest.work.promptTokens + aRequest.work.outputTokens,
+                               .account = aRequest.account,
+                               .runnerTime = ScaleDuration(EstimateRunnerTime(aRequest.work),
+                                                           mServiceTimes.Factor(target.model)),
+                               .assignedAt = aNow,
                                .expectedTimeToFirstEvent = aTimeToFirstEvent };
   mAssignments.insert_or_assign(aRequest.id, assignment);
+  mAssignmentOrder.OnAssigned(
+    aNow, aRequest.account, { .time = assignment.runnerTime, .tokens = assignment.tokens });
   ++aRunner.inFlight;
   aRunner.tokens += assignment.tokens;
   const std::uint32_t cachedTokens = aRunner.cache.CachedTokens(aRequest.work);
@@ -379,6 +399,11 @@
   const auto decrement = [](auto& aCount, auto aBy) { aCount -= std::min(aCount, aBy); };
   decrement(runner->second.inFlight, 1U);
   decrement(runner->second.tokens, assignment.tokens);
+  if (mAssignmentOrder.IsEnabled()) {
+    for (const auto& [model, state] : runner->second.models) {
+      mFreedModels.insert(model);
+    }
+  }
   const auto held = runner->second.models.find(assignment.model.model);
   if (held != runner->second.models.end()) {
     decrement(held->second.inFlight, 1U);
--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -4,15 +4,18 @@
 #ifndef RHUBARBTRAIL_DECISION_FLEET_DISPATCHER_H
 #define RHUBARBTRAIL_DECISION_FLEET_DISPATCHER_H
 
+#include "decision/fleet/assignment_order.h"
 #include "decision/fleet/demand_tracker.h"
 #include "decision/fleet/dispatch_type.h"
 #include "decision/fleet/endpoint_health.h"
 #include "decision/fleet/fleet_configuration_type.h"
+#include "decision/fleet/model_worth.h"
 #include "decision/fleet/order_type.h"
 #include "decision/fleet/prompt_cache.h"
 #include "decision/fleet/request_allowance.h"
 #include "decision/fleet/returning_copies.h"
 #include "decision/fleet/service_time_tracker.h"
+#include "decision/fleet/slot_forecast.h"
 #include "decision/fleet/stated_limit.h"
 #include "decision/fleet/stream_origins.h"
 
@@ -44,6 +47,9 @@
   EndpointId runner;
   ModelRef model;
   std::string_view why;
+  ClientAccountId account; ///< Empty when the decision is not about a single request.
+  /* The account's part of its entitlement to runner time. 0 where there are no accounts. */
+  double accountUse = 0.0;
   /* An expected or elapsed duration, or the age of the last order, depending on the event. */
   Duration time{};
   /* Requests, orders or victims, depending on the event. */
@@ -164,6 +170,7 @@
   TimePoint promptsDoneAt{}; ///< When all prompts sent so far are expected to be processed.
   PromptCache cache;
   EndpointHealth health;
+  SlotHoldTime holdTime;
 };
 
 /* Returns the time to load a model from the fastest source that the runner has: host memory, its
@@ -215,6 +222,9 @@
 
   std::size_t waitingRequests() const { return mWaitingRequests.size(); }
   std::size_t activeAssignments() const { return mAssignments.size(); }
+  /* Number of requests refused because no slot was expected in time. */
+  std::uint64_t refusedWithoutSlot() const { return mRefusedWithoutSlot; }
+  const AssignmentOrder& assignmentOrder() const { return mAssignmentOrder; }
   const std::map<EndpointId, ManagedRunner>& runners() const { return mRunners; }
 
   /* Limits on loads from the weight store. */
@@ -237,6 +247,8 @@
     bool wasTried = false; ///< It could not be assigned when it arrived.
     /* The limited runner whose allowance it waits for. Empty if it waits for something else. */
     EndpointId awaitedRunner;
+    /* When to forecast again whether it gets a slot in time. Empty until the first forecast. */
+    std::optional<TimePoint> nextForecastAt;
   };
 
   /* A request that runs at a runner. */
@@ -245,6 +257,9 @@
     EndpointId runner;
     ModelRef model;
     std::uint64_t tokens = 0;
+    ClientAccountId account;
+    Duration runnerTime{}; ///< Estimated.
+    TimePoint assignedAt{};
     Duration expectedTimeToFirstEvent{}; ///< 0 if this dispatcher did not assign the request.
     bool usesAllowance = false;          ///< This dispatcher counted it against the runner's limit.
   };
@@ -355,6 +370,8 @@
 
   // dispatcher_assign.cpp
   void AssignWaitingRequests(TimePoint aNow);
+  /* Tries the requests that are due in the order that is fair over the accounts. */
+  void AssignInFairOrder(TimePoint aNow, bool aAreAllDue);
   /* Tries to assign a request. Returns whether it was answered and need not wait any longer. */
   bool TryToAssign(TimePoint aNow, WaitingRequest& aWaiting);
   bool IsUsable(const ManagedRunner& aRunner) const;
@@ -362,6 +379,16 @@
   std::optional<Duration> EstimateTimeToFirstEvent(TimePoint aNow,
                                                    const ManagedRunner& aRunner,
                                                    const WaitingRequest& aWaiting) const;
+  /* Returns whether the runner has no room for the request besides those that it runs. */
+  static bool IsFull(const ManagedRunner& aRunner, const PlacementRequest& aRequest);
+
+  // dispatcher_refuse.cpp
+  /* Returns the forecast for a request that waits for a slot, or nothing if it does not wait for
+   * one or no forecast is possible. */
+  std::optional<SlotForecast> ForecastFor(TimePoint aNow, const WaitingRequest& aWaiting) const;
+  /* Refuses a request that gets no slot in time at the runners that hold its model. Returns whether
+   * it did. */
+  bool RefuseWithoutSlot(TimePoint aNow, WaitingRequest& aWaiting);
   /* Refuses a request for which no usable runner has the model, if a replica cannot be there in
    * time. Returns whether it did. */
   bool RefuseWithoutReplica(TimePoint aNow, const WaitingRequest& aWaiting, const Model& aModel);
@@ -386,12 +413,14 @@
   /* Returns whether a replica that counts for the missing model is planned or ordered. */
   bool HasIncomingReplica(TimePoint aNow, const MissingModel& aModel) const;
 
-  // dispatcher_assign.cpp
+  // dispatcher_refuse.cpp
   void Refuse(TimePoint aNow,
               const WaitingRequest& aWaiting,
               ResultCode aCode,
               Duration aRetryAfter,
               std::string_view aWhy);
+
+  // dispatcher_assign.cpp
   /* Returns when the runner's pause for the requesting daemon ends, or nothing if it has ended or
    * there is none. */
   static std::optional<TimePoint> PauseEnd(TimePoint aNow,
@@ -421,6 +450,10 @@
   void PlanMissingModel(TimePoint aNow,
                         const MissingModel& aMissing,
                         const std::vector<const WaitingRequest*>& aWaiting);
+  /* Returns what a load of the model is worth to these requests if it begins now. */
+  LoadWorth WorthOfLoadNow(TimePoint aNow,
+                           const MissingModel& aMissing,
+                           const std::vector<const WaitingRequest*>& aWaiting);
   /* Returns whether a swap can be planned at the runner: it is ready, its holdings are confirmed,
    * no other swap is planned and no model order is pending. */
   bool CanPlanSwap(const ManagedRunner& aRunner) const;
@@ -553,6 +586,12 @@
   mutable bool mIsModelIndexStale = true;
   /* Ordered by priority, the most urgent first, and then by arrival. */
   std::deque<WaitingRequest> mWaitingRequests;
+  AssignmentOrder mAssignmentOrder;
+  /* Models of the runners where requests have ended since the last assignments. */
+  std::unordered_set<ModelId> mFreedModels;
+  WaitingCounts mWaitingCounts; ///< Of the requests that are tried in this round.
+  RetryPacing mRetryPacing;
+  std::uint64_t mRefusedWithoutSlot = 0;
   bool mIsTakingOver = false; ///< Allowances are emptied at the next tick.
   /* Statements of processes whose entries have not arrived yet. */
   std::map<EndpointId, LimitStatement> mEarlyLimits;
