--- a/src/decision/fleet/dispatch_type.h
+++ b/src/decision/fleet/dispatch_type.h
@@ -54,7 +54,10 @@
   std::string route;
   ServiceId service;
   ClientAccountId account; ///< Empty if the daemon is of a release that does not state it.
-  ModelWork work;          ///< Without a model for an endpoint without models.
+  /* What the request counts as against the account's quota. 0 if the account has none, or if the
+   * request is counted already. */
+  double quotaCost = 0.0;
+  ModelWork work; ///< Without a model for an endpoint without models.
   std::uint32_t priority = 0;
   /* Time within which the first event meets the route's latency objective. This and timeLeft count
    * from when the message was first sent. */
