Add: [Fleet] Join the quotas of client accounts to the gateway and the dispatcher

The decision core had no messages. Daemons now report what they spent and need, the dispatcher answers with grants and counts placement requests, and its heartbeats state the recent use of limited accounts. A request over the quota gets 429 with result code 2112 and Retry-After. Settings, counters, log lines and /state follow. Unknown parts of the use after a takeover and parts of silent daemons are withheld for 12 s.

--- a/src/core/result_code_type.h
+++ b/src/core/result_code_type.h
@@ -33,6 +33,7 @@
   kStreamVersionGone = 2109,
   kStreamOriginUnknown = 2110,
   kPromptPartQuarantined = 2111,
+  kQuotaExceeded = 2112,
   kOutcomeUnknown = 3101,
   kEarlierOutcomeUnknown = 3102,
   kAttemptsExhausted = 3103,
--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -178,6 +178,8 @@
           .metrics = mMetrics,
           .placement = mPlacement,
           .dispatcher = mDispatcher,
+          .quotas = mGateway.quotas,
+          .quotaLedger = mQuotaLedger,
           .streamOrigins = mStreamOrigins,
           .onSuspect =
             [this](const std::string& aSender, const SuspectMessage& aSuspect) {
@@ -307,6 +309,7 @@
                  { "front", mSettings.edge.frontAddress },
                  { "store", mSettings.edge.storeAddress } });
     ApplySettings();
+    mGateway.quotas.OnWaiting([this] { mMember.OnQuotaWaiting(); });
     WaitForSignal();
     ScheduleFlush();
     if (const std::string error = mMember.Start(); !error.empty()) {
@@ -429,10 +432,24 @@
                                   .daemons = mDaemonCount });
     mDispatcher.SetStoreLimits(
       { .window = mSettings.edge.loadWindow, .overage = mSettings.edge.loadOverage });
+    mGateway.quotas.share().SetDaemonCount(mMember.HasDispatcher() ? mDaemonCount : 0);
+    ApplyQuotas();
+  }
+
+  void ApplyQuotas()
+  {
+    const TimePoint now = BootClockNow();
+    const auto accounts = mGateway.configuration ? mGateway.configuration->accounts : nullptr;
+    const fleet::QuotaRules rules{ .window = mSettings.edge.quotaWindow,
+                                   .overage = mSettings.edge.quotaOverage,
+                                   .slack = mSettings.edge.quotaSlack };
+    mQuotaLedger.SetQuotas(now, accounts, rules);
+    mGateway.quotas.share().SetQuotas(now, accounts, rules);
   }
 
   void OnDaemonCount(std::uint32_t aCount)
   {
+    mGateway.quotas.share().SetDaemonCount(aCount);
     if (aCount != mDaemonCount) {
       mLog.Write("daemon_count", { { "count", aCount }, { "former", mDaemonCount } });
       mDaemonCount = aCount;
@@ -565,6 +582,7 @@
       return !accounts || accounts->Find(aItem.first) == nullptr;
     });
     mDispatcher.SetConfiguration(mGateway.configuration);
+    ApplyQuotas();
     mMember.OnDispatcherInputChanged();
     mMember.RelayTableChanges({ .table = aRow.table });
   }
@@ -790,6 +808,7 @@
       { "is_dispatcher", mMember.isDispatcher() },
       { "members", mMember.memberCount() },
       { "accounts", DescribeAccounts() },
+      { "quotas", DescribeQuotas() },
       { "runners", nlohmann::ordered_json::array() }
     };
     for (const auto& [id, runner] : mRunners.runners()) {
@@ -822,6 +841,39 @@
     return state.dump(1);
   }
 
+  /* Returns the quotas of the accounts with limits: this daemon's part and, at the dispatcher, the
+   * buckets. */
+  nlohmann::ordered_json DescribeQuotas() const
+  {
+    const TimePoint now = BootClockNow();
+    const fleet::QuotaShare& share = mGateway.quotas.share();
+    nlohmann::ordered_json described{ { "has_dispatcher", share.hasDispatcher() },
+                                      { "statement_age_ms",
+                                        ToMilliseconds(now - share.statedAt()) },
+                                      { "waiting", share.waitingCount() },
+                                      { "here", nlohmann::ordered_json::array() },
+                                      { "buckets", nlohmann::ordered_json::array() } };
+    for (const auto& account : share.View(now)) {
+      described["here"].push_back({ { "account", account.account.str() },
+                                    { "held", account.held },
+                                    { "share", account.share },
+                                    { "own_level", account.ownLevel },
+                                    { "use_per_second", account.usePerSecond } });
+    }
+    if (mMember.isDispatcher()) {
+      for (const auto& account : mQuotaLedger.View(now)) {
+        described["buckets"].push_back({ { "account", account.account.str() },
+                                         { "per_second", account.perSecond },
+                                         { "level", account.level },
+                                         { "capacity", account.capacity },
+                                         { "use_per_second", account.usePerSecond },
+                                         { "granted", account.granted },
+                                         { "withheld", account.withheld } });
+      }
+    }
+    return described;
+  }
+
   /* Returns the accounts and the results of the checks of keys, or null without accounts. */
   nlohmann::ordered_json DescribeAccounts() const
   {
@@ -888,6 +940,16 @@
         "Requests accepted under the former configuration only so far.",
         mGateway.keyChecks.former },
       { "log_lines_left_out", "Log lines beyond the budget so far.", mLog.leftOut() },
+      { "quota_admitted",
+        "Requests admitted by quotas so far.",
+        mGateway.quotas.counts().admitted },
+      { "quota_refused", "Requests over their quotas so far.", mGateway.quotas.counts().refused },
+      { "quota_waited",
+        "Requests that waited for a grant so far.",
+        mGateway.quotas.counts().waited },
+      { "quota_alone",
+        "Requests decided without the dispatcher so far.",
+        mGateway.quotas.counts().alone },
     };
     for (const auto& sent : mMember.sentMessages()) {
       const std::string kind{ sent.kind };
@@ -1012,6 +1074,7 @@
   /* Fields of answers whose values were ignored, by endpoint, so that each is logged once. */
   std::set<std::pair<EndpointId, std::string_view>> mLoggedFields;
   fleet::Dispatcher mDispatcher{ mStreamOrigins };
+  fleet::QuotaLedger mQuotaLedger;
   PlacementClient mPlacement;
   GatewayContext mGateway;
   FleetMember mMember;
--- a/src/decision/fleet/quota_ledger.cpp
+++ b/src/decision/fleet/quota_ledger.cpp
@@ -10,10 +10,13 @@
 /* How long the part of a silent daemon is withheld from the others. Longer partitions may exceed
  * the limit; a shorter time would refuse too little during usual ones. The part of a daemon whose
  * process is known to have ended is not withheld. */
-constexpr Duration kWithholdTime = 30s;
+constexpr Duration kWithholdTime = 12s;
 /* Part of the grants that one daemon may get for requests that are expected soon, before it is
  * divided among all daemons with recent use of the account. */
 constexpr double kAdvanceRatio = 0.5;
+/* Time for which a silent daemon may have spent its part while the others had it too: until it was
+ * found silent, and from when it is heard until it has found the dispatcher. */
+constexpr double kOverlapS = 0.7;
 constexpr Duration kSweepInterval = 100ms;
 /* Recent use, per second, below which an account counts as unused. */
 constexpr double kMinUse = 1e-3;
@@ -53,8 +56,9 @@
   }
 }
 
-void QuotaLedger::Start(TimePoint aNow)
+void QuotaLedger::Start(TimePoint aNow, const DaemonId& aSelf)
 {
+  mSelf = aSelf;
   mLimited.clear();
   mCharged.clear();
   mDaemons.clear();
@@ -164,7 +168,7 @@
     const double share = std::clamp(state.share, 0.0, 1.0);
     if (!wasKnown) {
       account->joinedShare = std::min(account->joinedShare + share, 1.0);
-      account->hadUse = account->hadUse || share > 0.0;
+      account->hadUse = account->hadUse || state.wasUsed;
     }
     DaemonUse& use = account->daemons[aDaemon];
     const double unknownUse = state.usePerSecond - use.use.ValueAt(aNow);
@@ -282,6 +286,8 @@
       continue;
     }
     use->second.withheld = std::min(use->second.use.ValueAt(aNow) / total, 1.0);
+    account.bucket.Refill(aNow);
+    account.bucket.Add(-use->second.withheld * account.budget.rate * kOverlapS);
     ApplyLimits(aNow, account);
   }
 }
@@ -322,8 +328,12 @@
     const double joined = 1.0 - WithheldShare(aNow, account);
     if (use > kMinUse && joined > 0.0) {
       // With the use through daemons that are not heard of, so that no daemon's part is too large.
-      statements.push_back(
-        { .account = id, .usePerSecond = use / joined, .level = account.bucket.level() });
+      const auto own = account.daemons.find(mSelf);
+      const double ownUse = own == account.daemons.end() ? 0.0 : own->second.use.ValueAt(aNow);
+      statements.push_back({ .account = id,
+                             .usePerSecond = use / joined,
+                             .level = account.bucket.level(),
+                             .dispatcherShare = std::min(ownUse / use * joined, 1.0) });
     }
   }
   return statements;
--- a/src/decision/fleet/quota_ledger.h
+++ b/src/decision/fleet/quota_ledger.h
@@ -30,7 +30,7 @@
                  std::shared_ptr<const ClientAccounts> aAccounts,
                  const QuotaRules& aRules);
   /* This daemon has become the dispatcher. Forgets all that it knew from an earlier time. */
-  void Start(TimePoint aNow);
+  void Start(TimePoint aNow, const DaemonId& aSelf);
   /* Refills the buckets. To be called at least every QuotaBucket::kMaxRefillTime. */
   void Tick(TimePoint aNow);
 
@@ -116,6 +116,7 @@
 
   std::shared_ptr<const ClientAccounts> mAccounts;
   QuotaRules mRules;
+  DaemonId mSelf;
   std::map<ClientAccountId, Account> mLimited; ///< The accounts with limits.
   std::map<PlacementRequestId, Charged> mCharged;
   std::map<DaemonId, Daemon> mDaemons;
--- a/src/decision/fleet/quota_share.cpp
+++ b/src/decision/fleet/quota_share.cpp
@@ -26,6 +26,8 @@
 constexpr Duration kMaxOwnRetryAfter = 2s;
 /* Sums of grants and of costs may differ by rounding. */
 constexpr double kRounding = 1e-6;
+/* Part of an account's use below which a daemon counts as not using it. */
+constexpr double kMinShare = 1e-3;
 
 } // namespace
 
@@ -261,11 +263,12 @@
   mOwnStates.clear();
   for (auto& [id, account] : mLimited) {
     const double level = OwnLevel(aNow, account);
-    if (account.share > 0.0 || level < 0.0) {
+    if (account.isUsed || level < 0.0) {
       mOwnStates.push_back({ .account = id,
                              .share = account.share,
                              .usePerSecond = account.use.ValueAt(aNow),
-                             .level = level });
+                             .level = level,
+                             .wasUsed = account.isUsed });
     }
     // What it has saved now belongs to the dispatcher's bucket.
     account.ownLevel = std::min(level, 0.0);
@@ -287,6 +290,10 @@
   mHasDispatcherEnded = aHasEnded;
   if (aHasEnded) {
     for (auto& [id, account] : mLimited) {
+      // What the dispatcher's own clients used is left to the others.
+      const double others = 1.0 - std::exchange(account.dispatcherShare, 0.0);
+      account.isUsed = account.isUsed && others > kMinShare;
+      account.share = account.isUsed ? std::min(account.share / others, 1.0) : 0.0;
       SpendOwn(aNow, account, -std::exchange(account.bucketLevel, 0.0));
     }
   }
@@ -296,6 +303,7 @@
 
 void QuotaShare::OnStatements(TimePoint aNow, const std::vector<QuotaStatement>& aStatements)
 {
+  mStatedAt = aNow;
   for (auto& [id, account] : mLimited) {
     const auto statement =
       std::find_if(aStatements.begin(), aStatements.end(), [&](const QuotaStatement& aItem) {
@@ -304,6 +312,8 @@
     const bool isUsed = statement != aStatements.end() && statement->usePerSecond > 0.0;
     account.share =
       isUsed ? std::min(account.use.ValueAt(aNow) / statement->usePerSecond, 1.0) : 0.0;
+    account.isUsed = isUsed;
+    account.dispatcherShare = isUsed ? statement->dispatcherShare : 0.0;
     account.ownLevel =
       isUsed ? account.share * std::min(statement->level, account.budget.saved) : 0.0;
     account.ownLevelAt = aNow;
--- a/src/decision/fleet/quota_share.h
+++ b/src/decision/fleet/quota_share.h
@@ -68,6 +68,8 @@
   std::optional<QuotaReport> TakeReport(TimePoint aNow);
 
   bool hasDispatcher() const { return mHasDispatcher; }
+  /* When the dispatcher's last statement arrived. */
+  TimePoint statedAt() const { return mStatedAt; }
   std::size_t waitingCount() const { return mWaiting.size(); }
 
   /* The state of one account at this daemon, for operators. */
@@ -106,6 +108,8 @@
     TimePoint ownLevelAt{};
     /* Part of what the dispatcher's bucket held beyond ownLevel, as of its last statement. */
     double bucketLevel = 0.0;
+    double dispatcherShare = 0.0; ///< The dispatcher's own part of the use.
+    bool isUsed = false;          ///< There is recent use through any daemon.
 
     double Held() const { return granted - spent - returned; }
   };
@@ -147,6 +151,7 @@
   std::minstd_rand mRandom;
   std::vector<QuotaOwnState> mOwnStates; ///< To be stated to a new dispatcher.
   TimePoint mReportedAt{};
+  TimePoint mStatedAt{};
 };
 
 } // namespace rhubarbtrail::fleet
--- a/src/decision/fleet/quota_type.h
+++ b/src/decision/fleet/quota_type.h
@@ -102,6 +102,7 @@
   double share = 0.0;        ///< Its part of the account's recent use, from 0 to 1.
   double usePerSecond = 0.0; ///< Its recent use.
   double level = 0.0;        ///< What it has saved, or owes if negative.
+  bool wasUsed = false;      ///< It knows of recent use through any daemon.
 };
 
 /* A daemon's report to the dispatcher. */
@@ -132,8 +133,9 @@
 struct QuotaStatement
 {
   ClientAccountId account;
-  double usePerSecond = 0.0; ///< Recent use through all daemons.
-  double level = 0.0;        ///< Of its bucket.
+  double usePerSecond = 0.0;    ///< Recent use through all daemons.
+  double level = 0.0;           ///< Of its bucket.
+  double dispatcherShare = 0.0; ///< Part of the use that is the dispatcher's own, from 0 to 1.
 };
 
 /* Time constant of the averages of recent use, at the dispatcher and at the daemons. */
--- a/src/fleet/fleet_member.cpp
+++ b/src/fleet/fleet_member.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace rhubarbtrail {
 
@@ -23,6 +24,10 @@
  * without any message after which the dispatcher removes a member. */
 constexpr Duration kDispatcherTimeout = 1'300ms;
 constexpr Duration kMemberTimeout = 2'500ms;
+/* Time without any message after which the dispatcher withholds a member's part of the quotas. It
+ * is less than kDispatcherTimeout, after which the member may begin to spend that part by itself.
+ */
+constexpr Duration kQuotaSilentTime = 1'200ms;
 /* Time limits for a runner's answer to an order, for its report, and for connecting to it. */
 constexpr Duration kOrderAnswerTimeout = 400ms;
 constexpr Duration kReportAnswerTimeout = 400ms;
@@ -80,6 +85,11 @@
                 if (mHasRemoteDispatcher && aAddress == mDispatcherLease.address) {
                   LoseDispatcher("connection_ended");
                 }
+                for (auto& [id, member] : mMembers) {
+                  if (member.address == aAddress) {
+                    member.hasConnectionEnded = true;
+                  }
+                }
               },
             .onLimitExceeded =
               [this](const ExceededMessageLimit& aExceeded) {
@@ -137,6 +147,7 @@
       mNextHeartbeatAt = now + kHeartbeatInterval;
       SendHeartbeats();
     }
+    TickQuotas(now);
     RemoveTimedOutMembers(now);
     CopyStreamsToMembers(now);
   } else if (now >= mNextHelloAt) {
@@ -148,6 +159,8 @@
   }
   SendChangedLimits(now);
   SendReports(now);
+  mServices.quotas.Tick(now);
+  SendQuotaReport();
   mLink.CloseOverdueConnections(now);
   mTimer.expires_after(kTickInterval);
   mTimer.async_wait([this](boost::system::error_code aError) {
@@ -276,7 +289,12 @@
                           { "row_version", mLease.version().value },
                           { "fence", mLease.fence().value } });
     mLoggedHolder = holder;
+    if (isHolder && !wasHolder) {
+      mServices.quotaLedger.Start(now, mOptions.self);
+      BeginQuotaEpoch(now);
+    }
     if (wasHolder && !isHolder) {
+      mServices.quotas.OnDispatcherLost(now, false);
       mMembers.clear();
       mUncopiedStreams.clear();
       mServices.dispatcher.Clear();
@@ -341,11 +359,14 @@
            .notices = mServices.tableNotices(),
            .era = mServices.store.era(),
            .quarantinedParts = mServices.quarantinedParts(),
-           .partTrials = mServices.partTrials() };
+           .partTrials = mServices.partTrials(),
+           .quotas = mServices.quotaLedger.Statements(BootClockNow()) };
 }
 
 void FleetMember::SendHeartbeats()
 {
+  mServices.quotas.share().OnStatements(BootClockNow(),
+                                        mServices.quotaLedger.Statements(BootClockNow()));
   mServices.onDaemonCount(static_cast<std::uint32_t>(mMembers.size()) + 1);
   SendToMembers(MakeHeartbeat());
 }
@@ -391,6 +412,9 @@
       "member_lost",
       { { "member", id }, { "silent_ms", ToMilliseconds(aNow - member.lastMessageAt) } });
     mServices.dispatcher.OnDaemonLost(id);
+    if (member.hasConnectionEnded) {
+      mServices.quotaLedger.OnDaemonEnded(aNow, id);
+    }
     mLink.Disconnect(member.address);
     return true;
   });
@@ -407,6 +431,8 @@
                         { "heard_ms_ago", ToMilliseconds(BootClockNow() - mLastHeartbeatAt) } });
   mLink.Disconnect(mDispatcherLease.address);
   mServices.onTableNoticesLost();
+  // Before the placement requests, which then look for runners without the dispatcher.
+  mServices.quotas.OnDispatcherLost(BootClockNow(), aReason == "connection_ended");
   mServices.placement.OnDispatcherLost();
 }
 
@@ -423,6 +449,8 @@
   if (const auto member = mMembers.find(message->from);
       member != mMembers.end() && member->second.incarnation == message->incarnation) {
     member->second.lastMessageAt = BootClockNow();
+    member->second.hasConnectionEnded = false;
+    mServices.quotaLedger.OnDaemonHeard(BootClockNow(), message->from);
   }
   std::visit(
     Overloaded{
@@ -440,6 +468,12 @@
         }
       },
       [&](const fleet::PlacementReply& aReply) { mServices.placement.OnReply(aReply); },
+      [&](const fleet::QuotaReport& aReport) { OnQuotaReport(*message, aReport); },
+      [&](const fleet::QuotaReply& aReply) {
+        if (mHasRemoteDispatcher && message->from == mDispatcherLease.holder) {
+          mServices.quotas.OnReply(BootClockNow(), aReply);
+        }
+      },
       [&](const auto& aDispatchMessage) {
         if (isDispatcher()) {
           HandleDispatchMessage(message->from, fleet::DispatchMessage{ aDispatchMessage });
@@ -466,6 +500,11 @@
 void FleetMember::OnHello(const FleetMessage& aMessage, const HelloMessage& aHello)
 {
   mAddresses[aMessage.from] = aHello.address;
+  if (const IncarnationId former =
+        std::exchange(mIncarnations[aMessage.from], aMessage.incarnation);
+      !former.empty() && former != aMessage.incarnation) {
+    mServices.quotaLedger.OnDaemonEnded(BootClockNow(), aMessage.from);
+  }
   mServices.onStoreEra(aHello.era);
   if (!isDispatcher()) {
     return;
@@ -525,8 +564,10 @@
     SendOwnStreams();
     SendOwnSuspects(mDispatcherLease.address);
     SendLimits(mDispatcherLease.address, mServices.limits());
+    BeginQuotaEpoch(now);
     mServices.placement.OnNewDispatcher();
   }
+  mServices.quotas.share().OnStatements(now, aHeartbeat.quotas);
 }
 
 void FleetMember::OnSuspects(const FleetMessage& aMessage,
@@ -792,23 +833,34 @@
                                         const fleet::DispatchMessage& aMessage)
 {
   const TimePoint now = BootClockNow();
-  std::visit(Overloaded{ [&](const fleet::PlacementRequest& aRequest) {
-                          if (!aRequest.trialParts.empty() &&
-                              !mServices.startTrial(aRequest.trialParts)) {
-                            SendReply({ .id = aRequest.id,
-                                        .answer = fleet::PlacementRefused{
-                                          .code = ResultCode::kPromptPartQuarantined } });
-                            return;
-                          }
-                          mServices.dispatcher.OnPlacementRequest(now, aRequest, ZoneOf(aFrom));
-                        },
-                         [&](const fleet::AssignmentReleased& aReleased) {
-                           mServices.dispatcher.OnAssignmentReleased(now, aReleased);
-                         },
-                         [&](const fleet::AssignmentInUse& aAssignment) {
-                           mServices.dispatcher.OnAssignmentInUse(now, aAssignment);
-                         } },
-             aMessage);
+  std::visit(
+    Overloaded{
+      [&](const fleet::PlacementRequest& aRequest) {
+        if (!aRequest.trialParts.empty() && !mServices.startTrial(aRequest.trialParts)) {
+          SendReply(
+            { .id = aRequest.id,
+              .answer = fleet::PlacementRefused{ .code = ResultCode::kPromptPartQuarantined } });
+          return;
+        }
+        if (const auto exceeded = mServices.quotaLedger.Charge(now, aRequest)) {
+          SendReply({ .id = aRequest.id,
+                      .answer = fleet::PlacementRefused{ .code = ResultCode::kQuotaExceeded,
+                                                         .retryAfter = exceeded->retryAfter } });
+          return;
+        }
+        mServices.dispatcher.OnPlacementRequest(now, aRequest, ZoneOf(aFrom));
+      },
+      [&](const fleet::AssignmentReleased& aReleased) {
+        mServices.dispatcher.OnAssignmentReleased(now, aReleased);
+        mServices.quotaLedger.End(now,
+                                  aReleased.id,
+                                  aReleased.end == fleet::AssignmentEnd::kDone ||
+                                    aReleased.end == fleet::AssignmentEnd::kFailed);
+      },
+      [&](const fleet::AssignmentInUse& aAssignment) {
+        mServices.dispatcher.OnAssignmentInUse(now, aAssignment);
+      } },
+    aMessage);
   ScheduleDispatcherTick();
 }
 
@@ -871,8 +923,62 @@
     aAction);
 }
 
+void FleetMember::BeginQuotaEpoch(TimePoint aNow)
+{
+  mServices.quotas.share().OnDispatcherFound(aNow);
+  SendQuotaReport();
+}
+
+void FleetMember::SendQuotaReport()
+{
+  if (!HasDispatcher()) {
+    return;
+  }
+  const TimePoint now = BootClockNow();
+  const auto report = mServices.quotas.share().TakeReport(now);
+  if (!report) {
+    return;
+  }
+  if (!isDispatcher()) {
+    Send(mDispatcherLease.address, *report);
+    return;
+  }
+  // Later, because the report may be about a request that has only begun to wait.
+  boost::asio::post(mServices.loop, [this, report] {
+    if (!mIsClosed && isDispatcher()) {
+      const TimePoint later = BootClockNow();
+      mServices.quotas.OnReply(later,
+                               mServices.quotaLedger.OnReport(later, mOptions.self, *report));
+    }
+  });
+}
+
+void FleetMember::OnQuotaReport(const FleetMessage& aMessage, const fleet::QuotaReport& aReport)
+{
+  const auto member = mMembers.find(aMessage.from);
+  if (!isDispatcher() || member == mMembers.end() ||
+      member->second.incarnation != aMessage.incarnation) {
+    return; // Its hello has not arrived yet, and it states everything again.
+  }
+  Send(member->second.address,
+       mServices.quotaLedger.OnReport(BootClockNow(), aMessage.from, aReport));
+}
+
+void FleetMember::TickQuotas(TimePoint aNow)
+{
+  mServices.quotaLedger.Tick(aNow);
+  for (const auto& [id, member] : mMembers) {
+    if (!member.hasConnectionEnded && aNow - member.lastMessageAt > kQuotaSilentTime) {
+      mServices.quotaLedger.OnDaemonSilent(aNow, id);
+    }
+  }
+}
+
 void FleetMember::SendReply(const fleet::PlacementReply& aReply)
 {
+  if (!std::holds_alternative<fleet::RunnerAssigned>(aReply.answer)) {
+    mServices.quotaLedger.End(BootClockNow(), aReply.id, false);
+  }
   if (aReply.id.daemon == mOptions.self) {
     mServices.placement.OnReply(aReply);
     return;
--- a/src/fleet/fleet_member.h
+++ b/src/fleet/fleet_member.h
@@ -7,10 +7,12 @@
 #include "core/metrics.h"
 #include "decision/fleet/dispatcher.h"
 #include "decision/fleet/order_lease.h"
+#include "decision/fleet/quota_ledger.h"
 #include "fleet/fleet_message.h"
 #include "fleet/report_queue.h"
 #include "fleet/store_client.h"
 #include "gateway/placement_client.h"
+#include "gateway/quota_client.h"
 #include "peer/fleet_link.h"
 
 #include <array>
@@ -45,6 +47,8 @@
   Metrics& metrics;
   PlacementClient& placement;
   fleet::Dispatcher& dispatcher;
+  QuotaClient& quotas;
+  fleet::QuotaLedger& quotaLedger;
   fleet::StreamOrigins& streamOrigins;
   /* Takes a report of another daemon, which has this address, about crashed runners. */
   std::function<void(const std::string&, const SuspectMessage&)> onSuspect;
@@ -119,6 +123,8 @@
   /* Sends the current notices about the tables to the members, after these changes if there are
    * any. Does nothing on a daemon that is not the dispatcher. */
   void RelayTableChanges(const TableChangesMessage& aChanges);
+  /* A request has begun to wait for a grant of its account's quota. */
+  void OnQuotaWaiting() { SendQuotaReport(); }
   /* The store came back from an older copy. */
   void OnStoreEra(StoreEra aEra);
   /* Schedules a dispatcher tick after its input has changed, for example the configuration or a
@@ -151,7 +157,8 @@
     IncarnationId incarnation;
     std::string address;
     ZoneId zone;
-    TimePoint lastMessageAt{}; ///< When its last message arrived.
+    TimePoint lastMessageAt{};       ///< When its last message arrived.
+    bool hasConnectionEnded = false; ///< The connection to it has ended since then.
   };
 
   // The lease.
@@ -197,6 +204,13 @@
    * the next copy is due. */
   void CopyStreamsToMembers(TimePoint aNow);
   void HandleDispatchMessage(const DaemonId& aFrom, const fleet::DispatchMessage& aMessage);
+  /* Sends the report about the accounts' quotas if one is due. */
+  void SendQuotaReport();
+  void OnQuotaReport(const FleetMessage& aMessage, const fleet::QuotaReport& aReport);
+  /* Does the dispatcher's periodic work on the quotas. */
+  void TickQuotas(TimePoint aNow);
+  /* This daemon has found a dispatcher, which may be itself. */
+  void BeginQuotaEpoch(TimePoint aNow);
   void RejectPlacementRequest(const DaemonId& aFrom, const fleet::DispatchMessage& aMessage);
   void SendHeartbeats();
   void SendHello();
@@ -221,7 +235,8 @@
   boost::asio::steady_timer mTimer;
   boost::asio::steady_timer mDispatcherTimer;
   std::map<DaemonId, Member> mMembers;
-  std::map<DaemonId, std::string> mAddresses; ///< Of all daemons that have ever sent a hello.
+  std::map<DaemonId, std::string> mAddresses;      ///< Of all daemons that have ever sent a hello.
+  std::map<DaemonId, IncarnationId> mIncarnations; ///< Of the same daemons.
   /* Another daemon is the dispatcher, and its heartbeats arrive. */
   bool mHasRemoteDispatcher = false;
   /* Lease row from the last heartbeat of that dispatcher. Messages go to the address in it. */
--- a/src/fleet/fleet_message.cpp
+++ b/src/fleet/fleet_message.cpp
@@ -181,6 +181,16 @@
   return limits;
 }
 
+/* Returns an amount of a quota that another daemon states. */
+double AmountFrom(const Json& aJson)
+{
+  const double amount = aJson.get<double>();
+  if (!std::isfinite(amount)) {
+    throw std::invalid_argument("an amount of a quota is not finite");
+  }
+  return amount;
+}
+
 Json ToJson(const PlacementRequest& aRequest)
 {
   Json parts = Json::array();
@@ -206,6 +216,9 @@
              { "left", aRequest.timeLeft.count() },
              { "resumable", aRequest.isResumable },
              { "excluded", std::move(excluded) } };
+  if (aRequest.quotaCost > 0.0) {
+    json["cost"] = aRequest.quotaCost;
+  }
   for (const PausedRunner& paused : aRequest.pausedRunners) {
     json["paused"].push_back({ paused.runner.str(), paused.timeLeft.count() });
   }
@@ -229,6 +242,7 @@
     .route = aJson.at("route").get<std::string>(),
     .service = ServiceId{ aJson.at("service").get<std::string>() },
     .account = ClientAccountId{ aJson.value("account", std::string{}) },
+    .quotaCost = AmountFrom(aJson.value("cost", Json(0.0))),
     .work = { .target = { .model = ModelId{ aJson.at("model").get<std::string>() },
                           .adapter = AdapterId{ aJson.at("adapter").get<std::string>() } },
               .promptTokens = aJson.at("prompt").get<std::uint32_t>(),
@@ -355,6 +369,108 @@
   return changes;
 }
 
+Json ToJson(const std::vector<QuotaStatement>& aStatements)
+{
+  Json json = Json::array();
+  for (const QuotaStatement& statement : aStatements) {
+    json.push_back({ statement.account.str(),
+                     statement.usePerSecond,
+                     statement.level,
+                     statement.dispatcherShare });
+  }
+  return json;
+}
+
+std::vector<QuotaStatement> QuotaStatementsFrom(const Json& aJson)
+{
+  std::vector<QuotaStatement> statements;
+  for (const Json& item : aJson) {
+    statements.push_back({ .account = ClientAccountId{ item.at(0).get<std::string>() },
+                           .usePerSecond = AmountFrom(item.at(1)),
+                           .level = AmountFrom(item.at(2)),
+                           .dispatcherShare = AmountFrom(item.at(3)) });
+  }
+  return statements;
+}
+
+Json ToJson(const QuotaReport& aReport)
+{
+  Json uses = Json::array();
+  for (const QuotaUse& use : aReport.uses) {
+    Json refunds = Json::array();
+    for (const QuotaRefund& refund : use.refunds) {
+      refunds.push_back({ refund.amount, refund.age.count() });
+    }
+    uses.push_back({ { "account", use.account.str() },
+                     { "spent", use.spent },
+                     { "returned", use.returned },
+                     { "needed", use.needed },
+                     { "wanted", use.wanted },
+                     { "refunds", std::move(refunds) } });
+  }
+  Json states = Json::array();
+  for (const QuotaOwnState& state : aReport.ownStates) {
+    states.push_back({ { "account", state.account.str() },
+                       { "share", state.share },
+                       { "use", state.usePerSecond },
+                       { "level", state.level },
+                       { "used", state.wasUsed } });
+  }
+  return { { "kind", "quota_report" },
+           { "epoch", aReport.epoch },
+           { "uses", std::move(uses) },
+           { "own", std::move(states) } };
+}
+
+QuotaReport QuotaReportFrom(const Json& aJson)
+{
+  QuotaReport report{ .epoch = aJson.at("epoch").get<std::uint64_t>(),
+                      .uses = {},
+                      .ownStates = {} };
+  for (const Json& item : aJson.value("uses", Json::array())) {
+    QuotaUse use{ .account = ClientAccountId{ item.at("account").get<std::string>() },
+                  .spent = AmountFrom(item.at("spent")),
+                  .returned = AmountFrom(item.at("returned")),
+                  .needed = AmountFrom(item.at("needed")),
+                  .wanted = AmountFrom(item.at("wanted")),
+                  .refunds = {} };
+    for (const Json& refund : item.value("refunds", Json::array())) {
+      use.refunds.push_back({ .amount = AmountFrom(refund.at(0)),
+                              .age = Duration{ refund.at(1).get<Duration::rep>() } });
+    }
+    report.uses.push_back(std::move(use));
+  }
+  for (const Json& item : aJson.value("own", Json::array())) {
+    report.ownStates.push_back(
+      { .account = ClientAccountId{ item.at("account").get<std::string>() },
+        .share = AmountFrom(item.at("share")),
+        .usePerSecond = AmountFrom(item.at("use")),
+        .level = AmountFrom(item.at("level")),
+        .wasUsed = item.at("used").get<bool>() });
+  }
+  return report;
+}
+
+Json ToJson(const QuotaReply& aReply)
+{
+  Json grants = Json::array();
+  for (const QuotaGrant& grant : aReply.grants) {
+    grants.push_back({ grant.account.str(), grant.granted, grant.retryAfter.count() });
+  }
+  return { { "kind", "quota_reply" }, { "epoch", aReply.epoch }, { "grants", std::move(grants) } };
+}
+
+QuotaReply QuotaReplyFrom(const Json& aJson)
+{
+  QuotaReply reply{ .epoch = aJson.at("epoch").get<std::uint64_t>(), .grants = {} };
+  for (const Json& item : aJson.at("grants")) {
+    reply.grants.push_back({ .account = ClientAccountId{ item.at(0).get<std::string>() },
+                             .granted = AmountFrom(item.at(1)),
+                             .retryAfter = Duration{ item.at(2).get<Duration::rep>() } });
+  }
+  return reply;
+}
+
 Json ToJson(const FleetBody& aBody)
 {
   return std::visit(
@@ -366,16 +482,20 @@
                               { "quarantined", ToJson(aHello.quarantinedParts) } };
                },
                 [](const HolderHeartbeatMessage& aHeartbeat) {
-                  return Json{ { "kind", "beacon" },
-                               { "lease", ToJson(aHeartbeat.lease) },
-                               { "version", aHeartbeat.version.value },
-                               { "version_era", aHeartbeat.version.era.value },
-                               { "era", aHeartbeat.era.value },
-                               { "stalled", aHeartbeat.state == HolderState::kStalled },
-                               { "daemons", aHeartbeat.daemons },
-                               { "tables", ToJson(aHeartbeat.notices) },
-                               { "quarantined", ToJson(aHeartbeat.quarantinedParts) },
-                               { "trials", ToJson(aHeartbeat.partTrials) } };
+                  Json json{ { "kind", "beacon" },
+                             { "lease", ToJson(aHeartbeat.lease) },
+                             { "version", aHeartbeat.version.value },
+                             { "version_era", aHeartbeat.version.era.value },
+                             { "era", aHeartbeat.era.value },
+                             { "stalled", aHeartbeat.state == HolderState::kStalled },
+                             { "daemons", aHeartbeat.daemons },
+                             { "tables", ToJson(aHeartbeat.notices) },
+                             { "quarantined", ToJson(aHeartbeat.quarantinedParts) },
+                             { "trials", ToJson(aHeartbeat.partTrials) } };
+                  if (!aHeartbeat.quotas.empty()) {
+                    json["quotas"] = ToJson(aHeartbeat.quotas);
+                  }
+                  return json;
                 },
                 [](const SuspectMessage& aSuspect) { return ToJson(aSuspect); },
                 [](const SuspectsMessage& aSuspects) {
@@ -417,7 +537,9 @@
                 },
                 [](const PlacementReply& aReply) {
                   return Json{ { "kind", "reply" }, { "reply", ToJson(aReply) } };
-                } },
+                },
+                [](const QuotaReport& aReport) { return ToJson(aReport); },
+                [](const QuotaReply& aReply) { return ToJson(aReply); } },
     aBody);
 }
 
@@ -441,7 +563,8 @@
       .notices = NoticesFrom(aJson.value("tables", Json::object())),
       .era = { aJson.value("era", std::uint64_t{ 0 }) },
       .quarantinedParts = PartGroupsFrom(aJson.value("quarantined", Json::array())),
-      .partTrials = PartTrialsFrom(aJson.value("trials", Json::array()))
+      .partTrials = PartTrialsFrom(aJson.value("trials", Json::array())),
+      .quotas = QuotaStatementsFrom(aJson.value("quotas", Json::array()))
     };
   }
   if (kind == "table_changes") {
@@ -484,6 +607,12 @@
     return AssignmentInUse{ .request = PlacementRequestFrom(aJson.at("ask")),
                             .runner = EndpointId{ aJson.at("runner").get<std::string>() } };
   }
+  if (kind == "quota_report") {
+    return QuotaReportFrom(aJson);
+  }
+  if (kind == "quota_reply") {
+    return QuotaReplyFrom(aJson);
+  }
   if (kind == "reply") {
     return ReplyFrom(aJson.at("reply"));
   }
@@ -495,8 +624,9 @@
 std::string_view NameOfMessage(std::size_t aKind)
 {
   constexpr std::array<std::string_view, std::variant_size_v<FleetBody>> kNames{
-    "hello",          "heartbeat",       "suspect", "suspects", "table_changes", "streams_begun",
-    "runner_leaving", "endpoint_limits", "request", "released", "in_use",        "reply"
+    "hello",         "heartbeat",      "suspect",         "suspects",   "table_changes",
+    "streams_begun", "runner_leaving", "endpoint_limits", "request",    "released",
+    "in_use",        "reply",          "quota_report",    "quota_reply"
   };
   return kNames.at(aKind);
 }
--- a/src/fleet/fleet_message.h
+++ b/src/fleet/fleet_message.h
@@ -7,6 +7,7 @@
 #include "decision/fleet/feed_coverage.h"
 #include "decision/fleet/order_lease.h"
 #include "decision/fleet/prompt_part_guard.h"
+#include "decision/fleet/quota_type.h"
 #include "platform/store_codec.h"
 
 #include <cstdint>
@@ -40,6 +41,8 @@
   StoreEra era; ///< The highest era of the store that the dispatcher knows.
   std::vector<fleet::PartGroup> quarantinedParts; ///< Those that the dispatcher knows.
   std::vector<fleet::PartTrials> partTrials;      ///< Of these groups, in the same order.
+  /* Of the accounts with limits and recent use. */
+  std::vector<fleet::QuotaStatement> quotas;
 };
 
 /* Rows of a table that the dispatcher relays to its members, so that these need not read them. */
@@ -107,7 +110,9 @@
                                fleet::PlacementRequest,
                                fleet::AssignmentReleased,
                                fleet::AssignmentInUse,
-                               fleet::PlacementReply>;
+                               fleet::PlacementReply,
+                               fleet::QuotaReport,
+                               fleet::QuotaReply>;
 
 /* Returns the name of a kind of message, by its index in FleetBody, for metrics. */
 std::string_view NameOfMessage(std::size_t aKind);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "decision/fleet/retry_share.h"
 #include "decision/fleet/runner_registry.h"
 #include "gateway/placement_client.h"
+#include "gateway/quota_client.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "platform/request_headers.h"
@@ -91,6 +92,7 @@
   std::shared_ptr<const fleet::FleetConfiguration> formerConfiguration;
   TimePoint configurationAppliedAt{};
   KeyCheckCounts keyChecks;
+  QuotaClient quotas;
   fleet::RetryShare retries;
   fleet::CrashGuard crashes;
   fleet::PromptPartGuard promptParts;
--- a/src/gateway/request_answer.cpp
+++ b/src/gateway/request_answer.cpp
@@ -95,6 +95,9 @@
   if (!MayAnswer(aReason)) {
     return;
   }
+  if (mQuotaTakenAt && mAttemptState.runs == 0) {
+    mContext.quotas.share().GiveBack(BootClockNow(), mAccount, mQuotaCost, *mQuotaTakenAt);
+  }
   const ResultCodeInfo& info = Describe(aCode);
   mContext.log.Write("request_refused",
                      { { "id", mClient.requestId },
@@ -149,6 +152,9 @@
     return;
   }
   const TimePoint now = BootClockNow();
+  if (mQuotaWaitId) {
+    mContext.quotas.Withdraw(*mQuotaWaitId);
+  }
   mDeadlineTimer.cancel();
   mWaitTimer.cancel();
   mSilenceTimer.cancel();
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <spdlog/fmt/fmt.h>
+#include <utility>
 #include <xxhash.h>
 
 namespace rhubarbtrail {
@@ -291,10 +292,63 @@
   if (TimeLeft() <= Duration::zero()) {
     OnDeadline(); // It was sent ahead, and the answer before it took too long.
   } else if (!RefuseImpossibleResume()) {
-    SelectEndpoint();
+    CheckQuota();
   }
 }
 
+void RequestFlow::CheckQuota()
+{
+  if (mClientAccount != nullptr) {
+    mQuotaCost = mContext.quotas.share().Cost(
+      mAccount, mClient.tokens.value_or(0), mClient.tokens.has_value());
+  }
+  if (mQuotaCost <= 0.0 || UsesModels()) {
+    SelectEndpoint(); // The dispatcher counts requests for models.
+    return;
+  }
+  const auto id = mContext.quotas.Take(
+    BootClockNow(),
+    mAccount,
+    mQuotaCost,
+    [weak = weak_from_this()](const fleet::QuotaDecision& aDecision) {
+      if (const auto self = weak.lock(); self && !self->mIsEnded) {
+        self->mQuotaWaitId.reset();
+        self->OnQuotaDecision(
+          aDecision, self->mContext.quotas.share().hasDispatcher() ? "grant" : "own_share");
+      }
+    });
+  if (!mQuotaTakenAt && !mIsEnded) {
+    mQuotaWaitId = id;
+  }
+}
+
+void RequestFlow::OnQuotaDecision(const fleet::QuotaDecision& aDecision,
+                                  std::string_view aDecidedBy)
+{
+  if (const auto* exceeded = std::get_if<fleet::QuotaExceeded>(&aDecision)) {
+    RefuseOverQuota(exceeded->retryAfter, aDecidedBy);
+    return;
+  }
+  mQuotaTakenAt = BootClockNow();
+  SelectEndpoint();
+}
+
+void RequestFlow::RefuseOverQuota(Duration aRetryAfter, std::string_view aDecidedBy)
+{
+  const fleet::AccountQuota& quota = mClientAccount->quota;
+  mContext.log.Write("quota_exceeded",
+                     { { "id", mClient.requestId },
+                       { "account", mAccount },
+                       { "decided_by", aDecidedBy },
+                       { "cost", mQuotaCost },
+                       { "per_second", quota.perSecond },
+                       { "burst", quota.burst },
+                       { "config_version", mConfiguration->version.value },
+                       { "statement_age_ms",
+                         ToMilliseconds(BootClockNow() - mContext.quotas.share().statedAt()) } });
+  Refuse(ResultCode::kQuotaExceeded, aRetryAfter, "over_quota");
+}
+
 /* Selects a service of the route by weight and a hash of the request id, so that a repeated request
  * and a stream that is resumed go to the same service. */
 void RequestFlow::ChooseService()
@@ -400,6 +454,9 @@
     .route = mRoute->name,
     .service = mService,
     .account = mAccount,
+    // Retries of a request that may have run, or that this daemon has counted, are not counted
+    // again.
+    .quotaCost = mQuotaTakenAt || mAttemptState.runs > 0 ? 0.0 : mQuotaCost,
     .work = mClient.work.value_or(fleet::ModelWork{}),
     .priority = Priority(),
     .latencyObjective = std::max(mRoute->latencyObjective - (now - mArrivedAt), Duration::zero()),
@@ -447,7 +504,10 @@
     Overloaded{ [&](const fleet::RunnerAssigned& aAssigned) { OnRunnerAssigned(aAssigned); },
                 [&](const fleet::PlacementRefused& aRefused) {
                   mPlacementId.reset();
-                  if (aRefused.code == ResultCode::kStreamOriginUnknown) {
+                  if (aRefused.code == ResultCode::kQuotaExceeded && mClientAccount != nullptr) {
+                    mContext.quotas.RecordRefused();
+                    RefuseOverQuota(aRefused.retryAfter, "dispatcher");
+                  } else if (aRefused.code == ResultCode::kStreamOriginUnknown) {
                     SelectLocally("origin_unknown");
                   } else if (mAttemptState.runs == 0) {
                     Refuse(aRefused.code, aRefused.retryAfter, "refused_by_dispatcher");
@@ -465,6 +525,9 @@
 void RequestFlow::OnRunnerAssigned(const fleet::RunnerAssigned& aAssigned)
 {
   mAssignedVersion = aAssigned.version;
+  if (mQuotaCost > 0.0 && !mQuotaTakenAt && !std::exchange(mIsQuotaCharged, true)) {
+    mContext.quotas.RecordCharged(BootClockNow(), mAccount, mQuotaCost);
+  }
   if (IsResumedByClient() && !mOrigin) {
     if (!aAssigned.version || aAssigned.version->empty()) {
       // The dispatcher is of a release that does not look at versions.
@@ -509,6 +572,14 @@
     }
     return;
   }
+  if (UsesModels() && mQuotaCost > 0.0 && !mQuotaTakenAt && mAttemptState.runs == 0) {
+    const auto decision = mContext.quotas.TakeAlone(now, mAccount, mQuotaCost);
+    if (const auto* exceeded = std::get_if<fleet::QuotaExceeded>(&decision)) {
+      RefuseOverQuota(exceeded->retryAfter, "own_share");
+      return;
+    }
+    mQuotaTakenAt = now;
+  }
   auto query = OwnQuery();
   const bool mayAskDispatcher = !UsesModels() && aSelectionReason == kSelectedByLoad;
   if (mayAskDispatcher) {
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -94,6 +94,12 @@
   /* Sets the origin of a stream that begins with the event that has just arrived. */
   void RecordOrigin();
 
+  /* Counts the request against the quota of its account, unless the dispatcher does that, and goes
+   * on when it is admitted. */
+  void CheckQuota();
+  void OnQuotaDecision(const fleet::QuotaDecision& aDecision, std::string_view aDecidedBy);
+  void RefuseOverQuota(Duration aRetryAfter, std::string_view aDecidedBy);
+
   /* Selects an endpoint for the next attempt, through the dispatcher for requests for models. */
   void SelectEndpoint();
   void SelectByDispatcher();
@@ -250,6 +256,11 @@
   /* The account in mConfiguration; null if there is none. */
   const fleet::ClientAccount* mClientAccount = nullptr;
   FingerprintId mFingerprint;
+  double mQuotaCost = 0.0; ///< What it counts as against the account's quota. 0 without a limit.
+  /* When this daemon counted it. Not set if only the dispatcher did. */
+  std::optional<TimePoint> mQuotaTakenAt;
+  std::optional<std::uint64_t> mQuotaWaitId; ///< While it waits for a decision about the quota.
+  bool mIsQuotaCharged = false;              ///< The dispatcher has admitted it.
   TimePoint mArrivedAt{};
   /* When the last event was forwarded; before the first, the arrival. */
   TimePoint mLastProgressAt{};
--- a/src/gateway/request_silence.cpp
+++ b/src/gateway/request_silence.cpp
@@ -111,6 +111,7 @@
     return;
   }
   fleet::PlacementRequest placementRequest = MakePlacementRequest();
+  placementRequest.quotaCost = 0.0; // The attempt that it may replace is counted.
   const auto silentEndpoints = SilentEndpoints();
   placementRequest.failedRunners.insert(
     placementRequest.failedRunners.end(), silentEndpoints.begin(), silentEndpoints.end());
--- a/src/platform/request_headers.cpp
+++ b/src/platform/request_headers.cpp
@@ -207,6 +207,13 @@
     }
   }
   decoded.work = DecodeModelWork(aRequest.fields);
+  if (auto tokens = http::Find(aRequest.fields, field::kTokens)) {
+    const auto prompt = ParseInteger<std::uint32_t>(RemoveFirstItem(*tokens, ','));
+    const auto output = ParseInteger<std::uint32_t>(*tokens);
+    if (prompt && output) {
+      decoded.tokens = std::uint64_t{ *prompt } + *output;
+    }
+  }
   if (decoded.work) {
     decoded.leadingParts =
       DecodeLeadingParts(http::Find(aRequest.fields, field::kPromptParts).value_or(""));
--- a/src/platform/request_headers.h
+++ b/src/platform/request_headers.h
@@ -20,6 +20,7 @@
   std::string requestId;
   std::optional<Duration> timeLeft;     ///< Until the client's deadline. At most 24 h.
   std::optional<fleet::ModelWork> work; ///< Set if the request names a model.
+  std::optional<std::uint64_t> tokens;  ///< Sum of both numbers of tokens, if they are stated.
   /* All but the last part of the prompt of such a request, each once, in order. Unlike the parts in
    * work, they include those without a valid number of tokens and those after them. */
   std::vector<fleet::PromptPartId> leadingParts;
--- a/src/settings/settings_base.h
+++ b/src/settings/settings_base.h
@@ -45,6 +45,9 @@
   /* Load rate that the weight store allows over the window, as a multiple of the load rate that is
    * configured for the service. */
   double loadOverage = 1.0;
+  Duration quotaWindow = 8s;    ///< Time over which the quotas of accounts are checked.
+  double quotaOverage = 0.1;    ///< Traffic allowed beyond a quota in the window, in times of it.
+  double quotaSlack = 11'000.0; ///< The same in addition, in the unit of the quota.
 };
 
 /* All settings of a daemon, with their default values. */
--- a/tests/fleet/quota_search_test.cpp
+++ b/tests/fleet/quota_search_test.cpp
@@ -224,7 +224,7 @@
   {
     Daemon& daemon = mDaemons[aDaemon];
     daemon.ledger = std::make_unique<QuotaLedger>();
-    daemon.ledger->Start(mNow);
+    daemon.ledger->Start(mNow, IdOf(aDaemon));
     daemon.ledger->SetQuotas(mNow, mAccounts, kRules);
     daemon.heardAt.clear();
     daemon.term = ++mTerm;
--- a/tests/fleet/quota_test.cpp
+++ b/tests/fleet/quota_test.cpp
@@ -40,7 +40,7 @@
 QuotaLedger FilledLedger()
 {
   QuotaLedger ledger;
-  ledger.Start(kStart - 1s);
+  ledger.Start(kStart - 1s, kDaemon);
   ledger.SetQuotas(kStart - 1s, Accounts(10'000.0), {});
   for (TimePoint time = kStart - 1s; time <= kStart; time += 100ms) {
     ledger.Tick(time);
