Fix: [Decision] Leave out the random header in the quota share

The layering test of the decision library forbids it (layering_test failed in the whole unit_tests run).

--- a/src/decision/fleet/quota_share.cpp
+++ b/src/decision/fleet/quota_share.cpp
@@ -2,6 +2,7 @@
 #include "decision/fleet/quota_share.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace rhubarbtrail::fleet {
@@ -70,6 +71,13 @@
   return found == mLimited.end() ? 0.0 : CostOf(found->second.quota, aTokens, aHasTokens);
 }
 
+double QuotaShare::NextRandom()
+{
+  // The linear congruential generator of Knuth's MMIX; its upper bits are the better ones.
+  mRandomState = mRandomState * 6364136223846793005U + 1442695040888963407U;
+  return std::ldexp(static_cast<double>(mRandomState >> 11U), -53);
+}
+
 double QuotaShare::OwnRate(const Account& aAccount) const
 {
   return aAccount.share * aAccount.budget.rate + UnknownPart(aAccount) / aAccount.budget.windowS;
@@ -140,7 +148,7 @@
   }
   const double available = OwnLevel(aNow, *account) + account->share * account->budget.saved;
   const double chance = std::clamp(available / aCost, 0.0, 1.0);
-  if (std::uniform_real_distribution<double>(0.0, 1.0)(mRandom) >= chance) {
+  if (NextRandom() >= chance) {
     SpendOwn(aNow, *account, std::max(available, 0.0));
     const double seconds = (aCost - available) / std::max(OwnRate(*account), 1e-6);
     return QuotaExceeded{ .retryAfter = std::chrono::ceil<Duration>(
@@ -304,7 +312,9 @@
 void QuotaShare::OnStatements(TimePoint aNow, const std::vector<QuotaStatement>& aStatements)
 {
   mStatedAt = aNow;
-  for (auto& [id, account] : mLimited) {
+  for (auto& item : mLimited) {
+    const ClientAccountId& id = item.first;
+    Account& account = item.second;
     const auto statement =
       std::find_if(aStatements.begin(), aStatements.end(), [&](const QuotaStatement& aItem) {
         return aItem.account == id;
--- a/src/decision/fleet/quota_share.h
+++ b/src/decision/fleet/quota_share.h
@@ -11,7 +11,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <random>
 #include <utility>
 #include <vector>
 
@@ -124,6 +123,8 @@
   };
 
   Account* Find(const ClientAccountId& aAccount);
+  /* Returns the next pseudo-random number from 0 to 1. */
+  double NextRandom();
   double OwnRate(const Account& aAccount) const;
   double OwnCapacity(const Account& aAccount) const;
   /* Returns this daemon's part of what daemons that know of no recent use may admit. */
@@ -148,7 +149,7 @@
   std::uint64_t mEpoch = 0;
   bool mHasDispatcher = false;
   bool mHasDispatcherEnded = false;
-  std::minstd_rand mRandom;
+  std::uint64_t mRandomState = 1;
   std::vector<QuotaOwnState> mOwnStates; ///< To be stated to a new dispatcher.
   TimePoint mReportedAt{};
   TimePoint mStatedAt{};
