Add: [Dispatcher] Let each decision under overload be switched off alone

Change: Dispatcher::OverloadDecisions, all on by default. The switches were not run in the off position.

--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -234,6 +234,20 @@
   };
   void SetStoreLimits(const StoreLimits& aLimits) { mStoreLimits = aLimits; }
 
+  /* The decisions under overload that are in force where the configuration has accounts. Each can
+   * be measured without the others. */
+  struct OverloadDecisions
+  {
+    bool isOrderFair = true;
+    bool refusesWithoutSlot = true;
+    bool spreadsRetries = true;
+    bool ordersLoadsByWorth = true;
+  };
+  void SetOverloadDecisions(const OverloadDecisions& aDecisions)
+  {
+    mOverloadDecisions = aDecisions;
+  }
+
 private:
   static constexpr double kSwapRateTimeConstantS = 20.0;
 
@@ -582,6 +596,7 @@
   std::unordered_set<ModelId> mFreedModels;
   WaitingCounts mWaitingCounts; ///< Of the requests that are tried in this round.
   RetryPacing mRetryPacing;
+  OverloadDecisions mOverloadDecisions;
   std::uint64_t mRefusedWithoutSlot = 0;
   bool mIsTakingOver = false; ///< Allowances are emptied at the next tick.
   /* Statements of processes whose entries have not arrived yet. */
--- a/src/decision/fleet/dispatcher_assign.cpp
+++ b/src/decision/fleet/dispatcher_assign.cpp
@@ -71,10 +71,13 @@
     return;
   }
   mWaitingCounts = {};
+  const bool isFair = mOverloadDecisions.isOrderFair;
   std::vector<WaitingTurn> turns;
   for (std::size_t position = 0; position < mWaitingRequests.size(); ++position) {
     WaitingRequest& waiting = mWaitingRequests[position];
-    if (!aAreAllDue && !dueModels.contains(waiting.request.work.target.model)) {
+    const bool isDue =
+      isFair ? dueModels.contains(waiting.request.work.target.model) : !waiting.wasTried;
+    if (!aAreAllDue && !isDue) {
       continue;
     }
     waiting.wasTried = true;
@@ -82,7 +85,7 @@
       waiting.request.work.target.model, waiting.request.priority, waiting.request.account);
     turns.push_back({ .position = position,
                       .priority = waiting.request.priority,
-                      .account = waiting.request.account });
+                      .account = isFair ? waiting.request.account : ClientAccountId{} });
   }
   AssignmentRound round{ mAssignmentOrder, aNow, turns };
   std::vector<bool> isAnswered(mWaitingRequests.size(), false);
--- a/src/decision/fleet/dispatcher_plan.cpp
+++ b/src/decision/fleet/dispatcher_plan.cpp
@@ -317,7 +317,7 @@
   std::stable_sort(ordered.begin(), ordered.end(), [](const auto& aLeft, const auto& aRight) {
     return aLeft.first > aRight.first;
   });
-  if (mAssignmentOrder.IsEnabled()) {
+  if (mAssignmentOrder.IsEnabled() && mOverloadDecisions.ordersLoadsByWorth) {
     std::map<MissingModel, LoadWorth> worths;
     for (const auto& [count, key] : ordered) {
       worths.emplace(key, WorthOfLoadNow(aNow, key, missing.at(key)));
--- a/src/decision/fleet/dispatcher_refuse.cpp
+++ b/src/decision/fleet/dispatcher_refuse.cpp
@@ -60,7 +60,7 @@
  * slot in time is refused on arrival instead of at its deadline, so that its caller can act. */
 bool Dispatcher::RefuseWithoutSlot(TimePoint aNow, WaitingRequest& aWaiting)
 {
-  if (!mAssignmentOrder.IsEnabled() ||
+  if (!mAssignmentOrder.IsEnabled() || !mOverloadDecisions.refusesWithoutSlot ||
       (aWaiting.nextForecastAt && aNow < *aWaiting.nextForecastAt)) {
     return false;
   }
@@ -81,7 +81,9 @@
   Refuse(aNow,
          aWaiting,
          ResultCode::kReplicaUnavailable,
-         mRetryPacing.Next(aNow, model, forecast->wait, forecast->interval),
+         mOverloadDecisions.spreadsRetries
+           ? mRetryPacing.Next(aNow, model, forecast->wait, forecast->interval)
+           : forecast->wait,
          "no_slot_in_time");
   return true;
 }
@@ -101,7 +103,7 @@
   }
   const auto refuse = [&](Duration aRetryAfter, std::string_view aWhy) {
     mRefusedModels[{ request.service, aModel.id }] = aNow;
-    const Duration retryAfter = mAssignmentOrder.IsEnabled()
+    const Duration retryAfter = mAssignmentOrder.IsEnabled() && mOverloadDecisions.spreadsRetries
                                   ? mRetryPacing.Next(aNow, aModel.id, aRetryAfter, kRetryInterval)
                                   : aRetryAfter;
     Refuse(aNow, aWaiting, ResultCode::kReplicaUnavailable, retryAfter, aWhy);
