Fix: [Platform] Read lists with more figures than are known

Endpoints of some deployments state a fourth figure in X-Server-Load, and the reader then took the whole field for invalid without a log line. Lists of figures (X-Server-Load, X-Token-Usage, X-Prompt-Prefix) are now read as far as they are known, X-Deadline-Ms may have a fraction, and what is ignored is logged once for each endpoint or route. The fourth figure is decoded as a slowness; nothing uses it yet.

--- a/src/core/unit_type.h
+++ b/src/core/unit_type.h
@@ -47,6 +47,14 @@
   auto operator<=>(const RequestRate&) const = default;
 };
 
+/* How long work takes at an endpoint, as a multiple of the usual time. */
+struct Slowness
+{
+  double factor = 1.0;
+
+  auto operator<=>(const Slowness&) const = default;
+};
+
 /* A fencing token. Runners that check it reject an order whose token is lower than one that they
  * have seen, so that a former lease holder can no longer give orders. */
 struct FencingToken
--- a/src/decision/fleet/runner_type.h
+++ b/src/decision/fleet/runner_type.h
@@ -77,6 +77,7 @@
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   std::uint32_t slots = 0;
+  std::optional<Slowness> slowness; ///< Set if the endpoint states it.
 };
 
 } // namespace rhubarbtrail::fleet
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -77,6 +77,8 @@
   fleet::RetryShare retries;
   fleet::CrashGuard crashes;
   fleet::PromptPartGuard promptParts;
+  /* Fields of requests that were ignored, by route, so that each is logged once. */
+  std::set<std::pair<std::string, std::string_view>> loggedFields;
   std::uint64_t nextPlacementNumber = 1;
   std::set<RequestFlow*> openRequests;
   bool isLeaving = false; ///< The daemon is about to stop and refuses new requests.
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -249,6 +249,11 @@
                        { "resumes", mClient.resumedRequestId },
                        { "time_left_ms", ToMilliseconds(timeLeft) },
                        { "config_version", mConfiguration->version.value } });
+  for (const std::string_view name : mClient.ignoredFields) {
+    if (mContext.loggedFields.emplace(mRoute->name, name).second) {
+      mContext.log.Write("request_field_ignored", { { "route", mRoute->name }, { "field", name } });
+    }
+  }
   if (TimeLeft() <= Duration::zero()) {
     OnDeadline(); // It was sent ahead, and the answer before it took too long.
   } else if (!RefuseImpossibleResume()) {
--- a/src/platform/request_headers.cpp
+++ b/src/platform/request_headers.cpp
@@ -42,16 +42,35 @@
   return item;
 }
 
-std::vector<fleet::PromptPart> DecodeParts(std::string_view aList)
+/* Returns a figure of a list without the spaces around it. */
+std::string_view TrimSpaces(std::string_view aText)
+{
+  const auto begin = std::min(aText.find_first_not_of(" \t"), aText.size());
+  aText.remove_prefix(begin);
+  return aText.substr(0, aText.find_last_not_of(" \t") + 1);
+}
+
+/* What is ignored of a field, as log lines name it. */
+constexpr std::string_view kLoadExtraFigures = "X-Server-Load, figures after the fourth";
+constexpr std::string_view kLoadSlowness = "X-Server-Load, fourth figure";
+constexpr std::string_view kTokensExtraFigures = "X-Token-Usage, figures after the second";
+constexpr std::string_view kPartExtraFigures = "X-Prompt-Prefix, figures after a part's tokens";
+
+std::vector<fleet::PromptPart> DecodeParts(std::string_view aList,
+                                           std::vector<std::string_view>& aIgnored)
 {
   std::vector<fleet::PromptPart> parts;
   while (!aList.empty()) {
     std::string_view item = RemoveFirstItem(aList, ',');
     const auto id = ParseInteger<std::uint64_t>(RemoveFirstItem(item, ':'), 16);
-    const auto tokens = ParseInteger<std::uint32_t>(item);
+    const auto tokens = ParseInteger<std::uint32_t>(RemoveFirstItem(item, ':'));
     if (!id || !tokens) {
+      aIgnored.push_back(field::kPromptParts);
       break; // Only prefixes can be reused, so the parts after an invalid one are of no use.
     }
+    if (!item.empty()) {
+      aIgnored.push_back(kPartExtraFigures);
+    }
     parts.push_back({ .id = *id, .tokens = *tokens });
   }
   return parts;
@@ -77,7 +96,8 @@
   return parts;
 }
 
-std::optional<fleet::ModelWork> DecodeModelWork(const http::Fields& aFields)
+std::optional<fleet::ModelWork> DecodeModelWork(const http::Fields& aFields,
+                                                std::vector<std::string_view>& aIgnored)
 {
   const auto model = http::Find(aFields, field::kModel);
   if (!model) {
@@ -88,11 +108,18 @@
   work.target.model = ModelId{ std::string{ RemoveFirstItem(name, '/') } };
   work.target.adapter = AdapterId{ std::string{ name } };
   if (auto tokens = http::Find(aFields, field::kTokens)) {
-    work.promptTokens = ParseInteger<std::uint32_t>(RemoveFirstItem(*tokens, ',')).value_or(0);
-    work.outputTokens = ParseInteger<std::uint32_t>(*tokens).value_or(0);
+    const auto prompt = ParseInteger<std::uint32_t>(TrimSpaces(RemoveFirstItem(*tokens, ',')));
+    const auto output = ParseInteger<std::uint32_t>(TrimSpaces(RemoveFirstItem(*tokens, ',')));
+    work.promptTokens = prompt.value_or(0);
+    work.outputTokens = output.value_or(0);
+    if (!prompt || !output) {
+      aIgnored.push_back(field::kTokens);
+    } else if (!tokens->empty()) {
+      aIgnored.push_back(kTokensExtraFigures);
+    }
   }
   if (const auto parts = http::Find(aFields, field::kPromptParts)) {
-    work.parts = DecodeParts(*parts);
+    work.parts = DecodeParts(*parts, aIgnored);
   }
   return work;
 }
@@ -111,6 +138,14 @@
          http::EqualsIgnoringCase(aName, "Transfer-Encoding");
 }
 
+/* Longest time until a client's deadline. Longer ones are shortened to it. */
+constexpr double kMaxTimeLeftMs = 86'400'000.0;
+
+/* Greatest slowness that an endpoint can state, and the figure that stands for the usual speed.
+ * Greater figures are lowered. */
+constexpr double kMaxSlowness = 100.0;
+constexpr double kUsualSlownessFigure = 100.0;
+
 /* Longest pause that an endpoint can ask for. Longer ones are shortened to it. */
 constexpr Duration kMaxPause = std::chrono::hours{ 1 };
 
@@ -187,6 +222,39 @@
   }
 }
 
+/* An endpoint that takes no time at all is not plausible, so a slowness of 0 is ignored. */
+std::optional<Slowness> DecodeSlowness(std::string_view aFigure)
+{
+  const auto figure = DecodeDecimal(aFigure, kMaxSlowness * kUsualSlownessFigure);
+  return figure && *figure > 0.0 ? std::optional{ Slowness{ *figure / kUsualSlownessFigure } }
+                                 : std::nullopt;
+}
+
+/* Later releases of endpoints may state more figures, so those that are not known are ignored and
+ * leave the others in use. */
+void DecodeLoad(std::string_view aList, EndpointAnswer& aAnswer)
+{
+  const auto next = [&] { return TrimSpaces(RemoveFirstItem(aList, ',')); };
+  const auto running = ParseInteger<std::uint32_t>(next());
+  const auto waiting = ParseInteger<std::uint32_t>(next());
+  const auto slots = ParseInteger<std::uint32_t>(next());
+  if (!running || !waiting || !slots) {
+    aAnswer.ignoredFields.push_back(field::kLoad);
+    return;
+  }
+  aAnswer.load = { .running = *running, .waiting = *waiting, .slots = *slots };
+  if (aList.empty()) {
+    return;
+  }
+  aAnswer.load->slowness = DecodeSlowness(next());
+  if (!aAnswer.load->slowness) {
+    aAnswer.ignoredFields.push_back(kLoadSlowness);
+  }
+  if (!aList.empty()) {
+    aAnswer.ignoredFields.push_back(kLoadExtraFigures);
+  }
+}
+
 } // namespace
 
 ClientRequest DecodeClientRequest(const http::Request& aRequest)
@@ -194,11 +262,14 @@
   ClientRequest decoded;
   decoded.requestId = std::string{ http::Find(aRequest.fields, field::kRequestId).value_or("") };
   if (const auto deadline = http::Find(aRequest.fields, field::kDeadline)) {
-    if (const auto value = ParseInteger<std::int64_t>(*deadline); value && *value >= 0) {
-      decoded.timeLeft = std::chrono::milliseconds{ std::min<std::int64_t>(*value, 86'400'000) };
+    if (const auto value = DecodeDecimal(*deadline, kMaxTimeLeftMs)) {
+      decoded.timeLeft =
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(*value));
+    } else {
+      decoded.ignoredFields.push_back(field::kDeadline);
     }
   }
-  decoded.work = DecodeModelWork(aRequest.fields);
+  decoded.work = DecodeModelWork(aRequest.fields, decoded.ignoredFields);
   if (decoded.work) {
     decoded.leadingParts =
       DecodeLeadingParts(http::Find(aRequest.fields, field::kPromptParts).value_or(""));
@@ -257,13 +328,11 @@
   }
   const auto encoding = http::Find(aHead.fields, field::kContentEncoding);
   answer.isEncoded = encoding && !http::EqualsIgnoringCase(*encoding, "identity");
-  if (auto load = http::Find(aHead.fields, field::kLoad)) {
-    const auto running = ParseInteger<std::uint32_t>(RemoveFirstItem(*load, ','));
-    const auto waiting = ParseInteger<std::uint32_t>(RemoveFirstItem(*load, ','));
-    const auto slots = ParseInteger<std::uint32_t>(*load);
-    if (running && waiting && slots) {
-      answer.load = { .running = *running, .waiting = *waiting, .slots = *slots };
-    }
+  if (const auto load = http::Find(aHead.fields, field::kLoad)) {
+    DecodeLoad(*load, answer);
+  }
+  if (answer.load && aHead.status == kMisdirected) {
+    answer.load->slowness.reset(); // It is that of another endpoint.
   }
   return answer;
 }
--- a/src/platform/request_headers.h
+++ b/src/platform/request_headers.h
@@ -25,9 +25,12 @@
   std::string lastEventId; ///< Last event that the client has of a stream that it resumes.
   /* Id of the request that brought the first event of the stream that the client resumes. */
   std::string resumedRequestId;
+  /* Names of fields that were ignored, as a whole or in part. */
+  std::vector<std::string_view> ignoredFields;
 };
 
-/* Decodes a client's header fields. Invalid values are ignored, as if they were missing. */
+/* Decodes a client's header fields. Invalid values are ignored, as if they were missing. Figures
+ * after those that are known are ignored alone. */
 ClientRequest DecodeClientRequest(const http::Request& aRequest);
 
 /* Values of the header fields that the daemon adds to a client's request. */
@@ -59,7 +62,7 @@
   /* Set if the endpoint states how many requests it takes from all daemons together. */
   std::optional<RequestRate> requestLimit;
   std::optional<fleet::EndpointLoad> load;
-  /* Names of fields whose values are not defined. They are ignored. */
+  /* Names of fields whose values are not defined. They are ignored, as a whole or in part. */
   std::vector<std::string_view> ignoredFields;
 };
 
--- a/tests/platform/decoder_test.cpp
+++ b/tests/platform/decoder_test.cpp
@@ -291,6 +291,79 @@
   }
 }
 
+// A fourth figure used to make the whole field unreadable, without a log line. Then the choice of
+// an endpoint ignored its load.
+TEST_CASE("a reported load may have more figures than are known, and what is ignored is named")
+{
+  struct Case
+  {
+    std::string value;
+    std::optional<std::uint32_t> running;
+    std::optional<Slowness> slowness;
+    std::size_t ignored = 0;
+  };
+  const std::vector<Case> cases{
+    { "3,1,8", 3, std::nullopt, 0 },
+    { "3,1,8,250", 3, Slowness{ 2.5 }, 0 },
+    { "3, 1, 8, 100", 3, Slowness{ 1.0 }, 0 },
+    { "3,1,8,87.5", 3, Slowness{ 0.875 }, 0 },
+    { "3,1,8,250,7,x", 3, Slowness{ 2.5 }, 1 },
+    { "3,1,8,99999999999999999999999", 3, Slowness{ 100.0 }, 0 },
+    { "3,1,8,0", 3, std::nullopt, 1 },
+    { "3,1,8,-5", 3, std::nullopt, 1 },
+    { "3,1,8,fast,2", 3, std::nullopt, 2 },
+    { "3,1,8,", 3, std::nullopt, 0 },
+    { "3,x,8,250", std::nullopt, std::nullopt, 1 },
+    { "3,1", std::nullopt, std::nullopt, 1 },
+    { "", std::nullopt, std::nullopt, 1 },
+  };
+  for (const Case& item : cases) {
+    CAPTURE(item.value);
+    const EndpointAnswer answer =
+      DecodeEndpointAnswer({ .status = 200, .fields = { { "x-server-load", item.value } } });
+    REQUIRE(answer.load.has_value() == item.running.has_value());
+    CHECK(answer.ignoredFields.size() == item.ignored);
+    if (answer.load) {
+      CHECK(answer.load->running == *item.running);
+      CHECK(answer.load->slots == 8);
+      CHECK(answer.load->slowness == item.slowness);
+    }
+  }
+  const EndpointAnswer misdirected =
+    DecodeEndpointAnswer({ .status = 421, .fields = { { "X-Server-Load", "3,1,8,250" } } });
+  REQUIRE(misdirected.load.has_value());
+  CHECK_FALSE(misdirected.load->slowness.has_value());
+}
+
+// A further figure used to make the number before it unreadable, so that a request counted as one
+// without output or without prompt parts.
+TEST_CASE("a request's lists may have more figures than are known, and what is ignored is named")
+{
+  const auto decode = [](std::string aTokens, std::string aParts, std::string aDeadline) {
+    return DecodeClientRequest({ .method = "POST",
+                                 .target = "/",
+                                 .fields = { { "X-Model", "m1" },
+                                             { "X-Token-Usage", std::move(aTokens) },
+                                             { "X-Prompt-Prefix", std::move(aParts) },
+                                             { "X-Deadline-Ms", std::move(aDeadline) } },
+                                 .body = {} });
+  };
+  const auto known = decode("1460, 80", "5c:800,9:410", "1500.5");
+  CHECK(known.work->outputTokens == 80);
+  CHECK(known.timeLeft == 1'500'500us);
+  CHECK(known.ignoredFields.empty());
+  const auto further = decode("1460,80,7", "5c:800:1,9:410", "1500");
+  CHECK(further.work->promptTokens == 1'460);
+  CHECK(further.work->outputTokens == 80);
+  CHECK(further.work->parts.size() == 2);
+  CHECK(further.ignoredFields.size() == 2);
+  const auto invalid = decode("x,80", "5c:800,zz", "soon");
+  CHECK(invalid.work->outputTokens == 80);
+  CHECK(invalid.work->parts.size() == 1);
+  CHECK_FALSE(invalid.timeLeft.has_value());
+  CHECK(invalid.ignoredFields.size() == 3);
+}
+
 // A value that is taken for a number although it is none could stop an endpoint's requests for good
 // or lift its limit.
 TEST_CASE("a limit on requests is a plain decimal number, and the lowest of several counts")
