Add: [Gateway] Choose among plain endpoints by their slowness

Endpoints share their hosts with other workloads and state in a fourth figure of X-Server-Load how long work takes there now. Plain services were balanced by counts of requests alone. For services whose endpoints state the figure, a request now goes to the best of a random sample of two by work ahead x slowness; the figure and the reported load count less the older they are, and the times of answers are compared with those of other endpoints, for those that are slow without stating it. The decision is in endpoint_slowness and endpoint_choice, without clock or network; the sample is drawn by the request and a seed of the daemon's incarnation. Other services are balanced as before.

--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -27,6 +27,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
+#include <xxhash.h>
 
 namespace rhubarbtrail {
 
@@ -306,6 +307,7 @@
                  { "zone", mSettings.zone },
                  { "front", mSettings.edge.frontAddress },
                  { "store", mSettings.edge.storeAddress } });
+    mRunners.SetSampleSeed(XXH3_64bits(mIncarnation.data(), mIncarnation.size()));
     ApplySettings();
     WaitForSignal();
     ScheduleFlush();
@@ -654,12 +656,27 @@
                  { { "endpoint", endpoint }, { "pause_ms", ToMilliseconds(*aAnswer.pause) } });
     }
     RecordStatedLimit(aSource, aAnswer);
+    if (aAnswer.load && aAnswer.load->slowness) {
+      RecordSlowness({ .endpoint = endpoint,
+                       .startedAtMs = aSource.startedAtMs,
+                       .slowness = *aAnswer.load->slowness });
+    }
     const RunnerLeavingMessage leaving{ .runner = endpoint, .startedAtMs = aSource.startedAtMs };
     if (aAnswer.isLeaving && RecordLeaving(leaving, "answer")) {
       mMember.ReportRunnerLeaving(leaving);
     }
   }
 
+  void RecordSlowness(const fleet::SlownessStatement& aStatement)
+  {
+    if (mRunners.RecordSlowness(BootClockNow(), aStatement)) {
+      mLog.Write("endpoints_state_slowness",
+                 { { "endpoint", aStatement.endpoint },
+                   { "service", mRunners.Find(aStatement.endpoint)->entry.service },
+                   { "slowness", aStatement.slowness.factor } });
+    }
+  }
+
   void RecordStatedLimit(const AnswerSource& aSource, const platform::EndpointAnswer& aAnswer)
   {
     const TimePoint now = BootClockNow();
@@ -799,6 +816,14 @@
         { "limit_per_second", runner.limit.rate().value_or(RequestRate{}).perSecond },
         { "entry_age_ms", ToMilliseconds(now - runner.changedAt) },
       };
+      if (const auto slowness = mRunners.SlownessOf(now, runner)) {
+        item["slowness"] = slowness->factor;
+        item["slowness_measured"] = runner.slowness.MeasuredAt(now).factor;
+        if (const auto& stated = runner.slowness.stated()) {
+          item["slowness_stated"] = stated->factor;
+          item["slowness_age_ms"] = ToMilliseconds(now - runner.slowness.statedAt());
+        }
+      }
       if (mMember.isDispatcher() && managed != mDispatcher.runners().end()) {
         item["models"] = nlohmann::ordered_json::array();
         for (const auto& [model, held] : managed->second.models) {
--- a/src/decision/fleet/runner_registry.cpp
+++ b/src/decision/fleet/runner_registry.cpp
@@ -1,9 +1,11 @@
 /* The endpoints that a daemon knows, with their last known state. */
 #include "decision/fleet/runner_registry.h"
 
+#include "decision/fleet/endpoint_choice.h"
 #include "decision/rendezvous_func.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -13,6 +15,8 @@
 
 /* Age at which a load that an endpoint reported is no longer used. */
 constexpr Duration kMaxReportedLoadAge = 400ms;
+/* Time constant with which a reported load loses its weight in the choice by slowness. */
+constexpr Duration kReportedLoadLifetime = 400ms;
 /* Time for which an endpoint without an entry is kept, so that answers still in flight find it. */
 constexpr Duration kRemovedRunnerRetention = 60s;
 
@@ -48,6 +52,7 @@
     mFormerVersions[former.service][former.softwareVersion] = aNow;
     runner.load = {};
     runner.loadReportedAt = {};
+    runner.slowness = {};
     runner.health.Reset();
     runner.saysLeaving = false;
     runner.limit = {};
@@ -227,6 +232,52 @@
   }
 }
 
+bool RunnerRegistry::RecordSlowness(TimePoint aNow, const SlownessStatement& aStatement)
+{
+  KnownRunner* runner = FindProcess(aStatement.endpoint, aStatement.startedAtMs);
+  if (runner == nullptr) {
+    return false;
+  }
+  runner->slowness.RecordStated(aNow - aStatement.age, aStatement.slowness);
+  ServiceSlowness& service = mSlowness[runner->entry.service];
+  const bool isFirst = !service.isStated();
+  service.RecordStated(aStatement.slowness);
+  return isFirst;
+}
+
+/* The queue at the endpoint and its stated slowness are part of the choice already, so they are
+ * taken out of the time. */
+void RunnerRegistry::RecordAnswerTime(TimePoint aNow, const AnswerTime& aAnswer)
+{
+  const auto found = mRunners.find(aAnswer.endpoint);
+  if (found == mRunners.end()) {
+    return;
+  }
+  const auto service = mSlowness.find(found->second.entry.service);
+  if (service == mSlowness.end()) {
+    return;
+  }
+  const double slots = std::max<std::uint32_t>(found->second.entry.slots, 1);
+  const double queue = std::max(1.0, (aAnswer.load.running + aAnswer.load.waiting) / slots);
+  const double stated = aAnswer.load.slowness.value_or(service->second.usual()).factor;
+  const Duration time{ static_cast<Duration::rep>(static_cast<double>(aAnswer.time.count()) /
+                                                  (queue * stated)) };
+  found->second.slowness.RecordMeasured(aNow, service->second.RecordTime(aAnswer.kind, time));
+}
+
+const ServiceSlowness* RunnerRegistry::FindSlowness(const ServiceId& aService) const
+{
+  const auto found = mSlowness.find(aService);
+  return found == mSlowness.end() ? nullptr : &found->second;
+}
+
+std::optional<Slowness> RunnerRegistry::SlownessOf(TimePoint aNow, const KnownRunner& aRunner) const
+{
+  const ServiceSlowness* service = FindSlowness(aRunner.entry.service);
+  return service == nullptr ? std::nullopt
+                            : std::optional{ aRunner.slowness.At(aNow, service->usual()) };
+}
+
 bool RunnerRegistry::IsGone(TimePoint aNow, const KnownRunner& aRunner) const
 {
   if (!aRunner.missingSince) {
@@ -277,8 +328,53 @@
   return earliest;
 }
 
+std::optional<Exclusion> RunnerRegistry::CheckChoice(TimePoint aNow,
+                                                     const KnownRunner& aRunner,
+                                                     const EndpointQuery& aQuery) const
+{
+  const bool isExcluded = aQuery.excluded != nullptr && aQuery.excluded->contains(aRunner.entry.id);
+  if (!Matches(aRunner, aQuery) || isExcluded) {
+    return std::nullopt;
+  }
+  const Exclusion exclusion = Check(aNow, aRunner);
+  if (exclusion != Exclusion::kNone && exclusion != Exclusion::kAvoided) {
+    return std::nullopt;
+  }
+  const bool isBeyondShare = aRunner.limit.rate() &&
+                             aQuery.limited == LimitedEndpoints::kWithinOwnShare &&
+                             (!aRunner.ownShare || !aRunner.ownShare->Has(aNow));
+  return isBeyondShare ? std::nullopt : std::optional{ exclusion };
+}
+
+std::optional<EndpointId> RunnerRegistry::ChooseBySlowness(TimePoint aNow,
+                                                           const EndpointQuery& aQuery) const
+{
+  std::vector<EndpointCandidate> candidates;
+  for (const auto& [id, runner] : mRunners) {
+    const auto exclusion = CheckChoice(aNow, runner, aQuery);
+    if (!exclusion) {
+      continue;
+    }
+    const double age = std::chrono::duration<double>(aNow - runner.loadReportedAt) /
+                       std::chrono::duration<double>(kReportedLoadLifetime);
+    const double reported = (runner.load.running + runner.load.waiting) * std::exp(-age);
+    candidates.push_back({ .id = id,
+                           .requestsAhead = std::max<double>(reported, runner.inFlight),
+                           .slots = runner.entry.slots,
+                           .slowness = SlownessOf(aNow, runner).value_or(Slowness{}),
+                           .isAvoided = *exclusion == Exclusion::kAvoided,
+                           .isLimited = runner.limit.rate().has_value(),
+                           .isInOtherZone = runner.entry.zone != aQuery.zone });
+  }
+  const EndpointCandidate* chosen = ChooseFromSample(candidates, aQuery.affinity ^ mSampleSeed);
+  return chosen == nullptr ? std::nullopt : std::optional{ chosen->id };
+}
+
 std::optional<EndpointId> RunnerRegistry::Choose(TimePoint aNow, const EndpointQuery& aQuery) const
 {
+  if (aQuery.model == nullptr && FindSlowness(aQuery.service) != nullptr) {
+    return ChooseBySlowness(aNow, aQuery);
+  }
   // Endpoints rank by: not avoided, least load, same zone. The last member breaks ties by a hash of
   // the affinity and the endpoint. Otherwise many daemons that see the same idle endpoint would all
   // send their requests there at the same time.
@@ -286,19 +382,11 @@
   std::optional<Rank> best;
   std::optional<EndpointId> chosen;
   for (const auto& [id, runner] : mRunners) {
-    if (!Matches(runner, aQuery) || (aQuery.excluded != nullptr && aQuery.excluded->contains(id))) {
-      continue;
-    }
-    const Exclusion exclusion = Check(aNow, runner);
-    if (exclusion == Exclusion::kLeaving || exclusion == Exclusion::kGone ||
-        exclusion == Exclusion::kPaused) {
+    const auto exclusion = CheckChoice(aNow, runner, aQuery);
+    if (!exclusion) {
       continue;
     }
     const bool isLimited = runner.limit.rate().has_value();
-    if (isLimited && aQuery.limited == LimitedEndpoints::kWithinOwnShare &&
-        (!runner.ownShare || !runner.ownShare->Has(aNow))) {
-      continue;
-    }
     const bool isLoadFresh = aNow - runner.loadReportedAt < kMaxReportedLoadAge;
     const std::uint32_t reportedLoad = isLoadFresh ? runner.load.running + runner.load.waiting : 0;
     const std::uint32_t limitedLoad =
@@ -306,7 +394,7 @@
     const std::uint32_t load = std::max(reportedLoad, runner.inFlight) + limitedLoad;
     const std::uint64_t tieBreaker = ~RendezvousWeight(std::to_string(aQuery.affinity), id.str());
     const Rank rank{
-      exclusion == Exclusion::kAvoided, load, runner.entry.zone != aQuery.zone, tieBreaker
+      *exclusion == Exclusion::kAvoided, load, runner.entry.zone != aQuery.zone, tieBreaker
     };
     if (!best || rank < *best) {
       best = rank;
--- a/src/decision/fleet/runner_registry.h
+++ b/src/decision/fleet/runner_registry.h
@@ -4,6 +4,7 @@
 
 #include "decision/fleet/dispatch_type.h"
 #include "decision/fleet/endpoint_health.h"
+#include "decision/fleet/endpoint_slowness.h"
 #include "decision/fleet/request_allowance.h"
 #include "decision/fleet/runner_type.h"
 #include "decision/fleet/stated_limit.h"
@@ -37,6 +38,7 @@
   std::uint32_t inFlight = 0; ///< Requests of this daemon in flight at the endpoint.
   EndpointLoad load;
   TimePoint loadReportedAt{}; ///< When the endpoint reported the load.
+  SlownessEstimate slowness;
   EndpointHealth health;
 };
 
@@ -57,6 +59,15 @@
   kWithinOwnShare,  ///< Only if this daemon may send it a request without asking.
 };
 
+/* A complete answer of an endpoint of a plain service. */
+struct AnswerTime
+{
+  EndpointId endpoint;
+  std::string kind;  ///< Answers to requests of one kind take about the same time.
+  Duration time{};   ///< From sending the request.
+  EndpointLoad load; ///< That the answer stated.
+};
+
 /* Holds the endpoints of all services, runners and others, and chooses among them by their entries,
  * load and health. */
 class RunnerRegistry
@@ -118,6 +129,17 @@
   std::vector<LimitStatement> Limits() const;
   /* Records the load that an endpoint reported. */
   void RecordLoad(TimePoint aNow, const EndpointId& aRunner, const EndpointLoad& aLoad);
+  /* Records the slowness that an endpoint's process states. Returns whether this is the first
+   * statement of any endpoint of its service, with which the choice among them changes. */
+  bool RecordSlowness(TimePoint aNow, const SlownessStatement& aStatement);
+  /* Records how long an endpoint took to answer. Does nothing for services whose endpoints state no
+   * slowness. */
+  void RecordAnswerTime(TimePoint aNow, const AnswerTime& aAnswer);
+  /* Returns how slow an endpoint is expected to be, or nothing if no endpoint of its service states
+   * it. */
+  std::optional<Slowness> SlownessOf(TimePoint aNow, const KnownRunner& aRunner) const;
+  /* Sets what makes this daemon's random samples differ from those of others. */
+  void SetSampleSeed(std::uint64_t aSeed) { mSampleSeed = aSeed; }
 
   /* Returns whether an endpoint may get new requests (kNone), and otherwise why not. */
   Exclusion Check(TimePoint aNow, const KnownRunner& aRunner) const;
@@ -136,7 +158,8 @@
   };
 
   /* Returns the endpoint that is expected to answer first, or nothing if none is usable. An
-   * endpoint that is avoided is chosen only when there is no other. */
+   * endpoint that is avoided is chosen only when there is no other. Of a plain service whose
+   * endpoints state their slowness, only a random sample is considered. */
   std::optional<EndpointId> Choose(TimePoint aNow, const EndpointQuery& aQuery) const;
 
   /* Returns the paused endpoints of a service, with the time until their pauses end. */
@@ -162,8 +185,18 @@
   KnownRunner* FindProcess(const EndpointId& aRunner, std::int64_t aStartedAtMs);
   void UpdateOwnShare(TimePoint aNow, KnownRunner& aRunner) const;
   static bool Matches(const KnownRunner& aRunner, const EndpointQuery& aQuery);
+  /* Returns whether an endpoint may serve the query and may be chosen now (kNone), may be chosen if
+   * there is no other (kAvoided), or nothing if it may not be chosen. */
+  std::optional<Exclusion> CheckChoice(TimePoint aNow,
+                                       const KnownRunner& aRunner,
+                                       const EndpointQuery& aQuery) const;
+  std::optional<EndpointId> ChooseBySlowness(TimePoint aNow, const EndpointQuery& aQuery) const;
+  /* Returns what the endpoints of a service have in common, or null if none states a slowness. */
+  const ServiceSlowness* FindSlowness(const ServiceId& aService) const;
 
   std::map<EndpointId, KnownRunner> mRunners;
+  std::map<ServiceId, ServiceSlowness> mSlowness; ///< Of services whose endpoints state it.
+  std::uint64_t mSampleSeed = 0;
   std::size_t mDaemons = 1;  ///< That share limits while no dispatcher can be asked.
   TimePoint mLastPauseEnd{}; ///< No endpoint is paused from then on.
   /* Versions of endpoints that were removed or restarted, and those that others knew, with the time
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -934,6 +934,15 @@
       if (HasAnswerBegun(mAttempt) && IsSuccess(mAttempt.head->status)) {
         RecordSoundParts();
       }
+      // The time of a stream depends on its length, and an error may be answered at once.
+      if (!UsesModels() && !mAttempt.isStream && IsSuccess(mAttempt.head->status)) {
+        mContext.runners.RecordAnswerTime(
+          now,
+          { .endpoint = mAttempt.endpoint,
+            .kind = mRoute->name,
+            .time = now - mAttempt.startedAt,
+            .load = mAttempt.decodedHead.load.value_or(fleet::EndpointLoad{}) });
+      }
       break;
     case AttemptEnd::kErrorAnswer:
     case AttemptEnd::kLost:
