Add: [Dispatcher] Assign requests by the slowness that runners state

The dispatcher chose runners by the work that it had sent them, as if all hosts were equally fast. Answers to the dispatcher's own orders and reports count as well. EstimateTimeToFirstEvent multiplies the work ahead by the slowness, and the times to first events are compared between the runners of a service. For services whose runners state no figure nothing changes.

--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -675,6 +675,7 @@
                    { "service", mRunners.Find(aStatement.endpoint)->entry.service },
                    { "slowness", aStatement.slowness.factor } });
     }
+    mMember.ReportSlowness(aStatement);
   }
 
   void RecordStatedLimit(const AnswerSource& aSource, const platform::EndpointAnswer& aAnswer)
@@ -832,6 +833,9 @@
                                      { "leaving", held.isLeaving },
                                      { "adapters", held.adapters.size() } });
         }
+        if (const auto slowness = mDispatcher.SlownessOf(now, managed->second)) {
+          item["slowness_assumed"] = slowness->factor;
+        }
         item["order_count"] = managed->second.orderCount;
         item["order_under_way"] = managed->second.order.has_value();
       }
--- a/src/decision/fleet/dispatcher.cpp
+++ b/src/decision/fleet/dispatcher.cpp
@@ -17,6 +17,9 @@
  * refused adapter wait as long. */
 constexpr Duration kRefusalReportDelay = 150ms;
 
+/* Shorter expected times count as this when they are compared with measured ones. */
+constexpr Duration kMinMeasuredTime = 5ms;
+
 EndpointOutcome EndpointOutcomeOf(AssignmentEnd aEnd)
 {
   switch (aEnd) {
@@ -266,6 +269,7 @@
                          assignment->second.expectedTimeToFirstEvent,
                          aReleased.timeToFirstEvent);
   }
+  RecordSlowness(aNow, assignment->second, aReleased.timeToFirstEvent);
   if (aReleased.end == AssignmentEnd::kWithdrawn) {
     GiveBackRequestAllowance(aNow, assignment->second);
   }
@@ -289,6 +293,51 @@
   ReleaseAssignment(aNow, aReleased.id);
 }
 
+std::optional<Slowness> Dispatcher::OnSlownessStatement(TimePoint aNow,
+                                                        const SlownessStatement& aStatement)
+{
+  const auto runner = mRunners.find(aStatement.endpoint);
+  if (runner == mRunners.end() || runner->second.engine == nullptr ||
+      runner->second.entry.startedAtMs != aStatement.startedAtMs) {
+    return std::nullopt;
+  }
+  runner->second.slowness.RecordStated(aNow - aStatement.age, aStatement.slowness);
+  ServiceSlowness& service = mSlowness[runner->second.entry.service];
+  service.RecordStated(aStatement.slowness);
+  return service.usual();
+}
+
+std::optional<Slowness> Dispatcher::SlownessOf(TimePoint aNow, const ManagedRunner& aRunner) const
+{
+  const auto service = mSlowness.find(aRunner.entry.service);
+  return service == mSlowness.end()
+           ? std::nullopt
+           : std::optional{ aRunner.slowness.At(aNow, service->second.usual()) };
+}
+
+void Dispatcher::RecordSlowness(TimePoint aNow,
+                                const Assignment& aAssignment,
+                                Duration aTimeToFirstEvent)
+{
+  const auto runner = mRunners.find(aAssignment.runner);
+  const bool isMeasured =
+    aAssignment.expectedTimeToFirstEvent > Duration::zero() && aTimeToFirstEvent > Duration::zero();
+  if (!isMeasured || runner == mRunners.end()) {
+    return;
+  }
+  const auto service = mSlowness.find(runner->second.entry.service);
+  if (service == mSlowness.end()) {
+    return;
+  }
+  // The expected time contains the queue and the stated slowness already.
+  const double expected = static_cast<double>(
+    std::max<Duration>(aAssignment.expectedTimeToFirstEvent, kMinMeasuredTime).count());
+  const Duration time =
+    ScaleDuration(1s, static_cast<double>(aTimeToFirstEvent.count()) / expected);
+  runner->second.slowness.RecordMeasured(
+    aNow, service->second.RecordTime(aAssignment.model.model.str(), time));
+}
+
 void Dispatcher::OnAssignmentInUse(TimePoint aNow, const AssignmentInUse& aAssignment)
 {
   const auto runner = mRunners.find(aAssignment.runner);
--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -7,6 +7,7 @@
 #include "decision/fleet/demand_tracker.h"
 #include "decision/fleet/dispatch_type.h"
 #include "decision/fleet/endpoint_health.h"
+#include "decision/fleet/endpoint_slowness.h"
 #include "decision/fleet/fleet_configuration_type.h"
 #include "decision/fleet/order_type.h"
 #include "decision/fleet/prompt_cache.h"
@@ -163,6 +164,7 @@
   TimePoint promptsDoneAt{}; ///< When all prompts sent so far are expected to be processed.
   PromptCache cache;
   EndpointHealth health;
+  SlownessEstimate slowness; ///< Of the present process.
 };
 
 /* Returns the time to load a model from the fastest source that the runner has: host memory, its
@@ -190,6 +192,12 @@
   /* Takes what a runner's process has stated about its limit on requests. Returns whether that
    * changes the limit. */
   bool OnLimitStatement(TimePoint aNow, const LimitStatement& aStatement);
+  /* Takes the slowness that a runner's process has stated. Returns what is usual for its service,
+   * or nothing if the dispatcher does not assign requests to this process. */
+  std::optional<Slowness> OnSlownessStatement(TimePoint aNow, const SlownessStatement& aStatement);
+  /* Returns how slow a runner is expected to be, or nothing if no runner of its service states it.
+   */
+  std::optional<Slowness> SlownessOf(TimePoint aNow, const ManagedRunner& aRunner) const;
   void OnPlacementRequest(TimePoint aNow, const PlacementRequest& aRequest, const ZoneId& aZone);
   void OnAssignmentReleased(TimePoint aNow, const AssignmentReleased& aReleased);
   void OnAssignmentInUse(TimePoint aNow, const AssignmentInUse& aAssignment);
@@ -303,6 +311,8 @@
                      ManagedRunner& aRunner,
                      Duration aTimeToFirstEvent);
   void ReleaseAssignment(TimePoint aNow, const PlacementRequestId& aRequest);
+  /* Compares the time to the first event with that of other runners. */
+  void RecordSlowness(TimePoint aNow, const Assignment& aAssignment, Duration aTimeToFirstEvent);
   /* Releases the assignments of a daemon, or of all daemons if none is given. */
   void ReleaseAssignmentsOf(const std::optional<DaemonId>& aDaemon);
   void CancelSwaps();
@@ -567,6 +577,7 @@
   std::map<std::pair<ServiceId, ModelId>, TimePoint> mRefusedModels;
   DemandTracker mDemand;
   ServiceTimeTracker mServiceTimes;
+  std::map<ServiceId, ServiceSlowness> mSlowness; ///< Of services whose runners state it.
   StoreLimits mStoreLimits;
   /* Estimated number of concurrent weight store loads that run at full speed. */
   double mStoreConcurrency = 4.0;
--- a/src/decision/fleet/dispatcher_assign.cpp
+++ b/src/decision/fleet/dispatcher_assign.cpp
@@ -80,6 +80,9 @@
                   ScaleDuration(PromptProcessingTime(request.work.promptTokens - cachedTokens),
                                 mServiceTimes.Factor(request.work.target.model)) +
                   aRunner.inFlight * kDelayPerRunningRequest;
+  if (const auto slowness = SlownessOf(aNow, aRunner)) {
+    time = ScaleDuration(time, slowness->factor);
+  }
   if (aRunner.entry.zone != aWaiting.zone) {
     time += kCrossZonePenalty;
   }
--- a/src/fleet/fleet_member.cpp
+++ b/src/fleet/fleet_member.cpp
@@ -147,6 +147,7 @@
     LoseDispatcher("silent");
   }
   SendChangedLimits(now);
+  SendSlowness(now);
   SendReports(now);
   mLink.CloseOverdueConnections(now);
   mTimer.expires_after(kTickInterval);
@@ -433,6 +434,11 @@
       [&](const RunnerLeavingMessage& aLeaving) { OnRunnerLeaving(*message, aLeaving); },
       [&](const StreamsBegunMessage& aBegun) { OnStreamsBegun(aBegun); },
       [&](const EndpointLimitsMessage& aLimits) { OnEndpointLimits(*message, aLimits); },
+      [&](const EndpointSlownessMessage& aSlowness) {
+        for (const fleet::SlownessStatement& statement : aSlowness.statements) {
+          mServices.dispatcher.OnSlownessStatement(BootClockNow(), statement);
+        }
+      },
       [&](const TableChangesMessage& aChanges) {
         if (mHasRemoteDispatcher && message->from == mDispatcherLease.holder &&
             message->incarnation == mDispatcherLease.incarnation) {
@@ -524,6 +530,7 @@
     // Sent first, so that the dispatcher knows the streams when requests to resume them arrive.
     SendOwnStreams();
     SendOwnSuspects(mDispatcherLease.address);
+    mSlowness.OnNewDispatcher();
     SendLimits(mDispatcherLease.address, mServices.limits());
     mServices.placement.OnNewDispatcher();
   }
@@ -643,6 +650,27 @@
   }
 }
 
+/* The dispatcher of this daemon is kept informed also while another daemon gives the orders,
+ * because this one may take over. */
+void FleetMember::ReportSlowness(const fleet::SlownessStatement& aStatement)
+{
+  const TimePoint now = BootClockNow();
+  const auto usual = mServices.dispatcher.OnSlownessStatement(now, aStatement);
+  if (usual && mHasRemoteDispatcher) {
+    mSlowness.Record(now, aStatement, *usual);
+  }
+}
+
+void FleetMember::SendSlowness(TimePoint aNow)
+{
+  if (!mHasRemoteDispatcher) {
+    return;
+  }
+  if (auto due = mSlowness.TakeDue(aNow); !due.empty()) {
+    Send(mDispatcherLease.address, EndpointSlownessMessage{ .statements = std::move(due) });
+  }
+}
+
 bool FleetMember::WasDelayed() const
 {
   return BootClockNow() - mLastTickAt > kMaxTickDelay;
--- a/src/fleet/fleet_member.h
+++ b/src/fleet/fleet_member.h
@@ -7,6 +7,7 @@
 #include "core/metrics.h"
 #include "decision/fleet/dispatcher.h"
 #include "decision/fleet/order_lease.h"
+#include "decision/fleet/slowness_reports.h"
 #include "fleet/fleet_message.h"
 #include "fleet/report_queue.h"
 #include "fleet/store_client.h"
@@ -110,6 +111,9 @@
   void ReportRunnerLeaving(const RunnerLeavingMessage& aMessage);
   /* Notifies them in the same way of an endpoint's limit on requests, or that it has ended. */
   void ReportLimit(const fleet::LimitStatement& aStatement);
+  /* Passes the slowness that an endpoint states to the dispatcher, if that assigns requests to it.
+   */
+  void ReportSlowness(const fleet::SlownessStatement& aStatement);
   /* Returns whether this process has not run for some time, for example because it was suspended.
    * Messages that it handles now may be that old. */
   bool WasDelayed() const;
@@ -182,6 +186,8 @@
   /* Sends the limits that have changed: to the dispatcher, or to all members if this daemon is the
    * dispatcher. */
   void SendChangedLimits(TimePoint aNow);
+  /* Sends the slowness of runners that is due to the dispatcher. */
+  void SendSlowness(TimePoint aNow);
   /* Sends limits in messages of bounded size. */
   void SendLimits(const std::string& aAddress, const std::vector<fleet::LimitStatement>& aLimits);
   /* Sends a report to the dispatcher, or to all members if this daemon is the dispatcher. */
@@ -238,6 +244,7 @@
   /* The last statement about each endpoint whose limit has changed since the last message. */
   std::map<EndpointId, fleet::LimitStatement> mChangedLimits;
   TimePoint mNextLimitsAt{}; ///< When the next message about limits may be sent.
+  fleet::SlownessReports mSlowness;
   TimePoint mLastTickAt{};
   TimePoint mNextHeartbeatAt{};
   TimePoint mNextHelloAt{};
--- a/src/fleet/fleet_message.cpp
+++ b/src/fleet/fleet_message.cpp
@@ -181,6 +181,34 @@
   return limits;
 }
 
+Json ToJson(const EndpointSlownessMessage& aSlowness)
+{
+  Json statements = Json::array();
+  for (const SlownessStatement& item : aSlowness.statements) {
+    statements.push_back({ { "runner", item.endpoint.str() },
+                           { "born", item.startedAtMs },
+                           { "factor", item.slowness.factor },
+                           { "age", item.age.count() } });
+  }
+  return { { "kind", "slowness" }, { "statements", std::move(statements) } };
+}
+
+EndpointSlownessMessage EndpointSlownessFrom(const Json& aJson)
+{
+  EndpointSlownessMessage slowness;
+  for (const Json& item : aJson.at("statements")) {
+    const Slowness stated{ item.at("factor").get<double>() };
+    if (!std::isfinite(stated.factor) || stated.factor <= 0.0) {
+      throw std::invalid_argument("a slowness is no factor");
+    }
+    slowness.statements.push_back({ .endpoint = EndpointId{ item.at("runner").get<std::string>() },
+                                    .startedAtMs = item.at("born").get<std::int64_t>(),
+                                    .slowness = stated,
+                                    .age = Duration{ item.value("age", Duration::rep{ 0 }) } });
+  }
+  return slowness;
+}
+
 Json ToJson(const PlacementRequest& aRequest)
 {
   Json parts = Json::array();
@@ -392,6 +420,7 @@
                                { "born", aLeaving.startedAtMs } };
                 },
                 [](const EndpointLimitsMessage& aLimits) { return ToJson(aLimits); },
+                [](const EndpointSlownessMessage& aSlowness) { return ToJson(aSlowness); },
                 [](const StreamsBegunMessage& aBegun) {
                   Json streams = Json::array();
                   for (const BegunStream& stream : aBegun.streams) {
@@ -454,6 +483,9 @@
   if (kind == "limits") {
     return EndpointLimitsFrom(aJson);
   }
+  if (kind == "slowness") {
+    return EndpointSlownessFrom(aJson);
+  }
   if (kind == "streams") {
     StreamsBegunMessage begun{ .streams = {}, .isResent = aJson.value("resent", false) };
     for (const Json& stream : aJson.at("streams")) {
@@ -495,8 +527,11 @@
 std::string_view NameOfMessage(std::size_t aKind)
 {
   constexpr std::array<std::string_view, std::variant_size_v<FleetBody>> kNames{
-    "hello",          "heartbeat",       "suspect", "suspects", "table_changes", "streams_begun",
-    "runner_leaving", "endpoint_limits", "request", "released", "in_use",        "reply"
+    "hello",          "heartbeat",       "suspect",
+    "suspects",       "table_changes",   "streams_begun",
+    "runner_leaving", "endpoint_limits", "endpoint_slowness",
+    "request",        "released",        "in_use",
+    "reply"
   };
   return kNames.at(aKind);
 }
--- a/src/fleet/fleet_message.h
+++ b/src/fleet/fleet_message.h
@@ -4,6 +4,7 @@
 
 #include "decision/fleet/crash_guard.h"
 #include "decision/fleet/dispatch_type.h"
+#include "decision/fleet/endpoint_slowness.h"
 #include "decision/fleet/feed_coverage.h"
 #include "decision/fleet/order_lease.h"
 #include "decision/fleet/prompt_part_guard.h"
@@ -96,6 +97,12 @@
   std::vector<fleet::LimitStatement> statements;
 };
 
+/* What runners have stated about their slowness, from a daemon to the dispatcher. */
+struct EndpointSlownessMessage
+{
+  std::vector<fleet::SlownessStatement> statements;
+};
+
 using FleetBody = std::variant<HelloMessage,
                                HolderHeartbeatMessage,
                                SuspectMessage,
@@ -104,6 +111,7 @@
                                StreamsBegunMessage,
                                RunnerLeavingMessage,
                                EndpointLimitsMessage,
+                               EndpointSlownessMessage,
                                fleet::PlacementRequest,
                                fleet::AssignmentReleased,
                                fleet::AssignmentInUse,
--- a/tests/fleet/fleet_message_test.cpp
+++ b/tests/fleet/fleet_message_test.cpp
@@ -86,6 +86,14 @@
     RunnerLeavingMessage{ .runner = EndpointId{ "e1" }, .startedAtMs = 1'786'748'091'415 });
   CHECK(leaving.runner == EndpointId{ "e1" });
   CHECK(leaving.startedAtMs == 1'786'748'091'415);
+  const auto slowness = EncodeAndDecode<EndpointSlownessMessage>(EndpointSlownessMessage{
+    .statements = {
+      { .endpoint = EndpointId{ "e1" }, .startedAtMs = 5, .slowness = { 2.5 }, .age = 90ms } } });
+  REQUIRE(slowness.statements.size() == 1);
+  CHECK(slowness.statements[0].endpoint == EndpointId{ "e1" });
+  CHECK(slowness.statements[0].startedAtMs == 5);
+  CHECK(slowness.statements[0].slowness == Slowness{ 2.5 });
+  CHECK(slowness.statements[0].age == 90ms);
   const auto begun = EncodeAndDecode<StreamsBegunMessage>(StreamsBegunMessage{
     .streams = { { .key = { 7 }, .origin = *kRequest.origin } }, .isResent = true });
   CHECK(begun.isResent);
