Add: [Dispatcher, Gateway] Limit the pace at which recovered endpoints get requests

An endpoint that is back from a crash, a flap or a pause, or a model that was just loaded, has nothing in flight, so the choice by load sent it everything at once. With the new setting endpoint_pace (off by default), a window of requests in flight opens with time and answers in time and halves with late, refused or failed ones: one for each runner and loaded model at the dispatcher, one for each plain endpoint at each daemon. It only orders the choice: a request goes beyond the window unless another sound endpoint is in time for it, and nothing is refused or held back. With the setting off, no window is started and the choice is as before.

--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -429,6 +429,8 @@
                                   .slack = mSettings.edge.retrySlack,
                                   .window = mSettings.edge.retryWindow,
                                   .daemons = mDaemonCount });
+    mRunners.SetPaced(mSettings.edge.isPaced);
+    mDispatcher.SetPaced(mSettings.edge.isPaced);
     mDispatcher.SetStoreLimits(
       { .window = mSettings.edge.loadWindow, .overage = mSettings.edge.loadOverage });
   }
@@ -825,6 +827,9 @@
           item["slowness_age_ms"] = ToMilliseconds(now - runner.slowness.statedAt());
         }
       }
+      if (runner.window.IsOpening(now)) {
+        item["window_here"] = runner.window.SizeAt(now);
+      }
       if (mMember.isDispatcher() && managed != mDispatcher.runners().end()) {
         item["models"] = nlohmann::ordered_json::array();
         for (const auto& [model, held] : managed->second.models) {
@@ -833,6 +838,9 @@
                                      { "leaving", held.isLeaving },
                                      { "adapters", held.adapters.size() } });
         }
+        if (managed->second.window.IsOpening(now)) {
+          item["window"] = managed->second.window.SizeAt(now);
+        }
         if (const auto slowness = mDispatcher.SlownessOf(now, managed->second)) {
           item["slowness_assumed"] = slowness->factor;
         }
@@ -872,6 +880,9 @@
         "Requests of all daemons that wait here.",
         mDispatcher.waitingRequests() },
       { "places_in_use", "Places given out here.", mDispatcher.activeAssignments() },
+      { "requests_paced",
+        "Requests sent elsewhere because the best runner was beyond its window.",
+        mDispatcher.pacedRequests() },
       { "runners_known", "Runners that are known.", mRunners.runners().size() },
       { "configuration_version",
         "Version in force.",
--- a/src/decision/fleet/dispatch_estimate.h
+++ b/src/decision/fleet/dispatch_estimate.h
@@ -34,6 +34,9 @@
 /* Retry-after time of refusals for lack of a replica while none is planned. */
 constexpr Duration kRetryAfterRefusal = 1'500ms;
 
+/* Size of a runner's window, and of that of a model that was just loaded, at the start. */
+constexpr double kFirstRunnerWindow = 2.0;
+
 inline double ToSeconds(Duration aDuration)
 {
   return std::chrono::duration<double>(aDuration).count();
--- a/src/decision/fleet/dispatcher.cpp
+++ b/src/decision/fleet/dispatcher.cpp
@@ -132,6 +132,69 @@
     OnLimitStatement(aNow, statement);
   }
   AdoptHoldings(aNow, aRunner, aEntry.holdings);
+  StartWindow(aNow, aRunner, {}, aRunner.window, "new_process");
+}
+
+void Dispatcher::StartWindow(TimePoint aAt,
+                             const ManagedRunner& aRunner,
+                             const ModelId& aModel,
+                             EndpointWindow& aWindow,
+                             std::string_view aWhy)
+{
+  if (!mIsPaced || aRunner.engine == nullptr) {
+    return;
+  }
+  aWindow.Start(aAt,
+                { .first = kFirstRunnerWindow,
+                  .full = std::max<double>(aRunner.entry.slots, kFirstRunnerWindow) });
+  if (mOrderPermission.mayOrder) { // Other daemons do not collect the records.
+    LogDecision({ .event = "window_started",
+                  .request = {},
+                  .runner = aRunner.entry.id,
+                  .model = { .model = aModel, .adapter = {} },
+                  .why = aWhy,
+                  .count = aRunner.inFlight });
+  }
+}
+
+bool Dispatcher::HasRoom(TimePoint aNow, const ManagedRunner& aRunner, const ModelId& aModel) const
+{
+  if (!mIsPaced) {
+    return true;
+  }
+  const auto held = aRunner.models.find(aModel);
+  return aRunner.window.HasRoom(aNow, aRunner.inFlight, 0.0) &&
+         (held == aRunner.models.end() ||
+          held->second.window.HasRoom(aNow, held->second.inFlight, 0.0));
+}
+
+void Dispatcher::RecordPace(TimePoint aNow,
+                            const Assignment& aAssignment,
+                            const AssignmentReleased& aReleased)
+{
+  const auto found = mRunners.find(aAssignment.runner);
+  if (!mIsPaced || found == mRunners.end()) {
+    return;
+  }
+  ManagedRunner& runner = found->second;
+  const auto held = runner.models.find(aAssignment.model.model);
+  const auto record = [&](PaceSignal aSignal) {
+    runner.window.Record(aNow, aSignal);
+    if (held != runner.models.end()) {
+      held->second.window.Record(aNow, aSignal);
+    }
+  };
+  const bool hasFailed =
+    aReleased.end == AssignmentEnd::kFailed || aReleased.end == AssignmentEnd::kLost;
+  if (hasFailed && runner.health.IsAvoided(aNow)) {
+    StartWindow(runner.health.avoidedUntil(), runner, {}, runner.window, "failures");
+  } else if (hasFailed || aReleased.end == AssignmentEnd::kRefused) {
+    record(PaceSignal::kRefused);
+  } else if (aReleased.end == AssignmentEnd::kDone &&
+             aReleased.timeToFirstEvent > Duration::zero()) {
+    record(aReleased.timeToFirstEvent > aAssignment.latencyObjective ? PaceSignal::kLate
+                                                                     : PaceSignal::kInTime);
+  }
 }
 
 void Dispatcher::OnRunnerEntry(TimePoint aNow, const RunnerEntry& aEntry)
@@ -145,7 +208,9 @@
     return;
   }
   runner.entry = aEntry;
-  runner.isGone = false;
+  if (std::exchange(runner.isGone, false)) {
+    StartWindow(aNow, runner, {}, runner.window, "entry_returned");
+  }
   // An entry does not tell which orders it already reflects, so it does not replace holdings that a
   // report has confirmed. A new report is requested instead.
   if (!runner.areHoldingsConfirmed) {
@@ -290,6 +355,7 @@
       ScheduleReport(aNow + kRefusalReportDelay, runner->second);
     }
   }
+  RecordPace(aNow, assignment->second, aReleased);
   ReleaseAssignment(aNow, aReleased.id);
 }
 
@@ -389,6 +455,7 @@
   const Assignment assignment{ .runner = aRunner.entry.id,
                                .model = target,
                                .tokens = aRequest.work.promptTokens + aRequest.work.outputTokens,
+                               .latencyObjective = aRequest.latencyObjective,
                                .expectedTimeToFirstEvent = aTimeToFirstEvent };
   mAssignments.insert_or_assign(aRequest.id, assignment);
   ++aRunner.inFlight;
--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -8,6 +8,7 @@
 #include "decision/fleet/dispatch_type.h"
 #include "decision/fleet/endpoint_health.h"
 #include "decision/fleet/endpoint_slowness.h"
+#include "decision/fleet/endpoint_window.h"
 #include "decision/fleet/fleet_configuration_type.h"
 #include "decision/fleet/order_type.h"
 #include "decision/fleet/prompt_cache.h"
@@ -80,6 +81,7 @@
   TimePoint lastUsed{};
   std::uint32_t inFlight = 0;
   bool isLeaving = false; ///< A planned swap will unload the model. It gets no more requests.
+  EndpointWindow window;  ///< For requests of all daemons after the model was loaded.
   /* Cached result of RetentionValue(), in seconds, and when it was computed. */
   mutable double retentionValue = 0.0;
   mutable TimePoint retentionValueAt{};
@@ -165,6 +167,7 @@
   PromptCache cache;
   EndpointHealth health;
   SlownessEstimate slowness; ///< Of the present process.
+  EndpointWindow window;     ///< For requests of all daemons after a start or a recovery.
 };
 
 /* Returns the time to load a model from the fastest source that the runner has: host memory, its
@@ -220,6 +223,8 @@
   /* When to call Tick() next if no event arrives before. */
   TimePoint nextTickAt() const { return mNextTickAt; }
 
+  /* Requests that went to another runner because the best one was beyond its window. */
+  std::uint64_t pacedRequests() const { return mPacedRequests; }
   std::size_t waitingRequests() const { return mWaitingRequests.size(); }
   std::size_t activeAssignments() const { return mAssignments.size(); }
   const std::map<EndpointId, ManagedRunner>& runners() const { return mRunners; }
@@ -231,6 +236,8 @@
     double overage = 1.0; ///< Factor on the configured load rate that is allowed over the window.
   };
   void SetStoreLimits(const StoreLimits& aLimits) { mStoreLimits = aLimits; }
+  /* Sets whether runners get requests at a limited pace after a start, a recovery or a load. */
+  void SetPaced(bool aIsPaced) { mIsPaced = aIsPaced; }
 
 private:
   static constexpr double kSwapRateTimeConstantS = 20.0;
@@ -252,6 +259,7 @@
     EndpointId runner;
     ModelRef model;
     std::uint64_t tokens = 0;
+    Duration latencyObjective{};         ///< From the assignment on.
     Duration expectedTimeToFirstEvent{}; ///< 0 if this dispatcher did not assign the request.
     bool usesAllowance = false;          ///< This dispatcher counted it against the runner's limit.
   };
@@ -311,6 +319,19 @@
                      ManagedRunner& aRunner,
                      Duration aTimeToFirstEvent);
   void ReleaseAssignment(TimePoint aNow, const PlacementRequestId& aRequest);
+  /* Starts the window of a runner, or of a model at it. */
+  void StartWindow(TimePoint aAt,
+                   const ManagedRunner& aRunner,
+                   const ModelId& aModel,
+                   EndpointWindow& aWindow,
+                   std::string_view aWhy);
+  /* Opens or closes the windows of a runner and a model by the end of an assignment. */
+  void RecordPace(TimePoint aNow,
+                  const Assignment& aAssignment,
+                  const AssignmentReleased& aReleased);
+  /* Returns whether one more request for the model is within the windows of the runner and the
+   * model. */
+  bool HasRoom(TimePoint aNow, const ManagedRunner& aRunner, const ModelId& aModel) const;
   /* Compares the time to the first event with that of other runners. */
   void RecordSlowness(TimePoint aNow, const Assignment& aAssignment, Duration aTimeToFirstEvent);
   /* Releases the assignments of a daemon, or of all daemons if none is given. */
@@ -579,6 +600,8 @@
   ServiceTimeTracker mServiceTimes;
   std::map<ServiceId, ServiceSlowness> mSlowness; ///< Of services whose runners state it.
   StoreLimits mStoreLimits;
+  bool mIsPaced = false;
+  std::uint64_t mPacedRequests = 0;
   /* Estimated number of concurrent weight store loads that run at full speed. */
   double mStoreConcurrency = 4.0;
   std::vector<TimePoint> mAdapterLoadEnds; ///< When the adapter loads in progress should end.
--- a/src/decision/fleet/dispatcher_assign.cpp
+++ b/src/decision/fleet/dispatcher_assign.cpp
@@ -26,6 +26,21 @@
 constexpr std::size_t kShortQueue = 48;
 constexpr Duration kAssignmentInterval = 20ms;
 
+/* How a runner ranks: it has failed the request, it is avoided, and the time to the first event. */
+using RunnerRank = std::tuple<bool, bool, Duration>;
+
+/* Returns whether a runner that ranks second is as sound as the first, and in time for a request
+ * that arrived at the dispatcher this long ago. */
+bool IsAsGood(const RunnerRank& aFirst,
+              const RunnerRank& aSecond,
+              Duration aObjective,
+              Duration aWaited)
+{
+  return std::get<0>(aFirst) == std::get<0>(aSecond) &&
+         std::get<1>(aFirst) == std::get<1>(aSecond) &&
+         aWaited + std::get<Duration>(aSecond) <= aObjective;
+}
+
 } // namespace
 
 /* Load pattern: hundreds of requests wait, as after a crash of runners, and each message about one
@@ -146,7 +161,10 @@
   };
   bool mustAllWait = true;
   ManagedRunner* best = nullptr;
-  std::tuple<bool, bool, Duration> bestRank;
+  RunnerRank bestRank;
+  // The best one within its windows. A request goes beyond them only if this one would be late.
+  ManagedRunner* bestWithin = nullptr;
+  RunnerRank bestWithinRank;
   for (ManagedRunner* runner : RunnersWithModel(request.work.target.model)) {
     if (runner->entry.service != request.service || !IsUsable(*runner) ||
         !HasVersion(*runner, version)) {
@@ -173,6 +191,17 @@
       best = runner;
       bestRank = rank;
     }
+    if (HasRoom(aNow, *runner, request.work.target.model) &&
+        (bestWithin == nullptr || rank < bestWithinRank)) {
+      bestWithin = runner;
+      bestWithinRank = rank;
+    }
+  }
+  if (best != bestWithin && bestWithin != nullptr &&
+      IsAsGood(bestRank, bestWithinRank, request.latencyObjective, aNow - aWaiting.receivedAt)) {
+    best = bestWithin;
+    bestRank = bestWithinRank;
+    ++mPacedRequests;
   }
   if (best != nullptr || !mustAllWait) {
     aWaiting.awaitedRunner = {};
--- a/src/decision/fleet/dispatcher_order.cpp
+++ b/src/decision/fleet/dispatcher_order.cpp
@@ -357,7 +357,11 @@
   mIsModelIndexStale = true;
   if (pending.order.kind == OrderKind::kLoad) {
     AdjustStoreConcurrency(pending, aNow - pending.sentAt);
+    const bool isNew = !aRunner.models.contains(model);
     aRunner.models[model].lastUsed = aNow;
+    if (isNew) {
+      StartWindow(aNow, aRunner, model, aRunner.models[model].window, "model_loaded");
+    }
     aRunner.inHostMemory.insert(model);
     aRunner.onDisk.insert(model);
   } else {
@@ -390,7 +394,9 @@
     }
     pending.isPresumedDone = true;
     mIsModelIndexStale = true;
-    runner.models[pending.order.subject.model].lastUsed = aNow;
+    HeldModel& held = runner.models[pending.order.subject.model];
+    held.lastUsed = aNow;
+    StartWindow(aNow, runner, pending.order.subject.model, held.window, "model_loaded");
     LogDecision({ .event = "load_presumed",
                   .request = {},
                   .runner = id,
--- a/src/decision/fleet/endpoint_choice.cpp
+++ b/src/decision/fleet/endpoint_choice.cpp
@@ -22,8 +22,14 @@
 /* Time of the round trip to another zone, which decides between equally good endpoints. */
 constexpr double kOtherZoneCost = 0.05;
 
+bool IsSecondChoice(const EndpointCandidate& aCandidate)
+{
+  return aCandidate.isLimited || aCandidate.isBeyondWindow;
+}
+
 /* Returns the candidates that the choice is among: those that are not avoided, if there are any,
- * and of these those without a limit on requests, if one has a free slot. */
+ * and of these those without a limit on requests and within their windows, if one has a free slot.
+ */
 std::vector<const EndpointCandidate*> Eligible(std::span<const EndpointCandidate> aCandidates)
 {
   const bool areAllAvoided =
@@ -35,12 +41,12 @@
   };
   const bool hasFreeSlot =
     std::any_of(aCandidates.begin(), aCandidates.end(), [&](const EndpointCandidate& aCandidate) {
-      return !isAvoided(aCandidate) && !aCandidate.isLimited &&
+      return !isAvoided(aCandidate) && !IsSecondChoice(aCandidate) &&
              aCandidate.requestsAhead < aCandidate.slots;
     });
   std::vector<const EndpointCandidate*> eligible;
   for (const EndpointCandidate& candidate : aCandidates) {
-    if (!isAvoided(candidate) && !(candidate.isLimited && hasFreeSlot)) {
+    if (!isAvoided(candidate) && !(IsSecondChoice(candidate) && hasFreeSlot)) {
       eligible.push_back(&candidate);
     }
   }
--- a/src/decision/fleet/endpoint_choice.h
+++ b/src/decision/fleet/endpoint_choice.h
@@ -21,6 +21,9 @@
   /* Chosen only if all others are avoided or have no free slot. */
   bool isLimited = false;
   bool isInOtherZone = false;
+  /* One more request would exceed the endpoint's window. Chosen only if all others are avoided,
+   * beyond their windows or have no free slot. */
+  bool isBeyondWindow = false;
 };
 
 /* Returns the time until the endpoint would have answered one more request, in multiples of the
--- a/src/decision/fleet/endpoint_health.h
+++ b/src/decision/fleet/endpoint_health.h
@@ -29,6 +29,7 @@
   void Reset() { *this = {}; }
   /* Returns whether requests should go to other endpoints for now. */
   bool IsAvoided(TimePoint aNow) const { return aNow < mAvoidedUntil; }
+  TimePoint avoidedUntil() const { return mAvoidedUntil; }
   double failureShare() const { return mFailureShare; }
 
 private:
--- a/src/decision/fleet/runner_registry.cpp
+++ b/src/decision/fleet/runner_registry.cpp
@@ -34,7 +34,9 @@
   const EndpointId id = aEntry.id;
   const auto found = mRunners.find(id);
   if (found == mRunners.end()) {
-    mRunners.emplace(id, KnownRunner{ .entry = std::move(aEntry), .changedAt = aNow });
+    const auto added =
+      mRunners.emplace(id, KnownRunner{ .entry = std::move(aEntry), .changedAt = aNow }).first;
+    StartWindow(aNow, added->second);
     return Change::kJoined;
   }
   KnownRunner& runner = found->second;
@@ -47,6 +49,9 @@
   former.holdings = runner.entry.holdings;
   const bool isOnlyHoldings = former == runner.entry && !runner.missingSince;
   runner.changedAt = aNow;
+  if (runner.missingSince || isRestarted) {
+    StartWindow(aNow, runner);
+  }
   runner.missingSince.reset();
   if (isRestarted) {
     mFormerVersions[former.service][former.softwareVersion] = aNow;
@@ -103,7 +108,8 @@
 
 void RunnerRegistry::RecordRequestEnd(TimePoint aNow,
                                       const EndpointId& aRunner,
-                                      EndpointOutcome aOutcome)
+                                      EndpointOutcome aOutcome,
+                                      PaceSignal aPaceIfSucceeded)
 {
   const auto found = mRunners.find(aRunner);
   if (found == mRunners.end()) {
@@ -112,6 +118,38 @@
   KnownRunner& runner = found->second;
   runner.inFlight -= std::min<std::uint32_t>(runner.inFlight, 1);
   runner.health.Record(aNow, aOutcome);
+  if (aOutcome == EndpointOutcome::kFailed && runner.health.IsAvoided(aNow)) {
+    StartWindow(runner.health.avoidedUntil(), runner);
+  } else if (aOutcome == EndpointOutcome::kFailed || aOutcome == EndpointOutcome::kRefused) {
+    runner.window.Record(aNow, PaceSignal::kRefused);
+  } else if (aOutcome == EndpointOutcome::kSucceeded) {
+    runner.window.Record(aNow, aPaceIfSucceeded);
+  }
+}
+
+/* Load pattern: each of hundreds of daemons sends a request to an endpoint that has just started.
+ * At first their windows are together as large as the endpoint's slots. */
+void RunnerRegistry::StartWindow(TimePoint aAt, KnownRunner& aRunner) const
+{
+  if (mIsPaced) {
+    const double slots = aRunner.entry.slots;
+    aRunner.window.Start(aAt,
+                         { .first = slots / static_cast<double>(std::max<std::size_t>(mDaemons, 1)),
+                           .full = std::max(slots, 2.0) });
+  }
+}
+
+bool RunnerRegistry::HasRoom(TimePoint aNow,
+                             const KnownRunner& aRunner,
+                             const EndpointQuery& aQuery) const
+{
+  if (!mIsPaced || !aRunner.window.IsOpening(aNow)) {
+    return true;
+  }
+  const std::uint64_t weight =
+    RendezvousWeight(std::to_string(aQuery.affinity ^ mSampleSeed), aRunner.entry.address);
+  return aRunner.window.HasRoom(
+    aNow, aRunner.inFlight, static_cast<double>(weight >> 11U) * 0x1p-53);
 }
 
 bool RunnerRegistry::RecordLeaving(const EndpointId& aRunner, std::int64_t aStartedAtMs)
@@ -133,6 +171,7 @@
   }
   found->second.pausedUntil = aNow + aPause;
   mLastPauseEnd = std::max(mLastPauseEnd, aNow + aPause);
+  StartWindow(found->second.pausedUntil, found->second);
   return true;
 }
 
@@ -364,7 +403,8 @@
                            .slowness = SlownessOf(aNow, runner).value_or(Slowness{}),
                            .isAvoided = *exclusion == Exclusion::kAvoided,
                            .isLimited = runner.limit.rate().has_value(),
-                           .isInOtherZone = runner.entry.zone != aQuery.zone });
+                           .isInOtherZone = runner.entry.zone != aQuery.zone,
+                           .isBeyondWindow = !HasRoom(aNow, runner, aQuery) });
   }
   const EndpointCandidate* chosen = ChooseFromSample(candidates, aQuery.affinity ^ mSampleSeed);
   return chosen == nullptr ? std::nullopt : std::optional{ chosen->id };
@@ -389,8 +429,9 @@
     const bool isLimited = runner.limit.rate().has_value();
     const bool isLoadFresh = aNow - runner.loadReportedAt < kMaxReportedLoadAge;
     const std::uint32_t reportedLoad = isLoadFresh ? runner.load.running + runner.load.waiting : 0;
-    const std::uint32_t limitedLoad =
-      isLimited ? runner.entry.slots : 0; // Ranks as if it was full.
+    const std::uint32_t limitedLoad = isLimited || !HasRoom(aNow, runner, aQuery)
+                                        ? runner.entry.slots
+                                        : 0; // Ranks as if it was full.
     const std::uint32_t load = std::max(reportedLoad, runner.inFlight) + limitedLoad;
     const std::uint64_t tieBreaker = ~RendezvousWeight(std::to_string(aQuery.affinity), id.str());
     const Rank rank{
--- a/src/decision/fleet/runner_registry.h
+++ b/src/decision/fleet/runner_registry.h
@@ -5,6 +5,7 @@
 #include "decision/fleet/dispatch_type.h"
 #include "decision/fleet/endpoint_health.h"
 #include "decision/fleet/endpoint_slowness.h"
+#include "decision/fleet/endpoint_window.h"
 #include "decision/fleet/request_allowance.h"
 #include "decision/fleet/runner_type.h"
 #include "decision/fleet/stated_limit.h"
@@ -39,6 +40,7 @@
   EndpointLoad load;
   TimePoint loadReportedAt{}; ///< When the endpoint reported the load.
   SlownessEstimate slowness;
+  EndpointWindow window; ///< For this daemon's requests, after a start or a recovery.
   EndpointHealth health;
 };
 
@@ -105,7 +107,12 @@
 
   /* Record the start and the end of a request at an endpoint. */
   void RecordRequestStart(const EndpointId& aRunner);
-  void RecordRequestEnd(TimePoint aNow, const EndpointId& aRunner, EndpointOutcome aOutcome);
+  void RecordRequestEnd(TimePoint aNow,
+                        const EndpointId& aRunner,
+                        EndpointOutcome aOutcome,
+                        PaceSignal aPaceIfSucceeded = PaceSignal::kInTime);
+  /* Sets whether endpoints get requests at a limited pace after a start or a recovery. */
+  void SetPaced(bool aIsPaced) { mIsPaced = aIsPaced; }
   /* Records that an endpoint's process, which started at this time, has stated that it is leaving.
    * Only a new process takes that back. Returns whether it was not known. */
   bool RecordLeaving(const EndpointId& aRunner, std::int64_t aStartedAtMs);
@@ -181,6 +188,9 @@
 
 private:
   bool IsGone(TimePoint aNow, const KnownRunner& aRunner) const;
+  /* Starts an endpoint's window, if endpoints are paced. */
+  void StartWindow(TimePoint aAt, KnownRunner& aRunner) const;
+  bool HasRoom(TimePoint aNow, const KnownRunner& aRunner, const EndpointQuery& aQuery) const;
   /* Returns the endpoint if this process of it is the present one, else null. */
   KnownRunner* FindProcess(const EndpointId& aRunner, std::int64_t aStartedAtMs);
   void UpdateOwnShare(TimePoint aNow, KnownRunner& aRunner) const;
@@ -197,6 +207,7 @@
   std::map<EndpointId, KnownRunner> mRunners;
   std::map<ServiceId, ServiceSlowness> mSlowness; ///< Of services whose endpoints state it.
   std::uint64_t mSampleSeed = 0;
+  bool mIsPaced = false;
   std::size_t mDaemons = 1;  ///< That share limits while no dispatcher can be asked.
   TimePoint mLastPauseEnd{}; ///< No endpoint is paused from then on.
   /* Versions of endpoints that were removed or restarted, and those that others knew, with the time
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -908,6 +908,16 @@
          (hasNoEvent && mAttempt.head->framing == http::Framing::kUntilClose);
 }
 
+fleet::PaceSignal RequestFlow::PaceSignalOf(const Attempt& aAttempt) const
+{
+  const Duration time = aAttempt.timeToFirstEvent > Duration::zero()
+                          ? aAttempt.timeToFirstEvent
+                          : BootClockNow() - aAttempt.startedAt;
+  const Duration objective = mRoute->latencyObjective;
+  return objective > Duration::zero() && time > objective ? fleet::PaceSignal::kLate
+                                                          : fleet::PaceSignal::kInTime;
+}
+
 void RequestFlow::OnEnd(std::uint64_t aAttemptNumber, http::CallResult aResult)
 {
   if (IsReplacement(aAttemptNumber)) {
@@ -926,7 +936,8 @@
   const TimePoint now = BootClockNow();
   switch (end) {
     case AttemptEnd::kAnswered:
-      mContext.runners.RecordRequestEnd(now, mAttempt.endpoint, fleet::EndpointOutcome::kSucceeded);
+      mContext.runners.RecordRequestEnd(
+        now, mAttempt.endpoint, fleet::EndpointOutcome::kSucceeded, PaceSignalOf(mAttempt));
       if (const bool wasQuarantined = mContext.crashes.IsQuarantined(now, mFingerprint);
           mContext.crashes.RecordAnswer(mFingerprint)) {
         mContext.onCleared(mFingerprint, wasQuarantined);
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -169,6 +169,8 @@
   }
   /* Classifies the attempt that has just ended. */
   fleet::AttemptEnd ClassifyAttempt(http::CallResult aResult) const;
+  /* Returns whether an answer came within the route's latency objective. */
+  fleet::PaceSignal PaceSignalOf(const Attempt& aAttempt) const;
   /* Sets what changes in the attempt state while an attempt runs. */
   void UpdateAttemptState();
   /* Counts and logs an attempt that has ended. */
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -433,6 +433,15 @@
                    0.1,
                    100.0,
                    "Loads allowed in the window, in times of the stated rate (`edge`)."),
+    ChoiceSetting(
+      "endpoint_pace",
+      "off|on",
+      { "off", "on" },
+      [](const Settings& aSettings) {
+        return std::string{ aSettings.edge.isPaced ? "on" : "off" };
+      },
+      [](Settings& aSettings, const std::string& aText) { aSettings.edge.isPaced = aText == "on"; },
+      "Whether endpoints get requests at a limited pace after a start or a recovery (`edge`)."),
   };
 }
 
--- a/src/settings/settings_base.h
+++ b/src/settings/settings_base.h
@@ -45,6 +45,7 @@
   /* Load rate that the weight store allows over the window, as a multiple of the load rate that is
    * configured for the service. */
   double loadOverage = 1.0;
+  bool isPaced = false; ///< Endpoints get requests at a limited pace after a start or a recovery.
 };
 
 /* All settings of a daemon, with their default values. */
