Add: [Gateway] Log the inputs of a choice by slowness

For a plain endpoint that states its slowness, endpoint_chosen gives the request, the slowness that is expected, stated with its age and measured, and this daemon's requests in flight there.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -485,6 +485,7 @@
       SelectByDispatcher();
       return;
     }
+    LogChoice(*chosen);
     SendToEndpoint(*chosen, aSelectionReason);
   } else if (const auto pauseEnd = mContext.runners.EarliestPauseEnd(now, query)) {
     WaitForPauseEnd(*pauseEnd);
@@ -493,6 +494,24 @@
   }
 }
 
+void RequestFlow::LogChoice(const EndpointId& aEndpoint) const
+{
+  const TimePoint now = BootClockNow();
+  const fleet::KnownRunner& runner = *mContext.runners.Find(aEndpoint);
+  const auto slowness = mContext.runners.SlownessOf(now, runner);
+  const auto& stated = runner.slowness.stated();
+  if (slowness && stated) {
+    mContext.log.Write("endpoint_chosen",
+                       { { "id", mClient.requestId },
+                         { "endpoint", aEndpoint },
+                         { "slowness", slowness->factor },
+                         { "slowness_stated", stated->factor },
+                         { "slowness_age_ms", ToMilliseconds(now - runner.slowness.statedAt()) },
+                         { "slowness_measured", runner.slowness.MeasuredAt(now).factor },
+                         { "in_flight_here", runner.inFlight } });
+  }
+}
+
 fleet::RunnerRegistry::EndpointQuery RequestFlow::OwnQuery() const
 {
   return { .service = mService,
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -88,6 +88,8 @@
   void OnPlacementReply(const fleet::PlacementReply& aReply);
   void OnRunnerAssigned(const fleet::RunnerAssigned& aAssigned);
   void SelectLocally(std::string_view aSelectionReason);
+  /* Logs the inputs of the choice of an endpoint that states its slowness. */
+  void LogChoice(const EndpointId& aEndpoint) const;
   /* The query for endpoints of this daemon's own data that could serve the request. */
   fleet::RunnerRegistry::EndpointQuery OwnQuery() const;
   /* Returns how long this request waits beyond the end of an endpoint's pause, so that the requests
