Fix: [Gateway] Ask an endpoint again whose slowness is not known

The slowness that was assumed for unknown endpoints was the mean of what was stated. If only a slow endpoint was asked, its figures raised the mean, and the other endpoint, never asked, counted as just as slow: in a process test with two endpoints, p0 (slowness 4) got 160 of 160 requests. 1 is assumed now. The measured part is at least 0.7, because answers that take no longer than usual cancelled the stated slowness: p0 got 76 of 160.

--- a/src/decision/fleet/endpoint_slowness.cpp
+++ b/src/decision/fleet/endpoint_slowness.cpp
@@ -20,8 +20,10 @@
 /* Limits of one measured ratio. Endpoints that fail by slowness are up to 8 times as slow. */
 constexpr double kMinRatio = 0.25;
 constexpr double kMaxRatio = 16.0;
-/* Weights of a new value in the moving averages over a service. */
-constexpr double kUsualWeight = 0.02;
+/* Lower limit of the measured part. Answers whose time is mostly that of the network are less slow
+ * than their endpoint states, so a much lower one would cancel what is stated. */
+constexpr double kMinMeasured = 0.7;
+/* Weight of a new value in the moving average over a service. */
 constexpr double kTimeWeight = 0.05;
 /* Shorter times, in microseconds, count as this. */
 constexpr double kMinTimeUs = 1'000.0;
@@ -52,7 +54,8 @@
 Slowness SlownessEstimate::MeasuredAt(TimePoint aNow) const
 {
   const double decay = Decay(aNow - mMeasuredAt, kMeasurementLifetimeS);
-  return { std::exp(mLogRatios * decay / (mMeasurements * decay + kPriorMeasurements)) };
+  const double ratio = std::exp(mLogRatios * decay / (mMeasurements * decay + kPriorMeasurements));
+  return { std::max(ratio, kMinMeasured) };
 }
 
 Slowness SlownessEstimate::At(TimePoint aNow, Slowness aUsual) const
@@ -64,10 +67,11 @@
   return { stated * MeasuredAt(aNow).factor };
 }
 
-void ServiceSlowness::RecordStated(Slowness aSlowness)
+/* The usual slowness is not learned from statements. Only endpoints that get requests state theirs,
+ * so an endpoint that is never asked would count as slow as the one that is always asked. */
+void ServiceSlowness::RecordStated(Slowness /*aSlowness*/)
 {
   mIsStated = true;
-  mUsual.factor += kUsualWeight * (aSlowness.factor - mUsual.factor);
 }
 
 double ServiceSlowness::RecordTime(const std::string& aKind, Duration aTime)
--- a/src/decision/fleet/endpoint_slowness.h
+++ b/src/decision/fleet/endpoint_slowness.h
@@ -59,7 +59,7 @@
 
   /* Whether any endpoint has stated a slowness. The choice of endpoints uses it only then. */
   bool isStated() const { return mIsStated; }
-  Slowness usual() const { return mUsual; } ///< Moving average of what was stated.
+  Slowness usual() const { return mUsual; } ///< Assumed where nothing is known.
 
 private:
   bool mIsStated = false;
--- a/tests/edge/standin.py
+++ b/tests/edge/standin.py
@@ -371,6 +371,7 @@
     # A request with one of these prompt parts, not as the last one, crashes it after the answer's head.
     crashing_parts: frozenset[str] = frozenset()
     pause_value: str = ""           # Refuses requests with 503 and this Retry-After.
+    load_value: str = ""            # Value of X-Server-Load in all answers, in place of the usual one.
     limit_value: str = ""           # Value of Server-Limit in all answers; not sent if empty.
     leaving_value: str = ""         # Value of Server-Leaving in all answers; not sent if empty.
     leaving_interim: bool = False   # The value is sent in an interim answer instead.
@@ -437,6 +438,8 @@
             call.writer.write(response_head(103, {"Server-Leaving": self.faults.leaving_value}))
         elif self.faults.leaving_value:
             call.answer_fields["Server-Leaving"] = self.faults.leaving_value
+        if self.faults.load_value:
+            call.answer_fields["X-Server-Load"] = self.faults.load_value
         if self.faults.limit_value:
             call.answer_fields["Server-Limit"] = self.faults.limit_value
         endless = self.faults.endless
