Merge: uneven endpoints, and the pace after a recovery (off)

Cause: endpoints state how slow their hosts are, and the field was not read; recovered endpoints were flooded or idle. The setting endpoint_pace stays off.

--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -27,6 +27,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
+#include <xxhash.h>
 
 namespace rhubarbtrail {
 
@@ -326,6 +327,7 @@
                  { "zone", mSettings.zone },
                  { "front", mSettings.edge.frontAddress },
                  { "store", mSettings.edge.storeAddress } });
+    mRunners.SetSampleSeed(XXH3_64bits(mIncarnation.data(), mIncarnation.size()));
     ApplySettings();
     mGateway.quotas.OnWaiting([this] { mMember.OnQuotaWaiting(); });
     WaitForSignal();
@@ -472,6 +474,8 @@
       { .silenceLimit = mSettings.edge.failClosed
                           ? std::min(kSilenceLimit, mSettings.edge.revokeLimit / 2)
                           : kSilenceLimit });
+    mRunners.SetPaced(mSettings.edge.isPaced);
+    mDispatcher.SetPaced(mSettings.edge.isPaced);
     mDispatcher.SetStoreLimits(
       { .window = mSettings.edge.loadWindow, .overage = mSettings.edge.loadOverage });
     mGateway.quotas.share().SetDaemonCount(mMember.HasDispatcher() ? mDaemonCount : 0);
@@ -776,12 +780,28 @@
                  { { "endpoint", endpoint }, { "pause_ms", ToMilliseconds(*aAnswer.pause) } });
     }
     RecordStatedLimit(aSource, aAnswer);
+    if (aAnswer.load && aAnswer.load->slowness) {
+      RecordSlowness({ .endpoint = endpoint,
+                       .startedAtMs = aSource.startedAtMs,
+                       .slowness = *aAnswer.load->slowness });
+    }
     const RunnerLeavingMessage leaving{ .runner = endpoint, .startedAtMs = aSource.startedAtMs };
     if (aAnswer.isLeaving && RecordLeaving(leaving, "answer")) {
       mMember.ReportRunnerLeaving(leaving);
     }
   }
 
+  void RecordSlowness(const fleet::SlownessStatement& aStatement)
+  {
+    if (mRunners.RecordSlowness(BootClockNow(), aStatement)) {
+      mLog.Write("endpoints_state_slowness",
+                 { { "endpoint", aStatement.endpoint },
+                   { "service", mRunners.Find(aStatement.endpoint)->entry.service },
+                   { "slowness", aStatement.slowness.factor } });
+    }
+    mMember.ReportSlowness(aStatement);
+  }
+
   void RecordStatedLimit(const AnswerSource& aSource, const platform::EndpointAnswer& aAnswer)
   {
     const TimePoint now = BootClockNow();
@@ -931,6 +951,17 @@
         { "limit_per_second", runner.limit.rate().value_or(RequestRate{}).perSecond },
         { "entry_age_ms", ToMilliseconds(now - runner.changedAt) },
       };
+      if (const auto slowness = mRunners.SlownessOf(now, runner)) {
+        item["slowness"] = slowness->factor;
+        item["slowness_measured"] = runner.slowness.MeasuredAt(now).factor;
+        if (const auto& stated = runner.slowness.stated()) {
+          item["slowness_stated"] = stated->factor;
+          item["slowness_age_ms"] = ToMilliseconds(now - runner.slowness.statedAt());
+        }
+      }
+      if (runner.window.IsOpening(now)) {
+        item["window_here"] = runner.window.SizeAt(now);
+      }
       if (mMember.isDispatcher() && managed != mDispatcher.runners().end()) {
         item["models"] = nlohmann::ordered_json::array();
         for (const auto& [model, held] : managed->second.models) {
@@ -939,6 +970,12 @@
                                      { "leaving", held.isLeaving },
                                      { "adapters", held.adapters.size() } });
         }
+        if (managed->second.window.IsOpening(now)) {
+          item["window"] = managed->second.window.SizeAt(now);
+        }
+        if (const auto slowness = mDispatcher.SlownessOf(now, managed->second)) {
+          item["slowness_assumed"] = slowness->factor;
+        }
         item["order_count"] = managed->second.orderCount;
         item["order_under_way"] = managed->second.order.has_value();
       }
@@ -1039,6 +1076,9 @@
       { "places_refused_without_slot",
         "Requests refused here because no slot was expected in time.",
         mDispatcher.refusedWithoutSlot() },
+      { "requests_paced",
+        "Requests sent elsewhere because the best runner was beyond its window.",
+        mDispatcher.pacedRequests() },
       { "runners_known", "Runners that are known.", mRunners.runners().size() },
       { "configuration_version",
         "Version in force.",
--- a/src/decision/fleet/dispatcher.cpp
+++ b/src/decision/fleet/dispatcher.cpp
@@ -17,6 +17,9 @@
  * refused adapter wait as long. */
 constexpr Duration kRefusalReportDelay = 150ms;
 
+/* Shorter expected times count as this when they are compared with measured ones. */
+constexpr Duration kMinMeasuredTime = 5ms;
+
 EndpointOutcome EndpointOutcomeOf(AssignmentEnd aEnd)
 {
   switch (aEnd) {
@@ -130,6 +133,69 @@
     OnLimitStatement(aNow, statement);
   }
   AdoptHoldings(aNow, aRunner, aEntry.holdings);
+  StartWindow(aNow, aRunner, {}, aRunner.window, "new_process");
+}
+
+void Dispatcher::StartWindow(TimePoint aAt,
+                             const ManagedRunner& aRunner,
+                             const ModelId& aModel,
+                             EndpointWindow& aWindow,
+                             std::string_view aWhy)
+{
+  if (!mIsPaced || aRunner.engine == nullptr) {
+    return;
+  }
+  aWindow.Start(aAt,
+                { .first = kFirstRunnerWindow,
+                  .full = std::max<double>(aRunner.entry.slots, kFirstRunnerWindow) });
+  if (mOrderPermission.mayOrder) { // Other daemons do not collect the records.
+    LogDecision({ .event = "window_started",
+                  .request = {},
+                  .runner = aRunner.entry.id,
+                  .model = { .model = aModel, .adapter = {} },
+                  .why = aWhy,
+                  .count = aRunner.inFlight });
+  }
+}
+
+bool Dispatcher::HasRoom(TimePoint aNow, const ManagedRunner& aRunner, const ModelId& aModel) const
+{
+  if (!mIsPaced) {
+    return true;
+  }
+  const auto held = aRunner.models.find(aModel);
+  return aRunner.window.HasRoom(aNow, aRunner.inFlight, 0.0) &&
+         (held == aRunner.models.end() ||
+          held->second.window.HasRoom(aNow, held->second.inFlight, 0.0));
+}
+
+void Dispatcher::RecordPace(TimePoint aNow,
+                            const Assignment& aAssignment,
+                            const AssignmentReleased& aReleased)
+{
+  const auto found = mRunners.find(aAssignment.runner);
+  if (!mIsPaced || found == mRunners.end()) {
+    return;
+  }
+  ManagedRunner& runner = found->second;
+  const auto held = runner.models.find(aAssignment.model.model);
+  const auto record = [&](PaceSignal aSignal) {
+    runner.window.Record(aNow, aSignal);
+    if (held != runner.models.end()) {
+      held->second.window.Record(aNow, aSignal);
+    }
+  };
+  const bool hasFailed =
+    aReleased.end == AssignmentEnd::kFailed || aReleased.end == AssignmentEnd::kLost;
+  if (hasFailed && runner.health.IsAvoided(aNow)) {
+    StartWindow(runner.health.avoidedUntil(), runner, {}, runner.window, "failures");
+  } else if (hasFailed || aReleased.end == AssignmentEnd::kRefused) {
+    record(PaceSignal::kRefused);
+  } else if (aReleased.end == AssignmentEnd::kDone &&
+             aReleased.timeToFirstEvent > Duration::zero()) {
+    record(aReleased.timeToFirstEvent > aAssignment.latencyObjective ? PaceSignal::kLate
+                                                                     : PaceSignal::kInTime);
+  }
 }
 
 void Dispatcher::OnRunnerEntry(TimePoint aNow, const RunnerEntry& aEntry)
@@ -143,7 +209,9 @@
     return;
   }
   runner.entry = aEntry;
-  runner.isGone = false;
+  if (std::exchange(runner.isGone, false)) {
+    StartWindow(aNow, runner, {}, runner.window, "entry_returned");
+  }
   // An entry does not tell which orders it already reflects, so it does not replace holdings that a
   // report has confirmed. A new report is requested instead.
   if (!runner.areHoldingsConfirmed) {
@@ -271,6 +339,7 @@
                          assignment->second.expectedTimeToFirstEvent,
                          aReleased.timeToFirstEvent);
   }
+  RecordSlowness(aNow, assignment->second, aReleased.timeToFirstEvent);
   if (aReleased.end == AssignmentEnd::kWithdrawn) {
     GiveBackRequestAllowance(aNow, assignment->second);
   }
@@ -302,9 +371,55 @@
       ScheduleReport(aNow + kRefusalReportDelay, runner->second);
     }
   }
+  RecordPace(aNow, assignment->second, aReleased);
   ReleaseAssignment(aNow, aReleased.id);
 }
 
+std::optional<Slowness> Dispatcher::OnSlownessStatement(TimePoint aNow,
+                                                        const SlownessStatement& aStatement)
+{
+  const auto runner = mRunners.find(aStatement.endpoint);
+  if (runner == mRunners.end() || runner->second.engine == nullptr ||
+      runner->second.entry.startedAtMs != aStatement.startedAtMs) {
+    return std::nullopt;
+  }
+  runner->second.slowness.RecordStated(aNow - aStatement.age, aStatement.slowness);
+  ServiceSlowness& service = mSlowness[runner->second.entry.service];
+  service.RecordStated(aStatement.slowness);
+  return service.usual();
+}
+
+std::optional<Slowness> Dispatcher::SlownessOf(TimePoint aNow, const ManagedRunner& aRunner) const
+{
+  const auto service = mSlowness.find(aRunner.entry.service);
+  return service == mSlowness.end()
+           ? std::nullopt
+           : std::optional{ aRunner.slowness.At(aNow, service->second.usual()) };
+}
+
+void Dispatcher::RecordSlowness(TimePoint aNow,
+                                const Assignment& aAssignment,
+                                Duration aTimeToFirstEvent)
+{
+  const auto runner = mRunners.find(aAssignment.runner);
+  const bool isMeasured =
+    aAssignment.expectedTimeToFirstEvent > Duration::zero() && aTimeToFirstEvent > Duration::zero();
+  if (!isMeasured || runner == mRunners.end()) {
+    return;
+  }
+  const auto service = mSlowness.find(runner->second.entry.service);
+  if (service == mSlowness.end()) {
+    return;
+  }
+  // The expected time contains the queue and the stated slowness already.
+  const double expected = static_cast<double>(
+    std::max<Duration>(aAssignment.expectedTimeToFirstEvent, kMinMeasuredTime).count());
+  const Duration time =
+    ScaleDuration(1s, static_cast<double>(aTimeToFirstEvent.count()) / expected);
+  runner->second.slowness.RecordMeasured(
+    aNow, service->second.RecordTime(aAssignment.model.model.str(), time));
+}
+
 void Dispatcher::OnAssignmentInUse(TimePoint aNow, const AssignmentInUse& aAssignment)
 {
   const auto runner = mRunners.find(aAssignment.runner);
@@ -361,6 +476,7 @@
                                .runnerTime = ScaleDuration(EstimateRunnerTime(aRequest.work),
                                                            mServiceTimes.Factor(target.model)),
                                .assignedAt = aNow,
+                               .latencyObjective = aRequest.latencyObjective,
                                .expectedTimeToFirstEvent = aTimeToFirstEvent };
   mAssignments.insert_or_assign(aRequest.id, assignment);
   mAssignmentOrder.OnAssigned(
--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -8,6 +8,8 @@
 #include "decision/fleet/demand_tracker.h"
 #include "decision/fleet/dispatch_type.h"
 #include "decision/fleet/endpoint_health.h"
+#include "decision/fleet/endpoint_slowness.h"
+#include "decision/fleet/endpoint_window.h"
 #include "decision/fleet/fleet_configuration_type.h"
 #include "decision/fleet/model_worth.h"
 #include "decision/fleet/order_type.h"
@@ -86,6 +88,7 @@
   TimePoint lastUsed{};
   std::uint32_t inFlight = 0;
   bool isLeaving = false; ///< A planned swap will unload the model. It gets no more requests.
+  EndpointWindow window;  ///< For requests of all daemons after the model was loaded.
   /* Cached result of RetentionValue(), in seconds, and when it was computed. */
   mutable double retentionValue = 0.0;
   mutable TimePoint retentionValueAt{};
@@ -171,6 +174,8 @@
   PromptCache cache;
   EndpointHealth health;
   SlotHoldTime holdTime;
+  SlownessEstimate slowness; ///< Of the present process.
+  EndpointWindow window;     ///< For requests of all daemons after a start or a recovery.
 };
 
 /* Returns the time to load a model from the fastest source that the runner has: host memory, its
@@ -198,6 +203,12 @@
   /* Takes what a runner's process has stated about its limit on requests. Returns whether that
    * changes the limit. */
   bool OnLimitStatement(TimePoint aNow, const LimitStatement& aStatement);
+  /* Takes the slowness that a runner's process has stated. Returns what is usual for its service,
+   * or nothing if the dispatcher does not assign requests to this process. */
+  std::optional<Slowness> OnSlownessStatement(TimePoint aNow, const SlownessStatement& aStatement);
+  /* Returns how slow a runner is expected to be, or nothing if no runner of its service states it.
+   */
+  std::optional<Slowness> SlownessOf(TimePoint aNow, const ManagedRunner& aRunner) const;
   void OnPlacementRequest(TimePoint aNow, const PlacementRequest& aRequest, const ZoneId& aZone);
   void OnAssignmentReleased(TimePoint aNow, const AssignmentReleased& aReleased);
   void OnAssignmentInUse(TimePoint aNow, const AssignmentInUse& aAssignment);
@@ -220,6 +231,8 @@
   /* When to call Tick() next if no event arrives before. */
   TimePoint nextTickAt() const { return mNextTickAt; }
 
+  /* Requests that went to another runner because the best one was beyond its window. */
+  std::uint64_t pacedRequests() const { return mPacedRequests; }
   std::size_t waitingRequests() const { return mWaitingRequests.size(); }
   std::size_t activeAssignments() const { return mAssignments.size(); }
   /* Number of requests refused because no slot was expected in time. */
@@ -234,6 +247,8 @@
     double overage = 1.0; ///< Factor on the configured load rate that is allowed over the window.
   };
   void SetStoreLimits(const StoreLimits& aLimits) { mStoreLimits = aLimits; }
+  /* Sets whether runners get requests at a limited pace after a start, a recovery or a load. */
+  void SetPaced(bool aIsPaced) { mIsPaced = aIsPaced; }
 
   /* The decisions under overload that are in force where the configuration has accounts. Each can
    * be measured without the others. */
@@ -274,6 +289,7 @@
     ClientAccountId account;
     Duration runnerTime{}; ///< Estimated.
     TimePoint assignedAt{};
+    Duration latencyObjective{};         ///< From the assignment on.
     Duration expectedTimeToFirstEvent{}; ///< 0 if this dispatcher did not assign the request.
     bool usesAllowance = false;          ///< This dispatcher counted it against the runner's limit.
   };
@@ -333,6 +349,21 @@
                      ManagedRunner& aRunner,
                      Duration aTimeToFirstEvent);
   void ReleaseAssignment(TimePoint aNow, const PlacementRequestId& aRequest);
+  /* Starts the window of a runner, or of a model at it. */
+  void StartWindow(TimePoint aAt,
+                   const ManagedRunner& aRunner,
+                   const ModelId& aModel,
+                   EndpointWindow& aWindow,
+                   std::string_view aWhy);
+  /* Opens or closes the windows of a runner and a model by the end of an assignment. */
+  void RecordPace(TimePoint aNow,
+                  const Assignment& aAssignment,
+                  const AssignmentReleased& aReleased);
+  /* Returns whether one more request for the model is within the windows of the runner and the
+   * model. */
+  bool HasRoom(TimePoint aNow, const ManagedRunner& aRunner, const ModelId& aModel) const;
+  /* Compares the time to the first event with that of other runners. */
+  void RecordSlowness(TimePoint aNow, const Assignment& aAssignment, Duration aTimeToFirstEvent);
   /* Releases the assignments of a daemon, or of all daemons if none is given. */
   void ReleaseAssignmentsOf(const std::optional<DaemonId>& aDaemon);
   void CancelSwaps();
@@ -631,7 +662,10 @@
   std::map<std::pair<ServiceId, ModelId>, TimePoint> mRefusedModels;
   DemandTracker mDemand;
   ServiceTimeTracker mServiceTimes;
+  std::map<ServiceId, ServiceSlowness> mSlowness; ///< Of services whose runners state it.
   StoreLimits mStoreLimits;
+  bool mIsPaced = false;
+  std::uint64_t mPacedRequests = 0;
   /* Estimated number of concurrent weight store loads that run at full speed. */
   double mStoreConcurrency = 4.0;
   std::vector<TimePoint> mAdapterLoadEnds; ///< When the adapter loads in progress should end.
--- a/src/fleet/fleet_member.cpp
+++ b/src/fleet/fleet_member.cpp
@@ -162,6 +162,7 @@
   }
   QueryConfiguration(now);
   SendChangedLimits(now);
+  SendSlowness(now);
   SendReports(now);
   mServices.quotas.Tick(now);
   SendQuotaReport();
@@ -536,6 +537,11 @@
       [&](const EndpointLimitsMessage& aLimits) { OnEndpointLimits(*message, aLimits); },
       [&](const fleet::ConfigurationQuery& aQuery) { OnConfigurationQuery(aQuery); },
       [&](const fleet::ConfigurationReply& aReply) { OnConfigurationReply(aReply); },
+      [&](const EndpointSlownessMessage& aSlowness) {
+        for (const fleet::SlownessStatement& statement : aSlowness.statements) {
+          mServices.dispatcher.OnSlownessStatement(BootClockNow(), statement);
+        }
+      },
       [&](const TableChangesMessage& aChanges) {
         if (mHasRemoteDispatcher && message->from == mDispatcherLease.holder &&
             message->incarnation == mDispatcherLease.incarnation) {
@@ -642,6 +648,7 @@
     // Sent first, so that the dispatcher knows the streams when requests to resume them arrive.
     SendOwnStreams();
     SendOwnSuspects(mDispatcherLease.address);
+    mSlowness.OnNewDispatcher();
     SendLimits(mDispatcherLease.address, mServices.limits());
     BeginQuotaEpoch(now);
     mServices.placement.OnNewDispatcher();
@@ -763,6 +770,27 @@
   }
 }
 
+/* The dispatcher of this daemon is kept informed also while another daemon gives the orders,
+ * because this one may take over. */
+void FleetMember::ReportSlowness(const fleet::SlownessStatement& aStatement)
+{
+  const TimePoint now = BootClockNow();
+  const auto usual = mServices.dispatcher.OnSlownessStatement(now, aStatement);
+  if (usual && mHasRemoteDispatcher) {
+    mSlowness.Record(now, aStatement, *usual);
+  }
+}
+
+void FleetMember::SendSlowness(TimePoint aNow)
+{
+  if (!mHasRemoteDispatcher) {
+    return;
+  }
+  if (auto due = mSlowness.TakeDue(aNow); !due.empty()) {
+    Send(mDispatcherLease.address, EndpointSlownessMessage{ .statements = std::move(due) });
+  }
+}
+
 bool FleetMember::WasDelayed() const
 {
   return BootClockNow() - mLastTickAt > kMaxTickDelay;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -295,6 +295,11 @@
                        { "resumes", mClient.resumedRequestId },
                        { "time_left_ms", ToMilliseconds(timeLeft) },
                        { "config_version", mConfiguration->version.value } });
+  for (const std::string_view name : mClient.ignoredFields) {
+    if (mContext.loggedFields.emplace(mRoute->name, name).second) {
+      mContext.log.Write("request_field_ignored", { { "route", mRoute->name }, { "field", name } });
+    }
+  }
   if (TimeLeft() <= Duration::zero()) {
     OnDeadline(); // It was sent ahead, and the answer before it took too long.
   } else if (!RefuseImpossibleResume()) {
@@ -596,6 +601,7 @@
       SelectByDispatcher();
       return;
     }
+    LogChoice(*chosen);
     SendToEndpoint(*chosen, aSelectionReason);
   } else if (const auto pauseEnd = mContext.runners.EarliestPauseEnd(now, query)) {
     WaitForPauseEnd(*pauseEnd);
@@ -604,6 +610,24 @@
   }
 }
 
+void RequestFlow::LogChoice(const EndpointId& aEndpoint) const
+{
+  const TimePoint now = BootClockNow();
+  const fleet::KnownRunner& runner = *mContext.runners.Find(aEndpoint);
+  const auto slowness = mContext.runners.SlownessOf(now, runner);
+  const auto& stated = runner.slowness.stated();
+  if (slowness && stated) {
+    mContext.log.Write("endpoint_chosen",
+                       { { "id", mClient.requestId },
+                         { "endpoint", aEndpoint },
+                         { "slowness", slowness->factor },
+                         { "slowness_stated", stated->factor },
+                         { "slowness_age_ms", ToMilliseconds(now - runner.slowness.statedAt()) },
+                         { "slowness_measured", runner.slowness.MeasuredAt(now).factor },
+                         { "in_flight_here", runner.inFlight } });
+  }
+}
+
 fleet::RunnerRegistry::EndpointQuery RequestFlow::OwnQuery() const
 {
   return { .service = mService,
@@ -1020,6 +1044,16 @@
          (hasNoEvent && mAttempt.head->framing == http::Framing::kUntilClose);
 }
 
+fleet::PaceSignal RequestFlow::PaceSignalOf(const Attempt& aAttempt) const
+{
+  const Duration time = aAttempt.timeToFirstEvent > Duration::zero()
+                          ? aAttempt.timeToFirstEvent
+                          : BootClockNow() - aAttempt.startedAt;
+  const Duration objective = mRoute->latencyObjective;
+  return objective > Duration::zero() && time > objective ? fleet::PaceSignal::kLate
+                                                          : fleet::PaceSignal::kInTime;
+}
+
 void RequestFlow::OnEnd(std::uint64_t aAttemptNumber, http::CallResult aResult)
 {
   if (IsReplacement(aAttemptNumber)) {
@@ -1038,7 +1072,8 @@
   const TimePoint now = BootClockNow();
   switch (end) {
     case AttemptEnd::kAnswered:
-      mContext.runners.RecordRequestEnd(now, mAttempt.endpoint, fleet::EndpointOutcome::kSucceeded);
+      mContext.runners.RecordRequestEnd(
+        now, mAttempt.endpoint, fleet::EndpointOutcome::kSucceeded, PaceSignalOf(mAttempt));
       if (const bool wasQuarantined = mContext.crashes.IsQuarantined(now, mFingerprint);
           mContext.crashes.RecordAnswer(mFingerprint)) {
         mContext.onCleared(mFingerprint, wasQuarantined);
@@ -1046,6 +1081,15 @@
       if (HasAnswerBegun(mAttempt) && IsSuccess(mAttempt.head->status)) {
         RecordSoundParts();
       }
+      // The time of a stream depends on its length, and an error may be answered at once.
+      if (!UsesModels() && !mAttempt.isStream && IsSuccess(mAttempt.head->status)) {
+        mContext.runners.RecordAnswerTime(
+          now,
+          { .endpoint = mAttempt.endpoint,
+            .kind = mRoute->name,
+            .time = now - mAttempt.startedAt,
+            .load = mAttempt.decodedHead.load.value_or(fleet::EndpointLoad{}) });
+      }
       break;
     case AttemptEnd::kErrorAnswer:
     case AttemptEnd::kLost:
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -107,6 +107,8 @@
   void OnPlacementReply(const fleet::PlacementReply& aReply);
   void OnRunnerAssigned(const fleet::RunnerAssigned& aAssigned);
   void SelectLocally(std::string_view aSelectionReason);
+  /* Logs the inputs of the choice of an endpoint that states its slowness. */
+  void LogChoice(const EndpointId& aEndpoint) const;
   /* The query for endpoints of this daemon's own data that could serve the request. */
   fleet::RunnerRegistry::EndpointQuery OwnQuery() const;
   /* Returns how long this request waits beyond the end of an endpoint's pause, so that the requests
@@ -188,6 +190,8 @@
   }
   /* Classifies the attempt that has just ended. */
   fleet::AttemptEnd ClassifyAttempt(http::CallResult aResult) const;
+  /* Returns whether an answer came within the route's latency objective. */
+  fleet::PaceSignal PaceSignalOf(const Attempt& aAttempt) const;
   /* Sets what changes in the attempt state while an attempt runs. */
   void UpdateAttemptState();
   /* Counts and logs an attempt that has ended. */
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -470,6 +470,15 @@
                    0.0,
                    1'000'000'000.0,
                    "The same in addition, in the unit of the quota (`edge`)."),
+    ChoiceSetting(
+      "endpoint_pace",
+      "off|on",
+      { "off", "on" },
+      [](const Settings& aSettings) {
+        return std::string{ aSettings.edge.isPaced ? "on" : "off" };
+      },
+      [](Settings& aSettings, const std::string& aText) { aSettings.edge.isPaced = aText == "on"; },
+      "Whether endpoints get requests at a limited pace after a start or a recovery (`edge`)."),
   };
 }
 
--- a/src/settings/settings_base.h
+++ b/src/settings/settings_base.h
@@ -52,6 +52,7 @@
   Duration quotaWindow = 8s;    ///< Time over which the quotas of accounts are checked.
   double quotaOverage = 0.1;    ///< Traffic allowed beyond a quota in the window, in times of it.
   double quotaSlack = 11'000.0; ///< The same in addition, in the unit of the quota.
+  bool isPaced = false; ///< Endpoints get requests at a limited pace after a start or a recovery.
 };
 
 /* All settings of a daemon, with their default values. */
