Add: [Decision] Choose the slow readers to end over a byte budget

What a daemon buffers for slow clients and endpoints had no bound over all connections. A new decision file derives a byte budget from the host's memory and names the readers to end when it is exceeded, the one furthest behind for its share first. It has no clock and no network, and nothing calls it yet.

--- /dev/null
+++ b/src/decision/fleet/reader_budget.cpp
@@ -0,0 +1,105 @@
+/* Decides how many bytes a daemon may buffer for slow readers, and whose connection ends. */
+#include "decision/fleet/reader_budget.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace rhubarbtrail::fleet {
+
+namespace {
+
+/* Part of the host's memory that may be buffered for readers. The rest is for the code, the tables,
+ * the objects of connections and the allocator's overhead. */
+constexpr double kBudgetRatio = 0.4;
+constexpr std::size_t kBytesPerMb = 1U << 20U;
+/* While less than this part of the budget is held, answers are paused at the usual number of bytes.
+ */
+constexpr std::size_t kFreeDivisor = 4;
+/* Lowest threshold for a pause: below it, a stream would stop at every few events. */
+constexpr std::size_t kMinPauseBytes = 8U << 10U;
+/* Limits of the kernel's buffer of one connection. Above the upper one there is no limit: it is
+ * what the kernel starts with. */
+constexpr std::size_t kMinSocketBuffer = 16U << 10U;
+constexpr std::size_t kUsualSocketBuffer = 64U << 10U;
+/* Part of the budget that requests in flight to one endpoint may take. */
+constexpr std::size_t kEndpointDivisor = 4;
+/* Readers are ended until this part of the budget is free, so that the next decision is not due at
+ * the next byte. */
+constexpr std::size_t kReleaseDivisor = 32;
+
+} // namespace
+
+std::size_t ReaderBudget::ShareOf(std::size_t aReaders) const
+{
+  return bytes / std::max<std::size_t>(aReaders, 1);
+}
+
+ReaderBudget ReaderBudgetOf(std::uint32_t aMemoryMb)
+{
+  return { .bytes = static_cast<std::size_t>(static_cast<double>(aMemoryMb) * kBudgetRatio *
+                                             static_cast<double>(kBytesPerMb)) };
+}
+
+std::size_t PauseThreshold(const ReaderBudget& aBudget,
+                           std::size_t aHeldBytes,
+                           std::size_t aReaders,
+                           std::size_t aUsual)
+{
+  if (!aBudget.isLimited() || aHeldBytes <= aBudget.bytes / kFreeDivisor) {
+    return aUsual;
+  }
+  // The other half of a reader's share is for the bytes that arrive before a pause takes effect.
+  const std::size_t free = aBudget.bytes - std::min(aHeldBytes, aBudget.bytes);
+  const std::size_t share = free / 2 / std::max<std::size_t>(aReaders, 1);
+  return std::clamp(share, std::min(kMinPauseBytes, aUsual), aUsual);
+}
+
+std::size_t SocketBufferLimit(const ReaderBudget& aBudget, std::size_t aConnections)
+{
+  const std::size_t share = aBudget.ShareOf(aConnections) / 2;
+  if (!aBudget.isLimited() || share >= kUsualSocketBuffer) {
+    return 0;
+  }
+  return std::max(share, kMinSocketBuffer);
+}
+
+std::size_t EndpointBytesLimit(const ReaderBudget& aBudget)
+{
+  return aBudget.bytes / kEndpointDivisor;
+}
+
+std::vector<ReaderToEnd> ChooseReadersToEnd(const ReaderBudget& aBudget,
+                                            std::size_t aHeldBytes,
+                                            std::vector<ReaderState> aReaders)
+{
+  std::vector<ReaderToEnd> ended;
+  if (!aBudget.isLimited() || aHeldBytes <= aBudget.bytes) {
+    return ended;
+  }
+  std::erase_if(aReaders, [](const ReaderState& aReader) { return aReader.bytes == 0; });
+  const std::size_t share = aBudget.ShareOf(aReaders.size());
+  // All shares are equal, so the reader furthest behind for its share holds the most bytes. Ending
+  // readers within their share frees little, so they come last.
+  const auto rank = [share](const ReaderState& aReader) {
+    const bool isWithinShare = aReader.bytes <= share;
+    const bool isInGrace = aReader.behindFor < kReaderGrace;
+    return std::tuple{ isWithinShare, isInGrace, ~aReader.bytes, aReader.id };
+  };
+  std::sort(aReaders.begin(), aReaders.end(), [&](const auto& aLeft, const auto& aRight) {
+    return rank(aLeft) < rank(aRight);
+  });
+  const std::size_t target = aBudget.bytes - aBudget.bytes / kReleaseDivisor;
+  for (const ReaderState& reader : aReaders) {
+    if (aHeldBytes <= target) {
+      break;
+    }
+    ended.push_back({ .id = reader.id,
+                      .bytes = reader.bytes,
+                      .shareBytes = share,
+                      .behindFor = reader.behindFor });
+    aHeldBytes -= std::min(aHeldBytes, reader.bytes);
+  }
+  return ended;
+}
+
+} // namespace rhubarbtrail::fleet
