--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -10,6 +10,7 @@
 #include "fleet/store_client.h"
 #include "fleet/table_feed.h"
 #include "gateway/gateway.h"
+#include "gateway/reader_guard.h"
 #include "platform/configuration_decoder.h"
 #include "platform/request_headers.h"
 #include "platform/runner_decoder.h"
@@ -78,6 +79,12 @@
  * listeners. */
 constexpr std::size_t kMinConnectionLimit = 264;
 
+/* Time for which a client may read nothing although its receive window is full, before the kernel
+ * closes its connection. A client that reads 1 KB a second opens its window only after some tens of
+ * seconds if the window is large, so it gets more time where its memory is accounted for. */
+constexpr Duration kClientTimeout = 10s;
+constexpr Duration kSlowClientTimeout = 30s;
+
 /* Returns the extra time that a host waits before it takes the order lease. A host with less than
  * a quarter of a core waits, so that better equipped hosts can take the lease first: the dispatcher
  * of a large fleet needs about a third of a core. */
@@ -111,17 +118,27 @@
     , mLoop(1)
     , mIncarnation(RandomHex())
     , mLog({ .daemon = mSettings.daemonId })
-    , mClient(mLoop,
-              { .onLimitExceeded =
-                  [this](const http::ExceededLimit& aExceeded) {
-                    mLog.Write("answer_limit_exceeded",
-                               { { "address", aExceeded.address },
-                                 { "target", aExceeded.target },
-                                 { "part", http::ToString(aExceeded.part) },
-                                 { "value", aExceeded.value },
-                                 { "limit", aExceeded.limit },
-                                 { "action", "connection_closed" } });
-                  } })
+    , mClient(
+        mLoop,
+        { .onLimitExceeded =
+            [this](const http::ExceededLimit& aExceeded) {
+              mLog.Write("answer_limit_exceeded",
+                         { { "address", aExceeded.address },
+                           { "target", aExceeded.target },
+                           { "part", http::ToString(aExceeded.part) },
+                           { "value", aExceeded.value },
+                           { "limit", aExceeded.limit },
+                           { "action", "connection_closed" } });
+            },
+          .account = &mBytes,
+          .receiveBufferLimit =
+            [this] {
+              return fleet::ReceiveBufferLimit(mGateway.readerBudget, mGateway.openRequests.size());
+            },
+          .sendBacklogLimit =
+            [this] {
+              return fleet::SendBacklogLimit(mGateway.readerBudget, mGateway.openRequests.size());
+            } })
     , mStore(mClient, mSettings.edge.storeAddress, [this](StoreEra aEra) { OnStoreEra(aEra); })
     , mPlacement([this](const fleet::DispatchMessage& aMessage) {
       return mMember.SendToDispatcher(aMessage);
@@ -134,6 +151,7 @@
       .runners = mRunners,
       .streamOrigins = mStreamOrigins,
       .placement = mPlacement,
+      .bytes = mBytes,
       .self = DaemonId{ mSettings.daemonId },
       .zone = ZoneId{ mSettings.zone },
       .onCrash =
@@ -168,6 +186,7 @@
       .onStreamBegun = [this](const fleet::BegunStream& aStream) { mMember.ReportStream(aStream); },
       .wasDelayed = [this] { return mMember.WasDelayed(); },
       .areRunnersCurrent = [this] { return AreRunnersCurrent(); },
+      .onReadingPaused = [this] { mReaderGuard.OnReadingPaused(); },
       .configuration = nullptr
     }
     , mMember(
@@ -253,21 +272,29 @@
                     .minInterval = RunnerWatchInterval(),
                     .maxNoticeAge = MaxNoticeAge() },
                   RunnerHandlers())
-    , mClientServer(mLoop,
-                    { .address = mSettings.edge.frontAddress,
-                      .connectionLimit = ConnectionLimit(),
-                      .onRejected =
-                        [this](const http::RejectedRequest& aRejected) {
-                          mLog.Write("request_rejected",
-                                     { { "status", aRejected.status },
-                                       { "part", aRejected.part },
-                                       { "received_bytes", aRejected.receivedBytes },
-                                       { "limit", aRejected.limit },
-                                       { "action", "connection_closed" } });
-                        } },
-                    [this](http::Request aRequest, std::shared_ptr<http::Responder> aResponder) {
-                      ServeRequest(mGateway, std::move(aRequest), std::move(aResponder));
-                    })
+    , mClientServer(
+        mLoop,
+        { .address = mSettings.edge.frontAddress,
+          .connectionLimit = ConnectionLimit(),
+          .onRejected =
+            [this](const http::RejectedRequest& aRejected) {
+              mLog.Write("request_rejected",
+                         { { "status", aRejected.status },
+                           { "part", aRejected.part },
+                           { "received_bytes", aRejected.receivedBytes },
+                           { "limit", aRejected.limit },
+                           { "action", "connection_closed" } });
+            },
+          .account = &mBytes,
+          .sendBacklogLimit =
+            [this] {
+              return fleet::SendBacklogLimit(mGateway.readerBudget,
+                                             mClientServer.counts().connections);
+            },
+          .userTimeout = mSettings.edge.memoryLimitMb > 0 ? kSlowClientTimeout : kClientTimeout },
+        [this](http::Request aRequest, std::shared_ptr<http::Responder> aResponder) {
+          ServeRequest(mGateway, std::move(aRequest), std::move(aResponder));
+        })
     , mReadinessServer(
         mLoop,
         { .address = mSettings.edge.readyAddress },
@@ -427,6 +454,7 @@
                                   .slack = mSettings.edge.retrySlack,
                                   .window = mSettings.edge.retryWindow,
                                   .daemons = mDaemonCount });
+    mReaderGuard.SetBudget(fleet::ReaderBudgetOf(mSettings.edge.memoryLimitMb));
     mDispatcher.SetStoreLimits(
       { .window = mSettings.edge.loadWindow, .overage = mSettings.edge.loadOverage });
   }
@@ -449,6 +477,9 @@
     mLog.Write("status",
                { { "open_requests", mGateway.openRequests.size() },
                  { "connections", mClientServer.counts().connections },
+                 { "bytes_held", mBytes.held() },
+                 { "bytes_held_peak", mBytes.peak() },
+                 { "readers_ended", mReaderGuard.endedCount() },
                  { "questions_open", mPlacement.pendingRequestCount() },
                  { "dispatcher", mMember.lease().holder },
                  { "dispatcher_reachable", mMember.HasDispatcher() },
@@ -770,6 +801,32 @@
     aResponder.Send({ .status = kNotFound, .reason = "Not Found" }, "");
   }
 
+  /* Returns what is buffered for readers, and the readers with the most. */
+  nlohmann::ordered_json DescribeReaders() const
+  {
+    constexpr std::size_t kMaxReaders = 20;
+    auto readers = mReaderGuard.Readers();
+    nlohmann::ordered_json state{ { "budget", mGateway.readerBudget.bytes },
+                                  { "held", mBytes.held() },
+                                  { "held_peak", mBytes.peak() },
+                                  { "kernel_unread", mReaderGuard.kernelBytes() },
+                                  { "count", readers.size() },
+                                  { "share", mGateway.readerBudget.ShareOf(readers.size()) },
+                                  { "ended", mReaderGuard.endedCount() },
+                                  { "ended_bytes", mReaderGuard.endedBytes() },
+                                  { "largest", nlohmann::ordered_json::array() } };
+    std::sort(readers.begin(), readers.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.state.bytes > aRight.state.bytes;
+    });
+    readers.resize(std::min(readers.size(), kMaxReaders));
+    for (const HeldReader& reader : readers) {
+      state["largest"].push_back({ { "id", reader.requestId },
+                                   { "bytes", reader.state.bytes },
+                                   { "behind_ms", ToMilliseconds(reader.state.behindFor) } });
+    }
+    return state;
+  }
+
   /* Returns the state of this daemon as JSON, for operators. */
   std::string DescribeState() const
   {
@@ -783,6 +840,7 @@
       { "dispatcher", mMember.lease().holder.str() },
       { "is_dispatcher", mMember.isDispatcher() },
       { "members", mMember.memberCount() },
+      { "readers", DescribeReaders() },
       { "runners", nlohmann::ordered_json::array() }
     };
     for (const auto& [id, runner] : mRunners.runners()) {
@@ -794,6 +852,7 @@
         { "software", runner.entry.softwareVersion.str() },
         { "usable", mRunners.Check(now, runner) == fleet::Exclusion::kNone },
         { "in_flight_here", runner.inFlight },
+        { "bytes_in_flight_here", runner.bytesInFlight },
         { "failure_share", runner.health.failureShare() },
         { "limited", runner.limit.rate().has_value() },
         { "limit_per_second", runner.limit.rate().value_or(RequestRate{}).perSecond },
@@ -825,6 +884,10 @@
       { "front_accepted", "Connections of clients taken so far.", front.accepted },
       { "front_rejected", "Malformed or oversized requests so far.", front.rejected },
       { "open_requests", "Requests without a final answer.", mGateway.openRequests.size() },
+      { "bytes_held", "Bytes buffered for clients and endpoints.", mBytes.held() },
+      { "bytes_held_peak", "The most of them so far.", mBytes.peak() },
+      { "bytes_held_budget", "The most that may be; 0: no limit.", mGateway.readerBudget.bytes },
+      { "readers_ended", "Slow readers ended for the budget so far.", mReaderGuard.endedCount() },
       { "endpoint_connects", "Connections opened so far.", client.connects },
       { "endpoint_spoiled",
         "Connections dropped for unasked bytes so far.",
@@ -961,6 +1024,7 @@
 
   Settings mSettings;
   std::string mSettingsFile;
+  ByteAccount mBytes; ///< What is buffered; connections that the loop still holds refer to it.
   asio::io_context mLoop;
   std::string mIncarnation;
   EventLog mLog;
@@ -993,6 +1057,7 @@
   TableFeed mConfigurationFeed;
   TableFeed mRunnerFeed;
   http::Server mClientServer;
+  ReaderGuard mReaderGuard{ mGateway, mClientServer };
   http::Server mReadinessServer;
   http::Server mMetricsServer;
   asio::signal_set mSignals;
--- a/src/decision/fleet/reader_budget.cpp
+++ b/src/decision/fleet/reader_budget.cpp
@@ -14,15 +14,23 @@
 constexpr std::size_t kBytesPerMb = 1U << 20U;
 /* While less than this part of the budget is held, answers are paused at the usual number of bytes.
  */
-constexpr std::size_t kFreeDivisor = 4;
+constexpr std::size_t kFreeDivisor = 8;
+/* Part of a reader's share of the free bytes at which its answer is paused, as a divisor. */
+constexpr std::size_t kPauseDivisor = 4;
 /* Lowest threshold for a pause: below it, a stream would stop at every few events. */
 constexpr std::size_t kMinPauseBytes = 8U << 10U;
-/* Limits of the kernel's buffer of one connection. Above the upper one there is no limit: it is
- * what the kernel starts with. */
-constexpr std::size_t kMinSocketBuffer = 16U << 10U;
-constexpr std::size_t kUsualSocketBuffer = 64U << 10U;
+/* Part of the budget that the kernel's receive buffers may take, as a divisor. */
+constexpr std::size_t kReceiveDivisor = 8;
+/* Size that the kernel's receive buffer begins with, up to which it is left to the kernel, and the
+ * lowest limit. */
+constexpr std::size_t kUsualReceiveBuffer = 64U << 10U;
+constexpr std::size_t kMinReceiveBuffer = 8U << 10U;
+constexpr std::size_t kMinSendBacklog = 16U << 10U;
+/* Highest limit of the bytes that wait to be sent. At 200 Mbit/s, the fastest network of a host,
+ * the kernel can send for 5 ms before the event loop has to add more. */
+constexpr std::size_t kMaxSendBacklog = 128U << 10U;
 /* Part of the budget that requests in flight to one endpoint may take. */
-constexpr std::size_t kEndpointDivisor = 4;
+constexpr std::size_t kEndpointDivisor = 8;
 /* Readers are ended until this part of the budget is free, so that the next decision is not due at
  * the next byte. */
 constexpr std::size_t kReleaseDivisor = 32;
@@ -48,19 +56,28 @@
   if (!aBudget.isLimited() || aHeldBytes <= aBudget.bytes / kFreeDivisor) {
     return aUsual;
   }
-  // The other half of a reader's share is for the bytes that arrive before a pause takes effect.
+  // The rest of a reader's share is for the bytes that arrive before a pause takes effect, and for
+  // those that the kernel receives during it.
   const std::size_t free = aBudget.bytes - std::min(aHeldBytes, aBudget.bytes);
-  const std::size_t share = free / 2 / std::max<std::size_t>(aReaders, 1);
+  const std::size_t share = free / kPauseDivisor / std::max<std::size_t>(aReaders, 1);
   return std::clamp(share, std::min(kMinPauseBytes, aUsual), aUsual);
 }
 
-std::size_t SocketBufferLimit(const ReaderBudget& aBudget, std::size_t aConnections)
+std::size_t ReceiveBufferLimit(const ReaderBudget& aBudget, std::size_t aConnections)
 {
-  const std::size_t share = aBudget.ShareOf(aConnections) / 2;
-  if (!aBudget.isLimited() || share >= kUsualSocketBuffer) {
+  const std::size_t share = aBudget.ShareOf(aConnections) / kReceiveDivisor;
+  if (!aBudget.isLimited() || share >= kUsualReceiveBuffer) {
     return 0;
   }
-  return std::max(share, kMinSocketBuffer);
+  return std::max(share, kMinReceiveBuffer);
+}
+
+std::size_t SendBacklogLimit(const ReaderBudget& aBudget, std::size_t aConnections)
+{
+  if (!aBudget.isLimited()) {
+    return 0;
+  }
+  return std::clamp(aBudget.ShareOf(aConnections) / 2, kMinSendBacklog, kMaxSendBacklog);
 }
 
 std::size_t EndpointBytesLimit(const ReaderBudget& aBudget)
--- a/src/decision/fleet/reader_budget.h
+++ b/src/decision/fleet/reader_budget.h
@@ -37,9 +37,13 @@
                            std::size_t aReaders,
                            std::size_t aUsual);
 
-/* Returns the size to which the kernel's buffers of a new connection are limited, or 0 for no
- * limit, so that the bytes that many connections leave there stay within the budget. */
-std::size_t SocketBufferLimit(const ReaderBudget& aBudget, std::size_t aConnections);
+/* Returns the size of the kernel's receive buffer of a new connection, or 0 to leave it to the
+ * kernel, so that the bytes that many connections leave unread stay within the budget. */
+std::size_t ReceiveBufferLimit(const ReaderBudget& aBudget, std::size_t aConnections);
+
+/* Returns how many bytes of a new connection may wait in the kernel without being on the way, or 0
+ * for no limit. */
+std::size_t SendBacklogLimit(const ReaderBudget& aBudget, std::size_t aConnections);
 
 /* Returns how many bytes of requests this daemon may have in flight at one endpoint, or 0 for no
  * limit. A request to an endpoint that has none is always within it. */
--- a/src/decision/fleet/runner_registry.cpp
+++ b/src/decision/fleet/runner_registry.cpp
@@ -89,16 +89,34 @@
   });
 }
 
-void RunnerRegistry::RecordRequestStart(const EndpointId& aRunner)
+void RunnerRegistry::RecordRequestStart(const EndpointId& aRunner, std::size_t aBytes)
 {
   if (const auto found = mRunners.find(aRunner); found != mRunners.end()) {
     ++found->second.inFlight;
+    found->second.bytesInFlight += aBytes;
+    mBytesInFlight += aBytes;
   }
 }
 
+std::vector<EndpointId> RunnerRegistry::FullRunners(const ServiceId& aService,
+                                                    std::size_t aBytes) const
+{
+  std::vector<EndpointId> full;
+  if (mBytesLimit == 0 || mBytesInFlight + aBytes <= mBytesLimit) {
+    return full; // Spares each request a look at all runners of a large deployment.
+  }
+  for (const auto& [id, runner] : mRunners) {
+    if (runner.entry.service == aService && !HasRoomFor(runner, aBytes)) {
+      full.push_back(id);
+    }
+  }
+  return full;
+}
+
 void RunnerRegistry::RecordRequestEnd(TimePoint aNow,
                                       const EndpointId& aRunner,
-                                      EndpointOutcome aOutcome)
+                                      EndpointOutcome aOutcome,
+                                      std::size_t aBytes)
 {
   const auto found = mRunners.find(aRunner);
   if (found == mRunners.end()) {
@@ -106,6 +124,9 @@
   }
   KnownRunner& runner = found->second;
   runner.inFlight -= std::min<std::uint32_t>(runner.inFlight, 1);
+  const std::size_t ended = std::min(runner.bytesInFlight, aBytes);
+  runner.bytesInFlight -= ended;
+  mBytesInFlight -= ended;
   runner.health.Record(aNow, aOutcome);
 }
 
@@ -286,7 +307,8 @@
   std::optional<Rank> best;
   std::optional<EndpointId> chosen;
   for (const auto& [id, runner] : mRunners) {
-    if (!Matches(runner, aQuery) || (aQuery.excluded != nullptr && aQuery.excluded->contains(id))) {
+    if (!Matches(runner, aQuery) || (aQuery.excluded != nullptr && aQuery.excluded->contains(id)) ||
+        !HasRoomFor(runner, aQuery.requestBytes)) {
       continue;
     }
     const Exclusion exclusion = Check(aNow, runner);
--- a/src/decision/fleet/runner_registry.h
+++ b/src/decision/fleet/runner_registry.h
@@ -9,6 +9,7 @@
 #include "decision/fleet/stated_limit.h"
 #include "decision/fleet/stream_origins.h"
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <set>
@@ -33,8 +34,9 @@
   StatedLimit limit; ///< Of the endpoint's present process.
   /* What this daemon may send while there is a limit and it cannot ask the dispatcher. */
   std::optional<RequestAllowance> ownShare;
-  TimePoint pausedUntil{};    ///< The endpoint wants nothing from this daemon before.
-  std::uint32_t inFlight = 0; ///< Requests of this daemon in flight at the endpoint.
+  TimePoint pausedUntil{};       ///< The endpoint wants nothing from this daemon before.
+  std::uint32_t inFlight = 0;    ///< Requests of this daemon in flight at the endpoint.
+  std::size_t bytesInFlight = 0; ///< Of these requests.
   EndpointLoad load;
   TimePoint loadReportedAt{}; ///< When the endpoint reported the load.
   EndpointHealth health;
@@ -92,9 +94,23 @@
    * endpoint as ready. The endpoint writes its entry again. */
   bool MayBeOutdated(TimePoint aNow, const RunnerEntry& aEntry) const;
 
-  /* Record the start and the end of a request at an endpoint. */
-  void RecordRequestStart(const EndpointId& aRunner);
-  void RecordRequestEnd(TimePoint aNow, const EndpointId& aRunner, EndpointOutcome aOutcome);
+  /* Record the start and the end of a request of some bytes at an endpoint. */
+  void RecordRequestStart(const EndpointId& aRunner, std::size_t aBytes = 0);
+  void RecordRequestEnd(TimePoint aNow,
+                        const EndpointId& aRunner,
+                        EndpointOutcome aOutcome,
+                        std::size_t aBytes = 0);
+  /* Sets how many bytes of requests this daemon may have in flight at one endpoint; 0: no limit. */
+  void SetBytesLimit(std::size_t aBytes) { mBytesLimit = aBytes; }
+  /* Returns whether a request of some bytes may be sent to an endpoint now. One that has no other
+   * request of this daemon always has room. */
+  bool HasRoomFor(const KnownRunner& aRunner, std::size_t aBytes) const
+  {
+    return mBytesLimit == 0 || aRunner.bytesInFlight == 0 ||
+           aRunner.bytesInFlight + aBytes <= mBytesLimit;
+  }
+  /* Returns the endpoints of a service without room for a request of some bytes. */
+  std::vector<EndpointId> FullRunners(const ServiceId& aService, std::size_t aBytes) const;
   /* Records that an endpoint's process, which started at this time, has stated that it is leaving.
    * Only a new process takes that back. Returns whether it was not known. */
   bool RecordLeaving(const EndpointId& aRunner, std::int64_t aStartedAtMs);
@@ -130,7 +146,8 @@
     const ModelRef* model = nullptr; ///< Null for services that load no models.
     /* Only endpoints of this version. Null for any. */
     const SoftwareVersion* softwareVersion = nullptr;
-    std::uint64_t affinity = 0; ///< Equal values choose the same one of equally good endpoints.
+    std::uint64_t affinity = 0;   ///< Equal values choose the same one of equally good endpoints.
+    std::size_t requestBytes = 0; ///< Only endpoints with room for them.
     const std::set<EndpointId>* excluded = nullptr;
     LimitedEndpoints limited = LimitedEndpoints::kWithinOwnShare;
   };
@@ -164,8 +181,10 @@
   static bool Matches(const KnownRunner& aRunner, const EndpointQuery& aQuery);
 
   std::map<EndpointId, KnownRunner> mRunners;
-  std::size_t mDaemons = 1;  ///< That share limits while no dispatcher can be asked.
-  TimePoint mLastPauseEnd{}; ///< No endpoint is paused from then on.
+  std::size_t mBytesLimit = 0;    ///< Of requests in flight at one endpoint; 0: no limit.
+  std::size_t mBytesInFlight = 0; ///< At all endpoints.
+  std::size_t mDaemons = 1;       ///< That share limits while no dispatcher can be asked.
+  TimePoint mLastPauseEnd{};      ///< No endpoint is paused from then on.
   /* Versions of endpoints that were removed or restarted, and those that others knew, with the time
    * of that. */
   std::map<ServiceId, std::map<SoftwareVersion, TimePoint>> mFormerVersions;
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -34,6 +34,11 @@
   /* Returns the bytes after the events returned so far. */
   const std::string& rest() const { return mBuffer; }
 
+  /* Returns the memory that the bytes take. */
+  std::size_t heldBytes() const { return mBuffer.capacity(); }
+  /* Releases the memory that the rest does not need. */
+  void ReleaseUnused() { mBuffer.shrink_to_fit(); }
+
   /* Returns whether the rest is more than blank lines and comments: a stream that ends here ends
    * inside an event or in the middle of a line. */
   bool IsInsideEvent() const
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -2,11 +2,13 @@
 #ifndef RHUBARBTRAIL_GATEWAY_GATEWAY_H
 #define RHUBARBTRAIL_GATEWAY_GATEWAY_H
 
+#include "core/byte_account.h"
 #include "core/event_log.h"
 #include "core/metrics.h"
 #include "decision/fleet/crash_guard.h"
 #include "decision/fleet/fleet_configuration_type.h"
 #include "decision/fleet/prompt_part_guard.h"
+#include "decision/fleet/reader_budget.h"
 #include "decision/fleet/retry_share.h"
 #include "decision/fleet/runner_registry.h"
 #include "gateway/placement_client.h"
@@ -44,6 +46,7 @@
   fleet::RunnerRegistry& runners;
   const fleet::StreamOrigins& streamOrigins;
   PlacementClient& placement;
+  ByteAccount& bytes; ///< What the daemon buffers for clients and endpoints.
   DaemonId self;
   ZoneId zone;
   /* Takes that a runner's process ended while it ran a request. The suspect has no parts if the
@@ -69,11 +72,14 @@
   std::function<bool()> wasDelayed;
   /* Returns whether no change of the runners is missing here, as far as can be known. */
   std::function<bool()> areRunnersCurrent;
+  /* Called when a request pauses the reading of its answer, if there is a reader budget. */
+  std::function<void()> onReadingPaused;
 
   std::shared_ptr<const fleet::FleetConfiguration> configuration; ///< Null until the first is read.
   /* The one before it, for requests that arrived before the present one was applied. */
   std::shared_ptr<const fleet::FleetConfiguration> formerConfiguration;
   TimePoint configurationAppliedAt{};
+  fleet::ReaderBudget readerBudget;
   fleet::RetryShare retries;
   fleet::CrashGuard crashes;
   fleet::PromptPartGuard promptParts;
--- /dev/null
+++ b/src/gateway/reader_guard.cpp
@@ -0,0 +1,159 @@
+/* Keeps what a daemon buffers for slow readers within its budget. */
+#include "gateway/reader_guard.h"
+
+#include "core/boot_clock.h"
+#include "gateway/request_flow.h"
+
+#include <algorithm>
+#include <unordered_map>
+
+namespace rhubarbtrail {
+
+namespace {
+
+/* Minimum time between two checks. At 200 Mbit/s, the fastest network of a host, 250 kB arrive in
+ * it. */
+constexpr Duration kCheckInterval = 10ms;
+/* Time between two counts of the bytes that the kernel holds unread of paused answers. A count
+ * takes a system call for each of them. */
+constexpr Duration kUnreadInterval = 100ms;
+
+} // namespace
+
+ReaderGuard::ReaderGuard(GatewayContext& aContext, http::Server& aServer)
+  : mContext(aContext)
+  , mServer(aServer)
+  , mKernelHeld(&aContext.bytes)
+  , mCheckTimer(aContext.loop)
+  , mUnreadTimer(aContext.loop)
+{
+}
+
+void ReaderGuard::SetBudget(const fleet::ReaderBudget& aBudget)
+{
+  mContext.readerBudget = aBudget;
+  mContext.runners.SetBytesLimit(fleet::EndpointBytesLimit(aBudget));
+  mContext.bytes.SetLimit(aBudget.bytes, [this] { ScheduleCheck(); });
+}
+
+void ReaderGuard::ScheduleCheck()
+{
+  if (std::exchange(mIsCheckScheduled, true)) {
+    return;
+  }
+  mCheckTimer.expires_after(
+    std::max(mCheckedAt + kCheckInterval - BootClockNow(), Duration::zero()));
+  mCheckTimer.async_wait([this](boost::system::error_code aError) {
+    mIsCheckScheduled = false;
+    if (!aError) {
+      Check();
+    }
+  });
+}
+
+void ReaderGuard::Check()
+{
+  mCheckedAt = BootClockNow();
+  CountUnread();
+  if (mContext.bytes.held() <= mContext.readerBudget.bytes) {
+    return;
+  }
+  const std::vector<HeldReader> readers = Readers();
+  std::vector<fleet::ReaderState> states;
+  states.reserve(readers.size());
+  for (const HeldReader& reader : readers) {
+    states.push_back(reader.state);
+  }
+  const auto choices =
+    fleet::ChooseReadersToEnd(mContext.readerBudget, mContext.bytes.held(), std::move(states));
+  for (const fleet::ReaderToEnd& choice : choices) {
+    EndReader(readers[choice.id], choice);
+  }
+  CountUnread();
+}
+
+void ReaderGuard::EndReader(const HeldReader& aReader, const fleet::ReaderToEnd& aChoice)
+{
+  ++mEndedCount;
+  mEndedBytes += aChoice.bytes;
+  if (aReader.flow != nullptr && mContext.openRequests.contains(aReader.flow)) {
+    const auto flow = aReader.flow->shared_from_this();
+    flow->EndSlowReader(aChoice);
+    return;
+  }
+  mContext.log.Write("reader_ended",
+                     { { "id", aReader.requestId },
+                       { "side", aReader.requestId.empty() ? "upload" : "client" },
+                       { "bytes", aChoice.bytes },
+                       { "share", aChoice.shareBytes },
+                       { "budget", mContext.readerBudget.bytes },
+                       { "held", mContext.bytes.held() },
+                       { "behind_ms", ToMilliseconds(aChoice.behindFor) } });
+  mServer.EndReader(aReader.connection);
+}
+
+std::vector<HeldReader> ReaderGuard::Readers() const
+{
+  std::vector<HeldReader> readers;
+  std::unordered_map<std::uint64_t, std::size_t> byConnection;
+  for (http::ReaderInfo& info : mServer.Readers()) {
+    byConnection.emplace(info.connection, readers.size());
+    readers.push_back(
+      { .connection = info.connection,
+        .requestId = std::move(info.label),
+        .state = { .id = readers.size(), .bytes = info.heldBytes, .behindFor = info.behindFor } });
+  }
+  for (RequestFlow* flow : mContext.openRequests) {
+    if (flow->isEnded()) {
+      continue;
+    }
+    const auto held = flow->DescribeHeld();
+    const auto [found, isNew] = byConnection.emplace(held.connection, readers.size());
+    if (isNew) {
+      readers.push_back({ .connection = held.connection, .state = { .id = readers.size() } });
+    }
+    HeldReader& reader = readers[found->second];
+    reader.flow = flow;
+    reader.requestId = flow->requestId();
+    reader.state.bytes += held.bytes + held.kernelBytes;
+    reader.state.behindFor = std::max(reader.state.behindFor, held.behindFor);
+  }
+  return readers;
+}
+
+bool ReaderGuard::CountUnread()
+{
+  std::size_t bytes = 0;
+  bool hasPaused = false;
+  for (const RequestFlow* flow : mContext.openRequests) {
+    if (!flow->isEnded() && flow->isReadingPaused()) {
+      hasPaused = true;
+      bytes += flow->DescribeHeld().kernelBytes;
+    }
+  }
+  mKernelHeld.Set(bytes);
+  return hasPaused;
+}
+
+void ReaderGuard::OnReadingPaused()
+{
+  if (!std::exchange(mIsCountingUnread, true)) {
+    ScheduleCountUnread();
+  }
+}
+
+void ReaderGuard::ScheduleCountUnread()
+{
+  mUnreadTimer.expires_after(kUnreadInterval);
+  mUnreadTimer.async_wait([this](boost::system::error_code aError) {
+    if (aError) {
+      return;
+    }
+    mIsCountingUnread = CountUnread();
+    if (mIsCountingUnread) {
+      ScheduleCountUnread();
+    }
+  });
+}
+
+} // namespace rhubarbtrail
--- a/src/gateway/request_answer.cpp
+++ b/src/gateway/request_answer.cpp
@@ -152,6 +152,7 @@
   mSilenceTimer.cancel();
   mResponder->OnClosed(nullptr);
   mResponder->OnSendBufferEmpty(nullptr);
+  UpdateHeld();
   mContext.metrics.Record(
     { .code = aCode, .requestClass = RequestClassOf(mRoute), .latency = now - mArrivedAt });
   mContext.log.Write(
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -39,9 +39,6 @@
 constexpr Duration kMinClientTimeout = 2s;
 constexpr int kClientTimeoutObjectives = 4;
 constexpr int kClientTimeoutGaps = 8;
-/* When more bytes than this are not yet sent to the client, reading from the endpoint is paused
- * until all are sent. */
-constexpr std::size_t kUnsentBytesLimit = 256U << 10U;
 /* Time from a stream's first event after which further events show that no part of its prompt
  * crashes the runner, which happens when it begins to answer. */
 constexpr Duration kSoundStreamTime = 500ms;
@@ -91,6 +88,16 @@
   return FingerprintId{ fmt::format("{:016x}", hash) };
 }
 
+/* Returns the bytes of a request, body and fields. */
+std::size_t SizeOf(const http::Request& aRequest)
+{
+  std::size_t size = aRequest.target.size() + aRequest.body.size();
+  for (const http::Field& item : aRequest.fields) {
+    size += item.name.size() + item.value.size();
+  }
+  return size;
+}
+
 /* Returns the affinity key of a request: the id of its last prompt part, or a hash of the request
  * id if it has none. It decides between runners that are otherwise equal, so that requests with the
  * same key go to the same one. */
@@ -148,8 +155,11 @@
   , mDeadlineTimer(aContext.loop)
   , mWaitTimer(aContext.loop)
   , mSilenceTimer(aContext.loop)
+  , mHeld(&aContext.bytes)
+  , mRequestSize(SizeOf(mRequest))
 {
   mContext.openRequests.insert(this);
+  UpdateHeld();
 }
 
 RequestFlow::~RequestFlow()
@@ -160,6 +170,7 @@
 void RequestFlow::Start()
 {
   mClient = platform::DecodeClientRequest(mRequest);
+  mResponder->SetLabel(mClient.requestId);
   mConfiguration = mContext.configuration;
   std::string reason;
   ResultCode code = ResultCode::kOk;
@@ -373,6 +384,9 @@
   for (fleet::PausedRunner& paused : placementRequest.pausedRunners) {
     paused.timeLeft += PauseSpread();
   }
+  for (const EndpointId& full : mContext.runners.FullRunners(mService, mRequestSize)) {
+    placementRequest.pausedRunners.push_back({ .runner = full, .timeLeft = kSelectionInterval });
+  }
   if (mIsPartTrial) {
     placementRequest.trialParts = mClient.leadingParts;
   }
@@ -495,6 +509,7 @@
            .model = UsesModels() ? &mClient.work->target : nullptr,
            .softwareVersion = mOrigin ? &mOrigin->version : nullptr,
            .affinity = AffinityOf(mClient),
+           .requestBytes = mRequestSize,
            .excluded = &mFailedEndpoints };
 }
 
@@ -574,7 +589,8 @@
   const bool isOtherOrigin =
     mOrigin && (runner->entry.service != mOrigin->service || version != mOrigin->version ||
                 (aAssignedVersion && *aAssignedVersion != version));
-  if (exclusion == fleet::Exclusion::kPaused || isOtherOrigin) {
+  if (exclusion == fleet::Exclusion::kPaused || isOtherOrigin ||
+      !mContext.runners.HasRoomFor(*runner, mRequestSize)) {
     return fleet::AssignmentEnd::kWithdrawn;
   }
   return std::nullopt;
@@ -632,7 +648,8 @@
   attempt.version = isVersionCertain ? version : SoftwareVersion{};
   attempt.startedAt = now;
   attempt.lastBytesAt = now;
-  mContext.runners.RecordRequestStart(attempt.endpoint);
+  attempt.requestBytes = mRequestSize;
+  mContext.runners.RecordRequestStart(attempt.endpoint, attempt.requestBytes);
   mContext.metrics.Count(attempt.number > 1 ? Counter::kRetries : Counter::kAttempts);
   mContext.log.Write("request_sent",
                      { { "id", mClient.requestId },
@@ -768,6 +785,7 @@
   RecordBytes();
   if (!mAttempt.isStream) {
     mAttempt.body += aBytes;
+    UpdateHeld();
     return;
   }
   mEventSplitter.Feed(aBytes);
@@ -776,18 +794,8 @@
     EndTooLargeEvent();
     return;
   }
-  if (mResponder->unsentBytes() > kUnsentBytesLimit && mAttempt.call) {
-    mAttempt.call->Pause();
-    mAttempt.isReadingPaused = true;
-    mResponder->OnSendBufferEmpty([weak = weak_from_this()] {
-      if (const auto self = weak.lock(); self && self->mAttempt.call) {
-        self->mAttempt.isReadingPaused = false;
-        self->mAttempt.lastBytesAt = BootClockNow();
-        self->mLastProgressAt = self->mAttempt.lastBytesAt;
-        self->mAttempt.call->Resume();
-      }
-    });
-  }
+  PauseIfBehind();
+  UpdateHeld();
 }
 
 /* Ends an attempt with an event that exceeds kMaxEventBytes. */
@@ -918,10 +926,11 @@
     aResult = http::CallResult::kBroken;
   }
   const AttemptEnd end = ClassifyAttempt(aResult);
+  const bool wasLeftUnread = aResult == http::CallResult::kBroken && WasLeftUnread();
   const TimePoint now = BootClockNow();
   switch (end) {
     case AttemptEnd::kAnswered:
-      mContext.runners.RecordRequestEnd(now, mAttempt.endpoint, fleet::EndpointOutcome::kSucceeded);
+      RecordEnd(mAttempt, fleet::EndpointOutcome::kSucceeded);
       if (const bool wasQuarantined = mContext.crashes.IsQuarantined(now, mFingerprint);
           mContext.crashes.RecordAnswer(mFingerprint)) {
         mContext.onCleared(mFingerprint, wasQuarantined);
@@ -933,24 +942,27 @@
     case AttemptEnd::kErrorAnswer:
     case AttemptEnd::kLost:
     case AttemptEnd::kBrokenOff:
-      mContext.runners.RecordRequestEnd(now, mAttempt.endpoint, fleet::EndpointOutcome::kFailed);
-      if (aResult == http::CallResult::kBroken) {
+      RecordEnd(mAttempt,
+                wasLeftUnread ? fleet::EndpointOutcome::kCancelled
+                              : fleet::EndpointOutcome::kFailed);
+      if (aResult == http::CallResult::kBroken && !wasLeftUnread) {
         ProbeEndpoint(mAttempt);
       }
       break;
     case AttemptEnd::kNotSent:
-      mContext.runners.RecordRequestEnd(now, mAttempt.endpoint, fleet::EndpointOutcome::kFailed);
+      RecordEnd(mAttempt, fleet::EndpointOutcome::kFailed);
       break;
     case AttemptEnd::kNotRun:
-      mContext.runners.RecordRequestEnd(now,
-                                        mAttempt.endpoint,
-                                        mAttempt.head->status == 421 && !UsesModels()
-                                          ? fleet::EndpointOutcome::kWrongEndpoint
-                                          : fleet::EndpointOutcome::kRefused);
+      RecordEnd(mAttempt,
+                mAttempt.head->status == 421 && !UsesModels()
+                  ? fleet::EndpointOutcome::kWrongEndpoint
+                  : fleet::EndpointOutcome::kRefused);
       break;
   }
-  ReleaseAssignment(AssignmentEndOf(end));
-  const std::string_view result = isUnfinished ? "unfinished_stream" : http::ToString(aResult);
+  ReleaseAssignment(wasLeftUnread ? fleet::AssignmentEnd::kDone : AssignmentEndOf(end));
+  const std::string_view result = isUnfinished    ? "unfinished_stream"
+                                  : wasLeftUnread ? "left_unread"
+                                                  : http::ToString(aResult);
   if (end != AttemptEnd::kAnswered && mReplacement) {
     RecordAttempt(end, result);
     AdoptReplacement();
@@ -1093,6 +1105,11 @@
 }
 
 void RequestFlow::StopAttempt()
+{
+  StopAttempt(IsSilent() ? fleet::EndpointOutcome::kFailed : fleet::EndpointOutcome::kCancelled);
+}
+
+void RequestFlow::StopAttempt(fleet::EndpointOutcome aOutcome)
 {
   WithdrawReplacement();
   if (!mAttempt.call) {
@@ -1101,10 +1118,7 @@
   }
   mAttempt.call->Cancel();
   mAttempt.call.reset();
-  mContext.runners.RecordRequestEnd(BootClockNow(),
-                                    mAttempt.endpoint,
-                                    IsSilent() ? fleet::EndpointOutcome::kFailed
-                                               : fleet::EndpointOutcome::kCancelled);
+  RecordEnd(mAttempt, aOutcome);
   ReleaseAssignment(fleet::AssignmentEnd::kDone);
 }
 
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -35,6 +35,31 @@
    * one, has no event. Returns whether it did. */
   bool EndIfPartQuarantined();
 
+  // request_readers.cpp
+  /* Which reader a request waits for. */
+  enum class ReaderSide : std::uint8_t
+  {
+    kClient,   ///< Its client has not read the answer.
+    kEndpoint, ///< The endpoint has not read the request.
+    kWaiting,  ///< No endpoint has been found yet.
+    kNone,     ///< The endpoint works on it, or its answer is arriving.
+  };
+  /* What a request holds, without what its connections hold. */
+  struct HeldState
+  {
+    std::uint64_t connection = 0; ///< Of the client; 0 if it has closed.
+    std::size_t bytes = 0;
+    std::size_t kernelBytes = 0; ///< Of the answer, unread; only known while reading is paused.
+    ReaderSide side = ReaderSide::kNone;
+    Duration behindFor{}; ///< Of an endpoint, or of a wait for one.
+  };
+  HeldState DescribeHeld() const;
+  /* Ends the request, because the daemon holds more than its budget. */
+  void EndSlowReader(const fleet::ReaderToEnd& aReader);
+  const std::string& requestId() const { return mClient.requestId; }
+  bool isEnded() const { return mIsEnded; }
+  bool isReadingPaused() const { return mAttempt.call && mAttempt.isReadingPaused; }
+
 private:
   /* An attempt at an endpoint. */
   struct Attempt
@@ -54,6 +79,9 @@
     bool isInvalid = false;  ///< The answer is unsigned or encoded, or one of its events too large.
     TimePoint lastBytesAt{}; ///< When the last bytes of the answer arrived, or the start.
     bool isReadingPaused = false; ///< The client reads more slowly than the endpoint sends.
+    TimePoint pausedAt{};         ///< Start of the last pause.
+    TimePoint resumedAt{};        ///< End of the last pause.
+    std::size_t requestBytes = 0; ///< Counted as in flight at the endpoint.
     bool isReportedSilent = false;
   };
 
@@ -153,6 +181,15 @@
   bool OnHead(std::uint64_t aAttemptNumber, const http::AnswerHead& aHead);
   static void LimitAnswer(const Attempt& aAttempt);
   void OnBody(std::uint64_t aAttemptNumber, std::string_view aBytes);
+  /* Pauses the reading of the answer if the client is too far behind. */
+  void PauseIfBehind();
+  void OnCaughtUp();
+  /* Returns whether the endpoint may have cut off the answer because it stayed unread. */
+  bool WasLeftUnread() const;
+  /* Updates what the daemon's account counts for this request. */
+  void UpdateHeld();
+  /* Records the end of an attempt in the endpoint's health and in its bytes in flight. */
+  void RecordEnd(const Attempt& aAttempt, fleet::EndpointOutcome aOutcome);
   void OnEnd(std::uint64_t aAttemptNumber, http::CallResult aResult);
   bool IsStreamUnfinished() const;
   bool IsPartQuarantined() const
@@ -195,6 +232,7 @@
   void OnClientGone();
   void OnDeadline();
   void StopAttempt();
+  void StopAttempt(fleet::EndpointOutcome aOutcome);
   Duration TimeLeft() const;
   Duration ClientTimeout() const;
   bool UsesModels() const { return mClient.work.has_value(); }
@@ -239,7 +277,9 @@
   /* Id of the pending placement request for an endpoint in place of a silent one. */
   std::optional<fleet::PlacementRequestId> mReplacementId;
   EventSplitter mEventSplitter;
-  std::string mLastEventId; ///< Last event id that was forwarded to the client.
+  HeldBytes mHeld;
+  std::size_t mRequestSize = 0; ///< Bytes of the request, body and fields.
+  std::string mLastEventId;     ///< Last event id that was forwarded to the client.
   std::uint32_t mEventsForwarded = 0;
   TimePoint mFirstByteAt{};
   /* The request is to show whether its quarantined parts are sound. It is sent once, with the
--- a/src/gateway/request_silence.cpp
+++ b/src/gateway/request_silence.cpp
@@ -196,8 +196,7 @@
 void RequestFlow::PromoteReplacement()
 {
   mAttempt.call->Cancel();
-  mContext.runners.RecordRequestEnd(
-    BootClockNow(), mAttempt.endpoint, fleet::EndpointOutcome::kFailed);
+  RecordEnd(mAttempt, fleet::EndpointOutcome::kFailed);
   ReleaseAssignment(fleet::AssignmentEnd::kFailed);
   RecordAttempt(mIsHeadSent ? AttemptEnd::kBrokenOff : AttemptEnd::kLost, "silent");
   AdoptReplacement();
@@ -209,6 +208,7 @@
   mAttempt = std::move(mReplacement->attempt);
   mPlacementId = mReplacement->placementId;
   mReplacement.reset();
+  UpdateHeld();
   WatchForSilence(SilenceLimit());
 }
 
@@ -224,10 +224,8 @@
   mAttemptState.runs += isNotSent || isNotRun ? 0 : 1;
   mAttemptState.refusals += isNotSent || isNotRun ? 1 : 0;
   mFailedEndpoints.insert(failed.attempt.endpoint);
-  mContext.runners.RecordRequestEnd(BootClockNow(),
-                                    failed.attempt.endpoint,
-                                    isNotRun ? fleet::EndpointOutcome::kRefused
-                                             : fleet::EndpointOutcome::kFailed);
+  RecordEnd(failed.attempt,
+            isNotRun ? fleet::EndpointOutcome::kRefused : fleet::EndpointOutcome::kFailed);
   if (failed.placementId) {
     mContext.placement.Release({ .id = *failed.placementId,
                                  .end = isNotSent  ? fleet::AssignmentEnd::kLost
@@ -257,8 +255,7 @@
     return;
   }
   mReplacement->attempt.call->Cancel();
-  mContext.runners.RecordRequestEnd(
-    BootClockNow(), mReplacement->attempt.endpoint, fleet::EndpointOutcome::kCancelled);
+  RecordEnd(mReplacement->attempt, fleet::EndpointOutcome::kCancelled);
   if (mReplacement->placementId) {
     mContext.placement.Release(
       { .id = *mReplacement->placementId, .end = fleet::AssignmentEnd::kDone });
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -189,6 +189,7 @@
     , mAddress(std::move(aAddress))
     , mSocket(mClient->context)
     , mTimer(mClient->context)
+    , mHeld(mClient->options.account)
   {
   }
 
@@ -198,6 +199,7 @@
     ++mCallNumber;
     mHandlers = std::move(aHandlers);
     mRequestBytes = Serialize(aOptions.request, mAddress);
+    UpdateHeld();
     mIsHeadRequest = aOptions.request.method == "HEAD";
     mTarget = aOptions.request.target;
     mBodyIdleTimeout = aOptions.bodyIdleTimeout;
@@ -241,7 +243,20 @@
     Close();
   }
 
-  void Pause() { mPausedSelf = shared_from_this(); }
+  void Pause()
+  {
+    mPausedSelf = shared_from_this();
+    if (mReceiveBuffer.empty()) {
+      mReceiveBuffer = {}; // A paused call keeps no memory that it does not use.
+    }
+  }
+  std::size_t unsentBytes() const { return mRequestBytes.size(); }
+
+  std::size_t unreadBytes() const
+  {
+    error_code error;
+    return mSocket.available(error); // 0 on an error: the socket is closed.
+  }
 
   void Resume()
   {
@@ -281,6 +296,7 @@
     error_code ignored; // Errors are harmless here: the endpoint may have closed first.
     mTimer.cancel(ignored);
     mSocket.close(ignored);
+    mHeld.Set(0);
     if (mPausedSelf) {
       // Released by the event loop, since the caller may still use this object.
       asio::post(mClient->context, [self = std::exchange(mPausedSelf, nullptr)] {});
@@ -306,6 +322,14 @@
     kClosed,
   };
 
+  /* Updates what the account counts. */
+  void UpdateHeld()
+  {
+    if (mState != State::kClosed) {
+      mHeld.Set(mRequestBytes.capacity() + mReceiveBuffer.capacity());
+    }
+  }
+
   /* Prepares the parser for the next answer. */
   void ResetParser()
   {
@@ -332,6 +356,13 @@
     }
     ++mClient->counts.connects;
     SetSocketOptions(mSocket);
+    if (const auto& limit = mClient->options.receiveBufferLimit; limit && limit() > 0) {
+      // The kernel uses half of the size that it is given for its own data, and doubles the size.
+      mSocket.set_option(asio::socket_base::receive_buffer_size(static_cast<int>(limit())), error);
+    }
+    if (const auto& limit = mClient->options.sendBacklogLimit; limit && limit() > 0) {
+      LimitUnsentBytes(mSocket, limit());
+    }
     mSocket.async_connect(*endpoint, [self = shared_from_this()](error_code aError) {
       if (self->mState != State::kConnecting) {
         return;
@@ -361,6 +392,7 @@
                         if (!aError) {
                           self->mRequestBytes.clear();
                           self->mRequestBytes.shrink_to_fit();
+                          self->UpdateHeld();
                         }
                       });
     WaitForBytes();
@@ -399,6 +431,7 @@
       SetBodyTimer();
     }
     ParseAnswers();
+    UpdateHeld();
     WaitForBytes();
   }
 
@@ -623,6 +656,7 @@
   std::optional<Parser> mParser;
   std::string mReceiveBuffer; ///< Received and not parsed yet.
   std::string mRequestBytes;  ///< The request, until it is written.
+  HeldBytes mHeld;
   static constexpr auto kNoDeadline = asio::steady_timer::time_point::max();
 
   std::string mTarget; ///< Of the request, for log lines.
@@ -770,6 +804,18 @@
   }
 }
 
+std::size_t Call::unsentBytes() const
+{
+  const auto current = connection();
+  return current ? current->unsentBytes() : 0;
+}
+
+std::size_t Call::unreadBytes() const
+{
+  const auto current = connection();
+  return current ? current->unreadBytes() : 0;
+}
+
 void Call::LimitBody(std::uint64_t aMaxBytes, Duration aMaxTime)
 {
   if (const auto current = connection()) {
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -3,10 +3,12 @@
 #ifndef RHUBARBTRAIL_HTTP_HTTP_CLIENT_H
 #define RHUBARBTRAIL_HTTP_HTTP_CLIENT_H
 
+#include "core/byte_account.h"
 #include "core/unit_type.h"
 #include "http/http_type.h"
 
 #include <boost/asio/io_context.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -105,6 +107,10 @@
    * time limits of the call keep running. */
   void Pause();
   void Resume();
+  /* Returns the size of the request while not all of it has been written to the socket, else 0. */
+  std::size_t unsentBytes() const;
+  /* Returns the bytes of the answer that the kernel holds unread. */
+  std::size_t unreadBytes() const;
   /* Replaces the limits of the body: its size in bytes, and the time from now to its end. 0 means
    * no new time limit. The call ends as kTooLarge or kTimedOut beyond them. To be called by
    * CallHandlers::onHead. */
@@ -127,6 +133,14 @@
   Duration idleTimeout = 4s;          ///< Time after which an idle connection is closed.
   /* Called when an answer exceeds a limit, before the call ends. May be empty. */
   std::function<void(const ExceededLimit&)> onLimitExceeded;
+  /* Takes what the connections buffer. May be null; otherwise it must outlive the client. */
+  ByteAccount* account = nullptr;
+  /* Returns the size of the kernel's receive buffer of a connection that is about to be opened; 0
+   * leaves the size to the kernel. May be empty. */
+  std::function<std::size_t()> receiveBufferLimit;
+  /* Returns how many bytes of a request may wait in the kernel without being on the way, for a
+   * connection that is about to be opened; 0 for no limit. May be empty. */
+  std::function<std::size_t()> sendBacklogLimit;
 };
 
 struct ClientCounts
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -99,6 +99,7 @@
   ServerLimits limits;
   bool isDraining = false;
   ServerCounts counts;
+  std::uint64_t lastConnectionId = 0;
   std::unordered_set<ServerConnection*> connections;
 };
 
@@ -111,6 +112,8 @@
     : mServer(std::move(aServer))
     , mSocket(std::move(aSocket))
     , mTimer(mServer->context)
+    , mHeld(mServer->options.account)
+    , mId(++mServer->lastConnectionId)
   {
     mServer->connections.insert(this);
     ++mServer->counts.connections;
@@ -124,8 +127,14 @@
 
   void Start()
   {
-    SetSocketOptions(
-      mSocket, kClientUserTimeoutMs); // If the socket is broken already, the first read fails.
+    // If the socket is broken already, the first read fails.
+    SetSocketOptions(mSocket,
+                     static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                        mServer->options.userTimeout)
+                                        .count()));
+    if (const auto& limit = mServer->options.sendBacklogLimit; limit && limit() > 0) {
+      LimitUnsentBytes(mSocket, limit());
+    }
     BecomeIdle();
     WaitForBytes();
   }
@@ -203,6 +212,40 @@
 
   bool isClosing() const { return mState == State::kClosing || mState == State::kClosed; }
   std::size_t unsentBytes() const { return mSendBuffer.size() + mSendQueue.size(); }
+  std::uint64_t id() const { return mId; }
+  void SetLabel(const std::string& aLabel) { mLabel = aLabel; }
+
+  ReaderInfo Describe() const
+  {
+    const auto now = asio::steady_timer::clock_type::now();
+    const bool isSending = unsentBytes() > 0;
+    const bool isReceiving = !isSending && mState == State::kReading && mParser;
+    const auto since = isSending ? mUnsentSince : isReceiving ? mFirstByteAt : now;
+    return { .connection = mId,
+             .label = isReceiving ? std::string{} : mLabel,
+             .heldBytes = mHeld.bytes(),
+             .unsentBytes = unsentBytes(),
+             .behindFor = std::chrono::duration_cast<Duration>(now - since) };
+  }
+
+  /* Ends a request that is arriving with 503, and otherwise resets the connection. */
+  void EndReader()
+  {
+    if (mState == State::kReading && mParser) {
+      constexpr unsigned kUnavailable = 503;
+      Reject(kUnavailable, "memory", 0);
+      return;
+    }
+    Reset();
+  }
+
+  /* Closes with a reset, which also discards the bytes in the kernel's buffer. */
+  void Reset()
+  {
+    error_code ignored; // Errors are harmless: the socket may be closed or reset already.
+    mSocket.set_option(asio::socket_base::linger(true, 0), ignored);
+    Close();
+  }
   void OnClosed(std::function<void()> aHandler) { mOnClosed = std::move(aHandler); }
   void OnSendBufferEmpty(std::function<void()> aHandler)
   {
@@ -219,6 +262,12 @@
     error_code ignored; // Errors are harmless: the socket may be closed or reset already.
     mTimer.cancel(ignored);
     mSocket.close(ignored);
+    if (!mIsWriting) {
+      mSendBuffer = {}; // Otherwise the cancelled write refers to it and releases it.
+    }
+    mSendQueue = {};
+    mReceiveBuffer = {};
+    mHeld.Set(0);
     if (mPausedSelf) {
       // Released by the event loop, since the caller may still use this object.
       asio::post(mServer->context, [self = std::exchange(mPausedSelf, nullptr)] {});
@@ -243,6 +292,16 @@
     kClosed,
   };
 
+  /* Updates what the account counts. The body of a request that arrives is in the parser, which
+   * reserves its announced length; what has not arrived takes no memory. */
+  void UpdateHeld()
+  {
+    if (mServer->options.account != nullptr && mState != State::kClosed) {
+      mHeld.Set(mSendQueue.capacity() + mSendBuffer.capacity() + mReceiveBuffer.capacity() +
+                (mParser ? mParser->get().body().size() : 0));
+    }
+  }
+
   void EndAnswer()
   {
     --mServer->counts.openRequests;
@@ -288,6 +347,7 @@
     }
     mReceiveBuffer.append(aBytes);
     ParseRequest();
+    UpdateHeld();
     if (mState == State::kAnswering && mReceiveBuffer.size() > kMaxPipelinedBytes) {
       mPausedSelf = shared_from_this();
       return;
@@ -388,7 +448,9 @@
     BeginAnswer();
     Rejection rejection{ .status = aStatus,
                          .fields = {},
-                         .body = "{\"error\":\"the request is malformed or too large\"}" };
+                         .body = aPart == "memory"
+                                   ? "{\"error\":\"no memory is free for the request\"}"
+                                   : "{\"error\":\"the request is malformed or too large\"}" };
     if (mServer->options.rejection) {
       rejection = mServer->options.rejection(aStatus);
     }
@@ -402,10 +464,14 @@
     if (mState == State::kClosed || mState == State::kClosing) {
       return;
     }
+    if (!mIsWriting) {
+      mUnsentSince = asio::steady_timer::clock_type::now();
+    }
     mSendQueue.append(aBytes);
     if (!mIsWriting) {
       WriteNext();
     }
+    UpdateHeld();
   }
 
   void WriteNext()
@@ -422,7 +488,8 @@
   void OnWritten(error_code aError)
   {
     mIsWriting = false;
-    mSendBuffer.clear();
+    mSendBuffer = {}; // An idle connection keeps no memory of a large answer.
+    UpdateHeld();
     if (mState == State::kClosed) {
       return;
     }
@@ -507,9 +574,13 @@
   /* Set while reading is paused: no pending read or timer keeps the connection alive then. */
   std::shared_ptr<ServerConnection> mPausedSelf;
   Framing mFraming = Framing::kNone;
-  std::string mReceiveBuffer; ///< Received and not parsed yet.
-  std::string mSendQueue;     ///< To be written after mSendBuffer.
-  std::string mSendBuffer;    ///< Being written to the socket.
+  std::string mReceiveBuffer;                  ///< Received and not parsed yet.
+  std::string mSendQueue;                      ///< To be written after mSendBuffer.
+  std::string mSendBuffer;                     ///< Being written to the socket.
+  asio::steady_timer::time_point mUnsentSince; ///< Since when some byte of an answer is unsent.
+  HeldBytes mHeld;
+  std::uint64_t mId;
+  std::string mLabel; ///< Of the last request.
   std::function<void()> mOnClosed;
   std::function<void()> mOnSendBufferEmpty;
 };
@@ -593,6 +664,29 @@
   return mImpl->counts;
 }
 
+std::vector<ReaderInfo> Server::Readers() const
+{
+  std::vector<ReaderInfo> readers;
+  for (const ServerConnection* connection : mImpl->connections) {
+    ReaderInfo reader = connection->Describe();
+    if (reader.heldBytes > 0) {
+      readers.push_back(std::move(reader));
+    }
+  }
+  return readers;
+}
+
+void Server::EndReader(std::uint64_t aConnection)
+{
+  const auto found =
+    std::find_if(mImpl->connections.begin(),
+                 mImpl->connections.end(),
+                 [&](const ServerConnection* aItem) { return aItem->id() == aConnection; });
+  if (found != mImpl->connections.end()) {
+    (*found)->shared_from_this()->EndReader();
+  }
+}
+
 std::uint16_t Server::port() const
 {
   return mImpl->listener.port();
@@ -633,6 +727,13 @@
   }
 }
 
+void Responder::Reset()
+{
+  if (const auto connection = std::exchange(mConnection, {}).lock()) {
+    connection->Reset();
+  }
+}
+
 void Responder::Send(AnswerHead aHead, std::string_view aBody)
 {
   aHead.framing = Framing::kLength;
@@ -648,6 +749,19 @@
   return connection ? connection->unsentBytes() : 0;
 }
 
+std::uint64_t Responder::connectionId() const
+{
+  const auto connection = mConnection.lock();
+  return connection ? connection->id() : 0;
+}
+
+void Responder::SetLabel(const std::string& aLabel)
+{
+  if (const auto connection = mConnection.lock()) {
+    connection->SetLabel(aLabel);
+  }
+}
+
 void Responder::OnClosed(std::function<void()> aHandler)
 {
   if (const auto connection = mConnection.lock()) {
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -3,15 +3,18 @@
 #ifndef RHUBARBTRAIL_HTTP_HTTP_SERVER_H
 #define RHUBARBTRAIL_HTTP_HTTP_SERVER_H
 
+#include "core/byte_account.h"
 #include "core/unit_type.h"
 #include "http/http_type.h"
 
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace rhubarbtrail::http {
 
@@ -35,11 +38,18 @@
   /* Closes the connection once the bytes sent so far are written, without completing the answer, so
    * that the client can tell that the answer is truncated. */
   void Abort();
+  /* Discards the bytes that are not written and resets the connection, so that the client can tell
+   * that the answer is truncated. */
+  void Reset();
   /* Sends a complete answer with a Content-Length. */
   void Send(AnswerHead aHead, std::string_view aBody);
 
   /* Returns the number of bytes that have not been written to the socket yet. */
   std::size_t unsentBytes() const;
+  /* Returns the id of the connection, unique in its server, or 0 after it has closed. */
+  std::uint64_t connectionId() const;
+  /* Names the request in progress for Server::Readers(). */
+  void SetLabel(const std::string& aLabel);
 
   /* Sets the handler that is called if the connection closes, on either side, before Finish() or
    * Abort(). */
@@ -75,8 +85,9 @@
 /* Why a request was rejected, for log events. */
 struct RejectedRequest
 {
-  unsigned status = 0;           ///< Of the answer.
-  std::string_view part;         ///< "head", "body", "framing", "time" or "malformed".
+  unsigned status = 0; ///< Of the answer.
+  /* "head", "body", "framing", "time" or "malformed"; "memory" if EndReader() has rejected it. */
+  std::string_view part;
   std::size_t receivedBytes = 0; ///< Of the request, so far.
   std::uint64_t limit = 0;       ///< Of that part, in bytes; of the time in milliseconds.
 };
@@ -92,6 +103,25 @@
   std::function<Rejection(unsigned)> rejection;
   /* Called when a request is rejected; its connection is then closed. May be empty. */
   std::function<void(const RejectedRequest&)> onRejected;
+  /* Takes what the connections buffer. May be null; otherwise it must outlive the server. */
+  ByteAccount* account = nullptr;
+  /* Returns the limit of the bytes of an answer that wait in the kernel and are not on the way, for
+   * a connection that is being accepted; 0 for no limit. May be empty. */
+  std::function<std::size_t()> sendBacklogLimit;
+  /* The kernel closes a connection when sent bytes stay unacknowledged for this time, and when the
+   * client reads nothing for this time although its receive window is full. */
+  Duration userTimeout = 10s;
+};
+
+/* A connection that holds bytes: of an answer that its client has yet to read, or of a request that
+ * arrives. */
+struct ReaderInfo
+{
+  std::uint64_t connection = 0;
+  std::string label;           ///< Of the last request; empty if none was set.
+  std::size_t heldBytes = 0;   ///< All that is buffered.
+  std::size_t unsentBytes = 0; ///< Of these, of answers.
+  Duration behindFor{};        ///< Time since it last held no byte of these.
 };
 
 struct ServerCounts
@@ -129,6 +159,13 @@
   /* Stops listening and closes all connections. */
   void Close();
   ServerCounts counts() const;
+  /* Returns the connections that hold bytes. */
+  std::vector<ReaderInfo> Readers() const;
+  /* Discards what a connection holds. A request that arrives is rejected with 503, and otherwise
+   * the connection is reset, so that its client sees that the answer is not complete. The
+   * OnClosed() handler is called if an answer is in progress. Does nothing if the connection has
+   * closed. */
+  void EndReader(std::uint64_t aConnection);
   /* Returns the bound port, or 0 if the server does not listen. */
   std::uint16_t port() const;
 
--- a/src/http/socket_options.cpp
+++ b/src/http/socket_options.cpp
@@ -22,6 +22,13 @@
   setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &aUserTimeoutMs, sizeof(aUserTimeoutMs));
 }
 
+void LimitUnsentBytes(boost::asio::ip::tcp::socket& aSocket, std::size_t aBytes)
+{
+  const auto value = static_cast<std::uint32_t>(aBytes);
+  // An error is ignored: the connection works without the option.
+  setsockopt(aSocket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, &value, sizeof(value));
+}
+
 std::optional<boost::asio::ip::tcp::endpoint> ParseSocketAddress(const std::string& aAddress)
 {
   const auto colon = aAddress.rfind(':');
--- a/src/http/socket_options.h
+++ b/src/http/socket_options.h
@@ -5,6 +5,7 @@
 #include "core/unit_type.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -14,9 +15,6 @@
  * unanswered, for this time (TCP_USER_TIMEOUT). It is shorter than the 3 s for which a daemon may
  * be out of contact. */
 constexpr int kUserTimeoutMs = 2'000;
-/* The same for connections of clients, which also counts the time for which a client reads nothing
- * although its receive window is full. */
-constexpr int kClientUserTimeoutMs = 10'000;
 /* TCP keep-alive: idle time before the first probe and interval between probes, in seconds, and
  * number of probes. */
 constexpr int kKeepAliveIdleS = 1;
@@ -28,6 +26,10 @@
  * without telling either end. */
 void SetSocketOptions(boost::asio::ip::tcp::socket& aSocket, int aUserTimeoutMs = kUserTimeoutMs);
 
+/* Limits the bytes of a socket that wait in the kernel and are not yet on the way to the other end,
+ * whatever is on the way (TCP_NOTSENT_LOWAT). A fast connection is not slowed down by that. */
+void LimitUnsentBytes(boost::asio::ip::tcp::socket& aSocket, std::size_t aBytes);
+
 /* Parses "IP:port". Returns nothing if the text is not valid; host names are not resolved. */
 std::optional<boost::asio::ip::tcp::endpoint> ParseSocketAddress(const std::string& aAddress);
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -389,6 +389,15 @@
                    256,
                    1'000'000,
                    "Files and sockets that may be open (`edge`)."),
+    NumericSetting(
+      "memory_limit",
+      "MB",
+      "0..1000000",
+      FIELD(edge.memoryLimitMb),
+      0,
+      1'000'000,
+      "Memory of the host, 40 % of which may be buffered for slow readers; 0: no limit "
+      "(`edge`)."),
     SecondsSetting("shutdown_grace",
                    "0.5..3600",
                    FIELD(edge.shutdownGrace),
--- a/src/settings/settings_base.h
+++ b/src/settings/settings_base.h
@@ -32,7 +32,9 @@
   std::string storeAddress;              ///< host:port of the platform's store.
   double cpuShare = 1.0;                 ///< Processor cores of the host, such as 0.25.
   std::uint32_t descriptorLimit = 1'024; ///< Files and sockets that may be open.
-  Duration shutdownGrace = 8s;           ///< Time from SIGTERM to SIGKILL.
+  /* Memory of the host in megabytes; 0 for none known, which sets no limit on what is buffered. */
+  std::uint32_t memoryLimitMb = 0;
+  Duration shutdownGrace = 8s; ///< Time from SIGTERM to SIGKILL.
   /* Time after which a runner that starts to drain must get no more requests. */
   Duration drainLimit = 2s;
   /* Minimum time between orders to one runner from two successive holders of the order lease. */
