Change: [Gateway] Pause earlier once an eighth of the reader budget is held

With thresholds of a quarter of the free share, 16 of 250 slow callers were cut off in one of two runs at 48 MB, because the kernel's unread bytes took the rest.

--- a/src/decision/fleet/reader_budget.cpp
+++ b/src/decision/fleet/reader_budget.cpp
@@ -16,11 +16,11 @@
  */
 constexpr std::size_t kFreeDivisor = 8;
 /* Part of a reader's share of the free bytes at which its answer is paused, as a divisor. */
-constexpr std::size_t kPauseDivisor = 4;
+constexpr std::size_t kPauseDivisor = 8;
 /* Lowest threshold for a pause: below it, a stream would stop at every few events. */
 constexpr std::size_t kMinPauseBytes = 8U << 10U;
 /* Part of the budget that the kernel's receive buffers may take, as a divisor. */
-constexpr std::size_t kReceiveDivisor = 8;
+constexpr std::size_t kReceiveDivisor = 16;
 /* Size that the kernel's receive buffer begins with, up to which it is left to the kernel, and the
  * lowest limit. */
 constexpr std::size_t kUsualReceiveBuffer = 64U << 10U;
--- a/tests/edge/edge_cluster.py
+++ b/tests/edge/edge_cluster.py
@@ -94,7 +94,8 @@
     """An edge daemon with its settings, its log and its process."""
 
     def __init__(self, name: str, store_port: int, folder: Path, grace_s: float = 4.0,
-                 retry_slack: int = 1000, retry_ratio: float = 0.2) -> None:
+                 retry_slack: int = 1000, retry_ratio: float = 0.2,
+                 settings: str = "") -> None:
         self.name = name
         self.reserved = ReservedPorts(4)
         self.front_port, self.ready_port, self.link_port, self.metrics_port = self.reserved.ports
@@ -111,7 +112,7 @@
 lease_spacing: 1000
 retry_slack: {retry_slack}
 retry_budget_ratio: {retry_ratio}
-""")
+{settings}""")
         self.popen: Optional[subprocess.Popen] = None
         self.lock = threading.Lock()  # Held while a thread ends or stops the process.
         self.start()
@@ -197,11 +198,11 @@
     """
 
     def __init__(self, daemons: int = 2, grace_s: float = 4.0, retry_slack: int = 1000,
-                 retry_ratio: float = 0.2, **platform_options: int) -> None:
+                 retry_ratio: float = 0.2, settings: str = "", **platform_options: int) -> None:
         self.folder = tempfile.TemporaryDirectory()
         self.platform = Platform(**platform_options)
         self.daemons = [Daemon(f"d{number}", self.platform.store.http_server.port,
-                               Path(self.folder.name), grace_s, retry_slack, retry_ratio)
+                               Path(self.folder.name), grace_s, retry_slack, retry_ratio, settings)
                         for number in range(daemons)]
 
     def __enter__(self) -> "EdgeCluster":
--- a/tests/edge/standin.py
+++ b/tests/edge/standin.py
@@ -144,9 +144,11 @@
         self.server: Optional[asyncio.base_events.Server] = None
         self.writers: set[asyncio.StreamWriter] = set()
         self.port = 0
+        self.reads = True  # Otherwise connections are accepted and nothing is read from them.
 
     async def start(self) -> None:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.server = await asyncio.start_server(
+            self._serve, "127.0.0.1", self.port, backlog=4096)
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
@@ -164,6 +166,9 @@
         self.writers.add(writer)
         try:
             while True:
+                if not self.reads:
+                    writer.transport.pause_reading()
+                    await asyncio.Event().wait()
                 raw = await reader.readuntil(b"\r\n\r\n")
                 lines = raw.decode("latin-1").split("\r\n")
                 method, target, _ = lines[0].split(" ", 2)
@@ -376,6 +381,9 @@
     leaving_interim: bool = False   # The value is sent in an interim answer instead.
     silence: Optional[Silence] = None
     endless: Optional[Endless] = None  # Some answers have no end.
+    # A plain endpoint answers a path that begins with /tokens/ with a stream of that many events.
+    token_events: int = 0
+    token_bytes: int = 0            # Size of each of them.
 
 
 class Endpoint:
@@ -527,6 +535,8 @@
             call.writer.write(response_head(500, {**signed_headers, "Content-Length": "0"}))
         elif model:
             await self._stream(call, run, signed_headers, silence)
+        elif call.path.startswith("/tokens/"):
+            await self._send_tokens(call, signed_headers)
         else:
             body = f"done {request}".encode()
             call.writer.write(
@@ -541,6 +551,20 @@
                 call.writer.write(response_head(200, {**signed_headers, "X-Request-Id": "nobody",
                                                       "Content-Length": "5"}) + b"extra")
 
+    async def _send_tokens(self, call: HttpCall, signed_headers: dict[str, str]) -> None:
+        """Sends a stream as fast as the daemon reads it."""
+        connection = call.writer.transport.get_extra_info("socket")
+        # Otherwise the kernel takes megabytes for each stream that is not read.
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 32 << 10)
+        call.writer.write(response_head(200, {
+            **signed_headers, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}))
+        for number in range(1, self.faults.token_events + 1):
+            event = f"id: {number}\ndata: ".encode()
+            event += b"x" * (self.faults.token_bytes - len(event) - 2) + b"\n\n"
+            call.writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await call.writer.drain()
+        call.writer.write(b"0\r\n\r\n")
+
     async def _crash_after_head(self, call: HttpCall, run: Run) -> None:
         run.is_cut = True
         await asyncio.sleep(self.platform.work_s)
--- a/tests/fleet/reader_budget_test.cpp
+++ b/tests/fleet/reader_budget_test.cpp
@@ -95,8 +95,8 @@
   CHECK(PauseThreshold(budget, budget.bytes / 2, 10, usual) == usual);
   CHECK(PauseThreshold(budget, budget.bytes * 2, 10, usual) == 8U << 10U);
   CHECK(ReceiveBufferLimit({}, 5'000) == 0);
-  CHECK(ReceiveBufferLimit(budget, 128) == 0);
-  CHECK(ReceiveBufferLimit(budget, 256) == 32U << 10U);
+  CHECK(ReceiveBufferLimit(budget, 64) == 0);
+  CHECK(ReceiveBufferLimit(budget, 256) == 16U << 10U);
   CHECK(ReceiveBufferLimit(budget, 20'000) == 8U << 10U);
   CHECK(SendBacklogLimit({}, 5'000) == 0);
   CHECK(SendBacklogLimit(budget, 100) == 128U << 10U);
