Merge: a byte budget for slow readers (off)

Cause: callers and endpoints may read slowly, and what a daemon holds for them is its memory. The deploy template does not set memory_limit, because the cost on the request path and the deployments in service have not been measured with it.

--- a/src/decision/fleet/runner_registry.cpp
+++ b/src/decision/fleet/runner_registry.cpp
@@ -99,16 +99,34 @@
   });
 }
 
-void RunnerRegistry::RecordRequestStart(const EndpointId& aRunner)
+void RunnerRegistry::RecordRequestStart(const EndpointId& aRunner, std::size_t aBytes)
 {
   if (const auto found = mRunners.find(aRunner); found != mRunners.end()) {
     ++found->second.inFlight;
+    found->second.bytesInFlight += aBytes;
+    mBytesInFlight += aBytes;
   }
 }
 
+std::vector<EndpointId> RunnerRegistry::FullRunners(const ServiceId& aService,
+                                                    std::size_t aBytes) const
+{
+  std::vector<EndpointId> full;
+  if (mBytesLimit == 0 || mBytesInFlight + aBytes <= mBytesLimit) {
+    return full; // Spares each request a look at all runners of a large deployment.
+  }
+  for (const auto& [id, runner] : mRunners) {
+    if (runner.entry.service == aService && !HasRoomFor(runner, aBytes)) {
+      full.push_back(id);
+    }
+  }
+  return full;
+}
+
 void RunnerRegistry::RecordRequestEnd(TimePoint aNow,
                                       const EndpointId& aRunner,
                                       EndpointOutcome aOutcome,
+                                      std::size_t aBytes,
                                       PaceSignal aPaceIfSucceeded)
 {
   const auto found = mRunners.find(aRunner);
@@ -117,6 +135,9 @@
   }
   KnownRunner& runner = found->second;
   runner.inFlight -= std::min<std::uint32_t>(runner.inFlight, 1);
+  const std::size_t ended = std::min(runner.bytesInFlight, aBytes);
+  runner.bytesInFlight -= ended;
+  mBytesInFlight -= ended;
   runner.health.Record(aNow, aOutcome);
   if (aOutcome == EndpointOutcome::kFailed && runner.health.IsAvoided(aNow)) {
     StartWindow(runner.health.avoidedUntil(), runner);
@@ -372,7 +393,7 @@
                                                      const EndpointQuery& aQuery) const
 {
   const bool isExcluded = aQuery.excluded != nullptr && aQuery.excluded->contains(aRunner.entry.id);
-  if (!Matches(aRunner, aQuery) || isExcluded) {
+  if (!Matches(aRunner, aQuery) || isExcluded || !HasRoomFor(aRunner, aQuery.requestBytes)) {
     return std::nullopt;
   }
   const Exclusion exclusion = Check(aNow, aRunner);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -2,12 +2,14 @@
 #ifndef RHUBARBTRAIL_GATEWAY_GATEWAY_H
 #define RHUBARBTRAIL_GATEWAY_GATEWAY_H
 
+#include "core/byte_account.h"
 #include "core/event_log.h"
 #include "core/metrics.h"
 #include "decision/fleet/client_account_index.h"
 #include "decision/fleet/crash_guard.h"
 #include "decision/fleet/fleet_configuration_type.h"
 #include "decision/fleet/prompt_part_guard.h"
+#include "decision/fleet/reader_budget.h"
 #include "decision/fleet/retry_share.h"
 #include "decision/fleet/runner_registry.h"
 #include "gateway/placement_client.h"
@@ -62,6 +64,7 @@
   fleet::RunnerRegistry& runners;
   const fleet::StreamOrigins& streamOrigins;
   PlacementClient& placement;
+  ByteAccount& bytes; ///< What the daemon buffers for clients and endpoints.
   DaemonId self;
   ZoneId zone;
   /* Takes that a runner's process ended while it ran a request. The suspect has no parts if the
@@ -89,6 +92,8 @@
   std::function<bool()> areRunnersCurrent;
   /* Returns whether requests may be admitted by the keys of the configuration. */
   std::function<bool()> mayUseKeys;
+  /* Called when a request pauses the reading of its answer, if there is a reader budget. */
+  std::function<void()> onReadingPaused;
 
   std::shared_ptr<const fleet::FleetConfiguration> configuration; ///< Null until the first is read.
   /* The one before it, for requests that arrived before the present one was applied. */
@@ -96,6 +101,7 @@
   TimePoint configurationAppliedAt{};
   KeyCheckCounts keyChecks;
   QuotaClient quotas;
+  fleet::ReaderBudget readerBudget;
   fleet::RetryShare retries;
   fleet::CrashGuard crashes;
   fleet::PromptPartGuard promptParts;
