--- a/tests/fleet/endpoint_window_test.cpp
+++ b/tests/fleet/endpoint_window_test.cpp
@@ -102,7 +102,7 @@
     }
     world.Run(100ms);
     world.Run(3s);
-    world.dispatcher.OnRunnerGone(EndpointId{ "r0" });
+    world.dispatcher.OnRunnerGone(world.now, EndpointId{ "r0" });
     world.SendEntry(0);
     for (int request = 0; request < 20; ++request) {
       world.SendRequest("m0");
