--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -1044,10 +1044,10 @@
   }
 
   /* Returns the time since the configuration was last confirmed in milliseconds, or -1. */
-  double ConfigurationAge(TimePoint aNow) const
+  std::int64_t ConfigurationAge(TimePoint aNow) const
   {
     const auto confirmedAt = mConfigurationExchange.confirmedAt();
-    return confirmedAt ? ToMilliseconds(aNow - *confirmedAt) : -1.0;
+    return confirmedAt ? ToMilliseconds(aNow - *confirmedAt) : -1;
   }
 
   /* Returns the quotas of the accounts with limits: this daemon's part and, at the dispatcher,
