Fix: [Fleet] Begin resumable streams only at versions that the lease row names

Cause: a version that joined, began streams and was gone together with all daemons before the next renewal of the lease (0.7 s) was on record nowhere. The restarted daemons knew one version and resumed its streams there: the answer was joined from two versions. The same after a lease row that could not be read or is of an older copy of the store, and a new holder that had not read the row wrote it without the versions of the former one. A client that names no request was also served from a view that was not current.

Change: RecordedVersions has what the row is known to name, by reads, confirmed writes and the holder's heartbeats. A runner of another version gets no resumable stream; the holder writes a new version at once, at most every 100 ms. What a row or heartbeat names is always taken over. Streams without a name are taken up only with a current view.

Result: three process tests fail on (a joined stream in each) and pass now; the unit case fails without MayBeginAt.

--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -163,6 +163,7 @@
       .metrics = mMetrics,
       .runners = mRunners,
       .streamOrigins = mStreamOrigins,
+      .recordedVersions = mRecordedVersions,
       .placement = mPlacement,
       .bytes = mBytes,
       .self = DaemonId{ mSettings.daemonId },
@@ -264,6 +265,7 @@
             [this](const fleet::VersionsByService& aVersions) {
               mRunners.RecordVersions(BootClockNow(), aVersions);
             },
+          .recordedVersions = mRecordedVersions,
           .quarantinedParts = [this] { return mGateway.promptParts.quarantined(); },
           .onQuarantinedParts =
             [this](const std::vector<fleet::PartGroup>& aGroups,
@@ -740,6 +742,7 @@
     mDispatcher.OnRunnerEntry(BootClockNow(), *entry);
     mMember.OnDispatcherInputChanged();
     const auto change = mRunners.Apply(BootClockNow(), *entry);
+    mMember.OnSoftwareVersion(entry->service, entry->softwareVersion);
     if (change != fleet::RunnerRegistry::Change::kHoldings) {
       mChangedRunnerRows.push_back(aRow);
     }
@@ -1301,10 +1304,11 @@
   StoreClient mStore;
   fleet::RunnerRegistry mRunners;
   fleet::StreamOrigins mStreamOrigins;
+  fleet::RecordedVersions mRecordedVersions;
   fleet::ConfigurationExchange mConfigurationExchange;
   /* Fields of answers whose values were ignored, by endpoint, so that each is logged once. */
   std::set<std::pair<EndpointId, std::string_view>> mLoggedFields;
-  fleet::Dispatcher mDispatcher{ mStreamOrigins };
+  fleet::Dispatcher mDispatcher{ mStreamOrigins, mRecordedVersions };
   fleet::QuotaLedger mQuotaLedger;
   PlacementClient mPlacement;
   GatewayContext mGateway;
--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -14,6 +14,7 @@
 #include "decision/fleet/model_worth.h"
 #include "decision/fleet/order_type.h"
 #include "decision/fleet/prompt_cache.h"
+#include "decision/fleet/recorded_versions.h"
 #include "decision/fleet/request_allowance.h"
 #include "decision/fleet/returning_copies.h"
 #include "decision/fleet/service_time_tracker.h"
@@ -187,9 +188,11 @@
 class Dispatcher
 {
 public:
-  /* aStreamOrigins has the origins of streams that clients may resume, and must outlive this. */
-  explicit Dispatcher(const StreamOrigins& aStreamOrigins)
+  /* aStreamOrigins has the origins of streams that clients may resume, and aRecordedVersions the
+   * versions at which streams may begin. Both must outlive this. */
+  Dispatcher(const StreamOrigins& aStreamOrigins, const RecordedVersions& aRecordedVersions)
     : mStreamOrigins(&aStreamOrigins)
+    , mRecordedVersions(&aRecordedVersions)
   {
   }
 
@@ -448,6 +451,8 @@
    * did. */
   bool RefuseResumed(TimePoint aNow, const WaitingRequest& aWaiting);
   static bool HasVersion(const ManagedRunner& aRunner, const SoftwareVersion& aVersion);
+  /* Returns whether a request may begin at the version of this runner. */
+  bool MayBeginAt(const PlacementRequest& aRequest, const ManagedRunner& aRunner) const;
   /* Returns the version that a runner must have to serve the request, or an empty one if each
    * usable runner of the service will do: the request is not bound to a version, or all have that
    * one. Then it counts as demand for its model like any other request. */
@@ -620,6 +625,7 @@
   void AdjustStoreConcurrency(const PendingOrder& aLoad, Duration aTook);
 
   const StreamOrigins* mStreamOrigins;
+  const RecordedVersions* mRecordedVersions;
   /* When the first message arrived since this daemon became the dispatcher. */
   std::optional<TimePoint> mActiveSince;
   std::shared_ptr<const FleetConfiguration> mConfiguration;
--- a/src/decision/fleet/dispatcher_resume.cpp
+++ b/src/decision/fleet/dispatcher_resume.cpp
@@ -42,6 +42,13 @@
   return aVersion.empty() || aRunner.entry.softwareVersion == aVersion;
 }
 
+bool Dispatcher::MayBeginAt(const PlacementRequest& aRequest, const ManagedRunner& aRunner) const
+{
+  const bool beginsResumableStream = aRequest.isResumable && !aRequest.origin;
+  return !beginsResumableStream ||
+         mRecordedVersions->Has(aRequest.service, aRunner.entry.softwareVersion);
+}
+
 SoftwareVersion Dispatcher::RequiredVersion(const PlacementRequest& aRequest) const
 {
   if (!aRequest.origin) {
--- a/src/decision/fleet/order_lease.cpp
+++ b/src/decision/fleet/order_lease.cpp
@@ -9,6 +9,8 @@
 
 /* Time from a failed read or write to the next attempt. */
 constexpr Duration kRetryDelay = 200ms;
+/* Minimum time from a renewal to one that is urgent. */
+constexpr Duration kUrgentRenewalDelay = 100ms;
 /* Bits of a fencing token that hold the row's version. The era is in the bits above them, so that
  * tokens rise although versions go back. Both fit into the integers that JSON keeps exactly. */
 constexpr unsigned kVersionBits = 40;
@@ -22,7 +24,7 @@
 
 std::optional<LeaseAction> OrderLease::Tick(TimePoint aNow)
 {
-  if (mIsActionInProgress || aNow < mNextActionAt) {
+  if (mIsActionInProgress || (aNow < mNextActionAt && !IsUrgentRenewalDue(aNow))) {
     return std::nullopt;
   }
   mActionEra = mEra;
@@ -104,8 +106,16 @@
   mNextActionAt = aNow;
 }
 
+/* After a failed write, the next one keeps its delay. */
+bool OrderLease::IsUrgentRenewalDue(TimePoint aNow) const
+{
+  return mIsRenewalUrgent && mPhase == Phase::kHeld && mConfirmedWriteSentAt == mWriteSentAt &&
+         aNow >= mWriteSentAt + kUrgentRenewalDelay;
+}
+
 std::optional<LeaseAction> OrderLease::TickHeld(TimePoint aNow)
 {
+  mIsRenewalUrgent = false;
   mIsActionInProgress = true;
   mWriteSentAt = aNow;
   mNextActionAt = aNow + mOptions.renewalInterval;
--- a/src/decision/fleet/order_lease.h
+++ b/src/decision/fleet/order_lease.h
@@ -116,6 +116,8 @@
                          HolderState aState);
   /* The store's era has risen: it came back from an older copy. */
   void OnEra(TimePoint aNow, StoreEra aEra);
+  /* Renews the lease ahead of the interval because the row has to name something new. */
+  void RenewSoon() { mIsRenewalUrgent = true; }
   /* Releases the lease because the daemon shuts down. The next renewal clears the holder. */
   void Release() { mIsReleasing = true; }
 
@@ -151,6 +153,7 @@
   OrderLeaseRow MakeOwnRow(TimePoint aNow) const;
   std::optional<LeaseAction> TickWatching(TimePoint aNow);
   std::optional<LeaseAction> TickHeld(TimePoint aNow);
+  bool IsUrgentRenewalDue(TimePoint aNow) const;
   /* Returns from when orders are allowed in a term that begins now. */
   TimePoint FirstOrderTime(TimePoint aNow) const;
   static FencingToken FenceOf(RowVersion aVersion);
@@ -167,6 +170,7 @@
   bool mIsRowKnown = false;         ///< The row was read, or arrived with a heartbeat.
   bool mIsWriteUnconfirmed = false; ///< The result of a write is unknown, so the row must be read.
   bool mIsReleasing = false;
+  bool mIsRenewalUrgent = false;
   OrderLeaseRow mRowBeingWritten;
   TimePoint mRowChangedAt{}; ///< When this daemon last saw a new version of the row.
   std::optional<TimePoint> mRowUnchangedSince; ///< Since when all reads have returned this row.
--- a/src/decision/fleet/runner_registry.cpp
+++ b/src/decision/fleet/runner_registry.cpp
@@ -367,7 +367,9 @@
   return aRunner.entry.service == aQuery.service &&
          (aQuery.model == nullptr || HasLoaded(aRunner.entry, *aQuery.model)) &&
          (aQuery.softwareVersion == nullptr ||
-          aRunner.entry.softwareVersion == *aQuery.softwareVersion);
+          aRunner.entry.softwareVersion == *aQuery.softwareVersion) &&
+         (aQuery.recordedVersions == nullptr ||
+          aQuery.recordedVersions->Has(aQuery.service, aRunner.entry.softwareVersion));
 }
 
 std::optional<TimePoint> RunnerRegistry::EarliestPauseEnd(TimePoint aNow,
@@ -508,8 +510,9 @@
                                                            const ServiceId& aService) const
 {
   const VersionsByService versions = RecentVersions(aNow);
+  const bool areAllKnown = !versions.contains(kUnknownVersions.begin()->first);
   const auto found = versions.find(aService);
-  return found != versions.end() && found->second.size() == 1
+  return areAllKnown && found != versions.end() && found->second.size() == 1
            ? std::optional{ *found->second.begin() }
            : std::nullopt;
 }
--- a/src/decision/fleet/runner_registry.h
+++ b/src/decision/fleet/runner_registry.h
@@ -6,6 +6,7 @@
 #include "decision/fleet/endpoint_health.h"
 #include "decision/fleet/endpoint_slowness.h"
 #include "decision/fleet/endpoint_window.h"
+#include "decision/fleet/recorded_versions.h"
 #include "decision/fleet/request_allowance.h"
 #include "decision/fleet/runner_type.h"
 #include "decision/fleet/stated_limit.h"
@@ -173,6 +174,8 @@
     const ModelRef* model = nullptr; ///< Null for services that load no models.
     /* Only endpoints of this version. Null for any. */
     const SoftwareVersion* softwareVersion = nullptr;
+    /* Only endpoints of these versions, for a resumable stream that has not begun. Null for any. */
+    const RecordedVersions* recordedVersions = nullptr;
     std::uint64_t affinity = 0;   ///< Equal values choose the same one of equally good endpoints.
     std::size_t requestBytes = 0; ///< Only endpoints with room for them.
     const std::set<EndpointId>* excluded = nullptr;
@@ -195,7 +198,8 @@
   VersionsByService RecentVersions(TimePoint aNow) const;
   /* Records versions that another daemon, or a former process of this one, knew. */
   void RecordVersions(TimePoint aNow, const VersionsByService& aVersions);
-  /* Returns the version of a service if RecentVersions() has only one, else nothing. */
+  /* Returns the version of a service if RecentVersions() has only one and no unknown ones, else
+   * nothing. */
   std::optional<SoftwareVersion> OnlyVersion(TimePoint aNow, const ServiceId& aService) const;
 
   const KnownRunner* Find(const EndpointId& aRunner) const;
--- a/src/fleet/fleet_member.cpp
+++ b/src/fleet/fleet_member.cpp
@@ -194,17 +194,18 @@
 
 void FleetMember::WriteLease(const fleet::WriteLease& aWrite)
 {
+  fleet::VersionsByService versions = mServices.recentVersions();
   mServices.store.Write(
     { .table = kFleetTable,
       .key = kLeaseKey,
       .value = EncodeLeaseRow({ .lease = aWrite.row,
-                                .versions = mServices.recentVersions(),
+                                .versions = versions,
                                 .quarantinedParts = mServices.quarantinedParts(),
                                 .partTrials = mServices.partTrials() }),
       .expectedVersion = aWrite.expectedVersion },
-    [this](const StoreResult& aResult) {
+    [this, versions](const StoreResult& aResult) {
       if (!mIsClosed) {
-        OnLeaseWritten(aResult);
+        OnLeaseWritten(aResult, versions);
         ApplyLeaseState();
       }
     });
@@ -234,21 +235,42 @@
   if (!row) {
     mServices.log.Write("lease_unreadable",
                         { { "row_version", aRow.version.value }, { "reason", row.error() } });
+    mServices.onRecentVersions(fleet::kUnknownVersions);
+    mServices.recordedVersions.Set({});
     return {};
   }
-  if (!mHasReadLease) {
-    mServices.onRecentVersions(row->versions);
+  if (!mHasReadLease && row->lease.era < aRow.version.era) {
+    mServices.onRecentVersions(fleet::kUnknownVersions); // Later writes of the row are forgotten.
   }
+  SetRecordedVersions(row->versions);
   mServices.onQuarantinedParts(row->quarantinedParts, row->partTrials);
   return std::move(row->lease);
 }
 
-void FleetMember::OnLeaseWritten(const StoreResult& aResult)
+void FleetMember::SetRecordedVersions(const fleet::VersionsByService& aVersions)
+{
+  mServices.recordedVersions.Set(aVersions);
+  mServices.onRecentVersions(aVersions);
+  OnDispatcherInputChanged();
+}
+
+void FleetMember::OnSoftwareVersion(const ServiceId& aService, const SoftwareVersion& aVersion)
+{
+  if (!mServices.recordedVersions.Has(aService, aVersion)) {
+    mLease.RenewSoon();
+  }
+}
+
+void FleetMember::OnLeaseWritten(const StoreResult& aResult,
+                                 const fleet::VersionsByService& aVersions)
 {
   const TimePoint now = BootClockNow();
   switch (aResult.outcome) {
     case StoreOutcome::kDone:
       mLease.OnWritten(now, aResult.answer.newest);
+      if (mLease.isHolder() && aVersions != mServices.recordedVersions.versions()) {
+        SetRecordedVersions(aVersions);
+      }
       return;
     case StoreOutcome::kConflict:
       for (const auto& row : aResult.answer.rows) {
@@ -367,7 +389,8 @@
            .partTrials = mServices.partTrials(),
            .configuration = mServices.configuration.Statement(BootClockNow()),
            .peers = {},
-           .quotas = mServices.quotaLedger.Statements(BootClockNow()) };
+           .quotas = mServices.quotaLedger.Statements(BootClockNow()),
+           .recordedVersions = mServices.recordedVersions.versions() };
 }
 
 std::vector<std::string> FleetMember::NextPeers()
@@ -445,6 +468,7 @@
 
 void FleetMember::OnStoreEra(StoreEra aEra)
 {
+  mServices.recordedVersions.Set({});
   mLease.OnEra(BootClockNow(), aEra);
   ApplyLeaseState();
 }
@@ -640,6 +664,10 @@
   mServices.onDaemonCount(aHeartbeat.daemons);
   mServices.onTableNotices(aHeartbeat.notices);
   mServices.onQuarantinedParts(aHeartbeat.quarantinedParts, aHeartbeat.partTrials);
+  if (aHeartbeat.recordedVersions &&
+      *aHeartbeat.recordedVersions != mServices.recordedVersions.versions()) {
+    SetRecordedVersions(*aHeartbeat.recordedVersions);
+  }
   if (isNew) {
     mServices.log.Write(
       "dispatcher_found",
--- a/src/fleet/fleet_member.h
+++ b/src/fleet/fleet_member.h
@@ -76,10 +76,11 @@
   std::function<void(const std::map<std::string, fleet::TableNotice>&)> onTableNotices;
   std::function<void(const TableChangesMessage&)> onTableChanges;
   std::function<void()> onTableNoticesLost;
-  /* Returns the software versions that this daemon knows, and takes those that the store's lease
-   * row has when this daemon first reads it. */
+  /* Returns the software versions that this daemon knows. */
   std::function<fleet::VersionsByService()> recentVersions;
+  /* Takes versions that a former process, or another daemon, knew. */
   std::function<void(const fleet::VersionsByService&)> onRecentVersions;
+  fleet::RecordedVersions& recordedVersions; ///< Kept up to date by the member.
   /* Returns the quarantined parts of prompts that this daemon knows, and takes those that another
    * daemon or the store's lease row states. */
   std::function<std::vector<fleet::PartGroup>()> quarantinedParts;
@@ -105,6 +106,9 @@
   void Release();
   bool IsReleased() const;
   void Close();
+  /* A runner has this version. While this daemon holds the lease, it writes a version that the row
+   * does not name yet without waiting for the next renewal. */
+  void OnSoftwareVersion(const ServiceId& aService, const SoftwareVersion& aVersion);
 
   /* Sends a message to the dispatcher, or handles it here if this daemon is the dispatcher. Returns
    * false if no dispatcher is known to be alive. */
@@ -175,9 +179,12 @@
   void ReadLease();
   void WriteLease(const fleet::WriteLease& aWrite);
   void OnLeaseRead(const StoreResult& aResult);
-  void OnLeaseWritten(const StoreResult& aResult);
+  /* Takes the result of a write of the row with these software versions. */
+  void OnLeaseWritten(const StoreResult& aResult, const fleet::VersionsByService& aVersions);
   /* Returns the lease in a row of the store, or an empty one if the row is unreadable. */
   fleet::OrderLeaseRow ReadLeaseRow(const platform::StoreRow& aRow);
+  /* Takes the software versions that the lease row names. */
+  void SetRecordedVersions(const fleet::VersionsByService& aVersions);
   void ApplyLeaseState();
 
   // Messages.
--- a/src/fleet/fleet_message.cpp
+++ b/src/fleet/fleet_message.cpp
@@ -32,6 +32,28 @@
            { "era", aRow.era.value },       { "renewals", aRow.renewals } };
 }
 
+Json ToJson(const VersionsByService& aVersions)
+{
+  Json json = Json::object();
+  for (const auto& [service, versions] : aVersions) {
+    for (const SoftwareVersion& version : versions) {
+      json[service.str()].push_back(version.str());
+    }
+  }
+  return json;
+}
+
+VersionsByService VersionsByServiceFrom(const Json& aJson)
+{
+  VersionsByService result;
+  for (const auto& [service, versions] : aJson.items()) {
+    for (const Json& version : versions) {
+      result[ServiceId{ service }].insert(SoftwareVersion{ version.get<std::string>() });
+    }
+  }
+  return result;
+}
+
 OrderLeaseRow LeaseFrom(const Json& aJson)
 {
   return { .holder = DaemonId{ aJson.at("holder").get<std::string>() },
@@ -593,6 +615,9 @@
                   if (!aHeartbeat.quotas.empty()) {
                     json["quotas"] = ToJson(aHeartbeat.quotas);
                   }
+                  if (aHeartbeat.recordedVersions) {
+                    json["software"] = ToJson(*aHeartbeat.recordedVersions);
+                  }
                   return json;
                 },
                 [](const SuspectMessage& aSuspect) { return ToJson(aSuspect); },
@@ -669,7 +694,10 @@
       .partTrials = PartTrialsFrom(aJson.value("trials", Json::array())),
       .configuration = ConfigurationStatementFrom(aJson.value("config", Json::object())),
       .peers = aJson.value("peers", std::vector<std::string>{}),
-      .quotas = QuotaStatementsFrom(aJson.value("quotas", Json::array()))
+      .quotas = QuotaStatementsFrom(aJson.value("quotas", Json::array())),
+      .recordedVersions = aJson.contains("software")
+                            ? std::optional{ VersionsByServiceFrom(aJson.at("software")) }
+                            : std::nullopt
     };
   }
   if (kind == "table_changes") {
@@ -782,11 +810,7 @@
 std::string EncodeLeaseRow(const StoredLease& aRow)
 {
   Json json = ToJson(aRow.lease);
-  for (const auto& [service, versions] : aRow.versions) {
-    for (const SoftwareVersion& version : versions) {
-      json["software"][service.str()].push_back(version.str());
-    }
-  }
+  json["software"] = ToJson(aRow.versions);
   if (!aRow.quarantinedParts.empty()) {
     json["quarantined"] = ToJson(aRow.quarantinedParts);
     json["trials"] = ToJson(aRow.partTrials);
@@ -798,17 +822,11 @@
 {
   try {
     const Json json = Json::parse(aText);
-    StoredLease row{ .lease = LeaseFrom(json),
-                     .versions = {},
-                     .quarantinedParts = PartGroupsFrom(json.value("quarantined", Json::array())),
-                     .partTrials = PartTrialsFrom(json.value("trials", Json::array())) };
-    const Json software = json.value("software", Json::object());
-    for (const auto& [service, versions] : software.items()) {
-      for (const Json& version : versions) {
-        row.versions[ServiceId{ service }].insert(SoftwareVersion{ version.get<std::string>() });
-      }
-    }
-    return row;
+    return StoredLease{ .lease = LeaseFrom(json),
+                        .versions = VersionsByServiceFrom(json.value("software", Json::object())),
+                        .quarantinedParts =
+                          PartGroupsFrom(json.value("quarantined", Json::array())),
+                        .partTrials = PartTrialsFrom(json.value("trials", Json::array())) };
   } catch (const Json::exception& error) {
     return tl::make_unexpected(std::string{ error.what() });
   }
--- a/src/fleet/fleet_message.h
+++ b/src/fleet/fleet_message.h
@@ -48,6 +48,8 @@
   std::vector<std::string> peers; ///< Addresses of some members, others each time.
   /* Of the accounts with limits and recent use. */
   std::vector<fleet::QuotaStatement> quotas;
+  /* Software versions that the lease row names. Releases without it state none. */
+  std::optional<fleet::VersionsByService> recordedVersions;
 };
 
 /* Rows of a table that the dispatcher relays to its members, so that these need not read them. */
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -63,6 +63,7 @@
   Metrics& metrics;
   fleet::RunnerRegistry& runners;
   const fleet::StreamOrigins& streamOrigins;
+  const fleet::RecordedVersions& recordedVersions;
   PlacementClient& placement;
   ByteAccount& bytes; ///< What the daemon buffers for clients and endpoints.
   DaemonId self;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -428,10 +428,8 @@
 std::optional<fleet::StreamOrigin> RequestFlow::OnlyOrigin() const
 {
   const auto version = mContext.runners.OnlyVersion(BootClockNow(), mService);
-  // Clients that name no request cannot be checked otherwise. The others may have begun the stream
-  // at a version that this daemon has not heard of.
-  const bool mayRely = mClient.resumedRequestId.empty() || mContext.areRunnersCurrent();
-  if (!version || !mayRely) {
+  // The stream may have begun at a version that a daemon with an outdated view has not heard of.
+  if (!version || !mContext.areRunnersCurrent()) {
     return std::nullopt;
   }
   return fleet::StreamOrigin{ .service = mService, .version = *version };
@@ -648,6 +646,8 @@
            .zone = mContext.zone,
            .model = UsesModels() ? &mClient.work->target : nullptr,
            .softwareVersion = mOrigin ? &mOrigin->version : nullptr,
+           .recordedVersions =
+             mAttemptState.isResumable && !mOrigin ? &mContext.recordedVersions : nullptr,
            .affinity = AffinityOf(mClient),
            .requestBytes = mRequestSize,
            .excluded = &mFailedEndpoints };
--- a/tests/edge/standin.py
+++ b/tests/edge/standin.py
@@ -203,6 +203,7 @@
         self.is_down = False
         self.other_servers: list[HttpServer] = []
         self.rejected_ports: set[int] = set()
+        self.rejected_tables: set[str] = set()  # Transactions that change them are refused.
         self.delay_s = 0.0
         self.lose_writes = 0  # Transactions that are applied but whose answer is lost.
         self.era = 1
@@ -278,6 +279,9 @@
         if any(entry["table"] in ("op", "servers") for entry in body["setKeys"]):
             self._refuse(call, 403)
             return
+        if any(entry["table"] in self.rejected_tables for entry in body["setKeys"]):
+            self._refuse(call, 503)
+            return
         for condition in body["expectedRev"]:
             found = self.rows.get((condition["table"], condition["key"]))
             if (found[1] if found else 0) != condition["ver"]:
--- a/tests/edge/test_versions.py
+++ b/tests/edge/test_versions.py
@@ -167,6 +167,112 @@
         cluster.wait_until(lambda: cluster.daemons[0].send("chat").is_complete, "a new stream")
 
 
+def begin_at_joining_version(cluster: EdgeCluster) -> Result:
+    """Lets r1 change to another version, and sends a stream that only r1 would take."""
+    runners = cluster.platform.endpoints
+    break_streams(cluster, 1)
+    runners["r0"].faults.refuses_all = True
+    set_version(cluster, "r1", "v2")
+    time.sleep(0.03)
+    return cluster.daemons[0].send("chat")
+
+
+def restart_all_without_version(cluster: EdgeCluster, runner: str) -> None:
+    """Kills all daemons and the only runner of a version, and starts the daemons again."""
+    runners = cluster.platform.endpoints
+    for daemon in cluster.daemons:
+        daemon.kill()
+    cluster.platform.run_coroutine(runners[runner].crash(None))
+    for endpoint in runners.values():
+        endpoint.faults.refuses_all, endpoint.faults.cut_after_events = False, None
+    for daemon in cluster.daemons:
+        daemon.start()
+    for daemon in cluster.daemons:
+        cluster.wait_until(daemon.is_ready, "readiness")
+
+
+def test_edge_begins_no_stream_at_a_version_that_the_lease_row_cannot_name() -> None:
+    """A version joins while writes of the lease row fail, and is gone together with all daemons.
+
+    The restarted daemons must not join the stream of that version and the version that is left.
+    """
+    for names_request in (True, False):
+        with start("v1 v1") as cluster:
+            time.sleep(1.0)
+            cluster.platform.store.rejected_tables.add("rhubarbtrail")
+            broken = begin_at_joining_version(cluster)
+            restart_all_without_version(cluster, "r1")
+            cluster.platform.store.rejected_tables.clear()
+            if not broken.event_ids:
+                continue
+            resumed = resume(cluster.daemons[0], broken) if names_request else \
+                cluster.daemons[0].send("chat", Last_Event_Id=str(broken.event_ids[-1]))
+            assert not resumed.event_ids, (names_request, broken, resumed)
+
+
+def test_edge_names_a_version_in_the_lease_row_before_its_first_stream() -> None:
+    """A version joins between two renewals, begins a stream, and is gone with all daemons."""
+    begun = 0
+    for phase_s in (0.0, 0.15, 0.3, 0.45, 0.6):
+        with start("v1 v1") as cluster:
+            time.sleep(1.0 + phase_s)
+            broken, end = begin_at_joining_version(cluster), time.monotonic() + 0.5
+            while not broken.event_ids and time.monotonic() < end:
+                broken = cluster.daemons[0].send("chat")  # The client's next try.
+            restart_all_without_version(cluster, "r1")
+            if broken.event_ids:
+                begun += 1
+                result = resume(cluster.daemons[0], broken)
+                assert not result.event_ids, (phase_s, broken, result)
+            new = cluster.daemons[1].send("chat")
+            assert new.is_complete, (phase_s, new)
+    assert begun >= 3, begun  # A version that joins is in use after one write of the row.
+
+
+def test_edge_relies_on_no_former_version_after_an_unreadable_lease_row() -> None:
+    """The lease row is overwritten with bytes that no daemon can read, and all daemons restart."""
+    with start("v1 v2") as cluster:
+        time.sleep(1.0)
+        for daemon in cluster.daemons:
+            daemon.kill()
+        runners = cluster.platform.endpoints
+        cluster.platform.run_coroutine(runners["r1"].crash(None))
+        key = next(key for table, key in cluster.platform.store.rows if table == "rhubarbtrail")
+        cluster.platform.run_on_loop(
+            lambda: cluster.platform.store.put("rhubarbtrail", key, b"\xff{"))
+        for daemon in cluster.daemons:
+            daemon.start()
+        for daemon in cluster.daemons:
+            cluster.wait_until(daemon.is_ready, "readiness")
+            unknown = Result("fedcba9876543210", "chat", body=b"id: 2\ndata: x 2\n\n")
+            for result in (resume(daemon, unknown), daemon.send("chat", Last_Event_Id="2")):
+                assert result.status == 503, result
+        cluster.wait_until(lambda: cluster.daemons[0].send("chat").is_complete, "a new stream")
+
+
+def test_edge_without_a_current_view_takes_up_no_stream_without_a_name() -> None:
+    """The dispatcher is killed, the store rejects one of the others, and a version joins.
+
+    The daemon that the store rejects hears of it from nobody, and must not take up its stream.
+    """
+    with start("v1 v1", daemons=3) as cluster:
+        time.sleep(1.0)
+        holder = cluster.holder()
+        other, rejected = [daemon for daemon in cluster.daemons if daemon is not holder]
+        cluster.platform.store.rejected_ports.add(rejected.store_port)
+        time.sleep(0.2)
+        holder.kill()
+        cluster.platform.endpoints["r0"].faults.refuses_all = True
+        break_streams(cluster, 1)
+        set_version(cluster, "r1", "v2")
+        time.sleep(0.3)
+        broken = other.send("chat")
+        cluster.platform.endpoints["r0"].faults.refuses_all = False
+        last_event = str((broken.event_ids or [2])[-1])
+        result = rejected.send("chat", Last_Event_Id=last_event)
+        assert not result.event_ids or result.versions == broken.versions, (broken, result)
+
+
 def test_edge_loads_a_model_at_the_version_of_a_stream() -> None:
     """Breaks off a stream whose model no other runner of its version holds.
 
--- a/tests/fleet/dispatcher_resume_test.cpp
+++ b/tests/fleet/dispatcher_resume_test.cpp
@@ -161,6 +161,28 @@
   CHECK(world.startedStoreLoads == 1);
 }
 
+/* Load pattern: a version joins while the lease row cannot name it yet. If the daemons were all
+ * restarted then, they would not know that it began streams. */
+TEST_CASE("load: a resumable stream waits until the lease row names the version of its runner")
+{
+  FleetWorld world({ .runners = 2, .models = 2, .modelsPerRunner = 1 });
+  ChangeVersion(world, 1, "v2", { "m1" });
+  world.Run(500ms);
+  world.recordedVersions.Set({ { kService, { SoftwareVersion{ "v1" } } } });
+  const auto makeResumable = [](PlacementRequest& aRequest) { aRequest.isResumable = true; };
+  const auto resumable = world.SendRequest("m1", {}, 1, 20s, makeResumable);
+  const auto plain = world.SendRequest("m1");
+  const auto resumed = world.SendResumed("m1", "v2");
+  world.Run(200ms);
+  CHECK_FALSE(world.outcomes[resumable].startedAt);
+  CHECK(world.outcomes[plain].startedAt);
+  CHECK(world.outcomes[resumed].startedAt);
+  world.recordedVersions.Set(
+    { { kService, { SoftwareVersion{ "v1" }, SoftwareVersion{ "v2" } } } });
+  world.Run(200ms);
+  CHECK(world.outcomes[resumable].startedAt);
+}
+
 TEST_CASE("random restarts with other versions and new dispatchers never mix versions in a stream")
 {
   constexpr int kSeeds = 300;
--- a/tests/fleet/fleet_world.cpp
+++ b/tests/fleet/fleet_world.cpp
@@ -80,7 +80,7 @@
 
 void FleetWorld::ReplaceDispatcher()
 {
-  dispatcher = Dispatcher{ streamOrigins };
+  dispatcher = Dispatcher{ streamOrigins, recordedVersions };
   dispatcher.SetConfiguration(mConfiguration);
   ++mFence;
   SetOrderPermission(false);
@@ -117,7 +117,11 @@
 
 void FleetWorld::SendEntry(std::size_t aRunner)
 {
-  dispatcher.OnRunnerEntry(now, EntryOf(runners[aRunner]));
+  const RunnerEntry entry = EntryOf(runners[aRunner]);
+  VersionsByService versions = recordedVersions.versions();
+  versions[entry.service].insert(entry.softwareVersion);
+  recordedVersions.Set(std::move(versions));
+  dispatcher.OnRunnerEntry(now, entry);
 }
 
 void FleetWorld::StateLimit(const SimRunner& aRunner, TimePoint aRequestSentAt)
--- a/tests/fleet/fleet_world.h
+++ b/tests/fleet/fleet_world.h
@@ -129,7 +129,8 @@
   WorldOptions options;
   TimePoint now{ 1'000s };
   StreamOrigins streamOrigins;
-  Dispatcher dispatcher{ streamOrigins };
+  RecordedVersions recordedVersions; ///< All versions of the runners.
+  Dispatcher dispatcher{ streamOrigins, recordedVersions };
   std::vector<SimRunner> runners;
   std::map<std::uint64_t, SimOutcome> outcomes;
   std::vector<std::string> violations;
--- a/tests/fleet/request_limit_test.cpp
+++ b/tests/fleet/request_limit_test.cpp
@@ -361,7 +361,7 @@
 
   void TakeOver()
   {
-    mDispatcher = std::make_unique<Dispatcher>(mStreamOrigins);
+    mDispatcher = std::make_unique<Dispatcher>(mStreamOrigins, mRecordedVersions);
     mDispatcher->SetConfiguration(std::make_shared<FleetConfiguration>());
     mDispatcher->SetOrderPermission({ .mayOrder = true, .holder = "d", .fence = { ++mFence } });
     for (std::size_t endpoint = 0; endpoint < kEndpoints; ++endpoint) {
@@ -468,6 +468,7 @@
   TimePoint mNow{ 1'000s };
   std::multimap<TimePoint, std::function<void()>> mEvents;
   StreamOrigins mStreamOrigins;
+  RecordedVersions mRecordedVersions;
   std::unique_ptr<Dispatcher> mDispatcher;
   std::uint64_t mFence = 0;
   std::uint64_t mNumber = 0;
