Fix: [Fleet] Read on at once when the answer to a watch is full

The store rejects the dispatcher, its notices end 1.8 s later, and the other daemons watch the table from a version of up to 12 s before. The store answers with 500 rows at most; the feed then paused for its interval, another 1.8 s, before it read the rest, in which 17 runners were leaving: they were known 2.4 s after their statement, of the 3 s allowed, and later beside load.

Change: a watch whose answer is full by rows or bytes is followed by the next one without the interval, and confirms nothing. The stand-in limits the rows of such an answer too.

--- a/src/fleet/table_feed.cpp
+++ b/src/fleet/table_feed.cpp
@@ -191,6 +191,12 @@
   mCoverage.OnAnswer(mVersion);
   ForgetOldRemovals();
   mHandlers.onSynced();
+  if (platform::MayHaveMoreChanges(aResult.answer)) {
+    // Load pattern: the dispatcher loses the store after a time in which runners changed often. A
+    // runner's leaving may be behind hundreds of changes, and must not wait for the interval.
+    Watch();
+    return;
+  }
   ReportConfirmed(mWatchStartedAt);
   const Duration passed = BootClockNow() - mWatchStartedAt;
   if (passed < mOptions.minInterval) {
--- a/src/platform/store_codec.cpp
+++ b/src/platform/store_codec.cpp
@@ -12,6 +12,10 @@
 
 namespace {
 
+constexpr std::size_t kMaxRowsPerAnswer = 500;
+/* Half of the store's limit, since the values are counted here without their encoding. */
+constexpr std::size_t kMaxBytesPerAnswer = 500'000;
+
 std::string ToBase64(const std::string& aBytes)
 {
   std::string text(4 * ((aBytes.size() + 2) / 3) + 1, '\0'); // Plus a terminating zero.
@@ -135,4 +139,14 @@
   }
 }
 
+bool MayHaveMoreChanges(const StoreAnswer& aAnswer)
+{
+  std::size_t bytes = 0;
+  for (const StoreRow& row : aAnswer.rows) {
+    bytes += row.value.size();
+  }
+  return aAnswer.isTruncated || aAnswer.rows.size() >= kMaxRowsPerAnswer ||
+         bytes >= kMaxBytesPerAnswer;
+}
+
 } // namespace rhubarbtrail::platform
--- a/src/platform/store_codec.h
+++ b/src/platform/store_codec.h
@@ -51,10 +51,13 @@
 /* Requests the changes of a table after a version. If there are none, the store waits for up to
  * aWait before it answers. */
 http::Request EncodeWatch(const std::string& aTable, RowVersion aAfter, Duration aWait);
-/* Decodes an answer of the store, or returns an error message. */
 /* Returns the answer, whose versions are all of this era, or a description of the error. */
 tl::expected<StoreAnswer, std::string> DecodeStoreAnswer(const std::string& aBody, StoreEra aEra);
 
+/* Returns whether the answer to a watch may end before the newest change: the store limits its
+ * answers by rows and bytes, and does not say so in those to a watch. */
+bool MayHaveMoreChanges(const StoreAnswer& aAnswer);
+
 } // namespace rhubarbtrail::platform
 
 #endif
--- a/tests/edge/standin.py
+++ b/tests/edge/standin.py
@@ -20,6 +20,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 EVENT_COUNT = 6
+MAX_FEED_ROWS = 500  # In one answer to a watch of a table.
 # Value of SO_LINGER (on, 0 s) with which the close of a connection resets it.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -309,7 +310,10 @@
             rows = [self._change(c) for c in self.changes if c[0] > after and c[1] == table]
             remaining_s = deadline - time.monotonic()
             if rows or remaining_s <= 0 or self.is_down:
-                self._send(call, rows)
+                # An answer with the greatest number of rows ends at the version of the last one.
+                is_full = len(rows) >= MAX_FEED_ROWS
+                rows = rows[:MAX_FEED_ROWS]
+                self._send(call, rows, version=rows[-1]["ver"] if is_full else None)
                 return
             try:
                 await asyncio.wait_for(self.changed.wait(), min(remaining_s, 0.2))
@@ -326,8 +330,9 @@
         row = {"table": table, "part": "", "key": key, "ver": version}
         return {**row, "removed": True} if value is None else {**row, "value": value}
 
-    def _send(self, call: HttpCall, rows: list[dict[str, Any]], status: int = 200) -> None:
-        body = {"rows": rows, "truncated": False, "ver": self.version, "nowMs": 1}
+    def _send(self, call: HttpCall, rows: list[dict[str, Any]], status: int = 200,
+              version: Optional[int] = None) -> None:
+        body = {"rows": rows, "truncated": False, "ver": version or self.version, "nowMs": 1}
         write_response(call, status, json.dumps(body).encode(), Content_Type="application/json",
                        Store_Era=str(self.era))
 
--- a/tests/edge/test_leaving.py
+++ b/tests/edge/test_leaving.py
@@ -65,6 +65,33 @@
         assert all(result.is_complete for result in results), results
 
 
+def test_edge_learns_of_a_leaving_runner_behind_many_changes() -> None:
+    """The store rejects the dispatcher after many changes, and a runner leaves at that moment.
+
+    The other daemon reads what it has missed in several answers, and must not pause between them.
+    """
+    with EdgeCluster(daemons=2, models=2) as cluster:
+        holder = cluster.holder()
+        member = next(daemon for daemon in cluster.daemons if daemon is not holder)
+        time.sleep(3.0)  # The dispatcher's notices cover the table.
+
+        def change_often() -> None:
+            for number in range(1200):
+                cluster.platform.store.put("servers", "other", str(number).encode())
+
+        cluster.platform.run_on_loop(change_often)
+        time.sleep(0.5)
+        cluster.platform.store.rejected_ports.add(holder.store_port)
+        cluster.platform.endpoints["r0"].state = "draining"
+        cluster.platform.run_on_loop(cluster.platform.endpoints["r0"].announce)
+        told = time.monotonic()
+        cluster.wait_until(
+            lambda: '"event":"runner_leaving","endpoint":"r0"' in member.log.read_text(),
+            "news of the leaving runner")
+        # The drain limit, 3 s, without the time that a request takes.
+        assert time.monotonic() - told < 2.9, time.monotonic() - told
+
+
 def test_edge_uses_a_new_process_of_an_endpoint_that_was_leaving() -> None:
     """Restarts an endpoint that had said that it leaves: the new process is free of that."""
     with EdgeCluster(daemons=2) as cluster:
