Revert: [Fleet] Let the successor of a released lease count from the last order

Conclusion: reverted. Supposed, not shown: the lease now goes at once to a daemon that is stopped next, since a roll stops daemons in turn.

--- a/src/decision/fleet/order_lease.cpp
+++ b/src/decision/fleet/order_lease.cpp
@@ -81,11 +81,8 @@
   if (isRowMissing || wasLastToOrder) {
     return aNow;
   }
-  // Load pattern: daemons are restarted in turn while demand moves to other models. A holder whose
-  // orders stopped some time before its release, for example because the store was away, leaves
-  // its successor only the rest of the wait.
-  return mRow.holder.empty() ? mRowChangedAt - mRow.quietTime + wait
-                             : mRowChangedAt + mOptions.orderWindow + wait;
+  // A holder sends no orders from when it releases the lease, before the row shows the release.
+  return mRowChangedAt + (mRow.holder.empty() ? Duration::zero() : mOptions.orderWindow) + wait;
 }
 
 FencingToken OrderLease::FenceOf(RowVersion aVersion)
@@ -112,8 +109,8 @@
 /* After a failed write, the next one keeps its delay. */
 bool OrderLease::IsUrgentRenewalDue(TimePoint aNow) const
 {
-  return (mIsRenewalUrgent || mIsReleasing) && mPhase == Phase::kHeld &&
-         mConfirmedWriteSentAt == mWriteSentAt && aNow >= mWriteSentAt + kUrgentRenewalDelay;
+  return mIsRenewalUrgent && mPhase == Phase::kHeld && mConfirmedWriteSentAt == mWriteSentAt &&
+         aNow >= mWriteSentAt + kUrgentRenewalDelay;
 }
 
 std::optional<LeaseAction> OrderLease::TickHeld(TimePoint aNow)
@@ -125,32 +122,10 @@
   mRowBeingWritten = MakeOwnRow(aNow);
   if (mIsReleasing) {
     mRowBeingWritten.holder = {};
-    mRowBeingWritten.quietTime = QuietTime(aNow);
   }
   return WriteLease{ mRowBeingWritten, mVersion };
 }
 
-void OrderLease::OnOrderStarted(TimePoint aNow)
-{
-  ++mOpenOrders;
-  mLastOrderAt = aNow;
-}
-
-void OrderLease::OnOrderEnded(TimePoint aNow)
-{
-  --mOpenOrders;
-  mLastOrderAt = aNow; // It may have waited for its connection until now.
-}
-
-std::chrono::milliseconds OrderLease::QuietTime(TimePoint aNow) const
-{
-  const TimePoint lastOrderAt = std::max(mLastOrderAt, mOrdersAllowedFrom);
-  if (mOpenOrders > 0 || lastOrderAt >= aNow) {
-    return std::chrono::milliseconds::zero();
-  }
-  return std::chrono::floor<std::chrono::milliseconds>(aNow - lastOrderAt);
-}
-
 OrderLeaseRow OrderLease::MakeOwnRow(TimePoint aNow) const
 {
   return { .holder = mOptions.self,
@@ -204,11 +179,6 @@
     mRowUnchangedSince = aNow;
   }
   UpdateRow(aNow, aRow, aVersion);
-  if (mRow.holder.empty()) {
-    // A free lease is taken without waiting for the next read.
-    mNextActionAt =
-      std::min(mNextActionAt, std::max(aNow, mRowChangedAt + mOptions.additionalTakeoverDelay));
-  }
 }
 
 void OrderLease::OnReadFailed(TimePoint aNow)
--- a/src/decision/fleet/order_lease.h
+++ b/src/decision/fleet/order_lease.h
@@ -6,8 +6,6 @@
 #include "core/id_type.h"
 #include "core/unit_type.h"
 
-#include <chrono>
-#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -24,9 +22,6 @@
   bool isOrderWaitOver = false; ///< The wait after orders of former holders is over.
   StoreEra era;               ///< The store's era when the row was written, as its writer knew it.
   std::uint64_t renewals = 0; ///< Number of times that the row was written, over all holders.
-  /* Time since the holder's last order, in whole milliseconds; zero unless the row releases the
-   * lease. */
-  std::chrono::milliseconds quietTime{};
 
   bool operator==(const OrderLeaseRow&) const = default;
 };
@@ -83,9 +78,8 @@
  * - A daemon that takes over waits before its first order: for the order window, the delivery time
  *   of an order and the spacing, by its own clock, from when it last saw the row change.
  *
- * If the former holder released the lease, the wait counts from its last order, which the row
- * states. There is no wait if the row is new, or if this daemon was the last one that could send
- * orders.
+ * The wait is shorter by the order window if the former holder released the lease. There is no wait
+ * if the row is new, or if this daemon was the last one that could send orders.
  *
  * A store that comes back from an older copy has forgotten renewals and takeovers, and gives their
  * versions out again. So a row that was written in an earlier era proves nothing about who sent
@@ -124,11 +118,7 @@
   void OnEra(TimePoint aNow, StoreEra aEra);
   /* Renews the lease ahead of the interval because the row has to name something new. */
   void RenewSoon() { mIsRenewalUrgent = true; }
-  /* This daemon begins to send an order, and has got its answer or given it up. */
-  void OnOrderStarted(TimePoint aNow);
-  void OnOrderEnded(TimePoint aNow);
-  /* Releases the lease because the daemon shuts down. The next renewal, which is sent soon, clears
-   * the holder. */
+  /* Releases the lease because the daemon shuts down. The next renewal clears the holder. */
   void Release() { mIsReleasing = true; }
 
   /* Returns the state that this daemon sends in its heartbeats while it is the holder. */
@@ -161,8 +151,6 @@
   void UpdateRow(TimePoint aNow, const OrderLeaseRow& aRow, RowVersion aVersion);
   void LoseLease();
   OrderLeaseRow MakeOwnRow(TimePoint aNow) const;
-  /* Returns the time since this daemon, or a holder before it, may last have sent an order. */
-  std::chrono::milliseconds QuietTime(TimePoint aNow) const;
   std::optional<LeaseAction> TickWatching(TimePoint aNow);
   std::optional<LeaseAction> TickHeld(TimePoint aNow);
   bool IsUrgentRenewalDue(TimePoint aNow) const;
@@ -190,8 +178,6 @@
   TimePoint mWriteSentAt{};  ///< When the last write was sent.
   TimePoint mConfirmedWriteSentAt{}; ///< When the last write that the store confirmed was sent.
   TimePoint mOrdersAllowedFrom{};    ///< End of the wait after orders of former holders.
-  TimePoint mLastOrderAt{};          ///< When an order was last started or ended.
-  std::size_t mOpenOrders = 0;       ///< Started, but not ended.
   TimePoint mNextActionAt{};
 };
 
--- a/src/fleet/fleet_member.cpp
+++ b/src/fleet/fleet_member.cpp
@@ -1151,7 +1151,6 @@
   }
   auto status = std::make_shared<unsigned>(0);
   const std::int64_t startedAtMs = StartTimeOf(aOrder.runner);
-  mLease.OnOrderStarted(BootClockNow());
   mServices.client.Start(
     { .address = aOrder.address,
       .request = platform::EncodeOrder(aOrder),
@@ -1169,7 +1168,6 @@
       .onBody = [](std::string_view) {},
       .onEnd =
         [this, status, order = aOrder](http::CallResult aResult) {
-          mLease.OnOrderEnded(BootClockNow());
           const fleet::OrderOutcome outcome =
             aResult == http::CallResult::kNotConnected ? fleet::OrderOutcome::kNotSent
             : *status == 0                             ? fleet::OrderOutcome::kUnknown
--- a/src/fleet/fleet_message.cpp
+++ b/src/fleet/fleet_message.cpp
@@ -27,13 +27,9 @@
 
 Json ToJson(const OrderLeaseRow& aRow)
 {
-  return { { "holder", aRow.holder.str() },
-           { "incarnation", aRow.incarnation.str() },
-           { "address", aRow.address },
-           { "waited", aRow.isOrderWaitOver },
-           { "era", aRow.era.value },
-           { "renewals", aRow.renewals },
-           { "quiet_ms", aRow.quietTime.count() } };
+  return { { "holder", aRow.holder.str() }, { "incarnation", aRow.incarnation.str() },
+           { "address", aRow.address },     { "waited", aRow.isOrderWaitOver },
+           { "era", aRow.era.value },       { "renewals", aRow.renewals } };
 }
 
 Json ToJson(const VersionsByService& aVersions)
@@ -65,8 +61,7 @@
            .address = aJson.at("address").get<std::string>(),
            .isOrderWaitOver = aJson.at("waited").get<bool>(),
            .era = { aJson.value("era", std::uint64_t{ 0 }) },
-           .renewals = aJson.at("renewals").get<std::uint64_t>(),
-           .quietTime = std::chrono::milliseconds{ aJson.value("quiet_ms", std::int64_t{ 0 }) } };
+           .renewals = aJson.at("renewals").get<std::uint64_t>() };
 }
 
 Json ToJson(const std::vector<PromptPartId>& aParts)
--- a/tests/fleet/order_lease_test.cpp
+++ b/tests/fleet/order_lease_test.cpp
@@ -23,7 +23,7 @@
 
 /* The lease row in a store, and daemons that compete for the lease. Reads and writes end within the
  * step in which they begin. The daemons send each other no heartbeats, so they see each other only
- * in the row. A daemon that may send orders sends one in each step, or in some of them. */
+ * in the row. A daemon that may send orders is assumed to send one in each step. */
 class LeaseWorld
 {
 public:
@@ -110,7 +110,6 @@
   bool isEraStated = true;            ///< The store states its era in its answers.
   double lostAnswerProbability = 0.0; ///< For the answers to successful writes.
   double lateWriteProbability = 0.0;  ///< For writes that take effect later, without an answer.
-  double orderProbability = 1.0;      ///< For an order in each step.
   std::mt19937 random{ 1 };
   std::string lastSender;
   FencingToken lastFence;
@@ -167,10 +166,8 @@
       if (const auto action = daemon.lease.Tick(now)) {
         Execute(daemon, *action);
       }
-      if (daemon.lease.MayOrder(now) && std::bernoulli_distribution{ orderProbability }(random)) {
-        daemon.lease.OnOrderStarted(now);
+      if (daemon.lease.MayOrder(now)) {
         RecordOrder(daemon);
-        daemon.lease.OnOrderEnded(now);
       }
     }
   }
@@ -299,41 +296,6 @@
   CHECK(world.violations.empty());
 }
 
-// Load pattern: the holder is stopped while the store is away, and demand moves meanwhile. Its last
-// order is longer ago than the spacing when the row shows the release, so waiting for the spacing
-// from then on would only delay the loads that callers wait for.
-TEST_CASE("load: after a release the wait counts from the former holder's last order")
-{
-  LeaseWorld world(2);
-  world.Run(6s);
-  const std::size_t holder = world.daemons[0].lease.isHolder() ? 0 : 1;
-  world.daemons[holder].isStoreUnreachable = true;
-  world.daemons[1 - holder].isStoreUnreachable = true;
-  world.Run(6s);
-  world.daemons[holder].lease.Release();
-  world.daemons[holder].isStoreUnreachable = false;
-  world.daemons[1 - holder].isStoreUnreachable = false;
-  world.Run(2s); // A daemon that gets no heartbeats reads the row after 1.1 s.
-  CHECK(world.daemons[holder].lease.isReleased());
-  CHECK(world.daemons[1 - holder].lease.MayOrder(world.now));
-  CHECK(world.violations.empty());
-}
-
-// An order whose answer is still awaited may reach its runner late.
-TEST_CASE("a release with an order in flight states no quiet time")
-{
-  LeaseWorld world(2);
-  world.orderProbability = 0.0;
-  world.Run(6s);
-  const std::size_t holder = world.daemons[0].lease.isHolder() ? 0 : 1;
-  world.daemons[holder].lease.OnOrderStarted(world.now);
-  world.Run(4s);
-  world.daemons[holder].lease.Release();
-  world.Run(2s);
-  CHECK(world.row.quietTime == 0ms);
-  CHECK_FALSE(world.daemons[1 - holder].lease.MayOrder(world.now));
-}
-
 // After the outage, all daemons find a row that was not renewed for longer than the takeover delay.
 // If one of them took the lease at once, orders would stop for the spacing once more. So they first
 // give the holder time to renew.
@@ -374,12 +336,11 @@
 // does not know whether it holds the lease.
 TEST_CASE("random process ends, suspensions, outages and lost answers never break the spacing")
 {
-  for (std::uint32_t seed = 1; seed <= 100; ++seed) {
+  for (std::uint32_t seed = 1; seed <= 50; ++seed) {
     INFO("seed ", seed);
     LeaseWorld world(4);
     world.random.seed(seed);
     world.lostAnswerProbability = 0.1;
-    world.orderProbability = seed % 2 == 0 ? 1.0 : 0.01;
     std::uniform_int_distribution<std::size_t> which(0, 3);
     std::uniform_int_distribution<int> what(0, 7);
     for (int step = 0; step < 120; ++step) {
