Change: [Gateway] Take up a stream without a name while the dispatcher is in touch

Cause: refused each stream that names no request while the view of the runners was not current, which an outage of the store makes it on all daemons, although no version can be recorded then and so none can begin streams.

Change: the daemon relies on its only version also while it gets the dispatcher's heartbeats. Left: a daemon that is cut off together with a former dispatcher, while the others record a version.

--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -200,6 +200,7 @@
       .onStreamBegun = [this](const fleet::BegunStream& aStream) { mMember.ReportStream(aStream); },
       .wasDelayed = [this] { return mMember.WasDelayed(); },
       .areRunnersCurrent = [this] { return AreRunnersCurrent(); },
+      .hasDispatcher = [this] { return mMember.HasDispatcher(); },
       .mayUseKeys = [this] { return !mSettings.edge.failClosed || IsConfigurationConfirmed(); },
       .onReadingPaused = [this] { mReaderGuard.OnReadingPaused(); },
       .configuration = nullptr
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -91,6 +91,8 @@
   std::function<bool()> wasDelayed;
   /* Returns whether no change of the runners is missing here, as far as can be known. */
   std::function<bool()> areRunnersCurrent;
+  /* Returns whether this daemon is the dispatcher or gets its heartbeats. */
+  std::function<bool()> hasDispatcher;
   /* Returns whether requests may be admitted by the keys of the configuration. */
   std::function<bool()> mayUseKeys;
   /* Called when a request pauses the reading of its answer, if there is a reader budget. */
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -428,8 +428,12 @@
 std::optional<fleet::StreamOrigin> RequestFlow::OnlyOrigin() const
 {
   const auto version = mContext.runners.OnlyVersion(BootClockNow(), mService);
-  // The stream may have begun at a version that a daemon with an outdated view has not heard of.
-  if (!version || !mContext.areRunnersCurrent()) {
+  // The stream may have begun at a version that this daemon has not heard of. A client that names
+  // no request cannot be checked otherwise, and during an outage of the store only the dispatcher
+  // vouches for the versions: streams begin only at those that it has recorded.
+  const bool mayRely =
+    mContext.areRunnersCurrent() || (mClient.resumedRequestId.empty() && mContext.hasDispatcher());
+  if (!version || !mayRely) {
     return std::nullopt;
   }
   return fleet::StreamOrigin{ .service = mService, .version = *version };
