--- a/tests/edge/test_versions.py
+++ b/tests/edge/test_versions.py
@@ -273,6 +273,35 @@
         assert not result.event_ids or result.versions == broken.versions, (broken, result)
 
 
+def test_edge_resumes_streams_of_two_versions_after_all_daemons_restart() -> None:
+    """Kills all daemons while runners of two versions serve streams, and takes these up again.
+
+    No daemon knows them any more, but the runners of their versions are there: 95 in 100 go on.
+    """
+    with start("v1 v1 v2 v2", daemons=4) as cluster:
+        cluster.platform.work_s = 0.2
+        with ThreadPoolExecutor(20) as pool:
+            pending = [pool.submit(cluster.daemons[number % 4].send, "chat")
+                       for number in range(20)]
+            time.sleep(0.8)
+            for daemon in cluster.daemons:
+                daemon.kill()
+            broken = [result for result in (future.result() for future in pending)
+                      if result.event_ids]
+        assert {v for r in broken for v in r.versions} == {b"v1", b"v2"}, broken
+        cluster.platform.work_s = 0.01
+        for daemon in cluster.daemons:
+            daemon.start()
+        for daemon in cluster.daemons:
+            cluster.wait_until(daemon.is_ready, "readiness")
+        with ThreadPoolExecutor(20) as pool:
+            resumed = list(pool.map(
+                lambda item: resume(cluster.daemons[item[0] % 4], item[1]), enumerate(broken)))
+        assert all(len(result.versions) <= 1 for result in resumed), resumed
+        gone_on = sum(result.is_complete for result in resumed)
+        assert gone_on >= 0.95 * len(resumed), (gone_on, len(resumed))
+
+
 def test_edge_loads_a_model_at_the_version_of_a_stream() -> None:
     """Breaks off a stream whose model no other runner of its version holds.
 
