--- a/Makefile
+++ b/Makefile
@@ -31,11 +31,13 @@
 demo: build
 	@$(PYTHON) demo/run_demo.py
 
-# All checks of CI.
-test: build format-check lint unit process
+# All checks of CI. A part runs also when another one has failed; the last lines list them.
+test: packages
+	@$(PYTHON) tools/run_checks.py build format-check lint unit process
 
+# Some tests measure real time, so half of the cores are left free.
 unit: build
-	@$(BUILD)/unit_tests
+	@$(PYTHON) tools/run_unit_tests.py $(BUILD)/unit_tests $$((($(JOBS) + 1) / 2))
 
 process: build
 	@$(PYTHON) tests/process/run.py
@@ -58,9 +60,10 @@
 format-check: packages
 	@clang-format --dry-run --Werror $(SOURCES)
 
-# A file is linted again only when it or a header has changed.
+# A file is linted again only when it, a header or the rules have changed, also in another clone.
+LINT_CACHE ?= $(or $(XDG_CACHE_HOME),$(HOME)/.cache)/rhubarbtrail-lint
 lint: configure
-	@$(PYTHON) tools/lint.py $(BUILD) $(JOBS) $(TIDY_SOURCES)
+	@LINT_CACHE=$(LINT_CACHE) $(PYTHON) tools/lint.py $(BUILD) $(JOBS) $(TIDY_SOURCES)
 
 sanitize: packages
 	@$(MAKE) unit BUILD=build-asan CMAKE_FLAGS="-DSANITIZE=address,undefined -DCMAKE_BUILD_TYPE=Debug"
--- a/tests/process/run.py
+++ b/tests/process/run.py
@@ -16,7 +16,7 @@
 
 HERE = Path(__file__).resolve().parent
 ROOT = HERE.parent.parent
-TESTS_AT_ONCE = 3
+TESTS_AT_ONCE = 6  # They wait most of the time.
 EDGE = HERE.parent / "edge"
 sys.path[:0] = [str(HERE), str(EDGE), str(ROOT / "demo"), str(ROOT / "python")]
 
--- a/tools/lint.py
+++ b/tools/lint.py
@@ -25,7 +25,7 @@
 def main() -> int:
     build, jobs, names = Path(sys.argv[1]), int(sys.argv[2]), sys.argv[3:]
     version = subprocess.run(["clang-tidy", "--version"], capture_output=True, check=True).stdout
-    shared = version + Path(".clang-tidy").read_bytes()
+    shared = version + Path(".clang-tidy").read_bytes() + Path("CMakeLists.txt").read_bytes()
     passed_dir = Path(os.environ.get("LINT_CACHE", build / "lint"))
     passed_dir.mkdir(parents=True, exist_ok=True)
 
