Fix: [Edge] Refuse names that are no text, and end no process by them

Cause: a request whose X-Model is not UTF-8 ended the dispatcher (type_error.316 of the JSON library, in the order), again after each restart; /state ended a process by the id of an open request. Header fields were taken as they came, and what throws in a handler ended the process.

Change: - At the boundary: 400 for names that are not UTF-8, hold control characters or are longer than 256 bytes. - Behind it: EncodeJson() returns an error in place of throwing, for orders, rows, lease rows and the calls of serve; messages between daemons with such texts are rejected. - At the top: an exception ends its handler, with a line and a counter, not the loop. - Two types named SuspectsMessage are two names now (the linker kept one destructor for both), and a test finds such pairs.

--- a/src/caller/caller_server.cpp
+++ b/src/caller/caller_server.cpp
@@ -4,6 +4,7 @@
 #include "caller/caller_exchange.h"
 #include "caller/error_body.h"
 #include "caller/request_check.h"
+#include "core/guarded_loop.h"
 #include "core/log_func.h"
 #include "http/http_server.h"
 
@@ -120,7 +121,8 @@
     }
     aResponder.Send(
       { .status = 200, .reason = "OK", .fields = { { "Content-Type", "application/json" } } },
-      json{ { "object", "list" }, { "data", list } }.dump());
+      json{ { "object", "list" }, { "data", list } }.dump(
+        -1, ' ', false, json::error_handler_t::replace));
   });
 }
 
@@ -187,7 +189,11 @@
     Log(log_part::kDaemon)->error("Cannot listen for caller connections: {}.", error);
     return 0;
   }
-  mImpl->thread = std::thread([this] { mImpl->loop.run(); });
+  mImpl->thread = std::thread([this] {
+    RunGuarded(mImpl->loop, [](const char* aReason) {
+      Log(log_part::kDaemon)->error("A handler ended with an exception: {}.", aReason);
+    });
+  });
   return mImpl->server.port();
 }
 
--- a/src/caller/request_check.cpp
+++ b/src/caller/request_check.cpp
@@ -2,6 +2,7 @@
 #include "caller/request_check.h"
 
 #include "core/digest_func.h"
+#include "core/text_func.h"
 
 #include <array>
 #include <charconv>
@@ -77,6 +78,9 @@
   if (key.size() > kIdempotencyKeyLengthLimit) {
     return Refuse(ResultCode::kRequestMalformed, "Idempotency-Key has at most 128 characters");
   }
+  if (!IsName(key)) {
+    return Refuse(ResultCode::kRequestMalformed, "Idempotency-Key is not valid text");
+  }
   aChecked.arrivedEvent.key = IdempotencyKey{ key };
   const std::string requestClass = HeaderValue(aRequest, "X-Request-Class");
   aChecked.arrivedEvent.requestClass =
--- a/src/codec/json_codec.cpp
+++ b/src/codec/json_codec.cpp
@@ -1,6 +1,8 @@
 /* Encodes and decodes rows, messages and inventories with the JSON library. */
 #include "codec/json_codec.h"
 
+#include "core/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 #include <array>
@@ -150,9 +152,9 @@
 
 } // namespace
 
-std::string EncodeRow(const RowValue& aValue)
+tl::expected<std::string, std::string> EncodeRow(const RowValue& aValue)
 {
-  return EncodeVariant(aValue, kRowKindNames).dump();
+  return EncodeJson(EncodeVariant(aValue, kRowKindNames));
 }
 
 tl::expected<RowValue, std::string> DecodeRow(std::string_view aText)
--- a/src/codec/json_codec.h
+++ b/src/codec/json_codec.h
@@ -24,8 +24,9 @@
   Message message;
 };
 
-/* Encodes a row value as the JSON text that the table service stores. */
-std::string EncodeRow(const RowValue& aValue);
+/* Encodes a row value as the JSON text that the table service stores. Returns a description of the
+ * error if a text of it, such as the answer of an endpoint, is not UTF-8. */
+tl::expected<std::string, std::string> EncodeRow(const RowValue& aValue);
 
 /* Decodes a row value from JSON text. Returns a description of the error if the text is invalid. */
 tl::expected<RowValue, std::string> DecodeRow(std::string_view aText);
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -53,6 +53,7 @@
   CounterInfo{ "reports_total", "Calls to runners for reports." },
   CounterInfo{ "table_reads_total", "Reads of the table service." },
   CounterInfo{ "table_transactions_total", "Transactions at the table service." },
+  CounterInfo{ "handler_exceptions_total", "Handlers of events that ended with an exception." },
 };
 
 /* Writes the HELP and TYPE lines of a metric. */
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -29,6 +29,7 @@
   kReports,
   kTableReads,
   kTableTransactions,
+  kHandlerExceptions,
   kCount, ///< Number of the counters above.
 };
 
--- /dev/null
+++ b/src/core/text.cpp
@@ -0,0 +1,51 @@
+/* Checks of strings that come from outside the process. */
+#include "core/text_func.h"
+
+#include <boost/locale/utf.hpp>
+
+#include <algorithm>
+#include <cstddef>
+
+namespace rhubarbtrail {
+
+namespace {
+
+using CodePoint = boost::locale::utf::code_point;
+
+constexpr std::size_t kMaxNameBytes = 256;
+
+bool IsControl(CodePoint aPoint)
+{
+  constexpr CodePoint kSpace = 0x20;
+  constexpr CodePoint kDelete = 0x7f;
+  constexpr CodePoint kFirstAfterControls = 0xa0; // Of the Latin-1 supplement.
+  return aPoint < kSpace || (aPoint >= kDelete && aPoint < kFirstAfterControls);
+}
+
+/* Returns whether a text is valid UTF-8 and a predicate holds for each of its characters. */
+template<typename Predicate>
+bool AllOf(std::string_view aText, Predicate aPredicate)
+{
+  for (const auto* position = aText.begin(); position != aText.end();) {
+    const CodePoint point = boost::locale::utf::utf_traits<char>::decode(position, aText.end());
+    if (!boost::locale::utf::is_valid_codepoint(point) || !aPredicate(point)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+} // namespace
+
+bool IsUtf8(std::string_view aText)
+{
+  return AllOf(aText, [](CodePoint) { return true; });
+}
+
+bool IsName(std::string_view aText)
+{
+  return aText.size() <= kMaxNameBytes &&
+         AllOf(aText, [](CodePoint aPoint) { return !IsControl(aPoint); });
+}
+
+} // namespace rhubarbtrail
--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -5,6 +5,8 @@
 #include "core/boot_clock.h"
 #include "core/digest_func.h"
 #include "core/exit_code_type.h"
+#include "core/guarded_loop.h"
+#include "core/json_text.h"
 #include "daemon/crash_reports.h"
 #include "fleet/fleet_member.h"
 #include "fleet/store_client.h"
@@ -370,7 +372,10 @@
     mRunnerFeed.Start();
     ScheduleRunnerSweep();
     ScheduleStatusLog();
-    mLoop.run();
+    RunGuarded(mLoop, [this](const char* aReason) {
+      mMetrics.Count(Counter::kHandlerExceptions);
+      mLog.Write("handler_exception", { { "reason", aReason } });
+    });
     mLog.Flush();
     if (!mGateway.openRequests.empty()) {
       // The handlers of open requests refer to each other and to this object, so nothing is
@@ -1044,7 +1049,7 @@
       }
       state["runners"].push_back(std::move(item));
     }
-    return state.dump(1);
+    return DescribeJson(state);
   }
 
   /* Returns the time since the configuration was last confirmed in milliseconds, or -1. */
--- a/src/endpoint/order_client.cpp
+++ b/src/endpoint/order_client.cpp
@@ -3,6 +3,8 @@
 
 #include "codec/json_codec.h"
 #include "core/httplib_client_func.h"
+#include "core/json_text.h"
+#include "core/log_func.h"
 
 #include <nlohmann/json.hpp>
 
@@ -79,11 +81,20 @@
                    { "adapter", aOrder.artifact.adapter.str() },
                    { "version", aOrder.version },
                    { "memory", aOrder.memory.value } };
+  const auto text = EncodeJson(body);
+  if (!text) {
+    Log(log_part::kScheduler)->error("An order is not sent: {}.", text.error());
+    return { .cell = aOrder.cell,
+             .runner = aOrder.runner,
+             .order = aOrder.order,
+             .outcome = OrderOutcome::kFailed,
+             .inventory = {} };
+  }
   return MakeOrderResult(aOrder,
                          SendHttplibCall({ .address = aOrder.address,
                                            .method = "POST",
                                            .path = "/orders",
-                                           .body = body.dump(),
+                                           .body = *text,
                                            .timeout = aOptions.timeout }));
 }
 
--- a/src/fleet/fleet_member.cpp
+++ b/src/fleet/fleet_member.cpp
@@ -195,20 +195,25 @@
 void FleetMember::WriteLease(const fleet::WriteLease& aWrite)
 {
   fleet::VersionsByService versions = mServices.recentVersions();
-  mServices.store.Write(
-    { .table = kFleetTable,
-      .key = kLeaseKey,
-      .value = EncodeLeaseRow({ .lease = aWrite.row,
-                                .versions = versions,
-                                .quarantinedParts = mServices.quarantinedParts(),
-                                .partTrials = mServices.partTrials() }),
-      .expectedVersion = aWrite.expectedVersion },
-    [this, versions](const StoreResult& aResult) {
-      if (!mIsClosed) {
-        OnLeaseWritten(aResult, versions);
-        ApplyLeaseState();
-      }
-    });
+  auto row = EncodeLeaseRow({ .lease = aWrite.row,
+                              .versions = versions,
+                              .quarantinedParts = mServices.quarantinedParts(),
+                              .partTrials = mServices.partTrials() });
+  if (!row) {
+    mServices.log.Write("lease_row_not_encoded", { { "reason", row.error() } });
+    mLease.OnWriteFailed(BootClockNow(), false);
+    return;
+  }
+  mServices.store.Write({ .table = kFleetTable,
+                          .key = kLeaseKey,
+                          .value = std::move(*row),
+                          .expectedVersion = aWrite.expectedVersion },
+                        [this, versions](const StoreResult& aResult) {
+                          if (!mIsClosed) {
+                            OnLeaseWritten(aResult, versions);
+                            ApplyLeaseState();
+                          }
+                        });
 }
 
 void FleetMember::OnLeaseRead(const StoreResult& aResult)
@@ -555,7 +560,7 @@
       [&](const HelloMessage& aHello) { OnHello(*message, aHello); },
       [&](const HolderHeartbeatMessage& aHeartbeat) { OnHolderHeartbeat(*message, aHeartbeat); },
       [&](const SuspectMessage& aSuspect) { OnSuspects(*message, { aSuspect }); },
-      [&](const SuspectsMessage& aSuspects) { OnSuspects(*message, aSuspects.suspects); },
+      [&](const SuspectListMessage& aSuspects) { OnSuspects(*message, aSuspects.suspects); },
       [&](const RunnerLeavingMessage& aLeaving) { OnRunnerLeaving(*message, aLeaving); },
       [&](const StreamsBegunMessage& aBegun) { OnStreamsBegun(aBegun); },
       [&](const EndpointLimitsMessage& aLimits) { OnEndpointLimits(*message, aLimits); },
@@ -924,7 +929,7 @@
   for (ReportBatch& batch : mReports.TakeDue(aNow)) {
     const FleetBody body = batch.reports.size() == 1
                              ? FleetBody{ std::move(batch.reports.front()) }
-                             : FleetBody{ SuspectsMessage{ std::move(batch.reports) } };
+                             : FleetBody{ SuspectListMessage{ std::move(batch.reports) } };
     if (batch.audience == ReportAudience::kSender) {
       Send(batch.address, body);
     } else if (!isDispatcher()) {
@@ -940,7 +945,7 @@
 void FleetMember::SendOwnSuspects(const std::string& aAddress)
 {
   const TimePoint oldest = BootClockNow() - kOwnSuspectRetention;
-  SuspectsMessage message;
+  SuspectListMessage message;
   for (const auto& [reportedAt, suspect] : mOwnSuspects) {
     if (reportedAt >= oldest) {
       message.suspects.push_back(suspect);
@@ -1143,6 +1148,17 @@
       BootClockNow(), aOrder.runner, aOrder.subject, fleet::OrderOutcome::kNotSent);
     return;
   }
+  auto request = platform::EncodeOrder(aOrder);
+  if (!request) {
+    mServices.log.Write("order_not_encoded",
+                        { { "endpoint", aOrder.runner },
+                          { "model", aOrder.subject.model },
+                          { "adapter", aOrder.subject.adapter },
+                          { "reason", request.error() } });
+    mServices.dispatcher.OnOrderResult(
+      BootClockNow(), aOrder.runner, aOrder.subject, fleet::OrderOutcome::kRejected);
+    return;
+  }
   if (aOrder.subject.adapter.empty()) {
     mServices.metrics.Count(aOrder.kind == fleet::OrderKind::kLoad ? Counter::kModelLoads
                                                                    : Counter::kModelUnloads);
@@ -1153,7 +1169,7 @@
   const std::int64_t startedAtMs = StartTimeOf(aOrder.runner);
   mServices.client.Start(
     { .address = aOrder.address,
-      .request = platform::EncodeOrder(aOrder),
+      .request = std::move(*request),
       .reuse = http::Reuse::kAllowed,
       .connectTimeout = kRunnerConnectTimeout,
       .answerTimeout = kOrderAnswerTimeout,
--- a/src/fleet/fleet_message.cpp
+++ b/src/fleet/fleet_message.cpp
@@ -2,7 +2,9 @@
  * (JSON). */
 #include "fleet/fleet_message.h"
 
+#include "core/json_text.h"
 #include "core/overloaded.h"
+#include "core/text_func.h"
 
 #include <array>
 #include <cmath>
@@ -15,6 +17,17 @@
 using Json = nlohmann::json;
 using namespace fleet;
 
+/* Returns a string. Throws if the value is another one or not UTF-8: the codec of messages takes
+ * any bytes, and a name that is no text would fail in the row or the order that it reaches. */
+std::string TextOf(const Json& aValue)
+{
+  const auto& text = aValue.get_ref<const std::string&>();
+  if (!IsUtf8(text)) {
+    throw std::invalid_argument("a text is not UTF-8");
+  }
+  return text;
+}
+
 Json ToJson(RowVersion aVersion)
 {
   return { aVersion.value, aVersion.era.value };
@@ -48,7 +61,7 @@
   VersionsByService result;
   for (const auto& [service, versions] : aJson.items()) {
     for (const Json& version : versions) {
-      result[ServiceId{ service }].insert(SoftwareVersion{ version.get<std::string>() });
+      result[ServiceId{ service }].insert(SoftwareVersion{ TextOf(version) });
     }
   }
   return result;
@@ -56,9 +69,9 @@
 
 OrderLeaseRow LeaseFrom(const Json& aJson)
 {
-  return { .holder = DaemonId{ aJson.at("holder").get<std::string>() },
-           .incarnation = IncarnationId{ aJson.at("incarnation").get<std::string>() },
-           .address = aJson.at("address").get<std::string>(),
+  return { .holder = DaemonId{ TextOf(aJson.at("holder")) },
+           .incarnation = IncarnationId{ TextOf(aJson.at("incarnation")) },
+           .address = TextOf(aJson.at("address")),
            .isOrderWaitOver = aJson.at("waited").get<bool>(),
            .era = { aJson.value("era", std::uint64_t{ 0 }) },
            .renewals = aJson.at("renewals").get<std::uint64_t>() };
@@ -126,7 +139,7 @@
 
 PlacementRequestId PlacementRequestIdFrom(const Json& aJson)
 {
-  return { .daemon = DaemonId{ aJson.at("daemon").get<std::string>() },
+  return { .daemon = DaemonId{ TextOf(aJson.at("daemon")) },
            .number = aJson.at("number").get<std::uint64_t>() };
 }
 
@@ -138,8 +151,8 @@
 BegunStream BegunStreamFrom(const Json& aJson)
 {
   return { .key = { aJson.at(0).get<std::uint64_t>() },
-           .origin = { .service = ServiceId{ aJson.at(1).get<std::string>() },
-                       .version = SoftwareVersion{ aJson.at(2).get<std::string>() } } };
+           .origin = { .service = ServiceId{ TextOf(aJson.at(1)) },
+                       .version = SoftwareVersion{ TextOf(aJson.at(2)) } } };
 }
 
 Json ToJson(const SuspectMessage& aSuspect)
@@ -157,7 +170,7 @@
 
 SuspectMessage SuspectFrom(const Json& aJson)
 {
-  return { .request = FingerprintId{ aJson.at("request").get<std::string>() },
+  return { .request = FingerprintId{ TextOf(aJson.at("request")) },
            .process = { .endpoint = EndpointId{ aJson.value("runner", std::string{}) },
                         .startedAtMs = aJson.value("born", std::int64_t{ 0 }) },
            .isCleared = aJson.value("cleared", false),
@@ -186,7 +199,7 @@
 {
   EndpointLimitsMessage limits;
   for (const Json& item : aJson.at("limits")) {
-    LimitStatement statement{ .endpoint = EndpointId{ item.at("runner").get<std::string>() },
+    LimitStatement statement{ .endpoint = EndpointId{ TextOf(item.at("runner")) },
                               .startedAtMs = item.at("born").get<std::int64_t>(),
                               .limit = std::nullopt };
     if (const auto limit = item.find("per_second"); limit != item.end()) {
@@ -233,7 +246,7 @@
     if (!std::isfinite(stated.factor) || stated.factor <= 0.0) {
       throw std::invalid_argument("a slowness is no factor");
     }
-    slowness.statements.push_back({ .endpoint = EndpointId{ item.at("runner").get<std::string>() },
+    slowness.statements.push_back({ .endpoint = EndpointId{ TextOf(item.at("runner")) },
                                     .startedAtMs = item.at("born").get<std::int64_t>(),
                                     .slowness = stated,
                                     .age = Duration{ item.value("age", Duration::rep{ 0 }) } });
@@ -288,13 +301,13 @@
 {
   PlacementRequest request{
     .id = PlacementRequestIdFrom(aJson.at("id")),
-    .requestId = aJson.at("request").get<std::string>(),
-    .route = aJson.at("route").get<std::string>(),
-    .service = ServiceId{ aJson.at("service").get<std::string>() },
+    .requestId = TextOf(aJson.at("request")),
+    .route = TextOf(aJson.at("route")),
+    .service = ServiceId{ TextOf(aJson.at("service")) },
     .account = ClientAccountId{ aJson.value("account", std::string{}) },
     .quotaCost = AmountFrom(aJson.value("cost", Json(0.0))),
-    .work = { .target = { .model = ModelId{ aJson.at("model").get<std::string>() },
-                          .adapter = AdapterId{ aJson.at("adapter").get<std::string>() } },
+    .work = { .target = { .model = ModelId{ TextOf(aJson.at("model")) },
+                          .adapter = AdapterId{ TextOf(aJson.at("adapter")) } },
               .promptTokens = aJson.at("prompt").get<std::uint32_t>(),
               .outputTokens = aJson.at("output").get<std::uint32_t>(),
               .parts = {} },
@@ -309,12 +322,12 @@
       { .id = part.at(0).get<std::uint64_t>(), .tokens = part.at(1).get<std::uint32_t>() });
   }
   for (const Json& endpoint : aJson.at("excluded")) {
-    request.failedRunners.emplace_back(endpoint.get<std::string>());
+    request.failedRunners.emplace_back(TextOf(endpoint));
   }
   if (const auto pausedRunners = aJson.find("paused"); pausedRunners != aJson.end()) {
     for (const Json& paused : *pausedRunners) {
       request.pausedRunners.push_back(
-        { .runner = EndpointId{ paused.at(0).get<std::string>() },
+        { .runner = EndpointId{ TextOf(paused.at(0)) },
           .timeLeft = Duration{ paused.at(1).get<Duration::rep>() } });
     }
   }
@@ -322,8 +335,8 @@
     request.trialParts = PromptPartsFrom(*trial);
   }
   if (const auto origin = aJson.find("origin"); origin != aJson.end()) {
-    request.origin = { .service = ServiceId{ origin->at(0).get<std::string>() },
-                       .version = SoftwareVersion{ origin->at(1).get<std::string>() } };
+    request.origin = { .service = ServiceId{ TextOf(origin->at(0)) },
+                       .version = SoftwareVersion{ TextOf(origin->at(1)) } };
   }
   if (const auto resumes = aJson.find("resumes"); resumes != aJson.end()) {
     request.resumedStream = StreamKey{ resumes->get<std::uint64_t>() };
@@ -354,10 +367,10 @@
   PlacementReply reply{ .id = PlacementRequestIdFrom(aJson.at("id")),
                         .answer = PlacementUndecided{} };
   if (aJson.contains("runner")) {
-    RunnerAssigned assigned{ .runner = EndpointId{ aJson.at("runner").get<std::string>() },
+    RunnerAssigned assigned{ .runner = EndpointId{ TextOf(aJson.at("runner")) },
                              .version = std::nullopt };
     if (const auto version = aJson.find("software"); version != aJson.end()) {
-      assigned.version = SoftwareVersion{ version->get<std::string>() };
+      assigned.version = SoftwareVersion{ TextOf(*version) };
     }
     reply.answer = std::move(assigned);
   } else if (aJson.contains("code")) {
@@ -405,7 +418,7 @@
 
 TableChangesMessage TableChangesFrom(const Json& aJson)
 {
-  TableChangesMessage changes{ .table = aJson.at("table").get<std::string>(),
+  TableChangesMessage changes{ .table = TextOf(aJson.at("table")),
                                .from = VersionFrom(aJson.at("after")),
                                .to = VersionFrom(aJson.at("until")),
                                .rows = {} };
@@ -460,7 +473,7 @@
 ConfigurationQuery ConfigurationQueryFrom(const Json& aJson)
 {
   return { .number = aJson.at("number").get<std::uint64_t>(),
-           .address = aJson.at("address").get<std::string>(),
+           .address = TextOf(aJson.at("address")),
            .known = { aJson.at("known").get<std::uint64_t>() },
            .partOf = { aJson.value("part_of", std::uint64_t{ 0 }) },
            .offset = aJson.value("offset", std::size_t{ 0 }) };
@@ -502,7 +515,7 @@
 {
   std::vector<QuotaStatement> statements;
   for (const Json& item : aJson) {
-    statements.push_back({ .account = ClientAccountId{ item.at(0).get<std::string>() },
+    statements.push_back({ .account = ClientAccountId{ TextOf(item.at(0)) },
                            .usePerSecond = AmountFrom(item.at(1)),
                            .level = AmountFrom(item.at(2)),
                            .dispatcherShare = AmountFrom(item.at(3)) });
@@ -545,7 +558,7 @@
                       .uses = {},
                       .ownStates = {} };
   for (const Json& item : aJson.value("uses", Json::array())) {
-    QuotaUse use{ .account = ClientAccountId{ item.at("account").get<std::string>() },
+    QuotaUse use{ .account = ClientAccountId{ TextOf(item.at("account")) },
                   .spent = AmountFrom(item.at("spent")),
                   .returned = AmountFrom(item.at("returned")),
                   .needed = AmountFrom(item.at("needed")),
@@ -558,12 +571,11 @@
     report.uses.push_back(std::move(use));
   }
   for (const Json& item : aJson.value("own", Json::array())) {
-    report.ownStates.push_back(
-      { .account = ClientAccountId{ item.at("account").get<std::string>() },
-        .share = AmountFrom(item.at("share")),
-        .usePerSecond = AmountFrom(item.at("use")),
-        .level = AmountFrom(item.at("level")),
-        .wasUsed = item.at("used").get<bool>() });
+    report.ownStates.push_back({ .account = ClientAccountId{ TextOf(item.at("account")) },
+                                 .share = AmountFrom(item.at("share")),
+                                 .usePerSecond = AmountFrom(item.at("use")),
+                                 .level = AmountFrom(item.at("level")),
+                                 .wasUsed = item.at("used").get<bool>() });
   }
   return report;
 }
@@ -581,7 +593,7 @@
 {
   QuotaReply reply{ .epoch = aJson.at("epoch").get<std::uint64_t>(), .grants = {} };
   for (const Json& item : aJson.at("grants")) {
-    reply.grants.push_back({ .account = ClientAccountId{ item.at(0).get<std::string>() },
+    reply.grants.push_back({ .account = ClientAccountId{ TextOf(item.at(0)) },
                              .granted = AmountFrom(item.at(1)),
                              .retryAfter = Duration{ item.at(2).get<Duration::rep>() } });
   }
@@ -621,7 +633,7 @@
                   return json;
                 },
                 [](const SuspectMessage& aSuspect) { return ToJson(aSuspect); },
-                [](const SuspectsMessage& aSuspects) {
+                [](const SuspectListMessage& aSuspects) {
                   Json suspects = Json::array();
                   for (const SuspectMessage& suspect : aSuspects.suspects) {
                     suspects.push_back(ToJson(suspect));
@@ -671,10 +683,10 @@
 
 FleetBody BodyFrom(const Json& aJson)
 {
-  const std::string kind = aJson.at("kind").get<std::string>();
+  const std::string kind = TextOf(aJson.at("kind"));
   if (kind == "hello") {
-    return HelloMessage{ .zone = ZoneId{ aJson.at("zone").get<std::string>() },
-                         .address = aJson.at("address").get<std::string>(),
+    return HelloMessage{ .zone = ZoneId{ TextOf(aJson.at("zone")) },
+                         .address = TextOf(aJson.at("address")),
                          .era = { aJson.value("era", std::uint64_t{ 0 }) },
                          .quarantinedParts =
                            PartGroupsFrom(aJson.value("quarantined", Json::array())),
@@ -704,7 +716,7 @@
     return TableChangesFrom(aJson);
   }
   if (kind == "runner_leaving") {
-    return RunnerLeavingMessage{ .runner = EndpointId{ aJson.at("runner").get<std::string>() },
+    return RunnerLeavingMessage{ .runner = EndpointId{ TextOf(aJson.at("runner")) },
                                  .startedAtMs = aJson.at("born").get<std::int64_t>() };
   }
   if (kind == "config_query") {
@@ -730,7 +742,7 @@
     return SuspectFrom(aJson);
   }
   if (kind == "suspects") {
-    SuspectsMessage suspects;
+    SuspectListMessage suspects;
     for (const Json& suspect : aJson.at("suspects")) {
       suspects.suspects.push_back(SuspectFrom(suspect));
     }
@@ -747,7 +759,7 @@
   }
   if (kind == "in_use") {
     return AssignmentInUse{ .request = PlacementRequestFrom(aJson.at("ask")),
-                            .runner = EndpointId{ aJson.at("runner").get<std::string>() } };
+                            .runner = EndpointId{ TextOf(aJson.at("runner")) } };
   }
   if (kind == "quota_report") {
     return QuotaReportFrom(aJson);
@@ -799,15 +811,15 @@
 {
   try {
     const Json json = Json::from_msgpack(aBytes);
-    return FleetMessage{ .from = DaemonId{ json.at("from").get<std::string>() },
-                         .incarnation = IncarnationId{ json.at("incarnation").get<std::string>() },
+    return FleetMessage{ .from = DaemonId{ TextOf(json.at("from")) },
+                         .incarnation = IncarnationId{ TextOf(json.at("incarnation")) },
                          .body = BodyFrom(json) };
   } catch (const std::exception& error) {
     return tl::make_unexpected(std::string{ error.what() });
   }
 }
 
-std::string EncodeLeaseRow(const StoredLease& aRow)
+tl::expected<std::string, std::string> EncodeLeaseRow(const StoredLease& aRow)
 {
   Json json = ToJson(aRow.lease);
   json["software"] = ToJson(aRow.versions);
@@ -815,7 +827,7 @@
     json["quarantined"] = ToJson(aRow.quarantinedParts);
     json["trials"] = ToJson(aRow.partTrials);
   }
-  return json.dump();
+  return EncodeJson(json);
 }
 
 tl::expected<StoredLease, std::string> DecodeLeaseRow(const std::string& aText)
@@ -827,7 +839,7 @@
                         .quarantinedParts =
                           PartGroupsFrom(json.value("quarantined", Json::array())),
                         .partTrials = PartTrialsFrom(json.value("trials", Json::array())) };
-  } catch (const Json::exception& error) {
+  } catch (const std::exception& error) {
     return tl::make_unexpected(std::string{ error.what() });
   }
 }
--- a/src/fleet/fleet_message.h
+++ b/src/fleet/fleet_message.h
@@ -79,7 +79,7 @@
 };
 
 /* Several of these reports. */
-struct SuspectsMessage
+struct SuspectListMessage
 {
   std::vector<SuspectMessage> suspects;
 };
@@ -115,7 +115,7 @@
 using FleetBody = std::variant<HelloMessage,
                                HolderHeartbeatMessage,
                                SuspectMessage,
-                               SuspectsMessage,
+                               SuspectListMessage,
                                TableChangesMessage,
                                StreamsBegunMessage,
                                RunnerLeavingMessage,
@@ -158,7 +158,7 @@
 };
 
 /* Encodes the lease row as JSON, the form in which the store keeps it. */
-std::string EncodeLeaseRow(const StoredLease& aRow);
+tl::expected<std::string, std::string> EncodeLeaseRow(const StoredLease& aRow);
 tl::expected<StoredLease, std::string> DecodeLeaseRow(const std::string& aText);
 
 } // namespace rhubarbtrail
--- a/src/fleet/store_client.cpp
+++ b/src/fleet/store_client.cpp
@@ -68,7 +68,13 @@
 void StoreClient::Write(const platform::StoreWrite& aWrite, Handler aHandler)
 {
   ++mCounts.writes;
-  Start(platform::EncodeWrite(aWrite), kCallTimeout, std::move(aHandler));
+  auto request = platform::EncodeWrite(aWrite);
+  if (!request) {
+    ++mCounts.failures;
+    aHandler({ .outcome = StoreOutcome::kUnavailable, .answer = {}, .reason = request.error() });
+    return;
+  }
+  Start(std::move(*request), kCallTimeout, std::move(aHandler));
 }
 
 void StoreClient::Read(const std::string& aTable, const std::string& aFirstKey, Handler aHandler)
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -198,6 +198,9 @@
   if (const auto rejection = FindRouteAndAccount()) {
     return rejection;
   }
+  if (!mClient.invalidField.empty()) {
+    return Rejection{ .code = ResultCode::kRequestMalformed, .reason = "a name is not valid text" };
+  }
   if (mClient.requestId.empty()) {
     return Rejection{ .code = ResultCode::kRequestMalformed, .reason = "the request has no id" };
   }
--- a/src/operator/admin_server.cpp
+++ b/src/operator/admin_server.cpp
@@ -35,7 +35,9 @@
 void AnswerError(Response& aResponse, int aStatus, const std::string& aErrorText)
 {
   aResponse.status = aStatus;
-  aResponse.set_content(json{ { "error", aErrorText } }.dump(), kJsonContentType);
+  aResponse.set_content(
+    json{ { "error", aErrorText } }.dump(-1, ' ', false, json::error_handler_t::replace),
+    kJsonContentType);
 }
 
 json ToJson(const ConfigurationRow& aRow)
@@ -109,7 +111,9 @@
 
 void Answer(Response& aResponse, const json& aBody)
 {
-  aResponse.set_content(aBody.dump(), kJsonContentType);
+  // What callers and endpoints name may hold anything.
+  aResponse.set_content(aBody.dump(-1, ' ', false, json::error_handler_t::replace),
+                        kJsonContentType);
 }
 
 void AnswerInvalid(Response& aResponse, const std::vector<DocumentError>& aErrors)
--- a/src/platform/request_headers.cpp
+++ b/src/platform/request_headers.cpp
@@ -2,6 +2,7 @@
 #include "platform/request_headers.h"
 
 #include "core/digest_func.h"
+#include "core/text_func.h"
 #include "platform/wire_names.h"
 
 #include <algorithm>
@@ -268,6 +269,14 @@
 ClientRequest DecodeClientRequest(const http::Request& aRequest)
 {
   ClientRequest decoded;
+  for (const std::string_view name :
+       { field::kRequestId, field::kModel, field::kLastEventId, field::kResumes }) {
+    const auto value = http::Find(aRequest.fields, name);
+    if (value && !IsName(*value)) {
+      decoded.invalidField = name;
+      return decoded;
+    }
+  }
   decoded.requestId = std::string{ http::Find(aRequest.fields, field::kRequestId).value_or("") };
   if (const auto deadline = http::Find(aRequest.fields, field::kDeadline)) {
     if (const auto value = DecodeDecimal(*deadline, kMaxTimeLeftMs)) {
--- a/src/platform/request_headers.h
+++ b/src/platform/request_headers.h
@@ -29,9 +29,12 @@
   std::string resumedRequestId;
   /* Names of fields that were ignored, as a whole or in part. */
   std::vector<std::string_view> ignoredFields;
+  /* Name of a field whose value cannot be the name of anything, or empty. Such a value is in none
+   * of the members above. */
+  std::string_view invalidField;
 };
 
-/* Decodes a client's header fields. Invalid values are ignored, as if they were missing. Figures
+/* Decodes a client's header fields. Invalid figures are ignored, as if they were missing. Figures
  * after those that are known are ignored alone. */
 ClientRequest DecodeClientRequest(const http::Request& aRequest);
 
--- a/src/platform/runner_decoder.cpp
+++ b/src/platform/runner_decoder.cpp
@@ -1,6 +1,7 @@
 /* Decodes runners' entries and reports, and encodes orders to runners. */
 #include "platform/runner_decoder.h"
 
+#include "core/json_text.h"
 #include "platform/json_reader.h"
 #include "platform/wire_names.h"
 
@@ -164,7 +165,7 @@
            .body = {} };
 }
 
-http::Request EncodeOrder(const fleet::RunnerOrder& aOrder)
+tl::expected<http::Request, std::string> EncodeOrder(const fleet::RunnerOrder& aOrder)
 {
   Json body{ { "operation",
                aOrder.kind == fleet::OrderKind::kLoad ? "model_load" : "model_unload" },
@@ -175,11 +176,14 @@
   if (!aOrder.subject.adapter.empty()) {
     body["adapter"] = aOrder.subject.adapter.str();
   }
-  return { .method = "POST",
-           .target = std::string{ path::kOrder },
-           .fields = { { "Content-Type", "application/json" },
-                       { std::string{ field::kTargetEndpoint }, aOrder.runner.str() } },
-           .body = body.dump() };
+  return EncodeJson(body).map([&](std::string aText) {
+    return http::Request{ .method = "POST",
+                          .target = std::string{ path::kOrder },
+                          .fields = { { "Content-Type", "application/json" },
+                                      { std::string{ field::kTargetEndpoint },
+                                        aOrder.runner.str() } },
+                          .body = std::move(aText) };
+  });
 }
 
 fleet::OrderOutcome DecodeOrderOutcome(unsigned aStatus)
--- a/src/platform/runner_decoder.h
+++ b/src/platform/runner_decoder.h
@@ -22,8 +22,8 @@
 /* Returns the HTTP request for a runner's report. */
 http::Request EncodeReportRequest(const EndpointId& aRunner);
 
-/* Returns the HTTP request that sends an order to a runner. */
-http::Request EncodeOrder(const fleet::RunnerOrder& aOrder);
+/* Returns the HTTP request that sends an order to a runner, or what is wrong with its names. */
+tl::expected<http::Request, std::string> EncodeOrder(const fleet::RunnerOrder& aOrder);
 
 /* Returns the outcome of an order from the HTTP status of the runner's answer. */
 fleet::OrderOutcome DecodeOrderOutcome(unsigned aStatus);
--- a/src/platform/store_codec.cpp
+++ b/src/platform/store_codec.cpp
@@ -1,6 +1,7 @@
 /* Encodes calls to the platform's row store and decodes its answers. */
 #include "platform/store_codec.h"
 
+#include "core/json_text.h"
 #include "platform/json_reader.h"
 #include "platform/wire_names.h"
 
@@ -74,7 +75,7 @@
   return error == std::errc{} && rest == end ? std::optional{ era } : std::nullopt;
 }
 
-http::Request EncodeWrite(const StoreWrite& aWrite)
+tl::expected<http::Request, std::string> EncodeWrite(const StoreWrite& aWrite)
 {
   const Json key{ { "table", aWrite.table }, { "part", "" }, { "key", aWrite.key } };
   Json condition = key;
@@ -90,10 +91,12 @@
   } else {
     body["remove"].push_back(key);
   }
-  return { .method = "POST",
-           .target = std::string{ path::kTransaction },
-           .fields = { { "Content-Type", "application/json" } },
-           .body = body.dump() };
+  return EncodeJson(body).map([](std::string aText) {
+    return http::Request{ .method = "POST",
+                          .target = std::string{ path::kTransaction },
+                          .fields = { { "Content-Type", "application/json" } },
+                          .body = std::move(aText) };
+  });
 }
 
 http::Request EncodeRead(const std::string& aTable, const std::string& aFirstKey)
--- a/src/platform/store_codec.h
+++ b/src/platform/store_codec.h
@@ -44,7 +44,8 @@
  * one that is not a number. */
 std::optional<StoreEra> DecodeStoreEra(const http::AnswerHead& aHead);
 
-http::Request EncodeWrite(const StoreWrite& aWrite);
+/* Returns the HTTP request that writes a row, or what is wrong with its names. */
+tl::expected<http::Request, std::string> EncodeWrite(const StoreWrite& aWrite);
 /* Reads the rows of a table from a key on, or all rows if the key is empty. The key becomes part of
  * the URL as it is, so it must be percent-encoded. */
 http::Request EncodeRead(const std::string& aTable, const std::string& aFirstKey);
--- a/src/table/table_client.cpp
+++ b/src/table/table_client.cpp
@@ -3,6 +3,8 @@
 
 #include "codec/json_codec.h"
 #include "core/httplib_client_func.h"
+#include "core/json_text.h"
+#include "core/log_func.h"
 
 #include <nlohmann/json.hpp>
 
@@ -64,17 +66,29 @@
   for (const RowWrite& write : aTransaction.writes) {
     json item{ { "key", write.key.str() } };
     if (write.value) {
-      item["value"] = EncodeRow(*write.value);
+      auto value = EncodeRow(*write.value);
+      if (!value) {
+        Log(log_part::kPlatform)->error("A row is not written: {}.", value.error());
+        return { .change = aTransaction.change,
+                 .outcome = TransactionOutcome::kUnknown,
+                 .rows = {} };
+      }
+      item["value"] = std::move(*value);
     }
     body["writes"].push_back(std::move(item));
   }
   TransactionResult result{ .change = aTransaction.change,
                             .outcome = TransactionOutcome::kUnknown,
                             .rows = {} };
+  const auto text = EncodeJson(body);
+  if (!text) {
+    Log(log_part::kPlatform)->error("A transaction is not sent: {}.", text.error());
+    return result;
+  }
   const HttplibAnswer answer = SendHttplibCall({ .address = mOptions.address,
                                                  .method = "POST",
                                                  .path = "/table/transaction",
-                                                 .body = body.dump(),
+                                                 .body = *text,
                                                  .timeout = mOptions.timeout });
   const bool hasOutcome = answer.outcome == HttplibOutcome::kAnswered &&
                           (answer.status == kHttpOk || answer.status == kHttpConflict);
@@ -105,10 +119,15 @@
     body["keys"].push_back(key.str());
   }
   ReadResult result{ .read = aRead.read, .hasSucceeded = false, .rows = {} };
+  const auto text = EncodeJson(body);
+  if (!text) {
+    Log(log_part::kPlatform)->error("A read is not sent: {}.", text.error());
+    return result;
+  }
   const HttplibAnswer answer = SendHttplibCall({ .address = mOptions.address,
                                                  .method = "POST",
                                                  .path = "/table/read",
-                                                 .body = body.dump(),
+                                                 .body = *text,
                                                  .timeout = mOptions.timeout });
   if (answer.outcome != HttplibOutcome::kAnswered || answer.status != kHttpOk) {
     return result;
--- a/tests/fleet/fleet_message_test.cpp
+++ b/tests/fleet/fleet_message_test.cpp
@@ -198,6 +198,21 @@
           .has_value());
 }
 
+// The codec of messages takes any bytes, so a daemon of a former release passes such a name on.
+TEST_CASE("a message or a row with a name that is no text is rejected without an exception")
+{
+  PlacementRequest request = kRequest;
+  REQUIRE(DecodeFleetMessage(Encode(request)).has_value());
+  request.work.target.adapter = AdapterId{ "a\xf1o" };
+  CHECK_FALSE(DecodeFleetMessage(Encode(request)).has_value());
+  const StoredLease lease{ .lease = { .holder = DaemonId{ "d\xff" } },
+                           .versions = {},
+                           .quarantinedParts = {},
+                           .partTrials = {} };
+  CHECK_FALSE(EncodeLeaseRow(lease).has_value());
+  CHECK_FALSE(DecodeLeaseRow("{\"holder\":\"d\xff\"}").has_value());
+}
+
 TEST_CASE("a message that is truncated at any length is rejected without an exception")
 {
   const std::string encoded = Encode(kRequest);
@@ -214,8 +229,10 @@
   const VersionsByService versions{ { ServiceId{ "s1" },
                                       { SoftwareVersion{ "v1" }, SoftwareVersion{ "v2" } } } };
   const std::vector<PartGroup> groups{ { { 7 } }, { { 1 }, { 0xffff'ffff'ffff'ffffULL } } };
-  const auto row = DecodeLeaseRow(
-    EncodeLeaseRow({ .lease = lease, .versions = versions, .quarantinedParts = groups }));
+  const auto text =
+    EncodeLeaseRow({ .lease = lease, .versions = versions, .quarantinedParts = groups });
+  REQUIRE(text.has_value());
+  const auto row = DecodeLeaseRow(*text);
   REQUIRE(row.has_value());
   CHECK(row->lease == lease);
   CHECK(row->versions == versions);
--- a/tests/platform/decoder_test.cpp
+++ b/tests/platform/decoder_test.cpp
@@ -206,11 +206,38 @@
     DecodeEndpointAnswer({ .status = 200, .fields = { { "X-Server-Load", "3,x,8" } } }).load);
 }
 
+// Such a name ended the process when it reached an order as it was.
+TEST_CASE("a request with a name that is no text is invalid, and no order can be made of it")
+{
+  const std::string latin1 = "m0/a\xf1o";
+  for (const char* name : { "X-Model", "X-Request-Id", "Last-Event-Id", "Resumes" }) {
+    CAPTURE(name);
+    const auto request = DecodeClientRequest(
+      { .method = "POST", .target = "/", .fields = { { name, latin1 } }, .body = {} });
+    CHECK(request.invalidField == name);
+    CHECK(request.requestId.empty());
+    CHECK_FALSE(request.work);
+  }
+  const auto valid = DecodeClientRequest(
+    { .method = "POST", .target = "/", .fields = { { "X-Model", "m0/a\xc3\xb1o" } }, .body = {} });
+  CHECK(valid.invalidField.empty());
+  REQUIRE(valid.work);
+  CHECK(valid.work->target.adapter == AdapterId{ "a\xc3\xb1o" });
+  fleet::RunnerOrder order;
+  order.subject.model = ModelId{ "m0" };
+  CHECK(EncodeOrder(order).has_value());
+  order.subject.adapter = AdapterId{ "a\xf1o" };
+  CHECK_FALSE(EncodeOrder(order).has_value());
+  CHECK_FALSE(
+    EncodeWrite({ .table = "t", .key = latin1, .value = {}, .expectedVersion = {} }).has_value());
+}
+
 TEST_CASE("values of store rows are encoded and decoded as base64")
 {
   const auto write = EncodeWrite(
     { .table = "t", .key = "k", .value = std::string("a\0b", 3), .expectedVersion = { 4 } });
-  CHECK(write.body.find("YQBi") != std::string::npos);
+  REQUIRE(write.has_value());
+  CHECK(write->body.find("YQBi") != std::string::npos);
   const auto answer = DecodeStoreAnswer(
     R"({"rows":[{"table":"t","part":"","key":"k","value":"YQBi","ver":5},)"
     R"({"table":"t","key":"gone","ver":6,"removed":true}],"truncated":false,"ver":9,"nowMs":1})",
--- a/tests/unit/layering_test.cpp
+++ b/tests/unit/layering_test.cpp
@@ -7,6 +7,8 @@
 #include <array>
 #include <filesystem>
 #include <fstream>
+#include <regex>
+#include <set>
 #include <string>
 
 namespace {
@@ -28,8 +30,43 @@
   return isOwn && !isAllowed ? aLine : std::string{};
 }
 
+/* Adds the types that a header defines, with their namespace, and returns those known already. */
+std::string FindRepeatedTypes(const std::filesystem::path& aHeader, std::set<std::string>& aKnown)
+{
+  static const std::regex sNamespace{ "^namespace ([a-z:_]+) \\{" };
+  static const std::regex sType{ "^(?:struct|class|enum class) ([A-Za-z]+)(?: final)?(?: :.*)?$" };
+  std::ifstream file(aHeader);
+  std::string scope;
+  std::string repeated;
+  std::smatch match;
+  for (std::string line; std::getline(file, line);) {
+    if (std::regex_search(line, match, sNamespace)) {
+      scope = match[1];
+    } else if (std::regex_search(line, match, sType) &&
+               !aKnown.insert(scope + "::" + match[1].str()).second) {
+      repeated += scope + "::" + match[1].str() + " ";
+    }
+  }
+  return repeated;
+}
+
 } // namespace
 
+// The linker keeps one of each function of two types with one name, so a destructor of the other
+// type was run, and the process ended.
+TEST_CASE("no two headers define types with one name")
+{
+  std::set<std::string> known;
+  for (const auto& entry :
+       std::filesystem::recursive_directory_iterator(std::string{ SOURCE_DIR } + "/src")) {
+    if (entry.path().extension() == ".h") {
+      INFO(entry.path().string());
+      CHECK(FindRepeatedTypes(entry.path(), known).empty());
+    }
+  }
+  CHECK(known.size() > 200);
+}
+
 TEST_CASE("the decision library depends on core types only")
 {
   int files = 0;
