--- a/tests/support/trace_digest.h
+++ b/tests/support/trace_digest.h
@@ -1,7 +1,11 @@
 /* A digest of what happens in a seeded simulation. It is the same on every kind of machine; a test
  * that compares it with a constant fails if a seed leads to another scenario there, which the
  * checks of the search would not show. A change of the decisions that a search plays changes its
- * constant. */
+ * constant.
+ *
+ * What could differ is fixed elsewhere: the sign of `char` and fused multiplications by flags of
+ * the build, the order of draws by one draw a statement. The order of unordered containers and the
+ * distributions are the library's, which is the same on both kinds of machine. */
 #ifndef RHUBARBTRAIL_TESTS_SUPPORT_TRACE_DIGEST_H
 #define RHUBARBTRAIL_TESTS_SUPPORT_TRACE_DIGEST_H
 
