--- a/src/core/json_text.cpp
+++ b/src/core/json_text.cpp
@@ -17,13 +17,4 @@
   return aValue.dump(1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
 
-tl::expected<nlohmann::json, std::string> DecodeJson(std::string_view aText)
-{
-  try {
-    return nlohmann::json::parse(aText);
-  } catch (const nlohmann::json::exception& error) {
-    return tl::make_unexpected(std::string{ error.what() });
-  }
-}
-
 } // namespace rhubarbtrail
--- a/src/core/json_text.h
+++ b/src/core/json_text.h
@@ -1,10 +1,10 @@
-/* JSON texts of values whose strings may come from outside the process. Neither function throws. */
+/* JSON texts of values whose strings may come from outside the process. The functions do not throw.
+ */
 #ifndef RHUBARBTRAIL_CORE_JSON_TEXT_H
 #define RHUBARBTRAIL_CORE_JSON_TEXT_H
 
 #include <nlohmann/json.hpp>
 #include <string>
-#include <string_view>
 #include <tl/expected.hpp>
 
 namespace rhubarbtrail {
@@ -16,9 +16,6 @@
  * strings are replaced. */
 std::string DescribeJson(const nlohmann::ordered_json& aValue);
 
-/* Parses a text, or returns why it is not JSON. */
-tl::expected<nlohmann::json, std::string> DecodeJson(std::string_view aText);
-
 } // namespace rhubarbtrail
 
 #endif
--- a/src/core/text.cpp
+++ b/src/core/text.cpp
@@ -3,7 +3,6 @@
 
 #include <boost/locale/utf.hpp>
 
-#include <algorithm>
 #include <cstddef>
 
 namespace rhubarbtrail {
--- a/tests/unit/outside_text_test.cpp
+++ b/tests/unit/outside_text_test.cpp
@@ -43,7 +43,6 @@
   CHECK(EncodeJson({ { "a", "\xc3\xb1" } }).has_value());
   CHECK_FALSE(EncodeJson({ { "a", "\xf1" } }).has_value());
   CHECK_FALSE(EncodeJson({ { "\xf1", "a" } }).has_value());
-  CHECK_FALSE(DecodeJson("{\"a\":\"\xf1\"}").has_value());
   CHECK_FALSE(DescribeJson({ { "a", "\xf1" } }).empty());
   ClaimRow claim;
   CHECK(EncodeRow(claim).has_value());
