Fix: [Dispatcher] Adopt a runner's holdings only together with their order count

Cause: holdings of one moment were used with the order count of another. A refused request makes the holdings doubtful; an entry of the store, older than the last orders, replaced them; a report that was too old to be adopted made them count as confirmed; and a finished order adopted older holdings with the larger count. The runner then accepts an order that was decided by a book without its last adapters.

Holdings and count are now replaced only together, by a report; only that confirms them. The runner refuses orders with another count than its own, so an order decided by old holdings is refused, whatever the times. Entries count only until the first report. Whether a report may be old is judged by when it was requested. An order without an answer is resolved by adopting the report. An answer is taken for its order only if all of the order is equal.

The simulated fleet checks after each step that no runner holds what is not assumed while its orders would be accepted.

--- a/src/decision/fleet/dispatcher.cpp
+++ b/src/decision/fleet/dispatcher.cpp
@@ -89,6 +89,7 @@
     // Another daemon may have sent orders since this daemon last held the lease.
     for (auto& [id, runner] : mRunners) {
       runner.areHoldingsConfirmed = false;
+      runner.isReported = false;
       runner.order.reset();
       runner.adapterOrder.reset();
     }
@@ -212,9 +213,9 @@
   if (std::exchange(runner.isGone, false)) {
     StartWindow(aNow, runner, {}, runner.window, "entry_returned");
   }
-  // An entry does not tell which orders it already reflects, so it does not replace holdings that a
-  // report has confirmed. A new report is requested instead.
-  if (!runner.areHoldingsConfirmed) {
+  // An entry does not tell which orders it already reflects, so it does not replace what a report
+  // has shown. A new report is requested instead.
+  if (!runner.isReported) {
     AdoptHoldings(aNow, runner, aEntry.holdings);
   } else {
     ScheduleReport(aNow, runner);
@@ -245,14 +246,18 @@
 }
 
 /* Replaces the assumed holdings by those of an entry or report. Times of use and counts of requests
- * in flight are kept for what is still held. */
+ * in flight are kept for what is still held. A model whose load is presumed done is kept, because
+ * the report may be older than that. */
 void Dispatcher::AdoptHoldings(TimePoint aNow,
                                ManagedRunner& aRunner,
                                const RunnerHoldings& aHoldings)
 {
   mIsModelIndexStale = true;
+  const ModelId* presumed =
+    aRunner.order && aRunner.order->isPresumedDone ? &aRunner.order->order.subject.model : nullptr;
   std::erase_if(aRunner.models, [&](const auto& aItem) {
-    const bool isHeld = aHoldings.models.contains(aItem.first);
+    const bool isHeld =
+      aHoldings.models.contains(aItem.first) || (presumed != nullptr && *presumed == aItem.first);
     if (!isHeld) {
       aRunner.cache.RemoveModel(aItem.first);
     }
@@ -459,6 +464,7 @@
     runner.order.reset();
     runner.adapterOrder.reset();
     runner.areHoldingsConfirmed = false;
+    runner.isReported = false;
     runner.nextReportAt.reset();
   }
 }
--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -153,10 +153,13 @@
   bool saysLeaving = false; ///< The present process has stated in an answer that it is leaving.
   StatedLimit limit;        ///< Of the present process.
   std::optional<LimitedTraffic> limitedTraffic; ///< Set while there is a limit.
-  /* A report has confirmed the holdings. Orders are sent only while this is set. It is cleared by
-   * Clear(), a new fencing token, a restart of the runner, a refused request, and a report that the
-   * runner carries out an order that is not pending here. */
+  /* What is assumed below is all that the runner may hold after `orderCount` orders: a report of
+   * that count has been adopted, and nothing has happened since that makes it doubtful. Orders are
+   * sent only while this is set. It is cleared by Clear(), a new fencing token, a restart of the
+   * runner, a refused request, an answer that contradicts it, and a report that the runner carries
+   * out an order that is not pending here. */
   bool areHoldingsConfirmed = false;
+  bool isReported = false; ///< A report has been adopted since Clear() or a new fencing token.
   std::map<ModelId, HeldModel> models;
   std::set<ModelId> inHostMemory;
   std::set<ModelId> onDisk;
@@ -169,6 +172,7 @@
   TimePoint lastOrderAt{};       ///< When an order was last accepted or its answer was lost.
   std::optional<TimePoint> nextReportAt; ///< When to fetch the next report.
   bool isReportRequested = false;
+  TimePoint reportRequestedAt{}; ///< When the last report was requested.
   std::uint32_t inFlight = 0;
   std::uint64_t tokens = 0;  ///< Upper bound for the tokens of the requests in flight.
   TimePoint promptsDoneAt{}; ///< When all prompts sent so far are expected to be processed.
@@ -220,11 +224,8 @@
   /* Drops requests, assignments, swaps and pending orders when this daemon stops being the
    * dispatcher. Assumed holdings are kept. */
   void Clear();
-  /* Takes the outcome of the order about this model or adapter. */
-  void OnOrderResult(TimePoint aNow,
-                     const EndpointId& aRunner,
-                     const ModelRef& aSubject,
-                     OrderOutcome aOutcome);
+  /* Takes the outcome of an order. */
+  void OnOrderResult(TimePoint aNow, const RunnerOrder& aOrder, OrderOutcome aOutcome);
   /* Takes the result of a report request. The report is null when it could not be read. */
   void OnReport(TimePoint aNow, const EndpointId& aRunner, const RunnerReport* aReport);
 
@@ -601,12 +602,15 @@
                  const OrderDetails& aDetails);
   void OnAccepted(TimePoint aNow, ManagedRunner& aRunner);
   void OnAdapterOrderAccepted(TimePoint aNow, ManagedRunner& aRunner);
-  static void OnAdapterOrderAlreadyDone(TimePoint aNow, ManagedRunner& aRunner);
+  void OnAdapterOrderAlreadyDone(TimePoint aNow, ManagedRunner& aRunner);
   static void DropAdapterOrder(ManagedRunner& aRunner);
   void FinishOrder(TimePoint aNow, ManagedRunner& aRunner);
   void PresumeLoads(TimePoint aNow);
   void RevokePresumedLoad(ManagedRunner& aRunner, const ModelId& aModel);
   void RequestDueReports(TimePoint aNow);
+  void RequireReport(TimePoint aNow, ManagedRunner& aRunner);
+  static bool IsOutdated(const ManagedRunner& aRunner, const RunnerReport& aReport);
+  void AdoptReport(TimePoint aNow, ManagedRunner& aRunner, const RunnerReport& aReport);
   void ScheduleReport(TimePoint aAt, ManagedRunner& aRunner);
   void ResolveOrderByReport(TimePoint aNow, ManagedRunner& aRunner, const RunnerReport& aReport);
   void ResolveAdapterOrderByReport(TimePoint aNow,
--- a/src/decision/fleet/dispatcher_order.cpp
+++ b/src/decision/fleet/dispatcher_order.cpp
@@ -209,20 +209,16 @@
   }
 }
 
-void Dispatcher::OnOrderResult(TimePoint aNow,
-                               const EndpointId& aRunner,
-                               const ModelRef& aSubject,
-                               OrderOutcome aOutcome)
+void Dispatcher::OnOrderResult(TimePoint aNow, const RunnerOrder& aOrder, OrderOutcome aOutcome)
 {
-  const auto found = mRunners.find(aRunner);
+  const auto found = mRunners.find(aOrder.runner);
   if (found == mRunners.end()) {
     return;
   }
   ManagedRunner& runner = found->second;
-  const bool isAdapter = !aSubject.adapter.empty();
+  const bool isAdapter = !aOrder.subject.adapter.empty();
   auto& pending = isAdapter ? runner.adapterOrder : runner.order;
-  if (!pending || pending->phase != PendingOrder::Phase::kSent ||
-      pending->order.subject != aSubject) {
+  if (!pending || pending->phase != PendingOrder::Phase::kSent || pending->order != aOrder) {
     return; // The runner restarted, or this daemon lost the order lease, since the order was sent.
   }
   const auto onNotAccepted = [&](Duration aPause) {
@@ -320,6 +316,7 @@
   aRunner.lastOrderAt = aNow;
   const auto held = aRunner.models.find(order.subject.model);
   if (held == aRunner.models.end()) {
+    RequireReport(aNow, aRunner); // The runner holds a model that is not assumed.
     return;
   }
   HeldAdapter& adapter = held->second.adapters[order.subject.adapter];
@@ -340,6 +337,7 @@
   if (const auto held = aRunner.models.find(order.subject.model); held != aRunner.models.end()) {
     if (order.kind == OrderKind::kLoad) {
       held->second.adapters[order.subject.adapter] = { .readyAt = aNow, .lastUsed = aNow };
+      RequireReport(aNow, aRunner); // It was not assumed, so others may be missing too.
     } else {
       held->second.adapters.erase(order.subject.adapter);
       ++aRunner.orderCount; // The runner also counts an unload that it finishes at once.
@@ -408,16 +406,22 @@
 }
 
 /* Called when a runner refuses a request. A load of the model that was presumed done counts as in
- * progress again. */
+ * progress again, unless the runner has accepted adapters of the model: those keep their slots, and
+ * the refusal has another reason. */
 void Dispatcher::RevokePresumedLoad(ManagedRunner& aRunner, const ModelId& aModel)
 {
-  if (aRunner.order && aRunner.order->isPresumedDone &&
-      aRunner.order->order.subject.model == aModel) {
-    aRunner.order->presumedDoneAt.reset();
-    aRunner.order->isPresumedDone = false;
-    aRunner.models.erase(aModel);
-    mIsModelIndexStale = true;
+  if (!aRunner.order || !aRunner.order->isPresumedDone ||
+      aRunner.order->order.subject.model != aModel) {
+    return;
   }
+  const auto held = aRunner.models.find(aModel);
+  if (held != aRunner.models.end() && !held->second.adapters.empty()) {
+    return;
+  }
+  aRunner.order->presumedDoneAt.reset();
+  aRunner.order->isPresumedDone = false;
+  aRunner.models.erase(aModel);
+  mIsModelIndexStale = true;
 }
 
 void Dispatcher::ScheduleReport(TimePoint aAt, ManagedRunner& aRunner)
@@ -426,6 +430,13 @@
   ScheduleTick(aAt);
 }
 
+/* Stops orders to the runner until a report has been adopted. */
+void Dispatcher::RequireReport(TimePoint aNow, ManagedRunner& aRunner)
+{
+  aRunner.areHoldingsConfirmed = false;
+  ScheduleReport(aNow, aRunner);
+}
+
 void Dispatcher::RequestDueReports(TimePoint aNow)
 {
   for (auto& [id, runner] : mRunners) {
@@ -458,6 +469,7 @@
     }
     runner.nextReportAt.reset();
     runner.isReportRequested = true;
+    runner.reportRequestedAt = aNow;
     mActions.emplace_back(ReportRequest{ .runner = id, .address = runner.entry.address });
   }
 }
@@ -486,10 +498,6 @@
     entry.holdings = aReport->holdings;
     ResetRunner(aNow, runner, entry);
   }
-  // A busy runner without a pending order may carry out a load of a former holder, or one of this
-  // daemon whose answer was lost. The report does not list that model yet, so there may be less
-  // free memory than it shows.
-  runner.areHoldingsConfirmed = !aReport->isBusy || runner.order;
   LogDecision({ .event = "report_read",
                 .request = {},
                 .runner = aRunner,
@@ -497,9 +505,18 @@
                 .why = aReport->isBusy ? "busy" : "idle",
                 .time = aNow - runner.lastOrderAt,
                 .count = aReport->orderCount });
+  if (aReport->isBusy && !runner.order) {
+    // The runner may carry out a load of a former holder, or one of this daemon whose answer was
+    // lost. The report does not list that model yet, so there may be less free memory than it
+    // shows.
+    runner.areHoldingsConfirmed = false;
+  }
   if (runner.adapterOrder) {
     ResolveAdapterOrderByReport(aNow, runner, *aReport);
     if (runner.adapterOrder) {
+      if (runner.order || !runner.areHoldingsConfirmed) {
+        ScheduleReport(aNow + kReportInterval, runner);
+      }
       return;
     }
   }
@@ -507,15 +524,43 @@
     ResolveOrderByReport(aNow, runner, *aReport);
     return;
   }
-  const bool mayBeOld = aNow - runner.lastOrderAt < kReportLag;
-  if (aReport->orderCount < runner.orderCount && mayBeOld) {
-    ScheduleReport(aNow + kReportInterval, runner); // The report predates the last accepted order.
-    return;
-  }
-  runner.orderCount = aReport->orderCount;
-  AdoptHoldings(aNow, runner, aReport->holdings);
-  if (aReport->isBusy) {
-    ScheduleReport(aNow + kReportInterval, runner);
+  AdoptReport(aNow, runner, *aReport);
+}
+
+/* Returns whether a report may be from before the last accepted order. One that was requested long
+ * enough after that order is not: the runner has accepted fewer orders than assumed. */
+bool Dispatcher::IsOutdated(const ManagedRunner& aRunner, const RunnerReport& aReport)
+{
+  return aReport.orderCount < aRunner.orderCount &&
+         aRunner.reportRequestedAt - aRunner.lastOrderAt < kReportLag;
+}
+
+/* Replaces what is assumed of a runner by a report, or requests another one if this one is
+ * outdated. Holdings and order count are only replaced together: the runner refuses orders with
+ * another count, so it never carries out an order that was decided by the holdings of another
+ * moment. */
+void Dispatcher::AdoptReport(TimePoint aNow, ManagedRunner& aRunner, const RunnerReport& aReport)
+{
+  const bool isOutdated = IsOutdated(aRunner, aReport);
+  if (!isOutdated) {
+    aRunner.orderCount = aReport.orderCount;
+    AdoptHoldings(aNow, aRunner, aReport.holdings);
+    aRunner.areHoldingsConfirmed = !aReport.isBusy;
+    aRunner.isReported = true;
+  }
+  std::size_t adapters = 0;
+  for (const auto& [id, model] : aRunner.models) {
+    adapters += model.adapters.size();
+  }
+  LogDecision({ .event = isOutdated ? "report_outdated" : "holdings_adopted",
+                .request = {},
+                .runner = aRunner.entry.id,
+                .model = {},
+                .why = aRunner.areHoldingsConfirmed ? "confirmed" : "unconfirmed",
+                .time = aNow - aRunner.reportRequestedAt,
+                .count = adapters });
+  if (isOutdated || aReport.isBusy) {
+    ScheduleReport(aNow + kReportInterval, aRunner);
   }
 }
 
@@ -529,11 +574,11 @@
     return;
   }
   if (aReport.orderCount > pending.order.expectedOrderCount) {
-    OnAdapterOrderAccepted(aNow, aRunner);
-    aRunner.orderCount = std::max(aRunner.orderCount, aReport.orderCount);
+    // The runner has accepted this order or another one that was late. The report tells which.
+    aRunner.adapterOrder.reset();
     return;
   }
-  if (aNow - pending.sentAt < kReportLag) {
+  if (aRunner.reportRequestedAt - pending.sentAt < kReportLag) {
     ScheduleReport(pending.sentAt + kReportLag, aRunner);
     return;
   }
@@ -553,7 +598,8 @@
   }
   const bool isUnanswered = pending.phase == PendingOrder::Phase::kUnanswered;
   const bool hasOrderCountIncreased = aReport.orderCount > pending.order.expectedOrderCount;
-  if (isUnanswered && !hasOrderCountIncreased && aNow - pending.sentAt < kReportLag) {
+  if (isUnanswered && !hasOrderCountIncreased &&
+      aRunner.reportRequestedAt - pending.sentAt < kReportLag) {
     ScheduleReport(pending.sentAt + kReportLag, aRunner);
     return;
   }
@@ -573,16 +619,16 @@
   }
   const bool isDone = !aReport.isBusy && hasOrderCountIncreased && hasEffect;
   if (!isDone && aNow - pending.expectedDoneAt <= kOrderTimeout) {
+    if (!isUnanswered && aReport.orderCount >= aRunner.orderCount) {
+      const bool isOwnOrderLast = aReport.orderCount == aRunner.orderCount;
+      AdoptReport(aNow, aRunner, aReport);
+      aRunner.areHoldingsConfirmed = isOwnOrderLast || !aReport.isBusy;
+    }
     ScheduleReport(aNow + kReportInterval, aRunner);
     return;
   }
   FinishOrder(aNow, aRunner);
-  if (aReport.orderCount < aRunner.orderCount && aNow - aRunner.lastOrderAt < kReportLag) {
-    ScheduleReport(aNow + kReportInterval, aRunner); // An adapter order was accepted since.
-    return;
-  }
-  aRunner.orderCount = std::max(aRunner.orderCount, aReport.orderCount);
-  AdoptHoldings(aNow, aRunner, aReport.holdings);
+  AdoptReport(aNow, aRunner, aReport); // Outdated if an adapter order was accepted since.
 }
 
 /* Drops an unanswered model order that was not carried out and adopts the reported state. */
@@ -593,8 +639,7 @@
 {
   LogUnanswered(aNow, *aRunner.order, aReport, aWhy);
   aRunner.order.reset();
-  aRunner.orderCount = aReport.orderCount;
-  AdoptHoldings(aNow, aRunner, aReport.holdings);
+  AdoptReport(aNow, aRunner, aReport);
 }
 
 void Dispatcher::LogUnanswered(TimePoint aNow,
--- a/src/decision/fleet/order_type.h
+++ b/src/decision/fleet/order_type.h
@@ -25,6 +25,8 @@
   std::uint64_t expectedOrderCount = 0;
   std::string holder;
   FencingToken fence;
+
+  bool operator==(const RunnerOrder&) const = default;
 };
 
 enum class OrderOutcome : std::uint8_t
--- a/src/fleet/fleet_member.cpp
+++ b/src/fleet/fleet_member.cpp
@@ -1144,8 +1144,7 @@
   // Checked again, because the host may have been suspended since the dispatcher decided, and the
   // permission to send orders may have expired meanwhile. BootClockNow() counts suspensions.
   if (!mLease.MayOrder(BootClockNow()) || mServices.isPaused(aOrder.runner)) {
-    mServices.dispatcher.OnOrderResult(
-      BootClockNow(), aOrder.runner, aOrder.subject, fleet::OrderOutcome::kNotSent);
+    mServices.dispatcher.OnOrderResult(BootClockNow(), aOrder, fleet::OrderOutcome::kNotSent);
     return;
   }
   auto request = platform::EncodeOrder(aOrder);
@@ -1155,8 +1154,7 @@
                           { "model", aOrder.subject.model },
                           { "adapter", aOrder.subject.adapter },
                           { "reason", request.error() } });
-    mServices.dispatcher.OnOrderResult(
-      BootClockNow(), aOrder.runner, aOrder.subject, fleet::OrderOutcome::kRejected);
+    mServices.dispatcher.OnOrderResult(BootClockNow(), aOrder, fleet::OrderOutcome::kRejected);
     return;
   }
   if (aOrder.subject.adapter.empty()) {
@@ -1198,7 +1196,7 @@
                                 { "result", http::ToString(aResult) },
                                 { "expected_count", order.expectedOrderCount },
                                 { "fence", order.fence.value } });
-          mServices.dispatcher.OnOrderResult(BootClockNow(), order.runner, order.subject, outcome);
+          mServices.dispatcher.OnOrderResult(BootClockNow(), order, outcome);
           ScheduleDispatcherTick();
         } });
 }
--- a/tests/fleet/fleet_world.h
+++ b/tests/fleet/fleet_world.h
@@ -1,6 +1,7 @@
 /* A fleet in simulated time: a dispatcher, and runners that carry out its orders and run requests.
  * An accepted order that exceeds a runner's memory, adapter slots or concurrent adapter loads is
- * recorded as a violation. */
+ * recorded as a violation, and so is, after each step, a runner that may hold more than the
+ * dispatcher assumes while its orders would be accepted. */
 #ifndef RHUBARBTRAIL_TESTS_FLEET_FLEET_WORLD_H
 #define RHUBARBTRAIL_TESTS_FLEET_FLEET_WORLD_H
 
@@ -110,6 +111,8 @@
   void Restart(std::size_t aRunner);
   /* Sends the current entry of a runner to the dispatcher. */
   void SendEntry(std::size_t aRunner);
+  /* Sends the present entry of a runner after some time. */
+  void SendEntryLater(std::size_t aRunner, Duration aTime);
   /* Sends an entry that shows the runner as draining. */
   void Drain(std::size_t aRunner);
   /* Withdraws a request that was not assigned yet. */
@@ -149,6 +152,10 @@
   /* Returns the outcome of an order in place of the runner, or nothing if the order is to be
    * delivered to the runner at once. */
   std::function<std::optional<OrderOutcome>(const RunnerOrder&)> orderOverride;
+  /* Returns whether a runner refuses an assigned request although it holds the model. The caller
+   * gives up. */
+  std::function<bool()> isBusy;
+  std::function<Duration()> reportDelay; ///< Extra time until a runner answers with its report.
 
 private:
   struct Pending
@@ -168,6 +175,7 @@
   void SubmitRequest(std::uint64_t aNumber);
   static bool IsAdapterInUse(const SimRunner& aRunner, const ModelRef& aAdapter);
   void Step();
+  void CheckAssumedHoldings();
   void Execute(const DispatchAction& aAction);
   void Schedule(Duration aTime,
                 std::function<void()> aAction,
