Change: [Tests] Begin the edge tests when a retry window has passed since the start

Their assertions are unchanged; the clusters of the tests count in windows of 1 s, of 4 s where a test allows one retry, and the tests begin when one has passed.

--- a/tests/edge/edge_cluster.py
+++ b/tests/edge/edge_cluster.py
@@ -94,7 +94,8 @@
     """An edge daemon with its settings, its log and its process."""
 
     def __init__(self, name: str, store_port: int, folder: Path, grace_s: float = 4.0,
-                 retry_slack: int = 1000, retry_ratio: float = 0.2, settings: str = "") -> None:
+                 retry_slack: int = 1000, retry_ratio: float = 0.2, retry_window_s: int = 1,
+                 settings: str = "") -> None:
         self.name = name
         self.store_port = store_port
         self.reserved = ReservedPorts(4)
@@ -112,6 +113,7 @@
 lease_spacing: 1000
 retry_slack: {retry_slack}
 retry_budget_ratio: {retry_ratio}
+retry_window: {retry_window_s}
 {settings}""")
         self.popen: Optional[subprocess.Popen] = None
         self.lock = threading.Lock()  # Held while a thread ends or stops the process.
@@ -198,18 +200,23 @@
     """
 
     def __init__(self, daemons: int = 2, grace_s: float = 4.0, retry_slack: int = 1000,
-                 retry_ratio: float = 0.2, settings: str = "", **platform_options: int) -> None:
+                 retry_ratio: float = 0.2, retry_window_s: int = 1, settings: str = "",
+                 **platform_options: int) -> None:
         self.folder = tempfile.TemporaryDirectory()
         self.platform = Platform(**platform_options)
         store = self.platform.store
         self.daemons = [Daemon(f"d{number}", self.platform.run_coroutine(store.add_port()),
-                               Path(self.folder.name), grace_s, retry_slack, retry_ratio, settings)
+                               Path(self.folder.name), grace_s, retry_slack, retry_ratio,
+                               retry_window_s, settings)
                         for number in range(daemons)]
+        self.retries_known_at = time.monotonic() + 1.1 * retry_window_s + 0.1
 
     def __enter__(self) -> "EdgeCluster":
         try:
             self.wait_until(lambda: all(daemon.is_ready() for daemon in self.daemons), "readiness")
             self.wait_until(self.has_logged_orders_allowed, "a daemon that may send orders")
+            # Until a window has passed, a daemon does not use its part of the slack.
+            self.wait_until(lambda: time.monotonic() > self.retries_known_at, "retries")
         except BaseException as error:
             self.__exit__(type(error))
             raise
--- a/tests/edge/test_silence_replacement.py
+++ b/tests/edge/test_silence_replacement.py
@@ -59,11 +59,12 @@
 def test_edge_keeps_a_silent_stream_when_no_other_runner_serves_it() -> None:
     """Lets a stream's runner fall silent while the only other one refuses, fails or has ended.
 
-    With a slack of 2 the daemon has one retry.
+    With a slack of 2 the daemon has one retry in 4 s.
     """
     for fault in (refuse, answer_500, end):
         for retry_slack in (2, 1000):
-            with EdgeCluster(daemons=1, models=2, retry_slack=retry_slack) as cluster:
+            with EdgeCluster(daemons=1, models=2, retry_slack=retry_slack,
+                             retry_window_s=4) as cluster:
                 result = send_beside_silence(
                     cluster, "chat", Silence(SilentAt.BETWEEN_EVENTS, 1.6), fault)
                 assert result.is_complete, (fault, retry_slack, result)
@@ -81,7 +82,7 @@
 def test_edge_keeps_a_stream_that_is_silent_before_its_head() -> None:
     """Lets a stream's runner be silent for longer than three latency objectives, before the head."""
     for fault in (refuse, answer_500, end, None):
-        with EdgeCluster(daemons=1, models=2, retry_slack=2) as cluster:
+        with EdgeCluster(daemons=1, models=2, retry_slack=2, retry_window_s=4) as cluster:
             result = send_beside_silence(
                 cluster, "chat", Silence(SilentAt.BEFORE_HEAD, 3.3), fault)
             assert result.is_complete, (fault, result)
