Fix: [Dispatcher] Use an adapter that a report lists as being loaded

Found by reading the diff: since an order without an answer is resolved by adopting the report, an adapter that this report lists as still being loaded kept its mark of an order without an answer, and requests for it waited until some other report came. The test fails without the change (0 of 1 requests served) and passes with it.

--- a/src/decision/fleet/dispatcher.cpp
+++ b/src/decision/fleet/dispatcher.cpp
@@ -279,8 +279,11 @@
   }
   for (const ModelRef& loading : aHoldings.loadingAdapters) {
     if (const auto held = aRunner.models.find(loading.model); held != aRunner.models.end()) {
-      held->second.adapters.try_emplace(loading.adapter,
-                                        HeldAdapter{ .readyAt = aNow + kAdapterLoadTime });
+      const auto [known, isNew] = held->second.adapters.try_emplace(loading.adapter);
+      if (isNew || known->second.isOrdered) {
+        known->second.isOrdered = false;
+        known->second.readyAt = aNow + kAdapterLoadTime;
+      }
     }
   }
   aRunner.inHostMemory = aHoldings.inHostMemory;
--- a/tests/fleet/fleet_world.h
+++ b/tests/fleet/fleet_world.h
@@ -28,6 +28,7 @@
   std::size_t fullSpeedAdapterLoads = 8;
   std::uint32_t slots = 64; ///< Requests that a runner can run at the same time.
   Duration storeLoadTime = 6s;
+  Duration adapterLoadTime = 15ms;
   Duration diskLoadTime = 1s;
   Duration unloadTime{};      ///< Time that a runner needs to unload a model.
   Duration reportLag = 100ms; ///< Age of the state that a runner's report shows.
--- a/tests/fleet/holdings_search_test.cpp
+++ b/tests/fleet/holdings_search_test.cpp
@@ -155,3 +155,19 @@
   }
   CHECK(world.violations.empty());
 }
+
+// The answer to the load of an adapter is lost, and the report that shows it lists the adapter as
+// still being loaded. No other report follows by itself.
+TEST_CASE("an adapter that a report lists as being loaded is used once it is loaded")
+{
+  FleetWorld world({ .runners = 1, .models = 3, .adapters = 4, .adapterLoadTime = 600ms });
+  bool isFirst = true;
+  world.orderOverride = [&](const RunnerOrder& aOrder) -> std::optional<OrderOutcome> {
+    return std::exchange(isFirst, false) ? std::optional{ world.DeliverOrderLate(aOrder, 0ms) }
+                                         : std::nullopt;
+  };
+  world.SendRequest("m0", "a1");
+  world.Run(3s);
+  CHECK(world.CountServed() == 1);
+  CHECK(world.violations.empty());
+}
