--- a/tests/edge/test_versions.py
+++ b/tests/edge/test_versions.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
 
@@ -328,3 +329,36 @@
         result = resume(cluster.daemons[1], broken, model="m0")
         assert result.is_complete and result.versions == {b"v1"}, result
         assert "m0" in runners["r1"].models, runners["r1"].models
+
+
+def test_edge_out_of_step_takes_up_no_stream_at_another_version() -> None:
+    """A daemon stands still while a version joins and begins streams, which break off.
+
+    Clients take them up at that daemon, whose view of the runners is older than the streams.
+    """
+    for pause_s in (0.8, 1.5, 2.2, 2.8):
+        with start("v1 v1 v1", daemons=3) as cluster, ThreadPoolExecutor(8) as pool:
+            time.sleep(1.0)
+            holder = cluster.holder()
+            other, paused = [daemon for daemon in cluster.daemons if daemon is not holder]
+            paused.signal(signal.SIGSTOP)
+            time.sleep(pause_s - 0.7)
+            runners = [cluster.platform.endpoints[name] for name in ("r0", "r1", "r2")]
+            for runner in runners[:2]:
+                runner.faults.refuses_all = True
+            break_streams(cluster, 1)
+            set_version(cluster, "r2", "v2")
+            time.sleep(0.2)
+            broken = [stream for stream in [other.send("chat") for _ in range(4)]
+                      if stream.event_ids]
+            assert broken, "no stream began at the new version"
+            for runner in runners[:2]:
+                runner.faults.refuses_all = False
+            for runner in runners:
+                runner.faults.cut_after_events = None
+            resumed = [pool.submit(resume, paused, stream) for stream in broken]
+            time.sleep(0.4)
+            paused.signal(signal.SIGCONT)
+            for stream, result in zip(broken, [future.result() for future in resumed]):
+                assert not result.event_ids or result.versions == stream.versions, (
+                    pause_s, stream, result)
