Fix: [Fleet] Let the memory of the number of daemons follow the retry window

Found by reading the diff: a number of daemons kept lower ones from counting for 14 s, which covers windows of 10 s only, and retry_window may be set to an hour.

--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -501,6 +501,7 @@
   /* Passes the settings that a reload can change to the parts that keep a copy of them. */
   void ApplySettings()
   {
+    mGateway.fleetSize.SetWindow(mSettings.edge.retryWindow);
     mGateway.retries.SetOptions({ .ratio = mSettings.decision.retryBudgetRatio,
                                   .slack = mSettings.edge.retrySlack,
                                   .window = mSettings.edge.retryWindow });
--- a/src/decision/fleet/fleet_size.cpp
+++ b/src/decision/fleet/fleet_size.cpp
@@ -12,7 +12,7 @@
     mHighest.pop_back();
   }
   mHighest.push_back({ .at = aNow, .daemons = aDaemons });
-  while (aNow - mHighest.front().at > kMemory) {
+  while (aNow - mHighest.front().at > mMemory) {
     mHighest.pop_front();
   }
 }
--- a/src/decision/fleet/fleet_size.h
+++ b/src/decision/fleet/fleet_size.h
@@ -16,13 +16,12 @@
 class FleetSize
 {
 public:
-  /* How long a stated number keeps lower ones from counting. It covers the windows in which the
-   * daemons' parts are added up, and the time until daemons that are cut off notice that. */
-  static constexpr Duration kMemory = 14s;
   /* Time without a statement after which a daemon may be cut off and no longer counted by others.
    */
   static constexpr Duration kLifetime = 3s;
 
+  /* Sets the window in which the parts of the daemons are added up. */
+  void SetWindow(Duration aWindow) { mMemory = aWindow + kNoticeTime; }
   void Record(TimePoint aNow, std::uint32_t aDaemons);
   /* Returns the number of daemons that counts, or 0 if none has ever been stated. */
   std::uint32_t daemons() const { return mHighest.empty() ? 0 : mHighest.front().daemons; }
@@ -30,13 +29,18 @@
   bool IsStated(TimePoint aNow) const { return !mHighest.empty() && aNow - mStatedAt <= kLifetime; }
 
 private:
+  /* Time until daemons that are cut off have noticed that, and use their part no more. */
+  static constexpr Duration kNoticeTime = 4s;
+
   struct Statement
   {
     TimePoint at{};
     std::uint32_t daemons = 0;
   };
 
-  /* The statements of the last kMemory before the last one, without those that are followed by one
+  /* How long a stated number keeps lower ones from counting. */
+  Duration mMemory = 10s + kNoticeTime;
+  /* The statements of the memory before the last one, without those that are followed by one
    * that is as high: from the highest to the last. */
   std::deque<Statement> mHighest;
   TimePoint mStatedAt{};
--- a/tests/fleet/retry_search_test.cpp
+++ b/tests/fleet/retry_search_test.cpp
@@ -427,6 +427,9 @@
   CHECK(size.IsStated(kStart + 19s));
   CHECK_FALSE(size.IsStated(kStart + 19'100ms));
   CHECK(size.daemons() == 80);
+  size.SetWindow(60s);
+  size.Record(kStart + 76s, 2);
+  CHECK(size.daemons() == 80);
 }
 
 // Five processes follow each other within a window, as when a host is killed again and again.
