--- a/tests/fleet/retry_search_test.cpp
+++ b/tests/fleet/retry_search_test.cpp
@@ -465,3 +465,16 @@
   size.Record(now, 1);
   CHECK(makeRetries() > 100); // The last one has the slack now.
 }
+
+// The others may no longer count a daemon that is cut off, and then share its part of the slack.
+TEST_CASE("a daemon that hears of no dispatcher does not use its part of the slack")
+{
+  FleetSize size;
+  RetryShare share{ size };
+  share.SetOptions({ .ratio = kRatio, .slack = 100.0, .window = kWindow });
+  share.Start(kStart - 60s);
+  size.Record(kStart, 10);
+  share.RecordRequest(kStart, kService);
+  CHECK(share.RemainingRetries(kStart + 2s, kService) >= 5.0);
+  CHECK(share.RemainingRetries(kStart + 4s, kService) < 1.0);
+}
