--- a/tests/edge/edge_cluster.py
+++ b/tests/edge/edge_cluster.py
@@ -95,8 +95,9 @@
 
     def __init__(self, name: str, store_port: int, folder: Path, grace_s: float = 4.0,
                  retry_slack: int = 1000, retry_ratio: float = 0.2, retry_window_s: int = 1,
-                 settings: str = "") -> None:
+                 settings: str = "", overwrites_freed_memory: bool = True) -> None:
         self.name = name
+        self.environment = os.environ | (OVERWRITE_FREED_MEMORY if overwrites_freed_memory else {})
         self.store_port = store_port
         self.reserved = ReservedPorts(4)
         self.front_port, self.ready_port, self.link_port, self.metrics_port = self.reserved.ports
@@ -122,7 +123,7 @@
     def start(self) -> None:
         with self.log.open("ab") as log:
             self.popen = subprocess.Popen([BINARY, "edge", "--settings", self.settings], stdout=log,
-                                          stderr=log, env=os.environ | OVERWRITE_FREED_MEMORY)
+                                          stderr=log, env=self.environment)
 
     def signal(self, number: int) -> None:
         assert self.popen is not None
@@ -201,13 +202,13 @@
 
     def __init__(self, daemons: int = 2, grace_s: float = 4.0, retry_slack: int = 1000,
                  retry_ratio: float = 0.2, retry_window_s: int = 1, settings: str = "",
-                 **platform_options: int) -> None:
+                 overwrites_freed_memory: bool = True, **platform_options: int) -> None:
         self.folder = tempfile.TemporaryDirectory()
         self.platform = Platform(**platform_options)
         store = self.platform.store
         self.daemons = [Daemon(f"d{number}", self.platform.run_coroutine(store.add_port()),
                                Path(self.folder.name), grace_s, retry_slack, retry_ratio,
-                               retry_window_s, settings)
+                               retry_window_s, settings, overwrites_freed_memory)
                         for number in range(daemons)]
         self.retries_known_at = time.monotonic() + 1.1 * retry_window_s + 0.1
 
--- a/tests/process/run.py
+++ b/tests/process/run.py
@@ -1,7 +1,8 @@
 """Runs the process tests and prints a closing line that CI reads.
 
 Runs the tests that are named on the command line, or all test functions of tests/process and
-tests/edge. A test that KNOWN-RED.txt lists may fail; the closing line counts it as skipped.
+tests/edge. A test that KNOWN-RED.txt lists may fail; the closing line counts it as skipped. Tests of
+a module with RUNS_ALONE run one at a time, after all others.
 """
 
 from __future__ import annotations
@@ -40,6 +41,10 @@
     return found
 
 
+def runs_alone(function: Callable[[], None]) -> bool:
+    return getattr(sys.modules[function.__module__], "RUNS_ALONE", False)
+
+
 def run(name: str, function: Callable[[], None], known_red_names: set[str]) -> str:
     """Runs one test, prints its outcome and returns it."""
     started = time.monotonic()
@@ -55,9 +60,12 @@
 
 def main() -> int:
     known_red_names = known_red()
+    tests = select_tests(sys.argv[1:])
+    alone = [test for test in tests if runs_alone(test[1])]
+    beside_others = [test for test in tests if not runs_alone(test[1])]
     with ThreadPoolExecutor(TESTS_AT_ONCE) as pool:
-        outcomes = list(pool.map(lambda test: run(*test, known_red_names),
-                                 select_tests(sys.argv[1:])))
+        outcomes = list(pool.map(lambda test: run(*test, known_red_names), beside_others))
+    outcomes += [run(*test, known_red_names) for test in alone]
     failed = outcomes.count("FAILED")
     print(f"process tests: {outcomes.count('passed')} passed, {failed} failed, "
           f"{outcomes.count('KNOWN RED')} skipped")
