Fix: [Gateway] Stop reading requests that arrive before the memory for them is used up

Callers saw: a crowd of chunked bodies, most of them stopped short of their end, ended the process by its memory; at 32 MB, 150 connections made 36 to 62 MB resident, and 43 to 69 MB with what the kernel held. Cause: the budget was looked at after the bytes had been taken, by a timer. The account took the size of a body where its capacity, doubled while it grows, was held, and left out heads. The kernel's receive buffers, which also count as memory, had no limit, and the C library kept freed blocks below a threshold that rises by itself. Change: RequestIntake decides before each read whether it may happen. Above three quarters of the budget bodies wait in the kernel; the oldest ones are read in turn to their end, and heads and small bodies as they come. Uploads that have not progressed for a second end only while others wait. One account has capacities, heads, fields and what the kernel holds of those that wait. Receive buffers share a sixteenth of the budget.

--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -312,6 +312,15 @@
                            { "action", "connection_closed" } });
             },
           .account = &mBytes,
+          .intake = &mGateway.intake,
+          .onIntakeWait = [this] { mReaderGuard.OnIntakeWait(); },
+          .receiveBufferLimit =
+            [this](std::size_t aConnections) {
+              return fleet::UploadBufferLimit(mGateway.readerBudget, aConnections);
+            },
+          .initialReceiveBuffer =
+            fleet::UploadBufferLimit(fleet::ReaderBudgetOf(mSettings.edge.memoryLimitMb),
+                                     ConnectionLimit()),
           .sendBacklogLimit =
             [this] {
               return fleet::SendBacklogLimit(mGateway.readerBudget,
@@ -511,7 +520,7 @@
                           : kSilenceLimit });
     mRunners.SetPaced(mSettings.edge.isPaced);
     mDispatcher.SetPaced(mSettings.edge.isPaced);
-    mReaderGuard.SetBudget(fleet::ReaderBudgetOf(mSettings.edge.memoryLimitMb));
+    mReaderGuard.SetMemoryLimit(mSettings.edge.memoryLimitMb);
     mDispatcher.SetStoreLimits(
       { .window = mSettings.edge.loadWindow, .overage = mSettings.edge.loadOverage });
     mGateway.quotas.share().SetDaemonCount(mMember.HasDispatcher() ? mGateway.fleetSize.daemons()
@@ -720,6 +729,7 @@
                  { "keys", accounts ? accounts->byKey.size() : 0 },
                  { "row_version", mConfigurationChangedAt.value } });
     mConfigurationExchange.OnApplied(aConfiguration.version, aDocument, accounts != nullptr);
+    mReaderGuard.SetBodyLimit(aConfiguration.limits.bodyBytes);
     mClientServer.SetLimits({ .headerBytes = aConfiguration.limits.headerBytes,
                               .bodyBytes = aConfiguration.limits.bodyBytes,
                               .headerTimeout = aConfiguration.limits.headerTimeout,
--- /dev/null
+++ b/src/decision/fleet/request_intake.cpp
@@ -0,0 +1,111 @@
+/* Decides which requests that are still arriving a daemon reads further while it is short of
+ * memory. */
+#include "decision/fleet/request_intake.h"
+
+#include <algorithm>
+
+namespace rhubarbtrail::fleet {
+
+namespace {
+
+/* Part of the budget, as a divisor, that is kept for requests in turn, heads and small bodies. */
+constexpr std::size_t kReservedDivisor = 4;
+/* A complete body is held twice, as it came and as it is sent to an endpoint. */
+constexpr std::size_t kCopiesOfBody = 2;
+/* Part of the budget that the kernel's receive buffers of clients may take, as a divisor, and their
+ * smallest and largest size. The kernel doubles the size that it is given. */
+constexpr std::size_t kUploadBufferDivisor = 16;
+constexpr std::size_t kMinUploadBuffer = 4U << 10U;
+constexpr std::size_t kMaxUploadBuffer = 64U << 10U;
+
+} // namespace
+
+bool RequestIntake::MayRead(std::uint64_t aId, ArrivingPart aPart, std::size_t aHeldBytes) const
+{
+  if (!mOptions.budget.isLimited()) {
+    return true;
+  }
+  const bool mayUseReserve = aPart == ArrivingPart::kSmall || mTurns.contains(aId);
+  return aHeldBytes < (mayUseReserve ? mOptions.budget.bytes : SharedMark());
+}
+
+void RequestIntake::Wait(const WaitingArrival& aArrival)
+{
+  mArrivedAt[aArrival.id] = aArrival.arrivedAt;
+  mWaiting[{ aArrival.arrivedAt, aArrival.id }] = aArrival.part;
+}
+
+std::vector<std::uint64_t> RequestIntake::Take(std::size_t aHeldBytes)
+{
+  std::vector<std::uint64_t> taken;
+  std::size_t expected = aHeldBytes; // With one read of each that is taken.
+  for (auto item = mWaiting.begin(); item != mWaiting.end() && expected < mOptions.budget.bytes;) {
+    const std::uint64_t id = item->first.second;
+    if (item->second == ArrivingPart::kBody && mTurns.size() < MaxTurns()) {
+      mTurns.insert(id);
+    }
+    if (!MayRead(id, item->second, expected)) {
+      ++item;
+      continue;
+    }
+    taken.push_back(id);
+    expected += kReadBytes;
+    mArrivedAt.erase(id);
+    item = mWaiting.erase(item);
+  }
+  return taken;
+}
+
+void RequestIntake::Remove(std::uint64_t aId)
+{
+  mTurns.erase(aId);
+  const auto found = mArrivedAt.find(aId);
+  if (found != mArrivedAt.end()) {
+    mWaiting.erase({ found->second, aId });
+    mArrivedAt.erase(found);
+  }
+}
+
+std::size_t RequestIntake::SharedMark() const
+{
+  return mOptions.budget.bytes - mOptions.budget.bytes / kReservedDivisor;
+}
+
+std::size_t RequestIntake::MaxTurns() const
+{
+  const std::uint64_t reserved = mOptions.budget.bytes / kReservedDivisor;
+  const std::uint64_t body = std::max<std::uint64_t>(mOptions.bodyLimit, 1) * kCopiesOfBody;
+  return std::max<std::uint64_t>(reserved / body, 1);
+}
+
+std::vector<ReaderToEnd> ChooseUploadsToEnd(std::size_t aMark,
+                                            std::size_t aHeldBytes,
+                                            std::vector<ReaderState> aUploads)
+{
+  std::vector<ReaderToEnd> ended;
+  std::erase_if(aUploads, [](const ReaderState& aUpload) {
+    return aUpload.bytes == 0 || aUpload.behindFor < kReaderGrace;
+  });
+  std::sort(aUploads.begin(), aUploads.end(), [](const auto& aLeft, const auto& aRight) {
+    return std::pair{ ~aLeft.bytes, aLeft.id } < std::pair{ ~aRight.bytes, aRight.id };
+  });
+  for (const ReaderState& upload : aUploads) {
+    if (aHeldBytes < aMark) {
+      break;
+    }
+    ended.push_back({ .id = upload.id, .bytes = upload.bytes, .behindFor = upload.behindFor });
+    aHeldBytes -= std::min(aHeldBytes, upload.bytes);
+  }
+  return ended;
+}
+
+std::size_t UploadBufferLimit(const ReaderBudget& aBudget, std::size_t aConnections)
+{
+  if (!aBudget.isLimited()) {
+    return 0;
+  }
+  return std::clamp(
+    aBudget.ShareOf(aConnections) / kUploadBufferDivisor, kMinUploadBuffer, kMaxUploadBuffer);
+}
+
+} // namespace rhubarbtrail::fleet
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "decision/fleet/fleet_configuration_type.h"
 #include "decision/fleet/prompt_part_guard.h"
 #include "decision/fleet/reader_budget.h"
+#include "decision/fleet/request_intake.h"
 #include "decision/fleet/retry_share.h"
 #include "decision/fleet/runner_registry.h"
 #include "gateway/placement_client.h"
@@ -105,6 +106,7 @@
   KeyCheckCounts keyChecks;
   QuotaClient quotas;
   fleet::ReaderBudget readerBudget;
+  fleet::RequestIntake intake; ///< The requests of clients that are arriving.
   fleet::FleetSize fleetSize;
   fleet::RetryShare retries{ fleetSize };
   fleet::CrashGuard crashes;
--- a/src/gateway/reader_guard.cpp
+++ b/src/gateway/reader_guard.cpp
@@ -2,6 +2,7 @@
 #include "gateway/reader_guard.h"
 
 #include "core/boot_clock.h"
+#include "core/heap_func.h"
 #include "gateway/request_flow.h"
 
 #include <algorithm>
@@ -17,6 +18,14 @@
 /* Time between two counts of the bytes that the kernel holds unread of paused answers. A count
  * takes a system call for each of them. */
 constexpr Duration kUnreadInterval = 100ms;
+/* Time between two looks at the requests that wait for the intake. */
+constexpr Duration kIntakeInterval = 5ms;
+/* Time between two looks at uploads that do not progress and at the resident memory, while
+ * requests wait or readers end. */
+constexpr Duration kPressureInterval = 50ms;
+constexpr std::size_t kBytesPerMb = 1U << 20U;
+/* Part of the host's memory, as a divisor, that stays free: above it, the budget is lowered. */
+constexpr std::size_t kSpareDivisor = 8;
 
 } // namespace
 
@@ -26,12 +35,29 @@
   , mKernelHeld(&aContext.bytes)
   , mCheckTimer(aContext.loop)
   , mUnreadTimer(aContext.loop)
+  , mIntakeTimer(aContext.loop)
 {
 }
 
-void ReaderGuard::SetBudget(const fleet::ReaderBudget& aBudget)
+void ReaderGuard::SetMemoryLimit(std::uint32_t aMemoryMb)
+{
+  mMemoryBytes = static_cast<std::size_t>(aMemoryMb) * kBytesPerMb;
+  if (aMemoryMb > 0) {
+    ReturnLargeBlocks();
+  }
+  ApplyBudget(fleet::ReaderBudgetOf(aMemoryMb));
+}
+
+void ReaderGuard::SetBodyLimit(std::uint64_t aBytes)
+{
+  mBodyLimit = aBytes;
+  mContext.intake.SetOptions({ .budget = mContext.readerBudget, .bodyLimit = mBodyLimit });
+}
+
+void ReaderGuard::ApplyBudget(const fleet::ReaderBudget& aBudget)
 {
   mContext.readerBudget = aBudget;
+  mContext.intake.SetOptions({ .budget = aBudget, .bodyLimit = mBodyLimit });
   mContext.runners.SetBytesLimit(fleet::EndpointBytesLimit(aBudget));
   mContext.bytes.SetLimit(aBudget.bytes, [this] { ScheduleCheck(); });
 }
@@ -70,6 +96,10 @@
     EndReader(readers[choice.id], choice);
   }
   CountUnread();
+  if (mCheckedAt - mPressureCheckedAt >= kPressureInterval) {
+    mPressureCheckedAt = mCheckedAt;
+    AdaptBudget();
+  }
 }
 
 void ReaderGuard::EndReader(const HeldReader& aReader, const fleet::ReaderToEnd& aChoice)
@@ -101,6 +131,7 @@
     readers.push_back(
       { .connection = info.connection,
         .requestId = std::move(info.label),
+        .isArriving = info.isReceiving,
         .state = { .id = readers.size(), .bytes = info.heldBytes, .behindFor = info.behindFor } });
   }
   for (RequestFlow* flow : mContext.openRequests) {
@@ -156,4 +187,93 @@
   });
 }
 
+void ReaderGuard::OnIntakeWait()
+{
+  if (!std::exchange(mIsIntakeScheduled, true)) {
+    ScheduleIntake();
+  }
+}
+
+void ReaderGuard::ScheduleIntake()
+{
+  mIntakeTimer.expires_after(kIntakeInterval);
+  mIntakeTimer.async_wait([this](boost::system::error_code aError) {
+    if (aError) {
+      return;
+    }
+    ServeIntake();
+    mIsIntakeScheduled = mContext.intake.hasWaiting() || mIsBudgetLowered;
+    if (mIsIntakeScheduled) {
+      ScheduleIntake();
+    }
+  });
+}
+
+void ReaderGuard::ServeIntake()
+{
+  fleet::RequestIntake& intake = mContext.intake;
+  const auto turns = intake.turns();
+  for (const std::uint64_t id : turns) {
+    const auto silence = mServer.TimeWithoutProgress(id);
+    if (silence && *silence >= fleet::kTurnSilence) {
+      intake.EndTurn(id);
+    }
+  }
+  for (const std::uint64_t id : intake.Take(mContext.bytes.held())) {
+    mServer.ResumeReading(id);
+  }
+  const bool isUnderPressure = intake.hasWaiting() || mIsBudgetLowered;
+  if (!isUnderPressure || BootClockNow() - mPressureCheckedAt < kPressureInterval) {
+    return;
+  }
+  mPressureCheckedAt = BootClockNow();
+  if (intake.hasWaiting()) {
+    mServer.CountUnread();
+    EndStoppedUploads();
+  }
+  AdaptBudget();
+}
+
+void ReaderGuard::EndStoppedUploads()
+{
+  const std::vector<HeldReader> readers = Readers();
+  std::vector<fleet::ReaderState> uploads;
+  for (const HeldReader& reader : readers) {
+    if (reader.isArriving) {
+      uploads.push_back(reader.state);
+    }
+  }
+  const auto choices = fleet::ChooseUploadsToEnd(
+    mContext.intake.SharedMark(), mContext.bytes.held(), std::move(uploads));
+  for (const fleet::ReaderToEnd& choice : choices) {
+    EndReader(readers[choice.id], choice);
+  }
+}
+
+void ReaderGuard::AdaptBudget()
+{
+  if (mMemoryBytes == 0) {
+    return;
+  }
+  TrimHeap();
+  const std::size_t resident = ResidentBytes();
+  const std::size_t mark = mMemoryBytes - mMemoryBytes / kSpareDivisor;
+  fleet::ReaderBudget budget = fleet::ReaderBudgetOf(mMemoryBytes / kBytesPerMb);
+  if (resident > mark) {
+    budget.bytes -= std::min(budget.bytes - budget.bytes / kSpareDivisor, resident - mark);
+  }
+  if (budget.bytes != mContext.readerBudget.bytes) {
+    mContext.log.Write("budget_changed",
+                       { { "resident", resident },
+                         { "limit", mMemoryBytes },
+                         { "budget", budget.bytes },
+                         { "former", mContext.readerBudget.bytes } });
+    ApplyBudget(budget);
+  }
+  mIsBudgetLowered = resident > mark;
+  if (mIsBudgetLowered) {
+    OnIntakeWait(); // It is raised again when the memory is free.
+  }
+}
+
 } // namespace rhubarbtrail
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -158,6 +158,7 @@
   , mSilenceTimer(aContext.loop)
   , mHeld(&aContext.bytes)
   , mRequestSize(SizeOf(mRequest))
+  , mFieldBytes(mRequestSize - mRequest.body.size())
 {
   mContext.openRequests.insert(this);
   UpdateHeld();
--- a/src/gateway/request_readers.cpp
+++ b/src/gateway/request_readers.cpp
@@ -83,7 +83,8 @@
 
 void RequestFlow::UpdateHeld()
 {
-  mHeld.Set(mRequest.body.capacity() + mAttempt.body.capacity() + mEventSplitter.heldBytes());
+  mHeld.Set(sizeof(RequestFlow) + mFieldBytes + mRequest.body.capacity() +
+            mAttempt.body.capacity() + mEventSplitter.heldBytes());
 }
 
 void RequestFlow::RecordEnd(const Attempt& aAttempt, fleet::EndpointOutcome aOutcome)
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -2,6 +2,7 @@
 #include "http/http_client.h"
 
 #include "core/number_func.h"
+#include "http/received_body.h"
 #include "http/socket_options.h"
 #include "http/socket_reader.h"
 
@@ -15,7 +16,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/parser.hpp>
 
 namespace rhubarbtrail::http {
@@ -42,45 +42,6 @@
  * arrives before the endpoint closes the connection. */
 constexpr Duration kKeepAliveMargin = 800ms;
 
-/* A body as a string, like beast_http::string_body, but without reserving memory for the length
- * that the head states: that may be any number, and memory without end is not available. */
-struct ReceivedBody
-{
-  using value_type = std::string;
-
-  class reader // NOLINT(readability-identifier-naming): the name is Beast's.
-  {
-  public:
-    template<bool IsRequest, typename Fields>
-    reader(beast_http::header<IsRequest, Fields>& /*aHead*/, value_type& aBody)
-      : mBody(aBody)
-    {
-    }
-
-    void init(const boost::optional<std::uint64_t>& /*aLength*/, error_code& aError)
-    {
-      aError = {};
-    }
-
-    template<typename Buffers>
-    std::size_t put(const Buffers& aBuffers, error_code& aError)
-    {
-      aError = {};
-      std::size_t size = 0;
-      for (const auto buffer : boost::beast::buffers_range_ref(aBuffers)) {
-        mBody.append(static_cast<const char*>(buffer.data()), buffer.size());
-        size += buffer.size();
-      }
-      return size;
-    }
-
-    void finish(error_code& aError) { aError = {}; }
-
-  private:
-    value_type& mBody;
-  };
-};
-
 using Parser = beast_http::response_parser<ReceivedBody>;
 
 /* Converts the head that a parser has read. */
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -2,20 +2,20 @@
 #include "http/http_server.h"
 
 #include "http/listener.h"
+#include "http/received_body.h"
 #include "http/socket_options.h"
 #include "http/socket_reader.h"
 
 #include <algorithm>
 #include <list>
 #include <optional>
-#include <unordered_set>
+#include <unordered_map>
 #include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 namespace rhubarbtrail::http {
 
@@ -36,7 +36,9 @@
  * has not read. */
 constexpr auto kLingerTimeout = std::chrono::milliseconds{ 500 };
 
-using Parser = beast_http::request_parser<beast_http::string_body>;
+constexpr unsigned kUnavailable = 503;
+
+using Parser = beast_http::request_parser<ReceivedBody>;
 
 /* Returns whether the framing of a request is valid, in addition to the checks of the parser. With
  * a transfer coding that the parser does not decode, the body would be read as the next request
@@ -83,7 +85,7 @@
     , options(std::move(aOptions))
     , handler(std::move(aHandler))
     , listener(aContext,
-               { .address = options.address },
+               { .address = options.address, .receiveBufferBytes = options.initialReceiveBuffer },
                { .onConnection = [this](tcp::socket aSocket) { OnConnection(std::move(aSocket)); },
                  .onAcceptError = [this] { CloseOneIdle(); } })
   {
@@ -91,6 +93,8 @@
 
   void OnConnection(tcp::socket aSocket);
   void CloseOneIdle();
+  /* Returns an open connection, or null. */
+  std::shared_ptr<ServerConnection> Find(std::uint64_t aId) const;
 
   asio::io_context& context;
   ServerOptions options;
@@ -100,7 +104,7 @@
   bool isDraining = false;
   ServerCounts counts;
   std::uint64_t lastConnectionId = 0;
-  std::unordered_set<ServerConnection*> connections;
+  std::unordered_map<std::uint64_t, ServerConnection*> connections; ///< By id.
 };
 
 /* A connection of a client. It reads also while a request is being answered, so that it notices at
@@ -115,13 +119,16 @@
     , mHeld(mServer->options.account)
     , mId(++mServer->lastConnectionId)
   {
-    mServer->connections.insert(this);
+    mServer->connections.emplace(mId, this);
     ++mServer->counts.connections;
   }
 
   ~ServerConnection()
   {
-    mServer->connections.erase(this);
+    mServer->connections.erase(mId);
+    if (mServer->options.intake != nullptr) {
+      mServer->options.intake->Remove(mId);
+    }
     --mServer->counts.connections;
   }
 
@@ -135,6 +142,12 @@
     if (const auto& limit = mServer->options.sendBacklogLimit; limit && limit() > 0) {
       LimitUnsentBytes(mSocket, limit());
     }
+    if (const auto& limit = mServer->options.receiveBufferLimit) {
+      if (const std::size_t size = limit(mServer->connections.size()); size > 0) {
+        error_code ignored; // An error is harmless: the connection works without the option.
+        mSocket.set_option(asio::socket_base::receive_buffer_size(static_cast<int>(size)), ignored);
+      }
+    }
     BecomeIdle();
     WaitForBytes();
   }
@@ -220,19 +233,46 @@
     const auto now = asio::steady_timer::clock_type::now();
     const bool isSending = unsentBytes() > 0;
     const bool isReceiving = !isSending && mState == State::kReading && mParser;
-    const auto since = isSending ? mUnsentSince : isReceiving ? mFirstByteAt : now;
+    const auto since = isSending                               ? mUnsentSince
+                       : (isReceiving && !mIsWaitingForIntake) ? mProgressAt
+                                                               : now;
     return { .connection = mId,
              .label = isReceiving ? std::string{} : mLabel,
              .heldBytes = mHeld.bytes(),
              .unsentBytes = unsentBytes(),
-             .behindFor = std::chrono::duration_cast<Duration>(now - since) };
+             .behindFor = std::chrono::duration_cast<Duration>(now - since),
+             .isReceiving = isReceiving };
+  }
+
+  /* Returns how long the request that is arriving has not progressed, or nothing if there is none.
+   */
+  std::optional<Duration> TimeWithoutProgress() const
+  {
+    const ReaderInfo info = Describe();
+    return info.isReceiving ? std::optional{ info.behindFor } : std::nullopt;
+  }
+
+  void ResumeReading()
+  {
+    if (std::exchange(mIsWaitingForIntake, false)) {
+      mProgressAt = asio::steady_timer::clock_type::now();
+      mUnreadBytes = 0;
+      WaitForBytes();
+    }
+  }
+
+  /* Counts what the kernel holds unread while the request waits for the intake. */
+  void CountUnread()
+  {
+    error_code error; // The socket is closed; the next read notices that.
+    mUnreadBytes = mIsWaitingForIntake ? mSocket.available(error) : 0;
+    UpdateHeld();
   }
 
   /* Ends a request that is arriving with 503, and otherwise resets the connection. */
   void EndReader()
   {
     if (mState == State::kReading && mParser) {
-      constexpr unsigned kUnavailable = 503;
       Reject(kUnavailable, "memory", 0);
       return;
     }
@@ -267,6 +307,8 @@
     }
     mSendQueue = {};
     mReceiveBuffer = {};
+    mParser.reset();
+    LeaveIntake();
     mHeld.Set(0);
     if (mPausedSelf) {
       // Released by the event loop, since the caller may still use this object.
@@ -292,16 +334,21 @@
     kClosed,
   };
 
-  /* Updates what the account counts. The body of a request that arrives is in the parser, which
-   * reserves its announced length; what has not arrived takes no memory. */
+  /* Updates what the account counts. */
   void UpdateHeld()
   {
     if (mServer->options.account != nullptr && mState != State::kClosed) {
       mHeld.Set(mSendQueue.capacity() + mSendBuffer.capacity() + mReceiveBuffer.capacity() +
-                (mParser ? mParser->get().body().size() : 0));
+                mUnreadBytes + ParserBytes());
     }
   }
 
+  /* Returns what the parser holds: the head, as it came and in fields, and the body. */
+  std::size_t ParserBytes() const
+  {
+    return mParser ? sizeof(Parser) + 2 * mHeadBytes + mParser->get().body().capacity() : 0;
+  }
+
   void EndAnswer()
   {
     --mServer->counts.openRequests;
@@ -318,12 +365,71 @@
   void WaitForBytes()
   {
     if (mState != State::kClosed) {
-      mReader.Read(shared_from_this(),
-                   [this](error_code aError, std::string_view aBytes) { OnBytes(aError, aBytes); });
+      mReader.Read(
+        shared_from_this(),
+        [this](error_code aError, std::string_view aBytes) { OnBytes(aError, aBytes); },
+        mServer->options.intake != nullptr ? [this] { return MayRead(); } : SocketReader::Gate{});
       mPausedSelf.reset();
     }
   }
 
+  /* Returns whether bytes that have come may be read. The end of the input always may, and so may
+   * bytes that are discarded. */
+  bool MayRead() const
+  {
+    if (mState == State::kClosing || mState == State::kClosed ||
+        mServer->options.intake->MayRead(mId, NextPart(), mServer->options.account->held())) {
+      return true;
+    }
+    error_code error;
+    return mSocket.available(error) == 0;
+  }
+
+  /* Returns what comes next of the requests on the connection. */
+  fleet::ArrivingPart NextPart() const
+  {
+    if (mState == State::kAnswering) {
+      return fleet::ArrivingPart::kBody; // It is sent ahead, and need not be read yet.
+    }
+    if (!mParser || !mHasRequestHead) {
+      return fleet::ArrivingPart::kSmall;
+    }
+    const auto length = mParser->content_length();
+    return length && *length <= fleet::kReadBytes ? fleet::ArrivingPart::kSmall
+                                                  : fleet::ArrivingPart::kBody;
+  }
+
+  /* Leaves bytes in the kernel until the intake lets them be read or, while a request is being
+   * answered, until that ends. */
+  void WaitForIntake()
+  {
+    mPausedSelf = shared_from_this();
+    if (mState == State::kAnswering) {
+      return;
+    }
+    mIsWaitingForIntake = true;
+    if (mReceiveBuffer.empty() && !mParser) {
+      mFirstByteAt = asio::steady_timer::clock_type::now();
+      SetTimer(mServer->limits.headerTimeout);
+    }
+    mServer->options.intake->Wait({ .id = mId,
+                                    .arrivedAt = TimePoint{ std::chrono::duration_cast<Duration>(
+                                      mFirstByteAt.time_since_epoch()) },
+                                    .part = NextPart() });
+    CountUnread();
+    mServer->options.onIntakeWait();
+  }
+
+  /* Ends what the intake knows of the request that was arriving. */
+  void LeaveIntake()
+  {
+    mIsWaitingForIntake = false;
+    mUnreadBytes = 0;
+    if (mServer->options.intake != nullptr) {
+      mServer->options.intake->Remove(mId);
+    }
+  }
+
   void OnBytes(error_code aError, std::string_view aBytes)
   {
     if (mState == State::kClosed) {
@@ -333,6 +439,10 @@
       WaitForBytes();
       return;
     }
+    if (aError == SocketReader::kGateClosed) {
+      WaitForIntake();
+      return;
+    }
     if (aError || aBytes.empty()) {
       Close();
       return;
@@ -345,8 +455,15 @@
     if (mReceiveBuffer.empty() && !mParser) {
       mFirstByteAt = mLastBytesAt;
     }
+    if (mRequestBytes >= mProgressBytes + fleet::kProgressBytes) {
+      mProgressAt = mLastBytesAt;
+      mProgressBytes = mRequestBytes;
+    }
     mReceiveBuffer.append(aBytes);
     ParseRequest();
+    if (mReceiveBuffer.empty()) {
+      mReceiveBuffer = {}; // What arrives next may be parsed at once, too.
+    }
     UpdateHeld();
     if (mState == State::kAnswering && mReceiveBuffer.size() > kMaxPipelinedBytes) {
       mPausedSelf = shared_from_this();
@@ -368,12 +485,18 @@
       mParser->body_limit(mServer->limits.bodyBytes);
       mHasRequestHead = false;
       mRequestBytes = 0;
+      mProgressBytes = 0;
+      mProgressAt = asio::steady_timer::clock_type::now();
+      mHeadBytes = 0;
       SetTimer(mServer->limits.headerTimeout);
     }
     error_code error;
     const std::size_t used = mParser->put(asio::buffer(mReceiveBuffer), error);
     mReceiveBuffer.erase(0, used);
     mRequestBytes += used;
+    if (!mHasRequestHead) {
+      mHeadBytes = std::min(mRequestBytes, mServer->limits.headerBytes);
+    }
     if (mParser->is_header_done() && !mHasRequestHead && !OnHead()) {
       return;
     }
@@ -402,6 +525,8 @@
     if (mReceiveBuffer.empty()) {
       mReceiveBuffer.shrink_to_fit();
     }
+    LeaveIntake();
+    UpdateHeld(); // The handler takes the body into its own account.
     BeginAnswer();
     mServer->handler(std::move(request), std::make_shared<Responder>(shared_from_this()));
   }
@@ -443,8 +568,10 @@
                                     .limit = aLimit });
     }
     mParser.reset();
-    mReceiveBuffer.clear();
+    mReceiveBuffer = {};
     mKeepsConnection = false;
+    LeaveIntake();
+    UpdateHeld();
     BeginAnswer();
     Rejection rejection{ .status = aStatus,
                          .fields = {},
@@ -539,6 +666,10 @@
     if (mTimer.expiry() > asio::steady_timer::clock_type::now()) {
       return; // The timer was set again after this handler had been queued.
     }
+    if (mState == State::kReading && mIsWaitingForIntake) {
+      Reject(kUnavailable, "memory", 0);
+      return;
+    }
     if (mState == State::kReading && mParser) {
       const auto& limits = mServer->limits;
       const Duration limit = mHasRequestHead ? limits.bodyTimeout : limits.headerTimeout;
@@ -567,7 +698,12 @@
   State mState = State::kReading;
   std::optional<Parser> mParser;
   bool mHasRequestHead = false;
-  std::size_t mRequestBytes = 0; ///< Of the current request, consumed by the parser.
+  std::size_t mRequestBytes = 0;              ///< Of the current request, consumed by the parser.
+  std::size_t mHeadBytes = 0;                 ///< Of these, of the head.
+  std::size_t mProgressBytes = 0;             ///< Of these, those that had come at mProgressAt.
+  asio::steady_timer::time_point mProgressAt; ///< When the current request last progressed.
+  bool mIsWaitingForIntake = false;
+  std::size_t mUnreadBytes = 0; ///< Bytes that the kernel holds while it waits.
   bool mKeepsConnection = true;
   bool mIsWriting = false;
   bool mIsAborted = false;
@@ -597,11 +733,11 @@
 /* Closes one idle connection, if there is one, to free its descriptor. */
 void Server::Impl::CloseOneIdle()
 {
-  const auto idle = std::find_if(connections.begin(),
-                                 connections.end(),
-                                 [](const ServerConnection* aItem) { return aItem->isIdle(); });
+  const auto idle = std::find_if(connections.begin(), connections.end(), [](const auto& aItem) {
+    return aItem.second->isIdle();
+  });
   if (idle != connections.end()) {
-    (*idle)->shared_from_this()->Close();
+    idle->second->shared_from_this()->Close();
   }
 }
 
@@ -633,8 +769,8 @@
 void Server::CloseIdle()
 {
   const auto open = mImpl->connections;
-  for (ServerConnection* connection : open) {
-    if (mImpl->connections.contains(connection) && connection->isIdle()) {
+  for (const auto& [id, connection] : open) {
+    if (mImpl->connections.contains(id) && connection->isIdle()) {
       connection->shared_from_this()->Close();
     }
   }
@@ -642,18 +778,18 @@
 
 bool Server::IsDrained() const
 {
-  return std::all_of(
-    mImpl->connections.begin(), mImpl->connections.end(), [](const ServerConnection* aItem) {
-      return aItem->unsentBytes() == 0 && (aItem->isIdle() || aItem->isClosing());
-    });
+  return std::all_of(mImpl->connections.begin(), mImpl->connections.end(), [](const auto& aItem) {
+    const ServerConnection& connection = *aItem.second;
+    return connection.unsentBytes() == 0 && (connection.isIdle() || connection.isClosing());
+  });
 }
 
 void Server::Close()
 {
   mImpl->listener.Close();
   const auto open = mImpl->connections;
-  for (ServerConnection* connection : open) {
-    if (mImpl->connections.contains(connection)) {
+  for (const auto& [id, connection] : open) {
+    if (mImpl->connections.contains(id)) {
       connection->shared_from_this()->Close();
     }
   }
@@ -667,7 +803,7 @@
 std::vector<ReaderInfo> Server::Readers() const
 {
   std::vector<ReaderInfo> readers;
-  for (const ServerConnection* connection : mImpl->connections) {
+  for (const auto& [id, connection] : mImpl->connections) {
     ReaderInfo reader = connection->Describe();
     if (reader.heldBytes > 0) {
       readers.push_back(std::move(reader));
@@ -676,14 +812,36 @@
   return readers;
 }
 
+std::shared_ptr<ServerConnection> Server::Impl::Find(std::uint64_t aId) const
+{
+  const auto found = connections.find(aId);
+  return found != connections.end() ? found->second->shared_from_this() : nullptr;
+}
+
 void Server::EndReader(std::uint64_t aConnection)
 {
-  const auto found =
-    std::find_if(mImpl->connections.begin(),
-                 mImpl->connections.end(),
-                 [&](const ServerConnection* aItem) { return aItem->id() == aConnection; });
-  if (found != mImpl->connections.end()) {
-    (*found)->shared_from_this()->EndReader();
+  if (const auto connection = mImpl->Find(aConnection)) {
+    connection->EndReader();
+  }
+}
+
+void Server::ResumeReading(std::uint64_t aConnection)
+{
+  if (const auto connection = mImpl->Find(aConnection)) {
+    connection->ResumeReading();
+  }
+}
+
+std::optional<Duration> Server::TimeWithoutProgress(std::uint64_t aConnection) const
+{
+  const auto connection = mImpl->Find(aConnection);
+  return connection ? connection->TimeWithoutProgress() : std::nullopt;
+}
+
+void Server::CountUnread()
+{
+  for (const auto& [id, connection] : mImpl->connections) {
+    connection->CountUnread();
   }
 }
 
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -5,6 +5,7 @@
 
 #include "core/byte_account.h"
 #include "core/unit_type.h"
+#include "decision/fleet/request_intake.h"
 #include "http/http_type.h"
 
 #include <boost/asio/io_context.hpp>
@@ -12,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -105,6 +107,17 @@
   std::function<void(const RejectedRequest&)> onRejected;
   /* Takes what the connections buffer. May be null; otherwise it must outlive the server. */
   ByteAccount* account = nullptr;
+  /* Decides which requests are read while memory is short. May be null; otherwise it must outlive
+   * the server, and account must be set. */
+  fleet::RequestIntake* intake = nullptr;
+  /* Called when a request begins to wait because intake does not let it be read. To be followed by
+   * Server::ResumeReading(). */
+  std::function<void()> onIntakeWait;
+  /* Returns the size of the kernel's receive buffer of a connection, for this number of
+   * connections; 0 leaves it to the kernel. May be empty. */
+  std::function<std::size_t(std::size_t)> receiveBufferLimit;
+  /* The same of a connection that is not accepted yet. */
+  std::size_t initialReceiveBuffer = 0;
   /* Returns the limit of the bytes of an answer that wait in the kernel and are not on the way, for
    * a connection that is being accepted; 0 for no limit. May be empty. */
   std::function<std::size_t()> sendBacklogLimit;
@@ -121,7 +134,10 @@
   std::string label;           ///< Of the last request; empty if none was set.
   std::size_t heldBytes = 0;   ///< All that is buffered.
   std::size_t unsentBytes = 0; ///< Of these, of answers.
-  Duration behindFor{};        ///< Time since it last held no byte of these.
+  /* Of an answer: time since it last held no byte of these. Of a request: time since it last
+   * progressed (fleet::kProgressBytes) or was not let be read. */
+  Duration behindFor{};
+  bool isReceiving = false; ///< The bytes are of a request that is arriving.
 };
 
 struct ServerCounts
@@ -161,6 +177,13 @@
   ServerCounts counts() const;
   /* Returns the connections that hold bytes. */
   std::vector<ReaderInfo> Readers() const;
+  /* Reads on at a connection that waited for the intake. Does nothing if it has closed. */
+  void ResumeReading(std::uint64_t aConnection);
+  /* Returns how long the request that is arriving on a connection has not progressed, or nothing if
+   * there is none. */
+  std::optional<Duration> TimeWithoutProgress(std::uint64_t aConnection) const;
+  /* Counts anew what the kernel holds unread of the requests that wait for the intake. */
+  void CountUnread();
   /* Discards what a connection holds. A request that arrives is rejected with 503, and otherwise
    * the connection is reset, so that its client sees that the answer is not complete. The
    * OnClosed() handler is called if an answer is in progress. Does nothing if the connection has
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -82,6 +82,12 @@
   if (!error) {
     mImpl->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
   }
+  if (const std::size_t size = mImpl->options.receiveBufferBytes; !error && size > 0) {
+    // Accepted connections inherit it. An error is harmless: the kernel's size then stays.
+    error_code ignored;
+    mImpl->acceptor.set_option(asio::socket_base::receive_buffer_size(static_cast<int>(size)),
+                               ignored);
+  }
   if (!error) {
     mImpl->acceptor.bind(*endpoint, error);
   }
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -17,7 +18,9 @@
 
 struct ListenerOptions
 {
-  std::string address;        ///< IP:port
+  std::string address; ///< IP:port
+  /* Size of the kernel's receive buffer of a connection until it is set anew; 0: the kernel's. */
+  std::size_t receiveBufferBytes = 0;
   Duration retryDelay = 20ms; ///< Time before the next attempt after a failed accept.
 };
 
--- a/src/http/socket_reader.cpp
+++ b/src/http/socket_reader.cpp
@@ -30,15 +30,19 @@
 
 } // namespace
 
-void SocketReader::Read(std::shared_ptr<void> aOwner, Handler aHandler)
+void SocketReader::Read(std::shared_ptr<void> aOwner, Handler aHandler, Gate aGate)
 {
   if (std::exchange(mIsWaiting, true)) {
     return;
   }
   mSocket.async_wait(
     boost::asio::ip::tcp::socket::wait_read,
-    [this, owner = std::move(aOwner), handler = std::move(aHandler)](error_code aError) {
+    [this, owner = std::move(aOwner), handler = std::move(aHandler), gate = std::move(aGate)](
+      error_code aError) {
       mIsWaiting = false;
+      if (!aError && gate && !gate()) {
+        aError = kGateClosed;
+      }
       const std::string_view bytes = aError ? std::string_view{} : ReadAvailable(mSocket, aError);
       handler(aError, bytes);
     });
--- a/src/http/socket_reader.h
+++ b/src/http/socket_reader.h
@@ -22,9 +22,15 @@
   {
   }
 
-  /* Waits for bytes, reads them and calls the handler once. Does nothing if a read is already
-   * waiting. The read keeps aOwner alive, which must own this reader and its socket. */
-  void Read(std::shared_ptr<void> aOwner, Handler aHandler);
+  /* Returns whether the bytes that have come may be read now. */
+  using Gate = std::function<bool()>;
+
+  /* Waits for bytes, reads them and calls the handler once. If the gate, which may be empty, is
+   * closed when they come, nothing is read and the error is kGateClosed. Does nothing if a read is
+   * already waiting. The read keeps aOwner alive, which must own this reader and its socket. */
+  void Read(std::shared_ptr<void> aOwner, Handler aHandler, Gate aGate = nullptr);
+
+  static constexpr auto kGateClosed = boost::asio::error::no_buffer_space;
 
 private:
   boost::asio::ip::tcp::socket& mSocket;
