Fix: [Http] Keep descriptors for own calls beside clients that do not end their requests

Callers saw: with 300 connections at 256 descriptors, 1,600 at 1,100 or 5,000 at 4,100, each with a head and no body, no request and no metrics were answered for 20 s and more; the addresses for the balancer and for metrics took 115 to 126 MB for 200 bodies at a limit of 32 MB. Cause: a connection limit closed idle connections only, and a request that has begun to arrive is not idle; sockets had no common count, so nothing was kept for the store, endpoints and metrics. The other two servers had the default limits, 4 MB a body, and no account. Change: all sockets are counted. From half of the descriptors on, a new client takes the place of an idle one, of one about to close, or of the request that has not progressed for longest; requests that are answered keep theirs. Without room the client is told 503, and a request opens no connection to an endpoint within the last eighth. The other two addresses take small requests on a few connections. A connection on which nothing has come yet is not idle: it gave way to a crowd before the crowd's own requests.

--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -86,10 +86,13 @@
  * number of possible crashes that wait for that. */
 constexpr Duration kMaxRestartTime = 15s;
 constexpr std::size_t kMaxPossibleCrashes = 256;
-/* Lowest limit on client connections. With more than twice as many descriptors, the limit is half
- * of the descriptors. The other half is left for endpoints, the store, other daemons, files and
- * listeners. */
-constexpr std::size_t kMinConnectionLimit = 264;
+/* Limits on requests to the addresses for the balancer, for metrics and for the state: they have no
+ * body. */
+constexpr http::ServerLimits kOwnServerLimits{ .headerBytes = 8U << 10U,
+                                               .bodyBytes = 1U << 10U,
+                                               .bodyTimeout = 3s };
+/* Size of the kernel's receive buffer of a connection there, in bytes. */
+constexpr std::size_t kOwnReceiveBuffer = 8U << 10U;
 
 /* Time for which a client may read nothing although its receive window is full, before the kernel
  * closes its connection. A client that reads 1 KB a second opens its window only after some tens of
@@ -143,6 +146,7 @@
                            { "action", "connection_closed" } });
             },
           .account = &mBytes,
+          .sockets = &mSockets,
           .receiveBufferLimit =
             [this] {
               return fleet::ReceiveBufferLimit(mGateway.readerBudget, mGateway.openRequests.size());
@@ -167,6 +171,7 @@
       .streamOrigins = mStreamOrigins,
       .recordedVersions = mRecordedVersions,
       .placement = mPlacement,
+      .sockets = mSockets,
       .bytes = mBytes,
       .self = DaemonId{ mSettings.daemonId },
       .zone = ZoneId{ mSettings.zone },
@@ -205,7 +210,8 @@
       .hasDispatcher = [this] { return mMember.HasDispatcher(); },
       .mayUseKeys = [this] { return !mSettings.edge.failClosed || IsConfigurationConfirmed(); },
       .onReadingPaused = [this] { mReaderGuard.OnReadingPaused(); },
-      .configuration = nullptr
+      .configuration = nullptr,
+      .descriptors = Descriptors()
     }
     , mMember(
         { .loop = mLoop,
@@ -301,7 +307,11 @@
     , mClientServer(
         mLoop,
         { .address = mSettings.edge.frontAddress,
-          .connectionLimit = ConnectionLimit(),
+          .connectionLimit = Descriptors().sharedClients(),
+          .sockets = &mSockets,
+          .hasRoom = [this] { return mGateway.descriptors.HasRoomForClient(mSockets.open()); },
+          .hasRoomForRefusal =
+            [this] { return mGateway.descriptors.HasRoomForRequest(mSockets.open()); },
           .onRejected =
             [this](const http::RejectedRequest& aRejected) {
               mLog.Write("request_rejected",
@@ -320,7 +330,7 @@
             },
           .initialReceiveBuffer =
             fleet::UploadBufferLimit(fleet::ReaderBudgetOf(mSettings.edge.memoryLimitMb),
-                                     ConnectionLimit()),
+                                     Descriptors().sharedClients()),
           .sendBacklogLimit =
             [this] {
               return fleet::SendBacklogLimit(mGateway.readerBudget,
@@ -332,13 +342,13 @@
         })
     , mReadinessServer(
         mLoop,
-        { .address = mSettings.edge.readyAddress },
+        OwnServerOptions(mSettings.edge.readyAddress, mReadinessServer),
         [this](const http::Request& aRequest, const std::shared_ptr<http::Responder>& aResponder) {
           AnswerReadiness(aRequest, *aResponder);
         })
     , mMetricsServer(
         mLoop,
-        { .address = mSettings.edge.metricsAddress },
+        OwnServerOptions(mSettings.edge.metricsAddress, mMetricsServer),
         [this](const http::Request& aRequest, const std::shared_ptr<http::Responder>& aResponder) {
           AnswerMetricsOrState(aRequest, *aResponder);
         })
@@ -352,6 +362,8 @@
 
   int Run()
   {
+    mReadinessServer.SetLimits(kOwnServerLimits);
+    mMetricsServer.SetLimits(kOwnServerLimits);
     for (http::Server* server : { &mClientServer, &mReadinessServer }) {
       if (const std::string error = server->Listen(); !error.empty()) {
         std::fprintf(stderr, "cannot listen: %s\n", error.c_str());
@@ -396,11 +408,22 @@
   }
 
 private:
-  std::size_t ConnectionLimit() const
+  /* Returns the options of a server for the platform and operators, whose requests are small. */
+  http::ServerOptions OwnServerOptions(const std::string& aAddress, const http::Server& aServer)
   {
-    return mSettings.edge.descriptorLimit > 2 * kMinConnectionLimit
-             ? mSettings.edge.descriptorLimit / 2
-             : kMinConnectionLimit;
+    const std::size_t limit = Descriptors().ownClients();
+    return { .address = aAddress,
+             .connectionLimit = limit,
+             .sockets = &mSockets,
+             .hasRoom = [&aServer, limit] { return aServer.counts().connections < limit; },
+             .hasRoomForRefusal = [] { return false; },
+             .account = &mBytes,
+             .initialReceiveBuffer = kOwnReceiveBuffer };
+  }
+
+  fleet::DescriptorBudget Descriptors() const
+  {
+    return { .limit = mSettings.edge.descriptorLimit };
   }
 
   Duration RunnerWatchInterval() const
@@ -1321,6 +1344,7 @@
 
   Settings mSettings;
   std::string mSettingsFile;
+  SocketCount mSockets;
   ByteAccount mBytes; ///< What is buffered; connections that the loop still holds refer to it.
   asio::io_context mLoop;
   std::string mIncarnation;
--- a/src/decision/fleet/request_intake.h
+++ b/src/decision/fleet/request_intake.h
@@ -22,7 +22,7 @@
 constexpr std::size_t kReadBytes = 16U << 10U;
 /* An upload progresses when this many bytes of it have arrived. Single bytes that come now and then
  * are no progress. */
-constexpr std::size_t kProgressBytes = 4U << 10U;
+constexpr std::size_t kProgressBytes = 1U << 10U;
 
 /* A request whose client sends nothing for this time loses its turn, so that others are read
  * meanwhile. It gets a turn again when more of it comes. */
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "core/metrics.h"
 #include "decision/fleet/client_account_index.h"
 #include "decision/fleet/crash_guard.h"
+#include "decision/fleet/descriptor_budget.h"
 #include "decision/fleet/fleet_configuration_type.h"
 #include "decision/fleet/prompt_part_guard.h"
 #include "decision/fleet/reader_budget.h"
@@ -66,7 +67,8 @@
   const fleet::StreamOrigins& streamOrigins;
   const fleet::RecordedVersions& recordedVersions;
   PlacementClient& placement;
-  ByteAccount& bytes; ///< What the daemon buffers for clients and endpoints.
+  SocketCount& sockets; ///< All that the daemon has open.
+  ByteAccount& bytes;   ///< What the daemon buffers for clients and endpoints.
   DaemonId self;
   ZoneId zone;
   /* Takes that a runner's process ended while it ran a request. The suspect has no parts if the
@@ -106,6 +108,7 @@
   KeyCheckCounts keyChecks;
   QuotaClient quotas;
   fleet::ReaderBudget readerBudget;
+  fleet::DescriptorBudget descriptors;
   fleet::RequestIntake intake; ///< The requests of clients that are arriving.
   fleet::FleetSize fleetSize;
   fleet::RetryShare retries{ fleetSize };
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -755,6 +755,11 @@
     WaitForEndpoint();
     return;
   }
+  if (!mContext.descriptors.HasRoomForRequest(mContext.sockets.open())) {
+    ReleaseAssignment(fleet::AssignmentEnd::kWithdrawn);
+    WaitForEndpoint();
+    return;
+  }
   if (!mPlacementId && !mContext.runners.TakeOwnShare(now, aEndpoint)) {
     WaitForEndpoint();
     return;
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -151,6 +151,7 @@
     , mSocket(mClient->context)
     , mTimer(mClient->context)
     , mHeld(mClient->options.account)
+    , mCounted(mClient->options.sockets)
   {
   }
 
@@ -257,6 +258,7 @@
     error_code ignored; // Errors are harmless here: the endpoint may have closed first.
     mTimer.cancel(ignored);
     mSocket.close(ignored);
+    mCounted.Close();
     mHeld.Set(0);
     if (mPausedSelf) {
       // Released by the event loop, since the caller may still use this object.
@@ -316,6 +318,7 @@
       return;
     }
     ++mClient->counts.connects;
+    mCounted.Open();
     SetSocketOptions(mSocket);
     if (const auto& limit = mClient->options.receiveBufferLimit; limit && limit() > 0) {
       // The kernel uses half of the size that it is given for its own data, and doubles the size.
@@ -618,6 +621,7 @@
   std::string mReceiveBuffer; ///< Received and not parsed yet.
   std::string mRequestBytes;  ///< The request, until it is written.
   HeldBytes mHeld;
+  CountedSocket mCounted;
   static constexpr auto kNoDeadline = asio::steady_timer::time_point::max();
 
   std::string mTarget; ///< Of the request, for log lines.
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -4,6 +4,7 @@
 #define RHUBARBTRAIL_HTTP_HTTP_CLIENT_H
 
 #include "core/byte_account.h"
+#include "core/socket_count.h"
 #include "core/unit_type.h"
 #include "http/http_type.h"
 
@@ -135,6 +136,7 @@
   std::function<void(const ExceededLimit&)> onLimitExceeded;
   /* Takes what the connections buffer. May be null; otherwise it must outlive the client. */
   ByteAccount* account = nullptr;
+  SocketCount* sockets = nullptr; ///< Counts the connections, like account.
   /* Returns the size of the kernel's receive buffer of a connection that is about to be opened; 0
    * leaves the size to the kernel. May be empty. */
   std::function<std::size_t()> receiveBufferLimit;
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -87,12 +87,13 @@
     , listener(aContext,
                { .address = options.address, .receiveBufferBytes = options.initialReceiveBuffer },
                { .onConnection = [this](tcp::socket aSocket) { OnConnection(std::move(aSocket)); },
-                 .onAcceptError = [this] { CloseOneIdle(); } })
+                 .onAcceptError = [this] { CloseOne(); } })
   {
   }
 
   void OnConnection(tcp::socket aSocket);
-  void CloseOneIdle();
+  /* Closes the connection that serves its client least, if there is one that may be closed. */
+  void CloseOne();
   /* Returns an open connection, or null. */
   std::shared_ptr<ServerConnection> Find(std::uint64_t aId) const;
 
@@ -117,19 +118,19 @@
     , mSocket(std::move(aSocket))
     , mTimer(mServer->context)
     , mHeld(mServer->options.account)
+    , mCounted(mServer->options.sockets)
     , mId(++mServer->lastConnectionId)
   {
+    mCounted.Open();
     mServer->connections.emplace(mId, this);
     ++mServer->counts.connections;
   }
 
   ~ServerConnection()
   {
-    mServer->connections.erase(mId);
-    if (mServer->options.intake != nullptr) {
-      mServer->options.intake->Remove(mId);
+    if (mState != State::kClosed) {
+      Deregister();
     }
-    --mServer->counts.connections;
   }
 
   void Start()
@@ -269,6 +270,46 @@
     UpdateHeld();
   }
 
+  /* Refuses the client before it has sent a request. */
+  void Refuse()
+  {
+    Start();
+    Reject(kUnavailable, "connections", mServer->options.connectionLimit);
+  }
+
+  /* Ends a request that is arriving with 503 and closes the connection at once. */
+  void EndForDescriptor()
+  {
+    if (mState == State::kReading && mParser) {
+      Reject(kUnavailable, "connections", mServer->options.connectionLimit);
+    }
+    Close();
+  }
+
+  /* Returns how little the connection serves its client, the higher the less, or nothing if it must
+   * not be closed: idle, about to close, or a request that arrives, and for how long. */
+  std::optional<std::pair<int, Duration>> Dispensability() const
+  {
+    const auto now = asio::steady_timer::clock_type::now();
+    const auto since = [&](auto aTime) {
+      return std::chrono::duration_cast<Duration>(now - aTime);
+    };
+    constexpr int kIsIdle = 3;
+    constexpr int kIsClosing = 2;
+    constexpr int kIsArriving = 1;
+    if (mState == State::kClosing && unsentBytes() == 0) {
+      return std::pair{ kIsClosing, since(mLastBytesAt) };
+    }
+    if (mState == State::kReading && mParser) {
+      return std::pair{ kIsArriving, mIsWaitingForIntake ? Duration::zero() : since(mProgressAt) };
+    }
+    if (!isIdle()) {
+      return std::nullopt;
+    }
+    // The first request on a new connection may be on its way.
+    return std::pair{ mHasAnswered ? kIsIdle : kIsArriving, since(mIdleSince) };
+  }
+
   /* Ends a request that is arriving with 503, and otherwise resets the connection. */
   void EndReader()
   {
@@ -302,13 +343,13 @@
     error_code ignored; // Errors are harmless: the socket may be closed or reset already.
     mTimer.cancel(ignored);
     mSocket.close(ignored);
+    Deregister();
     if (!mIsWriting) {
       mSendBuffer = {}; // Otherwise the cancelled write refers to it and releases it.
     }
     mSendQueue = {};
     mReceiveBuffer = {};
     mParser.reset();
-    LeaveIntake();
     mHeld.Set(0);
     if (mPausedSelf) {
       // Released by the event loop, since the caller may still use this object.
@@ -334,6 +375,15 @@
     kClosed,
   };
 
+  /* Removes the connection from what the server knows of. */
+  void Deregister()
+  {
+    LeaveIntake();
+    mCounted.Close();
+    mServer->connections.erase(mId);
+    --mServer->counts.connections;
+  }
+
   /* Updates what the account counts. */
   void UpdateHeld()
   {
@@ -352,6 +402,7 @@
   void EndAnswer()
   {
     --mServer->counts.openRequests;
+    mHasAnswered = true;
     mOnClosed = nullptr;
     mOnSendBufferEmpty = nullptr;
   }
@@ -575,8 +626,8 @@
     BeginAnswer();
     Rejection rejection{ .status = aStatus,
                          .fields = {},
-                         .body = aPart == "memory"
-                                   ? "{\"error\":\"no memory is free for the request\"}"
+                         .body = aStatus == kUnavailable
+                                   ? "{\"error\":\"no room is free for the request\"}"
                                    : "{\"error\":\"the request is malformed or too large\"}" };
     if (mServer->options.rejection) {
       rejection = mServer->options.rejection(aStatus);
@@ -697,6 +748,7 @@
   asio::steady_timer::time_point mIdleSince; ///< Since when no request is in progress.
   State mState = State::kReading;
   std::optional<Parser> mParser;
+  bool mHasAnswered = false; ///< Some request.
   bool mHasRequestHead = false;
   std::size_t mRequestBytes = 0;              ///< Of the current request, consumed by the parser.
   std::size_t mHeadBytes = 0;                 ///< Of these, of the head.
@@ -715,6 +767,7 @@
   std::string mSendBuffer;                     ///< Being written to the socket.
   asio::steady_timer::time_point mUnsentSince; ///< Since when some byte of an answer is unsent.
   HeldBytes mHeld;
+  CountedSocket mCounted;
   std::uint64_t mId;
   std::string mLabel; ///< Of the last request.
   std::function<void()> mOnClosed;
@@ -723,21 +776,34 @@
 
 void Server::Impl::OnConnection(tcp::socket aSocket)
 {
+  const auto hasRoom = [](const std::function<bool()>& aCheck) { return !aCheck || aCheck(); };
   ++counts.accepted;
-  if (counts.connections >= options.connectionLimit) {
-    CloseOneIdle();
+  if (counts.connections >= options.connectionLimit || !hasRoom(options.hasRoom)) {
+    CloseOne();
+  }
+  if (!hasRoom(options.hasRoom)) {
+    ++counts.refusedConnections;
+    if (hasRoom(options.hasRoomForRefusal)) {
+      std::make_shared<ServerConnection>(shared_from_this(), std::move(aSocket))->Refuse();
+    }
+    return; // Otherwise the socket closes here.
   }
   std::make_shared<ServerConnection>(shared_from_this(), std::move(aSocket))->Start();
 }
 
-/* Closes one idle connection, if there is one, to free its descriptor. */
-void Server::Impl::CloseOneIdle()
+void Server::Impl::CloseOne()
 {
-  const auto idle = std::find_if(connections.begin(), connections.end(), [](const auto& aItem) {
-    return aItem.second->isIdle();
-  });
-  if (idle != connections.end()) {
-    idle->second->shared_from_this()->Close();
+  std::optional<std::pair<int, Duration>> most;
+  ServerConnection* found = nullptr;
+  for (const auto& [id, connection] : connections) {
+    const auto dispensability = connection->Dispensability();
+    if (dispensability && (!most || *dispensability > *most)) {
+      most = dispensability;
+      found = connection;
+    }
+  }
+  if (found != nullptr) {
+    found->shared_from_this()->EndForDescriptor();
   }
 }
 
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -4,6 +4,7 @@
 #define RHUBARBTRAIL_HTTP_HTTP_SERVER_H
 
 #include "core/byte_account.h"
+#include "core/socket_count.h"
 #include "core/unit_type.h"
 #include "decision/fleet/request_intake.h"
 #include "http/http_type.h"
@@ -88,7 +89,8 @@
 struct RejectedRequest
 {
   unsigned status = 0; ///< Of the answer.
-  /* "head", "body", "framing", "time" or "malformed"; "memory" if EndReader() has rejected it. */
+  /* "head", "body", "framing", "time" or "malformed"; "memory" if EndReader() has rejected it,
+   * "connections" if it was refused or ended because too many are open. */
   std::string_view part;
   std::size_t receivedBytes = 0; ///< Of the request, so far.
   std::uint64_t limit = 0;       ///< Of that part, in bytes; of the time in milliseconds.
@@ -97,9 +99,17 @@
 struct ServerOptions
 {
   std::string address; ///< IP:port
-  /* From this number on, each new connection closes an idle one, if there is one. Connections with
-   * requests may exceed the limit. */
+  /* From this number on, each new connection closes another one: an idle one, one that is about to
+   * close or, if there is none, the one whose request has made no progress for the longest time.
+   * Requests that are being answered may exceed the limit. */
   std::size_t connectionLimit = 2'000;
+  /* Counts the connections. May be null; otherwise it must outlive the server. */
+  SocketCount* sockets = nullptr;
+  /* Returns whether there is room for a new connection; if there is none and no other one can be
+   * closed, it is refused. May be empty. */
+  std::function<bool()> hasRoom;
+  /* Returns whether there is room to answer a connection that is refused. May be empty. */
+  std::function<bool()> hasRoomForRefusal;
   /* Returns the answer to a request that is rejected with a status. If null, a default answer is
    * sent. */
   std::function<Rejection(unsigned)> rejection;
@@ -142,10 +152,11 @@
 
 struct ServerCounts
 {
-  std::size_t connections = 0;  ///< Open now.
-  std::size_t openRequests = 0; ///< Requests without a complete answer now.
-  std::uint64_t accepted = 0;   ///< Connections accepted since the start.
-  std::uint64_t rejected = 0;   ///< Requests that were malformed, too large or too slow.
+  std::size_t connections = 0;          ///< Open now.
+  std::size_t openRequests = 0;         ///< Requests without a complete answer now.
+  std::uint64_t accepted = 0;           ///< Connections accepted since the start.
+  std::uint64_t refusedConnections = 0; ///< Of these, those for which there was no room.
+  std::uint64_t rejected = 0;           ///< Requests that were malformed, too large or too slow.
 };
 
 /* Accepts connections and passes their requests to a handler, one at a time for each connection.
