Fix: [Peer] Bound what connections to the link address take before they show to be a daemon's

Callers saw: 200 connections to the link address that each begin a message of 2 MB made 148 to 175 MB resident at a limit of 32 MB; 300 silent ones took all of 256 descriptors, and ordinary requests got no answer or 503. Cause: the limit of 8 MB is one connection's; their number, their sum and silent connections had no limit and stood in no account. Change: incomplete messages of all connections share an eighth of the reader budget; above it the connection with the largest ones ends, one that has never brought a whole message first. Other daemons send a message at once, so no limit meets them. Bytes and sockets stand in the common account and count.

--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -94,6 +94,9 @@
 /* Size of the kernel's receive buffer of a connection there, in bytes. */
 constexpr std::size_t kOwnReceiveBuffer = 8U << 10U;
 
+/* The same of a connection of another daemon. */
+constexpr std::size_t kLinkReceiveBuffer = 32U << 10U;
+
 /* Time for which a client may read nothing although its receive window is full, before the kernel
  * closes its connection. A client that reads 1 KB a second opens its window only after some tens of
  * seconds if the window is large, so it gets more time where its memory is accounted for. */
@@ -288,7 +291,14 @@
         { .self = DaemonId{ mSettings.daemonId },
           .incarnation = IncarnationId{ mIncarnation },
           .zone = ZoneId{ mSettings.zone },
-          .address = mSettings.edge.linkAddress,
+          .link = { .address = mSettings.edge.linkAddress,
+                    .unprovenConnections = Descriptors().unprovenDaemons(),
+                    .incompleteMessagesLimit =
+                      [this] { return fleet::MessageBytesLimit(mGateway.readerBudget); },
+                    .account = &mBytes,
+                    .sockets = &mSockets,
+                    .receiveBufferBytes =
+                      mSettings.edge.memoryLimitMb > 0 ? kLinkReceiveBuffer : 0 },
           .leaseSpacing = mSettings.edge.leaseSpacing,
           .additionalTakeoverDelay = AdditionalTakeoverDelay(mSettings.edge.cpuShare) })
     , mConfigurationFeed(
--- a/src/decision/fleet/reader_budget.cpp
+++ b/src/decision/fleet/reader_budget.cpp
@@ -31,6 +31,8 @@
 constexpr std::size_t kMaxSendBacklog = 128U << 10U;
 /* Part of the budget that requests in flight to one endpoint may take. */
 constexpr std::size_t kEndpointDivisor = 8;
+/* Part of the budget that incomplete messages of other daemons may take, as a divisor. */
+constexpr std::size_t kMessageDivisor = 8;
 /* Readers are ended until this part of the budget is free, so that the next decision is not due at
  * the next byte. */
 constexpr std::size_t kReleaseDivisor = 32;
@@ -85,6 +87,11 @@
   return aBudget.bytes / kEndpointDivisor;
 }
 
+std::size_t MessageBytesLimit(const ReaderBudget& aBudget)
+{
+  return aBudget.bytes / kMessageDivisor;
+}
+
 std::vector<ReaderToEnd> ChooseReadersToEnd(const ReaderBudget& aBudget,
                                             std::size_t aHeldBytes,
                                             std::vector<ReaderState> aReaders)
--- a/src/decision/fleet/reader_budget.h
+++ b/src/decision/fleet/reader_budget.h
@@ -49,6 +49,10 @@
  * limit. A request to an endpoint that has none is always within it. */
 std::size_t EndpointBytesLimit(const ReaderBudget& aBudget);
 
+/* Returns how many bytes the messages of other daemons that are arriving may take, or 0 for no
+ * limit. */
+std::size_t MessageBytesLimit(const ReaderBudget& aBudget);
+
 /* What the daemon holds for one reader. */
 struct ReaderState
 {
--- a/src/fleet/fleet_member.cpp
+++ b/src/fleet/fleet_member.cpp
@@ -76,11 +76,11 @@
   , mOptions(std::move(aOptions))
   , mLease({ .self = mOptions.self,
              .incarnation = mOptions.incarnation,
-             .address = mOptions.address,
+             .address = mOptions.link.address,
              .spacing = mOptions.leaseSpacing,
              .additionalTakeoverDelay = mOptions.additionalTakeoverDelay })
   , mLink(mServices.loop,
-          { .address = mOptions.address },
+          mOptions.link,
           { .onMessage = [this](const std::string& aBytes) { OnMessage(aBytes); },
             .onConnectionEnded =
               [this](const std::string& aAddress) {
@@ -445,7 +445,7 @@
 void FleetMember::OnConfigurationQuery(const fleet::ConfigurationQuery& aQuery)
 {
   if (auto reply = mServices.configuration.Answer(BootClockNow(), aQuery)) {
-    reply->dispatcher = isDispatcher() ? mOptions.address : mDispatcherLease.address;
+    reply->dispatcher = isDispatcher() ? mOptions.link.address : mDispatcherLease.address;
     Send(aQuery.address, std::move(*reply));
   }
 }
@@ -496,7 +496,7 @@
   if (!row.holder.empty() && row.holder != mOptions.self && !row.address.empty()) {
     Send(row.address,
          HelloMessage{ .zone = mOptions.zone,
-                       .address = mOptions.address,
+                       .address = mOptions.link.address,
                        .era = mServices.store.era(),
                        .quarantinedParts = mServices.quarantinedParts(),
                        .configuration = mServices.configuration.Statement(BootClockNow()) });
--- a/src/fleet/fleet_member.h
+++ b/src/fleet/fleet_member.h
@@ -32,7 +32,7 @@
   DaemonId self;
   IncarnationId incarnation;
   ZoneId zone;
-  std::string address;        ///< host:port on which this daemon takes messages of other daemons.
+  FleetLinkOptions link;      ///< Its address is the one that other daemons send messages to.
   Duration leaseSpacing = 3s; ///< Minimum time between the orders of two successive holders.
   /* Extra time that this host waits before it takes a free or expired lease. */
   Duration additionalTakeoverDelay{};
--- a/src/peer/fleet_link.cpp
+++ b/src/peer/fleet_link.cpp
@@ -6,10 +6,12 @@
 #include "http/socket_options.h"
 #include "peer/peer_connection.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace rhubarbtrail {
@@ -34,12 +36,17 @@
   AsyncConnection(asio::io_context& aContext,
                   int aSocket,
                   PeerRole aRole,
+                  const FleetLinkOptions& aOptions,
                   PeerConnection::Receiver aReceiver,
                   std::function<void()> aOnEnd)
     : mDescriptor(aContext, aSocket)
     , mConnection(std::make_unique<PeerConnection>(aSocket, aRole, std::move(aReceiver)))
+    , mHeld(aOptions.account)
+    , mCounted(aOptions.sockets)
+    , mOpenedAt(BootClockNow())
     , mOnEnd(std::move(aOnEnd))
   {
+    mCounted.Open();
   }
 
   ~AsyncConnection()
@@ -74,6 +81,20 @@
     return mIsEnded ? Duration::zero() : mConnection->LongestIncompleteTime(aNow);
   }
 
+  std::size_t incompleteBytes() const { return mHeld.bytes(); }
+  /* Returns when the connection was accepted if no message has arrived on it, else nothing. */
+  std::optional<TimePoint> UnprovenSince() const
+  {
+    return mIsEnded || mConnection->hasReceivedMessage() ? std::nullopt
+                                                         : std::optional{ mOpenedAt };
+  }
+
+  /* Sets the handler that is called when bytes of a message that has not ended have arrived. */
+  void OnIncompleteBytes(std::function<void()> aHandler)
+  {
+    mOnIncompleteBytes = std::move(aHandler);
+  }
+
   /* Sets the handler that is called, with the size in bytes, when the connection is closed because
    * its incomplete messages are too large. */
   void OnTooLarge(std::function<void(std::size_t)> aHandler) { mOnTooLarge = std::move(aHandler); }
@@ -86,6 +107,8 @@
     }
     mDescriptor.release();
     mConnection.reset();
+    mHeld.Set(0);
+    mCounted.Close();
     if (mOnEnd) {
       std::exchange(mOnEnd, nullptr)();
     }
@@ -106,11 +129,24 @@
                                self->End();
                                return;
                              }
+                             self->UpdateHeld();
+                             if (self->mIsEnded) {
+                               return;
+                             }
                              self->WaitForWriteIfNeeded();
                              self->WaitForRead();
                            });
   }
 
+  void UpdateHeld()
+  {
+    const std::size_t bytes = mConnection->incompleteMessageBytes();
+    mHeld.Set(bytes);
+    if (bytes > 0 && mOnIncompleteBytes) {
+      mOnIncompleteBytes();
+    }
+  }
+
   void ReportSize()
   {
     if (!mIsEnded && mOnTooLarge && mConnection->excessBytes() > 0) {
@@ -149,6 +185,10 @@
 
   asio::posix::stream_descriptor mDescriptor;
   std::unique_ptr<PeerConnection> mConnection;
+  HeldBytes mHeld;
+  CountedSocket mCounted;
+  TimePoint mOpenedAt;
+  std::function<void()> mOnIncompleteBytes;
   std::function<void()> mOnEnd;
   std::function<void(std::size_t)> mOnTooLarge;
   bool mIsWaitingForWrite = false;
@@ -179,10 +219,12 @@
     , options(std::move(aOptions))
     , handlers(std::move(aHandlers))
     , listener(aContext,
-               { .address = options.address, .retryDelay = kAcceptRetryDelay },
+               { .address = options.address,
+                 .receiveBufferBytes = options.receiveBufferBytes,
+                 .retryDelay = kAcceptRetryDelay },
                { .onConnection =
                    [this](tcp::socket aSocket) { AddIncomingConnection(std::move(aSocket)); },
-                 .onAcceptError = nullptr })
+                 .onAcceptError = [this] { LimitUnproven(0); } })
   {
   }
 
@@ -192,6 +234,10 @@
                    const std::shared_ptr<OutgoingConnection>& aOutgoingConnection);
   void OnConnectionEnded(const std::string& aAddress);
   void CloseEndlessConnections(TimePoint aNow);
+  /* Closes the oldest connections on which no message has arrived while there are more than aLimit.
+   */
+  void LimitUnproven(std::size_t aLimit);
+  void LimitIncompleteMessages();
   void ReportLimit(const ExceededMessageLimit& aExceeded) const
   {
     if (handlers.onLimitExceeded) {
@@ -219,6 +265,7 @@
     context,
     aSocket.release(),
     PeerRole::kServer,
+    options,
     [weak](const std::string& aBody) {
       if (const auto owner = weak.lock()) {
         owner->handlers.onMessage(aBody);
@@ -236,10 +283,58 @@
         { .part = "size", .value = aSize, .limit = PeerConnection::kIncompleteMessageBytesLimit });
     }
   });
+  connection->OnIncompleteBytes([weak] {
+    if (const auto owner = weak.lock()) {
+      owner->LimitIncompleteMessages();
+    }
+  });
+  LimitUnproven(options.unprovenConnections - 1);
   incomingConnections.insert(connection);
   connection->Start();
 }
 
+void FleetLink::Impl::LimitUnproven(std::size_t aLimit)
+{
+  std::vector<std::pair<TimePoint, std::shared_ptr<AsyncConnection>>> unproven;
+  for (const auto& connection : incomingConnections) {
+    if (const auto since = connection->UnprovenSince()) {
+      unproven.emplace_back(*since, connection);
+    }
+  }
+  if (unproven.size() <= aLimit) {
+    return;
+  }
+  ReportLimit({ .part = "connections", .value = unproven.size(), .limit = aLimit });
+  std::sort(unproven.begin(), unproven.end());
+  unproven.resize(unproven.size() - aLimit);
+  for (const auto& [since, connection] : unproven) {
+    connection->End();
+  }
+}
+
+void FleetLink::Impl::LimitIncompleteMessages()
+{
+  const std::size_t limit = options.incompleteMessagesLimit ? options.incompleteMessagesLimit() : 0;
+  std::size_t total = 0;
+  std::shared_ptr<AsyncConnection> largest;
+  const auto rank = [](const AsyncConnection& aItem) {
+    return std::pair{ aItem.UnprovenSince().has_value(), aItem.incompleteBytes() };
+  };
+  for (const auto& connection : incomingConnections) {
+    if (connection->incompleteBytes() == 0) {
+      continue;
+    }
+    total += connection->incompleteBytes();
+    if (!largest || rank(*connection) > rank(*largest)) {
+      largest = connection;
+    }
+  }
+  if (limit > 0 && total > limit) {
+    ReportLimit({ .part = "total", .value = total, .limit = limit });
+    largest->End();
+  }
+}
+
 void FleetLink::Impl::Connect(const std::string& aAddress)
 {
   auto outgoing = std::make_shared<OutgoingConnection>(context);
@@ -287,6 +382,7 @@
     context,
     aOutgoingConnection->socket.release(),
     PeerRole::kClient,
+    options,
     [](const std::string& /*aBody*/) {},
     [weak, aAddress] {
       if (const auto owner = weak.lock()) {
@@ -315,7 +411,9 @@
 {
   const auto connections = incomingConnections;
   for (const auto& connection : connections) {
-    const Duration time = connection->LongestIncompleteTime(aNow);
+    const auto unprovenSince = connection->UnprovenSince();
+    const Duration time = std::max(connection->LongestIncompleteTime(aNow),
+                                   unprovenSince ? aNow - *unprovenSince : Duration::zero());
     if (time <= options.messageTimeout) {
       continue;
     }
--- a/src/peer/fleet_link.h
+++ b/src/peer/fleet_link.h
@@ -3,9 +3,12 @@
 #ifndef RHUBARBTRAIL_PEER_FLEET_LINK_H
 #define RHUBARBTRAIL_PEER_FLEET_LINK_H
 
+#include "core/byte_account.h"
+#include "core/socket_count.h"
 #include "core/unit_type.h"
 
 #include <boost/asio/io_context.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -18,7 +21,9 @@
 /* Messages of another daemon that exceeded a limit. Their connection is closed. */
 struct ExceededMessageLimit
 {
-  std::string_view part;   ///< "size", in bytes, or "time", in milliseconds.
+  /* "size" of the messages of one connection or "total" of all, in bytes; "time", in milliseconds;
+   * "connections" on which no message has arrived. */
+  std::string_view part;
   std::uint64_t value = 0; ///< What was received when the limit was noticed.
   std::uint64_t limit = 0;
 };
@@ -41,6 +46,18 @@
   Duration responseTimeout = 1'200ms;
   /* An accepted connection is closed when one of its messages has not ended after this time. */
   Duration messageTimeout = 5s;
+  /* Largest number of accepted connections on which no message has arrived to its end. One more
+   * closes the oldest of them. They also close after messageTimeout. */
+  std::size_t unprovenConnections = 256;
+  /* Returns the largest size of all messages that are arriving, in bytes; 0 for no limit. Above it,
+   * the connection with the largest ones is closed, one without a complete message first. May be
+   * empty. */
+  std::function<std::size_t()> incompleteMessagesLimit;
+  /* Take what the connections hold. May be null; otherwise they must outlive the link. */
+  ByteAccount* account = nullptr;
+  SocketCount* sockets = nullptr;
+  /* Size of the kernel's receive buffer of an accepted connection; 0 leaves it to the kernel. */
+  std::size_t receiveBufferBytes = 0;
 };
 
 /* Keeps one outgoing HTTP/2 connection for each address that messages are sent to, and accepts the
--- a/src/peer/peer_connection.cpp
+++ b/src/peer/peer_connection.cpp
@@ -146,6 +146,7 @@
   if (!isRequestEnd) {
     return 0;
   }
+  self->mHasReceivedMessage = true;
   self->mReceiver(self->mIncompleteMessages[aFrame->hd.stream_id].body);
   self->RemoveIncompleteMessage(aFrame->hd.stream_id);
   const std::array headers{ MakeHeaderField(":status", "204") };
--- a/src/peer/peer_connection.h
+++ b/src/peer/peer_connection.h
@@ -55,6 +55,10 @@
   /* Returns the longest time for which a message has been arriving without its end, counted from
    * the first call of this function that finds it. */
   Duration LongestIncompleteTime(TimePoint aNow);
+  /* Returns the bytes of the messages that are still arriving. */
+  std::size_t incompleteMessageBytes() const { return mIncompleteMessageBytes; }
+  /* Returns whether a message has arrived to its end. */
+  bool hasReceivedMessage() const { return mHasReceivedMessage; }
   /* Returns the size of the incomplete messages after which the connection failed, in bytes.
    * Returns 0 if it did not fail because of their size. */
   std::size_t excessBytes() const { return mExcessBytes; }
@@ -120,6 +124,7 @@
   std::map<std::int32_t, IncomingMessage> mIncompleteMessages;
   std::size_t mIncompleteMessageBytes = 0;
   std::size_t mExcessBytes = 0;
+  bool mHasReceivedMessage = false;
   std::vector<std::uint8_t> mUnsent; ///< Frame data taken from nghttp2; sent up to mUnsentOffset.
   std::size_t mUnsentOffset = 0;
   std::uint64_t mSentBytes = 0;
