--- a/src/decision/fleet/request_intake.cpp
+++ b/src/decision/fleet/request_intake.cpp
@@ -39,7 +39,10 @@
 {
   std::vector<std::uint64_t> taken;
   std::size_t expected = aHeldBytes; // With one read of each that is taken.
-  for (auto item = mWaiting.begin(); item != mWaiting.end() && expected < mOptions.budget.bytes;) {
+  const auto isFull = [&] {
+    return mOptions.budget.isLimited() && expected >= mOptions.budget.bytes;
+  };
+  for (auto item = mWaiting.begin(); item != mWaiting.end() && !isFull();) {
     const std::uint64_t id = item->first.second;
     if (item->second == ArrivingPart::kBody && mTurns.size() < MaxTurns()) {
       mTurns.insert(id);
--- a/src/gateway/reader_guard.cpp
+++ b/src/gateway/reader_guard.cpp
@@ -45,6 +45,7 @@
   if (aMemoryMb > 0) {
     ReturnLargeBlocks();
   }
+  mIsBudgetLowered = false;
   ApplyBudget(fleet::ReaderBudgetOf(aMemoryMb));
 }
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -388,7 +388,8 @@
                    FIELD(edge.descriptorLimit),
                    256,
                    1'000'000,
-                   "Files and sockets that may be open (`edge`)."),
+                   "Files and sockets that may be open, an eighth of them kept for own calls "
+                   "(`edge`)."),
     NumericSetting(
       "memory_limit",
       "MB",
@@ -396,8 +397,8 @@
       FIELD(edge.memoryLimitMb),
       0,
       1'000'000,
-      "Memory of the host, 40 % of which may be buffered for slow readers; 0: no limit "
-      "(`edge`)."),
+      "Memory of the host, 40 % of which may be buffered for slow readers and for requests that "
+      "arrive; 0: no limit (`edge`)."),
     SecondsSetting("shutdown_grace",
                    "0.5..3600",
                    FIELD(edge.shutdownGrace),
--- a/tests/edge/test_misbehaving_clients.py
+++ b/tests/edge/test_misbehaving_clients.py
@@ -216,17 +216,17 @@
     return "127.0.0.1", daemon.front_port
 
 
-def start_cluster(memory_mb: int = MEMORY_MB, descriptors: int = 4096,
+def start_cluster(memory_mb: int = MEMORY_MB, descriptors: int = 4096, daemons: int = 1,
                   **options: int) -> EdgeCluster:
-    """Returns a cluster of one daemon whose process has the limits that its settings state."""
-    own_limit, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    """Returns a cluster whose daemons have the limits that their settings state."""
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))  # For the sockets of the crowd.
-    cluster = EdgeCluster(daemons=1, models=2, overwrites_freed_memory=False,
+    cluster = EdgeCluster(daemons=daemons, models=2, overwrites_freed_memory=False,
                           settings=f"memory_limit: {memory_mb}\ndescriptor_limit: {descriptors}\n",
                           **options)
-    popen = cluster.daemons[0].popen
-    assert popen is not None
-    resource.prlimit(popen.pid, resource.RLIMIT_NOFILE, (descriptors, descriptors))
+    for daemon in cluster.daemons:
+        assert daemon.popen is not None
+        resource.prlimit(daemon.popen.pid, resource.RLIMIT_NOFILE, (descriptors, descriptors))
     return cluster
 
 
@@ -399,6 +399,28 @@
     play(crowds)
 
 
+def test_crowd_during_a_takeover_stays_within_memory() -> None:
+    """Lets the daemon that gives the orders be killed while a crowd is at the other one."""
+    with start_cluster(daemons=2) as cluster:
+        holder = cluster.holder()
+        daemon = next(item for item in cluster.daemons if item is not holder)
+        watch = Watch(daemon)
+        crowd = Crowd(front(daemon), [KINDS["large chunks"]] * CONNECTIONS)
+        try:
+            holder.kill()
+            cluster.wait_until(lambda: '"event":"orders_allowed"' in daemon.log.read_text(),
+                               "the takeover")
+            check_answered(cluster, daemon)
+            result = daemon.send("chat", timeout_s=ANSWER_TIMEOUT_S)
+            assert result.is_complete, result
+        finally:
+            crowd.close()
+            watch.stop()
+            print(f"memory {watch.memory_mb:.1f} MB", flush=True)
+        assert is_alive(daemon), "the process has ended"
+        assert watch.memory_mb < MEMORY_MB and watch.resident_mb < MEMORY_MB, watch.memory_mb
+
+
 def test_planned_stop_ends_in_time_beside_a_crowd() -> None:
     """Guards against incomplete requests that keep a stopping process until it is killed."""
     with start_cluster() as cluster:
--- a/tests/fleet/request_intake_test.cpp
+++ b/tests/fleet/request_intake_test.cpp
@@ -159,6 +159,10 @@
   intake.Remove(1);
   CHECK(intake.Take(mark) == std::vector<std::uint64_t>{ 2 });
   CHECK_FALSE(intake.hasWaiting());
+  // A reload may take the limit away while requests wait.
+  intake.Wait({ .id = 4, .arrivedAt = TimePoint{ 4s } });
+  intake.SetOptions({});
+  CHECK(intake.Take(mark) == std::vector<std::uint64_t>{ 4 });
   RequestIntake unlimited;
   CHECK(unlimited.MayRead(1, ArrivingPart::kBody, std::size_t{ 1 } << 40U));
 }
