Change: [Gateway] Decide the budget's reduction in the decision library, with a test

The reduction by resident memory was computed in the guard, without a test. An exception in a round of the intake no longer ends its timer for good. Found by reading the diff.

--- a/src/decision/fleet/reader_budget.cpp
+++ b/src/decision/fleet/reader_budget.cpp
@@ -12,6 +12,10 @@
  * the objects of connections and the allocator's overhead. */
 constexpr double kBudgetRatio = 0.4;
 constexpr std::size_t kBytesPerMb = 1U << 20U;
+/* Part of the host's memory, as a divisor, that stays free, and the part of the budget that is left
+ * however much is resident. */
+constexpr std::size_t kSpareDivisor = 8;
+constexpr std::size_t kLeastBudgetDivisor = 8;
 /* While less than this part of the budget is held, answers are paused at the usual number of bytes.
  */
 constexpr std::size_t kFreeDivisor = 8;
@@ -50,6 +54,18 @@
                                              static_cast<double>(kBytesPerMb)) };
 }
 
+ReaderBudget ReaderBudgetOf(std::uint32_t aMemoryMb, std::size_t aResidentBytes)
+{
+  ReaderBudget budget = ReaderBudgetOf(aMemoryMb);
+  const std::size_t memory = aMemoryMb * kBytesPerMb;
+  const std::size_t mark = memory - memory / kSpareDivisor;
+  if (aResidentBytes > mark) {
+    budget.bytes -=
+      std::min(budget.bytes - budget.bytes / kLeastBudgetDivisor, aResidentBytes - mark);
+  }
+  return budget;
+}
+
 std::size_t PauseThreshold(const ReaderBudget& aBudget,
                            std::size_t aHeldBytes,
                            std::size_t aReaders,
--- a/src/decision/fleet/reader_budget.h
+++ b/src/decision/fleet/reader_budget.h
@@ -30,6 +30,10 @@
 /* Returns the budget of a daemon on a host with this memory in megabytes; no limit for 0. */
 ReaderBudget ReaderBudgetOf(std::uint32_t aMemoryMb);
 
+/* Returns the budget while the process has this resident memory: less than usual if more than seven
+ * eighths of the host's memory are resident, because of what no account holds. */
+ReaderBudget ReaderBudgetOf(std::uint32_t aMemoryMb, std::size_t aResidentBytes);
+
 /* Returns the number of unsent bytes of one answer from which reading from the endpoint is paused:
  * aUsual while most of the budget is free, and less when many readers hold much. */
 std::size_t PauseThreshold(const ReaderBudget& aBudget,
--- a/src/gateway/reader_guard.cpp
+++ b/src/gateway/reader_guard.cpp
@@ -23,9 +23,6 @@
 /* Time between two looks at uploads that do not progress and at the resident memory, while
  * requests wait or readers end. */
 constexpr Duration kPressureInterval = 50ms;
-constexpr std::size_t kBytesPerMb = 1U << 20U;
-/* Part of the host's memory, as a divisor, that stays free: above it, the budget is lowered. */
-constexpr std::size_t kSpareDivisor = 8;
 
 } // namespace
 
@@ -41,7 +38,7 @@
 
 void ReaderGuard::SetMemoryLimit(std::uint32_t aMemoryMb)
 {
-  mMemoryBytes = static_cast<std::size_t>(aMemoryMb) * kBytesPerMb;
+  mMemoryMb = aMemoryMb;
   if (aMemoryMb > 0) {
     ReturnLargeBlocks();
   }
@@ -190,22 +187,18 @@
 
 void ReaderGuard::OnIntakeWait()
 {
-  if (!std::exchange(mIsIntakeScheduled, true)) {
-    ScheduleIntake();
+  if (std::exchange(mIsIntakeScheduled, true)) {
+    return;
   }
-}
-
-void ReaderGuard::ScheduleIntake()
-{
   mIntakeTimer.expires_after(kIntakeInterval);
   mIntakeTimer.async_wait([this](boost::system::error_code aError) {
+    mIsIntakeScheduled = false;
     if (aError) {
       return;
     }
     ServeIntake();
-    mIsIntakeScheduled = mContext.intake.hasWaiting() || mIsBudgetLowered;
-    if (mIsIntakeScheduled) {
-      ScheduleIntake();
+    if (mContext.intake.hasWaiting() || mIsBudgetLowered) {
+      OnIntakeWait();
     }
   });
 }
@@ -253,25 +246,21 @@
 
 void ReaderGuard::AdaptBudget()
 {
-  if (mMemoryBytes == 0) {
+  if (mMemoryMb == 0) {
     return;
   }
   TrimHeap();
   const std::size_t resident = ResidentBytes();
-  const std::size_t mark = mMemoryBytes - mMemoryBytes / kSpareDivisor;
-  fleet::ReaderBudget budget = fleet::ReaderBudgetOf(mMemoryBytes / kBytesPerMb);
-  if (resident > mark) {
-    budget.bytes -= std::min(budget.bytes - budget.bytes / kSpareDivisor, resident - mark);
-  }
+  const fleet::ReaderBudget budget = fleet::ReaderBudgetOf(mMemoryMb, resident);
   if (budget.bytes != mContext.readerBudget.bytes) {
     mContext.log.Write("budget_changed",
                        { { "resident", resident },
-                         { "limit", mMemoryBytes },
+                         { "limit_mb", mMemoryMb },
                          { "budget", budget.bytes },
                          { "former", mContext.readerBudget.bytes } });
     ApplyBudget(budget);
   }
-  mIsBudgetLowered = resident > mark;
+  mIsBudgetLowered = budget.bytes < fleet::ReaderBudgetOf(mMemoryMb).bytes;
   if (mIsBudgetLowered) {
     OnIntakeWait(); // It is raised again when the memory is free.
   }
--- a/src/gateway/reader_guard.h
+++ b/src/gateway/reader_guard.h
@@ -57,7 +57,6 @@
    * paused answers. */
   bool CountUnread();
   void ScheduleCountUnread();
-  void ScheduleIntake();
   /* Reads on at the requests that the intake lets through and, while others still wait, ends those
    * that do not progress. */
   void ServeIntake();
@@ -72,7 +71,7 @@
   boost::asio::steady_timer mCheckTimer;
   boost::asio::steady_timer mUnreadTimer;
   boost::asio::steady_timer mIntakeTimer;
-  std::size_t mMemoryBytes = 0; ///< Of the host; 0: no limit.
+  std::uint32_t mMemoryMb = 0; ///< Of the host, in megabytes; 0: no limit.
   std::uint64_t mBodyLimit = 0;
   bool mIsIntakeScheduled = false;
   bool mIsBudgetLowered = false;
--- a/tests/fleet/reader_budget_test.cpp
+++ b/tests/fleet/reader_budget_test.cpp
@@ -104,3 +104,16 @@
   CHECK(EndpointBytesLimit({}) == 0);
   CHECK(EndpointBytesLimit(budget) == 8U << 20U);
 }
+
+/* Guards against a process that exceeds the host's memory by what no account holds, and against a
+ * budget of 0, which would be no limit. */
+TEST_CASE("the budget gives way to resident memory above seven eighths of the host's")
+{
+  const std::size_t mb = 1U << 20U;
+  const ReaderBudget usual = ReaderBudgetOf(160);
+  CHECK(ReaderBudgetOf(160, 140 * mb).bytes == usual.bytes);
+  CHECK(ReaderBudgetOf(160, 150 * mb).bytes == usual.bytes - 10 * mb);
+  CHECK(ReaderBudgetOf(160, 1'000 * mb).bytes == usual.bytes / 8);
+  CHECK(ReaderBudgetOf(160, 0).bytes == usual.bytes);
+  CHECK_FALSE(ReaderBudgetOf(0, 1'000 * mb).isLimited());
+}
