Fix: [Http] Let a request that waits unread give way to a new connection

Found by reading the diff: a connection whose head waits for the intake has no parser and unread bytes, so it counted neither as idle nor as arriving, and beside full memory none of these could be closed for a new client.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -280,7 +280,7 @@
   /* Ends a request that is arriving with 503 and closes the connection at once. */
   void EndForDescriptor()
   {
-    if (mState == State::kReading && mParser) {
+    if (isArriving()) {
       Reject(kUnavailable, "connections", mServer->options.connectionLimit);
     }
     Close();
@@ -300,7 +300,7 @@
     if (mState == State::kClosing && unsentBytes() == 0) {
       return std::pair{ kIsClosing, since(mLastBytesAt) };
     }
-    if (mState == State::kReading && mParser) {
+    if (isArriving()) {
       return std::pair{ kIsArriving, mIsWaitingForIntake ? Duration::zero() : since(mProgressAt) };
     }
     if (!isIdle()) {
@@ -375,6 +375,9 @@
     kClosed,
   };
 
+  /* Returns whether a part of a request has arrived, also if it is not read yet. */
+  bool isArriving() const { return mState == State::kReading && (mParser || mIsWaitingForIntake); }
+
   /* Removes the connection from what the server knows of. */
   void Deregister()
   {
