--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,95 +1,51 @@
-"""All daemons are killed while runners of two software versions serve streams.
+"""A client sends prompts of many parts that state no tokens.
 
-Clients take the streams up again once the daemons have been back for longer than contactMs. New
-streams begin as before. Without the trouble, the clients lose their connections instead, at the same
-moment, and take up at the same time.
+Each request is well-formed and inside the limits on headers. The memory of the daemon that assigns
+requests to runners grows with each of them until the process is over the memory of its machine.
 """
 
 from __future__ import annotations
 
-import http.client
+import random
 import sys
-import threading
 import time
-import uuid
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "lib-2"))
-from rig import CONTACT_S, HAS_TROUBLE, HOST, Answer, Daemon, Rig, Runner, play  # noqa: E402
+from rig import HAS_TROUBLE, MAX_HEADER_BYTES, MEMORY_MB, Rig, Runner, play  # noqa: E402
 
-STREAMS = 24
-DEADLINE_S = 15.0
+SECONDS = 70.0
+PARTS = 1500 if HAS_TROUBLE else 3
+TOKENS = 0 if HAS_TROUBLE else 30
 
 
-def read_until(rig: Rig, daemon: Daemon, model: str, connection_lost: threading.Event) -> Answer:
-    """Sends a stream request and reads events until the connection ends or the client loses it."""
-    answer = Answer(uuid.uuid4().hex[:16], sent_at=rig.record.now())
-    connection = http.client.HTTPConnection(daemon.ip, 8149, timeout=DEADLINE_S)
-    rig.record.write("sent", id=answer.id, to=daemon.name, label="stream", model=model)
-    try:
-        connection.request("POST", "/payslip/x", b"", {
-            "Host": HOST, "X-Request-Id": answer.id, "X-Deadline-Ms": str(int(DEADLINE_S * 1000)),
-            "X-Model": model, "X-Token-Usage": "100,20", "X-Prompt-Prefix": "5c:60,9:40"})
-        response = connection.getresponse()
-        while not connection_lost.is_set() and (part := response.read1(65536)):
-            answer.body += part
-    except (OSError, http.client.HTTPException):
-        pass
-    finally:
-        connection.close()
-    rig.record.write("broken", id=answer.id, events=len(answer.event_ids))
-    return answer
+def parts() -> str:
+    return ",".join(f"{random.getrandbits(20):x}:{TOKENS}" for _ in range(PARTS))
 
 
 def case(rig: Rig) -> bool:
-    runners = [rig.add_runner(Runner(rig, f"i-llm{number}", "asesor-llm", ["m0", "m1"]))
-               for number in range(4)]
-
-    def join_second_version() -> None:
-        for runner in runners[2:]:
-            runner.version = "v2"
-            runner.announce()
-
-    rig.thread.do(join_second_version)
+    for number in range(4):
+        rig.add_runner(Runner(rig, f"i-llm{number}", "asesor-llm", ["m0", "m1"]))
     rig.configure()
     rig.start_daemons(3)
-    time.sleep(3.0)
-    for runner in runners:
-        runner.work_s, runner.events = 0.25, 30
-    connection_lost = threading.Event()
-    pool = ThreadPoolExecutor(2 * STREAMS)
-    pending = [pool.submit(read_until, rig, rig.daemons[number % 3], f"m{number % 2}",
-                           connection_lost) for number in range(STREAMS)]
-    time.sleep(1.5)
-    if HAS_TROUBLE:
-        for daemon in rig.daemons:
-            daemon.kill()
-        rig.record.write("all_daemons_killed")
-        for daemon in rig.daemons:
-            daemon.start()
-    broken_at = rig.record.now()
-    connection_lost.set()
-    begun = [answer for answer in (future.result() for future in pending) if answer.event_ids]
-    rig.wait(lambda: all(daemon.is_ready() for daemon in rig.daemons), "readiness")
-    while rig.record.now() < broken_at + CONTACT_S + 1.0:
-        time.sleep(0.05)
-    for runner in runners:
-        runner.work_s = 0.01
-    taken_up = [pool.submit(rig.daemons[number % 3].send, "/payslip/x", f"m{number % 2}",
-                            deadline_s=8.0, label="take-up", Resumes=answer.id,
-                            Last_Event_Id=str(answer.event_ids[-1]))
-                for number, answer in enumerate(begun)]
-    new = [pool.submit(rig.daemons[number % 3].send, "/payslip/x", f"m{number % 2}",
-                       deadline_s=8.0, label="new") for number in range(STREAMS)]
-    gone_on = sum(future.result().status == 200 for future in taken_up)
-    begun_anew = sum(future.result().status == 200 for future in new)
-    versions = {version for answer in begun for version in answer.versions}
-    print(f"{len(begun)} streams of versions {sorted(versions)} broke off; of their take-ups {gone_on} "
-          f"went on; of {STREAMS} new streams {begun_anew} began", flush=True)
-    if len(begun) < 12 or len(versions) < 2:
-        raise RuntimeError("too few streams to judge")
-    return gone_on / len(begun) >= 0.5 * begun_anew / STREAMS
+    assert len(parts()) < MAX_HEADER_BYTES - 1000
+    pool = ThreadPoolExecutor(32)
+    pending, peak = [], 0.0
+    end = time.monotonic() + SECONDS
+    while time.monotonic() < end and peak <= MEMORY_MB:
+        number = len(pending)
+        pending.append(pool.submit(rig.daemons[number % 3].send, "/payslip/x", f"m{number % 2}",
+                                   X_Prompt_Prefix=parts()))
+        if number % 20 == 0:
+            memory = [daemon.resident_mb() for daemon in rig.daemons]
+            peak = max([peak, *memory])
+            rig.record.write("memory", mb=[round(value) for value in memory], requests=number)
+        time.sleep(0.03)
+    answers = [future.result() for future in pending]
+    print(f"{len(answers)} requests, {sum(answer.status == 200 for answer in answers)} served; "
+          f"most resident memory of a process {peak:.0f} of {MEMORY_MB} MB", flush=True)
+    return peak <= MEMORY_MB and all(daemon.is_alive() for daemon in rig.daemons)
 
 
 play(Path(__file__).resolve().parent, case, models=2)
