--- a/review/6/case.py
+++ b/review/6/case.py
@@ -16,7 +16,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "lib-2"))
-from rig import (HAS_TROUBLE, Answer, HttpCall, HttpServer, Rig, Runner, Store, play,  # noqa: E402
+from rig import (HAS_TROUBLE, HEARTBEAT_S, Answer, HttpCall, HttpServer, Rig, Runner, Store, play,  # noqa: E402
                  write_response)
 
 RECOVER_S = 12.0
@@ -96,12 +96,15 @@
             time.sleep(0.1)
         return pending
 
-    def put_entries() -> None:
-        for number in range(ENTRIES):
-            rig.store.put("servers", KEY.format(number), os.urandom(ROW_BYTES - 5000))
+    async def put_entries() -> None:
+        """Puts the entries again with each heartbeat interval, so that they do not lapse."""
+        while True:
+            for number in range(ENTRIES):
+                rig.store.put("servers", KEY.format(number), os.urandom(ROW_BYTES - 5000))
+            await asyncio.sleep(HEARTBEAT_S)
 
     if HAS_TROUBLE:
-        rig.thread.do(put_entries)
+        rig.thread.do(lambda: asyncio.ensure_future(put_entries()))
         rig.record.write("entries_of_another_writer", count=ENTRIES)
     before = [future.result() for future in send_for(SECONDS_BEFORE)]
     for daemon in rig.daemons:
