Add: [Tests] Stand-in with pages of a table, numbered entries and wrong answers

The stand-in of the store answers reads from a key on in pages, refuses keys beyond the limit and requests whose first line has not three words. Endpoints count the writes of their entries, and can repeat a refusal, reset an upload and answer the resumption of a stream otherwise.

--- a/tests/edge/standin.py
+++ b/tests/edge/standin.py
@@ -21,6 +21,7 @@
 
 EVENT_COUNT = 6
 MAX_FEED_ROWS = 500  # In one answer to a watch of a table.
+MAX_KEY_BYTES = 200
 # Value of SO_LINGER (on, 0 s) with which the close of a connection resets it.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -163,6 +164,10 @@
                 connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             writer.transport.abort()
 
+    async def answers_early(self, _: HttpCall) -> bool:
+        """Returns whether a call has been answered before its body was read."""
+        return False
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
         try:
@@ -172,14 +177,21 @@
                     await asyncio.Event().wait()
                 raw = await reader.readuntil(b"\r\n\r\n")
                 lines = raw.decode("latin-1").split("\r\n")
-                method, target, _ = lines[0].split(" ", 2)
+                words = lines[0].split(" ")
+                if len(words) != 3:
+                    writer.write(response_head(400, {"Content-Length": "0"}))
+                    continue
+                method, target, _ = words
                 fields = {}
                 for line in lines[1:]:
                     if line:
                         name, value = line.split(":", 1)
                         fields[name.strip().lower()] = value.strip()
-                body = await reader.readexactly(int(fields.get("content-length", "0")))
-                await self.handler(HttpCall(method, target, fields, body, reader, writer))
+                call = HttpCall(method, target, fields, b"", reader, writer)
+                if await self.answers_early(call):
+                    return
+                call.body = await reader.readexactly(int(fields.get("content-length", "0")))
+                await self.handler(call)
                 await writer.drain()
         except (asyncio.IncompleteReadError, asyncio.CancelledError, OSError, ValueError):
             pass
@@ -206,6 +218,7 @@
         self.rejected_ports: set[int] = set()
         self.rejected_tables: set[str] = set()  # Transactions that change them are refused.
         self.delay_s = 0.0
+        self.max_read_rows = 500  # In one answer to a read of a table.
         self.lose_writes = 0  # Transactions that are applied but whose answer is lost.
         self.era = 1
         self.endless: Optional[Endless] = None
@@ -268,12 +281,20 @@
         if call.path.endswith("/rows-tx"):
             await self._handle_transaction(call)
         elif call.path.endswith("/rows-get"):
-            table = call.query("table")
-            rows = [self._row(t, k) for (t, k) in sorted(self.rows) if t == table]
-            self._send(call, rows)
+            self._handle_read(call)
         else:
             await self._handle_feed(call)
 
+    def _handle_read(self, call: HttpCall) -> None:
+        table, first = call.query("table"), call.query("from")
+        if len(first.encode()) > MAX_KEY_BYTES:
+            self._refuse(call, 400)
+            return
+        keys = sorted((k for t, k in self.rows if t == table and k.encode() >= first.encode()),
+                      key=str.encode)
+        rows = [self._row(table, key) for key in keys[:self.max_read_rows]]
+        self._send(call, rows, is_truncated=len(keys) > len(rows))
+
     async def _handle_transaction(self, call: HttpCall) -> None:
         body = json.loads(call.body)
         # Daemons must not write the operator's configuration or the rows of endpoints.
@@ -331,8 +352,8 @@
         return {**row, "removed": True} if value is None else {**row, "value": value}
 
     def _send(self, call: HttpCall, rows: list[dict[str, Any]], status: int = 200,
-              version: Optional[int] = None) -> None:
-        body = {"rows": rows, "truncated": False, "ver": version or self.version, "nowMs": 1}
+              version: Optional[int] = None, is_truncated: bool = False) -> None:
+        body = {"rows": rows, "truncated": is_truncated, "ver": version or self.version, "nowMs": 1}
         write_response(call, status, json.dumps(body).encode(), Content_Type="application/json",
                        Store_Era=str(self.era))
 
@@ -361,6 +382,15 @@
     ALWAYS_TERMINATED = "terminated"    # A cut stream has its last chunk.
 
 
+@dataclass
+class OtherAnswer:
+    """An answer in place of the usual one."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
 class SilentAt(Enum):
     """Where in an answer an endpoint falls silent. It goes on afterwards as if nothing had been."""
 
@@ -404,6 +434,11 @@
     limit_value: str = ""           # Value of Server-Limit in all answers; not sent if empty.
     leaving_value: str = ""         # Value of Server-Leaving in all answers; not sent if empty.
     leaving_interim: bool = False   # The value is sent in an interim answer instead.
+    repeats_refusals: bool = False  # Writes the last refusal of a connection again with each answer.
+    refuse_requests: int = 0        # Number of next requests that are refused without being run.
+    refusals_have_id: bool = True
+    resets_uploads: bool = False    # Answers a long upload at once with a part of a body, and resets.
+    resume_answer: Optional[OtherAnswer] = None  # Signed, to requests that resume a stream.
     silence: Optional[Silence] = None
     endless: Optional[Endless] = None  # Some answers have no end.
     # A plain endpoint answers a path that begins with /tokens/ with a stream of that many events.
@@ -421,10 +456,13 @@
     def __init__(self, platform: "Platform", name: str, service: str, models: list[str]) -> None:
         self.platform, self.id, self.service = platform, name, service
         self.http_server = HttpServer(self._handle)
+        self.http_server.answers_early = self._answer_early
+        self.last_refusals: dict[asyncio.StreamWriter, bytes] = {}  # By connection.
         self.models: dict[str, list[str]] = {model: [] for model in models}
         self.on_disk = set(platform.models) if models else set()
         self.faults = Faults()
         self.born, self.order_count, self.busy_until = 1, 0, 0.0
+        self.entry_writes = 0  # Of the present process.
         self.state, self.is_down = "ready", False
         self.version = self.next_version = "v1"  # Of its software, now and after a crash.
         self.max_loaded_models = 0
@@ -434,11 +472,16 @@
 
     def announce(self) -> None:
         """Writes the endpoint's row to the store."""
+        self.platform.store.put("servers", self.id, self.next_entry())
+
+    def next_entry(self) -> bytes:
+        """Returns the value of the endpoint's next write of its row."""
+        self.entry_writes += 1
         entry = {"backend": self.service, "address": f"127.0.0.1:{self.http_server.port}",
                  "zone": "a",
                  "version": self.version, "slots": 8, "state": self.state, "coldLeftMs": 0,
-                 "born": self.born, "seq": int(time.time()), **self._loaded_state()}
-        self.platform.store.put("servers", self.id, json.dumps(entry).encode())
+                 "born": self.born, "seq": self.entry_writes, **self._loaded_state()}
+        return json.dumps(entry).encode()
 
     def _loaded_state(self) -> dict[str, Any]:
         models = [{"name": m, "version": 1, "adapters": a} for m, a in self.models.items()]
@@ -459,7 +502,7 @@
             return
         await asyncio.sleep(back_after_s)
         self.born, self.order_count, self.busy_until = self.born + 1000, 0, 0.0
-        self.models, self.version = {}, self.next_version
+        self.models, self.version, self.entry_writes = {}, self.next_version, 0
         await self.http_server.start()
         self.is_down = False
         self.announce()
@@ -491,6 +534,21 @@
         else:
             await self._handle_request(call)
 
+    async def _answer_early(self, call: HttpCall) -> bool:
+        if not self.faults.resets_uploads or int(call.fields.get("content-length", "0")) == 0:
+            return False
+        request = call.fields.get("x-request-id", "")
+        self.platform.runs[request].append(
+            Run(request, self.id, time.monotonic(), call.fields, call.target, b""))
+        connection = call.writer.transport.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        call.writer.transport.pause_reading()
+        call.writer.write(response_head(200, {
+            "X-Request-Id": request, "X-Response-Signature": f"{self.id}.{request}"}) + b"done ")
+        await asyncio.sleep(0.05)
+        call.writer.transport.abort()
+        return True
+
     async def _handle_order(self, call: HttpCall) -> None:
         order = json.loads(call.body)
         self.order_log.append({**order, "at": time.monotonic(), "runner": self.id})
@@ -527,6 +585,16 @@
             write_response(call, 503, X_Not_Executed="1", X_Request_Id=request,
                            Retry_After=self.faults.pause_value)
             return
+        if self.faults.refuse_requests > 0:
+            self.faults.refuse_requests -= 1
+            refusal = response_head(503, {
+                "X-Not-Executed": "1", "Content-Length": "0",
+                **({"X-Request-Id": request} if self.faults.refusals_have_id else {})})
+            self.last_refusals[call.writer] = refusal
+            call.writer.write(refusal)
+            return
+        if self.faults.repeats_refusals:
+            call.writer.write(self.last_refusals.get(call.writer, b""))
         if self.faults.refuses_all or is_missing:
             write_response(call, 421 if is_missing else 503, X_Not_Executed="1",
                            X_Request_Id=request)
@@ -558,6 +626,11 @@
                           "X-Server-Load": "1,0,8", **call.answer_fields}
         if self.faults.endless and CallKind.REQUEST in self.faults.endless.calls:
             await self.faults.endless.answer(call, signed_headers)
+        elif self.faults.resume_answer and "last-event-id" in call.fields:
+            answer = self.faults.resume_answer
+            call.writer.write(response_head(answer.status, {
+                **signed_headers, "Content-Type": answer.content_type,
+                "Content-Length": str(len(answer.body))}) + answer.body)
         elif self.faults.answers_500:
             call.writer.write(response_head(500, {**signed_headers, "Content-Length": "0"}))
         elif model:
