Fix: [Store] Encode keys in reads of further pages, so that no odd key keeps a daemon from becoming ready

Cause: the next page is read from the last key of the page before, and EncodeRead() put the key into the target as it was. The store answered 400, and the feed began with the first page again, without end. A key of the greatest length was made longer than the store allows.

Change: keys and tables are percent-encoded, and a page begins with the last row of the page before.

--- a/src/core/text.cpp
+++ b/src/core/text.cpp
@@ -1,9 +1,10 @@
-/* Checks of strings that come from outside the process. */
+/* Checks and encoding of strings that come from outside the process. */
 #include "core/text_func.h"
 
 #include <boost/locale/utf.hpp>
 
 #include <cstddef>
+#include <spdlog/fmt/fmt.h>
 
 namespace rhubarbtrail {
 
@@ -47,4 +48,19 @@
          AllOf(aText, [](CodePoint aPoint) { return !IsControl(aPoint); });
 }
 
+std::string PercentEncode(std::string_view aText)
+{
+  constexpr std::string_view kUnreserved =
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~";
+  std::string encoded;
+  for (const char character : aText) {
+    if (kUnreserved.find(character) != std::string_view::npos) {
+      encoded += character;
+    } else {
+      encoded += fmt::format("%{:02X}", static_cast<unsigned char>(character));
+    }
+  }
+  return encoded;
+}
+
 } // namespace rhubarbtrail
--- a/src/core/text_func.h
+++ b/src/core/text_func.h
@@ -1,7 +1,8 @@
-/* Checks of strings that come from outside the process. */
+/* Checks and encoding of strings that come from outside the process. */
 #ifndef RHUBARBTRAIL_CORE_TEXT_FUNC_H
 #define RHUBARBTRAIL_CORE_TEXT_FUNC_H
 
+#include <string>
 #include <string_view>
 
 namespace rhubarbtrail {
@@ -13,6 +14,10 @@
  * of at most 256 bytes. An empty text can. */
 bool IsName(std::string_view aText);
 
+/* Percent-encodes all bytes of a text that are not unreserved in URLs (RFC 3986), so that it can be
+ * a value in the query of a target. */
+std::string PercentEncode(std::string_view aText);
+
 } // namespace rhubarbtrail
 
 #endif
--- a/src/fleet/table_feed.cpp
+++ b/src/fleet/table_feed.cpp
@@ -61,14 +61,14 @@
     mMustRead = false;
     mReadStartedAt = BootClockNow();
   }
-  mStore.Read(mOptions.table, aFirstKey, [this](const StoreResult& aResult) {
+  mStore.Read(mOptions.table, aFirstKey, [this, aFirstKey](const StoreResult& aResult) {
     if (!mIsStopped) {
-      OnPage(aResult);
+      OnPage(aResult, aFirstKey);
     }
   });
 }
 
-void TableFeed::OnPage(const StoreResult& aResult)
+void TableFeed::OnPage(const StoreResult& aResult, const std::string& aFirstKey)
 {
   if (aResult.outcome != StoreOutcome::kDone) {
     OnFailure(aResult);
@@ -85,8 +85,16 @@
     ApplyRow(row);
   }
   if (answer.isTruncated && !answer.rows.empty()) {
-    // The next page starts behind the last key: at that key with a percent-encoded 0x01 appended.
-    ReadPage(answer.rows.back().key + "%01");
+    // The next page starts with the last row of this one. A key behind that one would have to be
+    // longer, and the store limits the length of keys.
+    const std::string& lastKey = answer.rows.back().key;
+    if (lastKey == aFirstKey) {
+      OnFailure({ .outcome = StoreOutcome::kUnknown,
+                  .answer = {},
+                  .reason = "a truncated page holds only its first row" });
+    } else {
+      ReadPage(lastKey);
+    }
     return;
   }
   std::vector<std::string> removed;
--- a/src/fleet/table_feed.h
+++ b/src/fleet/table_feed.h
@@ -81,7 +81,7 @@
 
 private:
   void ReadPage(const std::string& aFirstKey);
-  void OnPage(const StoreResult& aResult);
+  void OnPage(const StoreResult& aResult, const std::string& aFirstKey);
   void Watch();
   /* Calls the store, or waits while notices cover the table. */
   void WatchUnlessCovered();
--- a/src/platform/store_codec.cpp
+++ b/src/platform/store_codec.cpp
@@ -2,6 +2,7 @@
 #include "platform/store_codec.h"
 
 #include "core/json_text.h"
+#include "core/text_func.h"
 #include "platform/json_reader.h"
 #include "platform/wire_names.h"
 
@@ -101,9 +102,9 @@
 
 http::Request EncodeRead(const std::string& aTable, const std::string& aFirstKey)
 {
-  std::string target = fmt::format("{}?table={}&part=", path::kRows, aTable);
+  std::string target = fmt::format("{}?table={}&part=", path::kRows, PercentEncode(aTable));
   if (!aFirstKey.empty()) {
-    target += "&from=" + aFirstKey;
+    target += "&from=" + PercentEncode(aFirstKey);
   }
   return { .method = "GET", .target = std::move(target), .fields = {}, .body = {} };
 }
@@ -115,7 +116,7 @@
   return { .method = "GET",
            .target = fmt::format("{}?table={}&after={}&waitMs={}",
                                  path::kChanges,
-                                 aTable,
+                                 PercentEncode(aTable),
                                  aAfter.value,
                                  duration_cast<milliseconds>(aWait).count()),
            .fields = {},
--- a/src/platform/store_codec.h
+++ b/src/platform/store_codec.h
@@ -46,8 +46,7 @@
 
 /* Returns the HTTP request that writes a row, or what is wrong with its names. */
 tl::expected<http::Request, std::string> EncodeWrite(const StoreWrite& aWrite);
-/* Reads the rows of a table from a key on, or all rows if the key is empty. The key becomes part of
- * the URL as it is, so it must be percent-encoded. */
+/* Reads the rows of a table from a key on, that one included, or all rows if the key is empty. */
 http::Request EncodeRead(const std::string& aTable, const std::string& aFirstKey);
 /* Requests the changes of a table after a version. If there are none, the store waits for up to
  * aWait before it answers. */
--- a/tests/platform/decoder_test.cpp
+++ b/tests/platform/decoder_test.cpp
@@ -232,6 +232,16 @@
     EncodeWrite({ .table = "t", .key = latin1, .value = {}, .expectedVersion = {} }).has_value());
 }
 
+// A key that is put into the target as it is makes the store refuse the read, or read other rows.
+TEST_CASE("a read of the store names any key")
+{
+  CHECK(EncodeRead("t", {}).target.find("from") == std::string::npos);
+  CHECK(EncodeRead("t", "i-1_a.b~c").target.ends_with("&from=i-1_a.b~c"));
+  CHECK(EncodeRead("t", "a b&c#d%e+f?g=h/i")
+          .target.ends_with("&from=a%20b%26c%23d%25e%2Bf%3Fg%3Dh%2Fi"));
+  CHECK(EncodeRead("t", "\xc3\xa9\r\n").target.ends_with("&from=%C3%A9%0D%0A"));
+}
+
 TEST_CASE("values of store rows are encoded and decoded as base64")
 {
   const auto write = EncodeWrite(
