Fix: [Fleet] Hold entries of runners back that were written before the known ones

Cause: any newer version of a row counted as a newer entry. The version orders the writes as the store performed them, not as the runner made them, which the start of its process and the number of the write tell. The number was not read.

Change: RunnerRegistry::IsSuperseded() orders entries by both. A superseded one reaches neither the registry nor the dispatcher, and is believed only if the runner has not replaced it within 10 s, so that a wrong number of another writer hides no runner for longer.

--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -497,7 +497,6 @@
                  { "configuration_age_ms", ToMilliseconds(now - mConfigurationFeed.answeredAt()) },
                  { "runners_age_ms", ToMilliseconds(now - mRunnerFeed.answeredAt()) } });
     if (mRunnerFeed.isSynced()) {
-      mOutdatedRowsUntil = now + fleet::kExpiredEntryGracePeriod;
       mRunners.OnStoreRestored(now);
     }
     mConfigurationFeed.OnEra();
@@ -637,12 +636,7 @@
       const TimePoint now = BootClockNow();
       mRunnerFeed.SetMinInterval(mMember.isDispatcher() ? kDispatcherRunnerWatchInterval
                                                         : RunnerWatchInterval());
-      if (now >= mOutdatedRowsUntil) {
-        // An entry that the runner has not written again in time is current after all.
-        for (const auto& [key, row] : std::exchange(mOutdatedRows, {})) {
-          OnRunnerRow(row);
-        }
-      }
+      ApplyHeldRunnerRows(now);
       mRunnerFeed.SetWatchTimeout(WatchTimeout());
       mConfigurationFeed.SetWatchTimeout(WatchTimeout());
       LogConfirmation(now);
@@ -791,17 +785,58 @@
                    { "reason", entry.error() } });
       return;
     }
-    if (mRunners.MayBeOutdated(BootClockNow(), *entry)) {
-      mLog.Write("runner_entry_outdated",
-                 { { "endpoint", entry->id }, { "row_version", aRow.version.value } });
-      mOutdatedRows[aRow.key] = aRow;
+    if (mRunners.IsSuperseded(BootClockNow(), *entry)) {
+      HoldRunnerRow(aRow, *entry);
       return;
     }
-    mOutdatedRows.erase(aRow.key);
-    mDispatcher.OnRunnerEntry(BootClockNow(), *entry);
+    mHeldRunnerRows.erase(aRow.key);
+    ApplyRunnerEntry(aRow, *entry);
+  }
+
+  /* Keeps a row with a superseded entry until the runner writes its entry again, or until the entry
+   * counts as the present one. Further such rows do not extend that time. */
+  void HoldRunnerRow(const platform::StoreRow& aRow, const fleet::RunnerEntry& aEntry)
+  {
+    const TimePoint now = BootClockNow();
+    const fleet::RunnerEntry& known = mRunners.Find(aEntry.id)->entry;
+    HeldRunnerRow& held =
+      mHeldRunnerRows.try_emplace(aRow.key, HeldRunnerRow{ .row = {}, .heldSince = now })
+        .first->second;
+    held.row = aRow;
+    mLog.Write("runner_entry_superseded",
+               { { "endpoint", aEntry.id },
+                 { "row_version", aRow.version.value },
+                 { "is_draining", aEntry.state == fleet::RunnerState::kDraining },
+                 { "started_at_ms", aEntry.startedAtMs },
+                 { "known_started_at_ms", known.startedAtMs },
+                 { "write", aEntry.writeNumber },
+                 { "known_write", known.writeNumber },
+                 { "held_ms", ToMilliseconds(now - held.heldSince) },
+                 { "limit_ms", ToMilliseconds(fleet::kSupersededEntryHoldTime) } });
+  }
+
+  /* Applies the rows with superseded entries that no runner has replaced in time. */
+  void ApplyHeldRunnerRows(TimePoint aNow)
+  {
+    for (auto held = mHeldRunnerRows.begin(); held != mHeldRunnerRows.end();) {
+      if (aNow - held->second.heldSince < fleet::kSupersededEntryHoldTime) {
+        ++held;
+        continue;
+      }
+      const platform::StoreRow row = std::move(held->second.row);
+      held = mHeldRunnerRows.erase(held);
+      if (const auto entry = platform::DecodeRunnerEntry(row.key, row.value)) {
+        ApplyRunnerEntry(row, *entry);
+      }
+    }
+  }
+
+  void ApplyRunnerEntry(const platform::StoreRow& aRow, const fleet::RunnerEntry& aEntry)
+  {
+    mDispatcher.OnRunnerEntry(BootClockNow(), aEntry);
     mMember.OnDispatcherInputChanged();
-    const auto change = mRunners.Apply(BootClockNow(), *entry);
-    mMember.OnSoftwareVersion(entry->service, entry->softwareVersion);
+    const auto change = mRunners.Apply(BootClockNow(), aEntry);
+    mMember.OnSoftwareVersion(aEntry.service, aEntry.softwareVersion);
     if (change != fleet::RunnerRegistry::Change::kHoldings) {
       mChangedRunnerRows.push_back(aRow);
     }
@@ -813,18 +848,18 @@
     mLog.Write(change == fleet::RunnerRegistry::Change::kJoined    ? "runner_joined"
                : change == fleet::RunnerRegistry::Change::kLeaving ? "runner_leaving"
                                                                    : "runner_restarted",
-               { { "endpoint", entry->id },
-                 { "service", entry->service },
-                 { "address", entry->address },
-                 { "software", entry->softwareVersion },
-                 { "models", DescribeLoadedModels(entry->holdings.models) },
-                 { "on_disk", entry->holdings.onDisk.size() },
+               { { "endpoint", aEntry.id },
+                 { "service", aEntry.service },
+                 { "address", aEntry.address },
+                 { "software", aEntry.softwareVersion },
+                 { "models", DescribeLoadedModels(aEntry.holdings.models) },
+                 { "on_disk", aEntry.holdings.onDisk.size() },
                  { "row_version", aRow.version.value } });
     if (change != fleet::RunnerRegistry::Change::kJoined) {
-      mClient.CloseIdleTo(entry->address);
+      mClient.CloseIdleTo(aEntry.address);
     }
     if (change == fleet::RunnerRegistry::Change::kRestarted) {
-      ConfirmPossibleCrashes(*entry);
+      ConfirmPossibleCrashes(aEntry);
     }
   }
 
@@ -949,7 +984,7 @@
   void OnRunnerRemoved(const platform::StoreRow& aRow)
   {
     const EndpointId runnerId{ aRow.key };
-    mOutdatedRows.erase(aRow.key);
+    mHeldRunnerRows.erase(aRow.key);
     mChangedRunnerRows.push_back(aRow);
     mRunners.Remove(BootClockNow(), runnerId);
     const fleet::KnownRunner* runner = mRunners.Find(runnerId);
@@ -1351,6 +1386,13 @@
     });
   }
 
+  /* A row with an entry that is older than the last one of its runner. */
+  struct HeldRunnerRow
+  {
+    platform::StoreRow row; ///< The newest such row.
+    TimePoint heldSince{};  ///< When the first of them arrived.
+  };
+
   /* A connection that broke under a request at an endpoint that was not called afterwards. */
   struct PossibleCrash
   {
@@ -1408,10 +1450,8 @@
   asio::steady_timer mStatusTimer;
   std::uint32_t mStatedDaemons = 0; ///< The last number that a dispatcher stated.
   StoreEra mStoreEra;               ///< The highest era of the store that is known.
-  /* Rows of runners that may be older than what is known, by key, until that is settled. */
-  std::map<std::string, platform::StoreRow> mOutdatedRows;
-  TimePoint mOutdatedRowsUntil{};     ///< When it is settled.
-  RowVersion mConfigurationChangedAt; ///< Version of the configuration's row.
+  std::map<std::string, HeldRunnerRow> mHeldRunnerRows; ///< By key.
+  RowVersion mConfigurationChangedAt;                   ///< Version of the configuration's row.
   RowVersion mRunnersChangedAt; ///< Last change of the runner table that all daemons must know.
   /* Rows of the runner table whose changes the other daemons must know, to be relayed. */
   std::vector<platform::StoreRow> mChangedRunnerRows;
--- a/src/decision/fleet/runner_registry.cpp
+++ b/src/decision/fleet/runner_registry.cpp
@@ -47,6 +47,7 @@
     aEntry.state == RunnerState::kDraining && runner.entry.state != RunnerState::kDraining;
   RunnerEntry former = std::exchange(runner.entry, std::move(aEntry));
   former.holdings = runner.entry.holdings;
+  former.writeNumber = runner.entry.writeNumber;
   const bool isOnlyHoldings = former == runner.entry && !runner.missingSince;
   runner.changedAt = aNow;
   if (runner.missingSince || isRestarted) {
@@ -71,17 +72,23 @@
   return isOnlyHoldings ? Change::kHoldings : Change::kUpdated;
 }
 
-bool RunnerRegistry::MayBeOutdated(TimePoint aNow, const RunnerEntry& aEntry) const
+/* Load pattern: the store answers no heartbeat of a leaving endpoint and performs one seconds
+ * later, over the entry with its leaving. Every host would send it requests until it stops. */
+bool RunnerRegistry::IsSuperseded(TimePoint aNow, const RunnerEntry& aEntry) const
 {
   const auto found = mRunners.find(aEntry.id);
-  if (found == mRunners.end() || !mStoreRestoredAt ||
-      aNow - *mStoreRestoredAt >= kExpiredEntryGracePeriod) {
+  if (found == mRunners.end()) {
     return false;
   }
   const RunnerEntry& known = found->second.entry;
-  return aEntry.startedAtMs < known.startedAtMs ||
-         (aEntry.startedAtMs == known.startedAtMs && known.state == RunnerState::kDraining &&
-          aEntry.state == RunnerState::kReady);
+  const auto order = [](const RunnerEntry& aItem) {
+    return std::tuple{ aItem.startedAtMs, aItem.writeNumber };
+  };
+  if (order(aEntry) != order(known)) {
+    return order(aEntry) < order(known);
+  }
+  const bool isRestored = mStoreRestoredAt && aNow - *mStoreRestoredAt < kExpiredEntryGracePeriod;
+  return isRestored && known.state == RunnerState::kDraining && aEntry.state == RunnerState::kReady;
 }
 
 void RunnerRegistry::Remove(TimePoint aNow, const EndpointId& aRunner)
--- a/src/decision/fleet/runner_registry.h
+++ b/src/decision/fleet/runner_registry.h
@@ -26,6 +26,11 @@
  * the store state. The rest allows for the delay until this daemon sees them. */
 constexpr Duration kExpiredEntryGracePeriod = 2'300ms;
 
+/* Time after which a superseded entry that is still in the store is believed after all. The store
+ * performs a write that it did not answer up to 6 s late, as its operators state, and an endpoint
+ * that lives replaces such an entry with its next heartbeat. */
+constexpr Duration kSupersededEntryHoldTime = 10s;
+
 /* An endpoint with the state that this daemon keeps of it. */
 struct KnownRunner
 {
@@ -103,10 +108,12 @@
     mStoreReachableSince = aNow;
     mStoreRestoredAt = aNow;
   }
-  /* Returns whether an entry may be older than what is known of its endpoint: the store came back
-   * from an older copy a short time ago, and the entry shows an earlier start, or shows a leaving
-   * endpoint as ready. The endpoint writes its entry again. */
-  bool MayBeOutdated(TimePoint aNow, const RunnerEntry& aEntry) const;
+  /* Returns whether an entry is older than the last one of its endpoint: a former process wrote it,
+   * or the same process before that one. The store has performed a write late, or came back from an
+   * older copy. Without numbers of writes, an entry counts as older if the store came back a short
+   * time ago and the entry shows a leaving endpoint as ready. The endpoint writes its entry again.
+   */
+  bool IsSuperseded(TimePoint aNow, const RunnerEntry& aEntry) const;
 
   /* Record the start and the end of a request of some bytes at an endpoint. */
   void RecordRequestStart(const EndpointId& aRunner, std::size_t aBytes = 0);
--- a/src/decision/fleet/runner_type.h
+++ b/src/decision/fleet/runner_type.h
@@ -54,6 +54,9 @@
   std::optional<Duration> timeUntilStop;
   /* Unix time of the runner's start. A changed value means that it restarted. */
   std::int64_t startedAtMs = 0;
+  /* Number of this write of the entry, which the process counts from its start. It orders the
+   * entries of one process. 0 if it is not stated. */
+  std::uint64_t writeNumber = 0;
   RunnerHoldings holdings;
 
   bool operator==(const RunnerEntry&) const = default;
--- a/src/platform/runner_decoder.cpp
+++ b/src/platform/runner_decoder.cpp
@@ -130,8 +130,8 @@
     if (document.contains("remainingMs")) {
       entry.timeUntilStop = FromMilliseconds(NumberMember(document, "remainingMs"));
     }
-    // "seq" is not read here. In an entry it counts the writes of the entry, but in a report it
-    // counts the accepted orders.
+    // In an entry "seq" counts the writes of the entry, but in a report the accepted orders.
+    entry.writeNumber = UnsignedMemberOr(document, "seq", 0);
     entry.startedAtMs = DecodeStartTime(document);
     entry.holdings = DecodeHoldings(document);
     return entry;
--- a/tests/edge/test_leaving.py
+++ b/tests/edge/test_leaving.py
@@ -35,6 +35,31 @@
                 assert runs_at(cluster, endpoint, told) == 0, (endpoint, is_interim)
 
 
+def test_edge_ignores_a_heartbeat_that_the_store_performs_late() -> None:
+    """Guards against requests to leaving endpoints whose entry shows them as ready again.
+
+    The store performs a heartbeat of each behind the entry with its leaving. Their next heartbeat
+    states the leaving again; one that a former process wrote changes nothing either.
+    """
+    for endpoint_name, kind in (("p0", "check"), ("r0", "chat")):
+        with EdgeCluster(daemons=3, models=2) as cluster:
+            endpoint, store = cluster.platform.endpoints[endpoint_name], cluster.platform.store
+            late_entry = cluster.platform.run_on_loop(endpoint.next_entry)
+
+            def leave() -> None:
+                endpoint.state = "draining"
+                endpoint.announce()
+
+            cluster.platform.run_on_loop(leave)
+            time.sleep(0.5)
+            cluster.platform.run_on_loop(lambda: store.put("servers", endpoint_name, late_entry))
+            time.sleep(0.5)
+            performed = time.monotonic()
+            results = [cluster.daemons[number % 3].send(kind) for number in range(30)]
+            assert all(result.is_complete for result in results), results
+            assert runs_at(cluster, endpoint_name, performed) == 0, endpoint_name
+
+
 def test_edge_sees_that_a_runner_is_leaving_in_refusals_reports_and_orders() -> None:
     """Lets a runner state that it leaves in answers that run no request."""
     with EdgeCluster(daemons=2, models=4) as cluster:
--- a/tests/fleet/fleet_parts_test.cpp
+++ b/tests/fleet/fleet_parts_test.cpp
@@ -281,6 +281,48 @@
   CHECK(Choose(registry, kStart).has_value());
 }
 
+// The store may perform a heartbeat seconds late, over a newer entry. Taken for the present one, it
+// makes a leaving endpoint ready again, or brings a former process back.
+TEST_CASE("an entry that was written before the known one of its endpoint is superseded")
+{
+  RunnerRegistry registry;
+  const auto entry = [](std::int64_t aStartedAtMs, std::uint64_t aWrite, RunnerState aState) {
+    RunnerEntry result = EntryOf("r1", aState);
+    result.startedAtMs = aStartedAtMs;
+    result.writeNumber = aWrite;
+    return result;
+  };
+  CHECK_FALSE(registry.IsSuperseded(kStart, entry(5, 3, RunnerState::kReady)));
+  registry.Apply(kStart, entry(5, 3, RunnerState::kReady));
+  CHECK_FALSE(registry.IsSuperseded(kStart, entry(5, 3, RunnerState::kReady)));
+  registry.Apply(kStart, entry(5, 5, RunnerState::kDraining));
+  CHECK(registry.IsSuperseded(kStart, entry(5, 4, RunnerState::kReady)));
+  CHECK(registry.IsSuperseded(kStart, entry(4, 9, RunnerState::kReady)));
+  CHECK(registry.IsSuperseded(kStart, entry(0, 0, RunnerState::kReady)));
+  CHECK_FALSE(registry.IsSuperseded(kStart, entry(5, 6, RunnerState::kReady)));
+  CHECK_FALSE(registry.IsSuperseded(kStart, entry(6, 1, RunnerState::kReady)));
+  SUBCASE("also while the endpoint has no entry")
+  {
+    registry.Remove(kStart, EndpointId{ "r1" });
+    CHECK(registry.IsSuperseded(kStart, entry(5, 4, RunnerState::kReady)));
+  }
+  SUBCASE("and heartbeats that only raise the number are no change")
+  {
+    CHECK(registry.Apply(kStart, entry(5, 6, RunnerState::kDraining)) ==
+          RunnerRegistry::Change::kHoldings);
+  }
+}
+
+TEST_CASE("entries without numbers of writes are superseded only after the store was restored")
+{
+  RunnerRegistry registry;
+  registry.Apply(kStart, EntryOf("r1", RunnerState::kDraining));
+  CHECK_FALSE(registry.IsSuperseded(kStart, EntryOf("r1")));
+  registry.OnStoreRestored(kStart);
+  CHECK(registry.IsSuperseded(kStart, EntryOf("r1")));
+  CHECK_FALSE(registry.IsSuperseded(kStart + kExpiredEntryGracePeriod, EntryOf("r1")));
+}
+
 TEST_CASE("the less loaded endpoint is chosen, and an avoided one only if there is no other")
 {
   RunnerRegistry registry;
--- a/tests/platform/decoder_test.cpp
+++ b/tests/platform/decoder_test.cpp
@@ -54,6 +54,7 @@
   CHECK(entry->service == ServiceId{ "s1" });
   CHECK(entry->slots == 64);
   CHECK(entry->startedAtMs == 17);
+  CHECK(entry->writeNumber == 4);
   CHECK(entry->softwareVersion == SoftwareVersion{ "v1" });
   CHECK(entry->holdings.models.at(ModelId{ "m1" }) ==
         std::set{ AdapterId{ "a1" }, AdapterId{ "a3" } });
