Fix: [Http] Take no part of an answer for the whole after a reset, and no undefined status for an answer

What callers saw: a runner answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being sent.

Cause: the kernel reports a reset once. The write of the request got it and dropped it, and the read found an orderly end, which ends a body without a length. Statuses were not checked: 700 was passed on, 000 counted as an interim answer.

Change: after a failed write such a body is broken off; if the write is still pending when the read ends, its handler is waited for.

--- a/src/endpoint/attempt.cpp
+++ b/src/endpoint/attempt.cpp
@@ -3,6 +3,7 @@
 #include "endpoint/attempt.h"
 
 #include "endpoint/sse_splitter.h"
+#include "http/http_type.h"
 
 #include <httplib.h>
 
@@ -205,6 +206,9 @@
     if (!aResult) {
       return DetermineTransportOutcome(aResult.error());
     }
+    if (!http::IsFinalStatus(static_cast<unsigned>(mStatus))) {
+      return AttemptOutcome::kIncomplete;
+    }
     if (mRefusalReason == "leaving") {
       return AttemptOutcome::kLeaving;
     }
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -175,6 +175,7 @@
       aOptions.totalTimeout > Duration::zero() ? now + aOptions.totalTimeout : kNoDeadline;
     mAnswerDeadline = std::min(now + aOptions.answerTimeout, mEndDeadline);
     mHasAnswerHead = false;
+    mHasWriteFailed = false;
     mSkippedAnswers = 0;
     mPausedSelf.reset();
     ResetParser();
@@ -351,13 +352,14 @@
                       asio::buffer(mRequestBytes),
                       [self = shared_from_this()](error_code aError, std::size_t /*aSize*/) {
                         self->mIsWriting = false;
-                        // A write error also ends the reading side, which reports it. An answer
-                        // that arrived before the error is still valid.
-                        if (!aError) {
-                          self->mRequestBytes.clear();
-                          self->mRequestBytes.shrink_to_fit();
-                          self->UpdateHeld();
+                        if (aError) {
+                          // What arrived before the error is still read.
+                          self->mHasWriteFailed = true;
+                          return;
                         }
+                        self->mRequestBytes.clear();
+                        self->mRequestBytes.shrink_to_fit();
+                        self->UpdateHeld();
                       });
     WaitForBytes();
   }
@@ -403,14 +405,27 @@
    * body with neither a length nor chunks is complete. */
   void OnEndOfInput(bool aIsOrderly)
   {
-    if (aIsOrderly && mHasAnswerHead && !mIsSkippingAnswer && !mParser->is_done() &&
-        mParser->need_eof()) {
-      EndCall(CallResult::kComplete);
+    const bool endsWithConnection =
+      mHasAnswerHead && !mIsSkippingAnswer && !mParser->is_done() && mParser->need_eof();
+    if (!aIsOrderly || !endsWithConnection) {
+      EndCall(CallResult::kBroken);
+      return;
+    }
+    if (!mIsWriting) {
+      EndAtClose();
       return;
     }
-    EndCall(CallResult::kBroken);
+    // The kernel reports a reset once, to a write or to a read. If a write has got it, the read
+    // finds the end of the file, and the handler of that write is queued already.
+    asio::post(mClient->context, [self = shared_from_this(), number = mCallNumber] {
+      if (self->IsCurrentCall(number)) {
+        self->EndAtClose();
+      }
+    });
   }
 
+  void EndAtClose() { EndCall(mHasWriteFailed ? CallResult::kBroken : CallResult::kComplete); }
+
   void ParseAnswers()
   {
     while (mState == State::kCalling && !mReceiveBuffer.empty()) {
@@ -452,8 +467,12 @@
    * that of an interim answer and the parser is set up for the next one. */
   bool OnHead()
   {
-    constexpr unsigned kFirstFinalStatus = 200;
-    if (mParser->get().result_int() < kFirstFinalStatus) {
+    const unsigned status = mParser->get().result_int();
+    if (!IsInterimStatus(status) && !IsFinalStatus(status)) {
+      EndCall(CallResult::kMalformed);
+      return false;
+    }
+    if (IsInterimStatus(status)) {
       const AnswerHead interimHead = ToAnswerHead(*mParser);
       ResetParser();
       if (++mInterimHeads > kMaxInterimHeads) {
@@ -642,6 +661,7 @@
   /* Set while reading is paused: no pending read or timer keeps the connection alive then. */
   std::shared_ptr<ClientConnection> mPausedSelf;
   bool mIsWriting = false;
+  bool mHasWriteFailed = false;
 };
 
 std::shared_ptr<ClientConnection> Client::Impl::TakeIdle(const std::string& aAddress)
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -43,8 +43,8 @@
   kComplete,
   kNotConnected, ///< No connection could be opened in time, so no byte of the request was sent.
   kBroken,       ///< The connection ended before the end of the answer.
-  /* Not a valid HTTP answer, or too many answers to other requests, or one such answer after which
-   * the endpoint closes the connection. */
+  /* Not a valid HTTP answer, a status that is no interim or final one, or too many answers to other
+   * requests, or one such answer after which the endpoint closes the connection. */
   kMalformed,
   kTooLarge, ///< A part of the answer exceeded its limit, for example maxBodyBytes.
   kTimedOut, ///< answerTimeout passed without a head, or a time limit without the end of the body.
--- a/src/http/http_type.h
+++ b/src/http/http_type.h
@@ -55,6 +55,19 @@
 /* Returns the name of a framing in log events. */
 std::string_view ToString(Framing aFraming);
 
+/* Returns whether a status is that of an interim answer, which the final one follows. 101 is not:
+ * it answers a request to change the protocol, which nothing here sends. */
+constexpr bool IsInterimStatus(unsigned aStatus)
+{
+  return aStatus >= 100 && aStatus < 200 && aStatus != 101;
+}
+
+/* Returns whether a status is that of a final answer. */
+constexpr bool IsFinalStatus(unsigned aStatus)
+{
+  return aStatus >= 200 && aStatus < 600;
+}
+
 /* Status line and header fields of an answer. */
 struct AnswerHead
 {
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -425,6 +425,35 @@
   CHECK(open.body == "whole");
 }
 
+/* The kernel reports a reset once. When the write of the request gets it, the read sees an orderly
+ * end, and a part of a body without a length was taken for the whole. */
+TEST_CASE("an answer without a length is whole after a close during the upload, not after a reset")
+{
+  for (const bool isReset : { true, false }) {
+    ScriptedEndpoint endpoint({ "HTTP/1.1 200 OK\r\n\r\npart" });
+    std::string body;
+    std::optional<CallResult> result;
+    const auto call = endpoint.client.Start(
+      { .address = "127.0.0.1:" + std::to_string(endpoint.acceptor.local_endpoint().port()),
+        .request = { .method = "POST", .target = "/", .body = std::string(16U << 20U, 'x') },
+        .answerTimeout = 3s },
+      { .onHead = [](const AnswerHead&) { return true; },
+        .onBody = [&](std::string_view aBytes) { body += aBytes; },
+        .onEnd = [&](CallResult aResult) { result = aResult; } });
+    REQUIRE(RunUntil(endpoint.loop, [&] { return body == "part"; }));
+    CHECK(call->unsentBytes() > 0);
+    tcp::socket& socket = *endpoint.sockets.front();
+    if (isReset) {
+      socket.set_option(asio::socket_base::linger(true, 0));
+      socket.close();
+    } else {
+      socket.shutdown(tcp::socket::shutdown_send);
+    }
+    REQUIRE(RunUntil(endpoint.loop, [&] { return result.has_value(); }));
+    CHECK(*result == (isReset ? CallResult::kBroken : CallResult::kComplete));
+  }
+}
+
 /* Guards against losing a call without a word: a connection that is not read has no pending read
  * that keeps it alive. */
 TEST_CASE("a call that was paused goes on when it is resumed")
@@ -496,6 +525,13 @@
   ScriptedEndpoint nonsense({ "nonsense\r\n\r\n" });
   CHECK(nonsense.Call() == CallResult::kMalformed);
 
+  for (const std::string status : { "000", "099", "101", "600", "700", "999" }) {
+    INFO(status);
+    ScriptedEndpoint undefined({ "HTTP/1.1 " + status + " X\r\nContent-Length: 4\r\n\r\nbody" });
+    CHECK(undefined.Call() == CallResult::kMalformed);
+    CHECK(undefined.body.empty());
+  }
+
   ScriptedEndpoint interim({ "HTTP/1.1 103 Early Hints\r\n\r\n" + Answer("final") });
   CHECK(interim.Call() == CallResult::kComplete);
   CHECK(interim.status == 200);
--- a/tests/unit/contract_endpoint_test.cpp
+++ b/tests/unit/contract_endpoint_test.cpp
@@ -68,6 +68,7 @@
       kBuffered,
       { .status = 400, .body = "{}" },
       kCompleted },
+    { "a status that is not defined", kBuffered, { .status = 199, .body = "{}" }, kIncomplete },
     { "leaving", kBuffered, { .status = 503, .headers = leaving }, kLeaving },
     { "not loaded", kBuffered, { .status = 503, .headers = notLoaded }, kNotRun },
     { "stream",
