Fix: [Platform] Reject odd entries alone: addresses and keys that cannot be used, figures beyond their types

An address with a port out of range or half an IPv6 address counted as an endpoint, and requests sent its way got 503. By reading: a key with a line end added fields to requests, slots and times beyond their types wrapped around, and one value that is not base64 hid all other rows of the store's answer, so that the daemon stopped following the table.

The decoder now checks the address as the client does, keys as names, and figures against limits; a spoiled value leaves its row empty.

Evidence: the new cases of decoder_test failed on the former sources, but for a negative port, the deeply nested entry and the number beyond all types, which were rejected before.

--- a/src/platform/json_reader.h
+++ b/src/platform/json_reader.h
@@ -4,6 +4,7 @@
 
 #include "core/unit_type.h"
 
+#include <algorithm>
 #include <cmath>
 #include <cstdint>
 #include <nlohmann/json.hpp>
@@ -84,6 +85,18 @@
   return aObject.contains(aName) ? UnsignedMember(aObject, aName) : aDefault;
 }
 
+/* Returns an integer from 0 to a maximum. Throws DecodeError for any other value. */
+inline std::uint64_t UnsignedMemberUpTo(const Json& aObject,
+                                        const char* aName,
+                                        std::uint64_t aMaximum)
+{
+  const std::uint64_t value = UnsignedMember(aObject, aName);
+  if (value > aMaximum) {
+    throw DecodeError(std::string{ aName } + " is above " + std::to_string(aMaximum));
+  }
+  return value;
+}
+
 inline bool BoolMemberOr(const Json& aObject, const char* aName, bool aDefault)
 {
   const auto found = aObject.find(aName);
@@ -105,14 +118,18 @@
   return value;
 }
 
+/* Longest time that a document can state. Longer ones are shortened to it, so that sums with points
+ * in time do not overflow. */
+constexpr double kMaxTimeMs = 10.0 * 365 * 24 * 3'600'000;
+
 inline Duration FromMilliseconds(double aValue)
 {
-  return Duration{ static_cast<Duration::rep>(aValue * 1e3) };
+  return Duration{ static_cast<Duration::rep>(std::min(aValue, kMaxTimeMs) * 1e3) };
 }
 
 inline Duration FromSeconds(double aValue)
 {
-  return Duration{ static_cast<Duration::rep>(aValue * 1e6) };
+  return FromMilliseconds(std::min(aValue, kMaxTimeMs) * 1e3);
 }
 
 } // namespace rhubarbtrail::platform
--- a/src/platform/runner_decoder.cpp
+++ b/src/platform/runner_decoder.cpp
@@ -2,6 +2,8 @@
 #include "platform/runner_decoder.h"
 
 #include "core/json_text.h"
+#include "core/text_func.h"
+#include "http/socket_options.h"
 #include "platform/json_reader.h"
 #include "platform/wire_names.h"
 
@@ -11,6 +13,11 @@
 
 namespace {
 
+/* Largest number of slots that an endpoint can state. */
+constexpr std::uint64_t kMaxSlots = 1'000'000;
+/* Largest start time that an endpoint can state: the year 9999, in milliseconds. */
+constexpr std::uint64_t kMaxStartTimeMs = 253'402'300'800'000;
+
 /* Decodes one item of the list of adapters that are being loaded, which is MODEL/ADAPTER or
  * MODEL/ADAPTER@VERSION. The version is dropped. */
 fleet::ModelRef DecodeLoadingAdapter(const std::string& aText)
@@ -83,7 +90,9 @@
 /* Returns the Unix time of the runner's start in milliseconds, or 0 if it is missing. */
 std::int64_t DecodeStartTime(const Json& aObject)
 {
-  return static_cast<std::int64_t>(UnsignedMemberOr(aObject, "born", 0));
+  return aObject.contains("born")
+           ? static_cast<std::int64_t>(UnsignedMemberUpTo(aObject, "born", kMaxStartTimeMs))
+           : 0;
 }
 
 /* Runs a decoder and returns its result, or the message of the exception that it throws. */
@@ -99,13 +108,11 @@
   }
 }
 
-bool IsHostAndPort(const std::string& aText)
+/* Returns whether an endpoint can listen at an address: an IP address and a port above 0. */
+bool IsEndpointAddress(const std::string& aText)
 {
-  const auto colon = aText.rfind(':');
-  return colon != std::string::npos && colon > 0 && colon + 1 < aText.size() &&
-         std::all_of(aText.begin() + static_cast<std::ptrdiff_t>(colon) + 1,
-                     aText.end(),
-                     [](char aCharacter) { return aCharacter >= '0' && aCharacter <= '9'; });
+  const auto address = http::ParseSocketAddress(aText);
+  return address && address->port() != 0;
 }
 
 } // namespace
@@ -116,16 +123,19 @@
   return CatchDecodeErrors<fleet::RunnerEntry>([&] {
     const Json document = ParseJson(aDocument);
     fleet::RunnerEntry entry;
+    if (aId.empty() || !IsName(aId)) {
+      throw DecodeError("the key is not a name"); // It becomes a header field of each request.
+    }
     entry.id = EndpointId{ aId };
     entry.service = ServiceId{ StringMember(document, "backend") };
     entry.zone = ZoneId{ StringMember(document, "zone") };
     entry.address = StringMember(document, "address");
-    if (!IsHostAndPort(entry.address)) {
-      throw DecodeError("address is not HOST:PORT");
+    if (!IsEndpointAddress(entry.address)) {
+      throw DecodeError("address is not IP:PORT");
     }
     entry.softwareVersion = SoftwareVersion{ StringMember(document, "version") };
-    entry.slots =
-      std::max<std::uint32_t>(1, static_cast<std::uint32_t>(UnsignedMember(document, "slots")));
+    entry.slots = std::max<std::uint32_t>(
+      1, static_cast<std::uint32_t>(UnsignedMemberUpTo(document, "slots", kMaxSlots)));
     entry.state = DecodeState(StringMember(document, "state"));
     if (document.contains("remainingMs")) {
       entry.timeUntilStop = FromMilliseconds(NumberMember(document, "remainingMs"));
--- a/src/platform/store_codec.cpp
+++ b/src/platform/store_codec.cpp
@@ -28,18 +28,18 @@
   return text;
 }
 
-/* Decodes base64. Throws DecodeError if the text is invalid. */
-std::string FromBase64(const std::string& aText)
+/* Decodes base64. Returns nothing if the text is invalid. */
+std::optional<std::string> FromBase64(const std::string& aText)
 {
   if (aText.empty()) {
-    return {};
+    return std::string{};
   }
   std::string bytes(3 * (aText.size() / 4 + 1), '\0');
   const int length = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
                                      reinterpret_cast<const unsigned char*>(aText.data()),
                                      static_cast<int>(aText.size()));
   if (length < 0 || aText.size() % 4 != 0) {
-    throw DecodeError("value is not base64");
+    return std::nullopt;
   }
   std::size_t padding = 0;
   while (padding < 2 && padding < aText.size() && aText[aText.size() - 1 - padding] == '=') {
@@ -49,6 +49,8 @@
   return bytes;
 }
 
+/* Decodes a row. A value that is not base64 is left empty, which no reader of a table accepts: it
+ * must not hide the other rows of the answer. */
 StoreRow DecodeRow(const Json& aRow, StoreEra aEra)
 {
   StoreRow row{ .table = StringMember(aRow, "table"),
@@ -57,7 +59,7 @@
                 .version = { UnsignedMemberOr(aRow, "ver", 0), aEra },
                 .isRemoved = BoolMemberOr(aRow, "removed", false) };
   if (!row.isRemoved && aRow.contains("value") && aRow["value"].is_string()) {
-    row.value = FromBase64(aRow["value"].get<std::string>());
+    row.value = FromBase64(aRow["value"].get_ref<const std::string&>()).value_or("");
   }
   return row;
 }
--- a/tests/platform/decoder_test.cpp
+++ b/tests/platform/decoder_test.cpp
@@ -71,6 +71,21 @@
     { "no service", ReplacePart(kRunnerEntry, R"("backend":"s1",)", "") },
     { "service is a number", ReplacePart(kRunnerEntry, R"("backend":"s1")", R"("backend":1)") },
     { "address without port", ReplacePart(kRunnerEntry, "10.0.0.9:8080", "10.0.0.9") },
+    { "port beyond the range", ReplacePart(kRunnerEntry, "10.0.0.9:8080", "10.0.0.9:70000") },
+    { "port 0", ReplacePart(kRunnerEntry, "10.0.0.9:8080", "10.0.0.9:0") },
+    { "port of 20 digits",
+      ReplacePart(kRunnerEntry, "10.0.0.9:8080", "10.0.0.9:18446744073709551617") },
+    { "negative port", ReplacePart(kRunnerEntry, "10.0.0.9:8080", "10.0.0.9:-1") },
+    { "half an IPv6 address", ReplacePart(kRunnerEntry, "10.0.0.9:8080", "[::1") },
+    { "address is a name", ReplacePart(kRunnerEntry, "10.0.0.9:8080", "localhost:8080") },
+    { "slots beyond 32 bits", ReplacePart(kRunnerEntry, R"("slots":64)", R"("slots":4294967296)") },
+    { "born beyond 63 bits",
+      ReplacePart(kRunnerEntry, R"("born":17)", R"("born":18446744073709551615)") },
+    { "seq beyond 64 bits",
+      ReplacePart(kRunnerEntry, R"("seq":4)", R"("seq":36893488147419103232)") },
+    { "a number beyond all types", ReplacePart(kRunnerEntry, R"("slots":64)", R"("slots":1e999)") },
+    { "deeply nested",
+      ReplacePart(kRunnerEntry, R"("coldLeftMs":0)", R"("x":)" + std::string(60'000, '[')) },
     { "address is a list", ReplacePart(kRunnerEntry, R"("10.0.0.9:8080")", "[]") },
     { "unknown state", ReplacePart(kRunnerEntry, R"("ready")", R"("sleeping")") },
     { "state is null", ReplacePart(kRunnerEntry, R"("ready")", "null") },
@@ -90,6 +105,24 @@
   }
 }
 
+// The key becomes a header field of requests, so a line end in it would add fields to them.
+TEST_CASE("a runner entry whose key is not a name is rejected")
+{
+  for (const char* key : { "", "i-1\r\nX-Model: m", "i-1\x01", "i-\xff" }) {
+    CHECK_FALSE(DecodeRunnerEntry(key, kRunnerEntry).has_value());
+  }
+}
+
+// Sums of such a time and a point in time overflow, and a leaving runner would count as present.
+TEST_CASE("a time until the stop beyond any limit is shortened")
+{
+  const auto entry = DecodeRunnerEntry(
+    "i-1", ReplacePart(kRunnerEntry, R"("coldLeftMs":0)", R"("remainingMs":1e300)"));
+  REQUIRE(entry.has_value());
+  CHECK(*entry->timeUntilStop > 24h);
+  CHECK(*entry->timeUntilStop < 200'000h);
+}
+
 TEST_CASE("every truncation of a runner entry or a configuration is rejected without an exception")
 {
   for (std::size_t length = 0; length < kRunnerEntry.size(); ++length) {
@@ -259,6 +292,14 @@
   CHECK(answer->newest == RowVersion{ 9, { 3 } });
   CHECK(answer->rows[0].version == RowVersion{ 5, { 3 } });
   CHECK_FALSE(DecodeStoreAnswer(R"({"rows":[{"table":"t"}],"ver":9})", {}).has_value());
+  // One value that another writer has spoiled must not hide the other rows.
+  const auto spoiled =
+    DecodeStoreAnswer(R"({"rows":[{"table":"t","key":"a","value":"!","ver":5},)"
+                      R"({"table":"t","key":"b","value":"YQ==","ver":6}],"ver":9})",
+                      {});
+  REQUIRE(spoiled.has_value());
+  CHECK(spoiled->rows[0].value.empty());
+  CHECK(spoiled->rows[1].value == "a");
   CHECK_FALSE(DecodeStoreAnswer("nonsense", {}).has_value());
 }
 
