Fix: [Gateway] Believe a refusal only if it is to the request in flight

A faulty runner writes an earlier refusal once more on a kept connection. Refusals with another request's id were skipped. Two were believed: one without an id, and one of the same request, which is sent again to the endpoint. The request ran and was refused with 503, or ran twice (REFUSED, TWICE).

An endpoint that has refused a request gets it again on a new connection. A refusal without an id counts only as the first answer on its connection. Orders and calls for reports skip answers with a request id, and idle connections to a runner are closed after it refused an order.

The closing of connections after a refused order has no test.

--- a/src/fleet/fleet_member.cpp
+++ b/src/fleet/fleet_member.cpp
@@ -3,6 +3,7 @@
 
 #include "core/boot_clock.h"
 #include "core/overloaded.h"
+#include "platform/request_headers.h"
 #include "platform/runner_decoder.h"
 
 #include <boost/asio/post.hpp>
@@ -1175,8 +1176,11 @@
       .totalTimeout = kOrderTimeout },
     { .onHead =
         [this, status, runner = aOrder.runner, startedAtMs](const http::AnswerHead& aHead) {
-          *status = aHead.status;
           mServices.onRunnerAnswer(runner, startedAtMs, aHead);
+          if (platform::AnswersRequest(aHead)) {
+            return false;
+          }
+          *status = aHead.status;
           return true;
         },
       .onBody = [](std::string_view) {},
@@ -1188,6 +1192,11 @@
                                                        : platform::DecodeOrderOutcome(*status);
           const bool isExpected = outcome == fleet::OrderOutcome::kAccepted ||
                                   outcome == fleet::OrderOutcome::kAlreadyDone;
+          if (*status != 0 && !isExpected) {
+            // The runner may write the refusal once more, and nothing in it tells that from the
+            // answer to a later order.
+            mServices.client.CloseIdleTo(order.address);
+          }
           mServices.log.Write(isExpected ? "order_answered" : "order_refused",
                               { { "endpoint", order.runner },
                                 { "model", order.subject.model },
@@ -1226,8 +1235,11 @@
     { .onHead =
         [this, progress, runner = aReportRequest.runner, startedAtMs](
           const http::AnswerHead& aHead) {
-          progress->status = aHead.status;
           mServices.onRunnerAnswer(runner, startedAtMs, aHead);
+          if (platform::AnswersRequest(aHead)) {
+            return false;
+          }
+          progress->status = aHead.status;
           return true;
         },
       .onBody = [progress](std::string_view aBytes) { progress->body += aBytes; },
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -779,8 +779,10 @@
   const fleet::KnownRunner& runner = *mContext.runners.Find(aEndpoint);
   mWaitStartedAt.reset();
   mAttempt = BeginAttempt(runner, mAssignedVersion, aSelectionReason);
-  StartCall(
-    mAttempt, runner, mRoute->MayRepeatOrResume() ? http::Reuse::kAllowed : http::Reuse::kFresh);
+  // A connection that this endpoint has used to refuse the request may bring that refusal once
+  // more.
+  const bool mayReuse = mRoute->MayRepeatOrResume() && !mRefusedBy.contains(aEndpoint);
+  StartCall(mAttempt, runner, mayReuse ? http::Reuse::kAllowed : http::Reuse::kFresh);
   if (const Duration limit = SilenceLimit(); limit > Duration::zero()) {
     WatchForSilence(limit);
   }
@@ -886,6 +888,14 @@
                          { "answer_id", decodedHead.requestId } });
     return false;
   }
+  if (decodedHead.isNotRun && decodedHead.requestId.empty() && IsConnectionReused(isReplacement)) {
+    // It may be the refusal of an earlier request, written once more.
+    mContext.log.Write(
+      "refusal_without_id",
+      { { "id", mClient.requestId }, { "endpoint", endpoint }, { "status", aHead.status } });
+    decodedHead.isNotRun = false;
+    decodedHead.hasSignature = false;
+  }
   if (decodedHead.load) {
     mContext.runners.RecordLoad(BootClockNow(), endpoint, *decodedHead.load);
   }
@@ -915,6 +925,12 @@
   return true;
 }
 
+bool RequestFlow::IsConnectionReused(bool aIsReplacement) const
+{
+  const Attempt& attempt = aIsReplacement ? mReplacement->attempt : mAttempt;
+  return attempt.call && attempt.call->isConnectionReused();
+}
+
 /* Limits the rest of an answer whose head has arrived. The body of a stream has no limit. */
 void RequestFlow::LimitAnswer(const Attempt& aAttempt)
 {
@@ -1215,6 +1231,9 @@
     return;
   }
   mFailedEndpoints.insert(mAttempt.endpoint);
+  if (aEnd == AttemptEnd::kNotRun) {
+    mRefusedBy.insert(mAttempt.endpoint);
+  }
   mContext.log.Write("attempt_failed",
                      { { "id", mClient.requestId },
                        { "endpoint", mAttempt.endpoint },
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -200,7 +200,12 @@
   /* Takes the head of the endpoint's answer. Returns false, which skips the answer, if it belongs
    * to another request. */
   bool OnHead(std::uint64_t aAttemptNumber, const http::AnswerHead& aHead);
+  /* Returns whether the connection of an attempt has carried another call before. */
+  bool IsConnectionReused(bool aIsReplacement) const;
   static void LimitAnswer(const Attempt& aAttempt);
+  /* Returns whether a successful answer can go on with the stream of which the client has a part:
+   * an answer of another kind would put its text into the stream, or end it early. */
+  bool ContinuesStream(const http::AnswerHead& aHead) const;
   void OnBody(std::uint64_t aAttemptNumber, std::string_view aBytes);
   /* Pauses the reading of the answer if the client is too far behind. */
   void PauseIfBehind();
@@ -316,6 +321,7 @@
   std::uint64_t mAttemptCount = 0;
   std::optional<Replacement> mReplacement;
   std::set<EndpointId> mFailedEndpoints;
+  std::set<EndpointId> mRefusedBy; ///< Endpoints that have stated that they did not run it.
   /* Where the stream began. Only endpoints of this service and version can go on with it. */
   std::optional<fleet::StreamOrigin> mOrigin;
   /* The dispatcher's statement about the endpoint of the next attempt (RunnerAssigned::version). */
--- a/src/gateway/request_silence.cpp
+++ b/src/gateway/request_silence.cpp
@@ -225,6 +225,9 @@
   mAttemptState.runs += isNotSent || isNotRun ? 0 : 1;
   mAttemptState.refusals += isNotSent || isNotRun ? 1 : 0;
   mFailedEndpoints.insert(failed.attempt.endpoint);
+  if (isNotRun) {
+    mRefusedBy.insert(failed.attempt.endpoint);
+  }
   RecordEnd(failed.attempt,
             isNotRun ? fleet::EndpointOutcome::kRefused : fleet::EndpointOutcome::kFailed);
   if (failed.placementId) {
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -768,6 +768,11 @@
   return connection && connection->IsCurrentCall(mNumber) ? connection : nullptr;
 }
 
+bool Call::isConnectionReused() const
+{
+  return mNumber > 1;
+}
+
 void Call::Cancel()
 {
   if (const auto current = connection()) {
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -101,6 +101,9 @@
   Call(const Call&) = delete;
   Call& operator=(const Call&) = delete;
 
+  /* Returns whether the connection has carried another call before this one, so that an answer to
+   * that call may come once more. */
+  bool isConnectionReused() const;
   /* Aborts the call and closes its connection. No handler is called afterwards. */
   void Cancel();
   /* Pause() stops reading from the socket, for example while the client of the answer reads more
--- a/src/platform/request_headers.cpp
+++ b/src/platform/request_headers.cpp
@@ -388,6 +388,11 @@
   return answer;
 }
 
+bool AnswersRequest(const http::AnswerHead& aHead)
+{
+  return !http::Find(aHead.fields, field::kRequestId).value_or("").empty();
+}
+
 http::AnswerHead EncodeForwardedAnswer(const http::AnswerHead& aHead)
 {
   http::AnswerHead answer{ .status = aHead.status, .reason = aHead.reason };
--- a/src/platform/request_headers.h
+++ b/src/platform/request_headers.h
@@ -81,6 +81,10 @@
 /* Decodes the header fields of an endpoint's answer. A load that is invalid is left out. */
 EndpointAnswer DecodeEndpointAnswer(const http::AnswerHead& aHead);
 
+/* Returns whether an endpoint's answer is to a client's request, and not to an order or a call for
+ * a report, which have no request id. */
+bool AnswersRequest(const http::AnswerHead& aHead);
+
 /* Returns the header to send to the client: the endpoint's without its load and without fields that
  * concern only its connection or the framing. */
 http::AnswerHead EncodeForwardedAnswer(const http::AnswerHead& aHead);
--- a/tests/edge/test_wrong_answers.py
+++ b/tests/edge/test_wrong_answers.py
@@ -28,3 +28,40 @@
         for endpoint in ("p0", "p1"):
             cluster.platform.endpoints[endpoint].faults.resets_uploads = False
         assert daemon.send("pay", body=LONG_BODY).is_complete
+
+
+def test_edge_does_not_take_an_earlier_refusal_for_that_of_a_request_that_runs() -> None:
+    """Guards against requests that run twice, or are told to have not run, by a repeated refusal.
+
+    The runner refuses a stream once and then writes that refusal again on the same connection, before
+    the answer to the next request there.
+    """
+    with EdgeCluster(daemons=1, runners=1, plain=1, models=1) as cluster:
+        daemon = cluster.daemons[0]
+        for endpoint, kind in (("r0", "chat"), ("p0", "check")):
+            faults = cluster.platform.endpoints[endpoint].faults
+            faults.repeats_refusals, faults.refuse_requests = True, 1
+            result = daemon.send(kind)
+            assert result.is_complete, result
+            assert cluster.run_count(result) == 1, result
+
+
+def test_edge_does_not_take_a_refusal_without_an_id_for_that_of_another_request() -> None:
+    """Guards against the same where the refusal does not tell to which request it belongs.
+
+    Several requests are refused to the end. All kept connections then bring a refusal once more while
+    the endpoint runs the next request.
+    """
+    with EdgeCluster(daemons=1, runners=1, plain=1, models=1) as cluster:
+        daemon = cluster.daemons[0]
+        for endpoint, kind in (("r0", "chat"), ("p0", "check")):
+            faults = cluster.platform.endpoints[endpoint].faults
+            faults.repeats_refusals, faults.refusals_have_id = True, False
+            faults.refuse_requests = 1000
+            with ThreadPoolExecutor(6) as pool:
+                refused = list(pool.map(lambda _: daemon.send(kind), range(6)))
+            assert not [result for result in refused if cluster.run_count(result)]
+            faults.refuse_requests = 0
+            for _ in range(6):
+                result = daemon.send(kind)
+                assert cluster.find_violation(result) is None, result
