Fix: [Gateway] Go on with a stream only by an answer of its kind

A stream had begun and broke off, and the runner that was to go on with it answered otherwise. Errors broke the stream off, as they should.

An answer now goes on with a stream only with the status and the content type of its first answer. In serve, an answer that is no stream is incomplete once the caller has an event.

Evidence: test_edge_puts_no_other_answer_into_a_stream (text/plain inside the stream) and 'an error of the engine that was to resume a stream does not become a part of it' failed before and pass now.

--- a/src/endpoint/attempt.cpp
+++ b/src/endpoint/attempt.cpp
@@ -218,6 +218,10 @@
     if (mIsStream) {
       return mIsEndMarkReceived ? AttemptOutcome::kCompleted : AttemptOutcome::kIncomplete;
     }
+    if (mSession.delivered() > 0) {
+      // The caller has a part of a stream, which must not go on with the text of another answer.
+      return AttemptOutcome::kIncomplete;
+    }
     if (!mHasDefinedEnd) {
       // Without a length, a closed connection does not show whether the answer is complete.
       return AttemptOutcome::kIncomplete;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -915,6 +915,9 @@
   const bool isSuccess = aHead.status >= 200 && aHead.status < 300;
   mAttempt.isInvalid =
     !decodedHead.isNotRun && (!decodedHead.hasSignature || decodedHead.isEncoded);
+  if (isSuccess && mIsHeadSent && !ContinuesStream(aHead)) {
+    mAttempt.isInvalid = true;
+  }
   mAttempt.isStream = isSuccess && !mAttempt.isInvalid && mRoute->kind == RouteKind::kStream;
   mAttempt.head = aHead;
   mAttempt.decodedHead = std::move(decodedHead);
@@ -946,6 +949,15 @@
   }
 }
 
+bool RequestFlow::ContinuesStream(const http::AnswerHead& aHead) const
+{
+  const auto contentType = [](const http::AnswerHead& aItem) {
+    return http::Find(aItem.fields, "Content-Type").value_or("");
+  };
+  return aHead.status == mStreamHead.status &&
+         http::EqualsIgnoringCase(contentType(aHead), contentType(mStreamHead));
+}
+
 void RequestFlow::OnBody(std::uint64_t aAttemptNumber, std::string_view aBytes)
 {
   if (mIsEnded || IsReplacement(aAttemptNumber) || mAttempt.isInvalid ||
@@ -1044,9 +1056,9 @@
   }
   mIsHeadSent = true;
   mFirstByteAt = BootClockNow();
-  http::AnswerHead head = platform::EncodeForwardedAnswer(*mAttempt.head);
-  head.framing = http::Framing::kChunked;
-  mResponder->SendHead(head);
+  mStreamHead = platform::EncodeForwardedAnswer(*mAttempt.head);
+  mStreamHead.framing = http::Framing::kChunked;
+  mResponder->SendHead(mStreamHead);
 }
 
 AttemptEnd RequestFlow::ClassifyAttempt(http::CallResult aResult) const
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -341,6 +341,7 @@
    * dispatcher's permission. */
   bool mIsPartTrial = false;
   bool mIsHeadSent = false;
+  http::AnswerHead mStreamHead; ///< The head that was sent to the client.
   bool mIsEnded = false;
 };
 
--- a/tests/edge/test_wrong_answers.py
+++ b/tests/edge/test_wrong_answers.py
@@ -5,6 +5,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from edge_cluster import EdgeCluster
+from standin import OtherAnswer
 
 LONG_BODY = b"x" * (12 << 20)  # More than the kernel buffers of a connection hold.
 
@@ -65,3 +66,27 @@
             for _ in range(6):
                 result = daemon.send(kind)
                 assert cluster.find_violation(result) is None, result
+
+
+def test_edge_puts_no_other_answer_into_a_stream() -> None:
+    """Guards against streams that go on with an error's text, or end as if they were complete.
+
+    A stream breaks off, and the runner that is to go on with it answers otherwise.
+    """
+    answers = (OtherAnswer(500, "text/plain", b"HTTP/1.1 500 X\r\n\r\nfailed\n\n"),
+               OtherAnswer(404, "text/plain", b"no such model\n\n"),
+               OtherAnswer(200, "text/plain", b"an error\n\n"),
+               OtherAnswer(200, "application/json", b"{}"),
+               OtherAnswer(204, "text/event-stream", b""))
+    with EdgeCluster(daemons=1, runners=2, models=2) as cluster:
+        for endpoint in ("r0", "r1"):
+            cluster.platform.endpoints[endpoint].faults.cut_after_events = 2
+        for answer in answers:
+            for endpoint in ("r0", "r1"):
+                cluster.platform.endpoints[endpoint].faults.resume_answer = answer
+            for _ in range(3):
+                result = cluster.daemons[0].send("chat")
+                assert cluster.run_count(result) == 2, (answer, result)
+                assert result.status == 0, (answer, result)
+                assert result.event_ids == [1, 2], (answer, result)
+                assert result.body.count(b"\n\n") == 2, (answer, result)
--- a/tests/unit/contract_endpoint_test.cpp
+++ b/tests/unit/contract_endpoint_test.cpp
@@ -168,6 +168,21 @@
   }
 }
 
+// The text of the error would go on in the caller's stream, and end it as if it was complete.
+TEST_CASE("an error of the engine that was to resume a stream does not become a part of it")
+{
+  for (const FakeAnswer& answer : { FakeAnswer{ .status = 404, .body = "no such model" },
+                                    FakeAnswer{ .status = 400, .body = "data: x\n\n" } }) {
+    const FakeServer server(answer);
+    const auto session = MakeSession(AnswerForm::kStream);
+    session->BeginAttempt(AttemptNumber{ 1 });
+    session->PushEvent(AttemptNumber{ 1 }, 0, "data: a\n\n");
+    const AttemptEnded ended = RunAttempt(*session, MakeAttempt(server.address(), 1));
+    CHECK(ended.outcome == AttemptOutcome::kIncomplete);
+    CHECK(WaitForPart(*session)->data == "data: a\n\n");
+  }
+}
+
 // The buffer holds 256 KiB. Without the limit, a caller that reads slowly would make it grow. A
 // stop must end the wait, or the thread of the attempt would stay blocked.
 TEST_CASE(
