Fix: [Daemon] Survive a SIGHUP that comes before there is a handler

A process that got SIGHUP up to some 20 ms after its start ended by it. The platform sends it when the settings file changes, at any time; the default of the signal is to end the process, and the handler was set only by the daemon's constructor.

The signal is blocked before all constructors and delivered when there is a handler. Commands without one unblock it.

--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -7,6 +7,7 @@
 #include "core/exit_code_type.h"
 #include "core/guarded_loop.h"
 #include "core/json_text.h"
+#include "core/reload_signal_func.h"
 #include "daemon/crash_reports.h"
 #include "fleet/fleet_member.h"
 #include "fleet/store_client.h"
@@ -395,6 +396,7 @@
     mGateway.retries.Start(BootClockNow());
     mGateway.quotas.OnWaiting([this] { mMember.OnQuotaWaiting(); });
     WaitForSignal();
+    UnblockReloadSignal();
     ScheduleFlush();
     if (const std::string error = mMember.Start(); !error.empty()) {
       std::fprintf(stderr, "cannot listen: %s\n", error.c_str());
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,5 +1,6 @@
 /* The command line: reads the arguments and runs the command that they name. */
 #include "core/exit_code_type.h"
+#include "core/reload_signal_func.h"
 #include "daemon/daemon.h"
 #include "daemon/edge_daemon.h"
 #include "load/load_commands.h"
@@ -17,6 +18,10 @@
 /* Environment variable by which the users' platform passes the path of the settings file. */
 constexpr const char* kSettingsFileVariable = "RHUBARBTRAIL_CONFIG";
 
+/* The dynamic linker calls the functions of this section before all constructors. */
+[[gnu::section(".preinit_array"),
+  gnu::used]] void (*const kBeforeConstructors)() = rhubarbtrail::BlockReloadSignal;
+
 struct DaemonCommandOptions
 {
   rhubarbtrail::SettingsUse use = rhubarbtrail::SettingsUse::kServe;
@@ -90,11 +95,12 @@
   } catch (const CLI::ParseError& error) {
     return app.exit(error) == 0 ? rhubarbtrail::kExitOk : rhubarbtrail::kExitBadInput;
   }
-  if (serve->parsed()) {
-    return RunDaemonCommand(serveOptions);
-  }
   if (edge->parsed()) {
     return RunDaemonCommand(edgeOptions);
   }
+  rhubarbtrail::UnblockReloadSignal();
+  if (serve->parsed()) {
+    return RunDaemonCommand(serveOptions);
+  }
   return load.IsParsed() ? load.Run() : commands.Run();
 }
