Fix: [Dispatcher] Limit what is kept of prompt parts and of models that clients name

Parts were dropped only while the sum of their tokens exceeded the runner's cache. Parts without tokens take no room in a runner and are no longer kept, and all caches together keep 600,000 parts at the most. By reading: the demand of each model that a client names was kept without end, and planning looked at all of them; now only that of configured models is.

Two unit tests; that of the demand failed with the condition off, that of the parts does not compile on the former sources.

--- a/src/decision/fleet/dispatcher.cpp
+++ b/src/decision/fleet/dispatcher.cpp
@@ -20,6 +20,11 @@
 /* Shorter expected times count as this when they are compared with measured ones. */
 constexpr Duration kMinMeasuredTime = 5ms;
 
+/* Largest number of prompt parts that are kept for all runners together. Each takes some 110 bytes,
+ * so they stay well below the 256 MB of a daemon, also if a client sends nothing but small parts.
+ */
+constexpr std::size_t kMaxCachedParts = 600'000;
+
 EndpointOutcome EndpointOutcomeOf(AssignmentEnd aEnd)
 {
   switch (aEnd) {
@@ -313,8 +318,10 @@
   if (isAlreadyWaiting) {
     return;
   }
-  if (aRequest.UsesModel()) {
-    const ModelId& model = aRequest.work.target.model;
+  const Engine* engine = EngineOf(aRequest.service);
+  const ModelId& model = aRequest.work.target.model;
+  // Clients may name any model, and the demand of each is kept.
+  if (aRequest.UsesModel() && engine != nullptr && engine->models.contains(model)) {
     const double factor = mServiceTimes.Factor(model);
     mDemand.Record(aNow, model, ScaleDuration(EstimateRunnerTime(aRequest.work), factor));
   }
@@ -497,7 +504,7 @@
     aRequest.work.promptTokens - std::min(cachedTokens, aRequest.work.promptTokens));
   aRunner.promptsDoneAt = std::max(aRunner.promptsDoneAt, aNow) +
                           ScaleDuration(promptTime, mServiceTimes.Factor(target.model));
-  aRunner.cache.Record(aRequest.work);
+  aRunner.cache.Record(aRequest.work, kMaxCachedParts / std::max<std::size_t>(mRunners.size(), 1));
   if (const auto held = aRunner.models.find(target.model); held != aRunner.models.end()) {
     ++held->second.inFlight;
     held->second.lastUsed = aNow;
--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -243,6 +243,7 @@
   std::uint64_t refusedWithoutSlot() const { return mRefusedWithoutSlot; }
   const AssignmentOrder& assignmentOrder() const { return mAssignmentOrder; }
   const std::map<EndpointId, ManagedRunner>& runners() const { return mRunners; }
+  const DemandTracker& demand() const { return mDemand; }
 
   /* Limits on loads from the weight store. */
   struct StoreLimits
--- a/src/decision/fleet/prompt_cache.cpp
+++ b/src/decision/fleet/prompt_cache.cpp
@@ -30,6 +30,9 @@
   std::uint32_t cachedTokens = 0;
   for (const PromptPart& part : aWork.parts) {
     key = ExtendKey(key, part);
+    if (part.tokens == 0) {
+      continue;
+    }
     if (!mIndex.contains(key)) {
       break;
     }
@@ -38,11 +41,14 @@
   return cachedTokens;
 }
 
-void PromptCache::Record(const ModelWork& aWork)
+void PromptCache::Record(const ModelWork& aWork, std::size_t aMaxParts)
 {
   std::uint64_t key = InitialKey(aWork.target);
   for (const PromptPart& part : aWork.parts) {
     key = ExtendKey(key, part);
+    if (part.tokens == 0) {
+      continue;
+    }
     if (const auto found = mIndex.find(key); found != mIndex.end()) {
       mParts.splice(mParts.begin(), mParts, found->second);
       continue;
@@ -51,7 +57,7 @@
     mIndex.emplace(key, mParts.begin());
     mCachedTokens += part.tokens;
   }
-  while (mCachedTokens > mCapacity && !mParts.empty()) {
+  while ((mCachedTokens > mCapacity || mParts.size() > aMaxParts) && !mParts.empty()) {
     mCachedTokens -= mParts.back().tokens;
     mIndex.erase(mParts.back().key);
     mParts.pop_back();
--- a/src/decision/fleet/prompt_cache.h
+++ b/src/decision/fleet/prompt_cache.h
@@ -4,6 +4,7 @@
 
 #include "decision/fleet/work_type.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <list>
 #include <unordered_map>
@@ -11,7 +12,8 @@
 namespace rhubarbtrail::fleet {
 
 /* Models a runner's prompt cache by the requests that are sent to the runner. When the parts exceed
- * the capacity, the least recently used ones are evicted. */
+ * the capacity or their greatest number, the least recently used ones are evicted. A part without
+ * tokens takes no room in a runner, so it is not kept. */
 class PromptCache
 {
 public:
@@ -20,11 +22,13 @@
   /* Returns the number of tokens at the beginning of a prompt that the runner has cached and need
    * not process again. */
   std::uint32_t CachedTokens(const ModelWork& aWork) const;
-  /* Records that the runner processes a prompt and so caches its parts. */
-  void Record(const ModelWork& aWork);
+  /* Records that the runner processes a prompt and so caches its parts. aMaxParts limits how many
+   * parts are kept, whatever their tokens. */
+  void Record(const ModelWork& aWork, std::size_t aMaxParts);
   /* Removes all parts that belong to a model or its adapters. */
   void RemoveModel(const ModelId& aModel);
   void Clear();
+  std::size_t partCount() const { return mParts.size(); }
 
 private:
   struct Part
--- a/tests/fleet/dispatcher_test.cpp
+++ b/tests/fleet/dispatcher_test.cpp
@@ -51,6 +51,19 @@
   CheckNoViolations(world);
 }
 
+// Clients may name any model. A dispatcher that keeps the demand of each grows with every name, and
+// looks at all of them in each round of planning.
+TEST_CASE("the demand of models that no service has is not kept")
+{
+  FleetWorld world({});
+  for (int number = 0; number < 200; ++number) {
+    world.SendRequest("unknown" + std::to_string(number));
+  }
+  world.SendRequest("m0");
+  world.Run(1s);
+  CHECK(world.dispatcher.demand().Models() == std::vector{ ModelId{ "m0" } });
+}
+
 // The load takes a second, and the requests wait that long. If the dispatcher did not count the
 // load in progress, it would unload other models to load this one at more runners.
 TEST_CASE("one request and a hundred requests for a model that no runner holds cause one load")
--- a/tests/fleet/fleet_parts_test.cpp
+++ b/tests/fleet/fleet_parts_test.cpp
@@ -344,7 +344,7 @@
 {
   PromptCache cache;
   cache.SetCapacity(1'000);
-  cache.Record(WorkOf("m0", { { 1, 100 }, { 2, 50 } }));
+  cache.Record(WorkOf("m0", { { 1, 100 }, { 2, 50 } }), 100);
   CHECK(cache.CachedTokens(WorkOf("m0", { { 1, 100 }, { 2, 50 }, { 3, 10 } })) == 150);
   CHECK(cache.CachedTokens(WorkOf("m0", { { 2, 50 } })) == 0);
   CHECK(cache.CachedTokens(WorkOf("m1", { { 1, 100 } })) == 0);
@@ -356,14 +356,38 @@
 {
   PromptCache cache;
   cache.SetCapacity(250);
-  cache.Record(WorkOf("m0", { { 1, 100 } }));
-  cache.Record(WorkOf("m0", { { 2, 100 } }));
-  cache.Record(WorkOf("m0", { { 1, 100 } }));
-  cache.Record(WorkOf("m0", { { 3, 100 } }));
+  cache.Record(WorkOf("m0", { { 1, 100 } }), 100);
+  cache.Record(WorkOf("m0", { { 2, 100 } }), 100);
+  cache.Record(WorkOf("m0", { { 1, 100 } }), 100);
+  cache.Record(WorkOf("m0", { { 3, 100 } }), 100);
   CHECK(cache.CachedTokens(WorkOf("m0", { { 1, 100 } })) == 100);
   CHECK(cache.CachedTokens(WorkOf("m0", { { 2, 100 } })) == 0);
 }
 
+// A dispatcher that keeps an entry for each part that any client names ends by its memory.
+TEST_CASE("the parts that are kept of prompts are limited, whatever their tokens")
+{
+  PromptCache cache;
+  cache.SetCapacity(100'000);
+  std::uint64_t id = 0;
+  for (int request = 0; request < 1'000; ++request) {
+    std::vector<PromptPart> parts;
+    for (int part = 0; part < 100; ++part) {
+      parts.push_back({ .id = ++id, .tokens = 0 });
+    }
+    cache.Record(WorkOf("m0", parts), 5'000);
+  }
+  CHECK(cache.partCount() == 0);
+  for (int request = 0; request < 100'000; ++request) {
+    cache.Record(WorkOf("m0", { { .id = ++id, .tokens = 1 } }), 5'000);
+  }
+  CHECK(cache.partCount() == 5'000);
+  // Parts without tokens change nothing for those around them.
+  cache.Record(WorkOf("m0", { { 1, 100 }, { 2, 0 }, { 3, 50 } }), 5'000);
+  CHECK(cache.CachedTokens(WorkOf("m0", { { 1, 100 }, { 2, 0 }, { 3, 50 } })) == 150);
+  CHECK(cache.CachedTokens(WorkOf("m0", { { 1, 100 }, { 3, 50 } })) == 100);
+}
+
 TEST_CASE("the route with the longest matching prefix of the host is chosen")
 {
   FleetConfiguration configuration;
