Fix: [Dispatcher] Order no adapter that the configuration does not name

Cause: the dispatcher ordered any adapter of a configured model. The runner rejected the order, and a rejection stops all orders to the runner for 1 s; the waiting request was ordered again at the end of each pause.

Change: Engine::Has() knows the adapters of a model. Requests for others are refused on arrival with 503, and the dispatcher orders none.

--- a/src/decision/fleet/dispatcher.cpp
+++ b/src/decision/fleet/dispatcher.cpp
@@ -321,7 +321,7 @@
   const Engine* engine = EngineOf(aRequest.service);
   const ModelId& model = aRequest.work.target.model;
   // Clients may name any model, and the demand of each is kept.
-  if (aRequest.UsesModel() && engine != nullptr && engine->models.contains(model)) {
+  if (aRequest.UsesModel() && engine != nullptr && engine->Has(aRequest.work.target)) {
     const double factor = mServiceTimes.Factor(model);
     mDemand.Record(aNow, model, ScaleDuration(EstimateRunnerTime(aRequest.work), factor));
   }
--- a/src/decision/fleet/dispatcher_assign.cpp
+++ b/src/decision/fleet/dispatcher_assign.cpp
@@ -185,9 +185,10 @@
     return TryToAssignPlain(aNow, aWaiting);
   }
   const Engine* engine = EngineOf(request.service);
-  if (engine == nullptr || !engine->models.contains(request.work.target.model)) {
+  if (engine == nullptr || !engine->Has(request.work.target)) {
     // The requesting daemon has another configuration, which may contain the model. It chooses a
-    // runner itself.
+    // runner itself. An order for an adapter that does not exist would stop all other orders to
+    // its runner for a time.
     mActions.emplace_back(PlacementReply{ .id = request.id, .answer = PlacementUndecided{} });
     return true;
   }
--- a/src/decision/fleet/fleet_configuration.cpp
+++ b/src/decision/fleet/fleet_configuration.cpp
@@ -1,6 +1,8 @@
 /* Lookups of routes, services and models in the configuration of a fleet. */
 #include "decision/fleet/fleet_configuration_type.h"
 
+#include "core/number_func.h"
+
 namespace rhubarbtrail::fleet {
 
 const Route* FleetConfiguration::Match(std::string_view aHost, std::string_view aPath) const
@@ -17,6 +19,26 @@
   return nullptr;
 }
 
+bool Model::HasAdapter(const AdapterId& aAdapter) const
+{
+  if (aAdapter.empty()) {
+    return true;
+  }
+  const std::string_view name = aAdapter.str();
+  if (!name.starts_with(adapterPrefix)) {
+    return false;
+  }
+  const std::string_view digits = name.substr(adapterPrefix.size());
+  const auto number = ParseNumber<std::uint32_t>(digits, 1, adapters);
+  return number && !digits.starts_with('0');
+}
+
+bool Engine::Has(const ModelRef& aModel) const
+{
+  const Model* model = Find(aModel.model);
+  return model != nullptr && model->HasAdapter(aModel.adapter);
+}
+
 const Model* Engine::Find(const ModelId& aModel) const
 {
   const auto found = models.find(aModel);
--- a/src/decision/fleet/fleet_configuration_type.h
+++ b/src/decision/fleet/fleet_configuration_type.h
@@ -6,6 +6,7 @@
 #include "core/id_type.h"
 #include "core/unit_type.h"
 #include "decision/fleet/client_account_type.h"
+#include "decision/fleet/runner_type.h"
 
 #include <cstdint>
 #include <map>
@@ -60,9 +61,13 @@
   MemoryMb weights;           ///< Memory for the model without adapters.
   MemoryMb adapterWeights;    ///< Memory for one adapter.
   std::uint32_t adapters = 0; ///< Number of adapters that the model has.
+  std::string adapterPrefix;  ///< An adapter's name is this and its number, from 1.
   Duration storeLoadTime{};   ///< Load time from the weight store at its full speed.
   Duration memoryLoadTime{};  ///< Load time from the runner's host memory.
   Duration diskLoadTime{};    ///< Load time from the runner's own disk.
+
+  /* Returns whether the model has an adapter. An empty id stands for none, which each model has. */
+  bool HasAdapter(const AdapterId& aAdapter) const;
 };
 
 /* The capacity of each runner of a service that loads models. */
@@ -77,6 +82,8 @@
 
   /* Returns the model, or null if the configuration does not name it. */
   const Model* Find(const ModelId& aModel) const;
+  /* Returns whether the configuration names a model with one of its adapters. */
+  bool Has(const ModelRef& aModel) const;
 };
 
 struct Service
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -317,7 +317,7 @@
   }
   if (TimeLeft() <= Duration::zero()) {
     OnDeadline(); // It was sent ahead, and the answer before it took too long.
-  } else if (!RefuseImpossibleResume()) {
+  } else if (!RefuseUnknownModel() && !RefuseImpossibleResume()) {
     CheckQuota();
   }
 }
@@ -410,6 +410,18 @@
   }
 }
 
+bool RequestFlow::RefuseUnknownModel()
+{
+  const fleet::Service* service = mConfiguration->Find(mService);
+  if (!UsesModels() || service == nullptr || !service->engine ||
+      service->engine->Has(mClient.work->target)) {
+    return false;
+  }
+  // Not 404: a configuration that has it may be on its way.
+  Refuse(ResultCode::kEndpointUnavailable, kDefaultRetryAfter, "model_not_configured");
+  return true;
+}
+
 bool RequestFlow::RefuseImpossibleResume()
 {
   if (!IsResumedByClient()) {
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -112,6 +112,9 @@
   void ChooseService();
   /* Sets the origin of a stream that the client resumes, as far as this daemon knows it. */
   void FindOrigin();
+  /* Refuses a request for a model or an adapter that the configuration does not name. Returns
+   * whether it did. */
+  bool RefuseUnknownModel();
   /* Refuses a request to resume a stream that cannot go on whatever the dispatcher knows. Returns
    * whether it did. */
   bool RefuseImpossibleResume();
--- a/src/platform/configuration_decoder.cpp
+++ b/src/platform/configuration_decoder.cpp
@@ -4,6 +4,7 @@
 #include "core/digest_func.h"
 #include "decision/fleet/client_account_index.h"
 #include "platform/json_reader.h"
+#include "platform/wire_names.h"
 
 #include <algorithm>
 #include <limits>
@@ -64,6 +65,7 @@
       std::ceil(NumberMemberOr(aModel, "adapterMb", 0.0))) },
     .adapters =
       static_cast<std::uint32_t>(UnsignedMemberOr(aModel, "adapters", 0)), // A count, not a list.
+    .adapterPrefix = std::string{ kAdapterPrefix },
     .storeLoadTime = FromSeconds(storeLoadSeconds),
     .memoryLoadTime = FromSeconds(NumberMemberOr(aModel, "warmS", storeLoadSeconds)),
     .diskLoadTime = FromSeconds(NumberMemberOr(aModel, "diskS", storeLoadSeconds)),
--- a/src/platform/wire_names.h
+++ b/src/platform/wire_names.h
@@ -56,6 +56,8 @@
 
 /* Authentication scheme of clients' API keys. */
 constexpr std::string_view kKeyScheme = "Token";
+/* The adapters of a model are named by this and a number from 1. */
+constexpr std::string_view kAdapterPrefix = "a";
 
 } // namespace rhubarbtrail::platform
 
--- a/tests/fleet/dispatcher_test.cpp
+++ b/tests/fleet/dispatcher_test.cpp
@@ -64,6 +64,45 @@
   CHECK(world.dispatcher.demand().Models() == std::vector{ ModelId{ "m0" } });
 }
 
+// Load pattern: a client asks for adapters that do not exist, a few times a second. Runners reject
+// an order for one, and a rejection stops all other orders to the runner for a time.
+TEST_CASE(
+  "load: requests for adapters that do not exist do not keep other models from being loaded")
+{
+  FleetWorld world({ .runners = 2, .models = 12, .adapters = 4 });
+  int rejections = 0;
+  world.orderOverride = [&](const RunnerOrder& aOrder) -> std::optional<OrderOutcome> {
+    if (!aOrder.subject.adapter.str().starts_with("x")) {
+      return std::nullopt;
+    }
+    ++rejections;
+    return OrderOutcome::kRejected;
+  };
+  for (int step = 0; step < 40; ++step) {
+    world.SendRequest("m" + std::to_string(step % 6), "x" + std::to_string(step));
+    if (step % 10 == 5) {
+      world.SendRequest("m" + std::to_string(8 + step / 10));
+    }
+    world.Run(250ms);
+  }
+  world.Run(2s);
+  CHECK(rejections == 0);
+  CHECK(world.CountServed() == 4);
+  CHECK(world.LongestWait() < 2'500ms); // A load from disk takes a second.
+  CheckNoViolations(world);
+}
+
+TEST_CASE("the adapters of a model are those with a number up to their count")
+{
+  const Model model{ .adapters = 12, .adapterPrefix = "a" };
+  for (const char* name : { "", "a1", "a9", "a12" }) {
+    CHECK(model.HasAdapter(AdapterId{ name }));
+  }
+  for (const char* name : { "a", "a0", "a01", "a13", "b1", "a1 ", "a-1", "1", "a99999999999" }) {
+    CHECK_FALSE(model.HasAdapter(AdapterId{ name }));
+  }
+}
+
 // The load takes a second, and the requests wait that long. If the dispatcher did not count the
 // load in progress, it would unload other models to load this one at more runners.
 TEST_CASE("one request and a hundred requests for a model that no runner holds cause one load")
--- a/tests/fleet/fleet_world.cpp
+++ b/tests/fleet/fleet_world.cpp
@@ -40,6 +40,7 @@
                                  .weights = { kModelMb },
                                  .adapterWeights = { kAdapterMb },
                                  .adapters = options.adapters,
+                                 .adapterPrefix = "a",
                                  .storeLoadTime = options.storeLoadTime,
                                  .memoryLoadTime = options.diskLoadTime,
                                  .diskLoadTime = options.diskLoadTime });
