--- a/src/core/number_func.h
+++ b/src/core/number_func.h
@@ -31,6 +31,18 @@
   return value;
 }
 
+/* Parses a decimal number from aLow to aHigh, with or without a fraction. Rejects what
+ * ParseNumber() does, and exponents. */
+inline tl::expected<double, std::string> ParseDecimal(std::string_view aText,
+                                                      double aLow,
+                                                      double aHigh)
+{
+  if (aText.find_first_not_of("-.0123456789") != std::string_view::npos) {
+    return tl::make_unexpected("'" + std::string{ aText } + "' is not a number");
+  }
+  return ParseNumber<double>(aText, aLow, aHigh);
+}
+
 } // namespace rhubarbtrail
 
 #endif
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -77,6 +77,29 @@
            } };
 }
 
+/* Describes a whole number that the platform may state with a fraction, which is dropped. */
+template<typename Access>
+SettingInfo WholeNumberSetting(std::string_view aName,
+                               std::string_view aUnit,
+                               std::string_view aRange,
+                               Access aAccess,
+                               std::uint32_t aMinimum,
+                               std::uint32_t aMaximum,
+                               std::string_view aDescription)
+{
+  SettingInfo info =
+    NumericSetting(aName, aUnit, aRange, aAccess, aMinimum, aMaximum, aDescription);
+  info.set = [=](Settings& aSettings, const std::string& aText) -> SetResult {
+    const auto value = ParseDecimal(aText, aMinimum, aMaximum);
+    if (!value) {
+      return tl::make_unexpected(value.error());
+    }
+    aAccess(aSettings) = static_cast<std::uint32_t>(*value);
+    return {};
+  };
+  return info;
+}
+
 template<typename Access>
 SettingInfo MillisecondsSetting(std::string_view aName,
                                 std::string_view aRange,
@@ -95,11 +118,13 @@
              return std::to_string(std::chrono::duration_cast<milliseconds>(aAccess(copy)).count());
            },
            [=](Settings& aSettings, const std::string& aText) -> SetResult {
-             const auto value = ParseNumber<std::int64_t>(aText, aMinimum, aMaximum);
+             const auto value =
+               ParseDecimal(aText, static_cast<double>(aMinimum), static_cast<double>(aMaximum));
              if (!value) {
                return tl::make_unexpected(value.error());
              }
-             aAccess(aSettings) = milliseconds{ *value };
+             aAccess(aSettings) = std::chrono::duration_cast<Duration>(
+               std::chrono::duration<double, std::milli>{ *value });
              return {};
            } };
 }
@@ -382,15 +407,15 @@
       0.01,
       1'024.0,
       "Processor that the host has; the best equipped host gives the orders (`edge`)."),
-    NumericSetting("descriptor_limit",
-                   "descriptors",
-                   "256..1000000",
-                   FIELD(edge.descriptorLimit),
-                   256,
-                   1'000'000,
-                   "Files and sockets that may be open, an eighth of them kept for own calls "
-                   "(`edge`)."),
-    NumericSetting(
+    WholeNumberSetting("descriptor_limit",
+                       "descriptors",
+                       "256..1000000",
+                       FIELD(edge.descriptorLimit),
+                       256,
+                       1'000'000,
+                       "Files and sockets that may be open, an eighth of them kept for own calls "
+                       "(`edge`)."),
+    WholeNumberSetting(
       "memory_limit",
       "MB",
       "0..1000000",
@@ -406,16 +431,16 @@
                    3'600.0,
                    "Time from SIGTERM until the process is killed (`edge`)."),
     MillisecondsSetting("drain_limit",
-                        "200..60000",
+                        "200..3600000",
                         FIELD(edge.drainLimit),
                         200,
-                        60'000,
+                        kHourMs,
                         "Time in which a leaving runner must get no more requests (`edge`)."),
     MillisecondsSetting("lease_spacing",
-                        "100..60000",
+                        "100..3600000",
                         FIELD(edge.leaseSpacing),
                         100,
-                        60'000,
+                        kHourMs,
                         "Least time between orders of two holders (`edge`)."),
     SecondsSetting("retry_window",
                    "1..3600",
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -74,6 +74,29 @@
   }
 }
 
+// The platform states limits and bounds as whole numbers or fractions. A daemon that takes only one
+// of both ends at each start.
+TEST_CASE("figures of the platform may have a fraction")
+{
+  const std::string required = "daemon_id: a\nzone: a\nfront_address: a:1\nready_address: a:2\n"
+                               "link_address: a:3\nstore_address: a:4\n";
+  const auto settings = ParseSettings(required + "descriptor_limit: 4100.0\nmemory_limit: 260.5\n"
+                                                 "drain_limit: 2000.5\nlease_spacing: 3000.0\n"
+                                                 "revoke_limit: 2500.25\nshutdown_grace: 8.0\n",
+                                      "test",
+                                      SettingsUse::kEdge);
+  REQUIRE(settings.has_value());
+  CHECK(settings->edge.descriptorLimit == 4'100);
+  CHECK(settings->edge.memoryLimitMb == 260);
+  CHECK(settings->edge.drainLimit == 2'000'500us);
+  CHECK(settings->edge.leaseSpacing == 3s);
+  CHECK(settings->edge.revokeLimit == 2'500'250us);
+  for (const char* invalid :
+       { "drain_limit: 1e3", "memory_limit: 1e2", "memory_limit: x", "descriptor_limit: ''" }) {
+    CHECK_FALSE(ParseSettings(required + invalid, "test", SettingsUse::kEdge).has_value());
+  }
+}
+
 TEST_CASE("All errors of a settings file are reported together")
 {
   const auto result = LoadText("zone: a\nunknown: 1\ncaller_port: x\nlease_renewal: 5000\n");
