Fix: [Peer] Reject messages between daemons that are nested deeply

A message of 400,000 bytes that open as many arrays ended the process that decoded it (SIGSEGV), and messages may have 8 MB. The JSON library parses MessagePack by recursion.

ParseMessagePack() walks over the heads of the values first and rejects more than 32 levels, for edge and serve.

--- a/src/codec/json_codec.cpp
+++ b/src/codec/json_codec.cpp
@@ -2,6 +2,7 @@
 #include "codec/json_codec.h"
 
 #include "core/json_text.h"
+#include "core/message_pack_func.h"
 
 #include <nlohmann/json.hpp>
 
@@ -177,7 +178,7 @@
 tl::expected<Envelope, std::string> DecodeEnvelope(std::string_view aBytes)
 {
   try {
-    const json envelope = json::from_msgpack(aBytes);
+    const json envelope = ParseMessagePack(aBytes);
     return Envelope{ .from = envelope.at("from").get<Incarnation>(),
                      .senderConfigVersion = envelope.at("version").get<ConfigVersion>(),
                      .message = DecodeVariant<Message>(envelope, kMessageKindNames) };
--- a/src/fleet/fleet_message.cpp
+++ b/src/fleet/fleet_message.cpp
@@ -3,6 +3,7 @@
 #include "fleet/fleet_message.h"
 
 #include "core/json_text.h"
+#include "core/message_pack_func.h"
 #include "core/overloaded.h"
 #include "core/text_func.h"
 
@@ -810,7 +811,7 @@
 tl::expected<FleetMessage, std::string> DecodeFleetMessage(const std::string& aBytes)
 {
   try {
-    const Json json = Json::from_msgpack(aBytes);
+    const Json json = ParseMessagePack(aBytes);
     return FleetMessage{ .from = DaemonId{ TextOf(json.at("from")) },
                          .incarnation = IncarnationId{ TextOf(json.at("incarnation")) },
                          .body = BodyFrom(json) };
--- a/tests/fleet/fleet_message_test.cpp
+++ b/tests/fleet/fleet_message_test.cpp
@@ -1,5 +1,7 @@
 /* The encoding of the messages between daemons and of the lease row. A field that is lost or
  * changed on the way misleads the receiver, and a truncated message must not end its process. */
+#include "codec/json_codec.h"
+#include "core/message_pack_func.h"
 #include "fleet/fleet_message.h"
 
 #include <doctest/doctest.h>
@@ -213,6 +215,60 @@
   CHECK_FALSE(DecodeLeaseRow("{\"holder\":\"d\xff\"}").has_value());
 }
 
+// The library parses MessagePack by recursion, so a message of a few hundred kilobytes overflowed
+// the stack and ended the process.
+TEST_CASE("a message that is nested deeply is rejected")
+{
+  const std::string empty(1, '\xc0');
+  std::string maps;
+  for (int depth = 0; depth < 500'000; ++depth) {
+    maps += "\x81\xa1x";
+  }
+  for (const std::string& message : { std::string(4'000'000, '\x91') + empty,
+                                      std::string(4'000'000, '\x91'),
+                                      maps + empty,
+                                      "\x92" + empty + std::string(1'000'000, '\x91') }) {
+    CHECK_FALSE(DecodeFleetMessage(message).has_value());
+    CHECK_FALSE(DecodeEnvelope(message).has_value());
+  }
+  CHECK(ParseMessagePack(std::string(kMaxMessageDepth, '\x91') + empty).is_array());
+  CHECK_THROWS(ParseMessagePack(std::string(kMaxMessageDepth + 1, '\x91') + empty));
+}
+
+// The depth is found by walking over the values, so each kind of value has to be skipped as a
+// whole.
+TEST_CASE("every kind of value in a message is parsed")
+{
+  using Json = nlohmann::json;
+  Json value = Json::array();
+  for (const std::int64_t number :
+       { 0LL, -1LL, 200LL, -200LL, 70'000LL, -70'000LL, 5'000'000'000LL, -5'000'000'000LL }) {
+    value.push_back(number);
+  }
+  for (const std::size_t size : { 3, 40, 300, 70'000 }) {
+    value.push_back(std::string(size, '\x91'));
+    value.push_back(Json::binary(std::vector<std::uint8_t>(size, 0x91)));
+    value.push_back(Json::binary(std::vector<std::uint8_t>(size, 0x91), 7));
+    value.push_back(Json(size, Json::array({ 1.5, true, nullptr })));
+    Json map;
+    for (std::size_t key = 0; key < size; ++key) {
+      map[std::to_string(key)] = Json::object();
+    }
+    value.push_back(map);
+  }
+  for (const std::size_t size : { 1, 2, 4, 8, 16 }) {
+    value.push_back(Json::binary(std::vector<std::uint8_t>(size, 0x91), 7));
+  }
+  for (int depth = 3; depth < static_cast<int>(kMaxMessageDepth); ++depth) {
+    value = Json::array({ value, value.size() });
+  }
+  const auto bytes = Json::to_msgpack(value);
+  const std::string_view text{ reinterpret_cast<const char*>(bytes.data()), bytes.size() };
+  CHECK(ParseMessagePack(text) == value);
+  const auto tooDeep = Json::to_msgpack(Json::array({ Json::array({ value }) }));
+  CHECK_THROWS(ParseMessagePack({ reinterpret_cast<const char*>(tooDeep.data()), tooDeep.size() }));
+}
+
 TEST_CASE("a message that is truncated at any length is rejected without an exception")
 {
   const std::string encoded = Encode(kRequest);
