Add: [Tests] Odd entries and reports beside edge daemons, with a table of some 500 of them

Nested, too large and wrongly typed figures in each field, ports out of range and texts that are no JSON, as entries of another writer and as answers to calls for reports; a daemon starts beside them and follows what joins.

--- a/tests/edge/standin.py
+++ b/tests/edge/standin.py
@@ -438,6 +438,7 @@
     refuse_requests: int = 0        # Number of next requests that are refused without being run.
     refusals_have_id: bool = True
     resets_uploads: bool = False    # Answers a long upload at once with a part of a body, and resets.
+    report_body: Optional[bytes] = None  # In place of each report.
     resume_answer: Optional[OtherAnswer] = None  # Signed, to requests that resume a stream.
     silence: Optional[Silence] = None
     endless: Optional[Endless] = None  # Some answers have no end.
@@ -525,6 +526,8 @@
             write_response(call, 421)
         elif endless and kind is CallKind.REPORT and kind in endless.calls:
             await endless.answer(call, {})
+        elif call.path.endswith("/report") and self.faults.report_body is not None:
+            write_response(call, 200, self.faults.report_body)
         elif call.path.endswith("/report"):
             report = {**self._loaded_state(), "busy": self.busy_until > time.monotonic(),
                       "seq": self.order_count, "born": self.born, "waiting": 0, "running": 0}
--- a/tests/edge/test_odd_entries.py
+++ b/tests/edge/test_odd_entries.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import json
 import os
+from typing import Any
 
 from edge_cluster import EdgeCluster
 
@@ -10,6 +12,64 @@
 ODD_KEYS = ("a b", "a&limit=0", "a#b", "a%20b", "a%", "a+b", "a?b", "a=b", "a/../b", "caf\u00e9",
             "\U0001f600", "a\tb", "a\r\nX: y", 'a"b', "z" * 200)
 
+# Values of a field that no endpoint states: deeply nested, beyond all number types, or of another type.
+ODD_VALUES = ("[" * 20_000 + "]" * 20_000, '{"a":' * 10_000 + "1" + "}" * 10_000, "1e308", "1e999",
+              "9223372036854775808", "18446744073709551616", "-1", "99999999999999999999999999", "null",
+              '"\\ud800"', "[]", "{}", "[[]]", '[{"name":"m0","adapters":[1]}]', '"x"')
+FIELDS = ("slots", "born", "seq", "models", "coming", "atHand", "remainingMs", "address", "unknown")
+ODD_ADDRESSES = ("127.0.0.1:70000", "127.0.0.1:0", "127.0.0.1:-1", "127.0.0.1:18446744073709551617",
+                 "[::1", ":80", "127.0.0.1:", "localhost:80", "")
+
+
+def odd_documents(sound: dict[str, Any]) -> list[bytes]:
+    """Returns the document with one field replaced by an odd value in each, and texts that are none."""
+    documents = [b"", b"\xff\xfe", b"[" * 60_000, b"{", b"null"]
+    for name in FIELDS:
+        rest = json.dumps({key: value for key, value in sound.items() if key != name})
+        documents += [(rest[:-1] + f', "{name}": {value}}}').encode() for value in ODD_VALUES]
+    return documents + [json.dumps({**sound, "address": odd}).encode() for odd in ODD_ADDRESSES]
+
+
+def test_edge_goes_on_beside_odd_entries_and_reports() -> None:
+    """Guards against processes that end by an odd entry, or stop following the table.
+
+    Another writer leaves some 500 of them; then runners answer each call for a report with one. What joins
+    later is followed, also by a daemon that starts beside the entries.
+    """
+    with EdgeCluster(daemons=2, runners=2, models=2) as cluster:
+        platform = cluster.platform
+        runners = [platform.endpoints[name] for name in ("r0", "r1")]
+        entry = json.loads(platform.run_on_loop(platform.endpoints["p0"].next_entry))
+        # Those that can be read name endpoints of a service that no route leads to.
+        documents = odd_documents({**entry, "backend": "other"})
+
+        def put_odd_entries() -> None:
+            for number in range(0, 500, len(documents)):
+                for offset, document in enumerate(documents):
+                    platform.store.put("servers", f"odd {number + offset}", document)
+
+        platform.run_on_loop(put_odd_entries)
+        processes = [daemon.popen for daemon in cluster.daemons]
+        for document in documents:
+            for runner in runners:
+                runner.faults.report_body = document
+            platform.run_on_loop(runners[0].announce)  # The dispatcher asks for a report.
+        for runner in runners:
+            runner.faults.report_body = None
+        for daemon in cluster.daemons:
+            assert daemon.send("chat").is_complete
+            assert daemon.send("check").is_complete
+        assert all(process is not None and process.poll() is None for process in processes)
+        cluster.daemons[1].kill()
+        cluster.daemons[1].start()
+        platform.run_coroutine(platform._add("p9", "plain", []))
+        cluster.wait_until(cluster.daemons[1].is_ready, "readiness after a restart")
+        for endpoint in ("p0", "p1"):
+            platform.run_coroutine(platform.endpoints[endpoint].crash(None))
+        cluster.wait_until(
+            lambda: all(daemon.send("check").is_complete for daemon in cluster.daemons),
+            "the endpoint that joined later", 10.0)
+
 
 def test_edge_starts_beside_odd_keys_in_a_table_of_many_pages() -> None:
     """Guards against a daemon that never becomes ready: each page of its read ends at an odd key."""
