Fix: [Endpoint] Take no answer with an invalid field name in serve

Such an answer is now incomplete.

For edge, whose parser refuses such names already, 'a malformed answer ends a call' has eight cases, which passed before.

--- a/src/endpoint/attempt.cpp
+++ b/src/endpoint/attempt.cpp
@@ -130,6 +130,10 @@
   bool OnHead(const httplib::Response& aResponse)
   {
     mStatus = aResponse.status;
+    // The library takes any name. One with a blank can hide the framing of the body.
+    mHasValidFields = std::all_of(aResponse.headers.begin(),
+                                  aResponse.headers.end(),
+                                  [](const auto& aItem) { return http::IsFieldName(aItem.first); });
     mContentType = aResponse.get_header_value("Content-Type");
     mRefusalReason = aResponse.get_header_value("X-Refusal");
     const std::string id = aResponse.get_header_value("X-Request-Id");
@@ -206,7 +210,7 @@
     if (!aResult) {
       return DetermineTransportOutcome(aResult.error());
     }
-    if (!http::IsFinalStatus(static_cast<unsigned>(mStatus))) {
+    if (!mHasValidFields || !http::IsFinalStatus(static_cast<unsigned>(mStatus))) {
       return AttemptOutcome::kIncomplete;
     }
     if (mRefusalReason == "leaving") {
@@ -272,6 +276,7 @@
   bool mIsStream = false;
   bool mIsEndMarkReceived = false;
   bool mIsForeignAnswer = false;
+  bool mHasValidFields = true; ///< The names of the header fields are valid.
   bool mHasDefinedEnd = false; ///< The header gives the length, chunked framing or status 204.
 };
 
--- a/src/http/http_type.cpp
+++ b/src/http/http_type.cpp
@@ -70,6 +70,14 @@
     });
 }
 
+bool IsFieldName(std::string_view aText)
+{
+  constexpr std::string_view kTokenCharacters =
+    "!#$%&'*+-.^_`|~0123456789"
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ";
+  return !aText.empty() && aText.find_first_not_of(kTokenCharacters) == std::string_view::npos;
+}
+
 std::optional<std::string_view> Find(const Fields& aFields, std::string_view aName)
 {
   for (const Field& field : aFields) {
--- a/src/http/http_type.h
+++ b/src/http/http_type.h
@@ -24,6 +24,10 @@
 /* Compares two names or tokens of header fields, ignoring ASCII case. */
 bool EqualsIgnoringCase(std::string_view aLeft, std::string_view aRight);
 
+/* Returns whether a text can be the name of a header field: a token by RFC 9110, without blanks and
+ * control characters. */
+bool IsFieldName(std::string_view aText);
+
 /* Returns the value of the first field with the given name, or nothing. The result is a view into
  * aFields. */
 std::optional<std::string_view> Find(const Fields& aFields, std::string_view aName);
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -532,6 +532,20 @@
     CHECK(undefined.body.empty());
   }
 
+  for (const std::string field : { "X Y: 1",
+                                   "X-Y : 1",
+                                   "X\x01: 1",
+                                   "X\x7f: 1",
+                                   ": 1",
+                                   "X-Y",
+                                   "X-Y: a\x01z",
+                                   "Content-Length : 2" }) {
+    INFO(field);
+    ScriptedEndpoint invalid({ Answer("body", field + "\r\n") });
+    CHECK(invalid.Call() == CallResult::kMalformed);
+    CHECK(invalid.body.empty());
+  }
+
   ScriptedEndpoint interim({ "HTTP/1.1 103 Early Hints\r\n\r\n" + Answer("final") });
   CHECK(interim.Call() == CallResult::kComplete);
   CHECK(interim.status == 200);
