--- a/src/decision/fleet/dispatcher.cpp
+++ b/src/decision/fleet/dispatcher.cpp
@@ -20,7 +20,7 @@
 /* Shorter expected times count as this when they are compared with measured ones. */
 constexpr Duration kMinMeasuredTime = 5ms;
 
-/* Largest number of prompt parts that are kept for all runners together. Each takes some 110 bytes,
+/* Largest number of prompt parts that are kept for all runners together. Each takes some 120 bytes,
  * so they stay well below the 256 MB of a daemon, also if a client sends nothing but small parts.
  */
 constexpr std::size_t kMaxCachedParts = 600'000;
--- a/tests/edge/test_odd_entries.py
+++ b/tests/edge/test_odd_entries.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import time
 from typing import Any
 
 from edge_cluster import EdgeCluster
@@ -91,3 +92,28 @@
         for daemon in cluster.daemons:
             assert daemon.send("chat").is_complete
             assert daemon.send("pay").is_complete
+
+
+def test_edge_believes_an_older_entry_that_stays_in_the_store() -> None:
+    """Guards against an endpoint that a wrong number of another writer hides for good.
+
+    The number of a write is far too high, so those of the endpoint look older. They are believed when
+    they have stayed for 10 s.
+    """
+    with EdgeCluster(daemons=1, runners=1, plain=2, models=1) as cluster:
+        platform, daemon = cluster.platform, cluster.daemons[0]
+        endpoint = platform.endpoints["p0"]
+        entry = json.loads(platform.run_on_loop(endpoint.next_entry))
+        wrong = json.dumps({**entry, "seq": 1 << 40, "state": "draining"}).encode()
+        platform.run_on_loop(lambda: platform.store.put("servers", "p0", wrong))
+        time.sleep(0.5)
+        platform.run_on_loop(endpoint.announce)
+        held_at = time.monotonic()
+
+        def has_run_at_endpoint() -> bool:
+            result = daemon.send("check")
+            assert result.is_complete
+            return any(run.endpoint == "p0" for run in platform.runs[result.id])
+
+        cluster.wait_until(has_run_at_endpoint, "requests at the endpoint", 13.0)
+        assert time.monotonic() - held_at > 9.0
