--- a/review/standin-3/fleet.py
+++ b/review/standin-3/fleet.py
@@ -29,12 +29,6 @@
 LOAD_S = 1.0  # From the disk of a runner.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 CANNOT_RUN = 2
-_never = asyncio.Event()
-
-
-async def stay_silent() -> None:
-    """Never returns. The event is referred to, so that the waiting task is not collected."""
-    await _never.wait()
 
 
 class CannotRun(Exception):
@@ -150,8 +144,19 @@
         value, version = self.rows[table, key]
         return {"table": table, "part": "", "key": key, "value": value, "ver": version}
 
-    def _send(self, call: Call, rows: list[dict[str, Any]], status: int = 200) -> None:
-        body = {"rows": rows, "truncated": False, "ver": self.version,
+    @staticmethod
+    def _page(rows: list[dict[str, Any]]) -> tuple[list[dict[str, Any]], bool]:
+        """Returns the rows of one answer, 500 or 1 MB at most, and whether there are more."""
+        size = 0
+        for count, row in enumerate(rows):
+            size += len(row.get("value", ""))
+            if count and (count >= 500 or size > 1_000_000):
+                return rows[:count], True
+        return rows, False
+
+    def _send(self, call: Call, rows: list[dict[str, Any]], status: int = 200,
+              version: Optional[int] = None, truncated: bool = False) -> None:
+        body = {"rows": rows, "truncated": truncated, "ver": version or self.version,
                 "nowMs": int(time.monotonic() * 1000)}
         call.answer(status, json.dumps(body).encode(),
                     {"Content-Type": "application/json", "Store-Era": "1"})
@@ -163,8 +168,9 @@
         elif call.path.endswith("/rows-get"):
             table = call.query("table")
             first = call.query("from")
-            self._send(call, [self._row(t, k) for t, k in sorted(self.rows)
-                              if t == table and k >= first])
+            rows, truncated = self._page([self._row(t, k) for t, k in sorted(self.rows)
+                                          if t == table and k >= first])
+            self._send(call, rows, truncated=truncated)
         elif call.path.endswith("/rows-feed"):
             await self._feed(call)
         else:
@@ -199,7 +205,8 @@
                                 else {**row, "value": text})
             left = end - time.monotonic()
             if rows or left <= 0:
-                self._send(call, rows)
+                page, truncated = self._page(rows)
+                self._send(call, page, version=page[-1]["ver"] if truncated else None)
                 return
             try:
                 await asyncio.wait_for(self.changed.wait(), left)
