Fix: [Registry] Odd entries with long lists ended all daemons

Cause: each name became a node of some 80 bytes in a set of strings, in the registry, in the dispatcher's copy of the entry and in what it assumes of the runner, whether the service is configured or not. Related paths: entries of endpoints that are gone were kept whole for a minute, reports were taken up to 1 MB, all changed rows of a read were copied to be relayed, one log line named all models.

Change: names are packed and shared by all copies. The dispatcher keeps a state of its own only for what the configuration names or what fits into the runner. Endpoints that are gone lose their names. Reports and relayed rows have a limit of 128 KB. New gauge runner_names_bytes.

Tests of the holdings were adapted to the new type; they check the same.

--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -115,16 +115,21 @@
 }
 
 /* Returns the loaded models of a runner for logs: their names, separated by commas. The name of a
- * model with loaded adapters is followed by "+" and the number of these adapters. */
-std::string DescribeLoadedModels(const std::map<ModelId, std::set<AdapterId>>& aModels)
+ * model with loaded adapters is followed by "+" and the number of these adapters. Of a long list,
+ * only the first names are returned, and the number of the others. */
+std::string DescribeLoadedModels(const fleet::LoadedModels& aModels)
 {
+  constexpr std::size_t kMaxNames = 20;
   std::string names;
-  for (const auto& [model, adapters] : aModels) {
-    names += (names.empty() ? "" : ",") + model.str();
-    if (!adapters.empty()) {
-      names += "+" + std::to_string(adapters.size());
+  for (std::size_t index = 0; index < std::min(aModels.size(), kMaxNames); ++index) {
+    names += (names.empty() ? "" : ",") + aModels.model(index).str();
+    if (aModels.adapterCount(index) > 0) {
+      names += "+" + std::to_string(aModels.adapterCount(index));
     }
   }
+  if (aModels.size() > kMaxNames) {
+    names += " and " + std::to_string(aModels.size() - kMaxNames) + " more";
+  }
   return names;
 }
 
@@ -527,12 +532,13 @@
   /* Relays what other daemons must know of the last answer of the store about the runners. */
   void OnRunnersSynced()
   {
-    if (mChangedRunnerRows.empty()) {
+    if (mChangedRunnerRows.size.rows == 0) {
       return;
     }
     const RowVersion former = std::exchange(mRunnersChangedAt, mRunnerFeed.version());
-    auto rows = std::exchange(mChangedRunnerRows, {});
-    if (!fleet::ShouldRelayRows(former, rows.size())) {
+    ChangedRows changed = std::exchange(mChangedRunnerRows, {});
+    auto rows = std::move(changed.rows);
+    if (!fleet::ShouldRelayRows(former, changed.size)) {
       rows.clear(); // The notice of the change makes the other daemons read the table.
     }
     mMember.RelayTableChanges({ .table = std::string{ platform::table::kRunners },
@@ -541,6 +547,18 @@
                                 .rows = std::move(rows) });
   }
 
+  /* Keeps a changed row of the runner table for OnRunnersSynced(). */
+  void AddChangedRunnerRow(const platform::StoreRow& aRow)
+  {
+    ++mChangedRunnerRows.size.rows;
+    mChangedRunnerRows.size.bytes += aRow.key.size() + aRow.value.size();
+    if (mChangedRunnerRows.size.IsRelayable()) {
+      mChangedRunnerRows.rows.push_back(aRow);
+    } else {
+      mChangedRunnerRows.rows.clear();
+    }
+  }
+
   /* Passes the settings that a reload can change to the parts that keep a copy of them. */
   void ApplySettings()
   {
@@ -652,6 +670,7 @@
           mDispatcher.OnRunnerGone(now, id);
         }
       }
+      mRunners.ForgetGone(now);
       ScheduleRunnerSweep();
     });
   }
@@ -840,7 +859,7 @@
     const auto change = mRunners.Apply(BootClockNow(), aEntry);
     mMember.OnSoftwareVersion(aEntry.service, aEntry.softwareVersion);
     if (change != fleet::RunnerRegistry::Change::kHoldings) {
-      mChangedRunnerRows.push_back(aRow);
+      AddChangedRunnerRow(aRow);
     }
     if (change == fleet::RunnerRegistry::Change::kUpdated ||
         change == fleet::RunnerRegistry::Change::kHoldings ||
@@ -987,7 +1006,7 @@
   {
     const EndpointId runnerId{ aRow.key };
     mHeldRunnerRows.erase(aRow.key);
-    mChangedRunnerRows.push_back(aRow);
+    AddChangedRunnerRow(aRow);
     mRunners.Remove(BootClockNow(), runnerId);
     const fleet::KnownRunner* runner = mRunners.Find(runnerId);
     if (runner == nullptr || mRunners.Check(BootClockNow(), *runner) == fleet::Exclusion::kGone) {
@@ -1249,6 +1268,9 @@
         "Requests sent elsewhere because the best runner was beyond its window.",
         mDispatcher.pacedRequests() },
       { "runners_known", "Runners that are known.", mRunners.runners().size() },
+      { "runner_names_bytes",
+        "Bytes of the names in the entries of all runners.",
+        mRunners.holdingsBytes() },
       { "configuration_version",
         "Version in force.",
         mGateway.configuration ? mGateway.configuration->version.value : 0 },
@@ -1395,6 +1417,12 @@
     TimePoint heldSince{};  ///< When the first of them arrived.
   };
 
+  struct ChangedRows
+  {
+    fleet::RelaySize size;                ///< Of all of them.
+    std::vector<platform::StoreRow> rows; ///< Empty if they are too many to be relayed.
+  };
+
   /* A connection that broke under a request at an endpoint that was not called afterwards. */
   struct PossibleCrash
   {
@@ -1456,7 +1484,7 @@
   RowVersion mConfigurationChangedAt;                   ///< Version of the configuration's row.
   RowVersion mRunnersChangedAt; ///< Last change of the runner table that all daemons must know.
   /* Rows of the runner table whose changes the other daemons must know, to be relayed. */
-  std::vector<platform::StoreRow> mChangedRunnerRows;
+  ChangedRows mChangedRunnerRows;
   std::deque<PossibleCrash> mPossibleCrashes; ///< Oldest first.
   bool mWasConfirmed = true;                  ///< The configuration, at the last check.
   bool mIsStopping = false;
--- a/src/decision/fleet/dispatcher.cpp
+++ b/src/decision/fleet/dispatcher.cpp
@@ -54,7 +54,13 @@
     }
   }
   for (auto& [id, runner] : mRunners) {
+    const bool hadEngine = runner.engine != nullptr;
     SetEngine(runner);
+    if (runner.engine != nullptr && hadEngine) {
+      AddCopies(runner);
+    } else if (runner.engine != nullptr) {
+      AdoptHoldings(runner.adoptedAt, runner, RunnerHoldings{ runner.adopted });
+    }
   }
 }
 
@@ -252,12 +258,31 @@
 
 /* Replaces the assumed holdings by those of an entry or report. Times of use and counts of requests
  * in flight are kept for what is still held. A model whose load is presumed done is kept, because
- * the report may be older than that. */
+ * the report may be older than that.
+ *
+ * Load pattern: entries and reports of another writer with thousands of names. Only what the
+ * configuration names, and what fits into the runner besides, gets a state of its own. */
 void Dispatcher::AdoptHoldings(TimePoint aNow,
                                ManagedRunner& aRunner,
                                const RunnerHoldings& aHoldings)
 {
   mIsModelIndexStale = true;
+  aRunner.adopted = aHoldings;
+  aRunner.adoptedAt = aNow;
+  aRunner.inHostMemory.clear();
+  aRunner.onDisk.clear();
+  if (aRunner.engine == nullptr) {
+    aRunner.models.clear(); // SetConfiguration() adopts them once it names an engine.
+    return;
+  }
+  DropUnlistedHoldings(aRunner, aHoldings);
+  AdoptModels(aRunner, aHoldings.models);
+  AdoptAdapters(aNow, aRunner, aHoldings);
+  AddCopies(aRunner);
+}
+
+void Dispatcher::DropUnlistedHoldings(ManagedRunner& aRunner, const RunnerHoldings& aHoldings)
+{
   const ModelId* presumed =
     aRunner.order && aRunner.order->isPresumedDone ? &aRunner.order->order.subject.model : nullptr;
   std::erase_if(aRunner.models, [&](const auto& aItem) {
@@ -268,31 +293,98 @@
     }
     return !isHeld;
   });
-  for (const auto& item : aHoldings.models) {
+  for (auto& item : aRunner.models) {
     const ModelId& model = item.first;
-    const std::set<AdapterId>& adapters = item.second;
-    HeldModel& held = aRunner.models[model];
-    std::erase_if(held.adapters, [&](const auto& aItem) {
-      return !adapters.contains(aItem.first) &&
-             !aHoldings.loadingAdapters.contains({ .model = model, .adapter = aItem.first });
+    if (!aHoldings.models.contains(model)) {
+      continue; // Its load is presumed done, and nothing is stated about its adapters.
+    }
+    std::erase_if(item.second.adapters, [&](const auto& aItem) {
+      return !aHoldings.models.contains(model, aItem.first) &&
+             !aHoldings.loadingAdapters.contains(
+               LoadingAdapterOf({ .model = model, .adapter = aItem.first }));
     });
-    for (const AdapterId& adapter : adapters) {
-      HeldAdapter& known = held.adapters[adapter];
-      known.isOrdered = false;
-      known.readyAt = std::min(known.readyAt, aNow);
+  }
+}
+
+/* Adds the listed models. Those that the configuration does not name count as the largest, so a few
+ * of them fill the runner, and further ones change no decision. */
+void Dispatcher::AdoptModels(ManagedRunner& aRunner, const LoadedModels& aModels)
+{
+  const auto isUnknown = [&](const ModelId& aModel) {
+    return aRunner.engine->Find(aModel) == nullptr;
+  };
+  auto unknown = std::count_if(aRunner.models.begin(),
+                               aRunner.models.end(),
+                               [&](const auto& aItem) { return isUnknown(aItem.first); });
+  const auto unknownLimit = aRunner.weightMemory.CountOfLargestModels() + 1;
+  for (std::size_t index = 0; index < aModels.size(); ++index) {
+    const ModelId model = aModels.model(index);
+    if (aRunner.models.contains(model)) {
+      continue;
     }
+    if (isUnknown(model) && ++unknown > unknownLimit) {
+      continue;
+    }
+    aRunner.models.try_emplace(model);
   }
-  for (const ModelRef& loading : aHoldings.loadingAdapters) {
-    if (const auto held = aRunner.models.find(loading.model); held != aRunner.models.end()) {
-      const auto [known, isNew] = held->second.adapters.try_emplace(loading.adapter);
-      if (isNew || known->second.isOrdered) {
-        known->second.isOrdered = false;
-        known->second.readyAt = aNow + kAdapterLoadTime;
+}
+
+/* Adds the listed adapters of the models held. A runner has as many as it has slots, at most. */
+void Dispatcher::AdoptAdapters(TimePoint aNow,
+                               ManagedRunner& aRunner,
+                               const RunnerHoldings& aHoldings)
+{
+  std::size_t count = 0;
+  for (const auto& [model, held] : aRunner.models) {
+    count += held.adapters.size();
+  }
+  /* Returns the adapter, or null if the runner cannot hold it as well. */
+  const auto findOrAdd = [&](HeldModel& aModel, const AdapterId& aAdapter) -> HeldAdapter* {
+    const auto known = aModel.adapters.find(aAdapter);
+    if (known != aModel.adapters.end()) {
+      return &known->second;
+    }
+    return ++count > aRunner.engine->adapterSlots ? nullptr : &aModel.adapters[aAdapter];
+  };
+  for (std::size_t index = 0; index < aHoldings.models.size(); ++index) {
+    const auto held = aRunner.models.find(aHoldings.models.model(index));
+    if (held == aRunner.models.end()) {
+      continue;
+    }
+    for (std::size_t adapter = 0; adapter < aHoldings.models.adapterCount(index); ++adapter) {
+      if (auto* loaded = findOrAdd(held->second, aHoldings.models.adapter(index, adapter))) {
+        loaded->isOrdered = false;
+        loaded->readyAt = std::min(loaded->readyAt, aNow);
       }
     }
   }
-  aRunner.inHostMemory = aHoldings.inHostMemory;
-  aRunner.onDisk = aHoldings.onDisk;
+  for (const LoadingAdapterId& id : aHoldings.loadingAdapters) {
+    const ModelRef loading = ModelRefOf(id);
+    const auto held = aRunner.models.find(loading.model);
+    if (held == aRunner.models.end()) {
+      continue;
+    }
+    const bool isNew = !held->second.adapters.contains(loading.adapter);
+    HeldAdapter* adapter = findOrAdd(held->second, loading.adapter);
+    if (adapter != nullptr && (isNew || adapter->isOrdered)) {
+      adapter->isOrdered = false;
+      adapter->readyAt = aNow + kAdapterLoadTime;
+    }
+  }
+}
+
+/* Adds the listed copies of models that the configuration names. */
+void Dispatcher::AddCopies(ManagedRunner& aRunner)
+{
+  const auto add = [&](const NameSet<ModelId>& aListed, std::set<ModelId>& aCopies) {
+    for (const ModelId& model : aListed) {
+      if (aRunner.engine->Find(model) != nullptr) {
+        aCopies.insert(model);
+      }
+    }
+  };
+  add(aRunner.adopted.inHostMemory, aRunner.inHostMemory);
+  add(aRunner.adopted.onDisk, aRunner.onDisk);
 }
 
 void Dispatcher::OnPlacementRequest(TimePoint aNow,
--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -22,6 +22,7 @@
 #include "decision/fleet/stated_limit.h"
 #include "decision/fleet/stream_origins.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -132,6 +133,14 @@
   MemoryMb availableToModels; ///< All weight memory but the part reserved for adapters.
   MemoryMb largestModel;  ///< Weights of the largest model, also assumed for models not configured.
   MemoryMb smallestModel; ///< Weights of the smallest model.
+
+  /* Returns how many of the largest models a runner has room for. */
+  std::int64_t CountOfLargestModels() const
+  {
+    return largestModel.value > 0
+             ? std::max<std::int64_t>(availableToModels.value, 0) / largestModel.value
+             : 0;
+  }
 };
 
 /* What a runner that states a limit on requests may get from this dispatcher. */
@@ -160,9 +169,11 @@
    * out an order that is not pending here. */
   bool areHoldingsConfirmed = false;
   bool isReported = false; ///< A report has been adopted since Clear() or a new fencing token.
+  RunnerHoldings adopted;  ///< What the runner stated in the entry or report adopted last.
+  TimePoint adoptedAt{};
   std::map<ModelId, HeldModel> models;
-  std::set<ModelId> inHostMemory;
-  std::set<ModelId> onDisk;
+  std::set<ModelId> inHostMemory; ///< Without models that the configuration does not name.
+  std::set<ModelId> onDisk;       ///< The same.
   std::uint64_t orderCount = 0;
   std::optional<PendingOrder> order; ///< To load or unload a model.
   /* To load or unload an adapter. It may be sent before a report has confirmed a model load that is
@@ -349,6 +360,12 @@
   void LogDecision(DispatchLogRecord aRecord) { mActions.emplace_back(std::move(aRecord)); }
   void ResetRunner(TimePoint aNow, ManagedRunner& aRunner, const RunnerEntry& aEntry);
   void AdoptHoldings(TimePoint aNow, ManagedRunner& aRunner, const RunnerHoldings& aHoldings);
+  static void DropUnlistedHoldings(ManagedRunner& aRunner, const RunnerHoldings& aHoldings);
+  static void AdoptModels(ManagedRunner& aRunner, const LoadedModels& aModels);
+  static void AdoptAdapters(TimePoint aNow,
+                            ManagedRunner& aRunner,
+                            const RunnerHoldings& aHoldings);
+  static void AddCopies(ManagedRunner& aRunner);
   void AddAssignment(TimePoint aNow,
                      const PlacementRequest& aRequest,
                      ManagedRunner& aRunner,
--- a/src/decision/fleet/dispatcher_plan.cpp
+++ b/src/decision/fleet/dispatcher_plan.cpp
@@ -434,11 +434,11 @@
       aRunner.entry.state != RunnerState::kReady) {
     return;
   }
-  RunnerHoldings holdings{ .onDisk = aRunner.onDisk };
+  std::set<ModelId> copies = aRunner.onDisk;
   for (const auto& [model, held] : aRunner.models) {
-    holdings.models.try_emplace(model);
+    copies.insert(model); // Each load leaves a copy on the disk.
   }
-  mReturningCopies.RecordLost(aNow, aRunner.entry.service, holdings);
+  mReturningCopies.RecordLost(aNow, aRunner.entry.service, copies);
 }
 
 /* Load pattern: runners crash or flap, and for a time none that can take orders has a copy. */
--- a/src/decision/fleet/feed_coverage.h
+++ b/src/decision/fleet/feed_coverage.h
@@ -19,16 +19,26 @@
   Duration age{};
 };
 
-/* Rows of a table that the dispatcher relays at once, at most. */
+/* Rows of a table that the dispatcher relays at once, and their bytes, at most. */
 constexpr std::size_t kMaxRelayedRows = 16;
+constexpr std::size_t kMaxRelayedBytes = 128U << 10U;
 
-/* Load pattern: all daemons or many runners restart at once. The dispatcher would send each changed
- * row to hundreds of daemons, and its replies to requests would wait on its link for seconds. So
- * the daemons read the table themselves then, and when this daemon knows of no earlier change.
- * aFormerChange is the version of the last change before these rows. */
-inline bool ShouldRelayRows(RowVersion aFormerChange, std::size_t aRows)
+/* How much would have to be sent to each daemon. */
+struct RelaySize
 {
-  return aFormerChange != RowVersion{} && aRows <= kMaxRelayedRows;
+  std::size_t rows = 0;
+  std::size_t bytes = 0;
+
+  bool IsRelayable() const { return rows <= kMaxRelayedRows && bytes <= kMaxRelayedBytes; }
+};
+
+/* Load pattern: all daemons or many runners restart at once, or another writer adds large rows. The
+ * dispatcher would send each changed row to hundreds of daemons, and its replies to requests would
+ * wait on its link for seconds. So the daemons read the table themselves then, and when this daemon
+ * knows of no earlier change. aFormerChange is the version of the last change before these rows. */
+inline bool ShouldRelayRows(RowVersion aFormerChange, const RelaySize& aSize)
+{
+  return aFormerChange != RowVersion{} && aSize.IsRelayable();
 }
 
 /* Load pattern: hundreds of daemons that each watch the same tables. Their calls to the store grow
--- a/src/decision/fleet/returning_copies.cpp
+++ b/src/decision/fleet/returning_copies.cpp
@@ -23,14 +23,11 @@
 
 void ReturningCopies::RecordLost(TimePoint aNow,
                                  const ServiceId& aService,
-                                 const RunnerHoldings& aHoldings)
+                                 const std::set<ModelId>& aCopies)
 {
-  for (const ModelId& model : aHoldings.onDisk) {
+  for (const ModelId& model : aCopies) {
     mLostAt[{ aService, model }] = aNow;
   }
-  for (const auto& [model, adapters] : aHoldings.models) {
-    mLostAt[{ aService, model }] = aNow; // Each load leaves a copy on the disk.
-  }
 }
 
 bool ReturningCopies::IsExpected(TimePoint aNow,
--- a/src/decision/fleet/returning_copies.h
+++ b/src/decision/fleet/returning_copies.h
@@ -11,6 +11,7 @@
 
 #include <cstddef>
 #include <map>
+#include <set>
 #include <utility>
 
 namespace rhubarbtrail::fleet {
@@ -30,8 +31,8 @@
 class ReturningCopies
 {
 public:
-  /* Records that a runner's process ended without notice, with these holdings. */
-  void RecordLost(TimePoint aNow, const ServiceId& aService, const RunnerHoldings& aHoldings);
+  /* Records that a runner's process ended without notice, with these copies on its disk. */
+  void RecordLost(TimePoint aNow, const ServiceId& aService, const std::set<ModelId>& aCopies);
   /* Returns whether a crashed runner with a copy of the model may still return. */
   bool IsExpected(TimePoint aNow, const ServiceId& aService, const ModelId& aModel) const;
   /* Returns whether a load from the weight store should wait for a copy, given whether one is
--- a/src/decision/fleet/runner_registry.cpp
+++ b/src/decision/fleet/runner_registry.cpp
@@ -22,9 +22,9 @@
 
 bool HasLoaded(const RunnerEntry& aEntry, const ModelRef& aModel)
 {
-  const auto found = aEntry.holdings.models.find(aModel.model);
-  return found != aEntry.holdings.models.end() &&
-         (aModel.adapter.empty() || found->second.contains(aModel.adapter));
+  const LoadedModels& models = aEntry.holdings.models;
+  return aModel.adapter.empty() ? models.contains(aModel.model)
+                                : models.contains(aModel.model, aModel.adapter);
 }
 
 } // namespace
@@ -99,6 +99,15 @@
     const RunnerEntry& entry = found->second.entry;
     mFormerVersions[entry.service][entry.softwareVersion] = aNow;
   }
+}
+
+void RunnerRegistry::ForgetGone(TimePoint aNow)
+{
+  for (auto& [id, runner] : mRunners) {
+    if (IsGone(aNow, runner)) {
+      runner.entry.holdings = {};
+    }
+  }
   std::erase_if(mRunners, [&](const auto& aItem) {
     const KnownRunner& runner = aItem.second;
     return runner.missingSince && runner.inFlight == 0 &&
@@ -106,6 +115,15 @@
   });
 }
 
+std::size_t RunnerRegistry::holdingsBytes() const
+{
+  std::size_t bytes = 0;
+  for (const auto& [id, runner] : mRunners) {
+    bytes += runner.entry.holdings.heapBytes();
+  }
+  return bytes;
+}
+
 void RunnerRegistry::RecordRequestStart(const EndpointId& aRunner, std::size_t aBytes)
 {
   if (const auto found = mRunners.find(aRunner); found != mRunners.end()) {
--- a/src/decision/fleet/runner_registry.h
+++ b/src/decision/fleet/runner_registry.h
@@ -98,6 +98,10 @@
   Change Apply(TimePoint aNow, RunnerEntry aEntry);
   /* Records that an endpoint's entry is no longer in the store. */
   void Remove(TimePoint aNow, const EndpointId& aRunner);
+  /* Drops what is not needed of endpoints that are gone: what they held at once, and the rest once
+   * no answer can be in flight any more. Load pattern: entries of another writer under keys that
+   * are never the same twice. */
+  void ForgetGone(TimePoint aNow);
   /* Records that the store is reachable again after an outage. */
   void OnStoreReachable(TimePoint aNow) { mStoreReachableSince = aNow; }
   void OnStoreUnreachable() { mStoreReachableSince.reset(); }
@@ -209,6 +213,9 @@
    * nothing. */
   std::optional<SoftwareVersion> OnlyVersion(TimePoint aNow, const ServiceId& aService) const;
 
+  /* Returns the bytes that the names in the entries of all endpoints take. */
+  std::size_t holdingsBytes() const;
+
   const KnownRunner* Find(const EndpointId& aRunner) const;
   const std::map<EndpointId, KnownRunner>& runners() const { return mRunners; }
 
--- a/src/decision/fleet/runner_type.h
+++ b/src/decision/fleet/runner_type.h
@@ -4,11 +4,10 @@
 
 #include "core/id_type.h"
 #include "core/unit_type.h"
+#include "decision/fleet/loaded_models.h"
 
 #include <cstdint>
-#include <map>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace rhubarbtrail::fleet {
@@ -23,13 +22,25 @@
   bool operator==(const ModelRef&) const = default;
 };
 
-/* The models and adapters that a runner has loaded, and its other copies of model weights. */
+/* The name of an adapter that is being loaded: MODEL/ADAPTER. */
+using LoadingAdapterId = Id<struct LoadingAdapterTag>;
+
+LoadingAdapterId LoadingAdapterOf(const ModelRef& aModel);
+/* Returns the model and the adapter, which the first slash of the name separates. */
+ModelRef ModelRefOf(const LoadingAdapterId& aAdapter);
+
+/* The models and adapters that a runner states to have loaded, and its other copies of model
+ * weights. Nothing limits the lists but the size of the row or report, and the names may be
+ * unknown. So they are kept packed, and all copies share them. */
 struct RunnerHoldings
 {
-  std::map<ModelId, std::set<AdapterId>> models; ///< Loaded models with their loaded adapters.
-  std::set<ModelRef> loadingAdapters;            ///< Adapters that are being loaded.
-  std::set<ModelId> inHostMemory;
-  std::set<ModelId> onDisk;
+  LoadedModels models;                       ///< With their loaded adapters.
+  NameSet<LoadingAdapterId> loadingAdapters; ///< Adapters that are being loaded.
+  NameSet<ModelId> inHostMemory;
+  NameSet<ModelId> onDisk;
+
+  /* Returns the bytes that this takes on the heap, shared or not. */
+  std::size_t heapBytes() const;
 
   bool operator==(const RunnerHoldings&) const = default;
 };
--- a/src/fleet/fleet_member.cpp
+++ b/src/fleet/fleet_member.cpp
@@ -36,8 +36,9 @@
  * only the status of the answer to an order is needed. */
 constexpr Duration kOrderTimeout = 1s;
 constexpr Duration kReportTimeout = 2'500ms;
-/* Largest size of a report, in bytes. */
-constexpr std::uint64_t kMaxReportBytes = 1U << 20U;
+/* Largest size of a report, in bytes. A runner's entry has the same lists and fits into a row of
+ * 64 KB; a report adds a short line for each run. */
+constexpr std::uint64_t kMaxReportBytes = 128U << 10U;
 constexpr Duration kRunnerConnectTimeout = 250ms;
 /* Members to which the dispatcher sends copies of the streams that have begun: all of a small
  * fleet, so that streams can be resumed while a lost dispatcher is being replaced. More copies
--- a/src/platform/runner_decoder.cpp
+++ b/src/platform/runner_decoder.cpp
@@ -18,57 +18,74 @@
 /* Largest start time that an endpoint can state: the year 9999, in milliseconds. */
 constexpr std::uint64_t kMaxStartTimeMs = 253'402'300'800'000;
 
-/* Decodes one item of the list of adapters that are being loaded, which is MODEL/ADAPTER or
- * MODEL/ADAPTER@VERSION. The version is dropped. */
-fleet::ModelRef DecodeLoadingAdapter(const std::string& aText)
+/* Returns a name in a list, or throws if it is not a text. */
+std::string_view NameIn(const char* aList, const Json& aItem)
 {
-  const auto slash = aText.find('/');
-  if (slash == std::string::npos) {
-    throw DecodeError("coming has an adapter without its model");
+  if (!aItem.is_string()) {
+    throw DecodeError(std::string{ aList } + " has an item that is not a string");
   }
-  return { .model = ModelId{ aText.substr(0, slash) },
-           .adapter = AdapterId{ aText.substr(slash + 1, aText.find('@') - slash - 1) } };
+  return aItem.get_ref<const std::string&>();
 }
 
-std::set<ModelId> DecodeModelNames(const Json& aObject, const char* aName)
+/* Returns an adapter's name, which begins at a position, without "@" and the version that may
+ * follow it. */
+std::string_view WithoutVersion(std::string_view aText, std::size_t aNameBegin = 0)
 {
-  std::set<ModelId> names;
-  if (!aObject.contains(aName)) {
-    return names;
-  }
-  for (const Json& item : ArrayMember(aObject, aName)) {
-    if (!item.is_string()) {
-      throw DecodeError(std::string{ aName } + " has an item that is not a string");
+  return aText.substr(0, aText.find('@', aNameBegin));
+}
+
+NameSet<ModelId> DecodeModelNames(const Json& aObject, const char* aList)
+{
+  std::vector<std::string_view> names;
+  if (aObject.contains(aList)) {
+    for (const Json& item : ArrayMember(aObject, aList)) {
+      names.push_back(NameIn(aList, item));
     }
-    names.insert(ModelId{ item.get<std::string>() });
   }
-  return names;
+  return NameSet<ModelId>{ std::move(names) };
 }
 
-fleet::RunnerHoldings DecodeHoldings(const Json& aObject)
+fleet::LoadedModels DecodeLoadedModels(const Json& aObject)
 {
-  fleet::RunnerHoldings holdings;
-  if (aObject.contains("models")) {
-    for (const Json& item : ArrayMember(aObject, "models")) {
-      std::set<AdapterId>& adapters = holdings.models[ModelId{ StringMember(item, "name") }];
-      if (!item.contains("adapters")) {
-        continue;
-      }
-      for (const Json& adapter : ArrayMember(item, "adapters")) {
-        if (!adapter.is_string()) {
-          throw DecodeError("adapters has an item that is not a string");
-        }
-        // The name may be followed by "@" and a version, which is dropped.
-        const std::string name = adapter.get<std::string>();
-        adapters.insert(AdapterId{ name.substr(0, name.find('@')) });
-      }
+  std::vector<fleet::LoadedModels::Item> models;
+  if (!aObject.contains("models")) {
+    return {};
+  }
+  for (const Json& item : ArrayMember(aObject, "models")) {
+    models.push_back({ StringMember(item, "name"), {} });
+    if (!item.contains("adapters")) {
+      continue;
+    }
+    for (const Json& adapter : ArrayMember(item, "adapters")) {
+      models.back().second.push_back(WithoutVersion(NameIn("adapters", adapter)));
     }
   }
-  if (aObject.contains("coming")) {
-    for (const Json& item : ArrayMember(aObject, "coming")) {
-      holdings.loadingAdapters.insert(DecodeLoadingAdapter(item.get<std::string>()));
+  return fleet::LoadedModels{ std::move(models) };
+}
+
+/* Decodes the list of adapters that are being loaded. Its items are MODEL/ADAPTER or
+ * MODEL/ADAPTER@VERSION. */
+NameSet<fleet::LoadingAdapterId> DecodeLoadingAdapters(const Json& aObject)
+{
+  std::vector<std::string_view> adapters;
+  if (!aObject.contains("coming")) {
+    return {};
+  }
+  for (const Json& item : ArrayMember(aObject, "coming")) {
+    const std::string_view name = NameIn("coming", item);
+    const std::size_t slash = name.find('/');
+    if (slash == std::string_view::npos) {
+      throw DecodeError("coming has an adapter without its model");
     }
+    adapters.push_back(WithoutVersion(name, slash));
   }
+  return NameSet<fleet::LoadingAdapterId>{ std::move(adapters) };
+}
+
+fleet::RunnerHoldings DecodeHoldings(const Json& aObject)
+{
+  fleet::RunnerHoldings holdings{ .models = DecodeLoadedModels(aObject),
+                                  .loadingAdapters = DecodeLoadingAdapters(aObject) };
   if (const auto copies = aObject.find("atHand"); copies != aObject.end()) {
     holdings.inHostMemory = DecodeModelNames(*copies, "inMemory");
     holdings.onDisk = DecodeModelNames(*copies, "onDisk");
--- a/tests/edge/test_odd_entries.py
+++ b/tests/edge/test_odd_entries.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import os
+import re
+import string
 import time
+from pathlib import Path
 from typing import Any
 
 from edge_cluster import EdgeCluster
@@ -21,6 +25,28 @@
 ODD_ADDRESSES = ("127.0.0.1:70000", "127.0.0.1:0", "127.0.0.1:-1", "127.0.0.1:18446744073709551617",
                  "[::1", ":80", "127.0.0.1:", "localhost:80", "")
 
+ROW_BYTES = 65_536
+LONG_ENTRIES = 150
+MEMORY_MB = 256  # Of a daemon.
+SHORT_NAMES = ["".join(name) for name in
+               itertools.islice(itertools.product(string.ascii_letters + string.digits, repeat=3), 10_400)]
+
+
+def long_lists() -> dict[str, dict[str, Any]]:
+    """Returns the fields of entries that are about as large as a row, by the list that fills them."""
+    return {
+        "onDisk": {"models": [], "atHand": {"inMemory": [], "onDisk": SHORT_NAMES}},
+        "adapters": {"models": [{"name": "m0", "adapters": SHORT_NAMES}]},
+        "coming": {"models": [], "coming": [f"m/{name}" for name in SHORT_NAMES[:7_500]]},
+        "models": {"models": [{"name": name} for name in SHORT_NAMES[:4_000]]},
+    }
+
+
+def peak_memory_mb(pid: int) -> float:
+    found = re.search(r"VmHWM:\s+(\d+)", Path(f"/proc/{pid}/status").read_text())
+    assert found is not None
+    return int(found[1]) / 1024
+
 
 def odd_documents(sound: dict[str, Any]) -> list[bytes]:
     """Returns the document with one field replaced by an odd value in each, and texts that are none."""
@@ -117,3 +143,44 @@
 
         cluster.wait_until(has_run_at_endpoint, "requests at the endpoint", 13.0)
         assert time.monotonic() - held_at > 9.0
+
+
+def test_edge_holds_long_lists_in_entries_and_reports_within_its_memory() -> None:
+    """Guards against daemons that end for lack of memory: a name of 3 bytes took 240.
+
+    Another writer puts 150 entries as large as a row allows, of a service that is configured and of one
+    that is not, and the runners answer each call for a report with the same lists.
+    """
+    with EdgeCluster(daemons=2, runners=2, models=2, overwrites_freed_memory=False) as cluster:
+        platform = cluster.platform
+        runners = [platform.endpoints[name] for name in ("r0", "r1")]
+        sound = json.loads(platform.run_on_loop(runners[0].next_entry))
+
+        def put_entries(service: str, fields: dict[str, Any]) -> None:
+            for number in range(LONG_ENTRIES):
+                value = json.dumps({**sound, "backend": service, "address": f"127.0.0.1:{number + 1}",
+                                    "born": 1, "seq": int(time.time() * 1000), **fields},
+                                   separators=(",", ":")).encode()
+                assert ROW_BYTES * 0.8 < len(value) <= ROW_BYTES, len(value)
+                platform.store.put("servers", f"long-{number}", value)
+
+        for service, (name, fields) in itertools.product(("other", sound["backend"]),
+                                                         long_lists().items()):
+            platform.run_on_loop(lambda: put_entries(service, fields))
+            for runner in runners:
+                runner.faults.report_body = json.dumps(
+                    {"busy": False, "seq": 0, "born": runner.born, **fields}).encode()
+                platform.run_on_loop(runner.announce)  # The dispatcher asks for a report.
+            time.sleep(1.0)
+            for daemon in cluster.daemons:
+                assert daemon.popen is not None and daemon.popen.poll() is None
+                peak_mb = peak_memory_mb(daemon.popen.pid)
+                print(f"{daemon.name}: {peak_mb:.0f} MB after {name} of service {service}")
+                assert peak_mb < MEMORY_MB, f"{daemon.name} with {name} of service {service}"
+        for runner in runners:
+            runner.faults.report_body = None
+        for number in range(LONG_ENTRIES):
+            platform.run_on_loop(lambda: platform.store.put("servers", f"long-{number}", None))
+        for daemon in cluster.daemons:
+            cluster.wait_until(lambda: daemon.send("chat").is_complete, "a chat", 10.0)
+            assert daemon.send("check").is_complete
--- a/tests/fleet/dispatcher_resume_test.cpp
+++ b/tests/fleet/dispatcher_resume_test.cpp
@@ -104,7 +104,8 @@
   world.runners[1].version = "v2";
   world.SendEntry(0);
   const RunnerReport restarted{ .startedAtMs = world.runners[1].startedAtMs,
-                                .holdings = { .models = { { ModelId{ "m0" }, {} } } } };
+                                .holdings = { .models =
+                                                LoadedModels{ { { ModelId{ "m0" }, {} } } } } };
   world.runners[1].models[ModelId{ "m0" }];
   world.dispatcher.OnReport(world.now, EndpointId{ "r1" }, &restarted);
   world.Drain(0);
--- a/tests/fleet/feed_coverage_test.cpp
+++ b/tests/fleet/feed_coverage_test.cpp
@@ -82,8 +82,9 @@
 // others, and served nothing for seconds.
 TEST_CASE("few changed rows are relayed, but neither a whole table nor the rows of many runners")
 {
-  CHECK(ShouldRelayRows({ 5 }, 1));
-  CHECK(ShouldRelayRows({ 5 }, kMaxRelayedRows));
-  CHECK_FALSE(ShouldRelayRows({ 5 }, kMaxRelayedRows + 1));
-  CHECK_FALSE(ShouldRelayRows({}, 1));
+  CHECK(ShouldRelayRows({ 5 }, { .rows = 1 }));
+  CHECK(ShouldRelayRows({ 5 }, { .rows = kMaxRelayedRows, .bytes = kMaxRelayedBytes }));
+  CHECK_FALSE(ShouldRelayRows({ 5 }, { .rows = kMaxRelayedRows + 1 }));
+  CHECK_FALSE(ShouldRelayRows({ 5 }, { .rows = 1, .bytes = kMaxRelayedBytes + 1 }));
+  CHECK_FALSE(ShouldRelayRows({}, { .rows = 1 }));
 }
--- a/tests/fleet/fleet_parts_test.cpp
+++ b/tests/fleet/fleet_parts_test.cpp
@@ -407,7 +407,7 @@
   RunnerRegistry registry;
   RunnerEntry entry = EntryOf("r1");
   registry.Apply(kStart, entry);
-  entry.holdings.models[ModelId{ "m1" }];
+  entry.holdings.models = LoadedModels{ { { ModelId{ "m1" }, {} } } };
   CHECK(registry.Apply(kStart, entry) == RunnerRegistry::Change::kHoldings);
   entry.timeUntilStop = 5s;
   CHECK(registry.Apply(kStart, entry) == RunnerRegistry::Change::kUpdated);
--- a/tests/fleet/fleet_world.cpp
+++ b/tests/fleet/fleet_world.cpp
@@ -210,9 +210,13 @@
   RunnerReport report{ .isBusy = aRunner.order.has_value(),
                        .orderCount = aRunner.orderCount,
                        .startedAtMs = aRunner.startedAtMs };
-  report.holdings.models = aRunner.models;
-  report.holdings.loadingAdapters = aRunner.loadingAdapters;
-  report.holdings.onDisk = aRunner.onDisk;
+  std::vector<LoadingAdapterId> loadingAdapters;
+  for (const ModelRef& adapter : aRunner.loadingAdapters) {
+    loadingAdapters.push_back(LoadingAdapterOf(adapter));
+  }
+  report.holdings = { .models = LoadedModels{ aRunner.models },
+                      .loadingAdapters = NameSet<LoadingAdapterId>::Of(loadingAdapters),
+                      .onDisk = NameSet<ModelId>::Of(aRunner.onDisk) };
   return report;
 }
 
--- a/tests/fleet/returning_copies_test.cpp
+++ b/tests/fleet/returning_copies_test.cpp
@@ -11,10 +11,7 @@
 const ModelId kModel{ "m" };
 constexpr TimePoint kStart{ 100s };
 
-RunnerHoldings HoldingsOnDisk()
-{
-  return { .onDisk = { kModel } };
-}
+const std::set<ModelId> kCopies{ kModel };
 
 } // namespace
 
@@ -23,7 +20,7 @@
 TEST_CASE("a load from the store waits for the copy of a runner that crashed")
 {
   ReturningCopies copies;
-  copies.RecordLost(kStart, kService, HoldingsOnDisk());
+  copies.RecordLost(kStart, kService, kCopies);
   CHECK(copies.IsExpected(kStart + 3s, kService, kModel));
   CHECK_FALSE(copies.IsExpected(kStart + kCopyReturnTime, kService, kModel));
   CHECK_FALSE(copies.IsExpected(kStart, kService, ModelId{ "other" }));
--- a/tests/platform/decoder_test.cpp
+++ b/tests/platform/decoder_test.cpp
@@ -56,8 +56,8 @@
   CHECK(entry->startedAtMs == 17);
   CHECK(entry->writeNumber == 4);
   CHECK(entry->softwareVersion == SoftwareVersion{ "v1" });
-  CHECK(entry->holdings.models.at(ModelId{ "m1" }) ==
-        std::set{ AdapterId{ "a1" }, AdapterId{ "a3" } });
+  CHECK(entry->holdings.models ==
+        fleet::LoadedModels{ { { ModelId{ "m1" }, { AdapterId{ "a1" }, AdapterId{ "a3" } } } } });
   CHECK(entry->holdings.onDisk.size() == 2);
 }
 
