Test: [Http] Answers whose heads are cut off are not complete

Operators of similar systems report that a runner closed in the middle of its answer's head, and clients got a success with an empty or short body, framed as whole.

A process test cuts the heads of edge's endpoints, also where a stream is taken up. No change of the product. Links between daemons frame their messages by length and have no heads.

--- a/tests/edge/standin.py
+++ b/tests/edge/standin.py
@@ -446,6 +446,8 @@
     resets_uploads: bool = False    # Answers a long upload at once with a part of a body, and resets.
     report_body: Optional[bytes] = None  # In place of each report.
     resume_answer: Optional[OtherAnswer] = None  # Signed, to requests that resume a stream.
+    cut_head: Optional[int] = None  # Bytes of the head of a signed answer after which it closes.
+    cuts_resumed_only: bool = False  # Only the heads of answers that resume a stream.
     silence: Optional[Silence] = None
     endless: Optional[Endless] = None  # Some answers have no end.
     # A plain endpoint answers a path that begins with /tokens/ with a stream of that many events.
@@ -633,8 +635,15 @@
             return
         signed_headers = {"X-Request-Id": request, "X-Response-Signature": f"{self.id}.{request}",
                           "X-Server-Load": "1,0,8", **call.answer_fields}
+        is_cut = self.faults.cut_head is not None and (
+            "last-event-id" in call.fields or not self.faults.cuts_resumed_only)
         if self.faults.endless and CallKind.REQUEST in self.faults.endless.calls:
             await self.faults.endless.answer(call, signed_headers)
+        elif is_cut:
+            content = ({"Content-Type": "text/event-stream"} if model else {"Content-Length": "0"})
+            call.writer.write(
+                response_head(200, {**content, **signed_headers})[:self.faults.cut_head])
+            call.writer.close()
         elif self.faults.resume_answer and "last-event-id" in call.fields:
             answer = self.faults.resume_answer
             call.writer.write(response_head(answer.status, {
--- a/tests/edge/test_wrong_answers.py
+++ b/tests/edge/test_wrong_answers.py
@@ -90,3 +90,30 @@
                 assert result.status == 0, (answer, result)
                 assert result.event_ids == [1, 2], (answer, result)
                 assert result.body.count(b"\n\n") == 2, (answer, result)
+
+
+def test_edge_passes_on_no_answer_whose_head_is_cut_off() -> None:
+    """Guards against a success with an empty or short body, framed as whole, for a head without its end.
+
+    The endpoint closes in the middle of the head, also in one that is to take up a stream.
+    """
+    # Behind the status, within the first field, behind each field, and before the last line end.
+    cuts = (17, 30, 36, 37, 80, -30, -10, -4, -3, -2, -1)
+    with EdgeCluster(daemons=1, runners=2, plain=2, models=2) as cluster:
+        daemon = cluster.daemons[0]
+        endpoints = [cluster.platform.endpoints[name] for name in ("p0", "p1", "r0", "r1")]
+        for cut in cuts:
+            for endpoint in endpoints:
+                endpoint.faults.cut_head = cut
+            for kind in ("pay", "check", "chat", "draft"):
+                result = daemon.send(kind)
+                assert result.status in (0, 502, 503, 504), (cut, result)
+                assert cluster.find_violation(result) is None, (cut, result)
+        for endpoint in endpoints:
+            endpoint.faults.cut_after_events, endpoint.faults.cuts_resumed_only = 2, True
+        for cut in cuts:
+            for endpoint in endpoints:
+                endpoint.faults.cut_head = cut
+            result = daemon.send("chat")
+            assert result.status == 0 and result.event_ids == [1, 2], (cut, result)
+            assert result.body.count(b"\n\n") == 2, (cut, result)
