Fix: [Http] Fields of open requests took forty times their size

Cause: a field of 5 bytes on the wire was two strings of 64 bytes, and the account counted its characters.

Change: http::Fields keeps names and values in one block with offsets; the account counts its heap.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -92,11 +92,13 @@
 /* Returns the bytes of a request, body and fields. */
 std::size_t SizeOf(const http::Request& aRequest)
 {
-  std::size_t size = aRequest.target.size() + aRequest.body.size();
-  for (const http::Field& item : aRequest.fields) {
-    size += item.name.size() + item.value.size();
-  }
-  return size;
+  return aRequest.target.size() + aRequest.body.size() + aRequest.fields.textBytes();
+}
+
+/* Returns the bytes that a request takes on the heap without its body. */
+std::size_t FieldBytesOf(const http::Request& aRequest)
+{
+  return aRequest.target.capacity() + aRequest.fields.heapBytes();
 }
 
 /* Returns the affinity key of a request: the id of its last prompt part, or a hash of the request
@@ -158,7 +160,7 @@
   , mSilenceTimer(aContext.loop)
   , mHeld(&aContext.bytes)
   , mRequestSize(SizeOf(mRequest))
-  , mFieldBytes(mRequestSize - mRequest.body.size())
+  , mFieldBytes(FieldBytesOf(mRequest))
 {
   mContext.openRequests.insert(this);
   UpdateHeld();
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -336,7 +336,7 @@
   EventSplitter mEventSplitter;
   HeldBytes mHeld;
   std::size_t mRequestSize = 0; ///< Bytes of the request, body and fields.
-  std::size_t mFieldBytes = 0;  ///< Of these, without the body.
+  std::size_t mFieldBytes = 0;  ///< That the request takes on the heap without its body.
   std::string mLastEventId;     ///< Last event id that was forwarded to the client.
   std::uint32_t mEventsForwarded = 0;
   TimePoint mFirstByteAt{};
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -48,10 +48,11 @@
 AnswerHead ToAnswerHead(const Parser& aParser)
 {
   const auto& message = aParser.get();
-  const auto text = [](auto aView) { return std::string{ aView.data(), aView.size() }; };
-  AnswerHead head{ .status = message.result_int(), .reason = text(message.reason()) };
+  const auto view = [](auto aText) { return std::string_view{ aText.data(), aText.size() }; };
+  AnswerHead head{ .status = message.result_int(),
+                   .reason = std::string{ view(message.reason()) } };
   for (const auto& item : message) {
-    head.fields.push_back({ text(item.name_string()), text(item.value()) });
+    head.fields.push_back({ view(item.name_string()), view(item.value()) });
   }
   if (aParser.chunked()) {
     head.framing = Framing::kChunked;
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -62,16 +62,20 @@
          aMessage.count(beast_http::field::host) == 1;
 }
 
+std::string_view ViewOf(boost::beast::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
 Request ToRequest(Parser::value_type& aMessage)
 {
-  const auto text = [](auto aView) { return std::string{ aView.data(), aView.size() }; };
-  Request request{ .method = text(aMessage.method_string()),
-                   .target = text(aMessage.target()),
+  Request request{ .method = std::string{ ViewOf(aMessage.method_string()) },
+                   .target = std::string{ ViewOf(aMessage.target()) },
                    .fields = {},
                    .body = std::move(aMessage.body()),
                    .age = {} };
   for (const auto& item : aMessage) {
-    request.fields.push_back({ text(item.name_string()), text(item.value()) });
+    request.fields.push_back({ ViewOf(item.name_string()), ViewOf(item.value()) });
   }
   return request;
 }
--- a/src/http/http_type.cpp
+++ b/src/http/http_type.cpp
@@ -80,7 +80,7 @@
 
 std::optional<std::string_view> Find(const Fields& aFields, std::string_view aName)
 {
-  for (const Field& field : aFields) {
+  for (const Field field : aFields) {
     if (EqualsIgnoringCase(field.name, aName)) {
       return field.value;
     }
@@ -105,7 +105,7 @@
       })) {
     return true;
   }
-  return std::any_of(aFields.begin(), aFields.end(), [&](const Field& aField) {
+  return std::any_of(aFields.begin(), aFields.end(), [&](const Field aField) {
     return EqualsIgnoringCase(aField.name, "Connection") && ListContains(aField.value, aName);
   });
 }
@@ -113,7 +113,7 @@
 std::string Serialize(const AnswerHead& aHead, bool aKeepsConnection)
 {
   std::string text = fmt::format("HTTP/1.1 {} {}\r\n", aHead.status, aHead.reason);
-  for (const Field& field : aHead.fields) {
+  for (const Field field : aHead.fields) {
     AppendField(text, field.name, field.value);
   }
   switch (aHead.framing) {
@@ -139,7 +139,7 @@
   if (!Find(aRequest.fields, "Host")) {
     AppendField(text, "Host", aHost);
   }
-  for (const Field& field : aRequest.fields) {
+  for (const Field field : aRequest.fields) {
     AppendField(text, field.name, field.value);
   }
   const bool hasBodyByMethod = aRequest.method != "GET" && aRequest.method != "HEAD" &&
--- a/src/http/http_type.h
+++ b/src/http/http_type.h
@@ -4,7 +4,10 @@
 
 #include "core/unit_type.h"
 
+#include <cstddef>
 #include <cstdint>
+#include <initializer_list>
+#include <iterator>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -12,14 +15,98 @@
 
 namespace rhubarbtrail::http {
 
-/* A header field. */
+/* A header field. Refers to texts that must outlive it, such as those of a Fields. */
 struct Field
 {
-  std::string name;
-  std::string value;
+  std::string_view name;
+  std::string_view value;
 };
 
-using Fields = std::vector<Field>;
+/* Header fields in the order of the message. Their texts are in one block: as two strings each,
+ * short fields would take some forty times their characters. */
+class Fields
+{
+public:
+  class Iterator
+  {
+  public:
+    using value_type = Field;
+    using difference_type = std::ptrdiff_t;
+    using reference = Field;
+    using pointer = void;
+    using iterator_category = std::input_iterator_tag;
+
+    Iterator(const Fields& aFields, std::size_t aIndex)
+      : mFields(&aFields)
+      , mIndex(aIndex)
+    {
+    }
+    Field operator*() const { return (*mFields)[mIndex]; }
+    Iterator& operator++()
+    {
+      ++mIndex;
+      return *this;
+    }
+    bool operator==(const Iterator& aOther) const { return mIndex == aOther.mIndex; }
+
+  private:
+    const Fields* mFields;
+    std::size_t mIndex;
+  };
+
+  Fields() = default;
+  Fields(std::initializer_list<Field> aFields)
+  {
+    for (const Field& field : aFields) {
+      push_back(field);
+    }
+  }
+
+  /* Makes room for a number of fields with this many characters in all. */
+  void Reserve(std::size_t aCount, std::size_t aBytes)
+  {
+    mEnds.reserve(aCount);
+    mText.reserve(aBytes);
+  }
+  /* Copies a field. Its texts must not be in this object. */
+  void push_back(const Field& aField)
+  {
+    mText += aField.name;
+    const std::size_t nameEnd = mText.size();
+    mText += aField.value;
+    mEnds.push_back({ .name = static_cast<std::uint32_t>(nameEnd),
+                      .value = static_cast<std::uint32_t>(mText.size()) });
+  }
+
+  std::size_t size() const { return mEnds.size(); }
+  bool empty() const { return mEnds.empty(); }
+  Field operator[](std::size_t aIndex) const
+  {
+    const std::string_view text = mText;
+    const std::size_t begin = aIndex == 0 ? 0 : mEnds[aIndex - 1].value;
+    const Ends ends = mEnds[aIndex];
+    return { .name = text.substr(begin, ends.name - begin),
+             .value = text.substr(ends.name, ends.value - ends.name) };
+  }
+  Iterator begin() const { return { *this, 0 }; }
+  Iterator end() const { return { *this, size() }; }
+
+  /* Returns the characters of all names and values. */
+  std::size_t textBytes() const { return mText.size(); }
+  /* Returns the bytes that this takes on the heap. */
+  std::size_t heapBytes() const { return mText.capacity() + mEnds.capacity() * sizeof(Ends); }
+
+private:
+  /* Positions behind the name and the value of a field. The name begins behind the field before. */
+  struct Ends
+  {
+    std::uint32_t name = 0;
+    std::uint32_t value = 0;
+  };
+
+  std::string mText;
+  std::vector<Ends> mEnds;
+};
 
 /* Compares two names or tokens of header fields, ignoring ASCII case. */
 bool EqualsIgnoringCase(std::string_view aLeft, std::string_view aRight);
--- a/src/platform/request_headers.cpp
+++ b/src/platform/request_headers.cpp
@@ -188,7 +188,7 @@
 /* Of several fields, the one with the longest time counts. */
 void DecodePause(const http::Fields& aFields, EndpointAnswer& aAnswer)
 {
-  for (const http::Field& item : aFields) {
+  for (const http::Field item : aFields) {
     if (!http::EqualsIgnoringCase(item.name, field::kRetryAfter)) {
       continue;
     }
@@ -203,7 +203,7 @@
 /* Of several fields, the one with the lowest limit counts. */
 void DecodeRequestLimit(const http::Fields& aFields, EndpointAnswer& aAnswer)
 {
-  for (const http::Field& item : aFields) {
+  for (const http::Field item : aFields) {
     if (!http::EqualsIgnoringCase(item.name, field::kRequestLimit)) {
       continue;
     }
@@ -219,7 +219,7 @@
 /* One field with the defined value is enough. Other values are ignored. */
 void DecodeLeaving(const http::Fields& aFields, EndpointAnswer& aAnswer)
 {
-  for (const http::Field& item : aFields) {
+  for (const http::Field item : aFields) {
     if (!http::EqualsIgnoringCase(item.name, field::kLeaving)) {
       continue;
     }
@@ -307,20 +307,20 @@
 
 fleet::ClientCredential DecodeCredential(const http::Fields& aFields)
 {
-  const http::Field* found = nullptr;
-  for (const http::Field& item : aFields) {
+  std::optional<std::string_view> found;
+  for (const http::Field item : aFields) {
     if (!http::EqualsIgnoringCase(item.name, field::kAuthorization)) {
       continue;
     }
-    if (found != nullptr) {
+    if (found) {
       return fleet::UnreadableKey{};
     }
-    found = &item;
+    found = item.value;
   }
-  if (found == nullptr) {
+  if (!found) {
     return fleet::NoKey{};
   }
-  std::string_view key = found->value;
+  std::string_view key = *found;
   const bool hasScheme = RemoveFirstItem(key, ' ') == kKeyScheme;
   if (!hasScheme || key.empty()) {
     return fleet::UnreadableKey{};
@@ -333,8 +333,11 @@
   http::Request forward{
     .method = aRequest.method, .target = aRequest.target, .fields = {}, .body = aRequest.body
   };
-  forward.fields.reserve(aRequest.fields.size() + 4);
-  for (const http::Field& item : aRequest.fields) {
+  constexpr std::size_t kAddedFields = 5;
+  constexpr std::size_t kAddedBytes = 512; // Their names, and values of the usual length.
+  forward.fields.Reserve(aRequest.fields.size() + kAddedFields,
+                         aRequest.fields.textBytes() + kAddedBytes);
+  for (const http::Field item : aRequest.fields) {
     const bool isReplaced =
       !aOptions.lastEventId.empty() && http::EqualsIgnoringCase(item.name, field::kLastEventId);
     if (http::IsHopByHopField(aRequest.fields, item.name) || IsFramingField(item.name) ||
@@ -344,8 +347,8 @@
     }
     forward.fields.push_back(item);
   }
-  const auto add = [&](std::string_view aName, std::string aValue) {
-    forward.fields.push_back({ std::string{ aName }, std::move(aValue) });
+  const auto add = [&](std::string_view aName, std::string_view aValue) {
+    forward.fields.push_back({ aName, aValue });
   };
   using std::chrono::milliseconds;
   const auto left = std::chrono::duration_cast<milliseconds>(aOptions.timeLeft).count();
@@ -396,7 +399,7 @@
 http::AnswerHead EncodeForwardedAnswer(const http::AnswerHead& aHead)
 {
   http::AnswerHead answer{ .status = aHead.status, .reason = aHead.reason };
-  for (const http::Field& item : aHead.fields) {
+  for (const http::Field item : aHead.fields) {
     if (http::IsHopByHopField(aHead.fields, item.name) || IsFramingField(item.name) ||
         http::EqualsIgnoringCase(item.name, field::kLoad)) {
       continue;
--- a/tests/edge/test_misbehaving_clients.py
+++ b/tests/edge/test_misbehaving_clients.py
@@ -310,6 +310,24 @@
     play_kind("expects 100")
 
 
+def chat(**fields: str) -> bytes:
+    return head("/chat/x", X_Model="m0", X_Token_Usage="100,20", Content_Length="0", **fields)
+
+
+def play_waiting(request: bytes) -> None:
+    """Lets open requests wait for a place at the runners, which serve sixteen a second."""
+    def crowds(cluster: EdgeCluster) -> Iterator[Crowd]:
+        cluster.platform.work_s = 1.0
+        yield Crowd(front(cluster.daemons[0]), [request] * CONNECTIONS)
+
+    play(crowds)
+
+
+def test_crowd_of_open_requests_with_short_fields_stays_within_memory() -> None:
+    """Guards against fields of requests that wait and are counted by their characters alone."""
+    play_waiting(chat(X_Prompt_Prefix="5c:60,9:40")[:-2] + b"a:1\r\n" * 3150 + b"\r\n")
+
+
 def test_crowd_that_sends_requests_ahead_stays_within_memory() -> None:
     play_kind("sent ahead")
 
--- a/tests/platform/client_account_test.cpp
+++ b/tests/platform/client_account_test.cpp
@@ -158,9 +158,9 @@
     const auto forwarded =
       EncodeForwardedRequest(request, { .account = ClientAccountId{ account } });
     std::vector<std::string> stated;
-    for (const http::Field& item : forwarded.fields) {
+    for (const http::Field item : forwarded.fields) {
       if (http::EqualsIgnoringCase(item.name, "X-Tenant")) {
-        stated.push_back(item.value);
+        stated.emplace_back(item.value);
       }
     }
     CHECK(stated == (account.empty() ? std::vector<std::string>{} : std::vector{ account }));
