Fix: [Gateway] Decoded prompt parts were kept three times and counted nowhere

Cause: a part of 4 bytes takes 16 in memory, in the request, in the daemon's request for a place and at the dispatcher for all daemons. The account saw the head alone.

Change: requests are placed by the first 256 parts of their prompts, where callers have fewer than ten. The account counts the decoded parts. Quarantined parts are still looked for among all of them.

--- a/src/decision/fleet/work_type.h
+++ b/src/decision/fleet/work_type.h
@@ -5,6 +5,7 @@
 #include "decision/fleet/runner_type.h"
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <vector>
@@ -28,12 +29,16 @@
   std::uint32_t tokens = 0;
 };
 
+/* Greatest number of parts by which a request is placed. A request keeps them at its daemon and at
+ * the dispatcher while it waits. Prompts of the platform's callers have fewer than ten. */
+constexpr std::size_t kMaxPlacementParts = 256;
+
 struct ModelWork
 {
   ModelRef target;
   std::uint32_t promptTokens = 0;
   std::uint32_t outputTokens = 0; ///< Upper limit.
-  std::vector<PromptPart> parts;
+  std::vector<PromptPart> parts; ///< The first of the prompt, at most kMaxPlacementParts.
 };
 
 } // namespace rhubarbtrail::fleet
--- a/src/fleet/fleet_message.cpp
+++ b/src/fleet/fleet_message.cpp
@@ -319,6 +319,9 @@
     .failedRunners = {},
   };
   for (const Json& part : aJson.at("parts")) {
+    if (request.work.parts.size() == kMaxPlacementParts) {
+      break; // A daemon of a former release sends all.
+    }
     request.work.parts.push_back(
       { .id = part.at(0).get<std::uint64_t>(), .tokens = part.at(1).get<std::uint32_t>() });
   }
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -101,6 +101,15 @@
   return aRequest.target.capacity() + aRequest.fields.heapBytes();
 }
 
+/* Returns the bytes that the parts of a prompt take. They are kept once more in the request for a
+ * place. */
+std::size_t PartBytesOf(const platform::ClientRequest& aClient)
+{
+  const std::size_t placed = aClient.work ? aClient.work->parts.capacity() : 0;
+  return 2 * placed * sizeof(fleet::PromptPart) +
+         aClient.leadingParts.capacity() * sizeof(fleet::PromptPartId);
+}
+
 /* Returns the affinity key of a request: the id of its last prompt part, or a hash of the request
  * id if it has none. It decides between runners that are otherwise equal, so that requests with the
  * same key go to the same one. */
@@ -174,6 +183,8 @@
 void RequestFlow::Start()
 {
   mClient = platform::DecodeClientRequest(mRequest);
+  mFieldBytes += PartBytesOf(mClient);
+  UpdateHeld();
   mResponder->SetLabel(mClient.requestId);
   mConfiguration = mContext.configuration;
   const auto rejection = AdmitRequest();
--- a/src/platform/request_headers.cpp
+++ b/src/platform/request_headers.cpp
@@ -62,7 +62,7 @@
                                            std::vector<std::string_view>& aIgnored)
 {
   std::vector<fleet::PromptPart> parts;
-  while (!aList.empty()) {
+  while (!aList.empty() && parts.size() < fleet::kMaxPlacementParts) {
     std::string_view item = RemoveFirstItem(aList, ',');
     const auto id = ParseInteger<std::uint64_t>(RemoveFirstItem(item, ':'), 16);
     const auto tokens = ParseInteger<std::uint32_t>(RemoveFirstItem(item, ':'));
@@ -75,6 +75,7 @@
     }
     parts.push_back({ .id = *id, .tokens = *tokens });
   }
+  parts.shrink_to_fit();
   return parts;
 }
 
@@ -95,6 +96,7 @@
   }
   std::unordered_set<fleet::PromptPartId> known;
   std::erase_if(parts, [&](fleet::PromptPartId aPart) { return !known.insert(aPart).second; });
+  parts.shrink_to_fit();
   return parts;
 }
 
--- a/tests/edge/test_misbehaving_clients.py
+++ b/tests/edge/test_misbehaving_clients.py
@@ -334,6 +334,11 @@
     play_waiting(chat(X_Prompt_Prefix="5c:60,9:40")[:-2] + b"a:1\r\n" * 3150 + b"\r\n")
 
 
+def test_crowd_of_open_requests_with_many_prompt_parts_stays_within_memory() -> None:
+    """Guards against parts of prompts that are kept three times while a request waits, and not counted."""
+    play_waiting(chat(X_Prompt_Prefix=",".join("a:1" for _ in range(3_900))))
+
+
 def test_crowd_that_sends_requests_ahead_stays_within_memory() -> None:
     play_kind("sent ahead")
 
--- a/tests/platform/prompt_part_list_test.cpp
+++ b/tests/platform/prompt_part_list_test.cpp
@@ -49,3 +49,20 @@
   }
   CHECK(LeadingParts(list).size() == 4'999);
 }
+
+/* Guards against lists that are kept at each daemon and at the dispatcher while a request waits: a
+ * part of 4 bytes takes 16 in each of them. */
+TEST_CASE("a request is placed by a limited number of the parts of its prompt")
+{
+  std::string list;
+  for (int number = 0; number < 3'900; ++number) {
+    list += "a:1,";
+  }
+  const auto decoded =
+    platform::DecodeClientRequest({ .method = "POST",
+                                    .target = "/",
+                                    .fields = { { "X-Model", "m0" }, { "X-Prompt-Prefix", list } },
+                                    .body = {} });
+  REQUIRE(decoded.work.has_value());
+  CHECK(decoded.work->parts.capacity() == fleet::kMaxPlacementParts);
+}
