Fix: [Dispatcher] Models and adapters beyond those kept of a runner take room

The limit on what is kept of an entry left out models that the configuration does not name, and with them the memory that they take: a runner with 300 models could be ordered to load another although 257 fit.

Change: 256 unknown models of a runner are kept, and further models and adapters are counted and take memory and slots in all decisions.

--- a/src/decision/fleet/dispatcher.cpp
+++ b/src/decision/fleet/dispatcher.cpp
@@ -25,6 +25,10 @@
  */
 constexpr std::size_t kMaxCachedParts = 600'000;
 
+/* Largest number of models at a runner that are kept although the configuration does not name them.
+ * A runner holds a few models, and the configuration may have named them before. */
+constexpr std::ptrdiff_t kMaxUnknownModels = 256;
+
 EndpointOutcome EndpointOutcomeOf(AssignmentEnd aEnd)
 {
   switch (aEnd) {
@@ -273,6 +277,8 @@
   aRunner.onDisk.clear();
   if (aRunner.engine == nullptr) {
     aRunner.models.clear(); // SetConfiguration() adopts them once it names an engine.
+    aRunner.furtherModels = 0;
+    aRunner.furtherAdapters = 0;
     return;
   }
   DropUnlistedHoldings(aRunner, aHoldings);
@@ -306,8 +312,8 @@
   }
 }
 
-/* Adds the listed models. Those that the configuration does not name count as the largest, so a few
- * of them fill the runner, and further ones change no decision. */
+/* Adds the listed models. Of those that the configuration does not name, only some are kept. The
+ * others are counted, since they take memory, too. */
 void Dispatcher::AdoptModels(ManagedRunner& aRunner, const LoadedModels& aModels)
 {
   const auto isUnknown = [&](const ModelId& aModel) {
@@ -316,20 +322,22 @@
   auto unknown = std::count_if(aRunner.models.begin(),
                                aRunner.models.end(),
                                [&](const auto& aItem) { return isUnknown(aItem.first); });
-  const auto unknownLimit = aRunner.weightMemory.CountOfLargestModels() + 1;
+  aRunner.furtherModels = 0;
   for (std::size_t index = 0; index < aModels.size(); ++index) {
     const ModelId model = aModels.model(index);
     if (aRunner.models.contains(model)) {
       continue;
     }
-    if (isUnknown(model) && ++unknown > unknownLimit) {
+    if (isUnknown(model) && ++unknown > kMaxUnknownModels) {
+      ++aRunner.furtherModels;
       continue;
     }
     aRunner.models.try_emplace(model);
   }
 }
 
-/* Adds the listed adapters of the models held. A runner has as many as it has slots, at most. */
+/* Adds the listed adapters of the models held, as many as the runner has slots, at most. Further
+ * ones are only counted. */
 void Dispatcher::AdoptAdapters(TimePoint aNow,
                                ManagedRunner& aRunner,
                                const RunnerHoldings& aHoldings)
@@ -338,17 +346,24 @@
   for (const auto& [model, held] : aRunner.models) {
     count += held.adapters.size();
   }
+  aRunner.furtherAdapters = 0;
   /* Returns the adapter, or null if the runner cannot hold it as well. */
   const auto findOrAdd = [&](HeldModel& aModel, const AdapterId& aAdapter) -> HeldAdapter* {
     const auto known = aModel.adapters.find(aAdapter);
     if (known != aModel.adapters.end()) {
       return &known->second;
     }
-    return ++count > aRunner.engine->adapterSlots ? nullptr : &aModel.adapters[aAdapter];
+    if (count >= aRunner.engine->adapterSlots) {
+      ++aRunner.furtherAdapters;
+      return nullptr;
+    }
+    ++count;
+    return &aModel.adapters[aAdapter];
   };
   for (std::size_t index = 0; index < aHoldings.models.size(); ++index) {
     const auto held = aRunner.models.find(aHoldings.models.model(index));
     if (held == aRunner.models.end()) {
+      aRunner.furtherAdapters += aHoldings.models.adapterCount(index);
       continue;
     }
     for (std::size_t adapter = 0; adapter < aHoldings.models.adapterCount(index); ++adapter) {
--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -22,7 +22,6 @@
 #include "decision/fleet/stated_limit.h"
 #include "decision/fleet/stream_origins.h"
 
-#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -133,14 +132,6 @@
   MemoryMb availableToModels; ///< All weight memory but the part reserved for adapters.
   MemoryMb largestModel;  ///< Weights of the largest model, also assumed for models not configured.
   MemoryMb smallestModel; ///< Weights of the smallest model.
-
-  /* Returns how many of the largest models a runner has room for. */
-  std::int64_t CountOfLargestModels() const
-  {
-    return largestModel.value > 0
-             ? std::max<std::int64_t>(availableToModels.value, 0) / largestModel.value
-             : 0;
-  }
 };
 
 /* What a runner that states a limit on requests may get from this dispatcher. */
@@ -172,6 +163,10 @@
   RunnerHoldings adopted;  ///< What the runner stated in the entry or report adopted last.
   TimePoint adoptedAt{};
   std::map<ModelId, HeldModel> models;
+  /* Models and adapters that the runner stated beyond those kept here. They take memory and slots,
+   * and are kept in turn as others are unloaded. */
+  std::size_t furtherModels = 0;
+  std::size_t furtherAdapters = 0;
   std::set<ModelId> inHostMemory; ///< Without models that the configuration does not name.
   std::set<ModelId> onDisk;       ///< The same.
   std::uint64_t orderCount = 0;
--- a/src/decision/fleet/dispatcher_order.cpp
+++ b/src/decision/fleet/dispatcher_order.cpp
@@ -104,7 +104,7 @@
     ScheduleTick(aNow + kConflictPause);
     return;
   }
-  std::size_t held = 0;
+  std::size_t held = aRunner.furtherAdapters;
   std::size_t loading = 0;
   std::optional<std::pair<TimePoint, ModelRef>> idle;
   for (const auto& [modelId, model] : aRunner.models) {
--- a/src/decision/fleet/dispatcher_plan.cpp
+++ b/src/decision/fleet/dispatcher_plan.cpp
@@ -58,7 +58,9 @@
 /* Returns the memory that a runner has left for models. */
 MemoryMb FreeMemory(const ManagedRunner& aRunner)
 {
-  MemoryMb freeMemory = aRunner.weightMemory.availableToModels;
+  const auto further = static_cast<std::int64_t>(aRunner.furtherModels);
+  MemoryMb freeMemory = aRunner.weightMemory.availableToModels -
+                        MemoryMb{ aRunner.weightMemory.largestModel.value * further };
   for (const auto& [id, held] : aRunner.models) {
     freeMemory = freeMemory - WeightsOf(aRunner, id);
   }
--- a/tests/platform/entry_memory_test.cpp
+++ b/tests/platform/entry_memory_test.cpp
@@ -7,6 +7,8 @@
 #include <doctest/doctest.h>
 #include <functional>
 #include <malloc.h>
+#include <memory>
+#include <set>
 
 namespace rhubarbtrail {
 
@@ -86,11 +88,11 @@
   return text + aList.end;
 }
 
-std::shared_ptr<const fleet::FleetConfiguration> Configuration()
+std::shared_ptr<const fleet::FleetConfiguration> Configuration(MemoryMb aWeights = { 60'000 })
 {
   fleet::Engine engine{ .slots = 64,
                         .cacheTokens = 10'000,
-                        .weights = { 60'000 },
+                        .weights = aWeights,
                         .adapterSlots = 32,
                         .loadsPerSecond = 1.0 };
   engine.models[ModelId{ "m" }] = {
@@ -175,4 +177,61 @@
   CHECK(runner.inHostMemory == std::set{ ModelId{ "m" } });
 }
 
+/* Guards against a runner that gets more than it has room for: of a long list the dispatcher keeps
+ * a part, and the rest takes memory as well. */
+TEST_CASE("a runner with more models than are kept of it is not ordered to load more than fits")
+{
+  constexpr std::size_t kRoom = 258; // Of models as large as the largest.
+  fleet::StreamOrigins origins;
+  fleet::RecordedVersions versions;
+  fleet::Dispatcher dispatcher{ origins, versions };
+  dispatcher.SetConfiguration(Configuration({ kRoom * 10'000 + 1'000 }));
+  dispatcher.SetOrderPermission({ .mayOrder = true, .holder = "d", .fence = { 1 } });
+  std::set<std::string> loaded; // None is configured, so each counts as the largest model.
+  for (std::size_t number = 0; number < 300; ++number) {
+    loaded.insert("x" + Name(number));
+  }
+  std::uint64_t orderCount = 0;
+  const auto document = [&] {
+    std::string text = R"({"backend":"llm","address":"10.0.0.9:80","zone":"z","version":"v1",)"
+                       R"("slots":64,"state":"ready","born":17,"seq":)" +
+                       std::to_string(orderCount) + R"(,"models":[)";
+    for (const std::string& model : loaded) {
+      text += (text.back() == '[' ? "" : ",") + (R"({"name":")" + model) + R"("})";
+    }
+    return text + "]}";
+  };
+  const EndpointId id{ "i" };
+  dispatcher.OnRunnerEntry(kNow, *platform::DecodeRunnerEntry(id.str(), document()));
+  for (Duration time{}; time < 60s; time += 100ms) {
+    const TimePoint now = kNow + time;
+    dispatcher.OnPlacementRequest(
+      now,
+      { .id = { .daemon = DaemonId{ "d" }, .number = 1 },
+        .requestId = "1",
+        .service = ServiceId{ "llm" },
+        .work = { .target = { .model = ModelId{ "m" } }, .promptTokens = 100, .outputTokens = 10 },
+        .latencyObjective = 60s,
+        .timeLeft = 600s },
+      ZoneId{ "z" });
+    for (const auto& action : dispatcher.Tick(now)) {
+      if (std::holds_alternative<fleet::ReportRequest>(action)) {
+        const auto report = platform::DecodeRunnerReport(document());
+        dispatcher.OnReport(now, id, &*report);
+      } else if (const auto* order = std::get_if<fleet::RunnerOrder>(&action)) {
+        ++orderCount;
+        const std::string model = order->subject.model.str();
+        if (order->kind == fleet::OrderKind::kLoad) {
+          CHECK(loaded.size() < kRoom);
+          loaded.insert(model);
+        } else {
+          REQUIRE(loaded.erase(model) == 1);
+        }
+        dispatcher.OnOrderResult(now, *order, fleet::OrderOutcome::kAccepted);
+      }
+    }
+  }
+  CHECK(loaded.contains("m"));
+}
+
 } // namespace rhubarbtrail
