--- a/src/decision/fleet/work_type.h
+++ b/src/decision/fleet/work_type.h
@@ -38,7 +38,7 @@
   ModelRef target;
   std::uint32_t promptTokens = 0;
   std::uint32_t outputTokens = 0; ///< Upper limit.
-  std::vector<PromptPart> parts; ///< The first of the prompt, at most kMaxPlacementParts.
+  std::vector<PromptPart> parts;  ///< The first of the prompt, at most kMaxPlacementParts.
 };
 
 } // namespace rhubarbtrail::fleet
