--- a/tests/platform/decoder_test.cpp
+++ b/tests/platform/decoder_test.cpp
@@ -97,6 +97,10 @@
     { "models is a text", ReplacePart(kRunnerEntry, R"([{"name":"m1")", R"(["m1",{"name":"m1")") },
     { "adapters is a number", ReplacePart(kRunnerEntry, R"(["a1@2","a3"])", "3") },
     { "born is a text", ReplacePart(kRunnerEntry, R"("born":17)", R"("born":"x")") },
+    { "a service whose name is too long",
+      ReplacePart(kRunnerEntry, R"("s1")", '"' + std::string(257, 's') + '"') },
+    { "coming has a model without an adapter",
+      ReplacePart(kRunnerEntry, R"("coldLeftMs":0)", R"("coming":["m1"])") },
     { "onDisk holds numbers", ReplacePart(kRunnerEntry, R"(["m1","m2"])", "[1,2]") },
   };
   for (const auto& [name, document] : cases) {
@@ -105,6 +109,21 @@
   }
 }
 
+// Each daemon remembers versions for minutes, and the lease row names them.
+TEST_CASE("a long software version of a runner is held as its digest")
+{
+  const auto versionOf = [](const std::string& aVersion) {
+    return DecodeRunnerEntry("i-1", ReplacePart(kRunnerEntry, R"("v1")", '"' + aVersion + '"'))
+      .value()
+      .softwareVersion.str();
+  };
+  const std::string longest(128, 'v');
+  CHECK(versionOf(longest) == longest);
+  CHECK(versionOf(longest + "1").size() < longest.size());
+  CHECK(versionOf(longest + "1") == versionOf(longest + "1"));
+  CHECK(versionOf(longest + "1") != versionOf(longest + "2"));
+}
+
 // The key becomes a header field of requests, so a line end in it would add fields to them.
 TEST_CASE("a runner entry whose key is not a name is rejected")
 {
