Fix: [Http] The answer to a HEAD request had a body

Cause: the server wrote the body that its handlers give it, whatever the method.

Change: the server writes no body and no chunks to a HEAD request, as Content-Length and the coding in the head still say what a GET would bring.

Evidence: the new test of the server fails on the former sources (the body follows the head).

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -181,7 +181,7 @@
 
   void SendBody(std::string_view aBytes)
   {
-    if (aBytes.empty()) {
+    if (aBytes.empty() || mIsHeadRequest) {
       return;
     }
     if (mFraming == Framing::kChunked) {
@@ -196,7 +196,7 @@
     if (mState != State::kAnswering) {
       return;
     }
-    if (mFraming == Framing::kChunked) {
+    if (mFraming == Framing::kChunked && !mIsHeadRequest) {
       Write(kLastChunk);
     }
     EndAnswer();
@@ -580,6 +580,7 @@
     AppendFields(mParser->get(), mArriving.fields); // Of the trailer.
     mArriving.body = std::move(mParser->get().body());
     Request request = std::exchange(mArriving, {});
+    mIsHeadRequest = request.method == "HEAD";
     request.age =
       std::chrono::duration_cast<Duration>(asio::steady_timer::clock_type::now() - mFirstByteAt);
     mFirstByteAt = mLastBytesAt; // The earliest time known of the bytes that are left.
@@ -637,6 +638,7 @@
                                     .receivedBytes = mRequestBytes + mReceiveBuffer.size(),
                                     .limit = aLimit });
     }
+    mIsHeadRequest = mArriving.method == "HEAD";
     mParser.reset();
     mArriving = {};
     mReceiveBuffer = {};
@@ -771,6 +773,7 @@
   Request mArriving;         ///< Its head, once it has arrived.
   bool mHasAnswered = false; ///< Some request.
   bool mHasRequestHead = false;
+  bool mIsHeadRequest = false;                ///< The answer to the current request has no body.
   std::size_t mRequestBytes = 0;              ///< Of the current request, consumed by the parser.
   std::size_t mProgressBytes = 0;             ///< Of these, those that had come at mProgressAt.
   asio::steady_timer::time_point mProgressAt; ///< When the current request last progressed.
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -253,6 +253,37 @@
   CHECK(fixture.requests[1].target == "/2");
 }
 
+/* Guards against a body in the answer to HEAD, which the client takes for the next answer on its
+ * connection. */
+TEST_CASE("the answer to a HEAD request ends with its head")
+{
+  ServerFixture fixture;
+  auto socket = fixture.Connect();
+  const std::string request = " /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+  asio::write(*socket, asio::buffer("HEAD" + request + "HEAD" + request + "GET" + request));
+  const auto waitFor = [&](std::size_t aRequests) {
+    REQUIRE(RunUntil(fixture.loop, [&] { return fixture.requests.size() == aRequests; }));
+  };
+  waitFor(1);
+  fixture.responders[0]->Send({ .status = 404, .reason = "No" }, "refused");
+  waitFor(2);
+  fixture.responders[1]->SendHead({ .status = 200, .reason = "OK", .framing = Framing::kChunked });
+  fixture.responders[1]->SendBody("text");
+  fixture.responders[1]->Finish();
+  waitFor(3);
+  fixture.responders[2]->Send({ .status = 200, .reason = "OK" }, "third");
+  const std::string expected = "HTTP/1.1 404 No\r\nContent-Length: 7\r\n\r\n"
+                               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                               "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nthird";
+  std::string received(expected.size(), '\0');
+  bool isRead = false;
+  asio::async_read(*socket,
+                   asio::buffer(received),
+                   [&](boost::system::error_code aError, std::size_t) { isRead = !aError; });
+  CHECK(RunUntil(fixture.loop, [&] { return isRead; }));
+  CHECK(received == expected);
+}
+
 /* Guards against losing an answer in progress because its client has sent the next request, with a
  * large body, in advance. */
 TEST_CASE("a large pipelined request does not end the answer before it")
