Fix: [Fleet] Quarantined parts get the room of the lease row that versions leave

Found by reading: quarantined parts had a third of the room even where versions took little, so that a row with all 64 groups of 16 parts, 23 KB, lost half of them. After a restart of all daemons these would have been sent to runners again. Not seen by a caller.

Change: what versions do not use is for parts.

Evidence: the test of a row with room for everything has all groups beside 75 versions now; it fails without the change. All 348 unit tests and the process test of the row pass.

--- a/src/decision/fleet/lease_row_content.cpp
+++ b/src/decision/fleet/lease_row_content.cpp
@@ -10,7 +10,8 @@
 
 /* Bytes of the brackets, commas and names of the members around the content. */
 constexpr std::size_t kFrameBytes = 100;
-/* Part of the room that versions may take. What they leave is for quarantined parts. */
+/* Part of the room that versions may take. Quarantined parts get the rest and what versions leave.
+ */
 constexpr std::size_t kVersionsNumerator = 2;
 constexpr std::size_t kVersionsDenominator = 3;
 /* Greatest sizes of a number and its comma, and of the trials of a group. */
@@ -63,6 +64,7 @@
   }
 
   bool isComplete() const { return mIsComplete; }
+  std::size_t bytesLeft() const { return mBytesLeft; }
 
 private:
   void AddOne(const ServiceId& aService, const SoftwareVersion& aVersion)
@@ -107,7 +109,7 @@
   if (!packer.isComplete()) {
     fitted.versions.insert(kUnknownVersions.begin(), kUnknownVersions.end());
   }
-  bytesLeft -= versionBytes;
+  bytesLeft -= versionBytes - packer.bytesLeft();
   for (std::size_t index = 0; index < aContent.quarantinedParts.size(); ++index) {
     const PartGroup& group = aContent.quarantinedParts[index];
     const std::size_t bytes = kTrialsBytes + 3 + group.size() * kNumberBytes;
--- a/tests/fleet/lease_row_content_test.cpp
+++ b/tests/fleet/lease_row_content_test.cpp
@@ -45,6 +45,9 @@
 TEST_CASE("a lease row with room for everything is not cut")
 {
   LeaseRowContent content = MostParts();
+  content.versions = ManyVersions("a", 50);
+  content.versions.merge(ManyVersions("b", 25));
+  CHECK(FitLeaseRow(content, {}, kRowBytes) == content);
   content.quarantinedParts.resize(20);
   content.partTrials.resize(20);
   content.versions = ManyVersions("a", 100);
