--- a/src/decision/fleet/runner_registry.h
+++ b/src/decision/fleet/runner_registry.h
@@ -213,7 +213,7 @@
    * nothing. */
   std::optional<SoftwareVersion> OnlyVersion(TimePoint aNow, const ServiceId& aService) const;
 
-  /* Returns the bytes that the names in the entries of all endpoints take. */
+  /* Returns the bytes that the holdings in the entries of all endpoints take. */
   std::size_t holdingsBytes() const;
 
   const KnownRunner* Find(const EndpointId& aRunner) const;
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -606,8 +606,8 @@
     SetTimer(mServer->limits.bodyTimeout);
     const bool isExpected =
       EqualsIgnoringCase(ViewOf(message[beast_http::field::expect]), "100-continue");
-    // The parser holds each field as an element of its own, which takes some forty times as much
-    // as a short one, and needs none of them for the body.
+    // The parser holds each field as an element of its own, which takes more than ten times the
+    // bytes of a short one, and needs none of them for the body.
     mArriving = { .method = std::string{ ViewOf(message.method_string()) },
                   .target = std::string{ ViewOf(message.target()) },
                   .fields = {},
--- a/src/http/http_type.h
+++ b/src/http/http_type.h
@@ -22,8 +22,8 @@
   std::string_view value;
 };
 
-/* Header fields in the order of the message. Their texts are in one block: as two strings each,
- * short fields would take some forty times their characters. */
+/* Header fields in the order of the message. Their texts are in one block: as two strings,
+ * each field would take 64 bytes and more, however short it is. */
 class Fields
 {
 public:
--- a/tests/edge/test_misbehaving_clients.py
+++ b/tests/edge/test_misbehaving_clients.py
@@ -312,7 +312,7 @@
 
 
 def test_crowd_of_heads_with_short_fields_whose_bodies_do_not_come_stays_within_memory() -> None:
-    """Guards against fields that take forty times their bytes in the parser while a body is awaited."""
+    """Guards against fields that take ten times their bytes in the parser while a body is awaited."""
     play_kind("short fields")
 
 
