Fix: [Fleet] Runners that do not answer were asked for reports without pause

Cause: while a call for a report is open, each tick found no next report planned and planned one for that moment. When the call failed, the earlier of that time and the pause of 400 ms counted, so the next call followed at once. Any second tick during a call was enough; with many lost runners each failure causes a tick.

Change: a runner whose report is on its way is left alone, and a failed call replaces what fell due meanwhile.

--- a/src/decision/fleet/dispatcher_order.cpp
+++ b/src/decision/fleet/dispatcher_order.cpp
@@ -440,13 +440,13 @@
 void Dispatcher::RequestDueReports(TimePoint aNow)
 {
   for (auto& [id, runner] : mRunners) {
-    if (runner.isGone || runner.engine == nullptr) {
+    if (runner.isGone || runner.engine == nullptr || runner.isReportRequested) {
       continue;
     }
     if (!runner.areHoldingsConfirmed && !runner.nextReportAt) {
       ScheduleReport(aNow, runner);
     }
-    if (!runner.nextReportAt || runner.isReportRequested) {
+    if (!runner.nextReportAt) {
       continue;
     }
     if (*runner.nextReportAt > aNow) {
@@ -483,6 +483,8 @@
   ManagedRunner& runner = found->second;
   runner.isReportRequested = false;
   if (aReport == nullptr) {
+    // A report that fell due during the call must not follow at once: the host may be lost.
+    runner.nextReportAt.reset();
     ScheduleReport(aNow + kReportLag, runner);
     return;
   }
--- a/tests/fleet/dispatcher_test.cpp
+++ b/tests/fleet/dispatcher_test.cpp
@@ -103,6 +103,46 @@
   }
 }
 
+// Guards against a dispatcher that asks hosts that have failed without pause. Load pattern: a zone
+// fails while requests wait, and the entries of its runners stay for some time.
+TEST_CASE("load: runners whose reports fail are asked again only after a pause")
+{
+  FleetWorld world({ .runners = 40, .models = 9 });
+  world.Run(1s);
+  const auto isLost = [](std::size_t aNumber) { return aNumber > 0; };
+  const TimePoint lostAt = world.now;
+  for (std::size_t number = 0; number < world.runners.size(); ++number) {
+    if (isLost(number)) {
+      world.Restart(number);
+      world.SendEntry(number);
+    }
+  }
+  constexpr Duration kTimeout = 150ms;
+  std::size_t calls = 0;
+  world.reportDelay = [&] { return kTimeout + 10ms * (calls % 7); };
+  world.reportOverride = [&](const RunnerReport& aReport) -> std::optional<RunnerReport> {
+    ++calls;
+    return aReport.startedAtMs > 1 ? std::nullopt : std::optional{ aReport };
+  };
+  for (int step = 0; step < 40; ++step) {
+    world.SendRequest("m" + std::to_string(step % 9));
+    world.Run(100ms);
+  }
+  constexpr Duration kPause = 400ms;
+  for (std::size_t number = 0; number < world.runners.size(); ++number) {
+    std::optional<TimePoint> last;
+    for (const TimePoint call : world.runners[number].calls) {
+      if (!isLost(number) || call < lostAt) {
+        continue;
+      }
+      INFO("runner ", number);
+      CHECK((!last || call - *last >= kTimeout + kPause));
+      last = call;
+    }
+    CHECK(last.has_value() == isLost(number));
+  }
+}
+
 // The load takes a second, and the requests wait that long. If the dispatcher did not count the
 // load in progress, it would unload other models to load this one at more runners.
 TEST_CASE("one request and a hundred requests for a model that no runner holds cause one load")
--- a/tests/fleet/fleet_world.cpp
+++ b/tests/fleet/fleet_world.cpp
@@ -423,7 +423,8 @@
           kRoundTrip + delay,
           [this, aRequest, reportAt, slow] {
             const RunnerReport report = slow ? *slow : reportAt(now - options.reportLag);
-            dispatcher.OnReport(now, aRequest.runner, &report);
+            const auto arrived = reportOverride ? reportOverride(report) : std::optional{ report };
+            dispatcher.OnReport(now, aRequest.runner, arrived ? &*arrived : nullptr);
           },
           true);
       },
--- a/tests/fleet/fleet_world.h
+++ b/tests/fleet/fleet_world.h
@@ -157,6 +157,8 @@
    * gives up. */
   std::function<bool()> isBusy;
   std::function<Duration()> reportDelay; ///< Extra time until a runner answers with its report.
+  /* Returns what arrives in place of a runner's report, or nothing if the call for it fails. */
+  std::function<std::optional<RunnerReport>(const RunnerReport&)> reportOverride;
 
 private:
   struct Pending
