Fix: [Fleet] One wrong report of a runner kept its models from being loaded for good

Seen: two runners stated once that they hold 4,000 models. From then on callers of their models got 503 after 1.5 s (no_replica_in_time) for as long as the test ran, 10 s, although the runners held the models all the time.

Cause: a report is only read again after an order, a refusal or a changed entry. Where far more models are stated than fit, no unload makes room, so no order is ever sent whose answer would show that the report was wrong.

Change: a report of more models than fit into the weight memory is read again after 400 ms, twice as long each time, 12.8 s at most.

--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -134,6 +134,11 @@
   MemoryMb smallestModel; ///< Weights of the smallest model.
 };
 
+/* Time after which a report that states more than the runner has room for is read again. Doubles
+ * with each such report, up to the maximum. */
+constexpr Duration kMinDoubtfulReportPause = 400ms;
+constexpr Duration kMaxDoubtfulReportPause = 12'800ms;
+
 /* What a runner that states a limit on requests may get from this dispatcher. */
 struct LimitedTraffic
 {
@@ -178,6 +183,8 @@
   TimePoint lastOrderAt{};       ///< When an order was last accepted or its answer was lost.
   std::optional<TimePoint> nextReportAt; ///< When to fetch the next report.
   bool isReportRequested = false;
+  /* Time until the next report after one that states more than the runner has room for. */
+  Duration doubtfulReportPause = kMinDoubtfulReportPause;
   TimePoint reportRequestedAt{}; ///< When the last report was requested.
   std::uint32_t inFlight = 0;
   std::uint64_t tokens = 0;  ///< Upper bound for the tokens of the requests in flight.
@@ -189,6 +196,10 @@
   EndpointWindow window;     ///< For requests of all daemons after a start or a recovery.
 };
 
+/* Returns whether the models that a runner is assumed to hold take more than all of its weight
+ * memory. */
+bool HoldsMoreThanFits(const ManagedRunner& aRunner);
+
 /* Returns the time to load a model from the fastest source that the runner has: host memory, its
  * disk, or the weight store. */
 Duration LoadTime(const ManagedRunner& aRunner, const Model& aModel);
--- a/src/decision/fleet/dispatcher_order.cpp
+++ b/src/decision/fleet/dispatcher_order.cpp
@@ -540,7 +540,10 @@
 /* Replaces what is assumed of a runner by a report, or requests another one if this one is
  * outdated. Holdings and order count are only replaced together: the runner refuses orders with
  * another count, so it never carries out an order that was decided by the holdings of another
- * moment. */
+ * moment.
+ *
+ * Load pattern: a runner states once that it holds far more than fits. No unload makes room then,
+ * so no order follows whose answer would correct it. */
 void Dispatcher::AdoptReport(TimePoint aNow, ManagedRunner& aRunner, const RunnerReport& aReport)
 {
   const bool isOutdated = IsOutdated(aRunner, aReport);
@@ -563,6 +566,12 @@
                 .count = adapters });
   if (isOutdated || aReport.isBusy) {
     ScheduleReport(aNow + kReportInterval, aRunner);
+  } else if (HoldsMoreThanFits(aRunner)) {
+    ScheduleReport(aNow + aRunner.doubtfulReportPause, aRunner);
+    aRunner.doubtfulReportPause =
+      std::min(2 * aRunner.doubtfulReportPause, kMaxDoubtfulReportPause);
+  } else {
+    aRunner.doubtfulReportPause = kMinDoubtfulReportPause;
   }
 }
 
--- a/src/decision/fleet/dispatcher_plan.cpp
+++ b/src/decision/fleet/dispatcher_plan.cpp
@@ -69,6 +69,16 @@
 
 } // namespace
 
+bool HoldsMoreThanFits(const ManagedRunner& aRunner)
+{
+  if (aRunner.engine == nullptr) {
+    return false;
+  }
+  const MemoryMb reservedForAdapters =
+    aRunner.engine->weights - aRunner.weightMemory.availableToModels;
+  return FreeMemory(aRunner) + reservedForAdapters < MemoryMb{};
+}
+
 Duration LoadTime(const ManagedRunner& aRunner, const Model& aModel)
 {
   if (aRunner.inHostMemory.contains(aModel.id)) {
--- a/tests/fleet/dispatcher_test.cpp
+++ b/tests/fleet/dispatcher_test.cpp
@@ -143,6 +143,57 @@
   }
 }
 
+// Guards against models that no runner loads any more: one wrong report of each runner states far
+// more than its memory holds, so nothing fits beside it.
+TEST_CASE("a report of more models than fit into a runner is read again")
+{
+  FleetWorld world({ .runners = 2, .models = 6, .modelsPerRunner = 2 });
+  world.Run(1s);
+  world.reportOverride = [](const RunnerReport& aReport) -> std::optional<RunnerReport> {
+    std::map<ModelId, std::set<AdapterId>> models;
+    for (int number = 0; number < 4'000; ++number) {
+      models[ModelId{ "other" + std::to_string(number) }];
+    }
+    RunnerReport wrong = aReport;
+    wrong.holdings.models = LoadedModels{ models };
+    return wrong;
+  };
+  world.SendEntry(0);
+  world.SendEntry(1);
+  world.Run(200ms);
+  world.reportOverride = nullptr;
+  world.Run(2s);
+  world.violations.clear(); // Those of the wrong reports.
+  for (const char* model : { "m0", "m1", "m4", "m5" }) {
+    world.SendRequest(model);
+    world.Run(2s);
+  }
+  CHECK(world.CountServed() == 4);
+  CheckNoViolations(world);
+}
+
+// Guards against a report every few hundred milliseconds from a runner that holds models which the
+// configuration no longer names, and which count as the largest.
+TEST_CASE("a runner that always states too much is asked less and less often")
+{
+  FleetWorld world({ .runners = 1, .models = 3 });
+  world.Run(1s);
+  world.reportOverride = [](const RunnerReport& aReport) -> std::optional<RunnerReport> {
+    RunnerReport large = aReport;
+    large.holdings.models =
+      LoadedModels{ std::map<ModelId, std::set<AdapterId>>{ { ModelId{ "x0" }, {} },
+                                                            { ModelId{ "x1" }, {} },
+                                                            { ModelId{ "x2" }, {} },
+                                                            { ModelId{ "x3" }, {} },
+                                                            { ModelId{ "x4" }, {} } } };
+    return large;
+  };
+  world.SendEntry(0);
+  world.Run(1min);
+  CHECK(world.runners[0].calls.size() >= 6);
+  CHECK(world.runners[0].calls.size() <= 12);
+}
+
 // The load takes a second, and the requests wait that long. If the dispatcher did not count the
 // load in progress, it would unload other models to load this one at more runners.
 TEST_CASE("one request and a hundred requests for a model that no runner holds cause one load")
