Fix: [Fleet] Daemons stopped following a table after more than 16 MB of changes

Seen: in the logs of test_edge_holds_long_lists_in_entries_and_reports_within_its_memory a daemon read 16 MB of the answer to each watch, closed the connection and asked for the same changes again, 27 times in 18 s, to the end of the test. It kept 150 endpoints that were gone and would not have learned of one that joins.

Cause: a watch was repeated from the same version after any failure. The changes after a version only grow, so an answer above the limit (kMaxBodyBytes) stays above it.

The stand-in's reads keep to 1 MB too.

--- a/src/fleet/store_client.cpp
+++ b/src/fleet/store_client.cpp
@@ -112,6 +112,7 @@
       result.outcome = aResult == http::CallResult::kNotConnected ? StoreOutcome::kUnavailable
                                                                   : StoreOutcome::kUnknown;
       result.reason = http::ToString(aResult);
+      result.isAnswerTooLarge = aResult == http::CallResult::kTooLarge;
       handler(std::move(result));
       return;
     }
--- a/src/fleet/store_client.h
+++ b/src/fleet/store_client.h
@@ -29,6 +29,8 @@
   StoreOutcome outcome = StoreOutcome::kUnavailable;
   platform::StoreAnswer answer; ///< Set with kDone and kConflict.
   std::string reason;           ///< HTTP status or error, for logs.
+  /* Set with kUnknown: the answer was longer than is read. */
+  bool isAnswerTooLarge = false;
 };
 
 /* Calls started, by kind, and calls that ended as kUnavailable or kUnknown. */
--- a/src/fleet/table_feed.cpp
+++ b/src/fleet/table_feed.cpp
@@ -186,6 +186,14 @@
     ReadPage({});
     return;
   }
+  if (aResult.isAnswerTooLarge) {
+    // Load pattern: another writer changes many large rows. The changes after a version only grow,
+    // while a read of the table comes in pages whose size the store limits.
+    mLog.Write("changes_too_large", { { "table", mOptions.table }, { "version", mVersion.value } });
+    mMustRead = true;
+    RunAfter(kMaxBackoff, [this] { ReadPage({}); });
+    return;
+  }
   if (aResult.outcome != StoreOutcome::kDone) {
     OnFailure(aResult);
     return;
--- a/src/fleet/table_feed.h
+++ b/src/fleet/table_feed.h
@@ -37,7 +37,8 @@
 };
 
 /* Reads the whole table once, then watches it for changes. When the store no longer keeps the
- * changes since the last known version, reads the whole table again and delivers the differences.
+ * changes since the last known version, or they are too large for one answer, reads the whole table
+ * again and delivers the differences.
  * Thus no removal and no latest state is missed, and a row never goes back to an older version.
  *
  * While the dispatcher's notices cover the table (see FeedCoverage), it calls the store only for
--- a/tests/edge/standin.py
+++ b/tests/edge/standin.py
@@ -21,6 +21,7 @@
 
 EVENT_COUNT = 6
 MAX_FEED_ROWS = 500  # In one answer to a watch of a table.
+MAX_READ_BYTES = 1_000_000  # Of the values in one answer to a read of a table.
 MAX_KEY_BYTES = 200
 # Value of SO_LINGER (on, 0 s) with which the close of a connection resets it.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -294,7 +295,14 @@
             return
         keys = sorted((k for t, k in self.rows if t == table and k.encode() >= first.encode()),
                       key=str.encode)
-        rows = [self._row(table, key) for key in keys[:self.max_read_rows]]
+        rows: list[dict[str, Any]] = []
+        size = 0
+        for key in keys[:self.max_read_rows]:
+            rows.append(self._row(table, key))
+            size += len(rows[-1]["value"])
+            if size > MAX_READ_BYTES and len(rows) > 2:
+                rows.pop()
+                break
         self._send(call, rows, is_truncated=len(keys) > len(rows))
 
     async def _handle_transaction(self, call: HttpCall) -> None:
--- a/tests/edge/test_odd_entries.py
+++ b/tests/edge/test_odd_entries.py
@@ -186,6 +186,32 @@
             assert daemon.send("check").is_complete
 
 
+def test_edge_follows_a_table_whose_changes_exceed_an_answer() -> None:
+    """Guards against daemons that ask for the same changes for good: they read at most 16 MB of an answer.
+
+    Another writer puts 250 entries as large as a row allows at once. What joins or leaves later is followed.
+    """
+    with EdgeCluster(daemons=2, runners=2, models=2, overwrites_freed_memory=False) as cluster:
+        platform = cluster.platform
+        sound = json.loads(platform.run_on_loop(platform.endpoints["r0"].next_entry))
+        value = json.dumps({**sound, "backend": "other", **long_lists()["models"]}).encode()
+
+        def put_entries() -> None:
+            for number in range(250):
+                platform.store.put("servers", f"long-{number}", value)
+
+        platform.run_on_loop(put_entries)
+        platform.run_coroutine(platform._add("p9", "plain", []))
+        for endpoint in ("p0", "p1"):
+            platform.run_coroutine(platform.endpoints[endpoint].crash(None))
+        cluster.wait_until(
+            lambda: all(daemon.send("check").is_complete for daemon in cluster.daemons),
+            "the endpoint that joined later", 10.0)
+        for daemon in cluster.daemons:
+            assert daemon.popen is not None
+            assert peak_memory_mb(daemon.popen.pid) < MEMORY_MB
+
+
 def test_edge_keeps_a_dispatcher_beside_entries_with_many_or_long_versions() -> None:
     """Guards against a lease row that the store refuses as too large: no daemon could hold the lease.
 
