Fix: [Fleet] A holder that was suspended could send an order after its lease had ended

After a suspension the socket is ready before the timers of the call run, so the order goes out seconds later.

Change: the HTTP client asks once more when the connection is ready (CallOptions::mayBeSent). An order whose lease or fence is over ends as not sent, which is true.

--- a/src/fleet/fleet_member.cpp
+++ b/src/fleet/fleet_member.cpp
@@ -1172,9 +1172,13 @@
 
 void FleetMember::SendOrder(const fleet::RunnerOrder& aOrder)
 {
-  // Checked again, because the host may have been suspended since the dispatcher decided, and the
-  // permission to send orders may have expired meanwhile. BootClockNow() counts suspensions.
-  if (!mLease.MayOrder(BootClockNow()) || mServices.isPaused(aOrder.runner)) {
+  // Checked here and when the connection is ready, because the host may have been suspended since
+  // the dispatcher decided, and the permission to send orders may have expired meanwhile.
+  // BootClockNow() counts suspensions.
+  const auto mayBeSent = [this, fence = aOrder.fence] {
+    return mLease.MayOrder(BootClockNow()) && mLease.fence() == fence;
+  };
+  if (!mayBeSent() || mServices.isPaused(aOrder.runner)) {
     mServices.dispatcher.OnOrderResult(BootClockNow(), aOrder, fleet::OrderOutcome::kNotSent);
     return;
   }
@@ -1203,7 +1207,8 @@
       .connectTimeout = kRunnerConnectTimeout,
       .answerTimeout = kOrderAnswerTimeout,
       .bodyIdleTimeout = kOrderAnswerTimeout,
-      .totalTimeout = kOrderTimeout },
+      .totalTimeout = kOrderTimeout,
+      .mayBeSent = mayBeSent },
     { .onHead =
         [this, status, runner = aOrder.runner, startedAtMs](const http::AnswerHead& aHead) {
           mServices.onRunnerAnswer(runner, startedAtMs, aHead);
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -165,6 +165,7 @@
     UpdateHeld();
     mIsHeadRequest = aOptions.request.method == "HEAD";
     mTarget = aOptions.request.target;
+    mMayBeSent = aOptions.mayBeSent;
     mBodyIdleTimeout = aOptions.bodyIdleTimeout;
     mMaxBodyBytes = aOptions.maxBodyBytes;
     mBodyBytes = 0;
@@ -348,6 +349,10 @@
     if (mState != State::kCalling) {
       return;
     }
+    if (const auto mayBeSent = std::exchange(mMayBeSent, nullptr); mayBeSent && !mayBeSent()) {
+      EndCall(CallResult::kNotConnected);
+      return;
+    }
     mIsWriting = true;
     asio::async_write(mSocket,
                       asio::buffer(mRequestBytes),
@@ -637,6 +642,7 @@
   State mState = State::kConnecting;
   std::uint64_t mCallNumber = 0; ///< Number of the current or latest call, from 1.
   CallHandlers mHandlers;
+  std::function<bool()> mMayBeSent; ///< Of the current call, until it is sent.
   std::optional<Parser> mParser;
   std::string mReceiveBuffer; ///< Received and not parsed yet.
   std::string mRequestBytes;  ///< The request, until it is written.
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -36,13 +36,18 @@
   std::uint64_t maxBodyBytes = 1U << 20U;
   /* From the start of the call to the end of the answer; 0 for no limit. */
   Duration totalTimeout = 5s;
+  /* Returns whether the request may still be sent. Asked when the connection is ready; if not, the
+   * call ends as kNotConnected. May be empty. */
+  std::function<bool()> mayBeSent;
 };
 
 enum class CallResult : std::uint8_t
 {
   kComplete,
-  kNotConnected, ///< No connection could be opened in time, so no byte of the request was sent.
-  kBroken,       ///< The connection ended before the end of the answer.
+  /* No byte of the request was sent: no connection could be opened in time, or the request was no
+   * longer to be sent. */
+  kNotConnected,
+  kBroken, ///< The connection ended before the end of the answer.
   /* Not a valid HTTP answer, a status that is no interim or final one, or too many answers to other
    * requests, or one such answer after which the endpoint closes the connection. */
   kMalformed,
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -131,7 +131,8 @@
       client.Start({ .address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()),
                      .request = { .method = "GET", .target = "/" },
                      .reuse = aReuse,
-                     .answerTimeout = 3s },
+                     .answerTimeout = 3s,
+                     .mayBeSent = mayBeSent },
                    { .onHead =
                        [&](const AnswerHead& aHead) {
                          const auto id = Find(aHead.fields, "X-Id");
@@ -152,6 +153,7 @@
   std::size_t nextAnswer = 0;
   bool closesAfterAnswer = false;
   bool sendsHeadAlone = false;
+  std::function<bool()> mayBeSent; ///< Of the calls.
   int connectionCount = 0;
   unsigned status = 0;
   std::string body;
@@ -428,6 +430,23 @@
   CHECK(endpoint.connectionCount == 2);
 }
 
+/* Guards against an order that a suspended host sends seconds after its lease has ended: the call
+ * was started before, and the request is written after the host goes on. */
+TEST_CASE("a request that may not be sent any more when its connection is ready is not sent")
+{
+  for (const bool isReused : { false, true }) {
+    ScriptedEndpoint endpoint({ Answer("a"), Answer("b") });
+    CHECK((!isReused || endpoint.Call() == CallResult::kComplete));
+    bool isAllowed = true;
+    endpoint.mayBeSent = [&] { return isAllowed; };
+    asio::post(endpoint.loop, [&] { isAllowed = false; }); // Runs before any handler of the call.
+    CHECK(endpoint.Call() == CallResult::kNotConnected);
+    endpoint.mayBeSent = nullptr;
+    CHECK(endpoint.Call() == CallResult::kComplete);
+    CHECK(endpoint.body == (isReused ? "b" : "a"));
+  }
+}
+
 /* The caller of the client recognizes an answer to another request by a header field, here X-Id.
  * The client then discards this answer and reads the next one from the same connection. */
 TEST_CASE("an answer to another request is skipped")
