Fix: [Fleet] Requests waited for their deadline after the dispatcher renewed its lease in a new era

Callers saw: when the store came back from an older copy, requests sent about half a second later got no answer until their deadline of 8 s (504), or were refused after 3.8 s as not servable in time.

Cause: the holder gives its lease up when the era rises and takes it again some 40 ms later. It then has forgotten its members, what they asked and which runners they use. They see the same process as dispatcher and state nothing again, and until their next hello its replies to them are dropped.

Change: heartbeats carry the fencing token of the lease term, and a member that sees another one states everything again, as to a new dispatcher. A holder that takes the lease again sends a heartbeat to its former members at once.

--- a/src/fleet/fleet_member.cpp
+++ b/src/fleet/fleet_member.cpp
@@ -355,9 +355,18 @@
     if (isHolder && !wasHolder) {
       mServices.quotaLedger.Start(now, mOptions.self);
       BeginQuotaEpoch(now);
+      // They may still take this daemon for their dispatcher, and wait for answers of the last
+      // term.
+      for (const std::string& address : std::exchange(mFormerMembers, {})) {
+        Send(address, MakeHeartbeat());
+      }
     }
     if (wasHolder && !isHolder) {
       mServices.quotas.OnDispatcherLost(now, false);
+      mFormerMembers.clear();
+      for (const auto& [id, member] : mMembers) {
+        mFormerMembers.push_back(member.address);
+      }
       mMembers.clear();
       mUncopiedStreams.clear();
       mServices.dispatcher.Clear();
@@ -417,6 +426,7 @@
 {
   return { .lease = mLease.row(),
            .version = mLease.version(),
+           .fence = mLease.fence(),
            .state = mLease.state(BootClockNow()),
            .daemons = static_cast<std::uint32_t>(mMembers.size()) + 1,
            .notices = mServices.tableNotices(),
@@ -689,12 +699,14 @@
   if (isDispatcher()) {
     return;
   }
-  const bool isNew =
-    !mHasRemoteDispatcher || mDispatcherLease.incarnation != aHeartbeat.lease.incarnation;
+  const bool isNew = !mHasRemoteDispatcher ||
+                     mDispatcherLease.incarnation != aHeartbeat.lease.incarnation ||
+                     mDispatcherFence != aHeartbeat.fence;
   if (isNew && mHasRemoteDispatcher && mDispatcherLease.address != aHeartbeat.lease.address) {
     mLink.Disconnect(mDispatcherLease.address);
   }
   mDispatcherLease = aHeartbeat.lease;
+  mDispatcherFence = aHeartbeat.fence;
   mHasRemoteDispatcher = true;
   mLastHeartbeatAt = now;
   mServices.onDaemonCount(aHeartbeat.daemons);
--- a/src/fleet/fleet_member.h
+++ b/src/fleet/fleet_member.h
@@ -265,13 +265,16 @@
   boost::asio::steady_timer mTimer;
   boost::asio::steady_timer mDispatcherTimer;
   std::map<DaemonId, Member> mMembers;
+  /* Addresses of those that were members when this daemon last lost the lease. */
+  std::vector<std::string> mFormerMembers;
   std::map<DaemonId, std::string> mAddresses;      ///< Of all daemons that have ever sent a hello.
   std::map<DaemonId, IncarnationId> mIncarnations; ///< Of the same daemons.
   /* Another daemon is the dispatcher, and its heartbeats arrive. */
   bool mHasRemoteDispatcher = false;
   /* Lease row from the last heartbeat of that dispatcher. Messages go to the address in it. */
   fleet::OrderLeaseRow mDispatcherLease;
-  TimePoint mLastHeartbeatAt{}; ///< When that dispatcher's last heartbeat arrived.
+  FencingToken mDispatcherFence; ///< From the same heartbeat.
+  TimePoint mLastHeartbeatAt{};  ///< When that dispatcher's last heartbeat arrived.
   /* Streams reported to this daemon as the dispatcher of which no member has a copy yet. */
   std::vector<fleet::BegunStream> mUncopiedStreams;
   TimePoint mNextStreamCopyAt{};
--- a/src/fleet/fleet_message.h
+++ b/src/fleet/fleet_message.h
@@ -38,6 +38,9 @@
 {
   fleet::OrderLeaseRow lease;
   RowVersion version; ///< Of the lease row.
+  /* Of the present lease term. What members told the dispatcher in an earlier term is forgotten.
+   * Releases without it state 0. */
+  FencingToken fence;
   fleet::HolderState state = fleet::HolderState::kRenewing;
   std::uint32_t daemons = 1; ///< Daemons known to the dispatcher, itself included.
   /* What the dispatcher states about the store's tables, by their names. */
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -558,6 +558,30 @@
         assert max(calls) <= 12, calls  # No daemon reads the tables without a pause.
 
 
+def test_edge_answers_requests_while_the_dispatcher_renews_its_lease_in_a_new_era() -> None:
+    """Guards against requests that wait for their deadline: the dispatcher had forgotten who asked.
+
+    The store comes back from an older copy, so the holder gives its lease up and takes it again.
+    """
+    with EdgeCluster(daemons=4, runners=3) as cluster:
+        time.sleep(2.0)
+        unanswered = []
+
+        def send(daemon: Daemon) -> None:
+            started = time.monotonic()
+            result = daemon.send("chat")
+            if not result.is_complete or time.monotonic() - started > 4.0:
+                unanswered.append(result)
+
+        with ThreadPoolExecutor(64) as pool:
+            cluster.platform.restore_store(age_s=1.0)
+            for _ in range(60):
+                for daemon in cluster.daemons:
+                    pool.submit(send, daemon)
+                time.sleep(0.025)
+        assert not unanswered, (len(unanswered), unanswered[:3])
+
+
 def test_edge_does_not_complete_a_stream_whose_runner_crashed_between_two_events() -> None:
     """Crashes a runner under streams without a length: a reset must not look like their end."""
     with EdgeCluster(daemons=1, models=2) as cluster:
--- a/tests/fleet/fleet_message_test.cpp
+++ b/tests/fleet/fleet_message_test.cpp
@@ -106,13 +106,14 @@
     .id = kRequest.id,
     .answer = PlacementRefused{ .code = ResultCode::kDeadlineUnreachable, .retryAfter = 1500ms } });
   CHECK(std::get<PlacementRefused>(refused.answer).retryAfter == 1500ms);
-  const auto withNotices = EncodeAndDecode<HolderHeartbeatMessage>(
-    HolderHeartbeatMessage{ .daemons = 3, .notices = { { "t", { { 9 }, 300ms } } } });
+  const auto withNotices = EncodeAndDecode<HolderHeartbeatMessage>(HolderHeartbeatMessage{
+    .fence = { 7 }, .daemons = 3, .notices = { { "t", { { 9 }, 300ms } } } });
   CHECK(withNotices.notices.at("t").version == RowVersion{ 9 });
   CHECK(withNotices.notices.at("t").age == 300ms);
   const auto hello = EncodeAndDecode<HelloMessage>(
     HelloMessage{ .address = "a:1", .configuration = { .version = { 4 }, .age = 7ms } });
   CHECK(hello.configuration == ConfigurationStatement{ .version = { 4 }, .age = 7ms });
+  CHECK(withNotices.fence == FencingToken{ 7 });
   const auto withPeers = EncodeAndDecode<HolderHeartbeatMessage>(
     HolderHeartbeatMessage{ .configuration = { .version = { 5 } }, .peers = { "b:2" } });
   CHECK(withPeers.configuration == ConfigurationStatement{ .version = { 5 } });
