Fix: [Fleet] A failed call to the store brought endpoints back that had left before

Cause: whether an endpoint without an entry counts as gone depended on the present state of the store alone. The grace period, meant for entries that expire during an outage, took back every removal of the last 60 s.

Change: a removal that is told while the store is stable is final, and so is one after the grace period. Only a removal during an outage or its grace period is doubtful.

--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -713,7 +713,7 @@
     return { .onRow = [this](const platform::StoreRow& aRow) { OnRunnerRow(aRow); },
              .onRemoved = [this](const platform::StoreRow& aRow) { OnRunnerRemoved(aRow); },
              .onSynced = [this] { OnRunnersSynced(); },
-             .onStoreLost = [this] { mRunners.OnStoreUnreachable(); },
+             .onStoreLost = [this] { mRunners.OnStoreUnreachable(BootClockNow()); },
              .onStoreRecovered = [this] { mRunners.OnStoreReachable(BootClockNow()); },
              .onConfirmed = nullptr };
   }
--- a/src/decision/fleet/runner_registry.cpp
+++ b/src/decision/fleet/runner_registry.cpp
@@ -96,11 +96,21 @@
   const auto found = mRunners.find(aRunner);
   if (found != mRunners.end() && !found->second.missingSince) {
     found->second.missingSince = aNow;
+    found->second.mayReturn = !IsStoreStable(aNow);
     const RunnerEntry& entry = found->second.entry;
     mFormerVersions[entry.service][entry.softwareVersion] = aNow;
   }
 }
 
+void RunnerRegistry::OnStoreUnreachable(TimePoint aNow)
+{
+  // An outage makes only those entries doubtful that expire from now on.
+  for (auto& [id, runner] : mRunners) {
+    runner.mayReturn = runner.mayReturn && !IsGone(aNow, runner);
+  }
+  mStoreReachableSince.reset();
+}
+
 void RunnerRegistry::ForgetGone(TimePoint aNow)
 {
   for (auto& [id, runner] : mRunners) {
@@ -370,12 +380,7 @@
 
 bool RunnerRegistry::IsGone(TimePoint aNow, const KnownRunner& aRunner) const
 {
-  if (!aRunner.missingSince) {
-    return false;
-  }
-  // An entry that expired while the store was unreachable may return, so it does not count as
-  // gone yet.
-  return mStoreReachableSince && aNow >= *mStoreReachableSince + kExpiredEntryGracePeriod;
+  return aRunner.missingSince && (!aRunner.mayReturn || IsStoreStable(aNow));
 }
 
 Exclusion RunnerRegistry::Check(TimePoint aNow, const KnownRunner& aRunner) const
--- a/src/decision/fleet/runner_registry.h
+++ b/src/decision/fleet/runner_registry.h
@@ -37,6 +37,8 @@
   RunnerEntry entry;
   TimePoint changedAt{};                 ///< When the last entry arrived.
   std::optional<TimePoint> missingSince; ///< Since when the endpoint has no entry.
+  /* The entry may have expired because of an outage of the store, and may return after it. */
+  bool mayReturn = false;
   /* The endpoint's present process has stated in an answer that it is leaving. */
   bool saysLeaving = false;
   StatedLimit limit; ///< Of the endpoint's present process.
@@ -104,7 +106,7 @@
   void ForgetGone(TimePoint aNow);
   /* Records that the store is reachable again after an outage. */
   void OnStoreReachable(TimePoint aNow) { mStoreReachableSince = aNow; }
-  void OnStoreUnreachable() { mStoreReachableSince.reset(); }
+  void OnStoreUnreachable(TimePoint aNow);
   /* Records that the store came back from an older copy. Missing entries count as after an outage.
    */
   void OnStoreRestored(TimePoint aNow)
@@ -221,6 +223,12 @@
 
 private:
   bool IsGone(TimePoint aNow, const KnownRunner& aRunner) const;
+  /* Returns whether the store is reachable, and entries that expired during its last outage have
+   * had time to return. */
+  bool IsStoreStable(TimePoint aNow) const
+  {
+    return mStoreReachableSince && aNow >= *mStoreReachableSince + kExpiredEntryGracePeriod;
+  }
   /* Starts an endpoint's window, if endpoints are paced. */
   void StartWindow(TimePoint aAt, KnownRunner& aRunner) const;
   bool HasRoom(TimePoint aNow, const KnownRunner& aRunner, const EndpointQuery& aQuery) const;
--- a/tests/fleet/fleet_parts_test.cpp
+++ b/tests/fleet/fleet_parts_test.cpp
@@ -250,7 +250,7 @@
 {
   RunnerRegistry registry;
   registry.Apply(kStart, EntryOf("r1"));
-  registry.OnStoreUnreachable();
+  registry.OnStoreUnreachable(kStart);
   registry.Remove(kStart + 1s, EndpointId{ "r1" });
   CHECK(Choose(registry, kStart + 60s).has_value());
   registry.OnStoreReachable(kStart + 60s);
@@ -268,6 +268,33 @@
   CHECK(Choose(registry, kStart + 11s).has_value());
 }
 
+// Guards against requests to an endpoint that has left: any failed call to the store took back all
+// removals of the last minute.
+TEST_CASE("an endpoint that was gone before a store outage stays gone")
+{
+  RunnerRegistry registry;
+  registry.Apply(kStart, EntryOf("r1"));
+  registry.Remove(kStart + 10s, EndpointId{ "r1" });
+  registry.OnStoreUnreachable(kStart + 11s);
+  CHECK_FALSE(Choose(registry, kStart + 12s).has_value());
+  registry.OnStoreReachable(kStart + 15s);
+  CHECK_FALSE(Choose(registry, kStart + 15s).has_value());
+
+  registry.Apply(kStart + 20s, EntryOf("r1"));
+  registry.OnStoreUnreachable(kStart + 21s);
+  registry.OnStoreReachable(kStart + 22s);
+  registry.Remove(kStart + 22s, EndpointId{ "r1" });
+  CHECK(Choose(registry, kStart + 23s).has_value());
+  registry.OnStoreUnreachable(kStart + 23s); // The entry has not had time to return.
+  CHECK(Choose(registry, kStart + 24s).has_value());
+  registry.OnStoreReachable(kStart + 25s);
+  CHECK_FALSE(Choose(registry, kStart + 28s).has_value());
+  registry.OnStoreUnreachable(kStart + 29s);
+  CHECK_FALSE(Choose(registry, kStart + 30s).has_value());
+  registry.Apply(kStart + 31s, EntryOf("r1"));
+  CHECK(Choose(registry, kStart + 31s).has_value());
+}
+
 TEST_CASE("a draining endpoint gets no requests, and a restart is distinguished from an update")
 {
   RunnerRegistry registry;
