Fix: [Gateway] A request that crashes runners was not recognised beside sound ones of other accounts

Cause: the digest by which such a request is recognised did not cover the account, so each answered request of the other account counted as its answer, and its crashes were forgotten.

--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -78,13 +78,17 @@
   return aTarget.substr(0, aTarget.find('?'));
 }
 
-/* Returns a digest of the method, the target, the model and the body. A client that repeats a
- * request sends the same bytes, so a request that crashes runners is recognised by its digest. */
-FingerprintId Fingerprint(const http::Request& aRequest, const platform::ClientRequest& aClient)
+/* Returns a digest of the account, the method, the target, the model and the body. A client that
+ * repeats a request sends the same bytes, so a request that crashes runners is recognised by its
+ * digest. Those of other accounts prove nothing about it: an endpoint may treat them otherwise. */
+FingerprintId Fingerprint(const http::Request& aRequest,
+                          const platform::ClientRequest& aClient,
+                          const ClientAccountId& aAccount)
 {
   std::uint64_t hash = XXH3_64bits(aRequest.body.data(), aRequest.body.size());
   const std::string rest = aRequest.method + " " + aRequest.target + " " +
-                           (aClient.work ? aClient.work->target.model.str() : std::string{});
+                           (aClient.work ? aClient.work->target.model.str() : std::string{}) +
+                           "\n" + aAccount.str();
   hash = XXH3_64bits_withSeed(rest.data(), rest.size(), hash);
   return FingerprintId{ fmt::format("{:016x}", hash) };
 }
@@ -218,7 +222,7 @@
   if (mClient.requestId.empty()) {
     return Rejection{ .code = ResultCode::kRequestMalformed, .reason = "the request has no id" };
   }
-  mFingerprint = Fingerprint(mRequest, mClient);
+  mFingerprint = Fingerprint(mRequest, mClient, mAccount);
   if (mContext.crashes.IsQuarantined(mArrivedAt, mFingerprint)) {
     return Rejection{ .code = ResultCode::kEndpointUnavailable,
                       .reason = "it crashed the endpoints that ran it" };
--- a/tests/edge/standin.py
+++ b/tests/edge/standin.py
@@ -441,6 +441,7 @@
     refuses_all: bool = False       # All requests are refused without being run.
     answers_500: bool = False       # Requests are run and answered with status 500.
     crashing_body: bytes = b""      # A request whose body contains these bytes crashes it.
+    crashing_account: str = ""      # Only one of this account does, unless empty.
     # A request with one of these prompt parts, not as the last one, crashes it after the answer's head.
     crashing_parts: frozenset[str] = frozenset()
     pause_value: str = ""           # Refuses requests with 503 and this Retry-After.
@@ -623,7 +624,8 @@
             return
         run = Run(request, self.id, time.monotonic(), call.fields, call.target, call.body)
         self.platform.runs[request].append(run)
-        if self.faults.crashing_body and self.faults.crashing_body in call.body:
+        if (self.faults.crashing_body and self.faults.crashing_body in call.body
+                and self.faults.crashing_account in ("", call.fields.get("x-tenant"))):
             run.is_cut = True
             asyncio.ensure_future(self.crash(0.4))
             return
--- a/tests/edge/test_accounts.py
+++ b/tests/edge/test_accounts.py
@@ -27,8 +27,8 @@
                                    for daemon in cluster.daemons), wanted)
 
 
-def send(daemon: Daemon, kind: str, key: str, **fields: str) -> Result:
-    return daemon.send(kind, Authorization=f"Token {key}", **fields)
+def send(daemon: Daemon, kind: str, key: str, body: bytes = b"", **fields: str) -> Result:
+    return daemon.send(kind, body=body, Authorization=f"Token {key}", **fields)
 
 
 def send_lines(daemon: Daemon, kind: str, lines: list[str]) -> tuple[str, int]:
@@ -146,3 +146,22 @@
         cluster.platform.store.is_down = False
         time.sleep(2.0)
         assert all(send(daemon, "check", "key-b").is_complete for daemon in cluster.daemons)
+
+
+def test_edge_stops_a_crashing_request_beside_sound_ones_of_another_account() -> None:
+    """Guards against crashes that the answers of other callers forget: path and body are the same."""
+    with EdgeCluster(daemons=2, runners=3, models=2) as cluster:
+        apply(cluster, accounts=accounts())
+        for name in ("r0", "r1", "r2"):
+            faults = cluster.platform.endpoints[name].faults
+            faults.crashing_body, faults.crashing_account = b"SAME", "b"
+        results = []
+        for number in range(10):
+            daemon = cluster.daemons[number % 2]
+            results.append(send(daemon, "draft", "key-b", body=b"SAME"))
+            for _ in range(4):
+                time.sleep(0.15)
+                send(daemon, "draft", "key-a-1", body=b"SAME")
+        run_count = sum(cluster.run_count(result) for result in results)
+        assert 3 <= run_count <= 4, run_count
+        assert send(cluster.daemons[0], "draft", "key-a-1", body=b"SAME").is_complete
