Fix: [Fleet] A quarantined request crashed runners again each minute

Cause: each daemon forgot the crashes 60 s after the last one, whether or not the request still came.

Change: a quarantine is kept for an hour after the last crash. The dispatcher, or each daemon while there is none, sends the request as a trial twice in that time, 60 s after the last crash and 8 min after the first trial; an answer ends the quarantine everywhere, as before, so a request that was quarantined by chance is served again after a minute.

--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -205,6 +205,7 @@
           return mMember.isDispatcher() ? mGateway.promptParts.IsTrialDue(now, aParts)
                                         : mGateway.promptParts.IsTrialOffered(now, aParts);
         },
+      .mayTryQuarantined = [this] { return mMember.isDispatcher() || !mMember.HasDispatcher(); },
       .onCleared =
         [this](const FingerprintId& aRequest, bool aWasQuarantined) {
           mCrashReports.OnOwnCleared(aRequest, aWasQuarantined);
--- a/src/decision/fleet/crash_guard.cpp
+++ b/src/decision/fleet/crash_guard.cpp
@@ -1,6 +1,8 @@
 /* Detects and quarantines requests that crash runners. */
 #include "decision/fleet/crash_guard.h"
 
+#include <algorithm>
+
 namespace rhubarbtrail::fleet {
 
 void CrashGuard::RecordCrash(TimePoint aNow,
@@ -15,17 +17,33 @@
   }
   Suspect& suspect = mSuspects[aRequest];
   if (suspect.expiresAt < aNow) {
-    suspect.crashedProcesses.clear();
+    suspect = {};
   }
   suspect.crashedProcesses.insert(aProcess);
-  suspect.expiresAt = aNow + kCrashCountLifetime;
+  suspect.expiresAt = aNow + (suspect.IsQuarantined() ? kQuarantineLifetime : kCrashCountLifetime);
+  suspect.nextTrialAt = std::max(suspect.nextTrialAt, aNow + kFirstTrialPause);
+}
+
+bool CrashGuard::StartTrial(TimePoint aNow, const FingerprintId& aRequest)
+{
+  constexpr std::uint32_t kMaxTrials = 2;
+  if (!IsQuarantined(aNow, aRequest)) {
+    return false;
+  }
+  Suspect& suspect = mSuspects[aRequest];
+  if (suspect.trials >= kMaxTrials || aNow < suspect.nextTrialAt) {
+    return false;
+  }
+  ++suspect.trials;
+  suspect.nextTrialAt = aNow + kSecondTrialPause;
+  return true;
 }
 
 bool CrashGuard::IsQuarantined(TimePoint aNow, const FingerprintId& aRequest) const
 {
   const auto found = mSuspects.find(aRequest);
   return found != mSuspects.end() && found->second.expiresAt >= aNow &&
-         found->second.crashedProcesses.size() >= kQuarantineThreshold;
+         found->second.IsQuarantined();
 }
 
 } // namespace rhubarbtrail::fleet
--- a/src/decision/fleet/crash_guard.h
+++ b/src/decision/fleet/crash_guard.h
@@ -12,8 +12,15 @@
 
 namespace rhubarbtrail::fleet {
 
-/* Time after the last crash until the crashes of a request are forgotten. */
+/* Time after the last crash until the crashes of a request that is not quarantined are forgotten.
+ */
 constexpr Duration kCrashCountLifetime = 60s;
+/* Time after the last crash until a quarantine is forgotten. */
+constexpr Duration kQuarantineLifetime = 1h;
+/* Time after the last crash until the first trial of a quarantined request, and the time between
+ * the first trial and the second. There are no more. */
+constexpr Duration kFirstTrialPause = 60s;
+constexpr Duration kSecondTrialPause = 8min;
 /* Number of crashes in a row after which a request is quarantined. It is the largest number of
  * crashed runners that operators accept. One or two may be chance, when runners fail for other
  * reasons. */
@@ -45,6 +52,13 @@
   /* Returns whether the request is quarantined, that is, must not be sent to a runner. */
   bool IsQuarantined(TimePoint aNow, const FingerprintId& aRequest) const;
 
+  /* Returns whether a quarantined request may be sent once to find out whether it is sound after
+   * all, and counts that as its trial. To be asked by one daemon of the fleet alone.
+   *
+   * Load pattern: a client repeats a crashing request for as long as it is refused. If the
+   * quarantine just ended after a time, each daemon would send the request to runners again. */
+  bool StartTrial(TimePoint aNow, const FingerprintId& aRequest);
+
   /* Returns the processes that crashed while they ran the request, as far as they are counted. */
   std::set<EndpointProcess> CrashedProcesses(const FingerprintId& aRequest) const
   {
@@ -55,8 +69,12 @@
 private:
   struct Suspect
   {
+    bool IsQuarantined() const { return crashedProcesses.size() >= kQuarantineThreshold; }
+
     std::set<EndpointProcess> crashedProcesses;
     TimePoint expiresAt{};
+    std::uint32_t trials = 0; ///< Begun by this daemon.
+    TimePoint nextTrialAt{};
   };
 
   std::unordered_map<FingerprintId, Suspect> mSuspects;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -82,6 +82,9 @@
   /* Returns whether a request with these quarantined parts may be sent as their trial, if the
    * dispatcher permits it. */
   std::function<bool(std::span<const fleet::PromptPartId>)> isTrialOffered;
+  /* Returns whether this daemon may send a quarantined request as a trial: only the dispatcher, or
+   * each daemon while there is none. */
+  std::function<bool()> mayTryQuarantined;
   /* Notifies the other daemons that a request suspected of crashing runners was answered, and
    * whether it was quarantined. */
   std::function<void(const FingerprintId&, bool)> onCleared;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -223,7 +223,7 @@
     return Rejection{ .code = ResultCode::kRequestMalformed, .reason = "the request has no id" };
   }
   mFingerprint = Fingerprint(mRequest, mClient, mAccount);
-  if (mContext.crashes.IsQuarantined(mArrivedAt, mFingerprint)) {
+  if (mContext.crashes.IsQuarantined(mArrivedAt, mFingerprint) && !StartCrashTrial()) {
     return Rejection{ .code = ResultCode::kEndpointUnavailable,
                       .reason = "it crashed the endpoints that ran it" };
   }
@@ -235,6 +235,15 @@
   return std::nullopt;
 }
 
+bool RequestFlow::StartCrashTrial()
+{
+  if (!mContext.mayTryQuarantined() || !mContext.crashes.StartTrial(mArrivedAt, mFingerprint)) {
+    return false;
+  }
+  mContext.log.Write("request_trial", { { "id", mClient.requestId }, { "bytes", mFingerprint } });
+  return true;
+}
+
 std::optional<RequestFlow::Rejection> RequestFlow::FindRouteAndAccount()
 {
   auto rejection = ApplyConfiguration(mContext.configuration);
--- a/src/gateway/request_flow.h
+++ b/src/gateway/request_flow.h
@@ -106,6 +106,8 @@
   /* Finds the route and the account in the configuration in force or, for a request that arrived
    * before that was applied, in the former one. */
   std::optional<Rejection> FindRouteAndAccount();
+  /* Returns whether this quarantined request is sent to find out whether it is sound after all. */
+  bool StartCrashTrial();
   std::optional<Rejection> ApplyConfiguration(
     std::shared_ptr<const fleet::FleetConfiguration> aConfiguration);
   void CountKeyCheck(const std::optional<Rejection>& aRejection);
