Fix: [Fleet] A daemon that joined after a change of the dispatcher did not know the quarantined requests

Cause: a dispatcher told daemons that join only of crashes that it had reported or passed on itself within the last minute. One that has become the dispatcher since knew of the others and told nobody.

--- a/src/daemon/crash_reports.cpp
+++ b/src/daemon/crash_reports.cpp
@@ -18,6 +18,8 @@
 /* Greatest number of crashes and of parts that are remembered. */
 constexpr std::size_t kMaxKnownCrashes = 4'096;
 constexpr std::size_t kMaxKnownParts = 4'096;
+/* Greatest number of quarantined requests that a daemon which joins is told of. */
+constexpr std::size_t kMaxToldRequests = 256;
 
 /* Removes the parts that were recorded less than an interval ago, and records the others. */
 void KeepDue(TimePoint aNow,
@@ -96,6 +98,17 @@
          { .request = aRequest, .isCleared = true });
 }
 
+std::vector<SuspectMessage> CrashReports::QuarantinedRequests(TimePoint aNow) const
+{
+  std::vector<SuspectMessage> reports;
+  for (const FingerprintId& request : mServices.crashes.Quarantined(aNow, kMaxToldRequests)) {
+    for (const auto& process : mServices.crashes.CrashedProcesses(request)) {
+      reports.push_back({ .request = request, .process = process });
+    }
+  }
+  return reports;
+}
+
 void CrashReports::OnReport(TimePoint aNow,
                             const std::string& aSender,
                             const SuspectMessage& aReport)
--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -294,6 +294,8 @@
           .partTrials = [this] { return mGateway.promptParts.trials(BootClockNow()); },
           .startTrial =
             [this](const std::vector<fleet::PromptPartId>& aParts) { return StartTrial(aParts); },
+          .quarantinedRequests =
+            [this] { return mCrashReports.QuarantinedRequests(BootClockNow()); },
           .onStoreEra = [this](StoreEra aEra) { mStore.ObserveEra(aEra); } },
         { .self = DaemonId{ mSettings.daemonId },
           .incarnation = IncarnationId{ mIncarnation },
--- a/src/decision/fleet/crash_guard.cpp
+++ b/src/decision/fleet/crash_guard.cpp
@@ -2,6 +2,8 @@
 #include "decision/fleet/crash_guard.h"
 
 #include <algorithm>
+#include <functional>
+#include <utility>
 
 namespace rhubarbtrail::fleet {
 
@@ -39,6 +41,23 @@
   return true;
 }
 
+std::vector<FingerprintId> CrashGuard::Quarantined(TimePoint aNow, std::size_t aMax) const
+{
+  std::vector<std::pair<TimePoint, FingerprintId>> found;
+  for (const auto& [request, suspect] : mSuspects) {
+    if (IsQuarantined(aNow, request)) {
+      found.emplace_back(suspect.expiresAt, request);
+    }
+  }
+  std::sort(found.begin(), found.end(), std::greater<>{});
+  found.resize(std::min(found.size(), aMax));
+  std::vector<FingerprintId> requests;
+  for (auto& [expiresAt, request] : found) {
+    requests.push_back(std::move(request));
+  }
+  return requests;
+}
+
 bool CrashGuard::IsQuarantined(TimePoint aNow, const FingerprintId& aRequest) const
 {
   const auto found = mSuspects.find(aRequest);
--- a/src/decision/fleet/crash_guard.h
+++ b/src/decision/fleet/crash_guard.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <set>
 #include <unordered_map>
+#include <vector>
 
 namespace rhubarbtrail::fleet {
 
@@ -59,6 +60,8 @@
    * quarantine just ended after a time, each daemon would send the request to runners again. */
   bool StartTrial(TimePoint aNow, const FingerprintId& aRequest);
 
+  /* Returns the quarantined requests, those with the latest crashes if there are more than aMax. */
+  std::vector<FingerprintId> Quarantined(TimePoint aNow, std::size_t aMax) const;
   /* Returns the processes that crashed while they ran the request, as far as they are counted. */
   std::set<EndpointProcess> CrashedProcesses(const FingerprintId& aRequest) const
   {
--- a/src/fleet/fleet_member.cpp
+++ b/src/fleet/fleet_member.cpp
@@ -680,6 +680,7 @@
   if (isNew) {
     Send(aHello.address, MakeHeartbeat());
     SendOwnSuspects(aHello.address);
+    SendQuarantinedRequests(aHello.address);
     SendLimits(aHello.address, mServices.limits());
   }
 }
@@ -999,6 +1000,18 @@
   }
 }
 
+void FleetMember::SendQuarantinedRequests(const std::string& aAddress)
+{
+  std::vector<SuspectMessage> reports = mServices.quarantinedRequests();
+  for (std::size_t first = 0; first < reports.size(); first += kMaxReportsPerMessage) {
+    const auto begin = std::make_move_iterator(reports.begin());
+    const std::size_t last = std::min(first + kMaxReportsPerMessage, reports.size());
+    Send(aAddress,
+         SuspectListMessage{ { begin + static_cast<std::ptrdiff_t>(first),
+                               begin + static_cast<std::ptrdiff_t>(last) } });
+  }
+}
+
 bool FleetMember::SendToDispatcher(const fleet::DispatchMessage& aMessage)
 {
   if (isDispatcher()) {
--- a/src/fleet/fleet_member.h
+++ b/src/fleet/fleet_member.h
@@ -90,6 +90,8 @@
   std::function<std::vector<fleet::PartTrials>()> partTrials;
   /* Counts a trial of quarantined parts. Returns whether one was due. */
   std::function<bool(const std::vector<fleet::PromptPartId>&)> startTrial;
+  /* Returns reports of the crashes of all quarantined requests that this daemon knows. */
+  std::function<std::vector<SuspectMessage>()> quarantinedRequests;
   /* Takes the era of the store that another daemon knows. */
   std::function<void(StoreEra)> onStoreEra;
 };
@@ -219,6 +221,8 @@
   void OnStreamsBegun(const StreamsBegunMessage& aBegun);
   /* Sends the suspects that this daemon reported a short time ago to a daemon. */
   void SendOwnSuspects(const std::string& aAddress);
+  /* Sends the quarantined requests that this daemon knows to one that joins. */
+  void SendQuarantinedRequests(const std::string& aAddress);
   /* Sends the streams that this daemon began a short time ago to a new dispatcher. */
   void SendOwnStreams();
   /* Sends the streams that were reported since the last copy to the members that keep copies, when
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -235,6 +235,28 @@
         check_no_violations(cluster, *results)
 
 
+def test_edge_remembers_a_crashing_request_over_a_rolling_restart() -> None:
+    """Guards against a new dispatcher that tells daemons that join only of crashes it reported itself."""
+    with EdgeCluster(daemons=4, runners=3, models=2) as cluster:
+        for name in ("r0", "r1", "r2"):
+            cluster.platform.endpoints[name].faults.crashing_body = b"KILL"
+        holder = cluster.holder()
+        others = [daemon for daemon in cluster.daemons if daemon is not holder]
+        results = []
+        for number in range(6):
+            results.append(others[number % 3].send("draft", body=b"KILL"))
+            time.sleep(0.7)
+        assert 1 <= sum(cluster.run_count(result) for result in results) <= 4, results
+        for daemon in (holder, *others):
+            daemon.kill()
+            time.sleep(4.0)  # Another daemon holds the lease, whichever it was.
+            daemon.start()
+            cluster.wait_until(daemon.is_ready, "readiness")
+            time.sleep(1.5)
+            result = daemon.send("draft", body=b"KILL")
+            assert cluster.run_count(result) == 0, (daemon.name, result)
+
+
 def test_edge_counts_one_crash_once_for_identical_requests() -> None:
     """Crashes a runner while it runs ten requests with the same bytes, from two daemons.
 
