--- a/src/daemon/crash_reports.h
+++ b/src/daemon/crash_reports.h
@@ -41,7 +41,7 @@
   explicit CrashReports(CrashReportServices aServices);
 
   /* A runner's process ended while it ran a request of this daemon. The suspect has no parts if the
-   * request had events of that process. */
+   * request's stream had gone on for a while. */
   void OnOwnCrash(TimePoint aNow,
                   const fleet::EndpointProcess& aProcess,
                   const fleet::CrashSuspect& aSuspect);
--- a/src/decision/fleet/prompt_part_guard.h
+++ b/src/decision/fleet/prompt_part_guard.h
@@ -66,7 +66,8 @@
  * ascending order. */
 using PartGroup = std::vector<PromptPartId>;
 
-/* A request that was in flight without an event at a runner's process that has ended. */
+/* A request that was in flight at a runner's process that has ended. It has no parts if its stream
+ * had gone on for a while, which proves them sound. */
 struct CrashSuspect
 {
   FingerprintId request;
@@ -97,7 +98,7 @@
     std::size_t crashes = 0;
   };
 
-  /* Records that a runner's process ended while the request was in flight there without an event.
+  /* Records that a runner's process ended while the request was in flight there.
    * Reports about one process are merged. */
   Change RecordCrash(TimePoint aNow, const EndpointProcess& aProcess, const CrashSuspect& aSuspect);
   /* Records that these parts are sound, because a request with them was answered. */
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -1219,11 +1219,11 @@
     return;
   }
   // Connections break for many reasons, but a new one fails only if the process is gone. Anything
-  // else does not make the request a suspect. A request that has an event of this attempt did not
-  // crash the runner when it began to answer.
+  // else does not make the request a suspect. The parts of one whose stream has gone on for a while
+  // did not crash the runner when it began to answer.
   const fleet::CrashSuspect suspect{ .request = mFingerprint,
                                      .account = mAccount,
-                                     .parts = HasAnswerBegun(aAttempt)
+                                     .parts = aAttempt.isProvenSound
                                                 ? std::vector<fleet::PromptPartId>{}
                                                 : mClient.leadingParts,
                                      .hasHead = aAttempt.head && IsSuccess(aAttempt.head->status) };
--- a/tests/edge/standin.py
+++ b/tests/edge/standin.py
@@ -444,6 +444,7 @@
     crashing_account: str = ""      # Only one of this account does, unless empty.
     # A request with one of these prompt parts, not as the last one, crashes it after the answer's head.
     crashing_parts: frozenset[str] = frozenset()
+    crashes_after_event: bool = False  # The first event is sent before such a crash.
     pause_value: str = ""           # Refuses requests with 503 and this Retry-After.
     load_value: str = ""            # Value of X-Server-Load in all answers, in place of the usual one.
     limit_value: str = ""           # Value of Server-Limit in all answers; not sent if empty.
@@ -701,6 +702,9 @@
         call.writer.write(response_head(200, {
             "X-Request-Id": run.request, "X-Response-Signature": f"{self.id}.{run.request}",
             "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}))
+        if self.faults.crashes_after_event:
+            event = f"id: 1\ndata: {run.request} 1 {self.version}\n\n".encode()
+            call.writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
         await call.writer.drain()
         await asyncio.sleep(0.01)
         if not self.is_down:
--- a/tests/edge/test_crashing_part.py
+++ b/tests/edge/test_crashing_part.py
@@ -144,6 +144,20 @@
             check_sound_served(cluster)
 
 
+def test_edge_stops_requests_with_a_part_that_crashes_runners_after_an_event() -> None:
+    """Guards against a part that is never suspected, since the first event has arrived at each crash."""
+    with start() as cluster:
+        for endpoint in cluster.platform.endpoints.values():
+            endpoint.faults.crashes_after_event = True
+        check_sound_served(cluster, 4)
+        load = Load(cluster)
+        load.run(10.0, [bad_list() for _ in range(400)])
+        load.check()
+        for daemon in cluster.daemons:
+            check_refused(cluster, daemon, places=(1, 2))
+        check_sound_served(cluster)
+
+
 def test_edge_stops_two_crashing_parts_at_once() -> None:
     """Sends requests with one of two crashing parts, or with both."""
     with start(bad=(BAD, ALSO_BAD)) as cluster:
