Fix: [Fleet] Requests were assigned to a runner that had crashed until their tries were spent

Cause: while the entry of a crashed runner is there, it counted as a replica, also after requests had not reached it. It ranked last, but it was the only one of the version with the model, and no other was ordered to load the model.

Change: a runner that a request could not reach gets no requests and does not count as a replica until a report or an answer shows that it lives, for 3 s at most. Its report is asked for at once and every 400 ms. A runner whose report arrived in the last 500 ms is not doubted: the daemon may be cut off itself.

--- a/src/decision/fleet/dispatcher.cpp
+++ b/src/decision/fleet/dispatcher.cpp
@@ -473,6 +473,11 @@
   }
   const auto runner = mRunners.find(assignment->second.runner);
   if (runner != mRunners.end()) {
+    if (aReleased.end == AssignmentEnd::kLost) {
+      OnUnreachable(aNow, runner->second);
+    } else if (aReleased.end == AssignmentEnd::kDone || aReleased.end == AssignmentEnd::kRefused) {
+      runner->second.unreachableSince.reset();
+    }
     runner->second.health.Record(aNow, EndpointOutcomeOf(aReleased.end));
     const bool hasRun =
       aReleased.end == AssignmentEnd::kDone || aReleased.end == AssignmentEnd::kFailed;
@@ -497,6 +502,28 @@
   ReleaseAssignment(aNow, aReleased.id);
 }
 
+/* Load pattern: runners crash, and their entries stay for seconds. Each request for a model that
+ * only such a runner holds would be assigned to it until its tries are spent. So the runner does
+ * not count as a replica, and the model is loaded elsewhere, until a report shows that it lives. */
+void Dispatcher::OnUnreachable(TimePoint aNow, ManagedRunner& aRunner)
+{
+  const bool hasJustReported =
+    aRunner.reportedAt && aNow - *aRunner.reportedAt < kTrustedReportTime;
+  if (!aRunner.unreachableSince && !hasJustReported) {
+    aRunner.unreachableSince = aNow;
+    RequireReport(aNow, aRunner);
+  }
+}
+
+void Dispatcher::ForgetUnreachable(TimePoint aNow)
+{
+  for (auto& [id, runner] : mRunners) {
+    if (runner.unreachableSince && aNow - *runner.unreachableSince >= kMaxUnreachableTime) {
+      runner.unreachableSince.reset();
+    }
+  }
+}
+
 std::optional<Slowness> Dispatcher::OnSlownessStatement(TimePoint aNow,
                                                         const SlownessStatement& aStatement)
 {
@@ -670,6 +697,7 @@
     RestartLimitedTraffic(aNow);
   }
   PresumeLoads(aNow);
+  ForgetUnreachable(aNow);
   AssignWaitingRequests(aNow);
   if (mOrderPermission.mayOrder) {
     RunPlanningRound(aNow);
--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -134,6 +134,14 @@
   MemoryMb smallestModel; ///< Weights of the smallest model.
 };
 
+/* Longest time without requests for a runner that could not be reached. Daemons may reach it while
+ * the dispatcher, which waits for its report, is cut off from it. */
+constexpr Duration kMaxUnreachableTime = 3s;
+
+/* Time after a report within which a daemon that cannot reach the runner counts as cut off itself.
+ */
+constexpr Duration kTrustedReportTime = 500ms;
+
 /* Time after which a report that states more than the runner has room for is read again. Doubles
  * with each such report, up to the maximum. */
 constexpr Duration kMinDoubtfulReportPause = 400ms;
@@ -156,7 +164,11 @@
   WeightMemory weightMemory;
   bool isGone = false;      ///< The entry was removed, but requests are still in flight.
   bool saysLeaving = false; ///< The present process has stated in an answer that it is leaving.
-  StatedLimit limit;        ///< Of the present process.
+  /* Since when requests do not reach the runner, although its entry is there. It gets none until it
+   * gives a sign of life, for kMaxUnreachableTime at most. */
+  std::optional<TimePoint> unreachableSince;
+  std::optional<TimePoint> reportedAt;          ///< When its last report arrived.
+  StatedLimit limit;                            ///< Of the present process.
   std::optional<LimitedTraffic> limitedTraffic; ///< Set while there is a limit.
   /* What is assumed below is all that the runner may hold after `orderCount` orders: a report of
    * that count has been adopted, and nothing has happened since that makes it doubtful. Orders are
@@ -630,6 +642,8 @@
   static void DropAdapterOrder(ManagedRunner& aRunner);
   void FinishOrder(TimePoint aNow, ManagedRunner& aRunner);
   void PresumeLoads(TimePoint aNow);
+  void OnUnreachable(TimePoint aNow, ManagedRunner& aRunner);
+  void ForgetUnreachable(TimePoint aNow);
   void RevokePresumedLoad(ManagedRunner& aRunner, const ModelId& aModel);
   void RequestDueReports(TimePoint aNow);
   void RequireReport(TimePoint aNow, ManagedRunner& aRunner);
--- a/src/decision/fleet/dispatcher_assign.cpp
+++ b/src/decision/fleet/dispatcher_assign.cpp
@@ -223,7 +223,8 @@
   RunnerRank bestWithinRank;
   for (ManagedRunner* runner : RunnersWithModel(request.work.target.model)) {
     if (runner->entry.service != request.service || !IsUsable(*runner) ||
-        !HasVersion(*runner, version) || !MayBeginAt(request, *runner)) {
+        runner->unreachableSince || !HasVersion(*runner, version) ||
+        !MayBeginAt(request, *runner)) {
       continue;
     }
     if (const auto pauseEnd = PauseEnd(aNow, aWaiting, runner->entry.id)) {
--- a/src/decision/fleet/dispatcher_limit.cpp
+++ b/src/decision/fleet/dispatcher_limit.cpp
@@ -276,7 +276,8 @@
   const double rate = mDemand.RequestRate(aNow, aModel);
   for (const ManagedRunner* runner : RunnersWithModel(aModel)) {
     const bool isCounted = runner->entry.service == aService && IsUsable(*runner) &&
-                           HasVersion(*runner, aVersion) && !runner->models.at(aModel).isLeaving;
+                           !runner->unreachableSince && HasVersion(*runner, aVersion) &&
+                           !runner->models.at(aModel).isLeaving;
     if (isCounted && runner->limit.rate() && runner->limit.rate()->perSecond < rate) {
       replicas -= 1.0 - runner->limit.rate()->perSecond / rate;
     }
--- a/src/decision/fleet/dispatcher_order.cpp
+++ b/src/decision/fleet/dispatcher_order.cpp
@@ -493,6 +493,8 @@
                    runner); // The report is from before the runner's last restart.
     return;
   }
+  runner.unreachableSince.reset();
+  runner.reportedAt = aNow;
   if (aReport->startedAtMs > runner.entry.startedAtMs) {
     RunnerEntry entry = runner.entry; // The runner restarted and its entry is still the old one.
     entry.startedAtMs = aReport->startedAtMs;
--- a/src/decision/fleet/dispatcher_plan.cpp
+++ b/src/decision/fleet/dispatcher_plan.cpp
@@ -109,8 +109,8 @@
 {
   std::uint32_t count = 0;
   for (const ManagedRunner* runner : RunnersWithModel(aModel)) {
-    const bool isExcluded =
-      runner->entry.service != aService || !IsUsable(*runner) || !HasVersion(*runner, aVersion);
+    const bool isExcluded = runner->entry.service != aService || !IsUsable(*runner) ||
+                            runner->unreachableSince || !HasVersion(*runner, aVersion);
     count += isExcluded || runner->models.at(aModel).isLeaving ? 0 : 1;
   }
   return count;
--- a/tests/fleet/dispatcher_resume_test.cpp
+++ b/tests/fleet/dispatcher_resume_test.cpp
@@ -127,6 +127,39 @@
   CHECK(world.violations.empty());
 }
 
+/* Guards against streams that are refused within milliseconds, all of them assigned four times to
+ * the runner that has just crashed. Load pattern: crashes beside a release. */
+TEST_CASE("load: streams that a crash broke off go on at another runner of their version")
+{
+  for (const std::string version : { "v1", "" }) {
+    FleetWorld world({ .runners = 3, .models = 4, .modelsPerRunner = 2 });
+    ChangeVersion(world, 2, "v2", { "m3" });
+    ChangeVersion(world, 1, "v1", { "m2" }); // Only r0 holds m0 now.
+    world.Run(500ms);
+    world.unreachableRunners.insert("r0");
+    for (int number = 0; number < 12; ++number) {
+      version.empty() ? world.SendRequest("m0") : world.SendResumed("m0", version);
+    }
+    world.Run(4s);
+    CHECK(world.CountServed() == 12);
+    CHECK(world.violations.empty());
+  }
+}
+
+/* A daemon may be cut off from a runner that others reach. */
+TEST_CASE("a runner that answers again gets requests at once")
+{
+  FleetWorld world({ .runners = 1, .models = 2, .modelsPerRunner = 2 });
+  world.Run(500ms);
+  world.unreachableRunners.insert("r0");
+  const auto lost = world.SendRequest("m0");
+  world.Run(50ms);
+  CHECK_FALSE(world.outcomes[lost].startedAt);
+  world.unreachableRunners.clear();
+  world.Run(500ms); // A report is asked for every 400 ms.
+  CHECK(world.outcomes[lost].startedAt);
+}
+
 /* Otherwise a broken stream and a new request for its model would unload two models for one. */
 TEST_CASE("load: one replica is loaded for a resumed stream and new requests of its version")
 {
--- a/tests/fleet/fleet_world.cpp
+++ b/tests/fleet/fleet_world.cpp
@@ -370,6 +370,10 @@
         runner.calls.push_back(now);
         Schedule(kHeadDelay,
                  [this, id = assigned->runner, sentAt = now] { StateLimit(Find(id), sentAt); });
+        if (unreachableRunners.contains(runner.id)) {
+          Schedule(kRoundTrip, [this, id = aReply.id] { OnUnreachable(id); });
+          return;
+        }
         if (isBusy && isBusy()) {
           outcome.isRefused = true;
           dispatcher.OnAssignmentReleased(now, { .id = aReply.id, .end = AssignmentEnd::kRefused });
@@ -394,7 +398,10 @@
         ++sentOrders;
         Find(aOrder.runner).calls.push_back(now);
         const auto forced = orderOverride ? orderOverride(aOrder) : std::nullopt;
-        const OrderOutcome outcome = forced ? *forced : DeliverOrder(aOrder);
+        const OrderOutcome outcome = forced ? *forced
+                                     : unreachableRunners.contains(aOrder.runner.str())
+                                       ? OrderOutcome::kNotSent
+                                       : DeliverOrder(aOrder);
         refusedOrders += outcome == OrderOutcome::kConflict ? 1 : 0;
         Schedule(
           kRoundTrip,
@@ -423,7 +430,10 @@
           kRoundTrip + delay,
           [this, aRequest, reportAt, slow] {
             const RunnerReport report = slow ? *slow : reportAt(now - options.reportLag);
-            const auto arrived = reportOverride ? reportOverride(report) : std::optional{ report };
+            auto arrived = reportOverride ? reportOverride(report) : std::optional{ report };
+            if (unreachableRunners.contains(aRequest.runner.str())) {
+              arrived.reset();
+            }
             dispatcher.OnReport(now, aRequest.runner, arrived ? &*arrived : nullptr);
           },
           true);
@@ -432,6 +442,19 @@
     aAction);
 }
 
+void FleetWorld::OnUnreachable(const PlacementRequestId& aRequest)
+{
+  constexpr int kMaxAttempts = 4;
+  SimOutcome& outcome = outcomes[aRequest.number];
+  dispatcher.OnAssignmentReleased(now, { .id = aRequest, .end = AssignmentEnd::kLost });
+  if (++outcome.lostAttempts < kMaxAttempts) {
+    SubmitRequest(aRequest.number);
+  } else {
+    outcome.isRefused = true;
+    outcome.endedAt = now;
+  }
+}
+
 void FleetWorld::Step()
 {
   now += kStep;
--- a/tests/fleet/fleet_world.h
+++ b/tests/fleet/fleet_world.h
@@ -76,6 +76,7 @@
 {
   std::string model;
   TimePoint requestedAt{};
+  int lostAttempts = 0; ///< At unreachable runners.
   std::optional<TimePoint> startedAt;
   std::optional<Duration> retryAfter; ///< Of a refusal by the dispatcher.
   TimePoint endedAt{};                ///< When the request was assigned, refused or withdrawn.
@@ -157,6 +158,8 @@
    * gives up. */
   std::function<bool()> isBusy;
   std::function<Duration()> reportDelay; ///< Extra time until a runner answers with its report.
+  /* Runners at which no connection can be opened. Their entries stay. */
+  std::set<std::string> unreachableRunners;
   /* Returns what arrives in place of a runner's report, or nothing if the call for it fails. */
   std::function<std::optional<RunnerReport>(const RunnerReport&)> reportOverride;
 
@@ -172,6 +175,8 @@
   /* The dispatcher learns from an answer of a runner what it states about its limit. */
   void StateLimit(const SimRunner& aRunner, TimePoint aRequestSentAt);
   SimRunner& Find(const EndpointId& aRunner);
+  /* Withdraws an assignment to an unreachable runner. The caller asks again, up to four times. */
+  void OnUnreachable(const PlacementRequestId& aRequest);
   RunnerEntry EntryOf(const SimRunner& aRunner) const;
   RunnerReport ReportOf(const SimRunner& aRunner) const;
   OrderOutcome DeliverOrder(const RunnerOrder& aOrder);
