Fix: [Fleet] A restart of all daemons forgot the quarantined requests

Cause: a quarantined request was kept in memory alone, unlike quarantined parts, which are in the lease row.

Change: the lease row names up to 64 of them, those with the latest crashes, behind versions and parts if there is no room for all. A daemon takes them over when it reads the row for the first time, not later, since a row may be older than an answer that has ended a quarantine.

--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -87,6 +87,8 @@
  * number of possible crashes that wait for that. */
 constexpr Duration kMaxRestartTime = 15s;
 constexpr std::size_t kMaxPossibleCrashes = 256;
+/* Greatest number of quarantined requests that the lease row names. */
+constexpr std::size_t kMaxRecordedRequests = 64;
 /* Limits on requests to the addresses for the balancer, for metrics and for the state: they have no
  * body. */
 constexpr http::ServerLimits kOwnServerLimits{ .headerBytes = 8U << 10U,
@@ -294,6 +296,14 @@
           .partTrials = [this] { return mGateway.promptParts.trials(BootClockNow()); },
           .startTrial =
             [this](const std::vector<fleet::PromptPartId>& aParts) { return StartTrial(aParts); },
+          .quarantinedFingerprints =
+            [this] { return mGateway.crashes.Quarantined(BootClockNow(), kMaxRecordedRequests); },
+          .onQuarantinedFingerprints =
+            [this](const std::vector<FingerprintId>& aRequests) {
+              for (const FingerprintId& request : aRequests) {
+                mGateway.crashes.RecordQuarantined(BootClockNow(), request);
+              }
+            },
           .quarantinedRequests =
             [this] { return mCrashReports.QuarantinedRequests(BootClockNow()); },
           .onStoreEra = [this](StoreEra aEra) { mStore.ObserveEra(aEra); } },
--- a/src/decision/fleet/crash_guard.cpp
+++ b/src/decision/fleet/crash_guard.cpp
@@ -26,6 +26,17 @@
   suspect.nextTrialAt = std::max(suspect.nextTrialAt, aNow + kFirstTrialPause);
 }
 
+void CrashGuard::RecordQuarantined(TimePoint aNow, const FingerprintId& aRequest)
+{
+  if (mSuspects.size() >= kMaxSuspects) {
+    return;
+  }
+  Suspect& suspect = mSuspects[aRequest];
+  suspect.isTold = true;
+  suspect.expiresAt = aNow + kQuarantineLifetime;
+  suspect.nextTrialAt = std::max(suspect.nextTrialAt, aNow + kFirstTrialPause);
+}
+
 bool CrashGuard::StartTrial(TimePoint aNow, const FingerprintId& aRequest)
 {
   constexpr std::uint32_t kMaxTrials = 2;
--- a/src/decision/fleet/crash_guard.h
+++ b/src/decision/fleet/crash_guard.h
@@ -48,6 +48,8 @@
   /* Records that a runner's process ended while it ran the request. Each process counts once: many
    * requests with the same bytes may be in flight when it ends for another reason. */
   void RecordCrash(TimePoint aNow, const FingerprintId& aRequest, const EndpointProcess& aProcess);
+  /* Takes over that a request was quarantined before this process started. */
+  void RecordQuarantined(TimePoint aNow, const FingerprintId& aRequest);
   /* Records that the request was answered. Returns whether it had crashes, and forgets them. */
   bool RecordAnswer(const FingerprintId& aRequest) { return mSuspects.erase(aRequest) > 0; }
   /* Returns whether the request is quarantined, that is, must not be sent to a runner. */
@@ -72,8 +74,9 @@
 private:
   struct Suspect
   {
-    bool IsQuarantined() const { return crashedProcesses.size() >= kQuarantineThreshold; }
+    bool IsQuarantined() const { return isTold || crashedProcesses.size() >= kQuarantineThreshold; }
 
+    bool isTold = false; ///< It was quarantined before this process started.
     std::set<EndpointProcess> crashedProcesses;
     TimePoint expiresAt{};
     std::uint32_t trials = 0; ///< Begun by this daemon.
--- a/src/decision/fleet/lease_row_content.cpp
+++ b/src/decision/fleet/lease_row_content.cpp
@@ -122,6 +122,14 @@
       fitted.partTrials.push_back(aContent.partTrials[index]);
     }
   }
+  for (const FingerprintId& request : aContent.quarantinedRequests) {
+    const std::size_t bytes = JsonBytes(request.str());
+    if (bytes > bytesLeft) {
+      break;
+    }
+    bytesLeft -= bytes;
+    fitted.quarantinedRequests.push_back(request);
+  }
   return fitted;
 }
 
--- a/src/decision/fleet/lease_row_content.h
+++ b/src/decision/fleet/lease_row_content.h
@@ -17,6 +17,8 @@
   VersionsByService versions;
   std::vector<PartGroup> quarantinedParts; ///< Those that the holder knew.
   std::vector<PartTrials> partTrials;      ///< Of these groups, in the same order.
+  /* Quarantined requests that the holder knew, those with the latest crashes first. */
+  std::vector<FingerprintId> quarantinedRequests;
 
   bool operator==(const LeaseRowContent&) const = default;
 };
@@ -26,9 +28,10 @@
  * lease, as does each one after it.
  *
  * Kept first are versions at which streams may have begun, which are those that the row names
- * already, then other versions, then quarantined parts with their trials. Services take turns, so
- * that one with many versions does not push out those of others. If a version is left out, the
- * content has kUnknownVersions as well, so that nobody takes the others for all there are. */
+ * already, then other versions, then quarantined parts with their trials, then quarantined
+ * requests. Services take turns, so that one with many versions does not push out those of others.
+ * If a version is left out, the content has kUnknownVersions as well, so that nobody takes the
+ * others for all there are. */
 LeaseRowContent FitLeaseRow(const LeaseRowContent& aContent,
                             const RecordedVersions& aRecorded,
                             std::size_t aBytes);
--- a/src/fleet/fleet_member.cpp
+++ b/src/fleet/fleet_member.cpp
@@ -202,7 +202,8 @@
 {
   const fleet::LeaseRowContent all{ .versions = mServices.recentVersions(),
                                     .quarantinedParts = mServices.quarantinedParts(),
-                                    .partTrials = mServices.partTrials() };
+                                    .partTrials = mServices.partTrials(),
+                                    .quarantinedRequests = mServices.quarantinedFingerprints() };
   const auto content = fleet::FitLeaseRow(all, mServices.recordedVersions, mLeaseContentBytes);
   auto row = EncodeLeaseRow({ .lease = aWrite.row, .content = content });
   if (!row) {
@@ -274,6 +275,10 @@
   }
   SetRecordedVersions(row->content.versions);
   mServices.onQuarantinedParts(row->content.quarantinedParts, row->content.partTrials);
+  if (!mHasReadLease) {
+    // Later, the row may be older than an answer that has ended a quarantine.
+    mServices.onQuarantinedFingerprints(row->content.quarantinedRequests);
+  }
   return std::move(row->lease);
 }
 
--- a/src/fleet/fleet_member.h
+++ b/src/fleet/fleet_member.h
@@ -90,6 +90,10 @@
   std::function<std::vector<fleet::PartTrials>()> partTrials;
   /* Counts a trial of quarantined parts. Returns whether one was due. */
   std::function<bool(const std::vector<fleet::PromptPartId>&)> startTrial;
+  /* Returns the quarantined requests that this daemon knows, and takes those that the store's lease
+   * row states when this process starts. */
+  std::function<std::vector<FingerprintId>()> quarantinedFingerprints;
+  std::function<void(const std::vector<FingerprintId>&)> onQuarantinedFingerprints;
   /* Returns reports of the crashes of all quarantined requests that this daemon knows. */
   std::function<std::vector<SuspectMessage>()> quarantinedRequests;
   /* Takes the era of the store that another daemon knows. */
--- a/src/fleet/fleet_message.cpp
+++ b/src/fleet/fleet_message.cpp
@@ -68,6 +68,15 @@
   return result;
 }
 
+std::vector<FingerprintId> RequestsFrom(const Json& aJson)
+{
+  std::vector<FingerprintId> requests;
+  for (const Json& request : aJson) {
+    requests.emplace_back(TextOf(request));
+  }
+  return requests;
+}
+
 OrderLeaseRow LeaseFrom(const Json& aJson)
 {
   return { .holder = DaemonId{ TextOf(aJson.at("holder")) },
@@ -833,6 +842,9 @@
     json["quarantined"] = ToJson(aRow.content.quarantinedParts);
     json["trials"] = ToJson(aRow.content.partTrials);
   }
+  for (const FingerprintId& request : aRow.content.quarantinedRequests) {
+    json["crashing"].push_back(request.str());
+  }
   return EncodeJson(json);
 }
 
@@ -844,7 +856,8 @@
       .lease = LeaseFrom(json),
       .content = { .versions = VersionsByServiceFrom(json.value("software", Json::object())),
                    .quarantinedParts = PartGroupsFrom(json.value("quarantined", Json::array())),
-                   .partTrials = PartTrialsFrom(json.value("trials", Json::array())) }
+                   .partTrials = PartTrialsFrom(json.value("trials", Json::array())),
+                   .quarantinedRequests = RequestsFrom(json.value("crashing", Json::array())) }
     };
   } catch (const std::exception& error) {
     return tl::make_unexpected(std::string{ error.what() });
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -257,6 +257,27 @@
             assert cluster.run_count(result) == 0, (daemon.name, result)
 
 
+def test_edge_remembers_a_crashing_request_when_all_daemons_start_anew() -> None:
+    """Guards against a quarantine in memory alone: after a power cut the request crashed three more runners."""
+    with EdgeCluster(daemons=3, runners=3, models=2) as cluster:
+        for name in ("r0", "r1", "r2"):
+            cluster.platform.endpoints[name].faults.crashing_body = b"KILL"
+        for number in range(6):
+            cluster.daemons[number % 3].send("draft", body=b"KILL")
+            time.sleep(0.7)
+        time.sleep(1.5)
+        for daemon in cluster.daemons:
+            daemon.kill()
+        for daemon in cluster.daemons:
+            daemon.start()
+        for daemon in cluster.daemons:
+            cluster.wait_until(daemon.is_ready, "readiness")
+        for daemon in cluster.daemons:
+            result = daemon.send("draft", body=b"KILL")
+            assert cluster.run_count(result) == 0, (daemon.name, result)
+            cluster.wait_until(lambda: daemon.send("draft", body=b"sound").is_complete, "an answer")
+
+
 def test_edge_counts_one_crash_once_for_identical_requests() -> None:
     """Crashes a runner while it runs ten requests with the same bytes, from two daemons.
 
--- a/tests/fleet/fleet_message_test.cpp
+++ b/tests/fleet/fleet_message_test.cpp
@@ -283,14 +283,18 @@
   const VersionsByService versions{ { ServiceId{ "s1" },
                                       { SoftwareVersion{ "v1" }, SoftwareVersion{ "v2" } } } };
   const std::vector<PartGroup> groups{ { { 7 } }, { { 1 }, { 0xffff'ffff'ffff'ffffULL } } };
-  const auto text = EncodeLeaseRow(
-    { .lease = lease, .content = { .versions = versions, .quarantinedParts = groups } });
+  const std::vector<FingerprintId> requests{ FingerprintId{ "1f" }, FingerprintId{ "2e" } };
+  const auto text = EncodeLeaseRow({ .lease = lease,
+                                     .content = { .versions = versions,
+                                                  .quarantinedParts = groups,
+                                                  .quarantinedRequests = requests } });
   REQUIRE(text.has_value());
   const auto row = DecodeLeaseRow(*text);
   REQUIRE(row.has_value());
   CHECK(row->lease == lease);
   CHECK(row->content.versions == versions);
   CHECK(row->content.quarantinedParts == groups);
+  CHECK(row->content.quarantinedRequests == requests);
   // A former release writes neither versions nor parts.
   const std::string former = R"({"holder":"d0","incarnation":"","address":"10.0.0.1:1",)"
                              R"("waited":false,"era":0,"renewals":3})";
--- a/tests/fleet/lease_row_content_test.cpp
+++ b/tests/fleet/lease_row_content_test.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <spdlog/fmt/fmt.h>
+
 namespace rhubarbtrail {
 
 namespace {
@@ -22,7 +24,8 @@
   return versions;
 }
 
-/* Returns as many quarantined parts with as long identifiers as there can be. */
+/* Returns as many quarantined parts with as long identifiers as there can be, and as many requests.
+ */
 LeaseRowContent MostParts()
 {
   LeaseRowContent content;
@@ -30,6 +33,7 @@
     content.quarantinedParts.emplace_back(kMaxGroupParts,
                                           PromptPartId{ 0xffff'ffff'ffff'ff00ULL + group });
     content.partTrials.push_back({ .count = kMaxPartTrials, .timeUntilNext = 3'600s });
+    content.quarantinedRequests.emplace_back(fmt::format("{:016x}", group));
   }
   return content;
 }
