Fix: [Fleet] A part that an older software version answered was never suspected at a newer one

Cause: a part that was answered counted as sound for 600 s, whatever version answered it, and was left out of all reports of crashes.

Change: an answer proves a part sound for the version of the runner, the last four versions each; reports, questions and clearances name the version (an empty one, of a former release, stands for any). A quarantine that another daemon or the lease row states counts unless the part is sound at all versions of runners in use.

--- a/src/daemon/crash_reports.cpp
+++ b/src/daemon/crash_reports.cpp
@@ -21,25 +21,6 @@
 /* Greatest number of quarantined requests that a daemon which joins is told of. */
 constexpr std::size_t kMaxToldRequests = 256;
 
-/* Removes the parts that were recorded less than an interval ago, and records the others. */
-void KeepDue(TimePoint aNow,
-             Duration aInterval,
-             std::unordered_map<fleet::PromptPartId, TimePoint>& aTimes,
-             std::vector<fleet::PromptPartId>& aParts)
-{
-  if (aTimes.size() > kMaxKnownParts) {
-    std::erase_if(aTimes, [&](const auto& aItem) { return aNow - aItem.second >= aInterval; });
-  }
-  std::erase_if(aParts, [&](fleet::PromptPartId aPart) {
-    const auto [item, isNew] = aTimes.try_emplace(aPart, aNow);
-    const bool isDue = isNew || aNow - item->second >= aInterval;
-    if (isDue) {
-      item->second = aNow;
-    }
-    return !isDue;
-  });
-}
-
 /* Returns the ids of parts as clients write them, separated by "+". */
 std::string Describe(const fleet::PartGroup& aParts)
 {
@@ -60,6 +41,25 @@
 
 } // namespace
 
+void CrashReports::KeepDue(TimePoint aNow,
+                           Duration aInterval,
+                           const SoftwareVersion& aVersion,
+                           PartTimes& aTimes,
+                           std::vector<fleet::PromptPartId>& aParts)
+{
+  if (aTimes.size() > kMaxKnownParts) {
+    std::erase_if(aTimes, [&](const auto& aItem) { return aNow - aItem.second >= aInterval; });
+  }
+  std::erase_if(aParts, [&](fleet::PromptPartId aPart) {
+    const auto [item, isNew] = aTimes.try_emplace({ aPart, aVersion }, aNow);
+    const bool isDue = isNew || aNow - item->second >= aInterval;
+    if (isDue) {
+      item->second = aNow;
+    }
+    return !isDue;
+  });
+}
+
 CrashReports::CrashReports(CrashReportServices aServices)
   : mServices(std::move(aServices))
 {
@@ -71,13 +71,15 @@
 {
   fleet::CrashSuspect suspect = aSuspect;
   suspect.parts.resize(std::min(suspect.parts.size(), fleet::kMaxRecordedParts));
-  RemoveParts(suspect.parts, mServices.promptParts.SoundAmong(aNow, suspect.parts));
+  RemoveParts(suspect.parts,
+              mServices.promptParts.SoundAmong(aNow, suspect.parts, suspect.version));
   const auto change = RecordCrash(aNow, aProcess, suspect);
   const SuspectMessage report{ .request = suspect.request,
                                .process = aProcess,
                                .account = suspect.account,
                                .parts = suspect.parts,
-                               .hasHead = suspect.hasHead };
+                               .hasHead = suspect.hasHead,
+                               .version = suspect.version };
   IsNews(aNow, report);
   Report(ReportAudience::kCopies, report);
   PublishCrash(aNow, report, change.crashes);
@@ -85,11 +87,12 @@
 
 void CrashReports::OnOwnAnswer(TimePoint aNow,
                                const ClientAccountId& aAccount,
-                               std::span<const fleet::PromptPartId> aParts)
+                               std::span<const fleet::PromptPartId> aParts,
+                               const SoftwareVersion& aVersion)
 {
-  const auto change = mServices.promptParts.RecordSound(aNow, aAccount, aParts);
+  const auto change = mServices.promptParts.RecordSound(aNow, aAccount, aParts, aVersion);
   Apply(change, "answer");
-  AnnounceSound(aNow, aAccount, change.cleared);
+  AnnounceSound(aNow, aAccount, change.cleared, aVersion);
 }
 
 void CrashReports::OnOwnCleared(const FingerprintId& aRequest, bool aWasQuarantined)
@@ -114,7 +117,10 @@
                             const SuspectMessage& aReport)
 {
   if (aReport.isQuestion) {
-    AnnounceSound(aNow, aReport.account, mServices.promptParts.SoundAmong(aNow, aReport.parts));
+    AnnounceSound(aNow,
+                  aReport.account,
+                  mServices.promptParts.SoundAmong(aNow, aReport.parts, aReport.version),
+                  aReport.version);
   } else if (aReport.isCleared) {
     OnClearance(aNow, aReport);
   } else {
@@ -126,7 +132,7 @@
                                  const std::string& aSender,
                                  const SuspectMessage& aReport)
 {
-  const auto sound = mServices.promptParts.SoundAmong(aNow, aReport.parts);
+  const auto sound = mServices.promptParts.SoundAmong(aNow, aReport.parts, aReport.version);
   SuspectMessage news = aReport;
   RemoveParts(news.parts, sound);
   const auto change = RecordCrash(aNow,
@@ -134,15 +140,17 @@
                                   { .request = news.request,
                                     .account = news.account,
                                     .parts = news.parts,
+                                    .version = news.version,
                                     .hasHead = news.hasHead });
   if (!mServices.isDispatcher()) {
-    AnnounceSound(aNow, news.account, sound);
+    AnnounceSound(aNow, news.account, sound, news.version);
     return;
   }
   if (!sound.empty() && !aSender.empty()) {
-    mServices.send(ReportAudience::kSender,
-                   aSender,
-                   { .isCleared = true, .account = news.account, .parts = sound });
+    mServices.send(
+      ReportAudience::kSender,
+      aSender,
+      { .isCleared = true, .account = news.account, .parts = sound, .version = news.version });
   }
   if (IsNews(aNow, news)) {
     mServices.send(ReportAudience::kCopies, {}, news);
@@ -166,11 +174,14 @@
   if (aCrashes < kAskThreshold) {
     return;
   }
-  KeepDue(aNow, kAskInterval, mAskedAt, parts);
+  KeepDue(aNow, kAskInterval, aReport.version, mAskedAt, parts);
   if (!parts.empty()) {
     mServices.send(ReportAudience::kAllMembers,
                    {},
-                   { .account = aReport.account, .parts = std::move(parts), .isQuestion = true });
+                   { .account = aReport.account,
+                     .parts = std::move(parts),
+                     .isQuestion = true,
+                     .version = aReport.version });
   }
 }
 
@@ -182,10 +193,11 @@
       OnOwnCleared(aReport.request, wasQuarantined);
     }
   }
-  const auto change = mServices.promptParts.RecordSound(aNow, aReport.account, aReport.parts);
+  const auto change =
+    mServices.promptParts.RecordSound(aNow, aReport.account, aReport.parts, aReport.version);
   Apply(change, "told");
   if (mServices.isDispatcher()) {
-    AnnounceSound(aNow, aReport.account, change.cleared);
+    AnnounceSound(aNow, aReport.account, change.cleared, aReport.version);
   }
 }
 
@@ -193,11 +205,15 @@
                                  const std::vector<fleet::PartGroup>& aGroups,
                                  const std::vector<fleet::PartTrials>& aTrials)
 {
+  const auto versions = aGroups.empty() ? std::set<SoftwareVersion>{} : mServices.versionsInUse();
   for (std::size_t index = 0; index < aGroups.size(); ++index) {
     const auto trials = index < aTrials.size() ? std::optional{ aTrials[index] } : std::nullopt;
-    const auto change = mServices.promptParts.RecordQuarantined(aNow, aGroups[index], trials);
+    const auto change =
+      mServices.promptParts.RecordQuarantined(aNow, aGroups[index], trials, versions);
     Apply(change, "told");
-    AnnounceSound(aNow, {}, change.cleared);
+    for (const fleet::PromptPartId part : change.cleared) {
+      AnnounceSound(aNow, {}, { part }, mServices.promptParts.LastSoundVersion(part));
+    }
   }
 }
 
@@ -229,12 +245,14 @@
 
 void CrashReports::AnnounceSound(TimePoint aNow,
                                  const ClientAccountId& aAccount,
-                                 std::vector<fleet::PromptPartId> aParts)
+                                 std::vector<fleet::PromptPartId> aParts,
+                                 const SoftwareVersion& aVersion)
 {
-  KeepDue(aNow, kAnnounceInterval, mAnnouncedAt, aParts);
+  KeepDue(aNow, kAnnounceInterval, aVersion, mAnnouncedAt, aParts);
   if (!aParts.empty()) {
-    Report(ReportAudience::kAllMembers,
-           { .isCleared = true, .account = aAccount, .parts = std::move(aParts) });
+    Report(
+      ReportAudience::kAllMembers,
+      { .isCleared = true, .account = aAccount, .parts = std::move(aParts), .version = aVersion });
   }
 }
 
--- a/src/daemon/crash_reports.h
+++ b/src/daemon/crash_reports.h
@@ -10,6 +10,7 @@
 #include <compare>
 #include <functional>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -25,6 +26,8 @@
   fleet::PromptPartGuard& promptParts;
   EventLog& log;
   std::function<bool()> isDispatcher;
+  /* Returns the software versions of the runners that serve now. */
+  std::function<std::set<SoftwareVersion>()> versionsInUse;
   /* Sends a report to an audience. The address is that of kSender. */
   std::function<void(ReportAudience, const std::string&, const SuspectMessage&)> send;
   /* Called after parts were quarantined or cleared. */
@@ -45,10 +48,11 @@
   void OnOwnCrash(TimePoint aNow,
                   const fleet::EndpointProcess& aProcess,
                   const fleet::CrashSuspect& aSuspect);
-  /* A request of this daemon with these parts was answered. */
+  /* A request of this daemon with these parts was answered by a runner of a version. */
   void OnOwnAnswer(TimePoint aNow,
                    const ClientAccountId& aAccount,
-                   std::span<const fleet::PromptPartId> aParts);
+                   std::span<const fleet::PromptPartId> aParts,
+                   const SoftwareVersion& aVersion = {});
   /* A request of this daemon that was suspected of crashing runners was answered. */
   void OnOwnCleared(const FingerprintId& aRequest, bool aWasQuarantined);
   /* Returns reports that quarantine the same requests at a daemon that knows none, as many as
@@ -63,6 +67,16 @@
                      const std::vector<fleet::PartTrials>& aTrials);
 
 private:
+  /* Times by part and software version. */
+  using PartTimes = std::map<std::pair<fleet::PromptPartId, SoftwareVersion>, TimePoint>;
+
+  /* Removes the parts that were recorded less than an interval ago, and records the others. */
+  static void KeepDue(TimePoint aNow,
+                      Duration aInterval,
+                      const SoftwareVersion& aVersion,
+                      PartTimes& aTimes,
+                      std::vector<fleet::PromptPartId>& aParts);
+
   struct CrashId
   {
     fleet::EndpointProcess process;
@@ -81,10 +95,11 @@
   void OnClearance(TimePoint aNow, const SuspectMessage& aReport);
   /* Sends a report to the dispatcher, or on the dispatcher to members. */
   void Report(ReportAudience aMembers, const SuspectMessage& aReport);
-  /* Notifies the other daemons that parts are sound, each part at most once in a while. */
+  /* Notifies the other daemons that parts are sound at a version, each at most once in a while. */
   void AnnounceSound(TimePoint aNow,
                      const ClientAccountId& aAccount,
-                     std::vector<fleet::PromptPartId> aParts);
+                     std::vector<fleet::PromptPartId> aParts,
+                     const SoftwareVersion& aVersion);
   /* Returns whether a crash was not known, and remembers it. */
   bool IsNews(TimePoint aNow, const SuspectMessage& aReport);
   /* Logs a change and ends the requests that must not run any more. */
@@ -93,8 +108,8 @@
   CrashReportServices mServices;
   std::map<CrashId, TimePoint> mKnownCrashes; ///< With the time of the report.
   /* When a question about a part was sent to all members, and when it was announced as sound. */
-  std::unordered_map<fleet::PromptPartId, TimePoint> mAskedAt;
-  std::unordered_map<fleet::PromptPartId, TimePoint> mAnnouncedAt;
+  PartTimes mAskedAt;
+  PartTimes mAnnouncedAt;
 };
 
 } // namespace rhubarbtrail
--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -198,8 +198,10 @@
           }
         },
       .onSoundAnswer =
-        [this](const ClientAccountId& aAccount, std::span<const fleet::PromptPartId> aParts) {
-          mCrashReports.OnOwnAnswer(BootClockNow(), aAccount, aParts);
+        [this](const ClientAccountId& aAccount,
+               std::span<const fleet::PromptPartId> aParts,
+               const SoftwareVersion& aVersion) {
+          mCrashReports.OnOwnAnswer(BootClockNow(), aAccount, aParts, aVersion);
         },
       .isTrialOffered =
         [this](std::span<const fleet::PromptPartId> aParts) {
@@ -1050,6 +1052,31 @@
                { { "endpoint", runnerId }, { "store_lost", mRunnerFeed.isStoreLost() } });
   }
 
+  /* Returns the software versions of the runners, of services that load models, that serve now. */
+  std::set<SoftwareVersion> RunnerVersionsInUse() const
+  {
+    std::set<SoftwareVersion> versions;
+    const TimePoint now = BootClockNow();
+    for (const auto& [id, runner] : mRunners.runners()) {
+      const auto exclusion = mRunners.Check(now, runner);
+      const bool isServing =
+        exclusion != fleet::Exclusion::kGone && exclusion != fleet::Exclusion::kLeaving;
+      if (isServing && LoadsModels(runner.entry.service)) {
+        versions.insert(runner.entry.softwareVersion);
+      }
+    }
+    return versions;
+  }
+
+  bool LoadsModels(const ServiceId& aService) const
+  {
+    if (mGateway.configuration == nullptr) {
+      return false;
+    }
+    const auto service = mGateway.configuration->services.find(aService);
+    return service != mGateway.configuration->services.end() && service->second.engine;
+  }
+
   /* Returns whether the store or the dispatcher has confirmed a short time ago that no change of
    * the runners is missing here. */
   bool AreRunnersCurrent() const
@@ -1490,6 +1517,7 @@
       .promptParts = mGateway.promptParts,
       .log = mLog,
       .isDispatcher = [this] { return mMember.isDispatcher(); },
+      .versionsInUse = [this] { return RunnerVersionsInUse(); },
       .send =
         [this](ReportAudience aAudience,
                const std::string& aAddress,
--- a/src/decision/fleet/prompt_part_guard.cpp
+++ b/src/decision/fleet/prompt_part_guard.cpp
@@ -27,16 +27,17 @@
   Change change;
   const auto parts =
     std::span{ aSuspect.parts }.first(std::min(aSuspect.parts.size(), kMaxRecordedParts));
-  const bool isSound = std::all_of(
-    parts.begin(), parts.end(), [&](PromptPartId aPart) { return IsSound(aNow, aPart); });
-  if (isSound) {
+  const bool areAllSound = std::all_of(parts.begin(), parts.end(), [&](PromptPartId aPart) {
+    return IsSound(aNow, aPart, aSuspect.version);
+  });
+  if (areAllSound) {
     return change;
   }
   CrashRecord& record = RecordOf(aProcess);
   const std::size_t request = std::hash<FingerprintId>{}(aSuspect.request);
   std::size_t& accountEntries = record.accountEntries[aSuspect.account];
   for (const PromptPartId part : parts) {
-    if (IsSound(aNow, part) || record.entries >= kMaxRecordEntries ||
+    if (IsSound(aNow, part, aSuspect.version) || record.entries >= kMaxRecordEntries ||
         accountEntries >= kMaxAccountEntries) {
       continue;
     }
@@ -59,15 +60,17 @@
 
 PromptPartGuard::Change PromptPartGuard::RecordSound(TimePoint aNow,
                                                      const ClientAccountId& aAccount,
-                                                     std::span<const PromptPartId> aParts)
+                                                     std::span<const PromptPartId> aParts,
+                                                     const SoftwareVersion& aVersion)
 {
   Change change;
   bool isAcquitted = false;
   for (const PromptPartId part : aParts.first(std::min(aParts.size(), kMaxRecordedParts))) {
-    const bool wasSound = IsSound(aNow, part);
-    RememberSound(aNow, aAccount, part);
-    // A part that was sound is neither in a record nor quarantined.
-    isAcquitted = (!wasSound && Acquit(part, change)) || isAcquitted;
+    const bool wasSound = IsSound(aNow, part, aVersion);
+    RememberSound(aNow, aAccount, part, aVersion);
+    // The crashes in the records of a part that was sound at this version are those of another one.
+    const bool isNews = !wasSound || mQuarantinedParts.contains(part);
+    isAcquitted = (isNews && Acquit(part, change)) || isAcquitted;
   }
   if (isAcquitted) {
     Recompute(aNow, change);
@@ -75,14 +78,21 @@
   return change;
 }
 
-PromptPartGuard::Change PromptPartGuard::RecordQuarantined(TimePoint aNow,
-                                                           const PartGroup& aGroup,
-                                                           const std::optional<PartTrials>& aTrials)
+PromptPartGuard::Change PromptPartGuard::RecordQuarantined(
+  TimePoint aNow,
+  const PartGroup& aGroup,
+  const std::optional<PartTrials>& aTrials,
+  const std::set<SoftwareVersion>& aVersionsInUse)
 {
   Change change;
   PartGroup group;
   for (const PromptPartId part : aGroup) {
-    (IsSound(aNow, part) ? change.cleared : group).push_back(part);
+    const bool isSound =
+      IsSound(aNow, part, {}) &&
+      std::all_of(aVersionsInUse.begin(), aVersionsInUse.end(), [&](const auto& aVersion) {
+        return IsSound(aNow, part, aVersion);
+      });
+    (isSound ? change.cleared : group).push_back(part);
   }
   std::sort(group.begin(), group.end());
   group.erase(std::unique(group.begin(), group.end()), group.end());
@@ -181,15 +191,22 @@
 }
 
 std::vector<PromptPartId> PromptPartGuard::SoundAmong(TimePoint aNow,
-                                                      std::span<const PromptPartId> aParts) const
+                                                      std::span<const PromptPartId> aParts,
+                                                      const SoftwareVersion& aVersion) const
 {
   std::vector<PromptPartId> sound;
   std::copy_if(aParts.begin(), aParts.end(), std::back_inserter(sound), [&](PromptPartId aPart) {
-    return IsSound(aNow, aPart);
+    return IsSound(aNow, aPart, aVersion);
   });
   return sound;
 }
 
+SoftwareVersion PromptPartGuard::LastSoundVersion(PromptPartId aPart) const
+{
+  const auto found = mSound.find(aPart);
+  return found == mSound.end() ? SoftwareVersion{} : found->second.proofs.back().version;
+}
+
 std::vector<PartGroup> PromptPartGuard::quarantined() const
 {
   std::vector<PartGroup> groups;
@@ -199,10 +216,18 @@
   return groups;
 }
 
-bool PromptPartGuard::IsSound(TimePoint aNow, PromptPartId aPart) const
+bool PromptPartGuard::IsSound(TimePoint aNow,
+                              PromptPartId aPart,
+                              const SoftwareVersion& aVersion) const
 {
   const auto found = mSound.find(aPart);
-  return found != mSound.end() && aNow - found->second.provenAt <= kSoundPartLifetime;
+  return found != mSound.end() &&
+         std::any_of(
+           found->second.proofs.begin(), found->second.proofs.end(), [&](const Proof& aProof) {
+             const bool isOfVersion =
+               aVersion.empty() || aProof.version.empty() || aProof.version == aVersion;
+             return isOfVersion && aNow - aProof.at <= kSoundPartLifetime;
+           });
 }
 
 bool PromptPartGuard::IsCertain(PromptPartId aPart) const
@@ -228,12 +253,18 @@
 
 void PromptPartGuard::RememberSound(TimePoint aNow,
                                     const ClientAccountId& aAccount,
-                                    PromptPartId aPart)
+                                    PromptPartId aPart,
+                                    const SoftwareVersion& aVersion)
 {
   if (const auto found = mSound.find(aPart); found != mSound.end()) {
     auto& recent = mSoundByAccount[found->second.account];
     recent.splice(recent.end(), recent, found->second.place);
-    found->second.provenAt = aNow;
+    auto& proofs = found->second.proofs;
+    std::erase_if(proofs, [&](const Proof& aProof) { return aProof.version == aVersion; });
+    if (proofs.size() >= kMaxSoundVersions) {
+      proofs.erase(proofs.begin());
+    }
+    proofs.push_back({ .version = aVersion, .at = aNow });
     return;
   }
   if (mSound.size() >= kMaxSoundParts) {
@@ -241,7 +272,7 @@
   }
   auto& recent = mSoundByAccount[aAccount];
   mSound[aPart] = { .account = aAccount,
-                    .provenAt = aNow,
+                    .proofs = { { .version = aVersion, .at = aNow } },
                     .place = recent.insert(recent.end(), aPart) };
 }
 
--- a/src/decision/fleet/prompt_part_guard.h
+++ b/src/decision/fleet/prompt_part_guard.h
@@ -38,9 +38,10 @@
 constexpr std::size_t kMaxAccountEntries = 256;
 /* Greatest number of sound parts that are remembered. */
 constexpr std::size_t kMaxSoundParts = 32'768;
-/* Time after its last sound answer until a part may be suspected again, since other software of the
- * runners may crash on it. */
+/* Time after its last sound answer until a part may be suspected again. */
 constexpr Duration kSoundPartLifetime = 600s;
+/* Greatest number of software versions at which a part is remembered as sound. */
+constexpr std::size_t kMaxSoundVersions = 4;
 /* Greatest number of quarantined groups of parts, and of parts in one group. */
 constexpr std::size_t kMaxQuarantinedGroups = 64;
 constexpr std::size_t kMaxGroupParts = 16;
@@ -73,6 +74,7 @@
   FingerprintId request;
   ClientAccountId account;
   std::vector<PromptPartId> parts; ///< All but the last part of the prompt.
+  SoftwareVersion version;         ///< Of the process; empty if not known.
   /* The head of a success had arrived, so that the runner had begun to answer. */
   bool hasHead = false;
 
@@ -82,6 +84,8 @@
 /* Finds the parts that explain the crashes of runners with as few parts as possible. A crash is
  * attributed to the requests that the runner had begun to answer, if there are any. A part of a
  * request that was answered is sound: a crashing part crashes each runner that begins to answer it.
+ * That holds for the software version that answered; a newer one may crash on the part. An empty
+ * version, of a former release, stands for any.
  * The state is bounded, also for each client account, so that the parts of one account cannot push
  * out those of others. */
 class PromptPartGuard
@@ -101,15 +105,19 @@
   /* Records that a runner's process ended while the request was in flight there.
    * Reports about one process are merged. */
   Change RecordCrash(TimePoint aNow, const EndpointProcess& aProcess, const CrashSuspect& aSuspect);
-  /* Records that these parts are sound, because a request with them was answered. */
+  /* Records that these parts are sound, because a request with them was answered by a runner of a
+   * version. */
   Change RecordSound(TimePoint aNow,
                      const ClientAccountId& aAccount,
-                     std::span<const PromptPartId> aParts);
+                     std::span<const PromptPartId> aParts,
+                     const SoftwareVersion& aVersion = {});
   /* Takes over a group that another daemon or the store knows to be quarantined, and its trials if
-   * they are known. */
+   * they are known. Parts that are sound at all versions in use, or at any if none is given, are
+   * cleared instead. */
   Change RecordQuarantined(TimePoint aNow,
                            const PartGroup& aGroup,
-                           const std::optional<PartTrials>& aTrials = std::nullopt);
+                           const std::optional<PartTrials>& aTrials = std::nullopt,
+                           const std::set<SoftwareVersion>& aVersionsInUse = {});
   /* Returns whether a request with these parts may be sent as a trial now: no group that it has was
    * tried too often or too recently. */
   bool IsTrialDue(TimePoint aNow, std::span<const PromptPartId> aParts) const;
@@ -124,8 +132,12 @@
 
   /* Returns whether a request with these parts, in any order, must not be sent to a runner. */
   bool IsQuarantined(TimePoint aNow, std::span<const PromptPartId> aParts);
-  /* Returns those of the parts that are known to be sound. */
-  std::vector<PromptPartId> SoundAmong(TimePoint aNow, std::span<const PromptPartId> aParts) const;
+  /* Returns those of the parts that are known to be sound at a version. */
+  std::vector<PromptPartId> SoundAmong(TimePoint aNow,
+                                       std::span<const PromptPartId> aParts,
+                                       const SoftwareVersion& aVersion = {}) const;
+  /* Returns the version whose answer was the last to show that a part is sound, or an empty one. */
+  SoftwareVersion LastSoundVersion(PromptPartId aPart) const;
   std::vector<PartGroup> quarantined() const;
   std::size_t quarantinedCount() const { return mQuarantined.size(); }
   std::size_t recordCount() const { return mRecords.size(); }
@@ -146,10 +158,15 @@
     std::map<ClientAccountId, std::size_t> accountEntries;
     std::size_t entries = 0;
   };
+  struct Proof
+  {
+    SoftwareVersion version;
+    TimePoint at{};
+  };
   struct SoundPart
   {
     ClientAccountId account;
-    TimePoint provenAt{};
+    std::vector<Proof> proofs; ///< The last one of each version, the latest at the end.
     std::list<PromptPartId>::iterator place; ///< In the list of its account.
   };
   /* A part's crashes, as bits of the records with it. */
@@ -168,9 +185,14 @@
     bool areTrialsTold = false; ///< Another daemon has stated them.
   };
 
-  bool IsSound(TimePoint aNow, PromptPartId aPart) const;
+  /* Returns whether an answer of the version within kSoundPartLifetime has shown that a part is
+   * sound. */
+  bool IsSound(TimePoint aNow, PromptPartId aPart, const SoftwareVersion& aVersion) const;
   CrashRecord& RecordOf(const EndpointProcess& aProcess);
-  void RememberSound(TimePoint aNow, const ClientAccountId& aAccount, PromptPartId aPart);
+  void RememberSound(TimePoint aNow,
+                     const ClientAccountId& aAccount,
+                     PromptPartId aPart,
+                     const SoftwareVersion& aVersion);
   void ForgetOneSoundPart();
   /* Removes a sound part from the records and the quarantined groups. Returns whether it was there.
    */
--- a/src/fleet/fleet_message.cpp
+++ b/src/fleet/fleet_message.cpp
@@ -175,7 +175,8 @@
            { "account", aSuspect.account.str() },
            { "parts", ToJson(aSuspect.parts) },
            { "begun", aSuspect.hasHead },
-           { "question", aSuspect.isQuestion } };
+           { "question", aSuspect.isQuestion },
+           { "software", aSuspect.version.str() } };
 }
 
 SuspectMessage SuspectFrom(const Json& aJson)
@@ -187,7 +188,8 @@
            .account = ClientAccountId{ aJson.value("account", std::string{}) },
            .parts = PromptPartsFrom(aJson.value("parts", Json::array())),
            .hasHead = aJson.value("begun", false),
-           .isQuestion = aJson.value("question", false) };
+           .isQuestion = aJson.value("question", false),
+           .version = SoftwareVersion{ aJson.value("software", std::string{}) } };
 }
 
 Json ToJson(const EndpointLimitsMessage& aLimits)
--- a/src/fleet/fleet_message.h
+++ b/src/fleet/fleet_message.h
@@ -80,6 +80,9 @@
   bool hasHead = false; ///< The runner had begun to answer the request.
   /* No crash is reported, but it is asked whether these parts are known to be sound. */
   bool isQuestion = false;
+  /* Of the runner that crashed or answered; releases without it state none. A question is about
+   * this version. */
+  SoftwareVersion version;
 };
 
 /* Several of these reports. */
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -77,8 +77,10 @@
   /* Takes that a connection broke under a request at an endpoint that must not be called to find
    * out why. It was a crash if another process of the endpoint follows soon. */
   std::function<void(const fleet::EndpointProcess&, const fleet::CrashSuspect&)> onPossibleCrash;
-  /* Takes that a request with these parts was answered. */
-  std::function<void(const ClientAccountId&, std::span<const fleet::PromptPartId>)> onSoundAnswer;
+  /* Takes that a request with these parts was answered by an endpoint of a version. */
+  std::function<
+    void(const ClientAccountId&, std::span<const fleet::PromptPartId>, const SoftwareVersion&)>
+    onSoundAnswer;
   /* Returns whether a request with these quarantined parts may be sent as their trial, if the
    * dispatcher permits it. */
   std::function<bool(std::span<const fleet::PromptPartId>)> isTrialOffered;
--- a/src/gateway/request_flow.cpp
+++ b/src/gateway/request_flow.cpp
@@ -1067,7 +1067,7 @@
 void RequestFlow::RecordSoundParts()
 {
   if (!std::exchange(mAttempt.isProvenSound, true)) {
-    mContext.onSoundAnswer(mAccount, mClient.leadingParts);
+    mContext.onSoundAnswer(mAccount, mClient.leadingParts, mAttempt.version);
   }
 }
 
@@ -1226,6 +1226,7 @@
                                      .parts = aAttempt.isProvenSound
                                                 ? std::vector<fleet::PromptPartId>{}
                                                 : mClient.leadingParts,
+                                     .version = aAttempt.version,
                                      .hasHead = aAttempt.head && IsSuccess(aAttempt.head->status) };
   const fleet::EndpointProcess process{ .endpoint = aAttempt.endpoint,
                                         .startedAtMs = aAttempt.endpointStartedAtMs };
--- a/tests/edge/standin.py
+++ b/tests/edge/standin.py
@@ -444,6 +444,7 @@
     crashing_account: str = ""      # Only one of this account does, unless empty.
     # A request with one of these prompt parts, not as the last one, crashes it after the answer's head.
     crashing_parts: frozenset[str] = frozenset()
+    crashing_version: str = ""  # Only a process of this software version does, unless empty.
     crashes_after_event: bool = False  # The first event is sent before such a crash.
     pause_value: str = ""           # Refuses requests with 503 and this Retry-After.
     load_value: str = ""            # Value of X-Server-Load in all answers, in place of the usual one.
@@ -631,7 +632,8 @@
             asyncio.ensure_future(self.crash(0.4))
             return
         parts = [part.split(":")[0] for part in call.fields.get("x-prompt-prefix", "").split(",")]
-        if self.faults.crashing_parts.intersection(parts[:-1]):
+        if (self.faults.crashing_parts.intersection(parts[:-1])
+                and self.faults.crashing_version in ("", self.version)):
             await self._crash_after_head(call, run)
             return
         if self.faults.delays_answers:
--- a/tests/edge/test_crashing_part.py
+++ b/tests/edge/test_crashing_part.py
@@ -158,6 +158,27 @@
         check_sound_served(cluster)
 
 
+def test_edge_stops_requests_with_a_part_that_only_a_newer_version_crashes_on() -> None:
+    """Guards against a part that counts as sound for ten minutes since an older version answered it."""
+    with start() as cluster:
+        runners = [e for e in cluster.platform.endpoints.values() if e.service == "llm"]
+        for runner in runners:
+            runner.faults.crashing_version = runner.next_version = "v2"
+        for number in range(4):
+            daemon = cluster.daemons[number % 2]
+            assert send(daemon, bad_list()).is_complete
+        for runner in runners:
+            cluster.platform.run_coroutine(runner.crash(0.2))
+        cluster.wait_until(lambda: send(cluster.daemons[0], sound_list()).is_complete, "a sound request")
+        check_sound_served(cluster, 4)
+        load = Load(cluster)
+        load.run(10.0, [bad_list() for _ in range(400)])
+        load.check()
+        for daemon in cluster.daemons:
+            check_refused(cluster, daemon, places=(1, 2))
+        check_sound_served(cluster)
+
+
 def test_edge_stops_two_crashing_parts_at_once() -> None:
     """Sends requests with one of two crashing parts, or with both."""
     with start(bad=(BAD, ALSO_BAD)) as cluster:
--- a/tests/fleet/crash_report_test.cpp
+++ b/tests/fleet/crash_report_test.cpp
@@ -118,6 +118,7 @@
                   .promptParts = parts,
                   .log = log,
                   .isDispatcher = [aNumber] { return aNumber == 0; },
+                  .versionsInUse = [] { return std::set<SoftwareVersion>{}; },
                   .send =
                     [this, &aFleet](ReportAudience aAudience,
                                     const std::string& aAddress,
--- a/tests/fleet/prompt_part_guard_test.cpp
+++ b/tests/fleet/prompt_part_guard_test.cpp
@@ -95,6 +95,40 @@
   CHECK_FALSE(guard.IsQuarantined(kStart, Parts({ 2 })));
 }
 
+// Load pattern: a release whose software crashes on a part that the former one answered.
+TEST_CASE("a part is sound only at the versions that answered it")
+{
+  const SoftwareVersion former{ "v1" };
+  const SoftwareVersion newer{ "v2" };
+  PromptPartGuard guard;
+  guard.RecordSound(kStart, kAccount, Parts({ 1, 7 }), former);
+  guard.RecordSound(kStart, kAccount, Parts({ 1 }), newer);
+  CHECK(guard.SoundAmong(kStart, Parts({ 1, 7 }), newer) == Parts({ 1 }));
+  const auto crash = [&](int aNumber, const SoftwareVersion& aVersion) {
+    CrashSuspect suspect = Suspect(aNumber, Parts({ 1, 7 }));
+    suspect.version = aVersion;
+    guard.RecordCrash(kStart, Process(aNumber), suspect);
+  };
+  for (int number = 0; number < 5; ++number) {
+    crash(number, former); // By chance.
+  }
+  CHECK(guard.quarantinedCount() == 0);
+  for (int number = 5; number < 8; ++number) {
+    // Answers at the former version are no evidence against crashes of the newer one.
+    guard.RecordSound(kStart, kAccount, Parts({ 1, 7 }), former);
+    crash(number, newer);
+  }
+  CHECK_FALSE(guard.IsQuarantined(kStart, Parts({ 1 })));
+  CHECK(guard.IsQuarantined(kStart, Parts({ 7 })));
+  // An answer ends a quarantine at any version: it may be a trial after the release was taken back.
+  CHECK(guard.RecordSound(kStart, kAccount, Parts({ 7 }), former).cleared == Parts({ 7 }));
+  // What others state counts unless the part is sound at all versions in use.
+  guard.RecordQuarantined(kStart, Parts({ 1 }), std::nullopt, { former, newer });
+  CHECK_FALSE(guard.IsQuarantined(kStart, Parts({ 1 })));
+  guard.RecordQuarantined(kStart, Parts({ 7 }), std::nullopt, { former, newer });
+  CHECK(guard.IsQuarantined(kStart, Parts({ 7 })));
+}
+
 TEST_CASE("an answer of long ago does not protect a part")
 {
   PromptPartGuard guard;
