--- a/src/daemon/crash_reports.cpp
+++ b/src/daemon/crash_reports.cpp
@@ -101,7 +101,7 @@
          { .request = aRequest, .isCleared = true });
 }
 
-std::vector<SuspectMessage> CrashReports::QuarantinedRequests(TimePoint aNow) const
+std::vector<SuspectMessage> CrashReports::QuarantineReports(TimePoint aNow) const
 {
   std::vector<SuspectMessage> reports;
   for (const FingerprintId& request : mServices.crashes.Quarantined(aNow, kMaxToldRequests)) {
--- a/src/daemon/crash_reports.h
+++ b/src/daemon/crash_reports.h
@@ -55,9 +55,9 @@
                    const SoftwareVersion& aVersion = {});
   /* A request of this daemon that was suspected of crashing runners was answered. */
   void OnOwnCleared(const FingerprintId& aRequest, bool aWasQuarantined);
-  /* Returns reports that quarantine the same requests at a daemon that knows none, as many as
-   * matter. */
-  std::vector<SuspectMessage> QuarantinedRequests(TimePoint aNow) const;
+  /* Returns reports of crashes by which a daemon that joins quarantines the same requests, the
+   * latest ones if there are many. */
+  std::vector<SuspectMessage> QuarantineReports(TimePoint aNow) const;
   /* Takes a report of another daemon, which has this address. It is empty if the daemon is not
    * known to be a member, and then it gets no answer. */
   void OnReport(TimePoint aNow, const std::string& aSender, const SuspectMessage& aReport);
--- a/src/daemon/edge_daemon.cpp
+++ b/src/daemon/edge_daemon.cpp
@@ -298,16 +298,15 @@
           .partTrials = [this] { return mGateway.promptParts.trials(BootClockNow()); },
           .startTrial =
             [this](const std::vector<fleet::PromptPartId>& aParts) { return StartTrial(aParts); },
-          .quarantinedFingerprints =
+          .quarantinedRequests =
             [this] { return mGateway.crashes.Quarantined(BootClockNow(), kMaxRecordedRequests); },
-          .onQuarantinedFingerprints =
+          .onQuarantinedRequests =
             [this](const std::vector<FingerprintId>& aRequests) {
               for (const FingerprintId& request : aRequests) {
                 mGateway.crashes.RecordQuarantined(BootClockNow(), request);
               }
             },
-          .quarantinedRequests =
-            [this] { return mCrashReports.QuarantinedRequests(BootClockNow()); },
+          .quarantineReports = [this] { return mCrashReports.QuarantineReports(BootClockNow()); },
           .onStoreEra = [this](StoreEra aEra) { mStore.ObserveEra(aEra); } },
         { .self = DaemonId{ mSettings.daemonId },
           .incarnation = IncarnationId{ mIncarnation },
--- a/src/decision/fleet/dispatcher.cpp
+++ b/src/decision/fleet/dispatcher.cpp
@@ -508,7 +508,7 @@
 void Dispatcher::OnUnreachable(TimePoint aNow, ManagedRunner& aRunner)
 {
   const bool hasJustReported =
-    aRunner.reportedAt && aNow - *aRunner.reportedAt < kTrustedReportTime;
+    aRunner.lastReportAt && aNow - *aRunner.lastReportAt < kTrustedReportTime;
   if (!aRunner.unreachableSince && !hasJustReported) {
     aRunner.unreachableSince = aNow;
     RequireReport(aNow, aRunner);
--- a/src/decision/fleet/dispatcher.h
+++ b/src/decision/fleet/dispatcher.h
@@ -167,7 +167,7 @@
   /* Since when requests do not reach the runner, although its entry is there. It gets none until it
    * gives a sign of life, for kMaxUnreachableTime at most. */
   std::optional<TimePoint> unreachableSince;
-  std::optional<TimePoint> reportedAt;          ///< When its last report arrived.
+  std::optional<TimePoint> lastReportAt;        ///< When its last report arrived.
   StatedLimit limit;                            ///< Of the present process.
   std::optional<LimitedTraffic> limitedTraffic; ///< Set while there is a limit.
   /* What is assumed below is all that the runner may hold after `orderCount` orders: a report of
--- a/src/decision/fleet/dispatcher_order.cpp
+++ b/src/decision/fleet/dispatcher_order.cpp
@@ -494,7 +494,7 @@
     return;
   }
   runner.unreachableSince.reset();
-  runner.reportedAt = aNow;
+  runner.lastReportAt = aNow;
   if (aReport->startedAtMs > runner.entry.startedAtMs) {
     RunnerEntry entry = runner.entry; // The runner restarted and its entry is still the old one.
     entry.startedAtMs = aReport->startedAtMs;
--- a/src/fleet/fleet_member.cpp
+++ b/src/fleet/fleet_member.cpp
@@ -203,7 +203,7 @@
   const fleet::LeaseRowContent all{ .versions = mServices.recentVersions(),
                                     .quarantinedParts = mServices.quarantinedParts(),
                                     .partTrials = mServices.partTrials(),
-                                    .quarantinedRequests = mServices.quarantinedFingerprints() };
+                                    .quarantinedRequests = mServices.quarantinedRequests() };
   const auto content = fleet::FitLeaseRow(all, mServices.recordedVersions, mLeaseContentBytes);
   auto row = EncodeLeaseRow({ .lease = aWrite.row, .content = content });
   if (!row) {
@@ -277,7 +277,7 @@
   mServices.onQuarantinedParts(row->content.quarantinedParts, row->content.partTrials);
   if (!mHasReadLease) {
     // Later, the row may be older than an answer that has ended a quarantine.
-    mServices.onQuarantinedFingerprints(row->content.quarantinedRequests);
+    mServices.onQuarantinedRequests(row->content.quarantinedRequests);
   }
   return std::move(row->lease);
 }
@@ -685,7 +685,7 @@
   if (isNew) {
     Send(aHello.address, MakeHeartbeat());
     SendOwnSuspects(aHello.address);
-    SendQuarantinedRequests(aHello.address);
+    SendQuarantineReports(aHello.address);
     SendLimits(aHello.address, mServices.limits());
   }
 }
@@ -1010,9 +1010,9 @@
   }
 }
 
-void FleetMember::SendQuarantinedRequests(const std::string& aAddress)
+void FleetMember::SendQuarantineReports(const std::string& aAddress)
 {
-  std::vector<SuspectMessage> reports = mServices.quarantinedRequests();
+  std::vector<SuspectMessage> reports = mServices.quarantineReports();
   for (std::size_t first = 0; first < reports.size(); first += kMaxReportsPerMessage) {
     const auto begin = std::make_move_iterator(reports.begin());
     const std::size_t last = std::min(first + kMaxReportsPerMessage, reports.size());
--- a/src/fleet/fleet_member.h
+++ b/src/fleet/fleet_member.h
@@ -92,10 +92,10 @@
   std::function<bool(const std::vector<fleet::PromptPartId>&)> startTrial;
   /* Returns the quarantined requests that this daemon knows, and takes those that the store's lease
    * row states when this process starts. */
-  std::function<std::vector<FingerprintId>()> quarantinedFingerprints;
-  std::function<void(const std::vector<FingerprintId>&)> onQuarantinedFingerprints;
+  std::function<std::vector<FingerprintId>()> quarantinedRequests;
+  std::function<void(const std::vector<FingerprintId>&)> onQuarantinedRequests;
   /* Returns reports of the crashes of all quarantined requests that this daemon knows. */
-  std::function<std::vector<SuspectMessage>()> quarantinedRequests;
+  std::function<std::vector<SuspectMessage>()> quarantineReports;
   /* Takes the era of the store that another daemon knows. */
   std::function<void(StoreEra)> onStoreEra;
 };
@@ -225,8 +225,8 @@
   void OnStreamsBegun(const StreamsBegunMessage& aBegun);
   /* Sends the suspects that this daemon reported a short time ago to a daemon. */
   void SendOwnSuspects(const std::string& aAddress);
-  /* Sends the quarantined requests that this daemon knows to one that joins. */
-  void SendQuarantinedRequests(const std::string& aAddress);
+  /* Tells a daemon that joins of the quarantined requests that this one knows. */
+  void SendQuarantineReports(const std::string& aAddress);
   /* Sends the streams that this daemon began a short time ago to a new dispatcher. */
   void SendOwnStreams();
   /* Sends the streams that were reported since the last copy to the members that keep copies, when
