Fix: [Gateway] Ordinary bodies were not read beside slow ones that came before

Callers: beside 150 clients that send a little of large bodies now and then, at a memory limit of 32 MB, a request with a body of 100 kB got no answer in 20 s.

Causes: above three quarters of the budget the oldest body kept its turn as long as some of it came every 100 ms. And when the budget was exceeded, the largest reader ended first: often the ordinary body in turn (503), or the ordinary request that an endpoint was running, whose body is held twice then (502).

Change: the next turn goes to the body that is expected to be complete first, by what remains of it and the pace of its last turn, and a turn passes on when another body would be complete before. A body in turn does not end for the budget, and a whole request is spared while one that is arriving holds more than its share.

Three unit tests of the decisions.

--- a/src/decision/fleet/crash_guard.cpp
+++ b/src/decision/fleet/crash_guard.cpp
@@ -63,6 +63,7 @@
   std::sort(found.begin(), found.end(), std::greater<>{});
   found.resize(std::min(found.size(), aMax));
   std::vector<FingerprintId> requests;
+  requests.reserve(found.size());
   for (auto& [expiresAt, request] : found) {
     requests.push_back(std::move(request));
   }
--- a/src/decision/fleet/reader_budget.cpp
+++ b/src/decision/fleet/reader_budget.cpp
@@ -118,12 +118,19 @@
   }
   std::erase_if(aReaders, [](const ReaderState& aReader) { return aReader.bytes == 0; });
   const std::size_t share = aBudget.ShareOf(aReaders.size());
+  // Requests that have come whole may be running, so they are spared while one that has not holds
+  // more than its share.
+  const bool areRunningSpared =
+    std::any_of(aReaders.begin(), aReaders.end(), [share](const ReaderState& aReader) {
+      return aReader.isArriving && aReader.bytes > share;
+    });
   // All shares are equal, so the reader furthest behind for its share holds the most bytes. Ending
   // readers within their share frees little, so they come last.
-  const auto rank = [share](const ReaderState& aReader) {
+  const auto rank = [&](const ReaderState& aReader) {
     const bool isWithinShare = aReader.bytes <= share;
     const bool isInGrace = aReader.behindFor < kReaderGrace;
-    return std::tuple{ isWithinShare, isInGrace, ~aReader.bytes, aReader.id };
+    const bool isSpared = areRunningSpared && !aReader.isArriving && isInGrace;
+    return std::tuple{ isSpared, isWithinShare, isInGrace, ~aReader.bytes, aReader.id };
   };
   std::sort(aReaders.begin(), aReaders.end(), [&](const auto& aLeft, const auto& aRight) {
     return rank(aLeft) < rank(aRight);
--- a/src/decision/fleet/reader_budget.h
+++ b/src/decision/fleet/reader_budget.h
@@ -63,6 +63,7 @@
   std::uint64_t id = 0;
   std::size_t bytes = 0;
   Duration behindFor{}; ///< Time since the reader last had taken everything; 0: it is not behind.
+  bool isArriving = false; ///< The bytes are of a request that has not come whole.
 };
 
 /* A reader that is to end, with the figures that decided it. */
--- a/src/decision/fleet/request_intake.cpp
+++ b/src/decision/fleet/request_intake.cpp
@@ -17,6 +17,10 @@
 constexpr std::size_t kUploadBufferDivisor = 16;
 constexpr std::size_t kMinUploadBuffer = 4U << 10U;
 constexpr std::size_t kMaxUploadBuffer = 64U << 10U;
+/* Bytes per second at which a body that had no turn yet is expected to come, and the least pace
+ * that is told from none. */
+constexpr double kAssumedPace = 1e6;
+constexpr double kMinPace = 1.0;
 
 } // namespace
 
@@ -29,10 +33,62 @@
   return aHeldBytes < (mayUseReserve ? mOptions.budget.bytes : SharedMark());
 }
 
+Duration RequestIntake::TimeToComplete(std::uint64_t aId, std::uint64_t aRemaining) const
+{
+  const auto pace = mPaces.find(aId);
+  const double bytesPerSecond =
+    std::max(pace == mPaces.end() ? kAssumedPace : pace->second, kMinPace);
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>{ static_cast<double>(aRemaining) / bytesPerSecond });
+}
+
 void RequestIntake::Wait(const WaitingArrival& aArrival)
 {
-  mArrivedAt[aArrival.id] = aArrival.arrivedAt;
-  mWaiting[{ aArrival.arrivedAt, aArrival.id }] = aArrival.part;
+  const Duration time = aArrival.part == ArrivingPart::kSmall
+                          ? Duration::zero()
+                          : TimeToComplete(aArrival.id, aArrival.body.remaining);
+  const Place place{ time, aArrival.arrivedAt, aArrival.id };
+  if (const auto [known, isNew] = mPlaces.try_emplace(aArrival.id, place); !isNew) {
+    mWaiting.erase(known->second);
+    known->second = place;
+  }
+  mWaiting[place] = aArrival.part;
+}
+
+void RequestIntake::ReviewTurn(TimePoint aNow, std::uint64_t aId, const BodyProgress& aBody)
+{
+  const auto turn = mTurns.find(aId);
+  if (turn == mTurns.end()) {
+    return;
+  }
+  if (!turn->second.measuredSince) {
+    turn->second = { .measuredSince = aNow, .received = aBody.received };
+    return;
+  }
+  const Duration time = aNow - *turn->second.measuredSince;
+  if (time < kPaceInterval) {
+    return;
+  }
+  mPaces[aId] = static_cast<double>(aBody.received - turn->second.received) /
+                std::chrono::duration<double>(time).count();
+  turn->second = { .measuredSince = aNow, .received = aBody.received };
+  const auto next = std::find_if(mWaiting.begin(), mWaiting.end(), [](const auto& aItem) {
+    return aItem.second == ArrivingPart::kBody;
+  });
+  if (next != mWaiting.end() &&
+      std::get<Duration>(next->first) < TimeToComplete(aId, aBody.remaining)) {
+    mTurns.erase(turn);
+  }
+}
+
+std::vector<std::uint64_t> RequestIntake::turns() const
+{
+  std::vector<std::uint64_t> ids;
+  ids.reserve(mTurns.size());
+  for (const auto& [id, turn] : mTurns) {
+    ids.push_back(id);
+  }
+  return ids;
 }
 
 std::vector<std::uint64_t> RequestIntake::Take(std::size_t aHeldBytes)
@@ -43,9 +99,9 @@
     return mOptions.budget.isLimited() && expected >= mOptions.budget.bytes;
   };
   for (auto item = mWaiting.begin(); item != mWaiting.end() && !isFull();) {
-    const std::uint64_t id = item->first.second;
+    const std::uint64_t id = std::get<std::uint64_t>(item->first);
     if (item->second == ArrivingPart::kBody && mTurns.size() < MaxTurns()) {
-      mTurns.insert(id);
+      mTurns.try_emplace(id);
     }
     if (!MayRead(id, item->second, expected)) {
       ++item;
@@ -53,7 +109,7 @@
     }
     taken.push_back(id);
     expected += kReadBytes;
-    mArrivedAt.erase(id);
+    mPlaces.erase(id);
     item = mWaiting.erase(item);
   }
   return taken;
@@ -62,10 +118,11 @@
 void RequestIntake::Remove(std::uint64_t aId)
 {
   mTurns.erase(aId);
-  const auto found = mArrivedAt.find(aId);
-  if (found != mArrivedAt.end()) {
-    mWaiting.erase({ found->second, aId });
-    mArrivedAt.erase(found);
+  mPaces.erase(aId);
+  const auto found = mPlaces.find(aId);
+  if (found != mPlaces.end()) {
+    mWaiting.erase(found->second);
+    mPlaces.erase(found);
   }
 }
 
--- a/src/gateway/reader_guard.cpp
+++ b/src/gateway/reader_guard.cpp
@@ -86,7 +86,10 @@
   std::vector<fleet::ReaderState> states;
   states.reserve(readers.size());
   for (const HeldReader& reader : readers) {
-    states.push_back(reader.state);
+    // A body in turn is about to be complete, and is not read beyond the budget.
+    if (!reader.isArriving || !mContext.intake.HasTurn(reader.connection)) {
+      states.push_back(reader.state);
+    }
   }
   const auto choices =
     fleet::ChooseReadersToEnd(mContext.readerBudget, mContext.bytes.held(), std::move(states));
@@ -126,11 +129,13 @@
   std::unordered_map<std::uint64_t, std::size_t> byConnection;
   for (http::ReaderInfo& info : mServer.Readers()) {
     byConnection.emplace(info.connection, readers.size());
-    readers.push_back(
-      { .connection = info.connection,
-        .requestId = std::move(info.label),
-        .isArriving = info.isReceiving,
-        .state = { .id = readers.size(), .bytes = info.heldBytes, .behindFor = info.behindFor } });
+    readers.push_back({ .connection = info.connection,
+                        .requestId = std::move(info.label),
+                        .isArriving = info.isReceiving,
+                        .state = { .id = readers.size(),
+                                   .bytes = info.heldBytes,
+                                   .behindFor = info.behindFor,
+                                   .isArriving = info.isReceiving } });
   }
   for (RequestFlow* flow : mContext.openRequests) {
     if (flow->isEnded()) {
@@ -206,12 +211,15 @@
 void ReaderGuard::ServeIntake()
 {
   fleet::RequestIntake& intake = mContext.intake;
-  const auto turns = intake.turns();
-  for (const std::uint64_t id : turns) {
+  const TimePoint now = BootClockNow();
+  for (const std::uint64_t id : intake.turns()) {
     const auto silence = mServer.TimeWithoutProgress(id);
     if (silence && *silence >= fleet::kTurnSilence) {
       intake.EndTurn(id);
     }
+    if (const auto body = mServer.ProgressOf(id)) {
+      intake.ReviewTurn(now, id, *body);
+    }
   }
   for (const std::uint64_t id : intake.Take(mContext.bytes.held())) {
     mServer.ResumeReading(id);
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -259,6 +259,18 @@
     return info.isReceiving ? std::optional{ info.behindFor } : std::nullopt;
   }
 
+  std::optional<fleet::BodyProgress> Progress() const
+  {
+    if (mState != State::kReading || !mParser || !mHasRequestHead) {
+      return std::nullopt;
+    }
+    const std::uint64_t received = mParser->get().body().size();
+    const std::uint64_t limit = std::max<std::uint64_t>(mServer->limits.bodyBytes, received);
+    return fleet::BodyProgress{ .received = received,
+                                .remaining =
+                                  mParser->content_length_remaining().value_or(limit - received) };
+  }
+
   void ResumeReading()
   {
     if (std::exchange(mIsWaitingForIntake, false)) {
@@ -479,7 +491,8 @@
     mServer->options.intake->Wait({ .id = mId,
                                     .arrivedAt = TimePoint{ std::chrono::duration_cast<Duration>(
                                       mFirstByteAt.time_since_epoch()) },
-                                    .part = NextPart() });
+                                    .part = NextPart(),
+                                    .body = Progress().value_or(fleet::BodyProgress{}) });
     CountUnread();
     mServer->options.onIntakeWait();
   }
@@ -927,6 +940,12 @@
   return connection ? connection->TimeWithoutProgress() : std::nullopt;
 }
 
+std::optional<fleet::BodyProgress> Server::ProgressOf(std::uint64_t aConnection) const
+{
+  const auto connection = mImpl->Find(aConnection);
+  return connection ? connection->Progress() : std::nullopt;
+}
+
 void Server::CountUnread()
 {
   for (const auto& [id, connection] : mImpl->connections) {
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -193,6 +193,9 @@
   /* Returns how long the request that is arriving on a connection has not progressed, or nothing if
    * there is none. */
   std::optional<Duration> TimeWithoutProgress(std::uint64_t aConnection) const;
+  /* Returns how much of the body that is arriving on a connection has come, or nothing if there is
+   * none. */
+  std::optional<fleet::BodyProgress> ProgressOf(std::uint64_t aConnection) const;
   /* Counts anew what the kernel holds unread of the requests that wait for the intake. */
   void CountUnread();
   /* Discards what a connection holds. A request that arrives is rejected with 503, and otherwise
--- a/tests/edge/test_misbehaving_clients.py
+++ b/tests/edge/test_misbehaving_clients.py
@@ -77,12 +77,12 @@
     """Clients that each send some bytes as fast as they are taken and then stay connected.
 
     Answers are read and discarded, unless reads is false. drip, if given, is sent in turn to each
-    client that has sent everything, every 50 ms.
+    client that has sent everything, at intervals.
     """
 
     def __init__(self, address: Address, payloads: Sequence[bytes], reads: bool = True,
-                 drip: bytes = b"") -> None:
-        self.reads, self.drip = reads, drip
+                 drip: bytes = b"", drip_interval_s: float = 0.05) -> None:
+        self.reads, self.drip, self.drip_interval_s = reads, drip, drip_interval_s
         self.selector = selectors.DefaultSelector()
         self.unsent: dict[socket.socket, memoryview] = {}
         self.stopped = threading.Event()
@@ -106,7 +106,7 @@
         while not self.stopped.is_set():
             for key, events in self.selector.select(0.05):
                 self._serve(key.fileobj, events)  # type: ignore[arg-type]
-            if self.drip and time.monotonic() > dripped_at + 0.05:
+            if self.drip and time.monotonic() > dripped_at + self.drip_interval_s:
                 dripped_at = time.monotonic()
                 for client in [c for c, unsent in self.unsent.items() if not unsent]:
                     self._write(client, memoryview(self.drip))
@@ -583,3 +583,30 @@
                 time.sleep(1)
             answer = client.recv(65536)
         assert answer.startswith(b"HTTP/1.1 200"), answer
+
+
+def check_served_beside_slow_bodies(interval_s: float) -> None:
+    """Sends bodies of 100 kB and 500 kB beside 150 clients that send 1.1 kB of a large one now and then."""
+    with start_cluster() as cluster:
+        daemon = cluster.daemons[0]
+        crowd = Crowd(front(daemon), [CHUNKED_HEAD + chunks(20_000, 100_000)] * CONNECTIONS,
+                      drip=chunks(1_100, 1_100), drip_interval_s=interval_s)
+        try:
+            time.sleep(2.0)
+            for size in (100_000, 500_000, 100_000):
+                started = time.monotonic()
+                result = daemon.send("pay", body=b"x" * size, timeout_s=ANSWER_TIMEOUT_S)
+                took_s = time.monotonic() - started
+                print(f"{size} bytes: {result.status} in {took_s:.1f} s", flush=True)
+                assert result.is_complete and took_s < 2.0, (size, took_s, result)
+        finally:
+            crowd.close()
+
+
+def test_ordinary_bodies_are_served_beside_bodies_that_hardly_progress() -> None:
+    """Guards against slow bodies that keep their turn: an ordinary one got no answer in 15 s."""
+    check_served_beside_slow_bodies(0.08)
+
+
+def test_ordinary_bodies_are_served_beside_bodies_that_pause() -> None:
+    check_served_beside_slow_bodies(0.9)
--- a/tests/fleet/reader_budget_test.cpp
+++ b/tests/fleet/reader_budget_test.cpp
@@ -24,6 +24,17 @@
 
 } // namespace
 
+/* Guards against an ordinary payment that is ended while an endpoint runs it: its body is held
+ * twice then, more than any of a crowd of slow uploads holds. */
+TEST_CASE("a request that has come whole is spared while an upload holds more than its share")
+{
+  const ReaderState whole{ .id = 1, .bytes = 600 };
+  const ReaderState upload{ .id = 2, .bytes = 550, .isArriving = true };
+  CHECK(Ended(1'150, { whole, upload }) == std::vector<std::uint64_t>{ 2 });
+  CHECK(Ended(1'150, { whole, { .id = 2, .bytes = 400, .isArriving = true } }) ==
+        std::vector<std::uint64_t>{ 1 });
+}
+
 /* Guards against cutting off a slow reader while there is room, and without the setting. */
 TEST_CASE("no reader ends within the budget or without one")
 {
--- a/tests/fleet/request_intake_test.cpp
+++ b/tests/fleet/request_intake_test.cpp
@@ -73,7 +73,7 @@
       if (upload.isOver || upload.isWaiting) {
         continue;
       }
-      while (read(upload) && intake.turns().contains(upload.id)) {
+      while (read(upload) && intake.HasTurn(upload.id)) {
       }
       if (now - upload.progressAt >= kTurnSilence) {
         intake.EndTurn(upload.id);
@@ -174,3 +174,62 @@
   CHECK(UploadBufferLimit(ReaderBudgetOf(260), 50) == 64U << 10U);
   CHECK(UploadBufferLimit(ReaderBudgetOf(260), 2'050) == 4U << 10U);
 }
+
+/* Guards against slow bodies that came first and keep their turn: an ordinary one got no answer in
+ * 15 s. Load pattern: 150 clients that send 1.1 kB of a large body every 80 ms. */
+TEST_CASE("an ordinary body is complete soon beside slow ones that came before")
+{
+  RequestIntake intake;
+  intake.SetOptions({ .budget = kBudget, .bodyLimit = kBody });
+  const std::size_t held = intake.SharedMark() + 1;
+  constexpr std::uint64_t kSlow = 150;
+  constexpr std::uint64_t kOrdinary = kSlow;
+  std::vector<BodyProgress> bodies(kSlow + 1, { .received = 0, .remaining = kBody });
+  bodies[kOrdinary].remaining = 100'000;
+  TimePoint now{ 1s };
+  const auto wait = [&](std::uint64_t aId) {
+    intake.Wait({ .id = aId, .arrivedAt = TimePoint{ 1s }, .body = bodies[aId] });
+  };
+  const auto advance = [&](std::uint64_t aId, std::uint64_t aBytes) {
+    const auto bytes = std::min<std::uint64_t>(aBytes, bodies[aId].remaining);
+    bodies[aId].received += bytes;
+    bodies[aId].remaining -= bytes;
+  };
+  for (std::uint64_t id = 0; id < kSlow; ++id) {
+    wait(id);
+  }
+  int steps = 0;
+  for (; steps < 400 && bodies[kOrdinary].remaining > 0; ++steps) {
+    now += kStep;
+    if (steps == 200) {
+      wait(kOrdinary);
+    }
+    intake.Take(held);
+    for (const std::uint64_t id : intake.turns()) {
+      advance(id, id == kOrdinary ? kReadBytes : steps % 16 == 0 ? 1'100 : 0);
+      intake.ReviewTurn(now, id, bodies[id]);
+      if (!intake.HasTurn(id) && bodies[id].remaining > 0) {
+        wait(id);
+      }
+    }
+  }
+  CHECK(bodies[kOrdinary].remaining == 0);
+  CHECK(steps - 200 < 200); // A second.
+}
+
+TEST_CASE("a body in turn keeps it while it would be complete before those that wait")
+{
+  RequestIntake intake;
+  intake.SetOptions({ .budget = kBudget, .bodyLimit = kBody });
+  const std::size_t held = intake.SharedMark() + 1;
+  intake.Wait({ .id = 1, .arrivedAt = TimePoint{ 1s }, .body = { .remaining = 600'000 } });
+  REQUIRE(intake.Take(held) == std::vector<std::uint64_t>{ 1 });
+  intake.Wait({ .id = 2, .arrivedAt = TimePoint{ 1s }, .body = { .remaining = 500'000 } });
+  CHECK(intake.Take(held).empty());
+  intake.ReviewTurn(TimePoint{ 2s }, 1, { .received = 0, .remaining = 600'000 });
+  intake.ReviewTurn(TimePoint{ 2'100ms }, 1, { .received = 200'000, .remaining = 400'000 });
+  CHECK(intake.HasTurn(1));
+  intake.ReviewTurn(TimePoint{ 2'200ms }, 1, { .received = 201'000, .remaining = 399'000 });
+  CHECK_FALSE(intake.HasTurn(1));
+  CHECK(intake.Take(held) == std::vector<std::uint64_t>{ 2 });
+}
